Read settings strictly, with every mistake named

Cause: a process that starts with a misread setting fails later and elsewhere. Change: a typed INI reader (ini.v1) driven by struct tags; unknown keys, bad units, ranges and missing values are refused together with what is allowed. Ruled out: decoding by ini.v1's own struct mapper, which ignores unknown keys.

--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,146 @@
+// Package settings reads the INI settings of a process into a typed struct and
+// refuses everything it does not understand. Each mistake names the file, the
+// section, the key and what is allowed; all mistakes are reported together.
+//
+// The target is a struct whose fields are structs tagged `section:"name"`;
+// their fields are tagged `key:"name"` with the optional tags `default`,
+// `required:"true"`, `allowed:"a|b"`, `min`, `max` and `help`. Supported field
+// types are string, bool, int, float64, time.Duration, Size, Address and
+// slices of string and Address (comma-separated).
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Mistake is one thing wrong with a settings file.
+type Mistake struct {
+	File    string
+	Section string
+	Key     string
+	Problem string
+	Allowed string // what would be accepted; may be empty
+}
+
+// Error implements error.
+func (m *Mistake) Error() string {
+	s := fmt.Sprintf("%s: [%s]", m.File, m.Section)
+	if m.Key != "" {
+		s += " " + m.Key
+	}
+	s += ": " + m.Problem
+	if m.Allowed != "" {
+		s += "; allowed: " + m.Allowed
+	}
+	return s
+}
+
+// Checker is implemented by a target that has rules across keys. It is called
+// after every key was read; it returns one *Mistake for each rule broken.
+type Checker interface {
+	Check() []*Mistake
+}
+
+// Load reads the file into target, a pointer to a struct. The error joins all
+// mistakes found.
+func Load(file string, target any) error {
+	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", IgnoreInlineComment: true, AllowShadows: true}, file)
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	r := &reader{name: file, file: f}
+	r.read(reflect.ValueOf(target).Elem())
+	if c, ok := target.(Checker); ok && len(r.mistakes) == 0 {
+		for _, m := range c.Check() {
+			m.File = file
+			r.mistakes = append(r.mistakes, m)
+		}
+	}
+	return errors.Join(r.mistakes...)
+}
+
+type reader struct {
+	name     string
+	file     *ini.File
+	mistakes []error
+}
+
+func (r *reader) add(section, key, problem, allowed string) {
+	r.mistakes = append(r.mistakes, &Mistake{r.name, section, key, problem, allowed})
+}
+
+func (r *reader) read(target reflect.Value) {
+	known := map[string]bool{ini.DefaultSection: true}
+	t := target.Type()
+	for i := range t.NumField() {
+		name := t.Field(i).Tag.Get("section")
+		known[name] = true
+		r.section(name, target.Field(i))
+	}
+	if len(r.file.Section(ini.DefaultSection).Keys()) > 0 {
+		r.add(ini.DefaultSection, r.file.Section(ini.DefaultSection).Keys()[0].Name(), "key outside any section", "")
+	}
+	for _, s := range r.file.SectionStrings() {
+		if !known[s] {
+			r.add(s, "", "unknown section", strings.Join(sectionNames(t), ", "))
+		}
+	}
+}
+
+func sectionNames(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		names = append(names, "["+t.Field(i).Tag.Get("section")+"]")
+	}
+	return names
+}
+
+func (r *reader) section(name string, target reflect.Value) {
+	sec := r.file.Section(name)
+	known := make(map[string]bool)
+	t := target.Type()
+	for i := range t.NumField() {
+		key := t.Field(i).Tag.Get("key")
+		known[key] = true
+		r.key(sec, t.Field(i), target.Field(i))
+	}
+	for _, k := range sec.Keys() {
+		if !known[k.Name()] {
+			r.add(name, k.Name(), "unknown key", strings.Join(keyNames(t), ", "))
+		}
+	}
+}
+
+func keyNames(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		names = append(names, t.Field(i).Tag.Get("key"))
+	}
+	return names
+}
+
+func (r *reader) key(sec *ini.Section, field reflect.StructField, target reflect.Value) {
+	key := field.Tag.Get("key")
+	text := field.Tag.Get("default")
+	if sec.HasKey(key) {
+		if vs := sec.Key(key).ValueWithShadows(); len(vs) > 1 {
+			r.add(sec.Name(), key, "given more than once", "")
+			return
+		}
+		text = sec.Key(key).String()
+	}
+	if text == "" {
+		if field.Tag.Get("required") == "true" {
+			r.add(sec.Name(), key, "missing", allowedText(field))
+		}
+		return
+	}
+	if err := setValue(target, field, text); err != nil {
+		r.add(sec.Name(), key, fmt.Sprintf("%q %v", text, err), allowedText(field))
+	}
+}
