Choose endpoints by predicted time and admit by deadline within shares

Cause: gateways and agents have only the interfaces of routing and admission.

Change: routing.Default filters, scores in predicted nanoseconds and picks the better of two among the near-best; RoundRobin, LeastLoad and NoLanes are the baselines. routing.Lanes ranks endpoints by rendezvous hash for long work. admission.New orders by class, workspace share and deadline, refuses at once with a computed time to come back, and lets small items pass one that waits for memory only while they do not delay it. cost learns prefill and decode.

Additive to the settled types: Candidate.PendingLong, Silent and Slowness; Capacity.MemoryTokens; Verdict.Code and Detail; Queue.Prefilled, which the caller has to call at a run's first token, since the queue keeps only a window of prefill at the endpoint.

--- /dev/null
+++ b/admission/predict.go
@@ -0,0 +1,148 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/micarudder/micarudder/routing"
+)
+
+const (
+	// chunkTokens is the prompt length that an engine prefills without a pause.
+	chunkTokens = 1024
+	// maxPassing bounds the share of time taken by passing work in predictions.
+	maxPassing = 0.9
+)
+
+// ahead sums up what is served before an item.
+type ahead struct {
+	prefill time.Duration
+	memory  uint64
+	count   int
+}
+
+func (a *ahead) add(l *line, part float64) {
+	a.prefill += time.Duration(part * float64(l.prefill))
+	a.memory += uint64(part * float64(l.memory))
+	a.count += int(part*float64(len(l.entries)) + 0.5)
+}
+
+// waitOf predicts how long an entry waits until its prefill starts.
+func (q *queue) waitOf(e *entry, w *workspace, cap Capacity, now time.Time) time.Duration {
+	a := q.aheadOf(e, w)
+	a.memory += e.item.MemoryTokens
+	return q.waitBehind(a, e.item.Class, cap, now)
+}
+
+// aheadOf sums up all waiting shorter work, the entry's own line up to its
+// place, and from the same class of each other workspace as much as that
+// workspace's share gets in the meantime.
+func (q *queue) aheadOf(e *entry, w *workspace) ahead {
+	var a ahead
+	own := &w.lines[e.item.Class]
+	charge := e.charge
+	for _, o := range own.entries[:own.place(e)] {
+		charge += o.charge
+		a.prefill += o.prefill
+		a.memory += o.item.MemoryTokens
+		a.count++
+	}
+	for _, other := range q.workspaces {
+		for c := range e.item.Class {
+			a.add(&other.lines[c], 1)
+		}
+		l := &other.lines[e.item.Class]
+		if other == w || l.charge <= 0 {
+			continue
+		}
+		turn := float64(charge) * other.share / w.share
+		a.add(l, min(1, turn/float64(l.charge)))
+	}
+	return a
+}
+
+// waitBehind predicts the wait of an item of a class with the given work
+// before it: the longest of the waits for prefill, for a slot and for memory.
+func (q *queue) waitBehind(a ahead, class routing.Class, cap Capacity, now time.Time) time.Duration {
+	prefill := a.prefill + q.prefilling(class, now)
+	return max(prefill, q.slotWait(a.count, cap), q.memoryWait(a.memory, cap, now))
+}
+
+// prefilling is the prefill in progress that an item of the class waits for:
+// what it does not pass, and a chunk of what it passes.
+func (q *queue) prefilling(class routing.Class, now time.Time) time.Duration {
+	var sum, chunk time.Duration
+	for _, r := range q.running {
+		left := q.left(r, now)
+		if !shorter(class, r.entry.item.Class) {
+			sum += left
+		} else if left > 0 {
+			chunk = q.model.Cost().Prefill(chunkTokens, 0)
+		}
+	}
+	return sum + min(chunk, q.cfg.Window)
+}
+
+// slotWait predicts the wait for one of the slots behind count others.
+func (q *queue) slotWait(count int, cap Capacity) time.Duration {
+	if cap.MaxRunning <= 0 {
+		return 0
+	}
+	short := count + 1 - (cap.MaxRunning - cap.Running)
+	if short <= 0 {
+		return 0
+	}
+	return time.Duration(short) * q.meanRun / time.Duration(cap.MaxRunning)
+}
+
+// memoryWait predicts when need tokens of memory will have become free, one
+// after the other.
+func (q *queue) memoryWait(need uint64, cap Capacity, now time.Time) time.Duration {
+	if need <= cap.FreeTokens {
+		return 0
+	}
+	at, _, ok := q.freeAt(need, cap, now)
+	wait := at.Sub(now)
+	if !ok && cap.MemoryTokens > 0 {
+		turns := float64(need) / float64(cap.MemoryTokens)
+		wait = max(wait, time.Duration(turns*float64(q.meanRun)))
+	}
+	return wait
+}
+
+// stretched is an entry's prefill, lengthened by the work that is expected to
+// pass it meanwhile.
+func (q *queue) stretched(e *entry, now time.Time) time.Duration {
+	var passing float64
+	for c := range e.item.Class {
+		passing += q.rates[c].now(now)
+	}
+	return time.Duration(float64(e.prefill) / (1 - min(passing, maxPassing)))
+}
+
+// Load implements Queue. The predicted waits are those behind all waiting
+// work of the class.
+func (q *queue) Load(now time.Time) Totals {
+	t := Totals{Queued: len(q.waiting), Cost: q.model.Cost()}
+	var a ahead
+	for c := range routing.Class(routing.NumClasses) {
+		for _, w := range q.workspaces {
+			a.add(&w.lines[c], 1)
+		}
+		t.Wait[c] = q.waitBehind(a, c, q.cap, now)
+	}
+	for _, e := range q.waiting {
+		t.QueuedTokens += e.item.PromptTokens
+		t.LongTokens += longTokens(e.item)
+	}
+	for _, r := range q.running {
+		t.LongTokens += longTokens(r.entry.item)
+	}
+	return t
+}
+
+func longTokens(it Item) uint64 {
+	if it.Class < routing.ClassLong {
+		return 0
+	}
+	return it.PromptTokens
+}
--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,87 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/routing"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// prior: 1 ms for 1,000 tokens of prompt, 1 ms for a token of the answer.
+var prior = routing.Cost{PrefillPerToken: time.Microsecond, DecodePerToken: time.Millisecond}
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// item returns work of the given prompt and answer, with time until the deadline.
+func item(id, workspace string, prompt, output uint64, arrived, deadline int) Item {
+	return Item{
+		ID: id, Workspace: workspace, Class: routing.ClassOf(prompt),
+		PromptTokens: prompt, OutputTokens: output, MemoryTokens: prompt + output,
+		Arrived: at(arrived), Deadline: at(deadline),
+	}
+}
+
+// room is an endpoint with free tokens of memory out of 400,000.
+func room(free uint64) Capacity {
+	return Capacity{FreeTokens: free, MemoryTokens: 400_000, MaxRunning: 64}
+}
+
+func TestOrder(t *testing.T) {
+	cases := []struct {
+		name  string
+		items []Item
+		want  []string
+	}{
+		{"earliest deadline first", []Item{item("b", "w", 100, 1, 0, 900), item("a", "w", 100, 1, 1, 500)}, []string{"a", "b"}},
+		{"short before long", []Item{item("long", "w", 90_000, 1, 0, 5000), item("short", "w", 100, 1, 1, 9000)}, []string{"short", "long"}},
+		{"workspaces take turns", []Item{
+			item("a1", "a", 100, 1, 0, 900), item("a2", "a", 100, 1, 0, 901), item("b1", "b", 100, 1, 1, 990), item("b2", "b", 100, 1, 1, 991),
+		}, []string{"a1", "b1", "a2", "b2"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			q := New(Config{Prior: prior})
+			for _, it := range tc.items {
+				is.True(q.Offer(it, room(400_000), at(1)).Admitted)
+			}
+			var got []string
+			for it, ok := q.Next(room(400_000), at(2)); ok; it, ok = q.Next(room(400_000), at(2)) {
+				got = append(got, it.ID)
+			}
+			is.Equal(got, tc.want)
+		})
+	}
+}
+
+func TestRefusal(t *testing.T) {
+	cases := []struct {
+		name string
+		it   Item
+		want result.Code // 0: admitted
+	}{
+		{"in time", item("x", "b", 1_000, 10, 0, 100), 0},
+		{"no time for itself", item("x", "b", 200_000, 10, 0, 100), result.DeadlineTooNear},
+		{"would make its own workspace late", item("x", "a", 30_000, 10, 0, 150), result.Overloaded},
+		{"time beside another workspace's", item("x", "b", 30_000, 10, 0, 150), 0},
+		{"larger than the memory", item("x", "b", 400_000, 10, 0, 9e6), result.MemoryHeld},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			q := New(Config{Prior: prior})
+			for i := range 10 { // 200 ms of work for workspace a
+				is.True(q.Offer(item(string(rune('0'+i)), "a", 20_000, 1, 0, 225-i), room(400_000), at(0)).Admitted)
+			}
+			v := q.Offer(tc.it, room(400_000), at(0))
+			is.Equal(v.Code, tc.want)
+			is.Equal(v.Admitted, tc.want == 0)
+			is.Equal(v.RetryAfter > 0, tc.want != 0)
+		})
+	}
+}
--- /dev/null
+++ b/routing/baseline.go
@@ -0,0 +1,102 @@
+package routing
+
+import "sync/atomic"
+
+// RoundRobin returns the baseline that takes the usable endpoints in turn. It
+// counts its calls and is safe for concurrent use.
+func RoundRobin() Policy {
+	return &roundRobin{filters: hardFilters(Config{}.withDefaults())}
+}
+
+type roundRobin struct {
+	filters []filter
+	calls   atomic.Uint64
+}
+
+// Choose implements Policy.
+func (p *roundRobin) Choose(req Request, view []Candidate, _ func(n int) int, trace bool) Decision {
+	kept, d := sift(p.filters, &req, view, trace, nil)
+	if kept == 0 {
+		return d
+	}
+	turn := int(p.calls.Add(1)-1) % kept
+	d.Index = -1
+	seen := 0
+	sift(p.filters, &req, view, false, func(i int) {
+		if seen == turn {
+			d.Index = i
+		}
+		seen++
+	})
+	d.Reason = "next in turn"
+	return d
+}
+
+// LeastLoad returns the baseline that takes the usable endpoint with the
+// fewest requests in its last report, at random among equals.
+func LeastLoad() Policy {
+	return &leastLoad{filters: hardFilters(Config{}.withDefaults())}
+}
+
+type leastLoad struct{ filters []filter }
+
+// Choose implements Policy.
+func (p *leastLoad) Choose(req Request, view []Candidate, r func(n int) int, trace bool) Decision {
+	least, equals := 0, 0
+	index := -1
+	_, d := sift(p.filters, &req, view, trace, func(i int) {
+		load := view[i].Queued + view[i].Running
+		switch {
+		case index < 0 || load < least:
+			index, least, equals = i, load, 1
+		case load == least:
+			equals++
+			if r(equals) == 0 {
+				index = i
+			}
+		}
+	})
+	if index >= 0 {
+		d.Index, d.Reason = index, "least reported load"
+	}
+	return d
+}
+
+// sift applies the filters, calls keep for each candidate left, and returns
+// their number and the decision for when there are none.
+func sift(fs []filter, req *Request, view []Candidate, trace bool, keep func(i int)) (int, Decision) {
+	d := Decision{Index: -1, Reason: FilterNone}
+	j := job{req: req, class: ClassOf(req.PromptTokens)}
+	kept, deepest := 0, -1
+	for i := range view {
+		j.cand = &view[i]
+		depth := firstRejecting(fs, &j)
+		score := Score{Endpoint: view[i].Endpoint, Kept: depth < 0}
+		if depth >= 0 {
+			score.Filtered = fs[depth].name
+			deepest = max(deepest, depth)
+		} else {
+			kept++
+			if keep != nil {
+				keep(i)
+			}
+		}
+		if trace {
+			d.Scores = append(d.Scores, score)
+		}
+	}
+	if deepest >= 0 {
+		d.Reason = fs[deepest].name
+	}
+	return kept, d
+}
+
+// firstRejecting returns the position of the filter that rejects the job, or -1.
+func firstRejecting(fs []filter, j *job) int {
+	for i := range fs {
+		if fs[i].rejects(j) {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/routing/cost.go
@@ -0,0 +1,40 @@
+package routing
+
+import "time"
+
+// DefaultCost stands in for an endpoint that has not learned its cost yet.
+var DefaultCost = Cost{
+	PrefillPerToken:  50 * time.Microsecond,
+	PrefillPerToken2: 0.0002,
+	DecodePerToken:   20 * time.Millisecond,
+}
+
+// Known reports whether the cost has been learned or set.
+func (c Cost) Known() bool { return c.PrefillPerToken > 0 || c.PrefillPerToken2 > 0 }
+
+// OrDefault returns the cost, with DefaultCost's values for what is unknown.
+func (c Cost) OrDefault() Cost {
+	if !c.Known() {
+		c.PrefillPerToken = DefaultCost.PrefillPerToken
+		c.PrefillPerToken2 = DefaultCost.PrefillPerToken2
+	}
+	if c.DecodePerToken <= 0 {
+		c.DecodePerToken = DefaultCost.DecodePerToken
+	}
+	return c
+}
+
+// Prefill predicts the time to prefill a prompt whose first cached tokens are
+// held already. The quadratic part counts attention to the cached tokens too.
+func (c Cost) Prefill(prompt, cached uint64) time.Duration {
+	cached = min(cached, prompt)
+	linear := float64(c.PrefillPerToken) * float64(prompt-cached)
+	p, q := float64(prompt), float64(cached)
+	quadratic := c.PrefillPerToken2 * float64(time.Microsecond) * (p*p - q*q)
+	return time.Duration(linear + quadratic)
+}
+
+// Decode predicts the time to decode an answer of n tokens.
+func (c Cost) Decode(n uint64) time.Duration {
+	return time.Duration(float64(c.DecodePerToken) * float64(n))
+}
--- /dev/null
+++ b/routing/filter_memory.go
@@ -0,0 +1,8 @@
+package routing
+
+// memoryTooSmall rejects endpoints that could not hold the prompt and its
+// answer even if they were idle. An unknown size passes.
+func memoryTooSmall(j *job) bool {
+	need := j.req.PromptTokens + j.req.MaxTokens
+	return j.cand.MemoryTokens > 0 && need > j.cand.MemoryTokens
+}
--- /dev/null
+++ b/routing/filter_serves.go
@@ -0,0 +1,9 @@
+package routing
+
+// doesNotServe rejects endpoints without the request's model or service.
+func doesNotServe(j *job) bool {
+	if j.req.Model == "" {
+		return j.cand.Service != j.req.Service
+	}
+	return !j.cand.Models[j.req.Model]
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -77,6 +77,14 @@
 	Cost         Cost
 	Pending      time.Duration // work sent since the last report, predicted
 	PendingCount int
+	// PendingLong is the part of Pending that is long work; short work passes it.
+	PendingLong time.Duration
+	// Silent is the time since the agent was last heard; 0 means never. It
+	// counts only when not connected.
+	Silent time.Duration
+	// Slowness is the time runs took over what was predicted, as the gateway
+	// measured it itself; 0 counts as 1.
+	Slowness float64
 
 	// Cached returns how many leading blocks the endpoint is believed to hold.
 	Cached func(prefix []uint64) int
