--- /dev/null
+++ b/agent/call.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/micarudder/micarudder/lifecycle"
+	"github.com/micarudder/micarudder/rudderv1"
+	"github.com/micarudder/micarudder/service"
+)
+
+// call runs a call at the plain service.
+func (a *Agent) call(r *run) {
+	begun := time.Now()
+	c := r.req.Call
+	reply, err := a.deps.Service.Do(r.ctx, service.Call{
+		ID: r.req.RequestId, Method: c.Method, Path: c.Path, Header: toHeader(c.Headers), Body: r.req.Body,
+	})
+	if err != nil {
+		a.fail(r, err)
+		return
+	}
+	defer func() { _ = reply.Body.Close() }()
+	r.apply(lifecycle.Event{Kind: lifecycle.EvAnswer}, "")
+	r.setHead(&rudderv1.ServiceHead{Status: uint32(reply.Status), Headers: fromHeader(reply.Header)})
+	a.readBody(r, reply.Body, begun)
+}
+
+// readBody copies the service's answer into the buffer.
+func (a *Agent) readBody(r *run, body io.Reader, begun time.Time) {
+	first := time.Now()
+	buf := make([]byte, readChunk)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			r.append(buf[:n])
+		}
+		if errors.Is(err, io.EOF) {
+			a.finishCall(r, begun, first)
+			return
+		}
+		if err != nil {
+			a.fail(r, service.ErrLost)
+			return
+		}
+	}
+}
+
+func (a *Agent) finishCall(r *run, begun, first time.Time) {
+	now := time.Now()
+	a.mu.Lock()
+	a.queue.Done(r.item, begun.Sub(r.admitted), first.Sub(begun), now.Sub(first), 0)
+	load := a.load()
+	a.mu.Unlock()
+	r.finishOK("", nil, &rudderv1.RunTimes{QueuedUs: begun.Sub(r.admitted).Microseconds()}, load)
+}
+
+func toHeader(hs []*rudderv1.Header) http.Header {
+	h := make(http.Header, len(hs))
+	for _, kv := range hs {
+		h.Add(kv.Name, kv.Value)
+	}
+	return h
+}
+
+func fromHeader(h http.Header) []*rudderv1.Header {
+	var out []*rudderv1.Header
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &rudderv1.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/agent/dispatch.go
@@ -0,0 +1,236 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/micarudder/micarudder/admission"
+	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/lifecycle"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+	"github.com/micarudder/micarudder/service"
+)
+
+const (
+	// expirySweep is how often waiting work is checked against its deadlines
+	// while there is any.
+	expirySweep = 100 * time.Millisecond
+	cancelTime  = 2 * time.Second
+	readChunk   = 32 << 10
+)
+
+// dispatchLoop starts waiting work as the endpoint has room for it.
+func (a *Agent) dispatchLoop() {
+	timer := time.NewTimer(expirySweep)
+	defer timer.Stop()
+	for {
+		if a.startAll() {
+			timer.Reset(expirySweep)
+		}
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-a.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// startAll expires and starts what it can and reports whether work waits.
+func (a *Agent) startAll() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	for _, it := range a.queue.Expire(now) {
+		a.expire(it)
+	}
+	for {
+		it, ok := a.queue.Next(a.capacity(), now)
+		if !ok {
+			break
+		}
+		a.begin(it)
+	}
+	return len(a.waiting) > 0
+}
+
+// expire ends a run that can no longer be done in time; the caller holds mu.
+func (a *Agent) expire(it admission.Item) {
+	r, ok := a.waiting[it.ID]
+	if !ok {
+		return
+	}
+	if r.apply(lifecycle.Event{Kind: lifecycle.EvExpire}, "waited too long") != lifecycle.ActIgnore {
+		go a.endRun(r)
+	}
+}
+
+// begin takes the endpoint's room for a run and executes it; the caller holds mu.
+func (a *Agent) begin(it admission.Item) {
+	r, ok := a.waiting[it.ID]
+	if !ok {
+		return
+	}
+	delete(a.waiting, it.ID)
+	a.running++
+	a.used += it.MemoryTokens
+	a.workers.Go(func() {
+		a.execute(r)
+		a.mu.Lock()
+		a.running--
+		a.used -= it.MemoryTokens
+		a.mu.Unlock()
+		a.endRun(r)
+	})
+}
+
+// execute sends the order and reads the answer to its end.
+func (a *Agent) execute(r *run) {
+	if r.ctx.Err() != nil {
+		r.apply(a.interrupted(r), "before the order")
+		return
+	}
+	if r.apply(lifecycle.Event{Kind: lifecycle.EvDispatch}, "") != lifecycle.ActOrder {
+		return
+	}
+	if r.req.Call != nil {
+		a.call(r)
+		return
+	}
+	a.complete(r)
+}
+
+// interrupted says why a run's context ended.
+func (a *Agent) interrupted(r *run) lifecycle.Event {
+	if errors.Is(r.ctx.Err(), context.DeadlineExceeded) {
+		return lifecycle.Event{Kind: lifecycle.EvExpire}
+	}
+	return lifecycle.Event{Kind: lifecycle.EvCancel}
+}
+
+// complete runs a completion at the engine.
+func (a *Agent) complete(r *run) {
+	begun := time.Now()
+	c := r.req.Completion
+	stream, err := a.deps.Engine.Start(r.ctx, engine.Request{
+		ID:         attemptID(r.req),
+		Path:       c.Path,
+		Body:       r.req.Body,
+		Priority:   admission.EnginePriority(r.item),
+		ResumeText: c.ResumeText,
+		Import:     spanIDs(c.Spans),
+		MaxTokens:  c.MaxTokens,
+	})
+	if err != nil {
+		a.fail(r, err)
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	a.readStream(r, stream, begun)
+}
+
+// readStream copies the engine's stream into the buffer.
+func (a *Agent) readStream(r *run, stream engine.Stream, begun time.Time) {
+	var first time.Time
+	var usage engine.Usage
+	var finish string
+	for {
+		ev, err := stream.Recv()
+		if errors.Is(err, io.EOF) && finish != "" {
+			a.finishCompletion(r, finish, usage, begun, first)
+			return
+		}
+		if err != nil {
+			a.fail(r, err)
+			return
+		}
+		if len(ev.Text) > 0 {
+			if first.IsZero() {
+				first = time.Now()
+				r.apply(lifecycle.Event{Kind: lifecycle.EvAnswer}, "")
+			}
+			r.append(ev.Text)
+		}
+		if ev.Finish != "" {
+			finish, usage = ev.Finish, ev.Usage
+		}
+	}
+}
+
+func (a *Agent) finishCompletion(r *run, finish string, u engine.Usage, begun, first time.Time) {
+	now := time.Now()
+	if first.IsZero() {
+		first = now
+	}
+	queued, prefill, decode := begun.Sub(r.admitted), first.Sub(begun), now.Sub(first)
+	a.mu.Lock()
+	a.queue.Done(r.item, queued, prefill, decode, u.CachedTokens)
+	load := a.load()
+	a.mu.Unlock()
+	r.finishOK(finish, &rudderv1.Usage{PromptTokens: u.PromptTokens, CachedTokens: u.CachedTokens, OutputTokens: u.OutputTokens},
+		&rudderv1.RunTimes{QueuedUs: queued.Microseconds(), PrefillUs: prefill.Microseconds(), DecodeUs: decode.Microseconds()}, load)
+}
+
+// fail turns an endpoint's error into the event it is evidence for.
+func (a *Agent) fail(r *run, err error) {
+	if r.ctx.Err() != nil {
+		if r.apply(a.interrupted(r), "") == lifecycle.ActStop {
+			a.cancelAtEngine(attemptID(r.req))
+		}
+		return
+	}
+	a.deps.Log.Warn("Run failed.", "request", r.req.RequestId, "err", err)
+	switch {
+	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrNoMemory):
+		r.apply(lifecycle.Event{Kind: lifecycle.EvRefused, Code: result.EndpointRefused}, err.Error())
+	case errors.Is(err, engine.ErrUnreachable), errors.Is(err, service.ErrUnreachable):
+		r.apply(lifecycle.Event{Kind: lifecycle.EvRefused, Code: result.EndpointRefused}, err.Error())
+		a.endpointLost()
+	case errors.Is(err, engine.ErrFailed):
+		r.apply(lifecycle.Event{Kind: lifecycle.EvEnd, Code: result.EndpointFailed}, err.Error())
+	default:
+		r.apply(lifecycle.Event{Kind: lifecycle.EvLost}, err.Error())
+	}
+}
+
+// cancelAtEngine frees a run's memory at the engine, without waiting for it.
+func (a *Agent) cancelAtEngine(id string) {
+	if a.deps.Engine == nil {
+		return
+	}
+	a.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), cancelTime)
+		defer cancel()
+		if err := a.deps.Engine.Cancel(ctx, id); err != nil && !errors.Is(err, engine.ErrNotFound) {
+			a.deps.Log.Warn("Cancel failed.", "run", id, "err", err)
+		}
+	})
+}
+
+// finishOK ends a run well, with what it took.
+func (r *run) finishOK(finish string, u *rudderv1.Usage, t *rudderv1.RunTimes, load *rudderv1.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life.Apply(lifecycle.Event{Kind: lifecycle.EvEnd, Code: result.OK}) == lifecycle.ActIgnore {
+		return
+	}
+	r.finish("")
+	r.end.FinishReason, r.end.Usage, r.end.Times, r.end.Load = finish, u, t, load
+}
+
+// attemptID names one attempt at the endpoint.
+func attemptID(req *rudderv1.RunRequest) string {
+	return fmt.Sprintf("%s.%d", req.RequestId, req.Attempt)
+}
+
+func spanIDs(spans []*rudderv1.KVHandle) []string {
+	ids := make([]string, 0, len(spans))
+	for _, s := range spans {
+		ids = append(ids, s.Id)
+	}
+	return ids
+}
--- /dev/null
+++ b/agent/meter.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/micarudder/micarudder/result"
+)
+
+// meter holds the agent's metrics.
+type meter struct{ set *metrics.Set }
+
+func newMeter(set *metrics.Set) *meter {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	return &meter{set}
+}
+
+// watch registers the gauges that are read from the agent.
+func (m *meter) watch(a *Agent) {
+	gauge := func(name string, f func() float64) {
+		m.set.NewGauge(name, func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return f()
+		})
+	}
+	gauge("rudder_agent_running", func() float64 { return float64(a.running) })
+	gauge("rudder_agent_waiting", func() float64 { return float64(len(a.waiting)) })
+	gauge("rudder_agent_memory_used_tokens", func() float64 { return float64(a.used) })
+	gauge("rudder_agent_memory_reserved_tokens", func() float64 { return float64(a.reserved) })
+	gauge("rudder_agent_records", func() float64 { return float64(len(a.records.runs)) })
+	gauge("rudder_agent_tombstones", func() float64 { return float64(len(a.records.tombs)) })
+	gauge("rudder_agent_answer_bytes", func() float64 { return float64(a.records.bytes) })
+	m.set.NewGauge("rudder_agent_generation", func() float64 { return float64(a.deps.Keeper.Generation()) })
+}
+
+func (m *meter) admitted(attached bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_agent_orders_total{attached="%t"}`, attached)).Inc()
+}
+
+func (m *meter) refused(c result.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_agent_refused_total{code="%d"}`, c)).Inc()
+}
--- /dev/null
+++ b/agent/server.go
@@ -0,0 +1,292 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/lifecycle"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
+)
+
+// server implements rudder.v1.AgentService over an Agent.
+type server struct {
+	rudderv1connect.UnimplementedAgentServiceHandler
+	a *Agent
+}
+
+// Handler returns the path and handler of the agent's inner protocol.
+func (a *Agent) Handler() (string, http.Handler) {
+	return rudderv1connect.NewAgentServiceHandler(&server{a: a},
+		connect.WithReadMaxBytes(inner.MaxMessage), connect.WithSendMaxBytes(inner.MaxMessage))
+}
+
+// Run admits an order and streams its answer.
+func (s *server) Run(ctx context.Context, req *connect.Request[rudderv1.RunRequest], stream *connect.ServerStream[rudderv1.Frame]) error {
+	m := req.Msg
+	r, attached, refusal := s.a.admit(m)
+	if refusal != nil {
+		s.a.meter.refused(result.Code(refusal.Code))
+		return stream.Send(&rudderv1.Frame{RequestId: m.RequestId, Attempt: m.Attempt, Body: &rudderv1.Frame_End{End: refusal}})
+	}
+	s.a.meter.admitted(attached)
+	return s.a.follow(ctx, r, attached, uint64(len(m.GetCompletion().GetResumeText())), stream)
+}
+
+// Attach streams the answer of a known run from an offset.
+func (s *server) Attach(ctx context.Context, req *connect.Request[rudderv1.AttachRequest], stream *connect.ServerStream[rudderv1.Frame]) error {
+	claims, end := s.a.checkTicket(req.Msg.Ticket, "")
+	if end != nil {
+		return stream.Send(&rudderv1.Frame{Body: &rudderv1.Frame_End{End: end}})
+	}
+	s.a.mu.Lock()
+	r, ok := s.a.records.runs[claims.RequestId]
+	sealed := s.a.records.sealed(claims.RequestId)
+	late := s.a.clockMS() > claims.ExpiresAgentMs
+	s.a.mu.Unlock()
+	if !ok {
+		return stream.Send(&rudderv1.Frame{RequestId: claims.RequestId, Body: &rudderv1.Frame_End{End: missingRun(sealed, late)}})
+	}
+	return s.a.follow(ctx, r, true, req.Msg.Offset, stream)
+}
+
+// missingRun is the end for a ticket without a run.
+func missingRun(sealed, late bool) *rudderv1.End {
+	switch {
+	case sealed:
+		return endOf(result.New(result.TicketVoided, ""), true)
+	case late:
+		return endOf(result.New(result.TicketExpired, ""), false)
+	default:
+		return endOf(result.New(result.UnknownRun, ""), false)
+	}
+}
+
+// follow streams a run's answer to one reader.
+func (a *Agent) follow(ctx context.Context, r *run, attached bool, offset uint64, stream *connect.ServerStream[rudderv1.Frame]) error {
+	r.attach()
+	defer r.detach(a.cfg.ReattachWindow, func() { a.abandon(r) })
+	frame := func() *rudderv1.Frame {
+		return &rudderv1.Frame{RequestId: r.req.RequestId, Attempt: r.req.Attempt, Offset: offset}
+	}
+	if err := stream.Send(withAccepted(frame(), a.accepted(attached))); err != nil {
+		return err
+	}
+	headSent := false
+	for {
+		v := r.read(offset)
+		if offset < v.base || (v.dropped && v.end != nil && offset < v.end.Length) {
+			return stream.Send(withEnd(frame(), endOf(result.New(result.AnswerDropped, ""), false)))
+		}
+		if v.head != nil && !headSent {
+			headSent = true
+			if err := stream.Send(withHead(frame(), v.head)); err != nil {
+				return err
+			}
+		}
+		if len(v.text) > 0 {
+			if err := stream.Send(withData(frame(), v.text)); err != nil {
+				return err
+			}
+			offset += uint64(len(v.text))
+		}
+		if v.end != nil {
+			return stream.Send(withEnd(frame(), v.end))
+		}
+		if len(v.text) > 0 {
+			continue
+		}
+		select {
+		case <-v.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func withAccepted(f *rudderv1.Frame, x *rudderv1.Accepted) *rudderv1.Frame {
+	f.Body = &rudderv1.Frame_Accepted{Accepted: x}
+	return f
+}
+
+func withHead(f *rudderv1.Frame, x *rudderv1.ServiceHead) *rudderv1.Frame {
+	f.Body = &rudderv1.Frame_Head{Head: x}
+	return f
+}
+
+func withData(f *rudderv1.Frame, text []byte) *rudderv1.Frame {
+	f.Body = &rudderv1.Frame_Data{Data: &rudderv1.Data{Text: text}}
+	return f
+}
+
+func withEnd(f *rudderv1.Frame, x *rudderv1.End) *rudderv1.Frame {
+	f.Offset = x.Length
+	f.Body = &rudderv1.Frame_End{End: x}
+	return f
+}
+
+func (a *Agent) accepted(attached bool) *rudderv1.Accepted {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &rudderv1.Accepted{Attached: attached, Load: a.load(), Generation: a.deps.Keeper.Generation()}
+}
+
+// abandon cancels a repeatable run that nobody came back for.
+func (a *Agent) abandon(r *run) {
+	if r.abandoned() {
+		a.cancelRun(r)
+	}
+}
+
+// cancelRun ends a run on behalf of its caller.
+func (a *Agent) cancelRun(r *run) {
+	a.mu.Lock()
+	_, waiting := a.waiting[r.item.ID]
+	waiting = waiting && a.queue.Remove(r.item.ID)
+	a.mu.Unlock()
+	if waiting {
+		r.apply(lifecycle.Event{Kind: lifecycle.EvCancel}, "")
+		a.endRun(r)
+		return
+	}
+	r.cancel()
+}
+
+// Void seals an id unless its run began; it answers what is known.
+func (s *server) Void(_ context.Context, req *connect.Request[rudderv1.VoidRequest]) (*connect.Response[rudderv1.VoidResponse], error) {
+	claims, end := s.a.checkTicket(req.Msg.Ticket, "")
+	if end != nil {
+		return connect.NewResponse(&rudderv1.VoidResponse{Outcome: end.Outcome, Code: end.Code}), nil
+	}
+	return connect.NewResponse(s.a.void(claims)), nil
+}
+
+func (a *Agent) void(claims *rudderv1.TicketClaims) *rudderv1.VoidResponse {
+	a.mu.Lock()
+	r, ok := a.records.runs[claims.RequestId]
+	if !ok {
+		defer a.mu.Unlock()
+		return a.voidUnknown(claims)
+	}
+	queued := a.waiting[r.item.ID] == r && a.queue.Remove(r.item.ID)
+	a.mu.Unlock()
+	if queued {
+		r.apply(lifecycle.Event{Kind: lifecycle.EvVoid}, "")
+		a.endRun(r)
+	}
+	return r.voidResponse()
+}
+
+// voidUnknown seals an id that has no run; the caller holds mu.
+func (a *Agent) voidUnknown(claims *rudderv1.TicketClaims) *rudderv1.VoidResponse {
+	if a.records.sealed(claims.RequestId) {
+		return voided(true)
+	}
+	if a.clockMS() > claims.ExpiresAgentMs {
+		return &rudderv1.VoidResponse{Outcome: rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN, Code: uint32(result.TicketExpired)}
+	}
+	if !a.records.seal(claims.RequestId) {
+		return &rudderv1.VoidResponse{Outcome: rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN, Code: uint32(result.RecordsFull)}
+	}
+	a.unsealLater(claims.RequestId, claims)
+	return voided(true)
+}
+
+func voided(sealed bool) *rudderv1.VoidResponse {
+	return &rudderv1.VoidResponse{Outcome: rudderv1.Outcome_OUTCOME_NOT_RUN, Code: uint32(result.Voided), Sealed: sealed}
+}
+
+// voidResponse says what is known of a run that was to be voided.
+func (r *run) voidResponse() *rudderv1.VoidResponse {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.life.State == lifecycle.Refused:
+		return voided(true)
+	case r.end == nil:
+		return &rudderv1.VoidResponse{Outcome: rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN, Code: uint32(result.OrderUnanswered)}
+	default:
+		return &rudderv1.VoidResponse{Outcome: r.end.Outcome, Code: r.end.Code, Finished: r.life.State == lifecycle.Finished}
+	}
+}
+
+// Cancel gives up a run.
+func (s *server) Cancel(_ context.Context, req *connect.Request[rudderv1.CancelRequest]) (*connect.Response[rudderv1.CancelResponse], error) {
+	claims, end := s.a.checkTicket(req.Msg.Ticket, "")
+	if end != nil {
+		return connect.NewResponse(&rudderv1.CancelResponse{Outcome: end.Outcome}), nil
+	}
+	s.a.mu.Lock()
+	r, ok := s.a.records.runs[claims.RequestId]
+	s.a.mu.Unlock()
+	if ok {
+		s.a.cancelRun(r)
+	}
+	return connect.NewResponse(&rudderv1.CancelResponse{Outcome: rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN}), nil
+}
+
+// Offer takes a configuration and hands back a newer one.
+func (s *server) Offer(_ context.Context, req *connect.Request[rudderv1.OfferRequest]) (*connect.Response[rudderv1.OfferResponse], error) {
+	k := s.a.deps.Keeper
+	resp := &rudderv1.OfferResponse{}
+	switch k.Offer(req.Msg.Document) {
+	case generation.Newer:
+		s.a.mu.Lock()
+		s.a.notify()
+		s.a.mu.Unlock()
+	case generation.Older:
+		resp.Newer = k.Document()
+	case generation.Diverge:
+		s.a.deps.Log.Error("Two documents of one generation.", "generation", k.Generation())
+	}
+	resp.Generation = k.Generation()
+	return connect.NewResponse(resp), nil
+}
+
+// Subscribe streams reports until the subscriber goes away.
+func (s *server) Subscribe(ctx context.Context, req *connect.Request[rudderv1.SubscribeRequest], stream *connect.ServerStream[rudderv1.AgentReport]) error {
+	for {
+		s.a.mu.Lock()
+		report, changed := s.a.report(), s.a.changed
+		s.a.mu.Unlock()
+		if err := stream.Send(report); err != nil {
+			return err
+		}
+		if !s.a.waitReport(ctx, changed) {
+			return nil
+		}
+	}
+}
+
+// waitReport waits for the next report: a change, but not before the shortest
+// interval, or the heartbeat. It reports false when ctx has ended.
+func (a *Agent) waitReport(ctx context.Context, changed <-chan struct{}) bool {
+	heartbeat := time.NewTimer(a.cfg.Heartbeat)
+	defer heartbeat.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-a.ctx.Done():
+		return false
+	case <-heartbeat.C:
+		return true
+	case <-changed:
+	}
+	if a.leaving() {
+		return true
+	}
+	pause := time.NewTimer(a.cfg.ReportInterval)
+	defer pause.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-pause.C:
+		return true
+	}
+}
--- /dev/null
+++ b/daemon/keys.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/settings"
+	"github.com/micarudder/micarudder/ticket"
+)
+
+// minSecret is the least length of a ticket secret, in bytes.
+const minSecret = 16
+
+// TLS are the key files of the inner protocol.
+type TLS struct {
+	Cert string `key:"cert" help:"certificate of this process, PEM; empty for clear text"`
+	Key  string `key:"key" help:"its private key, PEM"`
+	CA   string `key:"ca" help:"authority that all peers' certificates must come from, PEM"`
+}
+
+// Files returns the settings as inner.KeyFiles.
+func (t TLS) Files() inner.KeyFiles { return inner.KeyFiles{Cert: t.Cert, Key: t.Key, CA: t.CA} }
+
+// Check returns the mistakes in the settings.
+func (t TLS) Check() []*settings.Mistake {
+	if err := t.Files().Check(); err != nil {
+		return []*settings.Mistake{{Section: "tls", Problem: err.Error()}}
+	}
+	return nil
+}
+
+// Tickets are the keys that sign tickets.
+type Tickets struct {
+	Keys []string `key:"keys" required:"true" help:"ticket keys as ID:HEX, ID from 0 to 255, HEX at least 32 digits; the first signs, all verify"`
+}
+
+// Signer returns the signer for the keys.
+func (t Tickets) Signer() (*ticket.Signer, error) {
+	keys := make([]ticket.Key, 0, len(t.Keys))
+	for _, text := range t.Keys {
+		k, err := parseKey(text)
+		if err != nil {
+			return nil, err
+		}
+		keys = append(keys, k)
+	}
+	return ticket.NewSigner(keys...)
+}
+
+// Check returns the mistakes in the settings; secrets are not repeated in them.
+func (t Tickets) Check() []*settings.Mistake {
+	if _, err := t.Signer(); err != nil {
+		return []*settings.Mistake{{Section: "tickets", Key: "keys", Problem: err.Error()}}
+	}
+	return nil
+}
+
+func parseKey(text string) (ticket.Key, error) {
+	id, secret, ok := strings.Cut(text, ":")
+	if !ok {
+		return ticket.Key{}, fmt.Errorf("a ticket key has the form ID:HEX")
+	}
+	n, err := strconv.ParseUint(id, 10, 8)
+	if err != nil {
+		return ticket.Key{}, fmt.Errorf("ticket key id %q is not a number from 0 to 255", id)
+	}
+	b, err := hex.DecodeString(secret)
+	if err != nil || len(b) < minSecret {
+		return ticket.Key{}, fmt.Errorf("ticket key %d is not hexadecimal of at least %d digits", n, 2*minSecret)
+	}
+	return ticket.Key{ID: byte(n), Secret: b}, nil
+}
--- /dev/null
+++ b/gateway/auth.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// authority finds the workspace of a bearer key in the current document. Its
+// index is built once per generation.
+type authority struct {
+	keeper *generation.Keeper
+
+	mu     sync.Mutex
+	doc    *rudderv1.Document
+	byHash map[string]*rudderv1.Workspace
+}
+
+func newAuthority(k *generation.Keeper) *authority { return &authority{keeper: k} }
+
+// workspace returns the caller's workspace.
+func (a *authority) workspace(r *http.Request) (*rudderv1.Workspace, *result.Err) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return nil, result.New(result.BadKey, "bearer key missing")
+	}
+	doc := a.keeper.Document()
+	if doc.Generation == 0 {
+		return nil, result.New(result.NotConfigured, "")
+	}
+	sum := sha256.Sum256([]byte(key))
+	w, ok := a.index(doc)[hex.EncodeToString(sum[:])]
+	if !ok {
+		return nil, result.New(result.BadKey, "bearer key unknown")
+	}
+	return w, nil
+}
+
+func (a *authority) index(doc *rudderv1.Document) map[string]*rudderv1.Workspace {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.doc == doc {
+		return a.byHash
+	}
+	m := make(map[string]*rudderv1.Workspace)
+	for _, w := range doc.Workspaces {
+		for _, d := range w.KeyDigests {
+			m[strings.ToLower(d)] = w
+		}
+	}
+	a.doc, a.byHash = doc, m
+	return m
+}
--- /dev/null
+++ b/gateway/completion.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+const pathChat = "/v1/chat/completions"
+
+// completionWriter writes one completion to its caller, as server-sent events
+// or as one JSON document.
+type completionWriter struct {
+	g      *Gateway
+	x      *exchange
+	o      *order
+	rc     *http.ResponseController
+	id     string
+	model  string
+	chat   bool
+	stream bool
+	since  int64
+	ticket string
+	begun  bool   // the response's headers were sent
+	text   []byte // the answer, when not streaming
+	held   []byte // the begun part of a character
+	offset uint64 // answer bytes written as events
+}
+
+func newCompletionWriter(g *Gateway, x *exchange, o *order, model string, stream bool, path string) *completionWriter {
+	return &completionWriter{
+		g: g, x: x, o: o, rc: http.NewResponseController(x.w), model: model, chat: path == pathChat, stream: stream,
+		id: "cmpl-" + o.id, since: time.Now().Unix(), ticket: o.ticket, offset: o.skip,
+	}
+}
+
+// Named implements sink. A caller of unrepeatable work is told its ticket at
+// once, in an informational response, so that it can ask again whatever happens.
+func (c *completionWriter) Named(ticket string) bool {
+	c.ticket = ticket
+	if c.o.repeatable || c.begun {
+		return c.begun
+	}
+	c.setHeaders()
+	c.x.early.WriteHeader(http.StatusEarlyHints)
+	return true
+}
+
+func (c *completionWriter) setHeaders() {
+	h := c.x.w.Header()
+	h.Set(headerTicket, c.ticket)
+	h.Set(headerRequest, c.o.id)
+}
+
+// Head implements sink; completions have none.
+func (c *completionWriter) Head(*rudderv1.ServiceHead) error { return nil }
+
+// Text implements sink.
+func (c *completionWriter) Text(text []byte, end uint64) error {
+	if !c.stream {
+		c.text = append(c.text, text...)
+		return nil
+	}
+	whole, rest := splitText(append(c.held, text...))
+	c.held = rest
+	if len(whole) == 0 {
+		return nil
+	}
+	c.offset = end - uint64(len(rest))
+	return c.event(strconv.FormatUint(c.offset, 10), c.chunk(string(whole), nil))
+}
+
+// splitText cuts text before a character that has not fully arrived.
+func splitText(b []byte) (whole, rest []byte) {
+	for i := 1; i < utf8.UTFMax && i <= len(b); i++ {
+		if tail := b[len(b)-i:]; utf8.RuneStart(tail[0]) {
+			if !utf8.FullRune(tail) {
+				return b[:len(b)-i], append([]byte(nil), tail...)
+			}
+			break
+		}
+	}
+	return b, nil
+}
+
+// Restart implements sink.
+func (c *completionWriter) Restart() error {
+	c.text, c.held, c.offset = nil, nil, 0
+	if !c.stream || !c.begun {
+		return nil
+	}
+	return c.write("event: restart\nid: 0\ndata: {}\n\n")
+}
+
+// begin sends the headers of an event stream.
+func (c *completionWriter) begin() {
+	if c.begun {
+		return
+	}
+	c.begun = true
+	c.setHeaders()
+	h := c.x.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("X-Accel-Buffering", "no")
+	c.x.w.WriteHeader(http.StatusOK)
+}
+
+// event sends one server-sent event; id may be empty.
+func (c *completionWriter) event(id string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if id != "" {
+		return c.write(fmt.Sprintf("id: %s\ndata: %s\n\n", id, data))
+	}
+	return c.write(fmt.Sprintf("data: %s\n\n", data))
+}
+
+// write sends a part of the stream within the time a caller has to take it.
+func (c *completionWriter) write(part string) error {
+	c.begin()
+	_ = c.rc.SetWriteDeadline(time.Now().Add(c.g.cfg.WriteTime))
+	if _, err := c.x.w.Write([]byte(part)); err != nil {
+		return err
+	}
+	if err := c.rc.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return nil
+}
+
+// choice is one element of "choices".
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *content `json:"delta,omitempty"`
+	Message      *content `json:"message,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type content struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// completionObject is a chunk or a whole completion.
+type completionObject struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type usage struct {
+	PromptTokens     uint64 `json:"prompt_tokens"`
+	CompletionTokens uint64 `json:"completion_tokens"`
+	TotalTokens      uint64 `json:"total_tokens"`
+}
+
+func (c *completionWriter) object(kind string, ch choice) completionObject {
+	return completionObject{ID: c.id, Object: kind, Created: c.since, Model: c.model, Choices: []choice{ch}}
+}
+
+func (c *completionWriter) chunk(text string, finish *string) completionObject {
+	if c.chat {
+		return c.object("chat.completion.chunk", choice{Delta: &content{Content: text}, FinishReason: finish})
+	}
+	return c.object("text_completion", choice{Text: &text, FinishReason: finish})
+}
+
+// finish tells the caller how its request ended.
+func (c *completionWriter) finish(end *rudderv1.End) {
+	if result.Code(end.Code) != result.OK {
+		c.fail(end)
+		return
+	}
+	u := &usage{end.GetUsage().GetPromptTokens(), end.GetUsage().GetOutputTokens(), 0}
+	u.TotalTokens = u.PromptTokens + u.CompletionTokens
+	if c.stream {
+		c.finishStream(end, u)
+		return
+	}
+	c.setHeaders()
+	text := string(c.text)
+	var obj completionObject
+	if c.chat {
+		obj = c.object("chat.completion", choice{Message: &content{"assistant", text}, FinishReason: &end.FinishReason})
+	} else {
+		obj = c.object("text_completion", choice{Text: &text, FinishReason: &end.FinishReason})
+	}
+	obj.Usage = u
+	writeJSON(c.x.w, obj)
+}
+
+func (c *completionWriter) finishStream(end *rudderv1.End, u *usage) {
+	last := c.chunk(string(c.held), &end.FinishReason)
+	last.Usage = u
+	if c.event(strconv.FormatUint(end.Length, 10), last) == nil {
+		_ = c.write("data: [DONE]\n\n")
+	}
+}
+
+// fail reports a problem: as the response itself, or as an event when the
+// stream has begun. The stream then ends without [DONE].
+func (c *completionWriter) fail(end *rudderv1.End) {
+	p := problemOf(end, c.o.id, c.ticket)
+	if !c.begun {
+		writeProblem(c.x.w, p)
+		return
+	}
+	data, err := json.Marshal(p)
+	if err == nil {
+		_ = c.write(fmt.Sprintf("event: error\ndata: {\"error\":%s}\n\n", data))
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,140 @@
+// Package gateway is the process on the entry hosts. It terminates callers'
+// HTTP, finds the workspace by its key, chooses an endpoint, orders the run
+// from that endpoint's agent and keeps the answer whole until the caller has
+// it. It keeps nothing that another gateway would need: what must be found
+// again is found at the agent through the ticket, or in the platform's service.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/routing"
+	"github.com/micarudder/micarudder/ticket"
+)
+
+// Config is what a gateway is told by its settings.
+type Config struct {
+	Name       string
+	DataCentre string
+	Peers      []string // inner addresses of other gateways
+
+	MaxBody         int64         // bytes of one request body
+	BodyTime        time.Duration // time for a body to arrive
+	WriteTime       time.Duration // time for a caller to take one part of its answer
+	DefaultDeadline time.Duration
+	MaxDeadline     time.Duration
+	TicketLife      time.Duration
+	DefaultTokens   uint64 // answer tokens when the caller names none
+	FirstTokenGoal  time.Duration
+}
+
+// Deps are the parts a gateway works with.
+type Deps struct {
+	Store   platform.Store // nil: no platform, for tests of the callers' face
+	Client  *inner.Client
+	Signer  *ticket.Signer
+	Keeper  *generation.Keeper
+	Policy  routing.Policy
+	Log     *log.Logger
+	Metrics *metrics.Set
+}
+
+// Gateway serves callers and rudder.v1.GatewayService.
+type Gateway struct {
+	cfg  Config
+	deps Deps
+
+	links    *links
+	explain  *explainer
+	auth     *authority
+	meter    *meter
+	platform platformHealth
+
+	ctx      context.Context
+	stop     context.CancelFunc
+	loops    sync.WaitGroup
+	draining atomic.Bool
+	inFlight sync.WaitGroup
+	active   atomic.Int64
+}
+
+// New returns a gateway; Start begins its background work.
+func New(cfg Config, deps Deps) *Gateway {
+	ctx, stop := context.WithCancel(context.Background())
+	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, stop: stop}
+	g.meter = newMeter(deps.Metrics, g)
+	g.explain = newExplainer()
+	g.auth = newAuthority(deps.Keeper)
+	g.links = newLinks(g)
+	return g
+}
+
+// Start begins to follow the configuration and the agents. It returns at once.
+func (g *Gateway) Start() {
+	if g.deps.Store != nil {
+		g.loops.Go(g.followPlatform)
+	}
+	for _, peer := range g.cfg.Peers {
+		g.loops.Go(func() { g.followPeer(peer) })
+	}
+	g.loops.Go(g.links.loop)
+}
+
+// Ready reports whether the gateway has a configuration and is not leaving.
+func (g *Gateway) Ready() bool {
+	return g.deps.Keeper.Generation() > 0 && !g.draining.Load()
+}
+
+// Drain refuses new requests, so that the balancer looks elsewhere, and
+// returns when those in flight have ended or ctx ends.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	g.deps.Log.Info("Draining.", "requests", g.active.Load())
+	done := make(chan struct{})
+	go func() {
+		g.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.New("requests were still in flight")
+	}
+}
+
+// Close ends the background work and waits for it.
+func (g *Gateway) Close() {
+	g.stop()
+	g.loops.Wait()
+	g.deps.Client.CloseIdleConnections()
+}
+
+// enter counts a request in; it reports false when the gateway is leaving.
+func (g *Gateway) enter() bool {
+	g.inFlight.Add(1)
+	if g.draining.Load() {
+		g.inFlight.Done()
+		return false
+	}
+	g.active.Add(1)
+	return true
+}
+
+func (g *Gateway) leave() {
+	g.active.Add(-1)
+	g.inFlight.Done()
+}
+
+var _ http.Handler = (*mux)(nil)
--- /dev/null
+++ b/gateway/meter.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/routing"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// meter holds the gateway's metrics.
+type meter struct{ set *metrics.Set }
+
+func newMeter(set *metrics.Set, g *Gateway) *meter {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	set.NewGauge("rudder_gateway_in_flight", func() float64 { return float64(g.active.Load()) })
+	set.NewGauge("rudder_gateway_generation", func() float64 { return float64(g.deps.Keeper.Generation()) })
+	set.NewGauge("rudder_gateway_platform_silent_seconds", func() float64 { return g.platform.silent().Seconds() })
+	return &meter{set}
+}
+
+// done counts one request's end.
+func (m *meter) done(s *session, end *rudderv1.End) {
+	ws := s.o.workspace.Name
+	class := routing.ClassOf(s.o.completion.GetPromptTokens()).String()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_requests_total{workspace=%q,class=%q,outcome=%q}`, ws, class, outcomeLabel(end))).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_request_codes_total{code="%d"}`, end.Code)).Inc()
+	if s.firstText.IsZero() || s.o.completion == nil {
+		return
+	}
+	took := s.firstText.Sub(s.began)
+	labels := fmt.Sprintf(`{workspace=%q,class=%q}`, ws, class)
+	m.set.GetOrCreateHistogram("rudder_first_token_seconds" + labels).Update(took.Seconds())
+	m.set.GetOrCreateCounter("rudder_first_token_total" + labels).Inc()
+	if took > s.g.cfg.FirstTokenGoal {
+		m.set.GetOrCreateCounter("rudder_slow_first_token_total" + labels).Inc()
+	}
+}
+
+// outcomeLabel sorts an end for the outcome counters.
+func outcomeLabel(end *rudderv1.End) string {
+	switch {
+	case result.Code(end.Code) == result.OK:
+		return "ok"
+	case result.Code(end.Code) == result.Canceled:
+		return "canceled"
+	case end.Outcome == rudderv1.Outcome_OUTCOME_NOT_RUN:
+		return "not_run"
+	case end.Outcome == rudderv1.Outcome_OUTCOME_RAN:
+		return "failed"
+	default:
+		return "unknown"
+	}
+}
+
+// retry counts a retry of the workspace.
+func (m *meter) retry(workspace string) bool {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_retries_total{workspace=%q}`, workspace)).Inc()
+	return true
+}
+
+func (m *meter) generationBack() {
+	m.set.GetOrCreateCounter("rudder_generation_back_total").Inc()
+}
+
+func (m *meter) refusedEarly(c result.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_request_codes_total{code="%d"}`, c)).Inc()
+}
+
+// seconds rounds a time to come back up to whole seconds, at least one.
+func seconds(ms int64) int64 {
+	return max(1, (time.Duration(ms)*time.Millisecond+time.Second-1).Milliseconds()/1000)
+}
--- /dev/null
+++ b/gateway/process.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/micarudder/micarudder/daemon"
+	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/routing"
+	"github.com/micarudder/micarudder/settings"
+)
+
+// Settings are the INI settings of rudder-gateway.
+type Settings struct {
+	Gateway struct {
+		Name        string             `key:"name" required:"true" help:"name of this gateway, unique in the installation"`
+		DataCentre  string             `key:"data_centre" required:"true" help:"data centre that this host stands in"`
+		Listen      settings.Address   `key:"listen" required:"true" help:"address for callers"`
+		InnerListen settings.Address   `key:"inner_listen" required:"true" help:"address for other gateways and rudderctl"`
+		Peers       []settings.Address `key:"peers" help:"inner addresses of other gateways, to learn the configuration from"`
+	} `section:"gateway"`
+	Callers struct {
+		MaxBody         settings.Size `key:"max_body" default:"16MiB" help:"largest request body"`
+		HeaderTime      time.Duration `key:"header_time" default:"5s" min:"100ms" help:"time for a request's headers to arrive"`
+		BodyTime        time.Duration `key:"body_time" default:"30s" min:"100ms" help:"time for a request's body to arrive"`
+		WriteTime       time.Duration `key:"write_time" default:"30s" min:"100ms" help:"time for a caller to take one part of its answer"`
+		DefaultDeadline time.Duration `key:"default_deadline" default:"5m" min:"1s" help:"deadline of a request that names none"`
+		MaxDeadline     time.Duration `key:"max_deadline" default:"1h" min:"1s" help:"longest deadline a request may name"`
+		DefaultTokens   int           `key:"default_tokens" default:"256" min:"1" help:"answer tokens set aside when a request names none"`
+		FirstTokenGoal  time.Duration `key:"first_token_goal" default:"360ms" min:"1ms" help:"first token later than this counts as slow"`
+	} `section:"callers"`
+	Tickets struct {
+		daemon.Tickets
+		Life time.Duration `key:"life" default:"15m" min:"1s" max:"24h" help:"how long a ticket can be presented"`
+	} `section:"tickets"`
+	Platform struct {
+		Addresses []settings.Address `key:"addresses" required:"true" help:"addresses of the platform's key-value service"`
+		Timeout   time.Duration      `key:"timeout" default:"2s" min:"10ms" help:"longest wait for one call"`
+	} `section:"platform"`
+	Routing struct {
+		Policy string `key:"policy" default:"default" allowed:"default|round-robin|least-load|no-lanes" help:"routing policy; all but default are baselines for measurements"`
+	} `section:"routing"`
+	TLS     daemon.TLS    `section:"tls"`
+	Process daemon.Common `section:"process"`
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check() []*settings.Mistake {
+	out := append(s.TLS.Check(), s.Tickets.Check()...)
+	if s.Callers.DefaultDeadline > s.Callers.MaxDeadline {
+		out = append(out, &settings.Mistake{Section: "callers", Key: "default_deadline", Problem: "is longer than max_deadline"})
+	}
+	return out
+}
+
+// config returns the gateway's own part of the settings.
+func (s *Settings) config() Config {
+	c := Config{
+		Name: s.Gateway.Name, DataCentre: s.Gateway.DataCentre,
+		MaxBody: int64(s.Callers.MaxBody), BodyTime: s.Callers.BodyTime, WriteTime: s.Callers.WriteTime,
+		DefaultDeadline: s.Callers.DefaultDeadline, MaxDeadline: s.Callers.MaxDeadline, TicketLife: s.Tickets.Life,
+		DefaultTokens: uint64(s.Callers.DefaultTokens), FirstTokenGoal: s.Callers.FirstTokenGoal,
+	}
+	for _, p := range s.Gateway.Peers {
+		c.Peers = append(c.Peers, string(p))
+	}
+	return c
+}
+
+// policies are the routing policies by their name in the settings.
+var policies = map[string]func() routing.Policy{
+	"default": routing.Default, "round-robin": routing.RoundRobin, "least-load": routing.LeastLoad, "no-lanes": routing.NoLanes,
+}
+
+// Process is a gateway with its listeners.
+type Process struct {
+	g       *Gateway
+	callers *http.Server
+	inner   *http.Server
+}
+
+// Open wires a gateway from its settings and starts it.
+func Open(s *Settings, env daemon.Env) (*Process, error) {
+	signer, err := s.Tickets.Signer()
+	if err != nil {
+		return nil, err
+	}
+	client, err := inner.NewClient(s.TLS.Files(), nil)
+	if err != nil {
+		return nil, err
+	}
+	store, err := openStore(s, env)
+	if err != nil {
+		return nil, err
+	}
+	g := New(s.config(), Deps{
+		Store: store, Client: client, Signer: signer, Keeper: generation.NewKeeper(),
+		Policy: policies[s.Routing.Policy](), Log: env.Log, Metrics: env.Metrics,
+	})
+	p := &Process{g: g}
+	if err := p.listen(s, env); err != nil {
+		return nil, err
+	}
+	g.Start()
+	return p, nil
+}
+
+func openStore(s *Settings, env daemon.Env) (platform.Store, error) {
+	addrs := make([]string, 0, len(s.Platform.Addresses))
+	for _, a := range s.Platform.Addresses {
+		addrs = append(addrs, string(a))
+	}
+	return platform.NewClient(platform.Options{Addresses: addrs, Timeout: s.Platform.Timeout, Metrics: env.Metrics})
+}
+
+// listen opens both listeners and serves them.
+func (p *Process) listen(s *Settings, env daemon.Env) error {
+	face, err := p.g.Handler()
+	if err != nil {
+		return err
+	}
+	p.callers = &http.Server{Handler: face, ReadHeaderTimeout: s.Callers.HeaderTime, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
+	m := http.NewServeMux()
+	m.Handle(p.g.InnerHandler())
+	if p.inner, err = inner.NewServer(m, s.TLS.Files()); err != nil {
+		return err
+	}
+	if err := serveOn(p.callers, string(s.Gateway.Listen), env.Fail); err != nil {
+		return err
+	}
+	return serveOn(p.inner, string(s.Gateway.InnerListen), env.Fail)
+}
+
+func serveOn(srv *http.Server, addr string, fail func(error)) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := inner.Serve(srv, l); !errors.Is(err, http.ErrServerClosed) {
+			fail(err)
+		}
+	}()
+	return nil
+}
+
+// Ready implements daemon.Service.
+func (p *Process) Ready() bool { return p.g.Ready() }
+
+// Shutdown implements daemon.Service: the balancer sees the gateway not ready,
+// requests in flight end, then the listeners and the gateway close.
+func (p *Process) Shutdown(ctx context.Context) error {
+	err := p.g.Drain(ctx)
+	_ = p.callers.Close()
+	_ = p.inner.Close()
+	p.g.Close()
+	return err
+}
--- /dev/null
+++ b/gateway/read.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/micarudder/micarudder/prefix"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// completionBody is what the gateway reads of a completion request; the body
+// itself goes on unchanged.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           *uint64         `json:"max_tokens"`
+	MaxCompletionTokens *uint64         `json:"max_completion_tokens"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []message       `json:"messages"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// readBody reads the whole body within its limits of size and time.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *result.Err) {
+	if r.ContentLength > g.cfg.MaxBody {
+		return nil, result.New(result.TooLarge, "")
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTime))
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.cfg.MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, result.New(result.TooLarge, "")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, result.New(result.SlowSender, "")
+	default:
+		return nil, result.New(result.BadRequest, "body broke off")
+	}
+}
+
+// readCompletion reads a completion's parameters.
+func readCompletion(body []byte) (*completionBody, *result.Err) {
+	c := new(completionBody)
+	if err := json.Unmarshal(body, c); err != nil {
+		return nil, result.New(result.BadRequest, "body is not a completion request: "+err.Error())
+	}
+	if c.Model == "" {
+		return nil, result.New(result.BadRequest, "model missing")
+	}
+	if len(c.Prompt) == 0 && len(c.Messages) == 0 {
+		return nil, result.New(result.BadRequest, "neither messages nor prompt given")
+	}
+	return c, nil
+}
+
+// text returns the prompt's text: a string prompt, or the joined contents.
+func (c *completionBody) text() []byte {
+	var out []byte
+	for _, m := range c.Messages {
+		out = append(out, contentText(m.Content)...)
+	}
+	return append(out, contentText(c.Prompt)...)
+}
+
+// contentText reads a string, or a list of strings or text parts.
+func contentText(raw json.RawMessage) []byte {
+	if len(raw) == 0 {
+		return nil
+	}
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return []byte(s)
+	}
+	var list []json.RawMessage
+	if json.Unmarshal(raw, &list) != nil {
+		return nil
+	}
+	var out []byte
+	for _, item := range list {
+		out = append(out, partText(item)...)
+	}
+	return out
+}
+
+func partText(item json.RawMessage) []byte {
+	var s string
+	if json.Unmarshal(item, &s) == nil {
+		return []byte(s)
+	}
+	var part struct {
+		Text string `json:"text"`
+	}
+	_ = json.Unmarshal(item, &part)
+	return []byte(part.Text)
+}
+
+// completion checks the model against the workspace and the document.
+func (g *Gateway) completion(c *completionBody, path string, ws *rudderv1.Workspace) (*rudderv1.Completion, *result.Err) {
+	m := findModel(g.deps.Keeper.Document(), c.Model)
+	if m == nil || !allowed(ws.Models, c.Model) {
+		return nil, result.New(result.UnknownModel, c.Model)
+	}
+	text := c.text()
+	out := &rudderv1.Completion{
+		Model: c.Model, Path: path, PromptTokens: prefix.Tokens(len(text)), MaxTokens: g.cfg.DefaultTokens,
+		Prefix: prefix.Chain(c.Model, text, prefix.MaxBlocks),
+	}
+	if c.MaxTokens != nil {
+		out.MaxTokens = *c.MaxTokens
+	}
+	if c.MaxCompletionTokens != nil {
+		out.MaxTokens = *c.MaxCompletionTokens
+	}
+	if m.MaxTokens > 0 && (out.MaxTokens > m.MaxTokens || out.PromptTokens > m.MaxTokens-out.MaxTokens) {
+		return nil, result.New(result.PromptTooLong, "longest context "+strconv.FormatUint(m.MaxTokens, 10))
+	}
+	return out, nil
+}
+
+// findModel finds a model, or the base model of an adapter, by its name.
+func findModel(doc *rudderv1.Document, name string) *rudderv1.Model {
+	for _, m := range doc.Models {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func allowed(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// readDeadline returns the request's deadline.
+func (g *Gateway) readDeadline(r *http.Request, now time.Time) (time.Time, *result.Err) {
+	text := r.Header.Get(headerDeadline)
+	if text == "" {
+		return now.Add(g.cfg.DefaultDeadline), nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return time.Time{}, result.New(result.BadHeader, headerDeadline+" is not a duration such as 30s")
+	}
+	return now.Add(min(d, g.cfg.MaxDeadline)), nil
+}
+
+// readRepeatable returns whether the request may run more than once.
+func readRepeatable(r *http.Request, fallback bool) (bool, *result.Err) {
+	switch strings.ToLower(r.Header.Get(headerRepeatable)) {
+	case "":
+		return fallback, nil
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	default:
+		return false, result.New(result.BadHeader, headerRepeatable+" is neither true nor false")
+	}
+}
+
+// readOffset returns the answer bytes that the caller has already.
+func readOffset(r *http.Request) (uint64, *result.Err) {
+	text := r.Header.Get(headerLastEvent)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, result.New(result.BadHeader, headerLastEvent+" is not an offset")
+	}
+	return n, nil
+}
--- /dev/null
+++ b/inner/inner.go
@@ -0,0 +1,177 @@
+// Package inner carries the inner protocol: HTTP/2 between the processes of
+// one installation, in the clear or, when key files are set, with mutual TLS.
+// A peer without a certificate of the installation's authority is refused in
+// the handshake.
+package inner
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+)
+
+const (
+	dialTimeout       = time.Second
+	readHeaderTimeout = 5 * time.Second
+	// pingTimeout and pingInterval bound how long a connection to a frozen or
+	// cut-off peer looks alive.
+	pingInterval = 2 * time.Second
+	pingTimeout  = 2 * time.Second
+	// MaxMessage bounds one message, in bytes: a prompt of a million tokens
+	// with its envelope.
+	MaxMessage = 24 << 20
+)
+
+// KeyFiles names the PEM files for mutual TLS; all empty means clear text.
+type KeyFiles struct {
+	Cert string
+	Key  string
+	CA   string
+}
+
+// Enabled reports whether TLS is on.
+func (k KeyFiles) Enabled() bool { return k.Cert != "" || k.Key != "" || k.CA != "" }
+
+// Check returns an error unless all files or none are named.
+func (k KeyFiles) Check() error {
+	if k.Enabled() && (k.Cert == "" || k.Key == "" || k.CA == "") {
+		return errors.New("cert, key and ca must be set together")
+	}
+	return nil
+}
+
+// config reads the key files anew at each handshake, so that rotated files are
+// used without a restart.
+func (k KeyFiles) config() (*tls.Config, error) {
+	if err := k.Check(); err != nil {
+		return nil, err
+	}
+	if _, _, err := k.load(); err != nil {
+		return nil, err
+	}
+	base := &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{"h2"},
+		ClientAuth: tls.RequireAnyClientCert,
+		// The names in certificates are not used: processes are reached by IP
+		// number, and any holder of a certificate of the authority is a peer.
+		InsecureSkipVerify: true,
+		VerifyConnection:   k.verify,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			cert, _, err := k.load()
+			return cert, err
+		},
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _, err := k.load()
+			return cert, err
+		},
+	}
+	return base, nil
+}
+
+func (k KeyFiles) load() (*tls.Certificate, *x509.CertPool, error) {
+	cert, err := tls.LoadX509KeyPair(k.Cert, k.Key)
+	if err != nil {
+		return nil, nil, err
+	}
+	pem, err := os.ReadFile(k.CA)
+	if err != nil {
+		return nil, nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, nil, errors.New("no certificate in " + k.CA)
+	}
+	return &cert, pool, nil
+}
+
+// verify checks the peer's chain against the installation's authority.
+func (k KeyFiles) verify(cs tls.ConnectionState) error {
+	_, pool, err := k.load()
+	if err != nil {
+		return err
+	}
+	if len(cs.PeerCertificates) == 0 {
+		return errors.New("inner: peer has no certificate")
+	}
+	opts := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
+	for _, c := range cs.PeerCertificates[1:] {
+		opts.Intermediates.AddCert(c)
+	}
+	_, err = cs.PeerCertificates[0].Verify(opts)
+	return err
+}
+
+// NewServer returns a server for the inner protocol.
+func NewServer(h http.Handler, keys KeyFiles) (*http.Server, error) {
+	p := new(http.Protocols)
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		Protocols:         p,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout, MaxConcurrentStreams: 4096},
+	}
+	if !keys.Enabled() {
+		p.SetUnencryptedHTTP2(true)
+		p.SetHTTP1(true)
+		return srv, nil
+	}
+	p.SetHTTP2(true)
+	cfg, err := keys.config()
+	if err != nil {
+		return nil, err
+	}
+	srv.TLSConfig = cfg
+	return srv, nil
+}
+
+// Serve serves on l with or without TLS, as the server was made.
+func Serve(srv *http.Server, l net.Listener) error {
+	if srv.TLSConfig != nil {
+		return srv.ServeTLS(l, "", "")
+	}
+	return srv.Serve(l)
+}
+
+// Dialer opens a connection to an address; nil means the system's.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Client is an HTTP client for the inner protocol.
+type Client struct {
+	*http.Client
+	scheme string
+}
+
+// NewClient returns a client; dial may be nil.
+func NewClient(keys KeyFiles, dial Dialer) (*Client, error) {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	p := new(http.Protocols)
+	tr := &http.Transport{
+		DialContext:         dial,
+		Protocols:           p,
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+	}
+	if !keys.Enabled() {
+		p.SetUnencryptedHTTP2(true)
+		return &Client{&http.Client{Transport: tr}, "http://"}, nil
+	}
+	p.SetHTTP2(true)
+	cfg, err := keys.config()
+	if err != nil {
+		return nil, err
+	}
+	tr.TLSClientConfig = cfg
+	return &Client{&http.Client{Transport: tr}, "https://"}, nil
+}
+
+// URL returns the base URL of the peer at addr.
+func (c *Client) URL(addr string) string { return c.scheme + addr }
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -14,8 +14,10 @@
 	for i := range t.NumField() {
 		sec := t.Field(i)
 		fmt.Fprintf(&b, "\n`[%s]`\n\n| key | value | default | meaning |\n|---|---|---|---|\n", sec.Tag.Get("section"))
-		for j := range sec.Type.NumField() {
-			f := sec.Type.Field(j)
+		for _, f := range reflect.VisibleFields(sec.Type) {
+			if f.Anonymous {
+				continue
+			}
 			def := f.Tag.Get("default")
 			if f.Tag.Get("required") == "true" {
 				def = "required"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -103,27 +103,23 @@
 func (r *reader) section(name string, target reflect.Value) {
 	sec := r.file.Section(name)
 	known := make(map[string]bool)
-	t := target.Type()
-	for i := range t.NumField() {
-		key := t.Field(i).Tag.Get("key")
+	var names []string
+	for _, f := range reflect.VisibleFields(target.Type()) {
+		if f.Anonymous {
+			continue
+		}
+		key := f.Tag.Get("key")
 		known[key] = true
-		r.key(sec, t.Field(i), target.Field(i))
+		names = append(names, key)
+		r.key(sec, f, target.FieldByIndex(f.Index))
 	}
 	for _, k := range sec.Keys() {
 		if !known[k.Name()] {
-			r.add(name, k.Name(), "unknown key", strings.Join(keyNames(t), ", "))
+			r.add(name, k.Name(), "unknown key", strings.Join(names, ", "))
 		}
 	}
 }
 
-func keyNames(t reflect.Type) []string {
-	var names []string
-	for i := range t.NumField() {
-		names = append(names, t.Field(i).Tag.Get("key"))
-	}
-	return names
-}
-
 func (r *reader) key(sec *ini.Section, field reflect.StructField, target reflect.Value) {
 	key := field.Tag.Get("key")
 	text := field.Tag.Get("default")
