Add the platform's client and its stand-in

Cause: the settled Store and HostLister interfaces had no implementation, and the parts that hold leases, follow the document or place hosts wait for one.

Change: the client speaks the JSON mapping of etcd v3 over net/http. A request body notes whether any of it was taken by the transport, so that a write that never left is ErrUnavailable and one that did and got no answer ErrUnknown. Several addresses, limiters for reads, writes and keep-alives, Follow, Settle, and a Lease reckoned from the moment its request was sent. ErrRestored is new in the shared interface: an answer from an older state than one seen before. The stand-in has its faults already; they are not all tested yet.

Ruled out: retrying inside CompareAndSwap, since the caller must learn that an outcome is unknown; Settle does it where the caller can tell its own value.

--- /dev/null
+++ b/internal/standin/platform/control.go
@@ -0,0 +1,116 @@
+package platform
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/micarudder/micarudder/platform"
+)
+
+// control registers the calls that switch the service.
+func (s *Server) control() {
+	s.mux.HandleFunc("GET /fault", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Faults()) })
+	s.mux.HandleFunc("POST /fault", s.controlFault)
+	s.mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Counts()) })
+	s.mux.HandleFunc("POST /snapshot", func(http.ResponseWriter, *http.Request) { s.Snapshot() })
+	s.mux.HandleFunc("POST /restore", s.controlRestore)
+	s.mux.HandleFunc("POST /host", s.controlHost)
+	s.mux.HandleFunc("POST /rates", s.controlRates)
+}
+
+// controlFault changes the faults named in the query or form and leaves the
+// others; clear=true first ends all.
+func (s *Server) controlFault(w http.ResponseWriter, r *http.Request) {
+	if err := r.ParseForm(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f, err := s.Faults().with(r.Form)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	writeJSON(w, http.StatusOK, f)
+}
+
+func (s *Server) controlRestore(w http.ResponseWriter, _ *http.Request) {
+	if !s.Restore() {
+		http.Error(w, "no snapshot was taken", http.StatusConflict)
+	}
+}
+
+// controlHost sets a host: parameters host, data_centre, state (live, leaving
+// or gone), address, and lag, which changes the lag of this and later calls.
+func (s *Server) controlHost(w http.ResponseWriter, r *http.Request) {
+	if v := r.FormValue("lag"); v != "" {
+		lag, err := time.ParseDuration(v)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetHostLag(lag)
+	}
+	state, err := oneOf(r.FormValue("state"), "", platform.HostLive, platform.HostLeaving, HostGone)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if name := r.FormValue("host"); name != "" {
+		s.SetHost(platform.Host{
+			Name:       name,
+			DataCentre: r.FormValue("data_centre"),
+			State:      state,
+			Address:    r.FormValue("address"),
+		})
+	}
+}
+
+// controlRates sets both limits: parameters reads and writes.
+func (s *Server) controlRates(w http.ResponseWriter, r *http.Request) {
+	reads, err := strconv.ParseFloat(r.FormValue("reads"), 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writes, err := strconv.ParseFloat(r.FormValue("writes"), 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetRates(reads, writes)
+}
+
+// heldAnswer keeps an answer back.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (h *heldAnswer) Header() http.Header { return h.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (h *heldAnswer) WriteHeader(status int) { h.status = status }
+
+// Write implements http.ResponseWriter.
+func (h *heldAnswer) Write(p []byte) (int, error) { return h.body.Write(p) }
+
+// release writes the answer to w.
+func (h *heldAnswer) release(w http.ResponseWriter) {
+	for name, values := range h.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(h.status)
+	_, _ = w.Write(h.body.Bytes())
+}
+
+// withBody returns r with a body that has been read already.
+func withBody(r *http.Request, body []byte) *http.Request {
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return r
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,252 @@
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/micarudder/micarudder/internal/etcdjson"
+)
+
+// maxLog is the number of changes kept for watches that start in the past.
+const maxLog = 10_000
+
+var errLeaseNotFound = errors.New(etcdjson.MessageLeaseNotFound)
+
+// state is what a snapshot holds.
+type state struct {
+	revision int64
+	kvs      map[string]etcdjson.KeyValue
+	leases   map[int64]time.Duration // TTL
+}
+
+// clone returns an independent copy; values are never changed in place.
+func (s state) clone() state {
+	s.kvs = maps.Clone(s.kvs)
+	s.leases = maps.Clone(s.leases)
+	return s
+}
+
+// store is the key-value service without its edge.
+type store struct {
+	mu        sync.Mutex
+	state     state
+	timers    map[int64]*time.Timer
+	ends      map[int64]time.Time
+	nextLease int64
+	log       []etcdjson.Event
+	compacted int64                    // revisions up to here are no longer in log
+	changed   map[string]chan struct{} // by watched key; closed at its next change
+	epoch     int                      // grows with each restore; ends the watches
+	snapshot  *state
+}
+
+func newStore() *store {
+	return &store{
+		state:     state{revision: 1, kvs: map[string]etcdjson.KeyValue{}, leases: map[int64]time.Duration{}},
+		timers:    map[int64]*time.Timer{},
+		ends:      map[int64]time.Time{},
+		nextLease: 1000,
+		compacted: 1,
+		changed:   map[string]chan struct{}{},
+	}
+}
+
+// read answers a range request from the state, or from the last snapshot when
+// stale is set and there is one.
+func (s *store) read(req etcdjson.RangeRequest, stale bool) etcdjson.RangeResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stale && s.snapshot != nil {
+		return s.snapshot.read(req)
+	}
+	return s.state.read(req)
+}
+
+func (s state) read(req etcdjson.RangeRequest) etcdjson.RangeResponse {
+	res := etcdjson.RangeResponse{Header: s.header()}
+	for _, key := range slices.Sorted(maps.Keys(s.kvs)) {
+		if !inRange([]byte(key), req.Key, req.RangeEnd) {
+			continue
+		}
+		res.Count++
+		if req.Limit > 0 && len(res.Kvs) == int(req.Limit) {
+			res.More = true
+			continue
+		}
+		kv := s.kvs[key]
+		if req.KeysOnly {
+			kv.Value = nil
+		}
+		res.Kvs = append(res.Kvs, kv)
+	}
+	return res
+}
+
+func (s state) header() etcdjson.Header {
+	return etcdjson.Header{Revision: etcdjson.Int64(s.revision)}
+}
+
+// inRange reports whether key is start, or in [start, end) when end is set; an
+// end of one zero byte has no upper bound.
+func inRange(key, start, end []byte) bool {
+	if len(end) == 0 {
+		return bytes.Equal(key, start)
+	}
+	if bytes.Compare(key, start) < 0 {
+		return false
+	}
+	return bytes.Equal(end, []byte{0}) || bytes.Compare(key, end) < 0
+}
+
+// txn runs a transaction as a whole; an error means that nothing was written.
+func (s *store) txn(req etcdjson.TxnRequest) (etcdjson.TxnResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	succeeded := s.holds(req.Compare)
+	ops := req.Failure
+	if succeeded {
+		ops = req.Success
+	}
+	if err := s.checkLeases(ops); err != nil {
+		return etcdjson.TxnResponse{}, err
+	}
+	res := etcdjson.TxnResponse{Succeeded: succeeded}
+	for _, op := range ops {
+		res.Responses = append(res.Responses, s.apply(op))
+	}
+	res.Header = s.state.header()
+	return res, nil
+}
+
+// holds reports whether every comparison holds.
+func (s *store) holds(compares []etcdjson.Compare) bool {
+	for _, c := range compares {
+		if s.state.kvs[string(c.Key)].ModRevision != c.ModRevision {
+			return false
+		}
+	}
+	return true
+}
+
+// checkLeases refuses a put with an unknown lease before anything is written.
+func (s *store) checkLeases(ops []etcdjson.RequestOp) error {
+	for _, op := range ops {
+		if op.Put == nil || op.Put.Lease == 0 {
+			continue
+		}
+		if _, ok := s.state.leases[int64(op.Put.Lease)]; !ok {
+			return errLeaseNotFound
+		}
+	}
+	return nil
+}
+
+// apply runs one operation.
+func (s *store) apply(op etcdjson.RequestOp) etcdjson.ResponseOp {
+	switch {
+	case op.Put != nil:
+		s.put(*op.Put)
+		return etcdjson.ResponseOp{Put: &etcdjson.PutResponse{Header: s.state.header()}}
+	case op.DeleteRange != nil:
+		deleted := s.remove(string(op.DeleteRange.Key))
+		return etcdjson.ResponseOp{DeleteRange: &etcdjson.DeleteRangeResponse{Header: s.state.header(), Deleted: deleted}}
+	case op.Range != nil:
+		res := s.state.read(*op.Range)
+		return etcdjson.ResponseOp{Range: &res}
+	default:
+		return etcdjson.ResponseOp{}
+	}
+}
+
+func (s *store) put(req etcdjson.PutRequest) {
+	s.state.revision++
+	kv := s.state.kvs[string(req.Key)]
+	if kv.Version == 0 {
+		kv.CreateRevision = etcdjson.Int64(s.state.revision)
+	}
+	kv.Key = req.Key
+	kv.Value = req.Value
+	kv.Lease = req.Lease
+	kv.ModRevision = etcdjson.Int64(s.state.revision)
+	kv.Version++
+	s.state.kvs[string(req.Key)] = kv
+	s.append(etcdjson.Event{Kv: kv})
+}
+
+// remove deletes a key and returns how many were deleted.
+func (s *store) remove(key string) etcdjson.Int64 {
+	if _, ok := s.state.kvs[key]; !ok {
+		return 0
+	}
+	s.state.revision++
+	delete(s.state.kvs, key)
+	kv := etcdjson.KeyValue{Key: []byte(key), ModRevision: etcdjson.Int64(s.state.revision)}
+	s.append(etcdjson.Event{Type: etcdjson.EventDelete, Kv: kv})
+	return 1
+}
+
+// append adds a change to the log and wakes the watches.
+func (s *store) append(e etcdjson.Event) {
+	s.log = append(s.log, e)
+	if len(s.log) > maxLog {
+		s.compacted = int64(s.log[0].Kv.ModRevision)
+		s.log = s.log[1:]
+	}
+	s.wake(string(e.Kv.Key))
+}
+
+// wake lets the watches of a key look again.
+func (s *store) wake(key string) {
+	if c, ok := s.changed[key]; ok {
+		close(c)
+		delete(s.changed, key)
+	}
+}
+
+// wakeAll lets every watch look again.
+func (s *store) wakeAll() {
+	for key := range s.changed {
+		s.wake(key)
+	}
+}
+
+// notify is wakeAll for callers outside the store.
+func (s *store) notify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wakeAll()
+}
+
+// take copies the state aside.
+func (s *store) take() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.state.clone()
+	s.snapshot = &c
+}
+
+// restore puts the last snapshot back, as after a loss: watches end, and
+// leases begin anew with their whole TTL. It reports whether there was one.
+func (s *store) restore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.snapshot == nil {
+		return false
+	}
+	s.state = s.snapshot.clone()
+	s.log = nil
+	s.compacted = s.state.revision
+	s.epoch++
+	for id := range s.timers {
+		s.stop(id)
+	}
+	for id, ttl := range s.state.leases {
+		s.start(id, ttl)
+	}
+	s.wakeAll()
+	return true
+}
