Serve a stand-in engine and the clients of engines and services

The agent needs an engine and a plain service to run against, and their clients must say exactly what is known after a failure. The engine's extensions travel in headers so that the caller's body is passed on as it came; docs/design/engine-protocol.md weighs the alternatives. Go's transport sends a GET, or anything with an idempotency header, a second time when a kept connection breaks: the service client gives such calls a body that cannot be rewound. The stand-in steps only while it has runs and works under virtual time.

Tested here: streams of both paths, resume, cancel in three ways, a short prompt passing a long one. Faults, orders, spans and cache events are written and not yet tested.

--- /dev/null
+++ b/cmd/rudder-standin/commands.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"time"
+
+	"github.com/micarudder/micarudder/internal/standin/engine"
+	"github.com/micarudder/micarudder/internal/standin/service"
+	"github.com/micarudder/micarudder/internal/standin/weights"
+)
+
+// engineCommand sets up a stand-in engine. Times are modelled times; --speed
+// says how much faster than them the engine runs.
+type engineCommand struct {
+	listening
+	Name         string   `long:"name" default:"engine" description:"name in the incarnation and in logs"`
+	Models       []string `long:"model" value-name:"NAME[@VERSION]" description:"model held from the start; may be repeated (default: rudder-llm)"`
+	Role         string   `long:"role" default:"mixed" description:"role at the start"`
+	MemoryTokens uint64   `long:"memory-tokens" description:"cache memory"`
+	MaxRunning   int      `long:"max-running" description:"most runs in the batch"`
+	ChunkTokens  uint64   `long:"chunk-tokens" description:"most tokens prefilled in one step"`
+	Speed        float64  `long:"speed" description:"modelled time over real time"`
+	Coalesce     duration `long:"coalesce" description:"real time within which steps are computed in one go"`
+
+	Step              duration `long:"step" description:"cost of each step"`
+	DecodeToken       duration `long:"decode-token" description:"cost of each decoded token"`
+	PrefillToken      duration `long:"prefill-token" description:"cost of each prefilled token"`
+	PrefillTokenPer1k duration `long:"prefill-token-per-1k" description:"added per prefilled token and thousand tokens of context"`
+
+	ImportDivisor    uint64   `long:"import-divisor" description:"an imported span occupies its tokens over this"`
+	ExportTokenBytes uint64   `long:"export-token-bytes" description:"bytes of an exported span per token"`
+	LoadLag          duration `long:"load-lag" description:"age that a load report may have, real time"`
+	EventDelay       duration `long:"event-delay" description:"lateness of cache events, real time"`
+	EventGap         uint64   `long:"event-gap" description:"every so many cache events one is lost; 0: none"`
+	ChecksFencing    bool     `long:"checks-fencing" description:"refuse orders with an old fencing number"`
+	Callers          []string `long:"caller" description:"agent whose orders are taken; may be repeated (default: any)"`
+	WeightsURL       string   `long:"weights-url" description:"base URL of the weight store"`
+}
+
+func newEngineCommand() *engineCommand {
+	d := engine.Default()
+	return &engineCommand{
+		MemoryTokens: d.MemoryTokens, MaxRunning: d.MaxRunning, ChunkTokens: d.ChunkTokens,
+		Speed: d.Speed, Coalesce: duration(200 * time.Microsecond),
+		Step: duration(d.Costs.Step), DecodeToken: duration(d.Costs.DecodeToken),
+		PrefillToken: duration(d.Costs.PrefillToken), PrefillTokenPer1k: duration(d.Costs.PrefillTokenPer1k),
+		ImportDivisor: d.ImportDivisor, ExportTokenBytes: d.ExportTokenBytes,
+		LoadLag: duration(d.LoadLag), EventDelay: duration(d.EventDelay), EventGap: d.EventGap,
+	}
+}
+
+// Execute implements flags.Commander.
+func (c *engineCommand) Execute([]string) error {
+	return c.serve(c.Name, engine.NewServer(c.config()).Handler())
+}
+
+func (c *engineCommand) config() engine.Config {
+	cfg := engine.Config{
+		Name: c.Name, Models: c.Models, Role: c.Role, MemoryTokens: c.MemoryTokens,
+		MaxRunning: c.MaxRunning, ChunkTokens: c.ChunkTokens, Speed: c.Speed, Coalesce: time.Duration(c.Coalesce),
+		Costs: engine.Costs{
+			Step: time.Duration(c.Step), DecodeToken: time.Duration(c.DecodeToken),
+			PrefillToken: time.Duration(c.PrefillToken), PrefillTokenPer1k: time.Duration(c.PrefillTokenPer1k),
+		},
+		ImportDivisor: c.ImportDivisor, ExportTokenBytes: c.ExportTokenBytes,
+		LoadLag: time.Duration(c.LoadLag), EventDelay: time.Duration(c.EventDelay), EventGap: c.EventGap,
+		ChecksFencing: c.ChecksFencing, Callers: c.Callers, WeightsURL: c.WeightsURL,
+	}
+	if len(cfg.Models) == 0 {
+		cfg.Models = engine.Default().Models
+	}
+	return cfg
+}
+
+type serviceCommand struct {
+	listening
+	Name string   `long:"name" default:"service" description:"name in answers and logs"`
+	Work duration `long:"work" default:"5ms" description:"time that each call takes"`
+}
+
+// Execute implements flags.Commander.
+func (c *serviceCommand) Execute([]string) error {
+	s := service.NewServer(service.Config{Name: c.Name, Work: time.Duration(c.Work)})
+	return c.serve(c.Name, s.Handler())
+}
+
+type weightsCommand struct {
+	listening
+	BytesPerSecond float64          `long:"bytes-per-second" default:"67108864" description:"rate shared by all readers"`
+	DefaultBytes   int64            `long:"default-bytes" default:"16777216" description:"length of weights not named by --size"`
+	Sizes          map[string]int64 `long:"size" value-name:"NAME:BYTES" description:"length of named weights; may be repeated"`
+}
+
+// Execute implements flags.Commander.
+func (c *weightsCommand) Execute([]string) error {
+	s := weights.NewServer(weights.Config{BytesPerSecond: c.BytesPerSecond, DefaultBytes: c.DefaultBytes, Sizes: c.Sizes})
+	return c.serve("weights", s.Handler())
+}
+
+// duration is a time.Duration whose default go-flags prints with its unit.
+type duration time.Duration
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (d *duration) UnmarshalFlag(v string) error {
+	t, err := time.ParseDuration(v)
+	*d = duration(t)
+	return err
+}
+
+// MarshalFlag implements flags.Marshaler.
+func (d duration) MarshalFlag() (string, error) { return time.Duration(d).String(), nil }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -64,19 +64,19 @@
 
 // Load is the engine's own report; it lags.
 type Load struct {
-	Running      int
-	Waiting      int
-	MemoryTokens uint64
-	FreeTokens   uint64
-	At           time.Time // when the engine measured it, its own clock
+	Running      int       `json:"running"`
+	Waiting      int       `json:"waiting"`
+	MemoryTokens uint64    `json:"memory_tokens"`
+	FreeTokens   uint64    `json:"free_tokens"`
+	At           time.Time `json:"at"` // when the engine measured it, its own clock
 }
 
 // CacheEvent says that a block entered or left the engine's prefix cache.
 // Block hashes are those of package prefix.
 type CacheEvent struct {
-	Sequence uint64 // gaps mean lost events
-	Block    uint64
-	Evicted  bool
+	Sequence uint64 `json:"sequence"` // gaps mean lost events
+	Block    uint64 `json:"block,string"`
+	Evicted  bool   `json:"evicted,omitempty"`
 }
 
 // OrderKind names what an order asks for.
@@ -94,44 +94,44 @@
 // Order changes what an engine serves. Fence is the fencing number: some
 // engines refuse an order whose number is below the highest they have seen.
 type Order struct {
-	ID      string
-	Kind    OrderKind
-	Model   string
-	Version string
-	Adapter string
-	Weights string // name in the weight store
-	Role    string
-	Fence   uint64
-	From    string // name of the agent that gives the order
+	ID      string    `json:"id"`
+	Kind    OrderKind `json:"kind"`
+	Model   string    `json:"model,omitempty"`
+	Version string    `json:"version,omitempty"`
+	Adapter string    `json:"adapter,omitempty"`
+	Weights string    `json:"weights,omitempty"` // name in the weight store
+	Role    string    `json:"role,omitempty"`
+	Fence   uint64    `json:"fence"`
+	From    string    `json:"from,omitempty"` // name of the agent that gives the order
 }
 
 // Model is one loaded or loading model.
 type Model struct {
-	Name     string
-	Version  string
-	Adapters []string
-	Loading  bool
+	Name     string   `json:"name"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Loading  bool     `json:"loading,omitempty"`
 }
 
 // Held is one piece of cache memory kept outside any run: an exported or
 // imported span, or a reservation.
 type Held struct {
-	ID     string
-	Owner  string // group or run id it was made for
-	Tokens uint64
+	ID     string `json:"id"`
+	Owner  string `json:"owner,omitempty"` // group or run id it was made for
+	Tokens uint64 `json:"tokens"`
 }
 
 // State is what the engine holds now, exact at the moment of the answer.
 type State struct {
-	Incarnation string // changes when the engine restarts
-	Models      []Model
-	Role        string
-	Fence       uint64
-	Running     []string // run ids
-	Held        []Held
-	Load        Load
-	OrderID     string // last order finished
-	OrderBusy   bool
+	Incarnation string   `json:"incarnation"` // changes when the engine restarts
+	Models      []Model  `json:"models"`
+	Role        string   `json:"role"`
+	Fence       uint64   `json:"fence"`
+	Running     []string `json:"running"` // run ids
+	Held        []Held   `json:"held"`
+	Load        Load     `json:"load"`
+	OrderID     string   `json:"order_id,omitempty"` // last order finished
+	OrderBusy   bool     `json:"order_busy,omitempty"`
 }
 
 // Span asks the engine to prefill and hold part of a prompt.
--- /dev/null
+++ b/internal/standin/answer/answer.go
@@ -0,0 +1,152 @@
+// Package answer defines what the stand-in engine answers to a prompt: a
+// deterministic text, so that a caller can check that an answer is its own
+// and whole without asking anyone.
+package answer
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// TokenBytes is the length of every token of an answer.
+	TokenBytes = 4
+	// DefaultTokens is the length of an answer when the body names none.
+	DefaultTokens = 16
+	// letters has 32 entries, so that five bits choose one.
+	letters = "abcdefghijklmnopqrstuvwxyz234567"
+)
+
+// Body is what matters of a completion request.
+type Body struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+}
+
+type message struct {
+	Content string `json:"content"`
+}
+
+type rawBody struct {
+	Model               string    `json:"model"`
+	Prompt              string    `json:"prompt"`
+	Messages            []message `json:"messages"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	Stream              bool      `json:"stream"`
+}
+
+// Parse reads a body of either completion path.
+func Parse(body []byte) (Body, error) {
+	var raw rawBody
+	if err := json.Unmarshal(body, &raw); err != nil {
+		return Body{}, err
+	}
+	b := Body{Model: raw.Model, Prompt: raw.Prompt, MaxTokens: raw.MaxTokens, Stream: raw.Stream}
+	if b.MaxTokens <= 0 {
+		b.MaxTokens = raw.MaxCompletionTokens
+	}
+	if b.MaxTokens <= 0 {
+		b.MaxTokens = DefaultTokens
+	}
+	if len(raw.Messages) > 0 {
+		b.Prompt = join(raw.Messages)
+	}
+	return b, nil
+}
+
+func join(ms []message) string {
+	if len(ms) == 1 {
+		return ms[0].Content
+	}
+	var sb strings.Builder
+	for _, m := range ms {
+		sb.WriteString(m.Content)
+	}
+	return sb.String()
+}
+
+// PromptOf returns the prompt text of a body: the prompt of a plain
+// completion, or the contents of a chat's messages one after the other. An
+// unreadable body has an empty prompt.
+func PromptOf(body []byte) []byte {
+	b, err := Parse(body)
+	if err != nil {
+		return nil
+	}
+	return []byte(b.Prompt)
+}
+
+// Key is the hash of a prompt from which its answer follows.
+type Key uint64
+
+// KeyOf returns the key of a prompt.
+func KeyOf(prompt string) Key { return Key(xxhash.Sum64String(prompt)) }
+
+// String returns the key in hexadecimal.
+func (k Key) String() string { return strconv.FormatUint(uint64(k), 16) }
+
+// Text returns the first n tokens of the answer to a prompt.
+func Text(prompt []byte, n int) []byte {
+	return Key(xxhash.Sum64(prompt)).Append(make([]byte, 0, n*TokenBytes), 0, n)
+}
+
+// Append appends the tokens from up to, not including, to.
+func (k Key) Append(dst []byte, from, to int) []byte {
+	for i := from; i < to; i++ {
+		x := mix(uint64(k) + uint64(i)*0x9e3779b97f4a7c15)
+		dst = append(dst, letters[x&31], letters[x>>5&31], letters[x>>10&31], ' ')
+	}
+	return dst
+}
+
+// Matches reports whether text is the beginning of the answer.
+func (k Key) Matches(text []byte) bool {
+	tokens := (len(text) + TokenBytes - 1) / TokenBytes
+	want := k.Append(make([]byte, 0, tokens*TokenBytes), 0, tokens)
+	return string(want[:len(text)]) == string(text)
+}
+
+// mix is the finaliser of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+const (
+	tagOpen  = "[tag:"
+	tagClose = "]"
+	// tagReach is how far into a prompt a tag is looked for.
+	tagReach = 512
+)
+
+// Tag returns the text that marks a prompt, so that its executions can be
+// counted whatever ids they ran under. It belongs at the prompt's start or,
+// to keep a common prefix cacheable, at its end.
+func Tag(name string) string { return tagOpen + name + tagClose }
+
+// TagOf returns the name in a prompt's tag, or "".
+func TagOf(prompt string) string {
+	if t := tagIn(prompt[:min(len(prompt), tagReach)]); t != "" {
+		return t
+	}
+	return tagIn(prompt[max(0, len(prompt)-tagReach):])
+}
+
+func tagIn(s string) string {
+	_, rest, ok := strings.Cut(s, tagOpen)
+	if !ok {
+		return ""
+	}
+	name, _, ok := strings.Cut(rest, tagClose)
+	if !ok {
+		return ""
+	}
+	return name
+}
--- /dev/null
+++ b/internal/standin/engine/executions.go
@@ -0,0 +1,91 @@
+package engine
+
+import "sync"
+
+// Execution is the executor's own record of one run. A run is recorded when
+// it enters the batch, whatever becomes of it.
+type Execution struct {
+	ID      string `json:"id"`
+	Tag     string `json:"tag,omitempty"` // see answer.Tag
+	Prompt  string `json:"prompt"`        // answer.Key of the prompt
+	Resumed int    `json:"resumed,omitempty"`
+	Output  int    `json:"output"` // last token emitted, counted from the answer's start
+	End     string `json:"end"`    // running, finished, canceled or died
+}
+
+// Counts are executions by what they can be told apart by. A resumed run
+// continues an execution and counts under Resumes only.
+type Counts struct {
+	Total    int            `json:"total"`
+	Finished int            `json:"finished"`
+	Canceled int            `json:"canceled"`
+	Died     int            `json:"died"`
+	Resumes  map[string]int `json:"resumes"` // by prompt
+	ByID     map[string]int `json:"by_id"`
+	ByTag    map[string]int `json:"by_tag"`
+	ByPrompt map[string]int `json:"by_prompt"`
+}
+
+// ledger keeps the executions of the process; a modelled crash of the engine
+// does not clear it.
+type ledger struct {
+	mu   sync.Mutex
+	list []*Execution
+}
+
+func (l *ledger) add(e *Execution) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.End = running.String()
+	l.list = append(l.list, e)
+}
+
+func (l *ledger) end(e *Execution, how ending, out int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.End = how.String()
+	e.Output = out
+}
+
+func (l *ledger) all() []Execution {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Execution, len(l.list))
+	for i, e := range l.list {
+		out[i] = *e
+	}
+	return out
+}
+
+func (l *ledger) counts() Counts {
+	c := Counts{Resumes: map[string]int{}, ByID: map[string]int{}, ByTag: map[string]int{}, ByPrompt: map[string]int{}}
+	for _, e := range l.all() {
+		c.add(e)
+	}
+	return c
+}
+
+func (c *Counts) add(e Execution) {
+	c.ByID[e.ID]++
+	c.countEnd(e.End)
+	if e.Resumed > 0 {
+		c.Resumes[e.Prompt]++
+		return
+	}
+	c.Total++
+	c.ByPrompt[e.Prompt]++
+	if e.Tag != "" {
+		c.ByTag[e.Tag]++
+	}
+}
+
+func (c *Counts) countEnd(end string) {
+	switch end {
+	case finished.String():
+		c.Finished++
+	case canceled.String():
+		c.Canceled++
+	case died.String():
+		c.Died++
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/micarudder/micarudder/engine"
+)
+
+// maxBodyBytes bounds a request body: a prompt of sixteen million tokens.
+const maxBodyBytes = 64 << 20
+
+// Handler serves the engine's protocol, the faults under /fault and the
+// record under /executions. The last two answer a frozen engine too.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	live := func(pattern string, h http.HandlerFunc) { mux.Handle(pattern, s.unlessFrozen(h)) }
+	live("POST /v1/chat/completions", s.serveCompletion)
+	live("POST /v1/completions", s.serveCompletion)
+	live("GET /v1/models", s.serveModels)
+	live("POST "+engine.PathCancel, s.serveCancel)
+	live("GET "+engine.PathLoad, s.serveLoad)
+	live("GET "+engine.PathCacheEvents, s.serveCacheEvents)
+	live("GET "+engine.PathState, s.serveState)
+	live("POST "+engine.PathOrders, s.serveOrder)
+	live("POST "+engine.PathPrefill, s.servePrefill)
+	live("POST "+engine.PathExport, s.serveExport)
+	live("POST "+engine.PathImport, s.serveImport)
+	live("POST "+engine.PathFree, s.serveFree)
+	mux.HandleFunc("GET /fault", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Faults()) })
+	mux.HandleFunc("POST /fault", s.serveFault)
+	mux.HandleFunc("GET /executions", s.serveExecutions)
+	return mux
+}
+
+// unlessFrozen holds a request back while the engine is frozen.
+func (s *Server) unlessFrozen(h http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		thaw := s.thaw
+		s.mu.Unlock()
+		select {
+		case <-thaw:
+			h(w, r)
+		case <-r.Context().Done():
+		}
+	})
+}
+
+func (s *Server) serveFault(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		writeError(w, http.StatusBadRequest, engine.CodeRefused, err.Error())
+		return
+	}
+	s.SetFaults(f)
+	writeJSON(w, f)
+}
+
+// serveExecutions answers with Counts, or with every Execution if the query
+// has list=1.
+func (s *Server) serveExecutions(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("list") == "1" {
+		writeJSON(w, s.Executions())
+		return
+	}
+	writeJSON(w, s.Counts())
+}
+
+// readBody reads a whole request body.
+func readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength > maxBodyBytes {
+		return nil, errors.New("body too large")
+	}
+	if r.ContentLength < 0 {
+		return io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
+}
+
+// headerUint reads a decimal header; a missing one is 0.
+func headerUint(r *http.Request, name string) (uint64, error) {
+	v := r.Header.Get(name)
+	if v == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(v, 10, 63)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, status int, code engine.ErrorCode, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(engine.ErrorBody{Error: engine.ErrorDetail{Code: code, Message: message}})
+}
+
+// refusal is why a request was not taken.
+type refusal struct {
+	status int
+	code   engine.ErrorCode
+	text   string
+}
+
+func (f *refusal) write(w http.ResponseWriter) { writeError(w, f.status, f.code, f.text) }
+
+func badRequest(text string) *refusal {
+	return &refusal{http.StatusBadRequest, engine.CodeRefused, text}
+}
+
+var (
+	errRefusing  = &refusal{http.StatusServiceUnavailable, engine.CodeRefused, "the engine refuses work"}
+	errNoMemory  = &refusal{http.StatusInsufficientStorage, engine.CodeNoMemory, "not enough cache memory"}
+	errDuplicate = &refusal{http.StatusConflict, engine.CodeRefused, "the id is in use"}
+	errNoSuch    = &refusal{http.StatusNotFound, engine.CodeNotFound, "no such run, span or model"}
+)
+
+// abort breaks the connection without an answer.
+func abort() { panic(http.ErrAbortHandler) }
