--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -36,17 +36,15 @@
 	return mux
 }
 
-// unlessFrozen holds a request back while the engine is frozen.
+// unlessFrozen holds a request back while the engine is frozen. Afterwards it
+// is served, whether its caller has left or not: it had arrived.
 func (s *Server) unlessFrozen(h http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		thaw := s.thaw
 		s.mu.Unlock()
-		select {
-		case <-thaw:
-			h(w, r)
-		case <-r.Context().Done():
-		}
+		<-thaw
+		h(w, r)
 	})
 }
 
