--- a/cmd/rudder-standin/commands.go
+++ b/cmd/rudder-standin/commands.go
@@ -29,6 +29,7 @@
 	DecodeToken       duration `long:"decode-token" description:"cost of each decoded token"`
 	PrefillToken      duration `long:"prefill-token" description:"cost of each prefilled token"`
 	PrefillTokenPer1k duration `long:"prefill-token-per-1k" description:"added per prefilled token and thousand tokens of context"`
+	TransferToken     duration `long:"transfer-token" description:"cost of each token of an exported or imported span"`
 
 	ImportDivisor    uint64   `long:"import-divisor" description:"an imported span occupies its tokens over this"`
 	ExportTokenBytes uint64   `long:"export-token-bytes" description:"bytes of an exported span per token"`
@@ -47,6 +48,7 @@
 		Speed: d.Speed, Coalesce: duration(200 * time.Microsecond),
 		Step: duration(d.Costs.Step), DecodeToken: duration(d.Costs.DecodeToken),
 		PrefillToken: duration(d.Costs.PrefillToken), PrefillTokenPer1k: duration(d.Costs.PrefillTokenPer1k),
+		TransferToken: duration(d.Costs.TransferToken),
 		ImportDivisor: d.ImportDivisor, ExportTokenBytes: d.ExportTokenBytes,
 		LoadLag: duration(d.LoadLag), EventDelay: duration(d.EventDelay), EventGap: d.EventGap,
 	}
@@ -64,6 +66,7 @@
 		Costs: engine.Costs{
 			Step: time.Duration(c.Step), DecodeToken: time.Duration(c.DecodeToken),
 			PrefillToken: time.Duration(c.PrefillToken), PrefillTokenPer1k: time.Duration(c.PrefillTokenPer1k),
+			TransferToken: time.Duration(c.TransferToken),
 		},
 		ImportDivisor: c.ImportDivisor, ExportTokenBytes: c.ExportTokenBytes,
 		LoadLag: time.Duration(c.LoadLag), EventDelay: time.Duration(c.EventDelay), EventGap: c.EventGap,
--- a/cmd/rudder-standin/main_test.go
+++ b/cmd/rudder-standin/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +14,9 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+	}
 	testscript.Main(m, map[string]func(){"rudder-standin": main})
 }
 
--- a/engine/span_test.go
+++ b/engine/span_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -133,6 +134,13 @@
 			b.start(engine.Request{ID: "1", Path: textPath, Body: textBody(p, 1), Import: []string{"s"}})
 			return b.client.Free(bg, "s")
 		}, engine.ErrRefused, 6000},
+		{"left during import", func(b *bench) error {
+			_ = prefill(b)
+			data, _ := b.client.Export(bg, "s")
+			ctx, stop := context.WithTimeout(bg, time.Millisecond) // it takes 30 ms
+			defer stop()
+			return b.client.Import(ctx, "t", "g", data)
+		}, engine.ErrLost, 6000 + 6000/8},
 		{"export of none", func(b *bench) error { _, err := b.client.Export(bg, "x"); return err }, engine.ErrNotFound, 0},
 	}
 	for _, c := range cases {
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -19,6 +19,7 @@
 	// PrefillTokenPer1k is added per prefilled token for each thousand tokens
 	// of context before it; prefill is quadratic by it.
 	PrefillTokenPer1k time.Duration
+	TransferToken     time.Duration // of every token exported or imported
 }
 
 // Config sets up a stand-in engine.
@@ -65,6 +66,7 @@
 			DecodeToken:       100 * time.Microsecond,
 			PrefillToken:      50 * time.Microsecond,
 			PrefillTokenPer1k: 250 * time.Nanosecond,
+			TransferToken:     5 * time.Microsecond,
 		},
 		Speed:            1,
 		ImportDivisor:    8,
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/internal/standin/answer"
@@ -154,6 +155,9 @@
 		errNoSuch.write(w)
 		return
 	}
+	if !s.transfer(r.Context(), h.span) {
+		return
+	}
 	data, err := encodeSpan(h.span, s.cfg.ExportTokenBytes)
 	if err != nil {
 		writeError(w, http.StatusInternalServerError, engine.CodeFailed, err.Error())
@@ -178,9 +182,24 @@
 		refused.write(w)
 		return
 	}
+	// Who leaves during the transfer has the span held all the same.
+	s.transfer(r.Context(), in)
 	s.answerSpan(w)
 }
 
+// transfer takes the time that a span's cache needs to travel; it reports
+// false when the caller left first.
+func (s *Server) transfer(ctx context.Context, in spanInfo) bool {
+	t := time.NewTimer(s.cfg.scaled(time.Duration(in.Tokens) * s.cfg.Costs.TransferToken))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // admitImport holds an imported span. The same span under the same id is
 // there already.
 func (s *Server) admitImport(id, owner string, in spanInfo) *refusal {
