Keep a call's path from naming another host, and tell unsendable calls apart

A service call's path was joined to the base URL as it came: a path without its slash, such as "@elsewhere/", would have named another host. And a call that cannot be sent at all, for a bad header, escape or method, came back as "unreachable", which the agent takes as evidence against its endpoint; a caller could so put an endpoint out of service. Both clients now say refused unless a connection was asked for. Replies lose the headers that concern one connection only, as calls did.

--- a/engine/client.go
+++ b/engine/client.go
@@ -177,7 +177,7 @@
 func (c *Client) getJSON(ctx context.Context, op, path string, v any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return &Error{Op: op, Kind: ErrUnreachable, Cause: err}
+		return &Error{Op: op, Kind: ErrRefused, Cause: err}
 	}
 	resp, err := c.do(op, req)
 	if err != nil {
@@ -197,7 +197,7 @@
 func (c *Client) post(ctx context.Context, op, path string, h http.Header, first, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, nil)
 	if err != nil {
-		return nil, &Error{Op: op, Kind: ErrUnreachable, Cause: err}
+		return nil, &Error{Op: op, Kind: ErrRefused, Cause: err}
 	}
 	if h.Get("Content-Type") == "" {
 		h.Set("Content-Type", "application/json")
@@ -216,8 +216,11 @@
 // do sends the request; any answer but 200 comes back as an error.
 func (c *Client) do(op string, req *http.Request) (*http.Response, error) {
 	req.Header.Set("User-Agent", c.name)
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
+	var tried, sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GetConn:      func(string) { tried.Store(true) },
+		WroteHeaders: func() { sent.Store(true) },
+	}
 	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	switch {
 	case err == nil && resp.StatusCode == http.StatusOK:
@@ -226,8 +229,10 @@
 		return nil, answerError(op, resp)
 	case sent.Load():
 		return nil, &Error{Op: op, Kind: ErrLost, Cause: err}
-	default:
+	case tried.Load():
 		return nil, &Error{Op: op, Kind: ErrUnreachable, Cause: err}
+	default:
+		return nil, &Error{Op: op, Kind: ErrRefused, Cause: err}
 	}
 }
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -13,7 +13,8 @@
 
 // Sentinel errors; test with errors.Is.
 var (
-	// ErrRefused: the engine certainly did not start the request.
+	// ErrRefused: the engine certainly did not start the request, or the
+	// client never tried to send it.
 	ErrRefused = errors.New("engine: refused")
 	// ErrLost: the engine was lost after the request was sent; it may have run.
 	ErrLost = errors.New("engine: lost")
--- a/engine/fault_test.go
+++ b/engine/fault_test.go
@@ -38,6 +38,8 @@
 		{name: "unreadable body", req: engine.Request{ID: "1", Path: textPath, Body: []byte(`{"model`)}, want: engine.ErrRefused},
 		{name: "unknown span", req: engine.Request{ID: "1", Path: textPath, Body: textBody("p", 1), Import: []string{"x"}}, want: engine.ErrNotFound},
 		{name: "gone", before: func(b *bench) { b.net.Close() }, req: small, want: engine.ErrUnreachable},
+		{name: "id that is no header value", req: engine.Request{ID: "1\n2", Path: textPath, Body: textBody("p", 1)}, want: engine.ErrRefused},
+		{name: "bad path", req: engine.Request{ID: "1", Path: "/%zz", Body: textBody("p", 1)}, want: engine.ErrRefused},
 		{name: "id in use", before: func(b *bench) {
 			b.start(engine.Request{ID: "1", Path: chatPath, Body: chatBody(prompt("other", 50), 5000)})
 		}, req: small, want: engine.ErrRefused, ran: 1},
@@ -65,7 +67,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		stop()
 		_, err := b.client.Start(ctx, engine.Request{ID: "1", Path: textPath, Body: textBody("p", 1)})
-		is.True(errors.Is(err, engine.ErrUnreachable))
+		is.True(errors.Is(err, engine.ErrRefused)) // says nothing against the engine
 		is.True(errors.Is(err, context.Canceled))
 		is.Equal(b.engine.Counts().Total, 0)
 	})
--- a/service/client.go
+++ b/service/client.go
@@ -61,23 +61,44 @@
 
 // Do implements Service. The context covers the reply's body too.
 func (c *Client) Do(ctx context.Context, call Call) (*Reply, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, nil)
+	req, err := c.request(ctx, call)
 	if err != nil {
-		return nil, wrap(ErrUnreachable, err)
+		return nil, wrap(ErrRefused, err)
+	}
+	var tried, sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GetConn:      func(string) { tried.Store(true) },
+		WroteHeaders: func() { sent.Store(true) },
 	}
-	setHeader(req, call)
-	setBody(req, call.Body)
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
 	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	switch {
 	case err == nil:
+		dropHopHeaders(resp.Header)
 		return &Reply{resp.StatusCode, resp.Header, &body{resp.Body}}, nil
 	case sent.Load():
 		return nil, wrap(ErrLost, err)
-	default:
+	case tried.Load():
 		return nil, wrap(ErrUnreachable, err)
+	default:
+		return nil, wrap(ErrRefused, err)
+	}
+}
+
+var errBadCall = errors.New("the path does not begin with a slash or the method opens a tunnel")
+
+// request builds the request. A path without its slash would run into the
+// base URL and could name another host.
+func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") || call.Method == http.MethodConnect {
+		return nil, errBadCall
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, nil)
+	if err != nil {
+		return nil, err
 	}
+	setHeader(req, call)
+	setBody(req, call.Body)
+	return req, nil
 }
 
 // hopHeaders concern one connection only and are not passed on.
@@ -92,17 +113,22 @@
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
 	}
-	for _, v := range req.Header.Values("Connection") {
+	dropHopHeaders(req.Header)
+	// An Expect would hold the body back for an answer that may not come.
+	req.Header.Del("Expect")
+	req.Header.Set(HeaderRequestID, call.ID)
+}
+
+// dropHopHeaders removes them and what a Connection header names.
+func dropHopHeaders(h http.Header) {
+	for _, v := range h.Values("Connection") {
 		for name := range strings.SplitSeq(v, ",") {
-			req.Header.Del(strings.TrimSpace(name))
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		req.Header.Del(name)
+		h.Del(name)
 	}
-	// An Expect would hold the body back for an answer that may not come.
-	req.Header.Del("Expect")
-	req.Header.Set(HeaderRequestID, call.ID)
 }
 
 // setBody sets the body so that the transport cannot replay a call that may
@@ -144,7 +170,7 @@
 
 // Error is the error type of the client; errors.Is finds Kind and Cause.
 type Error struct {
-	Kind  error // ErrUnreachable or ErrLost
+	Kind  error // ErrRefused, ErrUnreachable or ErrLost
 	Cause error
 }
 
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -107,6 +107,8 @@
 			got = r
 			w.Header().Set("Location", "/other")
 			w.Header().Set("X-Answer", "1")
+			w.Header().Set("Connection", "X-Hop")
+			w.Header().Set("X-Hop", "1")
 			w.WriteHeader(http.StatusTemporaryRedirect)
 		}))
 		c := service.NewClient(service.Options{BaseURL: "http://service/", HTTPClient: net.Client})
@@ -116,6 +118,7 @@
 		is.NoErr(err)
 		is.Equal(r.Status, http.StatusTemporaryRedirect) // passed on, not followed
 		is.Equal(r.Header.Get("X-Answer"), "1")
+		is.Equal(r.Header.Get("X-Hop")+r.Header.Get("Connection"), "")
 		is.NoErr(r.Body.Close())
 		is.Equal(got.RequestURI, "/a?b=c")
 		is.Equal(got.Header.Get("X-Own"), "1")
@@ -126,3 +129,26 @@
 		net.Close()
 	})
 }
+
+// TestDoRefusesWhatItCannotSend: such a call never leaves, and says nothing
+// against the service.
+func TestDoRefusesWhatItCannotSend(t *testing.T) {
+	bad := map[string]service.Call{
+		"another host": {Method: http.MethodGet, Path: "@elsewhere/"},
+		"port":         {Method: http.MethodGet, Path: "1/"},
+		"no path":      {Method: http.MethodGet},
+		"escape":       {Method: http.MethodGet, Path: "/%zz"},
+		"method":       {Method: "A B", Path: "/"},
+		"tunnel":       {Method: http.MethodConnect, Path: "/"},
+		"header":       {Method: http.MethodGet, Path: "/", Header: http.Header{"X": {"a\nb"}}},
+	}
+	for name, call := range bad {
+		t.Run(name, func(t *testing.T) {
+			withService(t, func(is *is.I, c *service.Client, s *standin.Server, _ *pipe.Server) {
+				_, err := do(c, call)
+				is.True(errors.Is(err, service.ErrRefused))
+				is.Equal(s.Counts().Total, 0)
+			})
+		})
+	}
+}
--- a/service/service.go
+++ b/service/service.go
@@ -11,6 +11,8 @@
 
 // Sentinel errors; test with errors.Is.
 var (
+	// ErrRefused: the call cannot be sent as it stands; it certainly did not run.
+	ErrRefused = errors.New("service: call cannot be sent")
 	// ErrUnreachable: no connection could be made; the call certainly did not run.
 	ErrUnreachable = errors.New("service: unreachable")
 	// ErrLost: the call was sent and its answer broke off or never came.
