--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -185,7 +185,7 @@
 	}
 	a.deps.Log.Warn("Run failed.", "request", r.req.RequestId, "err", err)
 	switch {
-	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrNoMemory):
+	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrNoMemory), errors.Is(err, service.ErrRefused):
 		r.apply(lifecycle.Event{Kind: lifecycle.EvRefused, Code: result.EndpointRefused}, err.Error())
 	case errors.Is(err, engine.ErrUnreachable), errors.Is(err, service.ErrUnreachable):
 		r.apply(lifecycle.Event{Kind: lifecycle.EvRefused, Code: result.EndpointRefused}, err.Error())
