--- a/internal/standin/engine/loop.go
+++ b/internal/standin/engine/loop.go
@@ -9,14 +9,14 @@
 	next := time.Now()
 	for {
 		s.awaitThaw()
-		st, life, ok := s.step(parts)
+		st, ok := s.step(parts)
 		if !ok {
 			return
 		}
 		parts = st.parts
 		next = s.pace(next, st.cost)
 		s.awaitThaw()
-		s.apply(st, life)
+		s.apply(st)
 	}
 }
 
@@ -38,28 +38,26 @@
 }
 
 // step plans the next step; ok is false when the batch is empty.
-func (s *Server) step(parts []part) (st step, life int, ok bool) {
+func (s *Server) step(parts []part) (st step, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.batch.len() == 0 {
 		s.stepping = false
-		return step{}, 0, false
+		return step{}, false
 	}
 	st = s.batch.plan(s.cfg, parts)
 	if s.faults.SlowFactor > 0 {
 		st.cost = time.Duration(float64(st.cost) * s.faults.SlowFactor)
 	}
 	st.cost = s.cfg.scaled(st.cost)
-	return st, s.life, true
+	return st, true
 }
 
-// apply puts a step into effect unless its incarnation has died meanwhile.
-func (s *Server) apply(st step, life int) {
+// apply puts a step into effect. If its incarnation has died meanwhile, its
+// runs have ended and those of the next have not begun to decode.
+func (s *Server) apply(st step) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.life != life {
-		return
-	}
 	for _, r := range s.batch.advance(st, s.settle) {
 		s.finish(r, finished)
 	}
