Wait until a stopped process has stopped

TestStoppedProcess failed once in 30 runs: SIGSTOP takes effect after kill returns, and the engine sometimes answered before.

--- a/cmd/rudder-standin/process_test.go
+++ b/cmd/rudder-standin/process_test.go
@@ -54,6 +54,15 @@
 	return p
 }
 
+// stop stops the process and returns when all its threads have stopped.
+func (p *process) stop() error {
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	_, err := syscall.Wait4(p.cmd.Process.Pid, nil, syscall.WUNTRACED, nil)
+	return err
+}
+
 func (p *process) executions(is *is.I) standin.Counts {
 	resp, err := http.Get(p.base + "/executions")
 	is.NoErr(err)
@@ -91,7 +100,7 @@
 func TestStoppedProcess(t *testing.T) {
 	is := is.New(t)
 	p := startEngine(t, "--speed", "10000")
-	is.NoErr(p.cmd.Process.Signal(syscall.SIGSTOP))
+	is.NoErr(p.stop())
 	ctx, stop := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer stop()
 	_, err := p.client.Start(ctx, request("1"))
