--- a/internal/standin/platform/watch.go
+++ b/internal/standin/platform/watch.go
@@ -7,6 +7,7 @@
 	"sort"
 
 	"github.com/micarudder/micarudder/internal/etcdjson"
+	"github.com/micarudder/micarudder/platform"
 )
 
 // view is what a watch sees at one moment.
@@ -125,3 +126,17 @@
 	_ = st.out.Encode(etcdjson.WatchFrame{Result: &res})
 	_ = st.flush()
 }
+
+// History returns the changes of a key still known, oldest first; a deletion
+// has a nil Value.
+func (s *Server) History(key string) []platform.Entry {
+	var entries []platform.Entry
+	for _, e := range s.store.look(key, 0).events {
+		entry := platform.Entry{Key: key, Revision: int64(e.Kv.ModRevision)}
+		if e.Type != etcdjson.EventDelete {
+			entry.Value = append([]byte{}, e.Kv.Value...)
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
