--- /dev/null
+++ b/internal/standin/platform/server_test.go
@@ -0,0 +1,96 @@
+package platform_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	standin "github.com/micarudder/micarudder/internal/standin/platform"
+	"github.com/micarudder/micarudder/platform"
+)
+
+// ask makes one call of the handler and returns its status and body.
+func ask(s *standin.Server, method, target, body string) (int, string) {
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest(method, target, strings.NewReader(body)))
+	return w.Code, w.Body.String()
+}
+
+func TestFaultParameters(t *testing.T) {
+	cases := []struct {
+		query  string
+		status int
+		want   standin.Faults
+	}{
+		{"outage=hang&delay=20ms", 200, standin.Faults{Outage: standin.OutageHang, Delay: 20 * time.Millisecond}},
+		{"answer_delay=1s&outage=", 200, standin.Faults{Delay: 20 * time.Millisecond, AnswerDelay: time.Second}},
+		{"clear=true&lose_applied=2&lose_unapplied=3", 200, standin.Faults{LoseApplied: 2, LoseUnapplied: 3}},
+		{"watch=paused&old_reads=true&lose_applied=0&lose_unapplied=0", 200, standin.Faults{Watch: standin.WatchPaused, OldReads: true}},
+		{"outage=sometimes", 400, standin.Faults{Watch: standin.WatchPaused, OldReads: true}},
+		{"delay=20", 400, standin.Faults{Watch: standin.WatchPaused, OldReads: true}},
+		{"speed=9", 400, standin.Faults{Watch: standin.WatchPaused, OldReads: true}},
+		{"clear=true", 200, standin.Faults{}},
+	}
+	is := is.New(t)
+	s := standin.NewServer(standin.Config{})
+	for _, c := range cases {
+		status, _ := ask(s, http.MethodPost, "/fault?"+c.query, "")
+		is.Equal(status, c.status)
+		is.Equal(s.Faults(), c.want)
+	}
+}
+
+// TestControlInOutage: the control calls are out of every fault's reach and
+// are not counted.
+func TestControlInOutage(t *testing.T) {
+	is := is.New(t)
+	s := standin.NewServer(standin.Config{})
+	s.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+	status, _ := ask(s, http.MethodGet, "/hosts", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+	for _, call := range []string{"POST /snapshot", "POST /restore", "POST /host?host=h1&state=live&address=a:1&lag=0s", "POST /rates?reads=1&writes=1", "GET /fault", "GET /counts", "POST /fault?clear=true"} {
+		method, target, _ := strings.Cut(call, " ")
+		status, _ := ask(s, method, target, "")
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(s.Counts(), standin.Counts{Hosts: 1})
+	_, body := ask(s, http.MethodGet, "/hosts", "")
+	is.Equal(body, `[{"targets":["a:1"],"labels":{"data_centre":"","host":"h1","state":"live"}}]`+"\n")
+	status, _ = ask(s, http.MethodGet, "/hosts", "")
+	is.Equal(status, http.StatusTooManyRequests) // over the rate set above
+	is.Equal(s.Counts(), standin.Counts{Hosts: 3, Limited: 1})
+}
+
+func TestRefusedControl(t *testing.T) {
+	is := is.New(t)
+	s := standin.NewServer(standin.Config{Hosts: []platform.Host{{Name: "h1", State: platform.HostLive}}})
+	for target, want := range map[string]int{
+		"/restore":               http.StatusConflict, // there is no snapshot
+		"/host?host=h1&state=up": http.StatusBadRequest,
+		"/host?host=h1&lag=5":    http.StatusBadRequest,
+		"/rates?reads=1":         http.StatusBadRequest,
+		"/rates?writes=1":        http.StatusBadRequest,
+		"/v3/kv/txn":             http.StatusBadRequest, // no body
+	} {
+		status, _ := ask(s, http.MethodPost, target, "")
+		is.Equal(status, want)
+	}
+}
+
+// TestCompactedWatch: a watch from a revision that is no longer known is
+// canceled and says so.
+func TestCompactedWatch(t *testing.T) {
+	is := is.New(t)
+	s := standin.NewServer(standin.Config{})
+	for range 10_010 {
+		status, _ := ask(s, http.MethodPost, "/v3/kv/txn", `{"success":[{"request_put":{"key":"aw==","value":"MQ=="}}]}`)
+		is.Equal(status, http.StatusOK)
+	}
+	status, body := ask(s, http.MethodPost, "/v3/watch", `{"create_request":{"key":"aw==","start_revision":"5"}}`)
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(body, `"canceled":true,"compact_revision":"11"`))
+	is.Equal(strings.Count(body, "\n"), 2)
+}
