Score by worked-off reports and spread choices by a random draw

Cause: the first pick took the better of two among sixteen near-best.

Change: a report's wait counts less the time since it was taken (Candidate.Age, additive); a Gumbel draw, scaled by a part of the request's own work and of the reports' mean age, decides among what is about equal. Filters and scores are called directly, and candidates already too bad are passed over unless a trace is wanted.

--- a/routing/baseline.go
+++ b/routing/baseline.go
@@ -5,24 +5,23 @@
 // RoundRobin returns the baseline that takes the usable endpoints in turn. It
 // counts its calls and is safe for concurrent use.
 func RoundRobin() Policy {
-	return &roundRobin{filters: hardFilters(Config{}.withDefaults())}
+	return &roundRobin{}
 }
 
 type roundRobin struct {
-	filters []filter
-	calls   atomic.Uint64
+	calls atomic.Uint64
 }
 
 // Choose implements Policy.
 func (p *roundRobin) Choose(req Request, view []Candidate, _ func(n int) int, trace bool) Decision {
-	kept, d := sift(p.filters, &req, view, trace, nil)
+	kept, d := sift(&req, view, trace, nil)
 	if kept == 0 {
 		return d
 	}
 	turn := int(p.calls.Add(1)-1) % kept
 	d.Index = -1
 	seen := 0
-	sift(p.filters, &req, view, false, func(i int) {
+	sift(&req, view, false, func(i int) {
 		if seen == turn {
 			d.Index = i
 		}
@@ -35,16 +34,16 @@
 // LeastLoad returns the baseline that takes the usable endpoint with the
 // fewest requests in its last report, at random among equals.
 func LeastLoad() Policy {
-	return &leastLoad{filters: hardFilters(Config{}.withDefaults())}
+	return leastLoad{}
 }
 
-type leastLoad struct{ filters []filter }
+type leastLoad struct{}
 
 // Choose implements Policy.
-func (p *leastLoad) Choose(req Request, view []Candidate, r func(n int) int, trace bool) Decision {
+func (leastLoad) Choose(req Request, view []Candidate, r func(n int) int, trace bool) Decision {
 	least, equals := 0, 0
 	index := -1
-	_, d := sift(p.filters, &req, view, trace, func(i int) {
+	_, d := sift(&req, view, trace, func(i int) {
 		load := view[i].Queued + view[i].Running
 		switch {
 		case index < 0 || load < least:
@@ -64,17 +63,17 @@
 
 // sift applies the filters, calls keep for each candidate left, and returns
 // their number and the decision for when there are none.
-func sift(fs []filter, req *Request, view []Candidate, trace bool, keep func(i int)) (int, Decision) {
+func sift(req *Request, view []Candidate, trace bool, keep func(i int)) (int, Decision) {
 	d := Decision{Index: -1, Reason: FilterNone}
 	j := job{req: req, class: ClassOf(req.PromptTokens)}
-	kept, deepest := 0, -1
+	kept, deepest := 0, passed
 	for i := range view {
 		j.cand = &view[i]
-		depth := firstRejecting(fs, &j)
-		score := Score{Endpoint: view[i].Endpoint, Kept: depth < 0}
-		if depth >= 0 {
-			score.Filtered = fs[depth].name
-			deepest = max(deepest, depth)
+		f := rejectedBy(&j, DefaultFreshFor)
+		score := Score{Endpoint: view[i].Endpoint, Kept: f == passed}
+		if f != passed {
+			score.Filtered = f.String()
+			deepest = max(deepest, f)
 		} else {
 			kept++
 			if keep != nil {
@@ -85,18 +84,6 @@
 			d.Scores = append(d.Scores, score)
 		}
 	}
-	if deepest >= 0 {
-		d.Reason = fs[deepest].name
-	}
+	d.Reason = deepest.String()
 	return kept, d
 }
-
-// firstRejecting returns the position of the filter that rejects the job, or -1.
-func firstRejecting(fs []filter, j *job) int {
-	for i := range fs {
-		if fs[i].rejects(j) {
-			return i
-		}
-	}
-	return -1
-}
--- a/routing/filter.go
+++ b/routing/filter.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/micarudder/micarudder/prefix"
+import (
+	"time"
+
+	"github.com/micarudder/micarudder/prefix"
+)
 
 const blockTokens = prefix.BlockTokens
 
@@ -11,9 +15,9 @@
 	FilterServes    = "does not serve"
 	FilterConnected = "not connected"
 	FilterLeaving   = "leaving"
+	FilterMemory    = "memory too small"
 	FilterBreaker   = "breaker open"
 	FilterExcluded  = "excluded"
-	FilterMemory    = "memory too small"
 	FilterLane      = "outside the long lane"
 )
 
@@ -24,20 +28,41 @@
 	ReasonLaneLate = "the long lane is too late"
 )
 
-// filter removes candidates that cannot take a request.
-type filter struct {
-	name    string
-	rejects func(j *job) bool
+// filterID numbers the filters that are never relaxed, in the order in which
+// they are applied; passed means that none rejects. The names of the furthest
+// one explain a decision that found nothing.
+type filterID int
+
+const (
+	passed filterID = iota
+	byServes
+	byConnected
+	byLeaving
+	byMemory
+	byBreaker
+	byExcluded
+)
+
+// String returns the filter's name.
+func (f filterID) String() string {
+	return [...]string{FilterNone, FilterServes, FilterConnected, FilterLeaving, FilterMemory, FilterBreaker, FilterExcluded}[f]
 }
 
-// hardFilters returns the filters that are never relaxed, cheapest first.
-func hardFilters(cfg Config) []filter {
-	return []filter{
-		{FilterServes, doesNotServe},
-		{FilterConnected, notConnected(cfg.FreshFor)},
-		{FilterLeaving, leaving},
-		{FilterMemory, memoryTooSmall},
-		{FilterBreaker, breakerOpen},
-		{FilterExcluded, excluded},
+// rejectedBy returns the first filter that rejects the job's candidate.
+func rejectedBy(j *job, freshFor time.Duration) filterID {
+	switch {
+	case doesNotServe(j):
+		return byServes
+	case notConnected(j, freshFor):
+		return byConnected
+	case leaving(j):
+		return byLeaving
+	case memoryTooSmall(j):
+		return byMemory
+	case breakerOpen(j):
+		return byBreaker
+	case excluded(j):
+		return byExcluded
 	}
+	return passed
 }
--- a/routing/filter_alive.go
+++ b/routing/filter_alive.go
@@ -3,14 +3,12 @@
 import "time"
 
 // notConnected rejects endpoints whose agent is neither connected nor was
-// heard a short time ago.
-func notConnected(freshFor time.Duration) func(j *job) bool {
-	return func(j *job) bool {
-		if j.cand.Connected {
-			return false
-		}
-		return j.cand.Silent <= 0 || j.cand.Silent > freshFor
+// heard within freshFor.
+func notConnected(j *job, freshFor time.Duration) bool {
+	if j.cand.Connected {
+		return false
 	}
+	return j.cand.Silent <= 0 || j.cand.Silent > freshFor
 }
 
 // leaving rejects endpoints that take no new work.
--- /dev/null
+++ b/routing/lanes_test.go
@@ -0,0 +1,52 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestLaneSize(t *testing.T) {
+	cases := []struct {
+		n     int
+		share float64
+		want  int
+	}{
+		{1, 0.9, 1}, {2, 0, 1}, {2, 1, 1}, {6, 0.3, 3}, {20, 0.05, 2}, {20, 0.5, 12}, {20, 1, 13}, {181, 0.4, 84},
+	}
+	for _, tc := range cases {
+		is.New(t).Equal(laneSize(tc.n, tc.share), tc.want)
+	}
+}
+
+// TestLanesProperties checks that a lane does not depend on the order of the
+// view, lies within its bounds, and that one endpoint that leaves moves at
+// most one other place.
+func TestLanesProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		n := rapid.IntRange(2, 60).Draw(t, "endpoints")
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		view := make([]Candidate, n)
+		for i := range view {
+			view[i] = idle(fmt.Sprint("engine-", i))
+		}
+		lane := Lanes(view, share)
+		is.True(len(lane) >= 1 && len(lane) < n)
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		view[gone].Leaving = true
+		slices.Reverse(view)
+		after := Lanes(view, share)
+		moved := 0
+		for e := range after {
+			if !lane[e] {
+				moved++
+			}
+		}
+		is.True(moved <= 1)
+		is.True(!after[fmt.Sprint("engine-", gone)])
+	})
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -1,54 +1,76 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// maxNear is the number of best candidates kept during a scan.
-	maxNear = 16
-	// minMargin is the smallest difference of scores that counts, in nanoseconds.
-	minMargin = float64(time.Millisecond)
+	// noiseBits is the size of the table of noise, as a power of two.
+	noiseBits = 10
+	// maxAge bounds the age of a report that counts as uncertainty: a quiet
+	// endpoint has nothing to report.
+	maxAge = 250 * time.Millisecond
 )
 
-// nearBest keeps the best candidates of one scan, ordered by score. It has a
-// fixed size, so that a decision's memory does not grow with the view.
-type nearBest struct {
-	len  int
-	best [maxNear]scored
+// gumbel holds quantiles of the standard Gumbel distribution. Taking the
+// least score minus such noise draws candidates with probabilities that fall
+// exponentially with their score: gateways with the same view spread over what
+// is about equally good.
+var gumbel = func() (t [1 << noiseBits]float64) {
+	for i := range t {
+		u := (float64(i) + 0.5) / float64(len(t))
+		t[i] = -math.Log(-math.Log(u))
+	}
+	return t
+}()
+
+// noise is a small generator (splitmix64): one random number of the caller's
+// seeds it for the whole scan.
+type noise uint64
+
+// next returns the noise of the next candidate.
+func (n *noise) next() float64 {
+	*n += 0x9e3779b97f4a7c15
+	z := uint64(*n)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return gumbel[(z^(z>>31))>>(64-noiseBits)]
+}
+
+// spread returns the scale of the noise in nanoseconds: a part of what the
+// request itself takes, and a part of the reports' mean age, in which other
+// gateways may have sent work.
+func (c *Config) spread(req *Request, view []Candidate) float64 {
+	var age, own float64
+	for i := range view {
+		age += float64(min(view[i].Age, maxAge))
+		own += float64(view[i].Cost.OrDefault().Prefill(req.PromptTokens, 0))
+	}
+	return (c.SpreadWork*own + c.SpreadAge*age) / float64(len(view))
 }
 
-type scored struct {
+// best keeps the candidate with the least drawn score, and the least score of
+// all. Its size does not grow with the view.
+type best struct {
+	found bool
 	index int
-	score float64
-	work  time.Duration
+	drawn float64
+	least float64
 }
 
-// add puts a candidate in its place; equals stay in the order of the scan.
-func (b *nearBest) add(index int, score float64, work time.Duration) {
-	if b.len == maxNear && score >= b.best[maxNear-1].score {
+func (b *best) add(index int, score, spread float64) {
+	if !b.found {
+		*b = best{true, index, score + spread, score}
 		return
 	}
-	if b.len < maxNear {
-		b.len++
-	}
-	i := b.len - 1
-	for i > 0 && b.best[i-1].score > score {
-		b.best[i] = b.best[i-1]
-		i--
+	b.least = min(b.least, score)
+	if score+spread < b.drawn {
+		b.index, b.drawn = index, score+spread
 	}
-	b.best[i] = scored{index, score, work}
 }
 
-// pick returns the better of two random candidates among those that are about
-// as good as the best, so that gateways with the same view spread.
-func (b *nearBest) pick(share float64, r func(n int) int) int {
-	margin := max(minMargin, share*float64(b.best[0].work))
-	limit := b.best[0].score + margin
-	near := 1
-	for near < b.len && b.best[near].score <= limit {
-		near++
-	}
-	if near == 1 {
-		return b.best[0].index
-	}
-	return b.best[min(r(near), r(near))].index
+// excludes reports whether a candidate with these bounds changes nothing.
+func (b *best) excludes(score, spread float64) bool {
+	return b.found && score+spread >= b.drawn && score >= b.least
 }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Config holds the default policy's settings; the zero value of a field
 // selects its default.
@@ -17,9 +20,10 @@
 	BatchSlowdown float64
 	// DecodeHorizon bounds the answer tokens that count in the score.
 	DecodeHorizon uint64
-	// NearBest is the share of the best candidate's own work within which
-	// other candidates count as equally good.
-	NearBest float64
+	// SpreadWork is the part of the request's own prefill, and SpreadAge the
+	// part of the reports' mean age, within which scores count as about equal.
+	SpreadWork float64
+	SpreadAge  float64
 	// NoLanes lets long work go anywhere.
 	NoLanes bool
 }
@@ -31,7 +35,8 @@
 	DefaultLanePenalty     = 0.25
 	DefaultBatchSlowdown   = 0.03
 	DefaultDecodeHorizon   = 64
-	DefaultNearBest        = 0.1
+	DefaultSpreadWork      = 0.02
+	DefaultSpreadAge       = 0.1
 )
 
 func (c Config) withDefaults() Config {
@@ -50,8 +55,11 @@
 	if c.DecodeHorizon == 0 {
 		c.DecodeHorizon = DefaultDecodeHorizon
 	}
-	if c.NearBest == 0 {
-		c.NearBest = DefaultNearBest
+	if c.SpreadWork == 0 {
+		c.SpreadWork = DefaultSpreadWork
+	}
+	if c.SpreadAge == 0 {
+		c.SpreadAge = DefaultSpreadAge
 	}
 	return c
 }
@@ -66,19 +74,13 @@
 // policy keeps no state and is safe for concurrent use.
 func New(cfg Config) Policy {
 	cfg = cfg.withDefaults()
-	p := &policy{cfg: cfg, filters: hardFilters(cfg), scorers: scorers(cfg)}
-	if !cfg.NoLanes {
-		p.lane = &filter{FilterLane, outsideLane}
+	if cfg.NoLanes {
+		cfg.LanePenalty = 0
 	}
-	return p
+	return &policy{cfg}
 }
 
-type policy struct {
-	cfg     Config
-	filters []filter
-	lane    *filter // nil without lanes
-	scorers []scorer
-}
+type policy struct{ cfg Config }
 
 // job is one request at one candidate.
 type job struct {
@@ -95,84 +97,96 @@
 	if len(view) == 0 {
 		return Decision{Index: -1, Reason: FilterNone}
 	}
-	c := choice{policy: p, view: view, start: r(len(view))}
+	c := choice{cfg: &p.cfg, view: view, noise: noise(r(math.MaxInt32))}
 	c.job.req = &req
 	c.job.class = ClassOf(req.PromptTokens)
+	c.scale = p.cfg.spread(&req, view)
 	if trace {
 		c.scores = make([]Score, len(view))
 	}
-	return c.run(r)
+	for i := range view {
+		c.consider(i)
+	}
+	return c.decide()
 }
 
 // choice is the state of one call of Choose.
 type choice struct {
-	policy  *policy
+	cfg     *Config
 	view    []Candidate
-	start   int // scan begins here, so that equals are not always met in one order
+	noise   noise
+	scale   float64 // of the noise
 	job     job
-	lane    nearBest // candidates that pass every filter
-	outside nearBest // candidates that only the lane filter removed
-	deepest int      // furthest filter that any candidate reached
-	scores  []Score
+	lane    best     // of the candidates that pass every filter
+	outside best     // of the candidates that only the lane filter removed
+	deepest filterID // furthest filter that rejected a candidate
+	scores  []Score  // only when tracing
 }
 
-func (c *choice) run(r func(n int) int) Decision {
-	n := len(c.view)
-	for i := range n {
-		at := c.start + i
-		if at >= n {
-			at -= n
-		}
-		c.consider(at)
-	}
-	d := c.decide(r)
-	d.Scores = c.scores
-	return d
-}
-
-// consider filters and scores one candidate.
+// consider filters and scores one candidate. Without a trace it passes over
+// one that is already too bad by what is known of it.
 func (c *choice) consider(at int) {
 	j := &c.job
 	j.cand = &c.view[at]
-	for depth := range c.policy.filters {
-		f := &c.policy.filters[depth]
-		if f.rejects(j) {
-			c.deepest = max(c.deepest, depth)
-			c.traceFiltered(at, f.name)
-			return
-		}
+	spread := -c.scale * c.noise.next()
+	known := c.cfg.known(j)
+	if c.scores == nil && c.hopeless(known, spread) {
+		return
+	}
+	if f := rejectedBy(j, c.cfg.FreshFor); f != passed {
+		c.deepest = max(c.deepest, f)
+		c.trace(at, Score{Filtered: f.String()})
+		return
 	}
 	j.estimate()
-	into := &c.lane
-	if c.policy.lane != nil && c.policy.lane.rejects(j) {
-		into = &c.outside
+	score := known + c.cfg.work(j)
+	into, s := &c.lane, Score{Kept: true}
+	if !c.cfg.NoLanes && outsideLane(j) {
+		into, s = &c.outside, Score{Filtered: FilterLane}
+	}
+	into.add(at, score, spread)
+	if c.scores != nil {
+		s.Total = (score + spread) / float64(time.Millisecond)
+		s.Parts = c.cfg.parts(j, spread)
+		c.trace(at, s)
 	}
-	var total float64
-	for k := range c.policy.scorers {
-		total += c.policy.scorers[k].score(j)
+}
+
+// hopeless reports whether a candidate with at least this score cannot be
+// chosen.
+func (c *choice) hopeless(score, spread float64) bool {
+	if !c.lane.excludes(score, spread) {
+		return false
 	}
-	into.add(at, total, j.prefill)
-	c.traceScored(at, total, into == &c.outside)
+	return c.cfg.NoLanes || c.job.class < ClassLong || c.outside.excludes(score, spread)
 }
 
-// decide picks among the candidates in the lane, or, when none is there or
-// none can make the deadline, among the others.
-func (c *choice) decide(r func(n int) int) Decision {
+func (c *choice) trace(at int, s Score) {
+	if c.scores == nil {
+		return
+	}
+	s.Endpoint = c.view[at].Endpoint
+	c.scores[at] = s
+}
+
+// decide takes the best candidate in the lane, or, when none is there or none
+// can make the deadline, the best of the others.
+func (c *choice) decide() Decision {
 	from, reason := &c.lane, ReasonBest
-	if c.lane.len == 0 {
+	if !c.lane.found {
 		from, reason = &c.outside, ReasonNoLane
-	} else if c.outside.len > 0 && c.late(&c.lane) && !c.late(&c.outside) {
+	} else if c.outside.found && c.late(&c.lane) && !c.late(&c.outside) {
 		from, reason = &c.outside, ReasonLaneLate
 	}
-	if from.len == 0 {
-		return Decision{Index: -1, Reason: c.policy.filters[c.deepest].name}
+	if !from.found {
+		return Decision{Index: -1, Reason: c.deepest.String(), Scores: c.scores}
 	}
-	return Decision{Index: from.pick(c.policy.cfg.NearBest, r), Reason: reason}
+	return Decision{Index: from.index, Reason: reason, Scores: c.scores}
 }
 
-func (c *choice) late(b *nearBest) bool {
+func (c *choice) late(b *best) bool {
 	remaining := c.job.req.Remaining
-	return remaining > 0 && b.best[0].score > float64(remaining)
+	return remaining > 0 && b.least > float64(remaining)
 }
 
 // estimate fills in what the lane filter and the scorers share.
@@ -186,26 +200,3 @@
 	j.uncached = j.req.PromptTokens - cached
 	j.prefill = j.cost.Prefill(j.req.PromptTokens, cached)
 }
-
-func (c *choice) traceFiltered(at int, name string) {
-	if c.scores == nil {
-		return
-	}
-	c.scores[at] = Score{Endpoint: c.view[at].Endpoint, Filtered: name}
-}
-
-// traceScored records the parts of a score in milliseconds.
-func (c *choice) traceScored(at int, total float64, outside bool) {
-	if c.scores == nil {
-		return
-	}
-	s := Score{Endpoint: c.view[at].Endpoint, Kept: !outside, Total: total / float64(time.Millisecond)}
-	if outside {
-		s.Filtered = FilterLane
-	}
-	s.Parts = make(map[string]float64, len(c.policy.scorers))
-	for _, sc := range c.policy.scorers {
-		s.Parts[sc.name] = sc.score(&c.job) / float64(time.Millisecond)
-	}
-	c.scores[at] = s
-}
--- /dev/null
+++ b/routing/policy_test.go
@@ -0,0 +1,151 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const ms = time.Millisecond
+
+// pair returns two idle endpoints a and b with equal costs, changed by the case.
+func pair(change func(a, b *Candidate)) []Candidate {
+	view := []Candidate{idle("a"), idle("b")}
+	for i := range view {
+		view[i].Cost = Cost{PrefillPerToken: 50 * time.Microsecond, DecodePerToken: ms}
+	}
+	change(&view[0], &view[1])
+	return view
+}
+
+func wait(c *Candidate, d time.Duration) {
+	for k := range c.Wait {
+		c.Wait[k] = d
+	}
+}
+
+// TestScores has in each case a reason against endpoint a.
+func TestScores(t *testing.T) {
+	short := Request{Model: "caption", PromptTokens: 2_000, MaxTokens: 100, DataCentre: "cdf-a", Remaining: time.Minute}
+	long := Request{Model: "caption", PromptTokens: 100_000, MaxTokens: 100, DataCentre: "cdf-a", Remaining: time.Minute}
+	prefixed, tiny := short, short
+	tiny.PromptTokens = 50
+	prefixed.Prefix = []uint64{1}
+	cases := []struct {
+		name   string
+		req    Request
+		change func(a, b *Candidate)
+	}{
+		{"longer wait", short, func(a, b *Candidate) { wait(a, 200*ms); wait(b, 100*ms) }},
+		{"wait of its own class", long, func(a, b *Candidate) { a.Wait[ClassLong], b.Wait[ClassShort] = time.Second, time.Minute }},
+		{"stale report, worked off since", short, func(a, b *Candidate) { wait(a, 200*ms); wait(b, 300*ms); b.Age = 250 * ms }},
+		{"just sent, not yet in the load", short, func(a, b *Candidate) { a.Pending = 500 * ms; wait(b, 100*ms) }},
+		{"short passes pending long work", short, func(a, b *Candidate) { a.Pending = 100 * ms; b.Pending, b.PendingLong = 9*time.Second, 9*time.Second }},
+		{"prefix not held", prefixed, func(a, b *Candidate) { b.Cached = func([]uint64) int { return 1 } }},
+		{"prefix held but far busier", prefixed, func(a, b *Candidate) { a.Cached = func([]uint64) int { return 1 }; wait(a, time.Second) }},
+		{"quadratic part", long, func(a, b *Candidate) { a.Cost.PrefillPerToken2 = 0.0005 }},
+		{"larger batch", short, func(a, b *Candidate) { a.Running = 40 }},
+		{"other data centre", tiny, func(a, b *Candidate) { a.DataCentre = "cdf-b" }},
+		{"lane for long work", short, func(a, b *Candidate) { b.LongLane = false }},
+		{"ten times slower than it says", short, func(a, b *Candidate) { a.Slowness = 10; wait(b, 200*ms) }},
+		{"no cost learned yet", long, func(a, b *Candidate) { a.Cost = Cost{}; b.Cost.PrefillPerToken /= 2 }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			view := pair(tc.change)
+			for seed := range uint64(50) {
+				d := Default().Choose(tc.req, view, rand.New(rand.NewPCG(seed, 0)).IntN, true)
+				is.Equal(view[d.Index].Endpoint, "b")
+				is.True(d.Scores[0].Total > d.Scores[1].Total)
+				for _, s := range d.Scores { // the parts explain the whole
+					sum := 0.0
+					for _, p := range s.Parts {
+						sum += p
+					}
+					is.True(sum-s.Total < 1e-6 && s.Total-sum < 1e-6)
+				}
+			}
+		})
+	}
+}
+
+func TestLongLaneGivesWay(t *testing.T) {
+	long := Request{Model: "caption", PromptTokens: 100_000, Remaining: 30 * time.Second}
+	cases := []struct {
+		name         string
+		change       func(a, b *Candidate)
+		want, reason string
+	}{
+		{"lane busier", func(a, b *Candidate) { b.LongLane = false; wait(a, 10*time.Second) }, "a", ReasonBest},
+		{"lane too late", func(a, b *Candidate) { b.LongLane = false; wait(a, time.Minute) }, "b", ReasonLaneLate},
+		{"all too late", func(a, b *Candidate) { b.LongLane = false; wait(a, time.Minute); wait(b, time.Hour) }, "a", ReasonBest},
+		{"lane gone", func(a, b *Candidate) { b.LongLane = false; a.Leaving = true }, "b", ReasonNoLane},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			view := pair(tc.change)
+			d := Default().Choose(long, view, zero, false)
+			is.Equal(view[d.Index].Endpoint, tc.want)
+			is.Equal(d.Reason, tc.reason)
+		})
+	}
+}
+
+func TestAllGone(t *testing.T) {
+	is := is.New(t)
+	gone := pair(func(a, b *Candidate) { a.Models = nil; b.Connected = false })
+	for _, p := range []Policy{Default(), NoLanes(), RoundRobin(), LeastLoad()} {
+		is.Equal(p.Choose(Request{Model: "caption"}, nil, zero, true), Decision{Index: -1, Reason: FilterNone})
+		d := p.Choose(Request{Model: "caption"}, gone, zero, true)
+		is.Equal(d.Index, -1)
+		is.Equal(d.Reason, FilterConnected) // the furthest that any came
+		is.Equal(d.Scores[0].Filtered, FilterServes)
+	}
+}
+
+func TestBaselines(t *testing.T) {
+	is := is.New(t)
+	view := fleet(5, 0)
+	view[2].Leaving = true
+	rr := RoundRobin()
+	var got []int
+	for range 6 {
+		got = append(got, rr.Choose(Request{Model: "caption"}, view, zero, false).Index)
+	}
+	is.Equal(got, []int{0, 1, 3, 4, 0, 1})
+	for i := range view {
+		view[i].Running, view[i].Queued = 3, i%2
+	}
+	view[4].Running = 2
+	is.Equal(LeastLoad().Choose(Request{Model: "caption"}, view, zero, false).Index, 4)
+}
+
+// TestHerd has many gateways choose at once with one view: an idle fleet, and
+// one where a few endpoints look better by less than reports can tell.
+func TestHerd(t *testing.T) {
+	const gateways, endpoints = 100, 50
+	for _, age := range []time.Duration{0, 200 * ms} {
+		t.Run(fmt.Sprint("age ", age), func(t *testing.T) {
+			view := fleet(endpoints, 0)
+			for i := range view {
+				view[i].LongLane, view[i].Running, view[i].Cached, view[i].Age = false, 0, nil, age
+			}
+			rnd := rand.New(rand.NewPCG(3, 4))
+			taken := make(map[int]int)
+			most := 0
+			for range gateways {
+				i := Default().Choose(Request{Model: "caption", PromptTokens: 2_000, DataCentre: "cdf-a"}, view, rnd.IntN, false).Index
+				taken[i]++
+				most = max(most, taken[i])
+			}
+			is := is.New(t)
+			is.True(most <= 8)        // 2 is the mean
+			is.True(len(taken) >= 35) // of 50; 43 if drawn evenly
+		})
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -79,6 +79,8 @@
 	PendingCount int
 	// PendingLong is the part of Pending that is long work; short work passes it.
 	PendingLong time.Duration
+	// Age is the time since the agent took the load above.
+	Age time.Duration
 	// Silent is the time since the agent was last heard; 0 means never. It
 	// counts only when not connected.
 	Silent time.Duration
@@ -94,9 +96,9 @@
 type Score struct {
 	Endpoint string
 	Kept     bool
-	Filtered string // name of the filter that removed it
-	Total    float64
-	Parts    map[string]float64
+	Filtered string             // name of the filter that removed it
+	Total    float64            // milliseconds; the least is chosen
+	Parts    map[string]float64 // milliseconds
 }
 
 // Decision is the outcome of one choice. Index is -1 when nothing is left.
--- a/routing/score.go
+++ b/routing/score.go
@@ -1,34 +1,45 @@
 package routing
 
-// Names of the parts of a score.
+import "time"
+
+// Names of the parts of a score, as they stand in Score.Parts.
 const (
 	PartWait     = "wait"
 	PartPending  = "pending"
+	PartDistance = "distance"
 	PartPrefill  = "prefill"
 	PartDecode   = "decode"
-	PartDistance = "distance"
 	PartLane     = "lane"
+	PartSpread   = "spread" // random, less than zero for a lucky draw
 )
 
-// scorer predicts one part of the time that a request takes at a candidate,
-// in nanoseconds; less is better.
-type scorer struct {
-	name  string
-	score func(j *job) float64
+// known is the part of a score that needs neither filters nor the prefix
+// cache, in nanoseconds. No part of a score is negative, so it bounds the whole score
+// from below.
+func (c *Config) known(j *job) float64 {
+	return waitScore(j) + pendingScore(j) + distanceScore(j, c.DistancePenalty)
+}
+
+// work is the rest of a score: what the request itself takes there.
+func (c *Config) work(j *job) float64 {
+	return prefillScore(j) + decodeScore(j, c.BatchSlowdown, c.DecodeHorizon) + laneScore(j, c.LanePenalty)
 }
 
-func scorers(cfg Config) []scorer {
-	s := []scorer{
-		{PartWait, waitScore},
-		{PartPending, pendingScore},
-		{PartPrefill, prefillScore},
-		{PartDecode, decodeScore(cfg.BatchSlowdown, cfg.DecodeHorizon)},
-		{PartDistance, distanceScore(cfg.DistancePenalty)},
+// parts returns a drawn score's parts in milliseconds.
+func (c *Config) parts(j *job, spread float64) map[string]float64 {
+	m := map[string]float64{
+		PartWait:     waitScore(j),
+		PartPending:  pendingScore(j),
+		PartDistance: distanceScore(j, c.DistancePenalty),
+		PartPrefill:  prefillScore(j),
+		PartDecode:   decodeScore(j, c.BatchSlowdown, c.DecodeHorizon),
+		PartLane:     laneScore(j, c.LanePenalty),
+		PartSpread:   spread,
 	}
-	if !cfg.NoLanes {
-		s = append(s, scorer{PartLane, laneScore(cfg.LanePenalty)})
+	for name := range m {
+		m[name] /= float64(time.Millisecond)
 	}
-	return s
+	return m
 }
 
 // slowness is the factor by which the endpoint exceeds its own predictions.
--- a/routing/score_wait.go
+++ b/routing/score_wait.go
@@ -1,8 +1,9 @@
 package routing
 
-// waitScore is the agent's own prediction for the request's class.
+// waitScore is the agent's own prediction for the request's class, less the
+// time that has passed since: the endpoint has been working it off.
 func waitScore(j *job) float64 {
-	return float64(j.cand.Wait[j.class]) * j.slowness()
+	return max(0, float64(j.cand.Wait[j.class]-j.cand.Age)) * j.slowness()
 }
 
 // pendingScore is the work that this gateway sent and that the agent's last
