Score what short and long work cost each other at one endpoint

Cause: an engine that prefills in chunks puts one into every step, so a short answer's tokens come several times slower beside long prefill even though its own prefill passes it. The score knew only the wait until prefill.

Change: a short request's score holds the steps it would lose beside long work (Candidate.LongTokens, additive, and PendingLong) and a part of them in the lane; a long request's score holds a part of what running requests would lose. Long work leaves the lane when waiting there costs more than twice its own prefill. Totals.LongTokens counts only what is still to prefill.

For the wiring: Candidate.LongTokens is Load.long_tokens, Age the time since the load was taken, PendingLong the long part of Pending. At the agent every item that Next returned has to end with Done or Remove, failed runs too, its first token with Prefilled, and Next has to be called each admission.PollEvery while work waits.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -72,7 +72,7 @@
 type Totals struct {
 	Queued       int
 	QueuedTokens uint64
-	LongTokens   uint64
+	LongTokens   uint64 // of long work, waiting or still to prefill
 	Wait         [routing.NumClasses]time.Duration
 	Cost         routing.Cost
 }
--- a/admission/predict.go
+++ b/admission/predict.go
@@ -135,11 +135,20 @@
 		t.LongTokens += longTokens(e.item)
 	}
 	for _, r := range q.running {
-		t.LongTokens += longTokens(r.entry.item)
+		t.LongTokens += q.longLeft(r, now)
 	}
 	return t
 }
 
+// longLeft returns the prompt tokens of long work that a run still prefills.
+func (q *queue) longLeft(r *run, now time.Time) uint64 {
+	if r.entry.prefill <= 0 {
+		return 0
+	}
+	part := float64(q.left(r, now)) / float64(r.entry.prefill)
+	return uint64(part * float64(longTokens(r.entry.item)))
+}
+
 func longTokens(it Item) uint64 {
 	if it.Class < routing.ClassLong {
 		return 0
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -57,16 +57,17 @@
 	index int
 	drawn float64
 	least float64
+	work  time.Duration // prefill at the candidate with the least drawn score
 }
 
-func (b *best) add(index int, score, spread float64) {
+func (b *best) add(index int, score, spread float64, work time.Duration) {
 	if !b.found {
-		*b = best{true, index, score + spread, score}
+		*b = best{true, index, score + spread, score, work}
 		return
 	}
 	b.least = min(b.least, score)
 	if score+spread < b.drawn {
-		b.index, b.drawn = index, score+spread
+		b.index, b.drawn, b.work = index, score+spread, work
 	}
 }
 
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -13,9 +13,15 @@
 	FreshFor time.Duration
 	// DistancePenalty is added for an endpoint in another data centre.
 	DistancePenalty time.Duration
-	// LanePenalty is the share of a short request's own work that is added
-	// for an endpoint in the lane for long work.
+	// LanePenalty is the part of what long work could cost a short request
+	// that is added for an endpoint in the lane for long work.
 	LanePenalty float64
+	// HarmPenalty is the part of what a long request costs each running one
+	// that is added to its own score.
+	HarmPenalty float64
+	// SpillAfter is the wait, in lengths of its own prefill, that a long
+	// request takes for the lane over an endpoint outside it.
+	SpillAfter float64
 	// BatchSlowdown is the share by which each running request slows decode.
 	BatchSlowdown float64
 	// DecodeHorizon bounds the answer tokens that count in the score.
@@ -32,9 +38,11 @@
 const (
 	DefaultFreshFor        = 1500 * time.Millisecond
 	DefaultDistancePenalty = 2 * time.Millisecond
-	DefaultLanePenalty     = 0.25
-	DefaultBatchSlowdown   = 0.03
-	DefaultDecodeHorizon   = 64
+	DefaultLanePenalty     = 0.1
+	DefaultHarmPenalty     = 0.1
+	DefaultSpillAfter      = 2
+	DefaultBatchSlowdown   = 0.01
+	DefaultDecodeHorizon   = 128
 	DefaultSpreadWork      = 0.02
 	DefaultSpreadAge       = 0.1
 )
@@ -49,6 +57,12 @@
 	if c.LanePenalty == 0 {
 		c.LanePenalty = DefaultLanePenalty
 	}
+	if c.HarmPenalty == 0 {
+		c.HarmPenalty = DefaultHarmPenalty
+	}
+	if c.SpillAfter == 0 {
+		c.SpillAfter = DefaultSpillAfter
+	}
 	if c.BatchSlowdown == 0 {
 		c.BatchSlowdown = DefaultBatchSlowdown
 	}
@@ -144,7 +158,7 @@
 	if !c.cfg.NoLanes && outsideLane(j) {
 		into, s = &c.outside, Score{Filtered: FilterLane}
 	}
-	into.add(at, score, spread)
+	into.add(at, score, spread, j.prefill)
 	if c.scores != nil {
 		s.Total = (score + spread) / float64(time.Millisecond)
 		s.Parts = c.cfg.parts(j, spread)
@@ -169,13 +183,13 @@
 	c.scores[at] = s
 }
 
-// decide takes the best candidate in the lane, or, when none is there or none
-// can make the deadline, the best of the others.
+// decide takes the best candidate in the lane, or the best of the others when
+// none is in the lane or the lane is too late.
 func (c *choice) decide() Decision {
 	from, reason := &c.lane, ReasonBest
 	if !c.lane.found {
 		from, reason = &c.outside, ReasonNoLane
-	} else if c.outside.found && c.late(&c.lane) && !c.late(&c.outside) {
+	} else if c.outside.found && c.spills() {
 		from, reason = &c.outside, ReasonLaneLate
 	}
 	if !from.found {
@@ -184,9 +198,15 @@
 	return Decision{Index: from.index, Reason: reason, Scores: c.scores}
 }
 
-func (c *choice) late(b *best) bool {
-	remaining := c.job.req.Remaining
-	return remaining > 0 && b.least > float64(remaining)
+// spills reports whether the lane is later than the others by more than the
+// request's own length allows, or too late for its deadline.
+func (c *choice) spills() bool {
+	over := c.lane.least - c.outside.least
+	if over > c.cfg.SpillAfter*float64(c.lane.work) {
+		return true
+	}
+	late := float64(c.job.req.Remaining)
+	return late > 0 && c.lane.least > late && c.outside.least <= late
 }
 
 // estimate fills in what the lane filter and the scorers share.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -73,6 +73,7 @@
 	Running      int
 	MemoryTokens uint64
 	FreeTokens   uint64
+	LongTokens   uint64                    // prompt tokens of long work queued or prefilling
 	Wait         [NumClasses]time.Duration // predicted by the agent, by class
 	Cost         Cost
 	Pending      time.Duration // work sent since the last report, predicted
--- a/routing/score.go
+++ b/routing/score.go
@@ -9,7 +9,9 @@
 	PartDistance = "distance"
 	PartPrefill  = "prefill"
 	PartDecode   = "decode"
+	PartBeside   = "beside long work"
 	PartLane     = "lane"
+	PartHarm     = "harm"
 	PartSpread   = "spread" // random, less than zero for a lucky draw
 )
 
@@ -22,7 +24,11 @@
 
 // work is the rest of a score: what the request itself takes there.
 func (c *Config) work(j *job) float64 {
-	return prefillScore(j) + decodeScore(j, c.BatchSlowdown, c.DecodeHorizon) + laneScore(j, c.LanePenalty)
+	return prefillScore(j) +
+		decodeScore(j, c.BatchSlowdown, c.DecodeHorizon) +
+		besideScore(j, c.DecodeHorizon) +
+		laneScore(j, c.LanePenalty, c.DecodeHorizon) +
+		harmScore(j, c.HarmPenalty, c.DecodeHorizon)
 }
 
 // parts returns a drawn score's parts in milliseconds.
@@ -33,7 +39,9 @@
 		PartDistance: distanceScore(j, c.DistancePenalty),
 		PartPrefill:  prefillScore(j),
 		PartDecode:   decodeScore(j, c.BatchSlowdown, c.DecodeHorizon),
-		PartLane:     laneScore(j, c.LanePenalty),
+		PartBeside:   besideScore(j, c.DecodeHorizon),
+		PartLane:     laneScore(j, c.LanePenalty, c.DecodeHorizon),
+		PartHarm:     harmScore(j, c.HarmPenalty, c.DecodeHorizon),
 		PartSpread:   spread,
 	}
 	for name := range m {
@@ -41,11 +49,3 @@
 	}
 	return m
 }
-
-// slowness is the factor by which the endpoint exceeds its own predictions.
-func (j *job) slowness() float64 {
-	if j.cand.Slowness <= 0 {
-		return 1
-	}
-	return j.cand.Slowness
-}
--- /dev/null
+++ b/routing/score_beside.go
@@ -0,0 +1,51 @@
+package routing
+
+// chunkTokens is the number of prompt tokens that an engine takes into one
+// step between two output tokens.
+const chunkTokens = 1024
+
+// besideScore is what the request's decode loses beside long work that it
+// passes: each of its steps carries a chunk of that work's prefill, until
+// either is over.
+func besideScore(j *job, horizon uint64) float64 {
+	if j.class >= ClassLong || j.cand.LongTokens == 0 && j.cand.PendingLong <= 0 {
+		return 0
+	}
+	work := j.cost.Prefill(j.cand.LongTokens, 0) + j.cand.PendingLong
+	return min(j.chunks(horizon), float64(work)) * j.slowness()
+}
+
+// laneScore is what a short request expects to lose in the lane, where long
+// work may arrive while it decodes: a share of the most that could be.
+func laneScore(j *job, share float64, horizon uint64) float64 {
+	if share <= 0 || !j.cand.LongLane || j.class >= ClassLong {
+		return 0
+	}
+	return share * j.chunks(horizon)
+}
+
+// harmScore is a share of what the running requests would lose to a long
+// request's prefill.
+func harmScore(j *job, share float64, horizon uint64) float64 {
+	if ClassOf(j.uncached) < ClassLong {
+		return 0
+	}
+	chunk := float64(j.cost.Prefill(chunkTokens, 0))
+	each := min(float64(horizon)*chunk, float64(j.prefill))
+	return share * each * float64(j.cand.Running+j.cand.PendingCount)
+}
+
+// chunks is the time that chunks of other work add to the request's answer if
+// every step carries one.
+func (j *job) chunks(horizon uint64) float64 {
+	tokens := min(j.req.MaxTokens, horizon)
+	return float64(tokens) * float64(j.cost.Prefill(chunkTokens, 0))
+}
+
+// slowness is the factor by which the endpoint exceeds its own predictions.
+func (j *job) slowness() float64 {
+	if j.cand.Slowness <= 0 {
+		return 1
+	}
+	return j.cand.Slowness
+}
