Keep admitted work in time under overload

Change: prefilling runs keep account of the time they had and are owed, at one tenth, or at half when pressing or beside a workspace over its share. Waits are stretched by the shorter work that usually passes, bounded by the fair share. Costs are fitted in two bands with the prior's shape and a scale. Broken runs teach. What waits longest for memory alone is passed only by what does not delay it, whatever the class.

--- a/admission/lines.go
+++ b/admission/lines.go
@@ -66,10 +66,19 @@
 	share    float64
 	virtual  float64
 	waiting  int
+	rate     rate      // of the prefill it started, long work left out
 	comeback time.Time // told to the last refused item
 	lines    [routing.NumClasses]line
 }
 
+// minActive is the rate of prefill from which a workspace counts as active.
+const minActive = 0.01
+
+// active reports whether the workspace has work or lately had.
+func (w *workspace) active(now time.Time) bool {
+	return w.waiting > 0 || w.rate.now(now) > minActive
+}
+
 // workspaceOf returns the item's workspace. One that was idle starts at the
 // present virtual time: it saves up nothing.
 func (q *queue) workspaceOf(it Item, now time.Time) *workspace {
--- a/admission/offer.go
+++ b/admission/offer.go
@@ -9,6 +9,7 @@
 // Offer implements Queue.
 func (q *queue) Offer(it Item, cap Capacity, now time.Time) Verdict {
 	q.cap = cap
+	q.advance(now)
 	if q.waiting[it.ID] != nil || q.running[it.ID] != nil {
 		return Verdict{Admitted: true}
 	}
@@ -23,7 +24,7 @@
 	wait := q.waitOf(e, w, cap, now)
 	remaining := it.Deadline.Sub(now)
 	allowed := time.Duration(q.cfg.Headroom * float64(remaining))
-	stretched := q.stretched(e, now)
+	stretched := q.stretched(e.prefill, it.Class, w, now)
 	if over := wait + stretched + e.decode - allowed; over > 0 && !q.probes(now) {
 		code := result.Overloaded
 		if stretched+e.decode > allowed {
@@ -44,7 +45,7 @@
 	c := q.model.Cost()
 	e := &entry{item: it}
 	e.prefill = c.Prefill(prompt, prompt-min(prompt, it.PromptTokens))
-	e.decode = c.Decode(it.OutputTokens)
+	e.decode = q.decodeBeside(it.OutputTokens)
 	if it.PromptTokens == 0 && it.OutputTokens == 0 {
 		e.decode = q.meanRun // a service call
 	}
--- a/admission/pass.go
+++ b/admission/pass.go
@@ -7,50 +7,76 @@
 )
 
 const (
-	// longShare is the share of the endpoint's time that prefilling long work
-	// keeps while shorter work passes it.
-	longShare = 0.1
-	// passGrace is how long long work may be passed before its share counts.
+	// longShare is the share of the endpoint's time that prefilling work keeps
+	// while shorter work passes it, and urgentShare what it keeps when it is
+	// pressing, or against a workspace that used more than its own share.
+	longShare   = 0.1
+	urgentShare = 0.5
+	// passGrace is the debt beyond which shorter work waits, and maxDebt
+	// bounds what can be caught up at once.
 	passGrace = 250 * time.Millisecond
+	maxDebt   = time.Second
 	// pressingFactor: work is pressing when its time left is below this
 	// multiple of what it still needs.
-	pressingFactor = 1.25
+	pressingFactor = 2.2
 	// unknownRelease is when memory held by unknown runs is expected back.
 	unknownRelease = time.Second
 )
 
+// debt is the engine time that a prefilling run lacks of each share.
+type debt struct{ long, urgent time.Duration }
+
+func (d *debt) advance(elapsed time.Duration, passed bool) {
+	d.long = owes(d.long, elapsed, passed, longShare)
+	d.urgent = owes(d.urgent, elapsed, passed, urgentShare)
+}
+
+func owes(debt, elapsed time.Duration, passed bool, share float64) time.Duration {
+	debt += time.Duration(share * float64(elapsed))
+	if !passed {
+		debt -= elapsed
+	}
+	return min(max(debt, 0), maxDebt)
+}
+
 // mayPrefill reports whether the item may start to prefill beside what is
-// prefilling: the shortest first, a window of each class at a time, and not
-// past longer work that is owed its share.
+// prefilling: a window of its class at a time, and not past longer work that is
+// owed time. Of longer work only the shortest class counts, for that is what
+// the endpoint would get on with.
 func (q *queue) mayPrefill(e *entry, w *workspace, now time.Time) bool {
 	var ahead time.Duration
+	next := routing.Class(routing.NumClasses)
 	for _, r := range q.running {
 		if !r.prefilled.IsZero() {
 			continue
 		}
-		if shorter(e.item.Class, r.entry.item.Class) {
-			if q.owed(r, w, now) {
-				return false
-			}
-			continue
+		switch c := r.entry.item.Class; {
+		case c == e.item.Class:
+			ahead += r.left()
+		case shorter(e.item.Class, c):
+			next = min(next, c)
 		}
-		ahead += q.left(r, now)
 	}
-	return ahead < q.cfg.Window
+	return ahead < q.cfg.Window && !q.owedAny(next, w, now)
 }
 
-// owed reports whether a prefilling run has been passed so much that work of
-// the workspace w has to wait for it.
+// owedAny reports whether any prefilling run of the class is owed time.
+func (q *queue) owedAny(class routing.Class, w *workspace, now time.Time) bool {
+	for _, r := range q.running {
+		if r.entry.item.Class == class && r.prefilled.IsZero() && q.owed(r, w, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// owed reports whether a prefilling run has been passed so much that shorter
+// work of the workspace w has to wait for it.
 func (q *queue) owed(r *run, w *workspace, now time.Time) bool {
-	left := q.left(r, now)
-	if left == 0 {
+	if r.left() == 0 || r.debt.urgent <= passGrace {
 		return false
 	}
-	if q.pressing(r.entry, left, now) {
-		return true
-	}
-	age := now.Sub(r.started)
-	return age > passGrace && q.got(r, now) < time.Duration(q.keptShare(r, w)*float64(age))
+	return r.debt.long > passGrace || q.pressing(r.entry, r.left(), now) || q.floods(w, r, now)
 }
 
 // pressing reports whether an entry must not be held up any more, given the
@@ -61,21 +87,14 @@
 	return slack >= need && slack < time.Duration(pressingFactor*float64(need))
 }
 
-// keptShare is the share of time that a run keeps against a workspace: a small
-// one against a workspace with little waiting, its fair one against a
-// workspace that floods.
-func (q *queue) keptShare(r *run, w *workspace) float64 {
+// floods reports whether the workspace lately used more than its own share
+// beside the run's.
+func (q *queue) floods(w *workspace, r *run, now time.Time) bool {
 	other := q.workspaces[r.entry.item.Workspace]
-	var waiting time.Duration
-	for c := range w.lines {
-		if shorter(routing.Class(c), r.entry.item.Class) {
-			waiting += w.lines[c].prefill
-		}
-	}
-	if other == nil || other == w || waiting < 2*q.cfg.Window {
-		return longShare
+	if other == nil || other == w {
+		return false
 	}
-	return max(longShare, min(0.5, other.share/(other.share+w.share)))
+	return w.rate.now(now) > w.share/(other.share+w.share)
 }
 
 // mayPass reports whether an entry that fits may start before one that waits
--- a/admission/predict.go
+++ b/admission/predict.go
@@ -16,6 +16,7 @@
 // ahead sums up what is served before an item.
 type ahead struct {
 	prefill time.Duration
+	own     time.Duration // part of prefill of the item's own workspace
 	memory  uint64
 	count   int
 }
@@ -30,7 +31,7 @@
 func (q *queue) waitOf(e *entry, w *workspace, cap Capacity, now time.Time) time.Duration {
 	a := q.aheadOf(e, w)
 	a.memory += e.item.MemoryTokens
-	return q.waitBehind(a, e.item.Class, cap, now)
+	return q.waitBehind(a, e.item.Class, w, cap, now)
 }
 
 // aheadOf sums up all waiting shorter work, the entry's own line up to its
@@ -43,12 +44,16 @@
 	for _, o := range own.entries[:own.place(e)] {
 		charge += o.charge
 		a.prefill += o.prefill
+		a.own += o.prefill
 		a.memory += o.item.MemoryTokens
 		a.count++
 	}
 	for _, other := range q.workspaces {
 		for c := range e.item.Class {
 			a.add(&other.lines[c], 1)
+			if other == w {
+				a.own += other.lines[c].prefill
+			}
 		}
 		l := &other.lines[e.item.Class]
 		if other == w || l.charge <= 0 {
@@ -62,17 +67,22 @@
 
 // waitBehind predicts the wait of an item of a class with the given work
 // before it: the longest of the waits for prefill, for a slot and for memory.
-func (q *queue) waitBehind(a ahead, class routing.Class, cap Capacity, now time.Time) time.Duration {
-	prefill := a.prefill + q.prefilling(class, now)
+func (q *queue) waitBehind(a ahead, class routing.Class, w *workspace, cap Capacity, now time.Time) time.Duration {
+	running := q.prefilling(class)
+	prefill := q.stretched(a.prefill+running, class, w, now)
+	if w != nil {
+		// Its fair share is the least that a workspace gets.
+		prefill = min(prefill, time.Duration(float64(a.own+running)/q.fairShare(w)))
+	}
 	return max(prefill, q.slotWait(a.count, cap), q.memoryWait(a.memory, cap, now))
 }
 
 // prefilling is the prefill in progress that an item of the class waits for:
 // what it does not pass, and a chunk of what it passes.
-func (q *queue) prefilling(class routing.Class, now time.Time) time.Duration {
+func (q *queue) prefilling(class routing.Class) time.Duration {
 	var sum, chunk time.Duration
 	for _, r := range q.running {
-		left := q.left(r, now)
+		left := r.left()
 		if !shorter(class, r.entry.item.Class) {
 			sum += left
 		} else if left > 0 {
@@ -109,43 +119,93 @@
 	return wait
 }
 
-// stretched is an entry's prefill, lengthened by the work that is expected to
-// pass it meanwhile.
-func (q *queue) stretched(e *entry, now time.Time) time.Duration {
+// stretched is a time of prefill of a class, lengthened by the shorter work
+// that is expected to pass it meanwhile. Against a workspace's own share that
+// of the others does not count; without a workspace all counts.
+func (q *queue) stretched(prefill time.Duration, class routing.Class, w *workspace, now time.Time) time.Duration {
 	var passing float64
-	for c := range e.item.Class {
+	for c := range class {
 		passing += q.rates[c].now(now)
 	}
-	return time.Duration(float64(e.prefill) / (1 - min(passing, maxPassing)))
+	if w != nil {
+		passing = min(passing, w.rate.now(now)+1-q.fairShare(w))
+	}
+	return time.Duration(float64(prefill) / (1 - min(passing, maxPassing)))
+}
+
+// fairShare is a workspace's share among those that have work now.
+func (q *queue) fairShare(w *workspace) float64 {
+	sum := w.share
+	for _, o := range q.workspaces {
+		if o != w && o.active(q.clock) {
+			sum += o.share
+		}
+	}
+	return w.share / sum
+}
+
+// decodeBeside predicts an answer's decode: as lately learned, or, if that is
+// more, as on an idle endpoint with chunks of prefill in its steps, be it what
+// waits now or what usually comes.
+func (q *queue) decodeBeside(tokens uint64) time.Duration {
+	c := q.model.Cost()
+	idle := time.Duration(tokens) * q.model.DecodeFloor()
+	chunks := time.Duration(tokens) * c.Prefill(chunkTokens, 0)
+	usual := time.Duration(float64(chunks) * q.utilisation())
+	return max(c.Decode(tokens), idle+min(chunks, q.backlog()), idle+usual)
+}
+
+// utilisation is the share of time in which the endpoint lately prefilled.
+func (q *queue) utilisation() float64 {
+	var sum float64
+	for c := range q.rates {
+		sum += q.rates[c].now(q.clock)
+	}
+	return min(1, sum)
+}
+
+// backlog is all prefill that waits or runs.
+func (q *queue) backlog() time.Duration {
+	var sum time.Duration
+	for _, w := range q.workspaces {
+		for c := range w.lines {
+			sum += w.lines[c].prefill
+		}
+	}
+	for _, r := range q.running {
+		sum += r.left()
+	}
+	return sum
 }
 
 // Load implements Queue. The predicted waits are those behind all waiting
 // work of the class.
 func (q *queue) Load(now time.Time) Totals {
+	q.advance(now)
 	t := Totals{Queued: len(q.waiting), Cost: q.model.Cost()}
 	var a ahead
 	for c := range routing.Class(routing.NumClasses) {
 		for _, w := range q.workspaces {
 			a.add(&w.lines[c], 1)
 		}
-		t.Wait[c] = q.waitBehind(a, c, q.cap, now)
+		t.Wait[c] = q.waitBehind(a, c, nil, q.cap, now)
 	}
 	for _, e := range q.waiting {
 		t.QueuedTokens += e.item.PromptTokens
 		t.LongTokens += longTokens(e.item)
 	}
 	for _, r := range q.running {
-		t.LongTokens += q.longLeft(r, now)
+		t.LongTokens += longLeft(r)
 	}
 	return t
 }
 
 // longLeft returns the prompt tokens of long work that a run still prefills.
-func (q *queue) longLeft(r *run, now time.Time) uint64 {
+func longLeft(r *run) uint64 {
 	if r.entry.prefill <= 0 {
 		return 0
 	}
-	part := float64(q.left(r, now)) / float64(r.entry.prefill)
+	part := float64(r.left()) / float64(r.entry.prefill)
 	return uint64(part * float64(longTokens(r.entry.item)))
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -31,28 +31,24 @@
 	virtual    float64   // of the workspace served last
 	probed     time.Time // when an item was last admitted against the prediction
 	rates      [routing.NumClasses]rate
-	begun      [routing.NumClasses]time.Duration // prefill started since the beginning
-	cap        Capacity                          // as last seen
-	heads      []head                            // scratch of Next
+	clock      time.Time // up to which runs are accounted
+	cap        Capacity  // as last seen
+	heads      []head    // scratch of Next
 }
 
 // Next implements Queue. Classes go shortest first, workspaces of one class
 // by their share, items of one workspace by deadline.
 func (q *queue) Next(cap Capacity, now time.Time) (Item, bool) {
 	q.cap = cap
+	q.advance(now)
 	if len(q.waiting) == 0 || cap.MaxRunning > 0 && cap.Running >= cap.MaxRunning {
 		return Item{}, false
 	}
-	var blocked *entry // the first in order that memory keeps waiting
-	for _, h := range q.order() {
+	heads := q.order()
+	blocked := q.blocked(heads, cap, now)
+	for _, h := range heads {
 		e := h.entry
-		if !q.mayPrefill(e, h.workspace, now) {
-			continue
-		}
-		if e.item.MemoryTokens > cap.FreeTokens {
-			if blocked == nil {
-				blocked = e
-			}
+		if e.item.MemoryTokens > cap.FreeTokens || !q.mayPrefill(e, h.workspace, now) {
 			continue
 		}
 		if blocked != nil && !q.mayPass(e, blocked, cap, now) {
@@ -64,6 +60,21 @@
 	return Item{}, false
 }
 
+// blocked returns the entry that has waited longest for memory alone.
+func (q *queue) blocked(heads []head, cap Capacity, now time.Time) *entry {
+	var longest *entry
+	for _, h := range heads {
+		e := h.entry
+		if e.item.MemoryTokens <= cap.FreeTokens || !q.mayPrefill(e, h.workspace, now) {
+			continue
+		}
+		if longest == nil || e.item.Arrived.Before(longest.item.Arrived) {
+			longest = e
+		}
+	}
+	return longest
+}
+
 // head is the first entry of a line.
 type head struct {
 	entry     *entry
@@ -98,8 +109,10 @@
 	q.virtual = max(q.virtual, w.virtual)
 	w.virtual += float64(e.charge) / w.share
 	c := e.item.Class
-	q.running[e.item.ID] = &run{entry: e, started: now, passedBefore: q.passers(c)}
-	q.begun[c] += e.prefill
+	if c < routing.ClassLong {
+		w.rate.add(e.prefill, now)
+	}
+	q.running[e.item.ID] = &run{entry: e, started: now}
 	q.rates[c].add(e.prefill, now)
 }
 
@@ -126,27 +139,37 @@
 		q.pull(e)
 		return true
 	}
-	_, started := q.running[id]
+	r := q.running[id]
+	if r == nil {
+		return false
+	}
 	delete(q.running, id)
-	return started
+	q.learnBroken(r)
+	return true
 }
 
 // Prefilled implements Queue.
 func (q *queue) Prefilled(id string, now time.Time) {
-	if r := q.running[id]; r != nil {
+	q.advance(now)
+	if r := q.running[id]; r != nil && r.prefilled.IsZero() {
 		r.prefilled = now
 	}
 }
 
 // Done implements Queue.
 func (q *queue) Done(it Item, queued, prefill, decode time.Duration, cached uint64) {
+	r := q.running[it.ID]
+	ended := it.Arrived.Add(queued + prefill + decode)
+	q.advance(ended)
 	delete(q.running, it.ID)
 	if prefill <= 0 && decode <= 0 {
 		return
 	}
-	ended := it.Arrived.Add(queued + prefill + decode)
-	q.model.Observe(promptOf(it), cached, it.OutputTokens, prefill, decode, ended)
 	q.learnRun(prefill + decode)
+	if r != nil && !r.prefilled.IsZero() && r.got > 0 {
+		prefill = min(prefill, r.got) // without what passed it
+	}
+	q.model.Observe(promptOf(it), cached, it.OutputTokens, prefill, decode, ended)
 }
 
 // promptOf returns the whole prompt's tokens, held ones included.
@@ -167,3 +190,30 @@
 	}
 	q.meanRun += time.Duration(runGain * float64(took-q.meanRun))
 }
+
+// brokenFactor is how much longer than its time so far a run that was broken
+// off late is assumed to take.
+const brokenFactor = 2
+
+// learnBroken learns from a run that did not come to its end: its prefill if
+// that is over, and of the rest only that it takes longer than predicted.
+func (q *queue) learnBroken(r *run) {
+	it := r.entry.item
+	var decode time.Duration
+	if !r.prefilled.IsZero() {
+		decode = q.clock.Sub(r.prefilled)
+	}
+	if decode < r.entry.decode {
+		decode = 0
+	}
+	prefill := r.got
+	if r.prefilled.IsZero() {
+		prefill *= brokenFactor
+		if r.got < r.entry.prefill {
+			prefill = 0
+		}
+	}
+	if prefill > 0 || decode > 0 {
+		q.model.Observe(promptOf(it), 0, it.OutputTokens, prefill, brokenFactor*decode, q.clock)
+	}
+}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -85,3 +85,66 @@
 		})
 	}
 }
+
+// TestMemory has a large item wait for memory that a run gives back at
+// 1,000 ms; 149,990 tokens more than it needs will be free then.
+func TestMemory(t *testing.T) {
+	cases := []struct {
+		name   string
+		now    int // ms
+		tokens uint64
+		output uint64 // ms
+		want   bool   // a small item passes the large one
+	}{
+		{"over before the memory is free", 300, 160_000, 100, true},
+		{"takes what the large one needs", 300, 160_000, 2_000, false},
+		{"leaves enough", 300, 140_000, 2_000, true},
+		{"large one pressing", 900, 160_000, 50, false},
+		{"large one pressing, leaves enough", 900, 140_000, 2_000, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			q := New(Config{Prior: prior})
+			is.True(q.Offer(item("first", "w", 200_000, 800, 0, 60_000), room(400_000), at(0)).Admitted)
+			_, ok := q.Next(room(400_000), at(0))
+			is.True(ok)
+			q.Prefilled("first", at(200))
+			is.True(q.Offer(item("large", "w", 250_000, 10, 201, 1_400), room(199_200), at(201)).Admitted)
+			small := item("small", "w", 10, tc.output, tc.now, 60_000)
+			small.MemoryTokens = tc.tokens
+			is.True(q.Offer(small, room(199_200), at(tc.now)).Admitted)
+			_, ok = q.Next(room(199_200), at(tc.now))
+			is.Equal(ok, tc.want)
+		})
+	}
+}
+
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Prior: prior, MaxQueued: 8})
+	full := Capacity{MemoryTokens: 400_000, MaxRunning: 1, Running: 1}
+	admitted := map[string]int{}
+	for i := range 10 {
+		for _, w := range []string{"a", "b"} {
+			if q.Offer(item(w+string(rune('0'+i)), w, 10, 1, 0, 9_000), full, at(0)).Admitted {
+				admitted[w]++
+			}
+		}
+	}
+	is.Equal(admitted, map[string]int{"a": 3, "b": 3}) // each at most half of what is left
+	is.True(q.Remove("a0"))
+	is.True(!q.Remove("a0"))
+	is.Equal(q.Load(at(1)).Queued, 5)
+	is.Equal(len(q.Expire(at(8_999))), 0)
+	is.Equal(len(q.Expire(at(9_000))), 5)
+	is.Equal(q.Load(at(9_000)).Queued, 0)
+}
+
+func TestEnginePriority(t *testing.T) {
+	is := is.New(t)
+	short, urgent, long := item("", "", 10, 1, 0, 1), item("", "", 10, 1, 0, 1), item("", "", 90_000, 1, 0, 1)
+	short.Priority, long.Priority = 99, 0
+	is.True(EnginePriority(urgent) < EnginePriority(short))
+	is.True(EnginePriority(short) < EnginePriority(long))
+}
--- a/admission/running.go
+++ b/admission/running.go
@@ -10,34 +10,51 @@
 
 // run is one started item.
 type run struct {
-	entry        *entry
-	started      time.Time
-	prefilled    time.Time     // zero while it prefills
-	passedBefore time.Duration // passers of its class when it started
+	entry     *entry
+	started   time.Time
+	prefilled time.Time     // zero while it prefills
+	got       time.Duration // engine time that its prefill has had
+	debt      debt
 }
 
-// passers returns the prefill begun so far in the classes that pass class c.
-func (q *queue) passers(c routing.Class) time.Duration {
-	var sum time.Duration
-	for d := range c {
-		sum += q.begun[d]
+// advance brings what runs have had and are owed up to now: while any run of a
+// shorter class prefills, those of longer classes do not get on.
+func (q *queue) advance(now time.Time) {
+	elapsed := now.Sub(q.clock)
+	if elapsed <= 0 {
+		return
+	}
+	q.clock = now
+	shortest := q.shortest()
+	for _, r := range q.running {
+		if !r.prefilled.IsZero() {
+			continue
+		}
+		passed := shorter(shortest, r.entry.item.Class)
+		if !passed {
+			r.got += elapsed
+		}
+		r.debt.advance(elapsed, passed)
 	}
-	return sum
 }
 
-// got returns the engine time that a prefilling run has had: the time since
-// its start less what passed it.
-func (q *queue) got(r *run, now time.Time) time.Duration {
-	passed := q.passers(r.entry.item.Class) - r.passedBefore
-	return max(0, now.Sub(r.started)-passed)
+// shortest returns the shortest class that prefills, NumClasses if none does.
+func (q *queue) shortest() routing.Class {
+	shortest := routing.Class(routing.NumClasses)
+	for _, r := range q.running {
+		if r.prefilled.IsZero() {
+			shortest = min(shortest, r.entry.item.Class)
+		}
+	}
+	return shortest
 }
 
-// left predicts the prefill that a run still needs, itself not passed.
-func (q *queue) left(r *run, now time.Time) time.Duration {
+// left predicts the prefill that the run still needs, itself not passed.
+func (r *run) left() time.Duration {
 	if !r.prefilled.IsZero() {
 		return 0
 	}
-	return max(0, r.entry.prefill-q.got(r, now))
+	return max(0, r.entry.prefill-r.got)
 }
 
 // overdueGrowth is the share of its age by which a run that exceeded its
@@ -46,7 +63,7 @@
 
 // endOf predicts when a run gives its memory back.
 func (q *queue) endOf(r *run, now time.Time) time.Time {
-	end := now.Add(q.left(r, now) + r.entry.decode)
+	end := now.Add(r.left() + r.entry.decode)
 	if !r.prefilled.IsZero() {
 		end = r.prefilled.Add(r.entry.decode)
 	}
--- a/cost/cost.go
+++ b/cost/cost.go
@@ -11,10 +11,18 @@
 )
 
 const (
-	// memory is the share that an observation's weight keeps at each later one.
+	// memory is the share that an observation's weight keeps at each later one
+	// of its band.
 	memory = 0.95
-	// priorWeight is the weight of the prior, in observations.
-	priorWeight = 0.5
+	// priorWeight is the weight of the prior's shape, in observations.
+	priorWeight = 1
+	// scaleGain is the weight of a new observation of the scale against the
+	// prior, and quickGain its weight after a streak.
+	scaleGain = 0.1
+	quickGain = 0.5
+	// longPrompt is the length in tokens from which observations are kept apart:
+	// they are rare, and must not be forgotten over short ones.
+	longPrompt = 32_768
 	// maxStep bounds how far one observation may lie from the prediction: one
 	// outlier moves the model little, an endpoint ten times slower than
 	// predicted is known after a few runs.
@@ -27,19 +35,25 @@
 	forgetful = 0.1
 	// decodeGain is the weight of a new observation of decode.
 	decodeGain = 0.2
+	// floorDrift is the factor by which the least decode time rises with each
+	// observation that does not reach it.
+	floorDrift = 1.001
 	// minPrefill is the shortest time taken as a prefill, below clock noise.
 	minPrefill = 10 * time.Microsecond
 )
 
-// priorPrompts are the prompt lengths, in tokens, at which the prior is put in.
+// priorPrompts are the prompt lengths, in tokens, at which the prior counts as
+// observed. They hold the shape where runs have been seen at few lengths only.
 var priorPrompts = [...]uint64{1_000, 100_000}
 
 // Model is the learned cost of one endpoint.
 type Model struct {
 	cost    routing.Cost
 	prior   routing.Cost
-	fit     fit
-	streak  int // predictions off in a row; negative when runs were quicker
+	bands   [2]fit  // short and long prompts
+	scale   float64 // logarithm of observed over prior
+	streak  int     // predictions off in a row; negative when runs were quicker
+	floor   float64 // least decode time per token, nanoseconds
 	samples int
 	last    time.Time
 }
@@ -48,17 +62,16 @@
 // are taken from routing.DefaultCost.
 func New(prior routing.Cost) *Model {
 	prior = prior.OrDefault()
-	m := &Model{cost: prior, prior: prior}
-	for _, n := range priorPrompts {
-		expected := float64(prior.Prefill(n, 0))
-		m.fit.add(n, 0, expected, priorWeight/(expected*expected))
-	}
-	return m
+	return &Model{cost: prior, prior: prior, floor: float64(prior.DecodePerToken)}
 }
 
 // Cost returns the present estimate.
 func (m *Model) Cost() routing.Cost { return m.cost }
 
+// DecodeFloor returns the decode time per token of an endpoint that does
+// nothing else, as far as lately seen.
+func (m *Model) DecodeFloor() time.Duration { return time.Duration(m.floor) }
+
 // Samples returns the number of observations.
 func (m *Model) Samples() int { return m.samples }
 
@@ -81,16 +94,39 @@
 
 func (m *Model) observePrefill(prompt, cached uint64, took time.Duration) {
 	predicted := float64(m.cost.Prefill(prompt, cached))
-	m.fit.decay(m.keep(float64(took), predicted))
+	seen := clip(float64(took), predicted)
+	expected := float64(m.prior.Prefill(prompt, cached))
+	gain := scaleGain
+	band := &m.bands[0]
+	if prompt-cached >= longPrompt {
+		band = &m.bands[1]
+	}
+	band.decay(memory)
+	if m.streaks(float64(took), predicted) {
+		gain = quickGain
+		m.bands[0].decay(forgetful)
+		m.bands[1].decay(forgetful)
+	}
 	// Weights depend on the lengths alone, relative to the prior, so that
 	// short prompts count as much as long ones and quick runs as slow ones.
-	expected := float64(m.prior.Prefill(prompt, cached))
-	m.fit.add(prompt, cached, clip(float64(took), predicted), 1/(expected*expected))
-	m.cost.PrefillPerToken, m.cost.PrefillPerToken2 = m.fit.solve()
+	band.add(prompt, cached, seen, 1/(expected*expected))
+	m.scale += gain * (math.Log(seen/expected) - m.scale)
+	m.solve()
+}
+
+// solve fits the cost to what was observed and, lightly, to the prior's shape.
+func (m *Model) solve() {
+	sum := m.bands[0].plus(m.bands[1])
+	for _, n := range priorPrompts {
+		expected := float64(m.prior.Prefill(n, 0))
+		sum.add(n, 0, expected*math.Exp(m.scale), priorWeight/(expected*expected))
+	}
+	m.cost.PrefillPerToken, m.cost.PrefillPerToken2 = sum.solve()
 }
 
-// keep returns the share of the past that stays.
-func (m *Model) keep(took, predicted float64) float64 {
+// streaks reports whether predictions have been off the same way several times
+// in a row.
+func (m *Model) streaks(took, predicted float64) bool {
 	switch {
 	case took > predicted*offFactor:
 		m.streak = max(m.streak, 0) + 1
@@ -99,10 +135,7 @@
 	default:
 		m.streak = 0
 	}
-	if max(m.streak, -m.streak) >= offStreak {
-		return forgetful
-	}
-	return memory
+	return max(m.streak, -m.streak) >= offStreak
 }
 
 func (m *Model) observeDecode(output uint64, took time.Duration) {
@@ -110,6 +143,7 @@
 	seen := clip(float64(took)/float64(output), old)
 	m.cost.DecodePerToken = time.Duration(math.Exp((1-decodeGain)*math.Log(old) + decodeGain*math.Log(seen)))
 	m.cost.DecodePerToken = max(1, m.cost.DecodePerToken)
+	m.floor = min(m.floor*floorDrift, seen)
 }
 
 // clip bounds an observation to within maxStep of what was predicted.
--- /dev/null
+++ b/cost/cost_test.go
@@ -0,0 +1,76 @@
+package cost
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/routing"
+)
+
+var truth = routing.Cost{PrefillPerToken: 60 * time.Microsecond, PrefillPerToken2: 0.0002, DecodePerToken: 15 * time.Millisecond}
+
+// observe feeds n runs of an endpoint that is slow times slower than truth,
+// with a fifth of noise, one of every longEvery runs being long.
+func observe(m *Model, n int, slow float64, longEvery int) {
+	rnd := rand.New(rand.NewPCG(1, 9))
+	for i := range n {
+		prompt := uint64(500 + rnd.IntN(4_000))
+		if longEvery > 0 && i%longEvery == longEvery-1 {
+			prompt = 100_000 + rnd.Uint64N(100_000)
+		}
+		noise := slow * (0.8 + 0.4*rnd.Float64())
+		prefill := time.Duration(noise * float64(truth.Prefill(prompt, 0)))
+		m.Observe(prompt, 0, 50, prefill, time.Duration(noise*float64(truth.Decode(50))), time.Unix(int64(i), 0))
+	}
+}
+
+func TestModel(t *testing.T) {
+	slow := routing.Cost{PrefillPerToken: 600 * time.Microsecond, PrefillPerToken2: 0.002, DecodePerToken: 150 * time.Millisecond}
+	cases := []struct {
+		name   string
+		prior  routing.Cost
+		teach  func(m *Model)
+		factor float64 // expected over truth
+		within float64 // relative error allowed, at 2,000 and 150,000 tokens and for decode
+	}{
+		{"usual mix", routing.DefaultCost, func(m *Model) { observe(m, 200, 1, 50) }, 1, 0.25},
+		{"short runs only keep the prior's shape", routing.DefaultCost, func(m *Model) { observe(m, 200, 1, 0) }, 1, 0.35},
+		{"ten times slower than said", routing.DefaultCost, func(m *Model) { observe(m, 20, 10, 10) }, 10, 0.4},
+		{"ten times quicker than said", slow, func(m *Model) { observe(m, 20, 1, 10) }, 1, 0.4},
+		{"becomes ten times slower", routing.DefaultCost, func(m *Model) { observe(m, 200, 1, 50); observe(m, 20, 10, 10) }, 10, 0.4},
+		{"one outlier", routing.DefaultCost, func(m *Model) {
+			observe(m, 200, 1, 50)
+			m.Observe(2_000, 0, 50, time.Minute, time.Hour, time.Unix(999, 0))
+		}, 1, 0.5},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			m := New(tc.prior)
+			tc.teach(m)
+			c := m.Cost()
+			near := func(got, want time.Duration) {
+				ratio := float64(got) / float64(want) / tc.factor
+				t.Logf("%v, %.2f of the truth", got, ratio)
+				is.True(ratio > 1-tc.within && ratio < 1+tc.within)
+			}
+			near(c.Prefill(2_000, 0), truth.Prefill(2_000, 0))
+			near(c.Prefill(150_000, 0), truth.Prefill(150_000, 0))
+			near(c.Decode(100), truth.Decode(100))
+		})
+	}
+}
+
+func TestCachedTokensCostLess(t *testing.T) {
+	is := is.New(t)
+	m := New(truth)
+	for range 50 {
+		m.Observe(100_000, 90_000, 0, truth.Prefill(100_000, 90_000), 0, time.Unix(1, 0))
+	}
+	got := float64(m.Cost().Prefill(50_000, 0)) / float64(truth.Prefill(50_000, 0))
+	is.True(got > 0.9 && got < 1.1)
+	is.Equal(m.Cost().DecodePerToken, truth.DecodePerToken) // not observed
+}
--- a/cost/fit.go
+++ b/cost/fit.go
@@ -30,6 +30,11 @@
 	f.t2 += w * x2 * y
 }
 
+// plus returns the fit over the observations of both.
+func (f fit) plus(g fit) fit {
+	return fit{f.s11 + g.s11, f.s12 + g.s12, f.s22 + g.s22, f.t1 + g.t1, f.t2 + g.t2}
+}
+
 // solve returns the coefficients, neither of them negative.
 func (f *fit) solve() (perToken time.Duration, perToken2 float64) {
 	a, b := f.both()
