--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -5,8 +5,22 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/affinity"
+	"github.com/micarudder/micarudder/prefix"
 )
 
+// benchPrefix is the chain of a prompt of 64 blocks.
+var benchPrefix = func() []uint64 {
+	chain := make([]uint64, prefix.MaxBlocks)
+	for i := range chain {
+		chain[i] = uint64(i+1) * 0x9e3779b97f4a7c15
+	}
+	return chain
+}()
+
 // fleet returns n endpoints of one data centre, a third of them in the lane,
 // each with a wait of up to the given time.
 func fleet(n int, wait time.Duration) []Candidate {
@@ -20,8 +34,12 @@
 		for k := range c.Wait {
 			c.Wait[k] = time.Duration(rnd.Int64N(int64(wait) + 1))
 		}
-		held := rnd.IntN(3)
-		c.Cached = func([]uint64) int { return held }
+		held := affinity.New(450_000)
+		held.Sent(benchPrefix[:2]) // what all prompts share
+		if i%10 == 0 {
+			held.Sent(benchPrefix[:rnd.IntN(len(benchPrefix))])
+		}
+		c.Cached = held.Cached
 		view[i] = c
 	}
 	return view
@@ -29,8 +47,8 @@
 
 func BenchmarkChoose(b *testing.B) {
 	requests := map[string]Request{
-		"short": {Model: "caption", PromptTokens: 2_500, MaxTokens: 200, DataCentre: "cdf-a", Remaining: time.Minute, Prefix: []uint64{1, 2}},
-		"long":  {Model: "caption", PromptTokens: 120_000, MaxTokens: 200, DataCentre: "cdf-a", Remaining: time.Minute, Prefix: make([]uint64, 64)},
+		"short": {Model: "caption", PromptTokens: 2_500, MaxTokens: 200, DataCentre: "cdf-a", Remaining: time.Minute, Prefix: benchPrefix[:2]},
+		"long":  {Model: "caption", PromptTokens: 120_000, MaxTokens: 200, DataCentre: "cdf-a", Remaining: time.Minute, Prefix: benchPrefix},
 	}
 	loads := map[string]time.Duration{"idle": 0, "busy": 200 * time.Millisecond}
 	for _, n := range []int{20, 181, 2_900} {
@@ -48,3 +66,13 @@
 		}
 	}
 }
+
+// TestAllocations checks that a decision's memory does not grow with the view.
+func TestAllocations(t *testing.T) {
+	req := Request{Model: "caption", PromptTokens: 120_000, MaxTokens: 200, Prefix: benchPrefix}
+	allocations := func(n int) float64 {
+		view, p, rnd := fleet(n, time.Second), Default(), rand.New(rand.NewPCG(1, 2))
+		return testing.AllocsPerRun(100, func() { p.Choose(req, view, rnd.IntN, false) })
+	}
+	is.New(t).Equal(allocations(20), allocations(2_900))
+}
--- a/routing/filter_lane.go
+++ b/routing/filter_lane.go
@@ -4,5 +4,5 @@
 // counted by the tokens that the endpoint does not hold yet. Short work passes
 // everywhere.
 func outsideLane(j *job) bool {
-	return !j.cand.LongLane && ClassOf(j.uncached) >= ClassLong
+	return j.long && !j.cand.LongLane
 }
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -38,16 +38,22 @@
 	return gumbel[(z^(z>>31))>>(64-noiseBits)]
 }
 
+// spreadSamples is the number of candidates from which the scale of the noise
+// is taken.
+const spreadSamples = 16
+
 // spread returns the scale of the noise in nanoseconds: a part of what the
 // request itself takes, and a part of the reports' mean age, in which other
-// gateways may have sent work.
+// gateways may have sent work. Every so many candidates stand for all.
 func (c *Config) spread(req *Request, view []Candidate) float64 {
-	var age, own float64
-	for i := range view {
+	var age, own, n float64
+	step := len(view)/spreadSamples + 1
+	for i := 0; i < len(view); i += step {
 		age += float64(min(view[i].Age, maxAge))
 		own += float64(view[i].Cost.OrDefault().Prefill(req.PromptTokens, 0))
+		n++
 	}
-	return (c.SpreadWork*own + c.SpreadAge*age) / float64(len(view))
+	return (c.SpreadWork*own + c.SpreadAge*age) / n
 }
 
 // best keeps the candidate with the least drawn score, and the least score of
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -98,12 +98,24 @@
 
 // job is one request at one candidate.
 type job struct {
-	req      *Request
-	class    Class
-	cand     *Candidate
+	req   *Request
+	class Class
+	cand  *Candidate
+	slow  float64 // factor by which the candidate exceeds its own predictions
+
 	cost     Cost
 	uncached uint64        // prompt tokens to prefill there
 	prefill  time.Duration // predicted for them
+	long     bool          // long work, counted by the uncached tokens
+}
+
+// at turns the job to a candidate.
+func (j *job) at(c *Candidate) {
+	j.cand = c
+	j.slow = 1
+	if c.Slowness > 0 {
+		j.slow = c.Slowness
+	}
 }
 
 // Choose implements Policy.
@@ -141,7 +153,7 @@
 // one that is already too bad by what is known of it.
 func (c *choice) consider(at int) {
 	j := &c.job
-	j.cand = &c.view[at]
+	j.at(&c.view[at])
 	spread := -c.scale * c.noise.next()
 	known := c.cfg.known(j)
 	if c.scores == nil && c.hopeless(known, spread) {
@@ -209,14 +221,15 @@
 	return late > 0 && c.lane.least > late && c.outside.least <= late
 }
 
-// estimate fills in what the lane filter and the scorers share.
+// estimate fills in what depends on the candidate's prefix cache.
 func (j *job) estimate() {
 	var cached uint64
 	if j.cand.Cached != nil && len(j.req.Prefix) > 0 {
 		cached = uint64(j.cand.Cached(j.req.Prefix)) * blockTokens
 	}
-	j.cost = j.cand.Cost.OrDefault()
 	cached = min(cached, j.req.PromptTokens)
+	j.cost = j.cand.Cost.OrDefault()
 	j.uncached = j.req.PromptTokens - cached
 	j.prefill = j.cost.Prefill(j.req.PromptTokens, cached)
+	j.long = ClassOf(j.uncached) >= ClassLong
 }
--- a/routing/score_beside.go
+++ b/routing/score_beside.go
@@ -12,7 +12,7 @@
 		return 0
 	}
 	work := j.cost.Prefill(j.cand.LongTokens, 0) + j.cand.PendingLong
-	return min(j.chunks(horizon), float64(work)) * j.slowness()
+	return min(j.chunks(horizon), float64(work)) * j.slow
 }
 
 // laneScore is what a short request expects to lose in the lane, where long
@@ -27,7 +27,7 @@
 // harmScore is a share of what the running requests would lose to a long
 // request's prefill.
 func harmScore(j *job, share float64, horizon uint64) float64 {
-	if ClassOf(j.uncached) < ClassLong {
+	if !j.long {
 		return 0
 	}
 	chunk := float64(j.cost.Prefill(chunkTokens, 0))
@@ -41,11 +41,3 @@
 	tokens := min(j.req.MaxTokens, horizon)
 	return float64(tokens) * float64(j.cost.Prefill(chunkTokens, 0))
 }
-
-// slowness is the factor by which the endpoint exceeds its own predictions.
-func (j *job) slowness() float64 {
-	if j.cand.Slowness <= 0 {
-		return 1
-	}
-	return j.cand.Slowness
-}
