Limit workspaces, retries and failing endpoints

Cause: nothing bounded a flooding workspace at the gateways, the automatic retries during a failure, or the requests sent to a failing endpoint.

Change: limits.Table splits each workspace's limit among gateways: a fifth evenly, the rest by what each was lately asked for, which they tell each other (Uses, Peer); a silent peer's part goes to the others after 30 s. Buckets may be overdrawn, since a prompt may be larger than a second's tokens. Refused requests are told later and later times at the pace of the limit. limits.Budget allows one retry for ten requests, limits.Breaker opens on three failures in a row or half of ten. cost.Slowness is a gateway's own factor for an endpoint that is slower than it says; routing.LongShare measures the long share for Lanes.

Ruled out: x/time/rate, which refuses what is larger than its burst; equal parts (a limit of 60 a second asked of one gateway of three would admit 20); a shared counter, which the platform's write limit forbids.

Figures of the test run, three gateways, 60 a second allowed: 60 admitted when asked evenly, 56 when asked 200, 100 and 0 a second, 52 when one is asked all.

For the wiring: each gateway has to tell its peers Table.Uses about once a second, and call Tick as often.

--- a/cost/cost_test.go
+++ b/cost/cost_test.go
@@ -74,3 +74,19 @@
 	is.True(got > 0.9 && got < 1.1)
 	is.Equal(m.Cost().DecodePerToken, truth.DecodePerToken) // not observed
 }
+
+func TestSlowness(t *testing.T) {
+	is := is.New(t)
+	var s Slowness
+	is.Equal(s.Factor(time.Unix(0, 0)), 1.0)
+	for i := range int64(10) {
+		s.Observe(time.Second, 10*time.Second, time.Unix(i, 0))
+	}
+	f := s.Factor(time.Unix(10, 0))
+	is.True(f > 5 && f < 10)
+	is.True(s.Factor(time.Unix(200, 0)) < 1.1) // without runs it is tried again
+	s.Observe(time.Microsecond, time.Hour, time.Unix(10, 0))
+	is.Equal(s.Factor(time.Unix(10, 0)), f) // too short to tell
+	s.Observe(time.Second, time.Hour, time.Unix(10, 0))
+	is.True(s.Factor(time.Unix(10, 0)) < maxSlowness)
+}
--- /dev/null
+++ b/limits/limits_test.go
@@ -0,0 +1,242 @@
+package limits
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// fleet returns gateways that tell each other their use in round.
+type fleet []*Table
+
+func newFleet(n int, l Limit) fleet {
+	f := make(fleet, n)
+	for i := range f {
+		f[i] = NewTable(fmt.Sprint("gateway-", i))
+		f[i].SetAll(map[string]Limit{"w": l}, epoch)
+	}
+	f.round(epoch)
+	return f
+}
+
+func (f fleet) round(now time.Time) {
+	for _, from := range f {
+		for _, to := range f {
+			to.Peer(from.self, from.Uses(now), now)
+		}
+	}
+	for _, t := range f {
+		t.Tick(now)
+	}
+}
+
+// ask sends requests of the given rates to the gateways for some seconds and
+// returns how many each admitted in the second half.
+func (f fleet) ask(seconds int, tokens uint64, perSecond ...int) (admitted []int, total int) {
+	admitted = make([]int, len(f))
+	for ms := range seconds * 1000 {
+		now := at(ms)
+		if ms%1000 == 0 {
+			f.round(now)
+		}
+		for i, r := range perSecond {
+			if r == 0 || ms%(1000/r) != 0 || !f[i].Admit("w", tokens, now).OK {
+				continue
+			}
+			f[i].Done("w")
+			if ms >= seconds*500 {
+				admitted[i]++
+				total++
+			}
+		}
+	}
+	return admitted, total
+}
+
+func TestSplit(t *testing.T) {
+	cases := []struct {
+		name      string
+		limit     Limit
+		tokens    uint64
+		perSecond []int
+		want      int // admitted a second by all
+		busiest   int // admitted a second by the first at least
+	}{
+		{"under the limit, all at one gateway", Limit{RequestsPerSecond: 60}, 1, []int{50, 0, 0}, 50, 50},
+		{"over the limit, all at one gateway", Limit{RequestsPerSecond: 60}, 1, []int{200, 0, 0}, 52, 50},
+		{"over the limit, even", Limit{RequestsPerSecond: 60}, 1, []int{100, 100, 100}, 60, 19},
+		{"over the limit, uneven", Limit{RequestsPerSecond: 60}, 1, []int{200, 100, 0}, 56, 34},
+		{"tokens", Limit{TokensPerSecond: 20_000}, 1_000, []int{100, 100}, 20, 9},
+		{"prompts larger than a second's tokens", Limit{TokensPerSecond: 20_000}, 100_000, []int{10}, 0, 0},
+		{"no limit", Limit{}, 1, []int{100, 100}, 200, 100},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			const seconds = 40
+			admitted, total := newFleet(len(tc.perSecond), tc.limit).ask(seconds, tc.tokens, tc.perSecond...)
+			t.Log(admitted, total)
+			perSecond := float64(total) / (seconds / 2)
+			is.True(perSecond >= 0.93*float64(tc.want) && perSecond <= 1.07*float64(tc.want)+0.25)
+			is.True(admitted[0] >= tc.busiest*seconds/2*9/10)
+		})
+	}
+}
+
+// TestSharesSumToOne checks that gateways with the same view never give out
+// more than the limit, and that each keeps some of it.
+func TestSharesSumToOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		f := newFleet(rapid.IntRange(1, 25).Draw(t, "gateways"), Limit{RequestsPerSecond: 100, TokensPerSecond: 1e6})
+		for _, g := range f {
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				g.Admit("w", rapid.Uint64Range(0, 100_000).Draw(t, "tokens"), epoch)
+			}
+		}
+		f.round(epoch)
+		var requests, tokens float64
+		for _, g := range f {
+			r, k := g.shares("w", g.workspaces["w"])
+			is.True(r > 0 && k > 0)
+			requests += r
+			tokens += k
+		}
+		is.True(requests < 1.0001 && requests > 0.9999)
+		is.True(tokens < 1.0001 && tokens > 0.9999)
+	})
+}
+
+func TestPeerLost(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, Limit{MaxInFlight: 10})
+	inFlight := func(now time.Time) (n int) {
+		for f[0].Admit("w", 1, now).OK {
+			n++
+		}
+		for range n {
+			f[0].Done("w")
+		}
+		return n
+	}
+	is.Equal(inFlight(at(0)), 5)
+	f[0].Tick(at(31_000))
+	is.Equal(inFlight(at(31_000)), 10)
+	f[0].Peer("gateway-1", nil, at(32_000))
+	is.True(inFlight(at(32_000)) < 10)
+	f[0].PeerGone("gateway-1", at(33_000))
+	is.Equal(inFlight(at(33_000)), 10)
+}
+
+// TestRetryAfter has a burst over the limit: each refused request is told a
+// later time, at the pace of the limit, and up to a bound.
+func TestRetryAfter(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, Limit{RequestsPerSecond: 10})
+	var last time.Duration
+	refused := 0
+	for range 1_000 {
+		v := f[0].Admit("w", 1, epoch)
+		if v.OK {
+			continue
+		}
+		refused++
+		is.True(v.RetryAfter >= last && v.RetryAfter <= MaxRetryAfter)
+		is.Equal(v.Detail, "requests per second")
+		last = v.RetryAfter
+	}
+	is.Equal(refused, 990)
+	is.Equal(last, MaxRetryAfter)
+}
+
+func TestBudget(t *testing.T) {
+	cases := []struct {
+		name     string
+		requests int // before the failures begin
+		retries  int // wanted
+		want     int // granted
+	}{
+		{"few requests", 0, 20, 5},
+		{"a burst of resubmits", 200, 200, 25},
+		{"bounded", 1_000_000, 1_000, 100},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var b Budget
+			for range tc.requests {
+				b.Request(epoch)
+			}
+			granted := 0
+			for range tc.retries {
+				if b.Retry(epoch) {
+					granted++
+				}
+			}
+			is.True(granted >= tc.want-1 && granted <= tc.want)
+			is.True(!b.Retry(epoch))
+			is.True(b.Retry(at(10_000))) // it comes back
+		})
+	}
+}
+
+func TestBreaker(t *testing.T) {
+	cases := []struct {
+		name   string
+		events string // f failure, s success, 100 ms apart
+		now    int    // ms
+		state  State
+		blocks bool
+	}{
+		{"new", "", 0, Closed, false},
+		{"two failures", "ff", 300, Closed, false},
+		{"three in a row", "fff", 300, Open, true},
+		{"not in a row", "ffsffsff", 900, Closed, false},
+		{"half of many", "sfsfsfsfsfsfsf", 1_500, Open, true},
+		{"its time is over", "fff", 1_300, HalfOpen, false},
+		{"late success while open", "fffs", 400, Open, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var b Breaker
+			for i, e := range tc.events {
+				if e == 'f' {
+					b.Failure(at(100 * i))
+				} else {
+					b.Success(at(100 * i))
+				}
+			}
+			is.Equal(b.State(at(tc.now)), tc.state)
+			is.Equal(b.Blocks(at(tc.now)), tc.blocks)
+		})
+	}
+}
+
+func TestBreakerProbes(t *testing.T) {
+	is := is.New(t)
+	var b Breaker
+	for range 3 {
+		b.Failure(at(0))
+	}
+	b.Sent(at(1_000))
+	is.True(b.Blocks(at(1_001)))   // one probe at a time
+	is.True(!b.Blocks(at(11_000))) // whose answer is not waited for for ever
+	is.True(b.Failure(at(1_100)))
+	is.True(b.Blocks(at(3_099))) // twice as long
+	is.True(!b.Blocks(at(3_100)))
+	b.Sent(at(3_100))
+	b.Success(at(3_200))
+	is.Equal(b.State(at(3_200)), Closed)
+	for i := range 40 { // a probe a minute, each failing
+		b.Failure(at(10_000 + 60_000*i))
+	}
+	is.True(b.State(at(10_000+60_000*39+30_000)) == HalfOpen) // never longer than 30 s
+}
--- /dev/null
+++ b/limits/split.go
@@ -0,0 +1,139 @@
+package limits
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Use is what one gateway was lately asked for by one workspace, refused
+// requests included. Gateways tell it each other.
+type Use struct {
+	Workspace         string
+	RequestsPerSecond float64
+	TokensPerSecond   float64
+}
+
+const (
+	// demandSpan is the time constant of recent use.
+	demandSpan = 5 * time.Second
+	// peerSpan is how long a peer's last word counts. After that its part goes
+	// to the others: it is dead, or cut off and serves nobody.
+	peerSpan = 30 * time.Second
+	// evenPart is the part of a limit that is split evenly, so that a gateway
+	// that was not asked lately can serve the first requests at once.
+	evenPart = 0.2
+)
+
+// report is a peer's last word.
+type report struct {
+	at   time.Time
+	uses map[string]Use
+}
+
+// demand is a decaying average of what was asked for.
+type demand struct {
+	requests, tokens float64
+	at               time.Time
+}
+
+func (d *demand) add(tokens uint64, now time.Time) {
+	d.decay(now)
+	d.requests += 1 / demandSpan.Seconds()
+	d.tokens += float64(tokens) / demandSpan.Seconds()
+}
+
+func (d *demand) decay(now time.Time) {
+	keep := math.Exp(-float64(max(0, now.Sub(d.at))) / float64(demandSpan))
+	d.requests *= keep
+	d.tokens *= keep
+	d.at = now
+}
+
+// Uses returns this gateway's recent use, to be told to its peers, ordered by
+// workspace.
+func (t *Table) Uses(now time.Time) []Use {
+	out := make([]Use, 0, len(t.workspaces))
+	for name, a := range t.workspaces {
+		a.demand.decay(now)
+		out = append(out, Use{name, a.demand.requests, a.demand.tokens})
+	}
+	slices.SortFunc(out, func(a, b Use) int { return strings.Compare(a.Workspace, b.Workspace) })
+	return out
+}
+
+// Peer takes in what a peer said of its recent use. A peer without use is
+// still one to share with.
+func (t *Table) Peer(name string, uses []Use, now time.Time) {
+	if name == t.self {
+		return
+	}
+	r := report{at: now, uses: make(map[string]Use, len(uses))}
+	for _, u := range uses {
+		r.uses[u.Workspace] = u
+	}
+	t.peers[name] = r
+	t.divide(now)
+}
+
+// PeerGone drops a peer that said that it leaves.
+func (t *Table) PeerGone(name string, now time.Time) {
+	delete(t.peers, name)
+	t.divide(now)
+}
+
+// divide sets every limit to this gateway's part. It is called when a peer
+// speaks; the caller also calls Tick so that silent peers lose theirs.
+func (t *Table) divide(now time.Time) {
+	for name, a := range t.workspaces {
+		a.demand.decay(now)
+		requests, tokens := t.shares(name, a)
+		a.requests.setRate(a.limit.RequestsPerSecond*requests, now)
+		a.tokens.setRate(a.limit.TokensPerSecond*tokens, now)
+		a.mostInFlight = inFlightShare(a.limit.MaxInFlight, requests)
+	}
+}
+
+// Tick forgets peers that have been silent too long and divides again. It is
+// called about once a second.
+func (t *Table) Tick(now time.Time) {
+	for name, r := range t.peers {
+		if now.Sub(r.at) > peerSpan {
+			delete(t.peers, name)
+		}
+	}
+	t.divide(now)
+}
+
+// shares returns this gateway's share of a workspace's requests and tokens:
+// an even part, and the rest by recent use. Over gateways with the same view
+// the shares sum to one.
+func (t *Table) shares(workspace string, a *account) (requests, tokens float64) {
+	var sum Use
+	for _, r := range t.peers {
+		u := r.uses[workspace]
+		sum.RequestsPerSecond += u.RequestsPerSecond
+		sum.TokensPerSecond += u.TokensPerSecond
+	}
+	gateways := float64(len(t.peers) + 1)
+	return share(a.demand.requests, sum.RequestsPerSecond, gateways),
+		share(a.demand.tokens, sum.TokensPerSecond, gateways)
+}
+
+func share(own, others, gateways float64) float64 {
+	even := 1 / gateways
+	if own+others <= 0 {
+		return even
+	}
+	return evenPart*even + (1-evenPart)*own/(own+others)
+}
+
+// inFlightShare returns how many requests may be in flight here, at least one
+// if there is a limit; 0 means no limit.
+func inFlightShare(most int, share float64) int {
+	if most <= 0 {
+		return 0
+	}
+	return max(1, int(math.Round(float64(most)*share)))
+}
--- a/routing/lanes_test.go
+++ b/routing/lanes_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -50,3 +51,22 @@
 		is.True(!after[fmt.Sprint("engine-", gone)])
 	})
 }
+
+func TestLongShare(t *testing.T) {
+	is := is.New(t)
+	var s LongShare
+	now := time.Unix(1_000, 0)
+	is.Equal(s.Value(now), firstLongShare)
+	for range 100 {
+		s.Add(ClassShort, 100*ms, now)
+	}
+	first := s.Value(now)
+	is.True(first < 0.2)
+	s.Add(ClassLong, time.Second, now) // not a step yet
+	is.Equal(s.Value(now), first)
+	for range 10 {
+		s.Add(ClassHuge, 10*time.Second, now)
+	}
+	is.True(s.Value(now) > 0.8)
+	is.True(s.Value(now.Add(time.Hour)) < 0.4) // without work back to the first
+}
