Read families of sections in settings files

A load mix names any number of request flows, one section each; the reader knew only sections with fixed names and refused the rest. Reading such files with the ini library alone was ruled out: the checks of keys and units would stand twice. A map field tagged `section:"flow *"` now takes every section of that family; each member is checked like any other section.

--- a/settings/reference.go
+++ b/settings/reference.go
@@ -14,7 +14,11 @@
 	for i := range t.NumField() {
 		sec := t.Field(i)
 		fmt.Fprintf(&b, "\n`[%s]`\n\n| key | value | default | meaning |\n|---|---|---|---|\n", sec.Tag.Get("section"))
-		for _, f := range reflect.VisibleFields(sec.Type) {
+		typ := sec.Type
+		if typ.Kind() == reflect.Map {
+			typ = typ.Elem()
+		}
+		for _, f := range reflect.VisibleFields(typ) {
 			if f.Anonymous {
 				continue
 			}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,7 +3,9 @@
 // section, the key and what is allowed; all mistakes are reported together.
 //
 // The target is a struct whose fields are structs tagged `section:"name"`;
-// their fields are tagged `key:"name"` with the optional tags `default`,
+// a field that is a map from string to struct, tagged `section:"name *"`, takes
+// every section whose name is the given one, a space and the map's key. The
+// structs' fields are tagged `key:"name"` with the optional tags `default`,
 // `required:"true"`, `allowed:"a|b"`, `min`, `max` and `help`. Supported field
 // types are string, bool, int, float64, time.Duration, Size, Address and
 // slices of string and Address (comma-separated).
@@ -79,6 +81,10 @@
 	t := target.Type()
 	for i := range t.NumField() {
 		name := t.Field(i).Tag.Get("section")
+		if prefix, ok := strings.CutSuffix(name, "*"); ok {
+			r.family(prefix, target.Field(i), known)
+			continue
+		}
 		known[name] = true
 		r.section(name, target.Field(i))
 	}
@@ -92,6 +98,21 @@
 	}
 }
 
+// family reads every section whose name begins with prefix into a map.
+func (r *reader) family(prefix string, target reflect.Value, known map[string]bool) {
+	target.Set(reflect.MakeMap(target.Type()))
+	for _, name := range r.file.SectionStrings() {
+		key, ok := strings.CutPrefix(name, prefix)
+		if !ok {
+			continue
+		}
+		known[name] = true
+		member := reflect.New(target.Type().Elem()).Elem()
+		r.section(name, member)
+		target.SetMapIndex(reflect.ValueOf(key), member)
+	}
+}
+
 func sectionNames(t reflect.Type) []string {
 	var names []string
 	for i := range t.NumField() {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -21,6 +21,9 @@
 		Strict bool          `key:"strict" default:"false"`
 		Count  int           `key:"count" default:"3" min:"1"`
 	} `section:"main"`
+	Part map[string]struct {
+		Size int `key:"size" required:"true"`
+	} `section:"part *"`
 }
 
 func load(t *testing.T, text string) (sample, error) {
@@ -38,16 +41,26 @@
 	is := is.New(t)
 	s, err := load(t, "[main]\nname = x\npeers = 127.0.0.1:2, [::1]:3\n")
 	is.NoErr(err)
+	is.Equal(len(s.Part), 0)
 	is.Equal(s.Main.Wait, 2*time.Second)
 	is.Equal(s.Main.Body, Size(1<<20))
 	is.Equal(s.Main.Peers, []Address{"127.0.0.1:2", "[::1]:3"})
 }
 
+func TestLoadFamily(t *testing.T) {
+	is := is.New(t)
+	s, err := load(t, "[main]\nname = x\n[part a]\nsize = 1\n[part b c]\nsize = 2\n")
+	is.NoErr(err)
+	is.Equal(len(s.Part), 2)
+	is.Equal(s.Part["a"].Size, 1)
+	is.Equal(s.Part["b c"].Size, 2)
+}
+
 func TestLoadMistakes(t *testing.T) {
 	cases := []struct{ name, text, want string }{
 		{"missing", "[main]\n", "s.ini: [main] name: missing; allowed: text"},
 		{"unknown key", "[main]\nname=x\nnope=1\n", "[main] nope: unknown key; allowed: name, wait"},
-		{"unknown section", "[main]\nname=x\n[other]\n", "[other]: unknown section; allowed: [main]"},
+		{"unknown section", "[main]\nname=x\n[other]\n", "[other]: unknown section; allowed: [main], [part *]"},
 		{"no unit", "[main]\nname=x\nwait=5\n", `[main] wait: "5" is not a duration with a unit`},
 		{"too long", "[main]\nname=x\nwait=5m\n", `[main] wait: "5m" is too large`},
 		{"size unit", "[main]\nname=x\nbody=5MB\n", `[main] body: "5MB" is not a size`},
@@ -56,6 +69,7 @@
 		{"bool", "[main]\nname=x\nstrict=yes\n", "is neither true nor false"},
 		{"twice", "[main]\nname=x\nname=y\n", "[main] name: given more than once"},
 		{"range", "[main]\nname=x\ncount=0\n", `[main] count: "0" is too small; allowed: a whole number, at least 1`},
+		{"family", "[main]\nname=x\n[part a]\nsize=1\n[part b]\n", "[part b] size: missing"},
 		{"outside", "name=x\n[main]\nname=x\n", "key outside any section"},
 	}
 	for _, c := range cases {
