Let settings hold values with a text form of their own

A load mix gives lengths as weighted ranges; the reader supported a closed list of types. A type that implements encoding.TextUnmarshaler is now read by its own method; its error is reported with file, section and key like all others.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,8 +7,10 @@
 // every section whose name is the given one, a space and the map's key. The
 // structs' fields are tagged `key:"name"` with the optional tags `default`,
 // `required:"true"`, `allowed:"a|b"`, `min`, `max` and `help`. Supported field
-// types are string, bool, int, float64, time.Duration, Size, Address and
-// slices of string and Address (comma-separated).
+// types are string, bool, int, float64, time.Duration, Size, Address,
+// slices of string and Address (comma-separated), and every type that
+// implements encoding.TextUnmarshaler; its error completes the sentence that
+// begins with the quoted value.
 package settings
 
 import (
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,6 +21,7 @@
 		Policy string        `key:"policy" default:"a" allowed:"a|b"`
 		Strict bool          `key:"strict" default:"false"`
 		Count  int           `key:"count" default:"3" min:"1"`
+		Net    netip.Prefix  `key:"net" default:"10.0.0.0/8"`
 	} `section:"main"`
 	Part map[string]struct {
 		Size int `key:"size" required:"true"`
@@ -69,6 +71,7 @@
 		{"bool", "[main]\nname=x\nstrict=yes\n", "is neither true nor false"},
 		{"twice", "[main]\nname=x\nname=y\n", "[main] name: given more than once"},
 		{"range", "[main]\nname=x\ncount=0\n", `[main] count: "0" is too small; allowed: a whole number, at least 1`},
+		{"own text form", "[main]\nname=x\nnet=7\n", `[main] net: "7" netip`},
 		{"family", "[main]\nname=x\n[part a]\nsize=1\n[part b]\n", "[part b] size: missing"},
 		{"outside", "name=x\n[main]\nname=x\n", "key outside any section"},
 	}
--- a/settings/value.go
+++ b/settings/value.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -75,6 +76,8 @@
 		return setAddresses(p, text)
 	case *[]string:
 		*p = splitList(text)
+	case encoding.TextUnmarshaler:
+		return p.UnmarshalText([]byte(text))
 	default:
 		return fmt.Errorf("has an unsupported type %s", target.Type())
 	}
