Generate open-loop load and judge every answer

A closed loop was ruled out: during a stall it sends nothing and hides the wait of all who would have come. Each flow draws from its own source, so that the short requests of a mix can be run alone and compared one by one.

A caller attaches again after a break, comes back after a refusal and loses patience as its flow says. The record of each request is judged by a table: lost, cut off, damaged, doubled, told "not run" though it ran, late.

--- /dev/null
+++ b/load/fake_test.go
@@ -0,0 +1,120 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/micarudder/micarudder/internal/standin/answer"
+)
+
+// pipeListener hands out in-memory connections, so that virtual time can pass.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	a, b := net.Pipe()
+	select {
+	case l.conns <- b:
+		return a, nil
+	case <-l.done:
+		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	}
+}
+
+// gatewayFake answers presentations by a script; the last entry repeats.
+type gatewayFake struct {
+	mu     sync.Mutex
+	script []http.HandlerFunc
+	seen   []*http.Request
+}
+
+func (g *gatewayFake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.mu.Lock()
+	h := g.script[min(len(g.seen), len(g.script)-1)]
+	g.seen = append(g.seen, r)
+	g.mu.Unlock()
+	h(w, r)
+}
+
+// serve runs the fake in the bubble and returns options that reach it.
+func (g *gatewayFake) serve(t *testing.T, m *Mix) Options {
+	l := newPipeListener()
+	s := &http.Server{Handler: g}
+	tr := &http.Transport{DialContext: l.dial}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		tr.CloseIdleConnections()
+		_ = s.Close()
+	})
+	return Options{Mix: m, Gateways: []string{"http://gateway"}, Seed: 1, Name: "t", Transport: tr}
+}
+
+// bodyOf reads a completion request.
+func bodyOf(r *http.Request) answer.Body {
+	data, _ := io.ReadAll(r.Body)
+	b, err := answer.Parse(data)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func textOf(b answer.Body) string { return string(answer.Text([]byte(b.Prompt), b.MaxTokens)) }
+
+// stream writes text as events of one token, from byte offset from on.
+func stream(w http.ResponseWriter, text string, from int) {
+	w.Header().Set("Content-Type", typeEvents)
+	for at := from; at < len(text); at += answer.TokenBytes {
+		end := min(at+answer.TokenBytes, len(text))
+		fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", end, text[at:end])
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func done(w io.Writer) { fmt.Fprintf(w, "data: %s\n\n", endOfStream) }
+
+// answerWhole streams the request's own answer.
+func answerWhole(w http.ResponseWriter, r *http.Request) {
+	stream(w, textOf(bodyOf(r)), 0)
+	done(w)
+}
+
+func tell(status int, p problem) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", typeProblem)
+		w.Header().Set(headerRetryAfter, strconv.FormatInt((p.RetryAfterMS+999)/1000, 10))
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(p)
+	}
+}
--- /dev/null
+++ b/load/protocol.go
@@ -0,0 +1,85 @@
+package load
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/micarudder/micarudder/result"
+)
+
+// Headers of the callers' protocol.
+const (
+	headerKey        = "Idempotency-Key"
+	headerTicket     = "Rudder-Ticket"
+	headerRepeatable = "Rudder-Repeatable"
+	headerDeadline   = "Rudder-Deadline"
+	headerLastEvent  = "Last-Event-ID"
+	headerRetryAfter = "Retry-After"
+)
+
+// Paths and event types of the callers' protocol.
+const (
+	pathTickets  = "/v1/tickets"
+	pathRuns     = "/v1/runs/"
+	eventRestart = "restart"
+	eventError   = "error"
+	endOfStream  = "[DONE]"
+
+	typeProblem = "application/problem+json"
+	typeEvents  = "text/event-stream"
+)
+
+// problem is the body of an error answer.
+type problem struct {
+	Code         result.Code `json:"code"`
+	Outcome      string      `json:"outcome"`
+	Title        string      `json:"title"`
+	Detail       string      `json:"detail"`
+	RetryAfterMS int64       `json:"retry_after_ms"`
+}
+
+func (p problem) retryAfter() time.Duration {
+	return time.Duration(p.RetryAfterMS) * time.Millisecond
+}
+
+// final maps a told outcome to the end of a request.
+func (p problem) final() Final {
+	switch p.Outcome {
+	case result.NotRun.String():
+		return Refused
+	case result.Ran.String():
+		return Failed
+	default:
+		return Unknown
+	}
+}
+
+// completion is the part of an answer, whole or a chunk, that is read.
+type completion struct {
+	Choices []struct {
+		Delta   message `json:"delta"`
+		Message message `json:"message"`
+		Text    string  `json:"text"`
+	} `json:"choices"`
+}
+
+func parseText(data []byte) (string, error) {
+	var c completion
+	if err := json.Unmarshal(data, &c); err != nil {
+		return "", err
+	}
+	text := ""
+	for _, ch := range c.Choices {
+		text += ch.Delta.Content + ch.Message.Content + ch.Text
+	}
+	return text, nil
+}
+
+type ticketsRequest struct {
+	Count int    `json:"count"`
+	Model string `json:"model"`
+}
+
+type ticketsAnswer struct {
+	Tickets []string `json:"tickets"`
+}
