--- a/load/check_test.go
+++ b/load/check_test.go
@@ -51,7 +51,7 @@
 
 func TestSummarize(t *testing.T) {
 	is := is.New(t)
-	m := &Mix{Run: Run{Duration: 11 * time.Second, Warmup: time.Second}}
+	m := &Mix{Run: RunSettings{Duration: 11 * time.Second, Warmup: time.Second}}
 	base := Record{Final: Whole, Repeatable: true, Executions: 1, Measured: true, Deadline: time.Second, Prompt: 1000, Presentations: 1}
 	with := func(change func(*Record)) Record { r := base; change(&r); return r }
 	s := Summarize(m, 5, 0.8, []Record{
--- a/load/executions.go
+++ b/load/executions.go
@@ -23,13 +23,13 @@
 
 // join writes into each record how often its request ran. When an executor
 // cannot be asked the records keep -1 and the error says so.
-func (o Options) join(ctx context.Context, records []Record) error {
+func (o Options) join(ctx context.Context, c *http.Client, records []Record) error {
 	if len(o.Engines) == 0 {
 		return nil
 	}
 	total := make(map[string]int)
 	for _, url := range o.Engines {
-		one, err := fetchExecutions(ctx, url)
+		one, err := fetchExecutions(ctx, c, url)
 		if err != nil {
 			return trace.Wrap(err, "executions of %s", url)
 		}
@@ -43,7 +43,7 @@
 	return nil
 }
 
-func fetchExecutions(ctx context.Context, url string) (executions, error) {
+func fetchExecutions(ctx context.Context, c *http.Client, url string) (executions, error) {
 	ctx, cancel := context.WithTimeout(ctx, executionsTimeout)
 	defer cancel()
 	var out executions
@@ -51,7 +51,7 @@
 	if err != nil {
 		return out, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := c.Do(req)
 	if err != nil {
 		return out, err
 	}
--- /dev/null
+++ b/load/experiment.go
@@ -0,0 +1,59 @@
+package load
+
+import (
+	"context"
+	"time"
+)
+
+// Experiment is a run of the whole mix, if asked for after a run of its short
+// requests alone.
+type Experiment struct {
+	Options
+	MixName string
+	Alone   bool
+}
+
+// Report is the outcome of an experiment.
+type Report struct {
+	Mix      string    `json:"mix"`
+	Started  time.Time `json:"started"`
+	Summary  *Summary  `json:"summary"`
+	Alone    *Summary  `json:"alone,omitempty"`
+	Slowdown *Slowdown `json:"slowdown,omitempty"`
+	// Records hold every request of the run of the whole mix.
+	Records []Record `json:"-"`
+}
+
+// Broken tells whether any promise was seen broken.
+func (r *Report) Broken() bool {
+	return len(r.Summary.Breaches) > 0 || r.Alone != nil && len(r.Alone.Breaches) > 0
+}
+
+// Run carries out the experiment. It returns the report of what was measured
+// also with an error, unless nothing was.
+func Run(ctx context.Context, e Experiment) (*Report, error) {
+	rep := &Report{Mix: e.MixName, Started: time.Now().UTC()}
+	var alone []Record
+	if e.Alone {
+		o := e.Options
+		o.Name += "-alone"
+		o.Keep = IsShort
+		recs, err := Do(ctx, o)
+		if err != nil {
+			return nil, err
+		}
+		alone = recs
+		rep.Alone = Summarize(o.Mix, o.Seed, o.Load, recs)
+	}
+	recs, err := Do(ctx, e.Options)
+	if recs == nil {
+		return nil, err
+	}
+	rep.Records = recs
+	rep.Summary = Summarize(e.Mix, e.Seed, e.Load, recs)
+	if e.Alone {
+		s := CompareShort(recs, alone)
+		rep.Slowdown = &s
+	}
+	return rep, err
+}
--- a/load/fake_test.go
+++ b/load/fake_test.go
@@ -68,9 +68,11 @@
 }
 
 // serve runs the fake in the bubble and returns options that reach it.
-func (g *gatewayFake) serve(t *testing.T, m *Mix) Options {
+func (g *gatewayFake) serve(t *testing.T, m *Mix) Options { return serveHandler(t, m, g) }
+
+func serveHandler(t *testing.T, m *Mix, h http.Handler) Options {
 	l := newPipeListener()
-	s := &http.Server{Handler: g}
+	s := &http.Server{Handler: h}
 	tr := &http.Transport{DialContext: l.dial}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() {
--- a/load/mix.go
+++ b/load/mix.go
@@ -34,12 +34,12 @@
 
 // Mix is a load mix as read from its INI file.
 type Mix struct {
-	Run  Run             `section:"run"`
+	Run  RunSettings     `section:"run"`
 	Flow map[string]Flow `section:"flow *"`
 }
 
-// Run holds what the flows share.
-type Run struct {
+// RunSettings holds what the flows share.
+type RunSettings struct {
 	Duration    time.Duration `key:"duration" default:"60s" min:"1s" max:"1h" help:"time over which requests arrive"`
 	Rate        float64       `key:"rate" required:"true" min:"0" max:"10000" help:"requests a second of all flows together at load 1"`
 	Warmup      time.Duration `key:"warmup" default:"0s" max:"10m" help:"arrivals of this first part are sent but not measured"`
--- a/load/run.go
+++ b/load/run.go
@@ -49,7 +49,7 @@
 		g.records[i] = o.record(a)
 	}
 	g.run(ctx, arrivals)
-	if err := o.join(context.WithoutCancel(ctx), g.records); err != nil {
+	if err := o.join(context.WithoutCancel(ctx), g.client.http, g.records); err != nil {
 		return g.records, err
 	}
 	return g.records, nil
