--- a/load/caller_test.go
+++ b/load/caller_test.go
@@ -102,7 +102,7 @@
 			return r.Presentations == 2
 		}},
 		{"broken, without a ticket", "", []http.HandlerFunc{abort}, Lost, 1, nil},
-		{"broken under a key, asked again", "idempotency-key = true", []http.HandlerFunc{abort, answerWhole}, Whole, 2, nil},
+		{"broken under a key, asked again", "idempotency_key = true", []http.HandlerFunc{abort, answerWhole}, Whole, 2, nil},
 		{"ended early without an end", "", []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
 			stream(w, textOf(bodyOf(r))[:8], 0)
 		}}, CutOff, 1, nil},
@@ -130,7 +130,7 @@
 			fmt.Fprint(w, "event: error\ndata: {\"code\":5001,\"outcome\":\"ran\"}\n\n")
 		}}, Failed, 1, func(r Record) bool { return r.Code == result.EndpointFailed }},
 		{"hangs past the deadline and the grace", "", []http.HandlerFunc{hang}, Lost, 1, func(r Record) bool { return r.Took() == 21*time.Second }},
-		{"impatient, submits the same request again", "idempotency-key = true\npatience = 3s", []http.HandlerFunc{hang, answerWhole}, Whole, 2, func(r Record) bool {
+		{"impatient, submits the same request again", "idempotency_key = true\npatience = 3s", []http.HandlerFunc{hang, answerWhole}, Whole, 2, func(r Record) bool {
 			return r.Resubmits == 1 && r.Anew == 0 && r.Took() == 3*time.Second+reattachWait
 		}},
 		{"impatient, submits a new request", "resubmit = new\npatience = 3s", []http.HandlerFunc{hang, answerWhole}, Whole, 2, func(r Record) bool { return r.Anew == 1 }},
--- a/load/mix.go
+++ b/load/mix.go
@@ -44,7 +44,7 @@
 	Rate        float64       `key:"rate" required:"true" min:"0" max:"10000" help:"requests a second of all flows together at load 1"`
 	Warmup      time.Duration `key:"warmup" default:"0s" max:"10m" help:"arrivals of this first part are sent but not measured"`
 	Grace       time.Duration `key:"grace" default:"10s" max:"10m" help:"how long past its deadline a request may still end"`
-	MaxInFlight int           `key:"max-in-flight" default:"2000" min:"1" max:"20000" help:"requests open at once; an arrival above it is counted as unsent"`
+	MaxInFlight int           `key:"max_in_flight" default:"2000" min:"1" max:"20000" help:"requests open at once; an arrival above it is counted as unsent"`
 }
 
 // Flow is one kind of request of one workspace.
@@ -56,20 +56,20 @@
 	Stream       bool          `key:"stream" default:"true" help:"whether answers are streamed"`
 	Share        float64       `key:"share" required:"true" min:"0" max:"1" help:"part of the rate"`
 	Arrivals     string        `key:"arrivals" default:"poisson" allowed:"poisson|bursts" help:"kind of arrivals"`
-	BurstEvery   time.Duration `key:"burst-every" default:"15s" min:"1s" help:"time from burst to burst"`
-	BurstLength  time.Duration `key:"burst-length" default:"3s" min:"100ms" help:"length of a burst, at the end of each period"`
-	BurstPart    float64       `key:"burst-part" default:"0.8" min:"0" max:"1" help:"part of the requests that arrive in bursts"`
+	BurstEvery   time.Duration `key:"burst_every" default:"15s" min:"1s" help:"time from burst to burst"`
+	BurstLength  time.Duration `key:"burst_length" default:"3s" min:"100ms" help:"length of a burst, at the end of each period"`
+	BurstPart    float64       `key:"burst_part" default:"0.8" min:"0" max:"1" help:"part of the requests that arrive in bursts"`
 	Prompt       Lengths       `key:"prompt" required:"true" help:"prompt tokens: FROM-TO or FROM-TO:WEIGHT, comma-separated"`
 	Answer       Lengths       `key:"answer" default:"16-64" help:"answer tokens, written like prompt"`
 	Sessions     int           `key:"sessions" default:"0" min:"0" max:"100000" help:"number of sessions that share a prompt prefix; 0: none is shared"`
 	Shared       float64       `key:"shared" default:"0.5" min:"0" max:"0.95" help:"part of the prompt that a session shares"`
 	Repeatable   bool          `key:"repeatable" default:"true" help:"whether a request may run more than once"`
 	Ticket       bool          `key:"ticket" default:"false" help:"whether a ticket is fetched in advance"`
-	Keyed        bool          `key:"idempotency-key" default:"false" help:"whether requests carry an idempotency key"`
+	Keyed        bool          `key:"idempotency_key" default:"false" help:"whether requests carry an idempotency key"`
 	Deadline     time.Duration `key:"deadline" default:"60s" min:"100ms" max:"1h" help:"time a request is allowed"`
 	Patience     time.Duration `key:"patience" default:"0s" help:"time without a first token after which the caller submits again; 0s: never"`
 	Resubmit     string        `key:"resubmit" default:"same-key" allowed:"same-key|new" help:"how an impatient caller submits again"`
-	MaxResubmits int           `key:"max-resubmits" default:"2" min:"0" max:"10" help:"how often an impatient caller submits again"`
+	MaxResubmits int           `key:"max_resubmits" default:"2" min:"0" max:"10" help:"how often an impatient caller submits again"`
 	Retries      int           `key:"retries" default:"0" min:"0" max:"10" help:"how often a refused request comes back after Retry-After"`
 }
 
@@ -116,13 +116,13 @@
 func (f Flow) check(section string) []*settings.Mistake {
 	var out []*settings.Mistake
 	if f.Arrivals == ArrivalsBursts && f.BurstLength > f.BurstEvery {
-		out = append(out, mistake(section, "burst-length", "is longer than burst-every", ""))
+		out = append(out, mistake(section, "burst_length", "is longer than burst_every", ""))
 	}
 	if f.Patience > 0 && f.Resubmit == ResubmitSameKey && !f.Keyed && !f.Ticket {
-		out = append(out, mistake(section, "resubmit", "same-key needs a name to present again", "ticket = true or idempotency-key = true"))
+		out = append(out, mistake(section, "resubmit", "same-key needs a name to present again", "ticket = true or idempotency_key = true"))
 	}
 	if !f.Repeatable && !f.Keyed && !f.Ticket {
-		out = append(out, mistake(section, "repeatable", "an unrepeatable request needs a name", "ticket = true or idempotency-key = true"))
+		out = append(out, mistake(section, "repeatable", "an unrepeatable request needs a name", "ticket = true or idempotency_key = true"))
 	}
 	return out
 }
--- a/load/schedule_test.go
+++ b/load/schedule_test.go
@@ -25,9 +25,9 @@
 model = rudder-llm
 share = 0.6
 arrivals = bursts
-burst-every = 15s
-burst-length = 3s
-burst-part = 0.8
+burst_every = 15s
+burst_length = 3s
+burst_part = 0.8
 prompt = 1k-4k
 ticket = true
 
@@ -65,7 +65,7 @@
 		{"range", "1k-4k", "4k-1k", `[flow drafts] prompt: "4k-1k" has a range that is empty or above 1M`},
 		{"too long", "128k-1M", "128k-2M", "above 1M"},
 		{"weight", "32k:9", "32k:-1", "is not a list of FROM-TO:WEIGHT"},
-		{"burst", "burst-length = 3s", "burst-length = 16s", "[flow drafts] burst-length: is longer than burst-every"},
+		{"burst", "burst_length = 3s", "burst_length = 16s", "[flow drafts] burst_length: is longer than burst_every"},
 		{"no name", "ticket = true", "repeatable = false", "an unrepeatable request needs a name"},
 		{"no name to present", "ticket = true", "patience = 5s", "same-key needs a name"},
 		{"unknown key", "rate = 40", "rate = 40\nspeed = 3", "[run] speed: unknown key"},
