Compute burn rates of service-level objectives from sampled counters

Operators see request outcomes and first-token times only as raw counters per gateway.

A time-series database was ruled out: the operators run none of the project's own. Rules inside the gateways were ruled out too: a gateway sees only its own share, and counts from zero after each restart. First-token goals are applied to the histogram's buckets, so that a goal can change without a restart.

--- /dev/null
+++ b/slo/objectives.go
@@ -0,0 +1,89 @@
+package slo
+
+import (
+	"time"
+
+	"github.com/micarudder/micarudder/settings"
+)
+
+// Config is the objectives file.
+type Config struct {
+	FirstToken struct {
+		Good float64       `key:"good" default:"0.99" min:"0" max:"0.99999" help:"part of first tokens within the goal"`
+		G4k  time.Duration `key:"goal_4k" default:"1s" min:"1ms" help:"goal of prompts to 4k tokens"`
+		G32k time.Duration `key:"goal_32k" default:"4s" min:"1ms" help:"goal of prompts to 32k tokens"`
+		G128 time.Duration `key:"goal_128k" default:"20s" min:"1ms" help:"goal of prompts to 128k tokens"`
+		G1M  time.Duration `key:"goal_1m" default:"5m" min:"1ms" help:"goal of longer prompts"`
+	} `section:"first_token"`
+	Slowdown struct {
+		Good float64 `key:"good" default:"0.95" min:"0" max:"0.99999" help:"part of short requests not slowed down beyond the gateways' goal"`
+	} `section:"slowdown"`
+	Outcomes struct {
+		Good float64 `key:"good" default:"0.999" min:"0" max:"0.99999" help:"part of requests answered whole"`
+	} `section:"outcomes"`
+	Windows map[string]WindowConfig `section:"window *"`
+}
+
+// WindowConfig is one pair of windows.
+type WindowConfig struct {
+	Long     time.Duration `key:"long" required:"true" min:"1s" help:"the window that says that it matters"`
+	Short    time.Duration `key:"short" required:"true" min:"1s" help:"the window that says that it goes on"`
+	Rate     float64       `key:"rate" required:"true" min:"0" help:"burn rate at which both call for attention"`
+	Severity string        `key:"severity" default:"page" allowed:"page|ticket" help:"how soon to act"`
+}
+
+// DefaultWindows are used when the file names none: a month's budget spent by
+// 2 % in an hour, 5 % in six hours, 10 % in three days.
+var DefaultWindows = []Window{
+	{Long: time.Hour, Short: 5 * time.Minute, Rate: 14.4, Severity: Page},
+	{Long: 6 * time.Hour, Short: 30 * time.Minute, Rate: 6, Severity: Page},
+	{Long: 72 * time.Hour, Short: 6 * time.Hour, Rate: 1, Severity: Ticket},
+}
+
+// ReadConfig reads an objectives file.
+func ReadConfig(file string) (*Config, error) {
+	c := new(Config)
+	if err := settings.Load(file, c); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Check implements settings.Checker.
+func (c *Config) Check() []*settings.Mistake {
+	var out []*settings.Mistake
+	for name, w := range c.Windows {
+		if w.Short > w.Long {
+			out = append(out, &settings.Mistake{Section: "window " + name, Key: "short", Problem: "is longer than long"})
+		}
+	}
+	return out
+}
+
+// Objectives returns the objectives in the order of reports.
+func (c *Config) Objectives() []Objective {
+	return []Objective{
+		{FirstToken, c.FirstToken.Good},
+		{Slowdown, c.Slowdown.Good},
+		{Outcomes, c.Outcomes.Good},
+	}
+}
+
+// WindowList returns the windows, the shortest first.
+func (c *Config) WindowList() []Window {
+	if len(c.Windows) == 0 {
+		return DefaultWindows
+	}
+	var out []Window
+	for _, w := range c.Windows {
+		out = append(out, Window{Long: w.Long, Short: w.Short, Rate: w.Rate, Severity: Severity(w.Severity)})
+	}
+	sortWindows(out)
+	return out
+}
+
+// Goals returns the goal of the first token by class.
+func (c *Config) Goals() map[string]time.Duration {
+	f := c.FirstToken
+	return map[string]time.Duration{"4k": f.G4k, "32k": f.G32k, "128k": f.G128, "1M": f.G1M}
+}
