--- a/generation/generation.go
+++ b/generation/generation.go
@@ -6,8 +6,7 @@
 import (
 	"sync"
 
-	"google.golang.org/protobuf/proto"
-
+	"github.com/micarudder/micarudder/document"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -86,15 +85,7 @@
 
 // Decode reads a document as stored in the platform's service. Fields of a
 // newer release are kept and written back by Encode.
-func Decode(b []byte) (*rudderv1.Document, error) {
-	doc := new(rudderv1.Document)
-	if err := proto.Unmarshal(b, doc); err != nil {
-		return nil, err
-	}
-	return doc, nil
-}
+func Decode(b []byte) (*rudderv1.Document, error) { return document.Decode(b) }
 
 // Encode returns the stored form of a document.
-func Encode(doc *rudderv1.Document) ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(doc)
-}
+func Encode(doc *rudderv1.Document) ([]byte, error) { return document.Encode(doc) }
