--- /dev/null
+++ b/plan/text.go
@@ -0,0 +1,100 @@
+package plan
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// WriteText writes the plan for people: what changes, the capacity during the
+// change, the orders by data centre and round, and the broken promises.
+func (p *Plan) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "plan %s over generation %d\n", p.ID, p.BaseGeneration)
+	if p.Empty() {
+		fmt.Fprintln(w, "\nnothing changes")
+		return
+	}
+	if p.Assumed {
+		fmt.Fprintln(w, "no gateway was asked: the base is taken as in force on every declared endpoint")
+	}
+	fmt.Fprintln(w, "\nchanges:")
+	WriteChanges(w, p.Changes)
+	p.writeCapacity(w)
+	p.writeSteps(w)
+	p.writeBreaks(w)
+}
+
+// WriteChanges writes one line for each section and an indented one for each key.
+func WriteChanges(w io.Writer, changes []Change) {
+	sign := map[Action]string{Add: "+", Remove: "-", Alter: "~"}
+	for _, c := range changes {
+		fmt.Fprintf(w, "  %s [%s]\n", sign[c.Action], c.Section)
+		for _, f := range c.Fields {
+			if c.Action == Add {
+				fmt.Fprintf(w, "      %s = %s\n", f.Key, f.To)
+			} else {
+				fmt.Fprintf(w, "      %s: %s -> %s\n", f.Key, orNone(f.From), orNone(f.To))
+			}
+		}
+	}
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "(none)"
+	}
+	return s
+}
+
+func (p *Plan) writeCapacity(w io.Writer) {
+	if len(p.Capacity) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\ncapacity, in serving endpoints:")
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "  model\tdata centre\tbefore\tlowest\tafter\tfloor\twanted")
+	for _, c := range p.Capacity {
+		fmt.Fprintf(t, "  %s\t%s\t%d\t%d\t%d\t%d\t%d\n", c.Model, c.DataCentre, c.Before, c.Lowest, c.After, c.Floor, c.Wanted)
+	}
+	_ = t.Flush()
+}
+
+func (p *Plan) writeSteps(w io.Writer) {
+	if len(p.Steps) == 0 {
+		fmt.Fprintln(w, "\nno endpoint changes what it holds")
+		return
+	}
+	fmt.Fprintf(w, "\norders: %d\n", len(p.Steps))
+	dc, round := "", 0
+	for _, s := range p.Steps {
+		if s.DataCentre != dc || s.Round != round {
+			dc, round = s.DataCentre, s.Round
+			fmt.Fprintf(w, "  %s, round %d\n", dc, round)
+		}
+		fmt.Fprintf(w, "      %s: %s\n", s.Endpoint, s)
+	}
+}
+
+// String returns the order without its endpoint.
+func (s Step) String() string {
+	text := string(s.Kind)
+	if s.Model != "" {
+		text += " " + s.Model + " " + s.Version
+	}
+	return strings.TrimRight(text+" "+s.Adapter+s.Role, " ")
+}
+
+func (p *Plan) writeBreaks(w io.Writer) {
+	if len(p.Breaks) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nbroken promises:")
+	for _, b := range p.Breaks {
+		state := "refused; force it by this name"
+		if b.Forced {
+			state = "forced"
+		}
+		fmt.Fprintf(w, "  %s: %s (%s)\n", b.Name, b.Detail, state)
+	}
+}
