Add the operators' command line

check, plan, confirm, status, explain, generations and completion, each in a file of its own and listed in one registry, with JSON output and documented exit codes. The logic is a library; the main only wires it. Sessions against the stand-in of the platform and a gateway with fixed answers are kept as scripts.

--- /dev/null
+++ b/cmd/rudderctl/main.go
@@ -0,0 +1,47 @@
+// Command rudderctl is the operators' command line; docs/RUDDERCTL.md
+// describes it.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+	"time"
+
+	"github.com/micarudder/micarudder/ctl"
+	"github.com/micarudder/micarudder/platform"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	env := ctl.Env{
+		Stdin:    os.Stdin,
+		Stdout:   os.Stdout,
+		Stderr:   os.Stderr,
+		Now:      time.Now,
+		Operator: operator(),
+		Store:    store,
+	}
+	return int(ctl.Run(ctx, env, os.Args[1:]))
+}
+
+// operator names who runs the command, for the record.
+func operator() string {
+	if name := os.Getenv("RUDDER_OPERATOR"); name != "" {
+		return name
+	}
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return u.Username
+}
+
+func store(address string) (platform.Store, error) {
+	return platform.NewClient(platform.Options{Addresses: []string{address}})
+}
--- /dev/null
+++ b/ctl/completion.go
@@ -0,0 +1,24 @@
+package ctl
+
+// completionScript asks the program itself, through go-flags' own protocol.
+const completionScript = `_rudderctl() {
+    local args=("${COMP_WORDS[@]:1:$COMP_CWORD}")
+    local IFS=$'\n'
+    COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${args[@]}"))
+    return 0
+}
+complete -o default -F _rudderctl rudderctl
+`
+
+type completionCommand struct {
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *completionCommand) Execute([]string) error {
+	if c.app.JSON {
+		return c.app.writeJSON(map[string]string{"bash": completionScript})
+	}
+	c.app.printf("%s", completionScript)
+	return nil
+}
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,130 @@
+// Package ctl is the operators' command line as a library: each sub-command
+// stands in a file of its own and is listed in registry.go. The outside world
+// (output, clock, platform, gateways) comes in as an Env.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/micarudder/micarudder/platform"
+)
+
+// Version is the release, set by the linker.
+var Version = "development"
+
+// Env is what the command line needs from outside.
+type Env struct {
+	Stdin    io.Reader
+	Stdout   io.Writer
+	Stderr   io.Writer
+	Now      func() time.Time
+	Operator string // recorded with an accepted plan
+	// Store opens the platform's key-value service at an address.
+	Store func(address string) (platform.Store, error)
+}
+
+// globals are the options of every sub-command.
+type globals struct {
+	JSON     bool          `long:"json" description:"write JSON instead of text"`
+	Platform string        `long:"platform" env:"RUDDER_PLATFORM" value-name:"IP:PORT" description:"address of the platform's key-value service"`
+	Gateways []string      `long:"gateway" env:"RUDDER_GATEWAYS" env-delim:"," value-name:"IP:PORT" description:"inner address of a gateway; may be repeated"`
+	Cert     string        `long:"cert" env:"RUDDER_CERT" value-name:"FILE" description:"PEM certificate for the inner protocol"`
+	Key      string        `long:"key" env:"RUDDER_KEY" value-name:"FILE" description:"PEM key of the certificate"`
+	CA       string        `long:"ca" env:"RUDDER_CA" value-name:"FILE" description:"PEM certificate of the installation's authority"`
+	Timeout  time.Duration `long:"timeout" default:"10s" value-name:"DURATION" description:"time for the whole command"`
+	Version  func()        `long:"version" description:"write the release and exit"`
+}
+
+// app is one invocation.
+type app struct {
+	Env
+	globals
+	ctx  context.Context
+	exit Exit
+}
+
+// errVersion ends parsing once the release is written.
+var errVersion = errors.New("version written")
+
+// Run executes the command line and returns its exit code. args has no program name.
+func Run(ctx context.Context, env Env, args []string) Exit {
+	a := &app{Env: env, ctx: ctx}
+	showVersion := false
+	a.globals.Version = func() { showVersion = true }
+	p := newParser(a)
+	p.CommandHandler = func(c flags.Commander, rest []string) error {
+		if showVersion {
+			return errVersion
+		}
+		if c == nil {
+			return &flags.Error{Type: flags.ErrCommandRequired, Message: "no command given"}
+		}
+		return a.execute(c, rest)
+	}
+	_, err := p.ParseArgs(args)
+	if showVersion {
+		fmt.Fprintf(a.Stdout, "rudderctl %s\n", Version)
+		return ExitOK
+	}
+	return a.report(err)
+}
+
+func newParser(a *app) *flags.Parser {
+	p := flags.NewNamedParser("rudderctl", flags.HelpFlag|flags.PassDoubleDash)
+	p.SubcommandsOptional = true
+	if _, err := p.AddGroup("Common options", "", &a.globals); err != nil {
+		panic(err) // a fixed struct: only a programming error can end here
+	}
+	for _, c := range commands(a) {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.body); err != nil {
+			panic(err)
+		}
+	}
+	return p
+}
+
+// execute runs one sub-command under the command's time limit.
+func (a *app) execute(c flags.Commander, rest []string) error {
+	ctx, cancel := context.WithTimeout(a.ctx, a.Timeout)
+	defer cancel()
+	a.ctx = ctx
+	a.Gateways = slices.DeleteFunc(a.Gateways, func(address string) bool { return address == "" })
+	if len(rest) > 0 {
+		return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", rest[0])}
+	}
+	return c.Execute(nil)
+}
+
+// writeJSON writes v to standard output; errors go to standard error.
+func (a *app) writeJSON(v any) error { return writeJSON(a.Stdout, v) }
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
+}
+
+func (a *app) printf(format string, args ...any) {
+	fmt.Fprintf(a.Stdout, format, args...)
+}
+
+// store opens the platform's service, which most commands need.
+func (a *app) store() (platform.Store, error) {
+	if a.Platform == "" {
+		return nil, usage("--platform or RUDDER_PLATFORM is needed")
+	}
+	return a.Env.Store(a.Platform)
+}
+
+func usage(text string) error {
+	return &flags.Error{Type: flags.ErrRequired, Message: text}
+}
--- /dev/null
+++ b/ctl/ctl_test.go
@@ -0,0 +1,126 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/testscript"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/micarudder/micarudder/inner"
+	standin "github.com/micarudder/micarudder/internal/standin/platform"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/rudderv1"
+	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"rudderctl": func() { os.Exit(int(program())) }})
+}
+
+// program is the program with a fixed clock.
+func program() Exit {
+	return Run(context.Background(), Env{
+		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
+		Now:      func() time.Time { return time.Date(2026, 3, 9, 8, 0, 0, 0, time.UTC) },
+		Operator: os.Getenv("RUDDER_OPERATOR"),
+		Store: func(address string) (platform.Store, error) {
+			return platform.NewClient(platform.Options{Addresses: []string{address}})
+		},
+	}, os.Args[1:])
+}
+
+// fakeGateway answers from the files status.json and explain.json of a script.
+type fakeGateway struct {
+	rudderv1connect.UnimplementedGatewayServiceHandler
+	dir string
+}
+
+func (g *fakeGateway) Status(context.Context, *connect.Request[rudderv1.StatusRequest]) (*connect.Response[rudderv1.StatusResponse], error) {
+	m := new(rudderv1.StatusResponse)
+	data, err := os.ReadFile(g.dir + "/status.json")
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(m), protojson.Unmarshal(data, m)
+}
+
+func (g *fakeGateway) Explain(_ context.Context, r *connect.Request[rudderv1.ExplainRequest]) (*connect.Response[rudderv1.ExplainResponse], error) {
+	m := new(rudderv1.ExplainResponse)
+	data, err := os.ReadFile(g.dir + "/explain-" + r.Msg.RequestId + ".json")
+	if err != nil {
+		return connect.NewResponse(m), nil
+	}
+	return connect.NewResponse(m), protojson.Unmarshal(data, m)
+}
+
+// setup starts a platform and a gateway for one script.
+func setup(e *testscript.Env) error {
+	store := httptest.NewServer(standin.NewServer(standin.Config{}).Handler())
+	e.Defer(store.Close)
+	_, handler := rudderv1connect.NewGatewayServiceHandler(&fakeGateway{dir: e.WorkDir})
+	gateway := httptest.NewUnstartedServer(handler)
+	srv, err := inner.NewServer(handler, inner.KeyFiles{})
+	if err != nil {
+		return err
+	}
+	gateway.Config = srv
+	gateway.Start()
+	e.Defer(gateway.Close)
+	e.Setenv("RUDDER_PLATFORM", strings.TrimPrefix(store.URL, "http://"))
+	e.Setenv("GATEWAY", strings.TrimPrefix(gateway.URL, "http://"))
+	e.Setenv("RUDDER_OPERATOR", "jana")
+	wd, err := os.Getwd()
+	e.Setenv("EXAMPLES", wd+"/../examples")
+	return err
+}
+
+// exits runs a command and checks its exit code: exits 5 rudderctl confirm p.json
+func runExits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE COMMAND...")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata/script",
+		Setup:         setup,
+		Cmds:          map[string]func(*testscript.TestScript, bool, []string){"exits": runExits},
+		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
+	})
+}
+
+func TestExitCodesAreDocumented(t *testing.T) {
+	is := is.New(t)
+	doc, err := os.ReadFile("../docs/RUDDERCTL.md")
+	is.NoErr(err)
+	for _, e := range exitCodes {
+		row := fmt.Sprintf("| %d | %s |", e.code, e.text)
+		if !strings.Contains(string(doc), row) {
+			t.Errorf("missing in docs/RUDDERCTL.md: %s", row)
+		}
+	}
+}
--- /dev/null
+++ b/ctl/explain.go
@@ -0,0 +1,94 @@
+package ctl
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"connectrpc.com/connect"
+
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+type explainCommand struct {
+	app  *app
+	Args struct {
+		Request string `positional-arg-name:"REQUEST" required:"true" description:"request id from the Rudder-Request-Id header"`
+	} `positional-args:"true"`
+}
+
+// explained is the JSON form of one gateway's record.
+type explained struct {
+	Gateway   string               `json:"gateway"`
+	Decisions []*rudderv1.Decision `json:"decisions"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	if len(c.app.Gateways) == 0 {
+		return usage("--gateway or RUDDER_GATEWAYS is needed")
+	}
+	clients, err := c.app.gateways()
+	if err != nil {
+		return err
+	}
+	var found []explained
+	var lost error
+	for i, client := range clients {
+		r, err := client.Explain(c.app.ctx, connect.NewRequest(&rudderv1.ExplainRequest{RequestId: c.Args.Request}))
+		switch {
+		case err != nil:
+			lost = err
+		case r.Msg.Found:
+			found = append(found, explained{c.app.Gateways[i], r.Msg.Decisions})
+		}
+	}
+	if lost != nil {
+		c.app.exit = ExitPartial
+	}
+	switch {
+	case len(found) > 0:
+		return c.write(found)
+	case lost != nil:
+		return result.New(result.PlatformAway, "no answering gateway knows the request: "+lost.Error())
+	default:
+		return result.New(result.UnknownRun, "no gateway has a record of request "+c.Args.Request)
+	}
+}
+
+func (c *explainCommand) write(found []explained) error {
+	if c.app.JSON {
+		return c.app.writeJSON(found)
+	}
+	for _, f := range found {
+		c.app.printf("gateway %s\n", f.Gateway)
+		for _, d := range f.Decisions {
+			c.decision(d)
+		}
+	}
+	return nil
+}
+
+func (c *explainCommand) decision(d *rudderv1.Decision) {
+	c.app.printf("  attempt %d, %d ms ago: %s: %s\n", d.Attempt, d.AgeMs, orDash(d.Picked), d.Reason)
+	t := tabwriter.NewWriter(c.app.Stdout, 0, 0, 2, ' ', 0)
+	for _, s := range d.Candidates {
+		if !s.Kept {
+			fmt.Fprintf(t, "    %s\tfiltered by %s\t\n", s.Endpoint, s.FilteredBy)
+			continue
+		}
+		fmt.Fprintf(t, "    %s\t%.3f\t%s\n", s.Endpoint, s.Score, partsText(s.Parts))
+	}
+	_ = t.Flush()
+}
+
+func partsText(parts map[string]float64) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		out = append(out, fmt.Sprintf("%s=%.3f", name, parts[name]))
+	}
+	return strings.Join(out, " ")
+}
--- /dev/null
+++ b/ctl/registry.go
@@ -0,0 +1,22 @@
+package ctl
+
+import "github.com/jessevdk/go-flags"
+
+// command is one sub-command; its body is a struct of options.
+type command struct {
+	name, short, long string
+	body              flags.Commander
+}
+
+// commands lists the sub-commands in the order of the help.
+func commands(a *app) []command {
+	return []command{
+		{"check", "Check declarations", "Reads declaration files and reports every mistake.", &checkCommand{app: a}},
+		{"plan", "Plan a change", "Compares declarations with the accepted configuration.", &planCommand{app: a}},
+		{"confirm", "Accept a plan", "Accepts a plan with one compare-and-swap; safe to repeat.", &confirmCommand{app: a}},
+		{"status", "Show the fleet", "Asks the gateways what they see.", &statusCommand{app: a}},
+		{"explain", "Explain a request", "Shows the recorded routing decisions of a request.", &explainCommand{app: a}},
+		{"generations", "Show generations", "Shows the accepted generation, the plans before it and each gateway's.", &generationsCommand{app: a}},
+		{"completion", "Write shell completion", "Writes the completion script for bash.", &completionCommand{app: a}},
+	}
+}
--- /dev/null
+++ b/ctl/status.go
@@ -0,0 +1,165 @@
+package ctl
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+type statusCommand struct {
+	app *app
+}
+
+// fleet is the JSON form of the status.
+type fleet struct {
+	Generation uint64           `json:"generation"` // highest that any process reports
+	Gateways   []gatewayStatus  `json:"gateways"`
+	Endpoints  []endpointStatus `json:"endpoints"`
+}
+
+type gatewayStatus struct {
+	Address    string `json:"address"`
+	Name       string `json:"name,omitempty"`
+	DataCentre string `json:"data_centre,omitempty"`
+	Generation uint64 `json:"generation"`
+	Behind     uint64 `json:"behind"` // generations behind the highest
+	Platform   string `json:"platform,omitempty"`
+	Draining   bool   `json:"draining"`
+	Error      string `json:"error,omitempty"`
+}
+
+type endpointStatus struct {
+	Name       string   `json:"name"`
+	DataCentre string   `json:"data_centre"`
+	Generation uint64   `json:"generation"`
+	Behind     uint64   `json:"behind"`
+	State      string   `json:"state"`
+	Role       string   `json:"role,omitempty"`
+	Service    string   `json:"service,omitempty"`
+	Models     []string `json:"models,omitempty"`
+	Loading    []string `json:"loading,omitempty"`
+	Queued     uint32   `json:"queued"`
+	Running    uint32   `json:"running"`
+	Breaker    string   `json:"breaker,omitempty"`
+	SilentMS   int64    `json:"silent_ms"`
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	if len(c.app.Gateways) == 0 {
+		return usage("--gateway or RUDDER_GATEWAYS is needed")
+	}
+	views, err := c.app.askStatus()
+	if err != nil {
+		return err
+	}
+	f, missing := summarise(views)
+	if missing == len(views) {
+		return result.New(result.PlatformAway, "no gateway answers: "+views[0].Err.Error())
+	}
+	if missing > 0 {
+		c.app.exit = ExitPartial
+	}
+	if c.app.JSON {
+		return c.app.writeJSON(f)
+	}
+	c.writeText(f)
+	return nil
+}
+
+// summarise builds the fleet's status and counts the gateways without an answer.
+func summarise(views []gatewayView) (fleet, int) {
+	var f fleet
+	missing := 0
+	reports := freshest(views)
+	for _, v := range views {
+		f.Generation = max(f.Generation, v.Status.GetGeneration())
+	}
+	for _, e := range reports {
+		f.Generation = max(f.Generation, e.GetReport().GetGeneration())
+	}
+	for _, v := range views {
+		if v.Status == nil {
+			missing++
+			f.Gateways = append(f.Gateways, gatewayStatus{Address: v.Address, Error: v.Err.Error()})
+			continue
+		}
+		f.Gateways = append(f.Gateways, f.gateway(v))
+	}
+	for _, name := range slices.Sorted(maps.Keys(reports)) {
+		f.Endpoints = append(f.Endpoints, f.endpoint(reports[name]))
+	}
+	return f, missing
+}
+
+func (f *fleet) gateway(v gatewayView) gatewayStatus {
+	s := v.Status
+	g := gatewayStatus{
+		Address: v.Address, Name: s.Gateway, DataCentre: s.DataCentre, Generation: s.Generation,
+		Behind: f.Generation - s.Generation, Platform: "reachable", Draining: s.Draining,
+	}
+	if !s.PlatformReachable {
+		g.Platform = fmt.Sprintf("silent for %d s", s.PlatformSilentMs/1000)
+	}
+	return g
+}
+
+func (f *fleet) endpoint(e *rudderv1.EndpointStatus) endpointStatus {
+	r := e.GetReport()
+	s := endpointStatus{
+		Name: r.Endpoint, DataCentre: r.DataCentre, Generation: r.Generation, Behind: f.Generation - r.Generation,
+		State: stateText(e), Role: r.Role, Service: r.Service,
+		Queued: r.GetLoad().GetQueued(), Running: r.GetLoad().GetRunning(), Breaker: e.Breaker, SilentMS: e.SilentMs,
+	}
+	for _, m := range r.Models {
+		name := m.Model + "@" + m.Version
+		if m.Loading {
+			s.Loading = append(s.Loading, name)
+		} else {
+			s.Models = append(s.Models, name)
+		}
+	}
+	return s
+}
+
+func stateText(e *rudderv1.EndpointStatus) string {
+	if !e.Connected {
+		return "unreachable"
+	}
+	text := strings.TrimPrefix(e.GetReport().GetState().String(), "AGENT_STATE_")
+	return strings.ToLower(strings.ReplaceAll(text, "_", "-"))
+}
+
+func (c *statusCommand) writeText(f fleet) {
+	c.app.printf("generation %d\n\n", f.Generation)
+	t := tabwriter.NewWriter(c.app.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "gateway\tdata centre\tgeneration\tbehind\tplatform\tnote")
+	for _, g := range f.Gateways {
+		note := g.Error
+		if g.Draining {
+			note = "draining"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\n", orDash(g.Name, g.Address), orDash(g.DataCentre), g.Generation, g.Behind, orDash(g.Platform), note)
+	}
+	fmt.Fprintln(t, "\nendpoint\tdata centre\tgeneration\tbehind\tstate\tholds\tloading\tqueued\trunning")
+	for _, e := range f.Endpoints {
+		holds := strings.Join(e.Models, " ")
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\t%s\t%d\t%d\n", e.Name, e.DataCentre, e.Generation, e.Behind,
+			e.State, orDash(e.Service, holds), orDash(strings.Join(e.Loading, " ")), e.Queued, e.Running)
+	}
+	_ = t.Flush()
+}
+
+func orDash(texts ...string) string {
+	for _, s := range texts {
+		if s != "" {
+			return s
+		}
+	}
+	return "-"
+}
