Hold placement against its bounds and mend three faults

- Greedy choice left a model without room although moving another would have made it; short models are now served along the shortest chain of moves.
- A pair left over from the first pass could be taken a second time.
- Which endpoint may unload depended on who was busy, so two agents with views of different age could spend the same reserve: a model at floor 1 went to 0.
The reserve is now set aside in the fixed order of endpoints whether or not the order can be given yet.

A lease for the right to unload was ruled out for this: it costs platform calls and stops all movement in an outage.

--- a/placement/assign.go
+++ b/placement/assign.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -44,57 +43,79 @@
 	need  int
 }
 
-// pair is a possible choice; higher scores win.
-type pair struct {
-	score    uint64
-	demand   *demand
-	endpoint *rudderv1.Endpoint
+// allocation is the state of assigning one data centre.
+type allocation struct {
+	engines []*rudderv1.Endpoint
+	demands []*demand
+	free    map[string]int
+	holds   map[string][]*demand // by endpoint
 }
 
-func assignIn(out Assigned, doc *rudderv1.Document, dc string, live map[string]bool) {
+func newAllocation(doc *rudderv1.Document, dc string, live map[string]bool) *allocation {
+	a := &allocation{free: make(map[string]int), holds: make(map[string][]*demand)}
 	leaving := leavingHosts(doc)
-	free := make(map[string]int)
-	var engines []*rudderv1.Endpoint
 	for _, e := range doc.GetEndpoints() {
 		if e.DataCentre == dc && live[e.Name] && isEngine(e, leaving) {
-			engines = append(engines, e)
-			free[e.Name] = Slots(e)
+			a.engines = append(a.engines, e)
+			a.free[e.Name] = Slots(e)
 		}
 	}
-	var demands []*demand
 	for _, m := range doc.GetModels() {
 		if m.Replicas[dc] > 0 {
-			demands = append(demands, &demand{model: m})
+			a.demands = append(a.demands, &demand{model: m})
 		}
 	}
-	pairs := rank(demands, engines)
+	slices.SortFunc(a.demands, func(x, y *demand) int { return cmp.Compare(x.model.Name, y.model.Name) })
+	return a
+}
+
+func assignIn(out Assigned, doc *rudderv1.Document, dc string, live map[string]bool) {
+	a := newAllocation(doc, dc, live)
+	pairs := a.rank()
 	// Every model gets its floor before any gets more.
-	for _, d := range demands {
-		d.need = int(max(1, min(d.model.Floor, d.model.Replicas[dc])))
+	for _, d := range a.demands {
+		d.need = least(d.model, dc)
 	}
-	pairs = choose(out, pairs, free)
-	for _, d := range demands {
-		d.need += int(d.model.Replicas[dc] - max(1, min(d.model.Floor, d.model.Replicas[dc])))
+	pairs = a.choose(pairs)
+	a.repair()
+	for _, d := range a.demands {
+		d.need += int(d.model.Replicas[dc]) - least(d.model, dc)
 	}
-	choose(out, pairs, free)
-	for _, e := range engines {
-		slices.SortFunc(out[e.Name], func(a, b Assignment) int { return cmp.Compare(a.Model, b.Model) })
+	a.choose(pairs)
+	a.repair()
+	for _, e := range a.engines {
+		for _, d := range a.holds[e.Name] {
+			out[e.Name] = append(out[e.Name], assignment(d.model))
+		}
+		slices.SortFunc(out[e.Name], func(x, y Assignment) int { return cmp.Compare(x.Model, y.Model) })
 	}
 }
 
-func rank(demands []*demand, engines []*rudderv1.Endpoint) []pair {
-	pairs := make([]pair, 0, len(demands)*len(engines))
-	for _, d := range demands {
-		for _, e := range engines {
+// least is what a model gets before others get more: its floor, at least one.
+func least(m *rudderv1.Model, dc string) int {
+	return int(max(1, min(m.Floor, m.Replicas[dc])))
+}
+
+// pair is a possible choice; higher scores win.
+type pair struct {
+	score    uint64
+	demand   *demand
+	endpoint *rudderv1.Endpoint
+}
+
+func (a *allocation) rank() []pair {
+	pairs := make([]pair, 0, len(a.demands)*len(a.engines))
+	for _, d := range a.demands {
+		for _, e := range a.engines {
 			pairs = append(pairs, pair{score(d.model.Name, e.Name), d, e})
 		}
 	}
-	sort.Slice(pairs, func(i, j int) bool {
-		a, b := pairs[i], pairs[j]
-		if a.score != b.score {
-			return a.score > b.score
-		}
-		return a.demand.model.Name+"\x00"+a.endpoint.Name < b.demand.model.Name+"\x00"+b.endpoint.Name
+	slices.SortFunc(pairs, func(x, y pair) int {
+		return cmp.Or(
+			cmp.Compare(y.score, x.score),
+			cmp.Compare(x.demand.model.Name, y.demand.model.Name),
+			cmp.Compare(x.endpoint.Name, y.endpoint.Name),
+		)
 	})
 	return pairs
 }
@@ -105,20 +126,29 @@
 
 // choose takes pairs from the best down while both sides have room, and
 // returns those it did not take.
-func choose(out Assigned, pairs []pair, free map[string]int) []pair {
+func (a *allocation) choose(pairs []pair) []pair {
 	var rest []pair
 	for _, p := range pairs {
-		if p.demand.need == 0 || free[p.endpoint.Name] == 0 {
+		if p.demand.need == 0 || a.free[p.endpoint.Name] == 0 || slices.Contains(a.holds[p.endpoint.Name], p.demand) {
 			rest = append(rest, p)
 			continue
 		}
+		a.put(p.demand, p.endpoint.Name)
 		p.demand.need--
-		free[p.endpoint.Name]--
-		out[p.endpoint.Name] = append(out[p.endpoint.Name], assignment(p.demand.model))
 	}
 	return rest
 }
 
+func (a *allocation) put(d *demand, endpoint string) {
+	a.free[endpoint]--
+	a.holds[endpoint] = append(a.holds[endpoint], d)
+}
+
+func (a *allocation) take(d *demand, endpoint string) {
+	a.free[endpoint]++
+	a.holds[endpoint] = slices.DeleteFunc(a.holds[endpoint], func(x *demand) bool { return x == d })
+}
+
 func assignment(m *rudderv1.Model) Assignment {
 	a := Assignment{Model: m.Name, Version: m.Version, Weights: m.Weights}
 	for _, x := range m.Adapters {
--- a/placement/next.go
+++ b/placement/next.go
@@ -1,21 +1,23 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
-// Blocked is an unload that a floor forbids at present.
+// Blocked is an unload that is held back.
 type Blocked struct {
 	DataCentre string
 	Endpoint   string
 	Model      string
+	Waits      bool // until the model's replacements serve; otherwise its floor forbids the unload
 }
 
 // Next returns the orders that may be given now in one data centre, at most
-// one for each endpoint, and the unloads that a floor holds back. It bounds
+// one for each endpoint, and the unloads that are held back. It bounds
 // the endpoints in change and the loads from the weight store; work in
 // progress counts against both bounds.
 func Next(doc *rudderv1.Document, dataCentre string, assigned Assigned, view View) ([]Step, []Blocked) {
@@ -28,21 +30,10 @@
 	for _, e := range b.engines {
 		b.vacate(e)
 	}
-	slices.SortFunc(b.steps, func(x, y Step) int { return cmpStrings(x.Endpoint, y.Endpoint) })
+	slices.SortFunc(b.steps, func(x, y Step) int { return cmp.Compare(x.Endpoint, y.Endpoint) })
 	return b.steps, b.blocked
 }
 
-func cmpStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // batch is the state of one call of Next.
 type batch struct {
 	doc      *rudderv1.Document
@@ -81,7 +72,7 @@
 			b.count(e)
 		}
 	}
-	slices.SortFunc(b.engines, func(x, y *rudderv1.Endpoint) int { return cmpStrings(x.Name, y.Name) })
+	slices.SortFunc(b.engines, func(x, y *rudderv1.Endpoint) int { return cmp.Compare(x.Name, y.Name) })
 	b.maxLoads = int(doc.GetPlacement().GetConcurrentLoads())
 	if b.maxLoads == 0 {
 		b.maxLoads = DefaultConcurrentLoads
@@ -258,30 +249,41 @@
 	return append(other, old...)
 }
 
-// vacate orders the unload of a model that the endpoint should not hold.
+// vacate goes through the endpoint's surplus models. What may be unloaded is
+// set aside at once, also when the endpoint cannot take the order yet: the
+// choice then depends on the endpoints' order alone, and agents that decide by
+// themselves from views of different age never spend the same reserve twice.
 func (b *batch) vacate(e *rudderv1.Endpoint) {
-	if b.ordered[e.Name] || b.inFlight() >= b.maxMoves {
-		return
-	}
-	if !b.moving[e.Name] && len(b.moving) >= b.maxMoves {
-		return
-	}
-	full := len(b.missing(e)) > 0 && len(b.view[e.Name].Models) >= Slots(e)
-	for _, m := range b.surplus(e) {
+	surplus := b.surplus(e)
+	full := len(b.assigned[e.Name])+len(surplus) > Slots(e) // the room is needed
+	for _, m := range surplus {
 		if !b.mayUnload(e, m, full) {
-			b.blocked = append(b.blocked, Blocked{b.dc, e.Name, m.Name})
+			b.blocked = append(b.blocked, Blocked{b.dc, e.Name, m.Name, !full})
 			continue
 		}
 		if b.lastCopy(e, m) {
 			b.serving[m.Name]--
 		}
-		b.step(e, engine.Order{Kind: engine.OrderUnloadModel, Model: m.Name, Version: m.Version})
-		return
+		if b.mayOrderUnload(e) {
+			b.step(e, engine.Order{Kind: engine.OrderUnloadModel, Model: m.Name, Version: m.Version})
+		}
+	}
+}
+
+// mayOrderUnload holds the bounds on endpoints in change, and keeps a model
+// while the endpoint still has room for what it lacks.
+func (b *batch) mayOrderUnload(e *rudderv1.Endpoint) bool {
+	if b.ordered[e.Name] || b.inFlight() >= b.maxMoves {
+		return false
+	}
+	if !b.moving[e.Name] && len(b.moving) >= b.maxMoves {
+		return false
 	}
+	return len(b.missing(e)) == 0 || len(b.view[e.Name].Models) >= Slots(e)
 }
 
-// mayUnload keeps the floor when the room is needed at once, and otherwise
-// waits until the replacements serve.
+// mayUnload keeps the floor when the room is needed, and otherwise waits until
+// the replacements serve.
 func (b *batch) mayUnload(e *rudderv1.Endpoint, m engine.Model, needed bool) bool {
 	if !b.lastCopy(e, m) {
 		return true
