--- a/plan/breaks.go
+++ b/plan/breaks.go
@@ -128,9 +128,10 @@
 			users[s] = w.Name
 		}
 	}
+	gone := leavingHosts(c.next)
 	for service, user := range users {
 		if !slices.ContainsFunc(c.next.GetEndpoints(), func(e *rudderv1.Endpoint) bool {
-			return e.Service == service && !leaving(c.next, e) && c.view[e.Name].Serving
+			return e.Service == service && !e.Leaving && !gone[e.Host] && c.view[e.Name].Serving
 		}) {
 			c.add(breakService+service, "workspace %s uses it and no live endpoint would offer it", user)
 		}
--- a/plan/simulate.go
+++ b/plan/simulate.go
@@ -40,7 +40,6 @@
 	steps    []Step
 	capacity []Capacity
 	stuck    []placement.Blocked // unloads that floors forbid for good
-	unmet    []string            // data centres that end short of their assignment
 }
 
 // maxRounds bounds the simulation: each round gives at least one order, and an
@@ -80,8 +79,9 @@
 // simulate carries the change out on a copy of the view.
 func simulate(base, next *rudderv1.Document, view placement.View) outcome {
 	var out outcome
+	gone := leavingHosts(next)
 	before := count(base, view)
-	cur := settle(next, view)
+	cur := settle(next, view, gone)
 	lowest := count(next, cur)
 	assigned := placement.Assign(next, cur.Live())
 	for _, dc := range placement.DataCentres(next) {
@@ -98,7 +98,7 @@
 // settle copies the view as it is the moment the next document is in force:
 // endpoints that leave or are no longer declared serve nothing, and orders in
 // progress have ended.
-func settle(next *rudderv1.Document, view placement.View) placement.View {
+func settle(next *rudderv1.Document, view placement.View, gone map[string]bool) placement.View {
 	out := make(placement.View, len(view))
 	for _, e := range next.GetEndpoints() {
 		h, ok := view[e.Name]
@@ -110,32 +110,28 @@
 		for i := range h.Models {
 			h.Models[i].Loading = false
 		}
-		h.Serving = h.Serving && !leaving(next, e)
+		h.Serving = h.Serving && !e.Leaving && !gone[e.Host]
 		out[e.Name] = h
 	}
 	return out
 }
 
-func leaving(d *rudderv1.Document, e *rudderv1.Endpoint) bool {
-	if e.Leaving {
-		return true
-	}
+// leavingHosts returns the names of the hosts that the document lets go.
+func leavingHosts(d *rudderv1.Document) map[string]bool {
+	out := make(map[string]bool)
 	for _, h := range d.GetHosts() {
-		if h.Name == e.Host {
-			return h.Leaving
+		if h.Leaving {
+			out[h.Name] = true
 		}
 	}
-	return false
+	return out
 }
 
 func (out *outcome) zone(next *rudderv1.Document, dc string, assigned placement.Assigned, cur placement.View, lowest tally) {
 	for round := 1; round <= maxRounds; round++ {
 		steps, blocked := placement.Next(next, dc, assigned, cur)
 		if len(steps) == 0 {
-			out.stuck = append(out.stuck, blocked...)
-			if len(blocked) > 0 {
-				out.unmet = append(out.unmet, dc)
-			}
+			out.stuck = append(out.stuck, slices.DeleteFunc(blocked, func(b placement.Blocked) bool { return b.Waits })...)
 			return
 		}
 		for _, s := range steps {
