Describe a change of the document as a delta

The stored value is well under the platform's megabyte, but sent to every agent at each change it would be the largest message of the inner protocol.

New messages and fields only; nothing sends a delta yet.

--- a/plan/confirm.go
+++ b/plan/confirm.go
@@ -96,12 +96,7 @@
 	d.PlanId = p.ID
 	d.Operator = p.Operator
 	d.AcceptedUnixMs = now.UnixMilli()
-	if cur.Generation > 0 {
-		d.History = append([]string{cur.PlanId}, cur.History...)
-	}
-	if len(d.History) > HistoryLen {
-		d.History = d.History[:HistoryLen]
-	}
+	d.History = document.History(cur)
 	return d
 }
 
--- a/plan/confirm_test.go
+++ b/plan/confirm_test.go
@@ -76,7 +76,7 @@
 	r, err := Confirm(ctx, store, first, when)
 	is.NoErr(err)
 	is.Equal(*r, Receipt{Code: result.OK, PlanID: first.ID, Generation: 1, Current: 1})
-	for i := range HistoryLen {
+	for i := range document.HistoryLen {
 		base, _, err := Accepted(ctx, store)
 		is.NoErr(err)
 		_, err = Confirm(ctx, store, newPlan(t, base, fmt.Sprint("s", i)), when)
@@ -89,7 +89,7 @@
 	}
 	base, _, err := Accepted(ctx, store)
 	is.NoErr(err)
-	is.Equal(len(base.History), HistoryLen)
+	is.Equal(len(base.History), document.HistoryLen)
 	is.Equal(base.Operator, "jana")
 	is.Equal(base.AcceptedUnixMs, when.UnixMilli())
 	_, err = Confirm(ctx, store, newPlan(t, base, "last"), when)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -13,11 +13,6 @@
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
-// HistoryLen is the number of plan ids that a document keeps of the
-// generations before it. A confirm that is repeated later than this many
-// generations is still harmless but can no longer be told how it ended.
-const HistoryLen = 256
-
 // Plan is a proposed next document with what carrying it out would do.
 type Plan struct {
 	ID             string     `json:"id"`
--- a/plan/size_test.go
+++ b/plan/size_test.go
@@ -24,7 +24,7 @@
 // largeDocument returns a document of that size with a full history.
 func largeDocument() *rudderv1.Document {
 	d := &rudderv1.Document{Generation: 1000, PlanId: largeID("plan", 1000)[:2*idBytes]}
-	for i := range HistoryLen {
+	for i := range document.HistoryLen {
 		d.History = append(d.History, largeID("plan", i)[:2*idBytes])
 	}
 	for i := range largeEndpoints {
@@ -88,6 +88,14 @@
 	}
 	ini := declaration.Render(d)
 	t.Logf("plain %d bytes, stored %d bytes, declarations %d bytes", proto.Size(d), len(stored), len(ini))
+	next := upgraded(d)
+	next.Generation, next.PlanId, next.History = d.Generation+1, largeID("plan", 1001)[:2*idBytes], document.History(d)
+	delta := document.Diff(d, next)
+	t.Logf("one model's version: delta %d bytes", proto.Size(delta))
+	const deltaLimit = 1000
+	if proto.Size(delta) > deltaLimit {
+		t.Fatalf("a delta of %d bytes, the limit is %d", proto.Size(delta), deltaLimit)
+	}
 	const limit = 250_000 // a quarter of what the platform takes
 	if len(stored) > limit {
 		t.Fatalf("%d bytes stored, the limit is %d", len(stored), limit)
