--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -55,6 +55,15 @@
 	return connect.NewResponse(m), protojson.Unmarshal(data, m)
 }
 
+func (g *fakeGateway) Fetch(context.Context, *connect.Request[rudderv1.FetchRequest]) (*connect.Response[rudderv1.FetchResponse], error) {
+	m := new(rudderv1.FetchResponse)
+	data, err := os.ReadFile(g.dir + "/fetch.json")
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(m), protojson.Unmarshal(data, m)
+}
+
 func (g *fakeGateway) Explain(_ context.Context, r *connect.Request[rudderv1.ExplainRequest]) (*connect.Response[rudderv1.ExplainResponse], error) {
 	m := new(rudderv1.ExplainResponse)
 	data, err := os.ReadFile(g.dir + "/explain-" + r.Msg.RequestId + ".json")
--- a/ctl/registry.go
+++ b/ctl/registry.go
@@ -17,6 +17,7 @@
 		{"status", "Show the fleet", "Asks the gateways what they see.", &statusCommand{app: a}},
 		{"explain", "Explain a request", "Shows the recorded routing decisions of a request.", &explainCommand{app: a}},
 		{"generations", "Show generations", "Shows the accepted generation, the plans before it and each gateway's.", &generationsCommand{app: a}},
+		{"restore", "Repair the platform", "Writes the gateways' highest configuration back into a platform that fell behind.", &restoreCommand{app: a}},
 		{"completion", "Write shell completion", "Writes the completion script for bash.", &completionCommand{app: a}},
 	}
 }
--- /dev/null
+++ b/plan/restore.go
@@ -0,0 +1,69 @@
+package plan
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/micarudder/micarudder/document"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// Restore writes doc, the highest document that the gateways hold, back into a
+// store that fell behind it, unchanged and with at most one compare-and-swap.
+// It may be repeated at any time. A store that holds a plan which doc does not
+// descend from is left alone unless discard is that plan's id.
+//
+// Errors are *result.Err with code PlatformAway (this call changed nothing),
+// PlanUnknown (ask again), PlanStale (the store moved on or holds another
+// history) or DocumentTooBig.
+func Restore(ctx context.Context, store platform.Store, doc *rudderv1.Document, discard string) (*Receipt, error) {
+	cur, revision, err := Accepted(ctx, store)
+	if err != nil {
+		return nil, result.New(result.PlatformAway, err.Error())
+	}
+	done := &Receipt{Code: result.OK, PlanID: doc.PlanId, Generation: doc.Generation, Current: doc.Generation}
+	if cur.Generation == doc.Generation && cur.PlanId == doc.PlanId {
+		return done, nil
+	}
+	if cur.Generation >= doc.Generation {
+		return nil, result.New(result.PlanStale, fmt.Sprintf(
+			"the platform holds generation %d, the gateways %d: there is nothing to restore", cur.Generation, doc.Generation))
+	}
+	if !descends(doc, cur) && cur.PlanId != discard {
+		return nil, result.New(result.PlanStale, fmt.Sprintf(
+			"generation %d of plan %s in the platform is not one that the gateways' document follows; name the plan to discard it", cur.Generation, cur.PlanId))
+	}
+	value, err := document.Encode(doc)
+	if err != nil {
+		return nil, err
+	}
+	_, err = store.CompareAndSwap(ctx, platform.KeyDocument, revision, value, 0)
+	switch {
+	case err == nil:
+		return done, nil
+	case errors.Is(err, platform.ErrUnavailable):
+		return nil, result.New(result.PlatformAway, "this call changed nothing")
+	case errors.Is(err, platform.ErrConflict):
+		return nil, result.New(result.PlanStale, "the platform's document changed meanwhile; ask again")
+	case errors.Is(err, platform.ErrTooLarge):
+		return nil, result.New(result.DocumentTooBig, fmt.Sprintf("%d bytes", len(value)))
+	}
+	cur, _, err = Accepted(ctx, store)
+	if err == nil && cur.Generation == doc.Generation && cur.PlanId == doc.PlanId {
+		return done, nil
+	}
+	return nil, result.New(result.PlanUnknown, "the answer to the write was lost; ask again")
+}
+
+// descends tells whether old is one of the documents that doc follows, as far
+// as its history tells.
+func descends(doc, old *rudderv1.Document) bool {
+	if old.Generation == 0 {
+		return true
+	}
+	i := doc.Generation - 1 - old.Generation
+	return i < uint64(len(doc.History)) && doc.History[i] == old.PlanId
+}
