--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -151,3 +151,27 @@
 		})
 	}
 }
+
+// TestKeysAreDocumented: docs/ops/plans.md has a row for every key.
+func TestKeysAreDocumented(t *testing.T) {
+	is := is.New(t)
+	doc, err := os.ReadFile("../docs/ops/plans.md")
+	is.NoErr(err)
+	for _, title := range []string{"model x", "adapter x/y", "service x", "workspace x", "host x", "endpoint x", "placement"} {
+		_, err := Parse(File{"d.ini", []byte("[" + title + "]\nno-such-key = 1\n")})
+		kind, _, _ := strings.Cut(title, " ")
+		_, part, ok := strings.Cut(string(doc), "### `["+kind)
+		is.True(ok) // a heading for the kind
+		part, _, _ = strings.Cut(part, "\n##")
+		for _, m := range err.(Mistakes) {
+			if m.Key != "no-such-key" {
+				continue
+			}
+			for key := range strings.SplitSeq(m.Allowed, ", ") {
+				if !strings.Contains(part, "| `"+key+"` |") {
+					t.Errorf("[%s] %s is not documented", kind, key)
+				}
+			}
+		}
+	}
+}
