--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"os/exec"
 	"strconv"
@@ -113,11 +115,26 @@
 	}
 }
 
+// runControl posts to the platform's control calls: control fault outage=reset
+func runControl(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: control CALL [NAME=VALUE...]")
+	}
+	form, err := url.ParseQuery(strings.Join(args[1:], "&"))
+	ts.Check(err)
+	r, err := http.PostForm("http://"+ts.Getenv("RUDDER_PLATFORM")+"/"+args[0], form)
+	ts.Check(err)
+	ts.Check(r.Body.Close())
+	if r.StatusCode >= http.StatusBadRequest {
+		ts.Fatalf("control %v: %s", args, r.Status)
+	}
+}
+
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:           "testdata/script",
 		Setup:         setup,
-		Cmds:          map[string]func(*testscript.TestScript, bool, []string){"exits": runExits},
+		Cmds:          map[string]func(*testscript.TestScript, bool, []string){"exits": runExits, "control": runControl},
 		UpdateScripts: os.Getenv("UPDATE_SCRIPTS") != "",
 	})
 }
