Plan with endpoints that no gateway knows, and check the room for prompts

The first plan of an installation, and any plan that adds endpoints, broke promises when gateways were asked: they know only what the accepted configuration declares. Endpoints that the base does not declare are now taken as there and empty, and the plan counts them.

check also refuses a longest prompt that all replicas of the model together cannot hold. Asking that of each single data centre was ruled out: nothing says that a group of engines stands in one.

--- a/declaration/cross.go
+++ b/declaration/cross.go
@@ -1,6 +1,7 @@
 package declaration
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -49,12 +50,15 @@
 }
 
 func (r *reader) checkModels() {
-	engines := make(map[string]uint32)
+	memory := make(map[string][]uint64) // of the engines by data centre, largest first
 	for _, e := range r.doc.Endpoints {
 		if e.Service == "" && !e.Leaving {
-			engines[e.DataCentre]++
+			memory[e.DataCentre] = append(memory[e.DataCentre], e.MemoryTokens)
 		}
 	}
+	for _, list := range memory {
+		slices.SortFunc(list, func(a, b uint64) int { return cmp.Compare(b, a) })
+	}
 	for _, m := range r.doc.Models {
 		s := r.find("model", m.Name)
 		for _, dc := range slices.Sorted(maps.Keys(m.Replicas)) {
@@ -62,11 +66,26 @@
 			if m.Floor > n {
 				s.add("floor", itoa(int(m.Floor))+" is above the "+itoa(int(n))+" replicas in "+dc, "at most the replicas of each data centre")
 			}
-			if n > engines[dc] {
-				s.add("replicas", itoa(int(n))+" replicas in "+dc+" are more than its engines", "at most "+itoa(int(engines[dc])))
+			if int(n) > len(memory[dc]) {
+				s.add("replicas", itoa(int(n))+" replicas in "+dc+" are more than its engines", "at most "+itoa(len(memory[dc])))
 			}
 		}
+		if room := longest(m, memory); room > 0 && m.MaxTokens > room {
+			s.add("max-tokens", formatQuantity(m.MaxTokens, tokenUnits)+" do not fit its replicas together",
+				"at most "+formatQuantity(room, tokenUnits))
+		}
+	}
+}
+
+// longest returns the most tokens that the model's replicas can hold together.
+func longest(m *rudderv1.Model, memory map[string][]uint64) uint64 {
+	var sum uint64
+	for dc, n := range m.Replicas {
+		for _, tokens := range memory[dc][:min(int(n), len(memory[dc]))] {
+			sum += tokens
+		}
 	}
+	return sum
 }
 
 func (r *reader) checkWorkspaces() {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -20,7 +20,8 @@
 	BasePlan       string     `json:"base_plan"` // plan id of the base generation
 	Operator       string     `json:"operator,omitempty"`
 	Forced         []string   `json:"forced,omitempty"`
-	Assumed        bool       `json:"assumed"` // no live view: the base was taken as fully in force
+	Assumed        bool       `json:"assumed"`                 // no live view: the base was taken as fully in force
+	New            []string   `json:"new_endpoints,omitempty"` // not declared in the base; taken as there and empty
 	Changes        []Change   `json:"changes"`
 	Steps          []Step     `json:"steps"`
 	Capacity       []Capacity `json:"capacity"`
@@ -65,8 +66,9 @@
 	}
 	view := o.View
 	if view == nil {
-		view = assume(base, next)
+		view = assume(base)
 	}
+	view, p.New = withNew(view, base, next)
 	run := simulate(base, next, view)
 	p.Steps = run.steps
 	p.Capacity = run.capacity
--- a/plan/simulate.go
+++ b/plan/simulate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/micarudder/micarudder/engine"
@@ -46,13 +47,29 @@
 // endpoint needs few.
 const maxRounds = 100_000
 
-// assume is the view in which the base is in force on every endpoint that the
-// base declares, and the endpoints that next adds are there and empty.
-func assume(base, next *rudderv1.Document) placement.View {
-	view := make(placement.View)
+// withNew adds the endpoints that no gateway can know yet, since the base does
+// not declare them, as there and empty. It returns their names too.
+func withNew(view placement.View, base, next *rudderv1.Document) (placement.View, []string) {
+	out := maps.Clone(view)
+	known := make(map[string]bool)
+	for _, e := range base.GetEndpoints() {
+		known[e.Name] = true
+	}
+	var names []string
 	for _, e := range next.GetEndpoints() {
-		view[e.Name] = placement.Held{Role: e.Role, Serving: true}
+		if _, seen := view[e.Name]; known[e.Name] || seen {
+			continue
+		}
+		out[e.Name] = placement.Held{Role: e.Role, Serving: true}
+		names = append(names, e.Name)
 	}
+	return out, names
+}
+
+// assume is the view in which the base is in force on every endpoint that it
+// declares.
+func assume(base *rudderv1.Document) placement.View {
+	view := make(placement.View)
 	live := make(map[string]bool)
 	for _, e := range base.GetEndpoints() {
 		live[e.Name] = true
--- a/plan/text.go
+++ b/plan/text.go
@@ -12,12 +12,15 @@
 func (p *Plan) WriteText(w io.Writer) {
 	fmt.Fprintf(w, "plan %s over generation %d\n", p.ID, p.BaseGeneration)
 	if p.Empty() {
-		fmt.Fprintln(w, "\nnothing changes")
+		fmt.Fprintln(w, "\nnothing changes; confirming would only raise the generation")
 		return
 	}
 	if p.Assumed {
 		fmt.Fprintln(w, "no gateway was asked: the base is taken as in force on every declared endpoint")
 	}
+	if len(p.New) > 0 {
+		fmt.Fprintf(w, "taken as there and empty, since no gateway knows them yet: %d endpoints\n", len(p.New))
+	}
 	fmt.Fprintln(w, "\nchanges:")
 	WriteChanges(w, p.Changes)
 	p.writeCapacity(w)
