Name every floor that a forced plan touches

A plan that was stuck at a floor could go on once the floor was forced, and then refuse the forced name since nothing was broken any more. The breaks of the same change without force are now part of the plan.

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -4,10 +4,13 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/micarudder/micarudder/placement"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -73,12 +76,28 @@
 	p.Steps = run.steps
 	p.Capacity = run.capacity
 	p.Breaks = breaks(base, next, run, view)
+	if len(next.Forced) > 0 {
+		p.addUnforced(base, view)
+	}
 	if err := p.seal(base); err != nil {
 		return nil, err
 	}
 	return p, p.judge(o.Force)
 }
 
+// addUnforced adds the breaks of the same change without force: a forced floor
+// can make way for a change that then breaks nothing more.
+func (p *Plan) addUnforced(base *rudderv1.Document, view placement.View) {
+	plain := proto.CloneOf(p.next)
+	plain.Forced = nil
+	for _, b := range breaks(base, plain, simulate(base, plain, view), view) {
+		if !slices.ContainsFunc(p.Breaks, func(x Break) bool { return x.Name == b.Name }) {
+			p.Breaks = append(p.Breaks, b)
+		}
+	}
+	slices.SortFunc(p.Breaks, func(a, b Break) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // judge refuses breaks that are not forced and forced names that break nothing.
 func (p *Plan) judge(force []string) error {
 	var open, idle []string
--- a/plan/race_test.go
+++ b/plan/race_test.go
@@ -260,7 +260,8 @@
 // TestRace enumerates every interleaving of the store calls of two operators,
 // with one lost answer for each of them at every step, a lost write taking
 // effect at once, never, or at any later point, and each operator asking up to
-// three times.
+// three times. Each run ends with a last ask of both without faults, and one more
+// after a later plan was accepted.
 func TestRace(t *testing.T) {
 	is := is.New(t)
 	value, pa, pb := twoPlans(t)
@@ -313,11 +314,31 @@
 			t.Fatalf("%s was told %v at last, its plan took effect %d times", o.name, final, n)
 		}
 	}
+	checkLater(t, w, ops...)
 	if total > 1 {
 		t.Fatalf("%d plans took effect over one base", total)
 	}
+}
+
+// checkLater accepts one more plan and asks again for the earlier ones.
+func checkLater(t *testing.T, w *world, ops ...*operator) {
+	t.Helper()
 	d, err := document.Decode(w.value)
 	if err != nil || d.Generation != 8 {
 		t.Fatalf("generation %d, %v", d.GetGeneration(), err)
 	}
+	later := &Plan{ID: "later", BaseGeneration: 8, BasePlan: d.PlanId, next: new(rudderv1.Document)}
+	w.play([]*operator{{plan: later}}, 1, func(int) int { return 0 })
+	revision := w.revision
+	for _, o := range ops {
+		r := &operator{plan: o.plan}
+		w.play([]*operator{r}, 1, func(int) int { return 0 })
+		want := "stale"
+		if w.effects[o.plan.ID] == 1 {
+			want = "accepted" // and superseded since
+		}
+		if r.verdicts[0] != want || w.revision != revision {
+			t.Fatalf("%s was told %v after a later plan, want %s", o.name, r.verdicts, want)
+		}
+	}
 }
