Say that a gateway has not heard the platform yet

Against an empty platform a gateway reports neither contact nor silence; status showed this as silent for 0 s.

--- a/ctl/status.go
+++ b/ctl/status.go
@@ -103,7 +103,11 @@
 		Address: v.Address, Name: s.Gateway, DataCentre: s.DataCentre, Generation: s.Generation,
 		Behind: f.Generation - s.Generation, Platform: "reachable", Draining: s.Draining,
 	}
-	if !s.PlatformReachable {
+	switch {
+	case s.PlatformReachable:
+	case s.PlatformSilentMs <= 0:
+		g.Platform = "not heard yet"
+	default:
 		g.Platform = fmt.Sprintf("silent for %d s", s.PlatformSilentMs/1000)
 	}
 	return g
