Prove the thin path in virtual time; answer a slow sender at once

Cause: a sender that stopped in the middle of its body was never answered: the read deadline was lifted before the server drained the rest of the body, and iris's own response writer takes no deadlines, so the first setting was lost. Ruled out: a wrong deadline in the test (the same pipe times out when the server's own writer is used). Change: deadlines are set on the server's writer and stay after a failure; a path or method that is not served gets a problem document; whole sessions of gateway, agent and stand-ins run over in-memory connections in synctest.

--- /dev/null
+++ b/e2e/bubble_test.go
@@ -0,0 +1,270 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/micarudder/micarudder/admission"
+	"github.com/micarudder/micarudder/agent"
+	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/gateway"
+	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/inner"
+	standengine "github.com/micarudder/micarudder/internal/standin/engine"
+	"github.com/micarudder/micarudder/internal/standin/pipe"
+	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
+	standservice "github.com/micarudder/micarudder/internal/standin/service"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/routing"
+	"github.com/micarudder/micarudder/rudderv1"
+	"github.com/micarudder/micarudder/service"
+	"github.com/micarudder/micarudder/ticket"
+)
+
+const (
+	dataCentre   = "hall-petrzalka"
+	model        = "rudder-llm"
+	bearer       = "key-of-the-bid-desk"
+	platformAddr = "10.0.0.1:2379"
+)
+
+// bubble is one installation inside a synctest bubble. Its processes are
+// reached by address, as in the real one.
+type bubble struct {
+	t      *testing.T
+	mu     sync.Mutex
+	hosts  map[string]*pipe.Listener
+	conns  map[string][]net.Conn
+	cut    map[string]bool // addresses that no connection can be made to
+	signer *ticket.Signer
+	doc    *rudderv1.Document
+
+	platform *standplatform.Server
+	engines  map[string]*standengine.Server
+	services map[string]*standservice.Server
+	agents   map[string]*agent.Agent
+	gateways map[string]*gateway.Gateway
+	servers  map[string]*http.Server // by address
+}
+
+// run runs a session in a bubble and stops every process at its end.
+func run(t *testing.T, session func(b *bubble)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		signer, err := ticket.NewSigner(ticket.Key{ID: 1, Secret: []byte("0123456789abcdef")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := &bubble{
+			t: t, hosts: make(map[string]*pipe.Listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), signer: signer,
+			engines: make(map[string]*standengine.Server), services: make(map[string]*standservice.Server),
+			agents: make(map[string]*agent.Agent), gateways: make(map[string]*gateway.Gateway), servers: make(map[string]*http.Server),
+			doc: &rudderv1.Document{
+				Generation: 1, PlanId: "plan-1",
+				Models: []*rudderv1.Model{{Name: model, Version: "1", MaxTokens: 1_100_000}},
+				Workspaces: []*rudderv1.Workspace{{
+					Name: "bid-desk", KeyDigests: []string{digestOf(bearer)}, Weight: 1, Models: []string{model}, Services: []string{"bid-api"},
+				}},
+			},
+		}
+		b.platform = standplatform.NewServer(standplatform.Config{})
+		b.serve(platformAddr, b.platform.Handler())
+		defer b.close()
+		session(b)
+	})
+}
+
+func (b *bubble) close() {
+	for _, g := range b.gateways {
+		g.Close()
+	}
+	for _, a := range b.agents {
+		a.Close()
+	}
+	for _, s := range b.servers {
+		_ = s.Close()
+	}
+	for _, e := range b.engines {
+		e.Close()
+	}
+	time.Sleep(time.Hour) // lets every timer of the bubble end
+}
+
+// dial connects to a process by its address.
+func (b *bubble) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	addr = strings.TrimSuffix(addr, ":80")
+	b.mu.Lock()
+	l, ok := b.hosts[addr]
+	ok = ok && !b.cut[addr]
+	b.mu.Unlock()
+	if !ok {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("connection refused")}
+	}
+	c, err := l.Dial(ctx)
+	if err != nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	}
+	b.mu.Lock()
+	b.conns[addr] = append(b.conns[addr], c)
+	b.mu.Unlock()
+	return c, nil
+}
+
+// httpClient returns a client that reaches every process of the bubble.
+func (b *bubble) httpClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: b.dial, DisableCompression: true, IdleConnTimeout: time.Minute}}
+}
+
+func (b *bubble) serve(addr string, h http.Handler) {
+	b.serveOn(addr, &http.Server{Handler: h, IdleTimeout: time.Minute})
+}
+
+func (b *bubble) serveOn(addr string, srv *http.Server) {
+	l := pipe.Listen()
+	b.mu.Lock()
+	b.hosts[addr], b.servers[addr] = l, srv
+	b.mu.Unlock()
+	go func() { _ = srv.Serve(l) }()
+}
+
+// kill ends the process at an address as a crash would: connections break and
+// new ones are refused.
+func (b *bubble) kill(addr string) {
+	b.mu.Lock()
+	srv, conns := b.servers[addr], b.conns[addr]
+	delete(b.hosts, addr)
+	b.conns[addr] = nil
+	b.mu.Unlock()
+	_ = srv.Close()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// engine adds a model engine with its agent; the name of both is given.
+func (b *bubble) engine(name string, change func(*standengine.Config)) {
+	cfg := standengine.Default()
+	cfg.Name, cfg.Models = name, []string{model}
+	if change != nil {
+		change(&cfg)
+	}
+	e := standengine.NewServer(cfg)
+	b.engines[name] = e
+	b.serve(engineAddr(name), e.Handler())
+	b.declare(name, "", cfg.MemoryTokens)
+	b.agent(name, "", cfg.MemoryTokens)
+}
+
+// service adds a plain service with its agent.
+func (b *bubble) service(name, serviceName string) {
+	s := standservice.NewServer(standservice.Config{Name: name, Work: 5 * time.Millisecond})
+	b.services[name] = s
+	b.serve(engineAddr(name), s.Handler())
+	b.declare(name, serviceName, 0)
+	b.agent(name, serviceName, 0)
+}
+
+func (b *bubble) declare(name, serviceName string, memory uint64) {
+	b.doc.Endpoints = append(b.doc.Endpoints, &rudderv1.Endpoint{
+		Name: name, Host: "host-" + name, DataCentre: dataCentre, AgentAddress: agentAddr(name), Service: serviceName, MemoryTokens: memory,
+	})
+}
+
+// agent starts the agent beside an endpoint; it can be called again after a kill.
+func (b *bubble) agent(name, serviceName string, memory uint64) *agent.Agent {
+	deps := agent.Deps{
+		Signer: b.signer, Queue: admission.New(admission.Config{}), Keeper: generation.NewKeeper(), Log: quiet(),
+	}
+	if serviceName == "" {
+		deps.Engine = engine.NewClient(engine.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient(), Name: name})
+	} else {
+		deps.Service = service.NewClient(service.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient()})
+	}
+	a := agent.New(agent.Config{
+		Endpoint: name, Host: "host-" + name, DataCentre: dataCentre, Service: serviceName, MemoryTokens: memory, MaxRunning: 64,
+		ReattachWindow: 10 * time.Second, AnswerKeep: 2 * time.Minute, BufferBytes: 64 << 20, MaxRecords: 1000,
+		ReportInterval: 50 * time.Millisecond, Heartbeat: 5 * time.Second,
+	}, deps)
+	b.agents[name] = a
+	m := http.NewServeMux()
+	m.Handle(a.Handler())
+	srv, err := inner.NewServer(m, inner.KeyFiles{})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.serveOn(agentAddr(name), srv)
+	a.Start()
+	return a
+}
+
+// gateway starts a gateway; peers are names of other gateways.
+func (b *bubble) gateway(name string, peers ...string) *gateway.Gateway {
+	client, err := inner.NewClient(inner.KeyFiles{}, b.dial)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	cfg := gateway.Config{
+		Name: name, DataCentre: dataCentre, MaxBody: 16 << 20, BodyTime: 10 * time.Second, WriteTime: 10 * time.Second,
+		DefaultDeadline: 30 * time.Second, MaxDeadline: time.Hour, TicketLife: 10 * time.Minute, DefaultTokens: 64,
+		FirstTokenGoal: 360 * time.Millisecond,
+	}
+	for _, p := range peers {
+		cfg.Peers = append(cfg.Peers, innerAddr(p))
+	}
+	g := gateway.New(cfg, gateway.Deps{
+		Store: store, Client: client, Signer: b.signer, Keeper: generation.NewKeeper(), Policy: routing.Default(), Log: quiet(),
+	})
+	b.gateways[name] = g
+	face, err := g.Handler()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.serve(name, face)
+	m := http.NewServeMux()
+	m.Handle(g.InnerHandler())
+	srv, err := inner.NewServer(m, inner.KeyFiles{})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.serveOn(innerAddr(name), srv)
+	g.Start()
+	return g
+}
+
+// publish accepts the document at the platform and waits until all is quiet.
+func (b *bubble) publish() {
+	b.t.Helper()
+	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	value, err := generation.Encode(b.doc)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if _, err := store.CompareAndSwap(b.t.Context(), platform.KeyDocument, 0, value, 0); err != nil {
+		b.t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+func engineAddr(name string) string { return "engine-" + name + ":8000" }
+func agentAddr(name string) string  { return "agent-" + name + ":7100" }
+func innerAddr(name string) string  { return "inner-" + name + ":7000" }
+
+func quiet() *log.Logger { return log.New(io.Discard) }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -26,7 +26,7 @@
 		g.refuse(x.w, result.New(result.UnknownService, name))
 		return
 	}
-	body, err := g.readBody(x.w, x.r)
+	body, err := g.readBody(x)
 	if err != nil {
 		g.refuse(x.w, err)
 		return
@@ -42,7 +42,7 @@
 		g.refuse(x.w, err)
 		return
 	}
-	out := &callWriter{g: g, x: x, o: o, rc: http.NewResponseController(x.w), ticket: o.ticket}
+	out := &callWriter{g: g, x: x, o: o, rc: http.NewResponseController(x.raw), ticket: o.ticket}
 	out.finish(g.serve(x.r.Context(), o, out))
 }
 
@@ -96,7 +96,7 @@
 		return c.begun
 	}
 	c.setHeaders()
-	c.x.early.WriteHeader(http.StatusEarlyHints)
+	c.x.raw.WriteHeader(http.StatusEarlyHints)
 	return true
 }
 
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -36,7 +36,7 @@
 
 func newCompletionWriter(g *Gateway, x *exchange, o *order, model string, stream bool, path string) *completionWriter {
 	return &completionWriter{
-		g: g, x: x, o: o, rc: http.NewResponseController(x.w), model: model, chat: path == pathChat, stream: stream,
+		g: g, x: x, o: o, rc: http.NewResponseController(x.raw), model: model, chat: path == pathChat, stream: stream,
 		id: "cmpl-" + o.id, since: time.Now().Unix(), ticket: o.ticket, offset: o.skip,
 	}
 }
@@ -49,7 +49,7 @@
 		return c.begun
 	}
 	c.setHeaders()
-	c.x.early.WriteHeader(http.StatusEarlyHints)
+	c.x.raw.WriteHeader(http.StatusEarlyHints)
 	return true
 }
 
--- a/gateway/faces.go
+++ b/gateway/faces.go
@@ -29,9 +29,7 @@
 	app.Delete("/v1/runs/{ticket:string}", g.face(g.serveVoid))
 	app.Any("/services/{name:string}/{path:path}", g.face(g.serveService))
 	app.Any("/services/{name:string}", g.face(g.serveService))
-	app.OnAnyErrorCode(func(ctx iris.Context) {
-		writeProblem(ctx.ResponseWriter(), problemOf(endOf(result.New(result.MethodNotServed, ctx.Path())), "", ""))
-	})
+	app.Any("/{path:path}", func(ctx iris.Context) { g.refuse(ctx.ResponseWriter(), result.New(result.MethodNotServed, ctx.Path())) })
 	if err := app.Build(); err != nil {
 		return nil, err
 	}
@@ -44,7 +42,7 @@
 	r         *http.Request
 	workspace *rudderv1.Workspace
 	param     func(string) string
-	early     http.ResponseWriter // takes informational responses
+	raw       http.ResponseWriter // the server's own writer, for informational responses and deadlines
 }
 
 // face wraps a handler with what every caller's request needs.
@@ -63,7 +61,7 @@
 			g.refuse(w, err)
 			return
 		}
-		h(&exchange{w: w, r: ctx.Request(), workspace: ws, param: ctx.Params().Get, early: w.Naive()})
+		h(&exchange{w: w, r: ctx.Request(), workspace: ws, param: ctx.Params().Get, raw: w.Naive()})
 	}
 }
 
@@ -104,7 +102,7 @@
 
 // serveCompletion serves both completion paths.
 func (g *Gateway) serveCompletion(x *exchange) {
-	body, err := g.readBody(x.w, x.r)
+	body, err := g.readBody(x)
 	if err != nil {
 		g.refuse(x.w, err)
 		return
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -90,13 +90,6 @@
 	return ls.order
 }
 
-// named returns the link of an endpoint, or nil.
-func (ls *links) named(name string) *link {
-	ls.mu.RLock()
-	defer ls.mu.RUnlock()
-	return ls.byName[name]
-}
-
 // view returns the candidates with their links, index by index.
 func (ls *links) view(now time.Time) ([]routing.Candidate, []*link) {
 	order := ls.all()
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -31,18 +31,20 @@
 	Content json.RawMessage `json:"content"`
 }
 
-// readBody reads the whole body within its limits of size and time.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *result.Err) {
-	if r.ContentLength > g.cfg.MaxBody {
+// readBody reads the whole body within its limits of size and time. After a
+// failure the read deadline stays, so that the server does not wait for the
+// rest of the body before it answers.
+func (g *Gateway) readBody(x *exchange) ([]byte, *result.Err) {
+	if x.r.ContentLength > g.cfg.MaxBody {
 		return nil, result.New(result.TooLarge, "")
 	}
-	rc := http.NewResponseController(w)
+	rc := http.NewResponseController(x.raw)
 	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTime))
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.cfg.MaxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(x.raw, x.r.Body, g.cfg.MaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = rc.SetReadDeadline(time.Time{})
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, result.New(result.TooLarge, "")
--- a/gateway/runs.go
+++ b/gateway/runs.go
@@ -31,7 +31,7 @@
 
 // serveTickets hands out tickets in advance.
 func (g *Gateway) serveTickets(x *exchange) {
-	body, err := g.readBody(x.w, x.r)
+	body, err := g.readBody(x)
 	if err != nil {
 		g.refuse(x.w, err)
 		return
