--- a/internal/etcdjson/etcdjson.go
+++ b/internal/etcdjson/etcdjson.go
@@ -59,9 +59,11 @@
 	return nil
 }
 
-// Header stands in every response; Revision is the store's own at that moment.
+// Header stands in every response; Revision is the store's own at that moment,
+// ClusterID names the cluster, and a restored one has another.
 type Header struct {
-	Revision Int64 `json:"revision,omitempty"`
+	ClusterID string `json:"cluster_id,omitempty"`
+	Revision  Int64  `json:"revision,omitempty"`
 }
 
 // KeyValue is one key at one modification.
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -37,8 +37,9 @@
 	writeJSON(w, http.StatusOK, f)
 }
 
-func (s *Server) controlRestore(w http.ResponseWriter, _ *http.Request) {
-	if !s.Restore() {
+// controlRestore restores; cluster=new gives the cluster a new name.
+func (s *Server) controlRestore(w http.ResponseWriter, r *http.Request) {
+	if !s.store.restore(r.FormValue("cluster") == "new") {
 		http.Error(w, "no snapshot was taken", http.StatusConflict)
 	}
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -78,8 +78,13 @@
 // Snapshot copies the store's state aside.
 func (s *Server) Snapshot() { s.store.take() }
 
-// Restore puts the last snapshot back and reports whether there was one.
-func (s *Server) Restore() bool { return s.store.restore() }
+// Restore puts the last snapshot back, as a disk's older state does, and
+// reports whether there was one.
+func (s *Server) Restore() bool { return s.store.restore(false) }
+
+// RestoreCluster is Restore into a cluster with a new name, as etcd's own tool
+// does it.
+func (s *Server) RestoreCluster() bool { return s.store.restore(true) }
 
 // SetHost adds or changes a host; empty fields keep what they were.
 func (s *Server) SetHost(h platform.Host) { s.hosts.set(h) }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 
 // state is what a snapshot holds.
 type state struct {
+	cluster  int64
 	revision int64
 	kvs      map[string]etcdjson.KeyValue
 	leases   map[int64]time.Duration // TTL
@@ -46,7 +48,7 @@
 
 func newStore() *store {
 	return &store{
-		state:     state{revision: 1, kvs: map[string]etcdjson.KeyValue{}, leases: map[int64]time.Duration{}},
+		state:     state{cluster: 1, revision: 1, kvs: map[string]etcdjson.KeyValue{}, leases: map[int64]time.Duration{}},
 		timers:    map[int64]*time.Timer{},
 		ends:      map[int64]time.Time{},
 		nextLease: 1000,
@@ -87,7 +89,10 @@
 }
 
 func (s state) header() etcdjson.Header {
-	return etcdjson.Header{Revision: etcdjson.Int64(s.revision)}
+	return etcdjson.Header{
+		ClusterID: strconv.FormatInt(s.cluster, 10),
+		Revision:  etcdjson.Int64(s.revision),
+	}
 }
 
 // inRange reports whether key is start, or in [start, end) when end is set; an
@@ -230,14 +235,20 @@
 }
 
 // restore puts the last snapshot back, as after a loss: watches end, and
-// leases begin anew with their whole TTL. It reports whether there was one.
-func (s *store) restore() bool {
+// leases begin anew with their whole TTL. The cluster gets a new name if
+// renamed is set. It reports whether there was a snapshot.
+func (s *store) restore(renamed bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.snapshot == nil {
 		return false
 	}
+	cluster := s.state.cluster
 	s.state = s.snapshot.clone()
+	s.state.cluster = cluster
+	if renamed {
+		s.state.cluster++
+	}
 	s.log = nil
 	s.compacted = s.state.revision
 	s.epoch++
