--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -70,10 +70,7 @@
 
 func (s state) read(req etcdjson.RangeRequest) etcdjson.RangeResponse {
 	res := etcdjson.RangeResponse{Header: s.header()}
-	for _, key := range slices.Sorted(maps.Keys(s.kvs)) {
-		if !inRange([]byte(key), req.Key, req.RangeEnd) {
-			continue
-		}
+	for _, key := range s.keys(req) {
 		res.Count++
 		if req.Limit > 0 && len(res.Kvs) == int(req.Limit) {
 			res.More = true
@@ -88,6 +85,25 @@
 	return res
 }
 
+// keys returns the keys asked for, in order. The single key, which is asked
+// for most, is not searched for.
+func (s state) keys(req etcdjson.RangeRequest) []string {
+	if len(req.RangeEnd) == 0 {
+		if _, ok := s.kvs[string(req.Key)]; !ok {
+			return nil
+		}
+		return []string{string(req.Key)}
+	}
+	var keys []string
+	for key := range s.kvs {
+		if inRange([]byte(key), req.Key, req.RangeEnd) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 func (s state) header() etcdjson.Header {
 	return etcdjson.Header{
 		ClusterID: strconv.FormatInt(s.cluster, 10),
@@ -95,12 +111,9 @@
 	}
 }
 
-// inRange reports whether key is start, or in [start, end) when end is set; an
-// end of one zero byte has no upper bound.
+// inRange reports whether key is in [start, end); an end of one zero byte has
+// no upper bound.
 func inRange(key, start, end []byte) bool {
-	if len(end) == 0 {
-		return bytes.Equal(key, start)
-	}
 	if bytes.Compare(key, start) < 0 {
 		return false
 	}
