Show the whole product in one command

Cause: a newcomer could not see a request travel through every process. Not shown yet: groups for the longest prompts.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,9 @@
 test: ## Run every test.
 	$(GO) test ./...
 
+demo: build ## Run the whole product on loopback for about half a minute.
+	$(GO) run ./internal/demo --bin $(BIN)
+
 generate: ## Regenerate the inner protocol; needs protoc (Debian: protobuf-compiler).
 	mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,225 @@
+// Package fleet starts a whole installation of real processes on the loopback
+// interface: the platform's stand-in, stand-in engines, an agent beside each
+// and gateways, with a configuration that is accepted at the start. It serves
+// benchmarks and the demo.
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/internal/procs"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+const (
+	// TicketKeys is the ticket key of every process of a fleet.
+	TicketKeys = "1:00112233445566778899aabbccddeeff"
+	// modelVersion is the version of every model of a fleet.
+	modelVersion = "1"
+	maxTokens    = 1 << 20
+	weightBytes  = 140 << 30
+)
+
+// Config describes a fleet.
+type Config struct {
+	BinDir      string   // where the programs are
+	Dir         string   // where settings and logs go; must exist
+	BasePort    int      // first of Ports() consecutive ports
+	DataCentres []string // endpoints and gateways are spread over them in turn
+	Engines     int
+	Gateways    int
+	Models      []string
+	Workspaces  []Workspace
+	Policy      string   // routing policy of the gateways
+	EngineArgs  []string // added to each engine's command line
+	// MemoryTokens is the cache memory of one engine.
+	MemoryTokens int
+	MaxRunning   int
+	LogLevel     string
+}
+
+// Workspace is one workspace of the accepted configuration. It may use every
+// model.
+type Workspace struct {
+	Name     string
+	Key      string // bearer key
+	Priority uint32
+	Weight   uint32
+}
+
+// Ports returns how many ports a fleet of this size takes.
+func (c Config) Ports() int {
+	return 1 + portsPerEngine*c.Engines + portsPerGateway*c.Gateways
+}
+
+const (
+	portsPerEngine  = 3 // engine, agent, the agent's admin listener
+	portsPerGateway = 3 // callers, inner, admin
+)
+
+// Fleet is a running installation.
+type Fleet struct {
+	Group    *procs.Group
+	Gateways []string // base URLs for callers
+	Inner    []string // gateways' inner addresses
+	Metrics  []string // URLs of the gateways' metrics
+	Engines  []string // base URLs of the stand-in engines
+	Agents   []string // base URLs of the agents' admin listeners
+	Platform string   // address of the platform's stand-in
+}
+
+// Names of the processes of a fleet; %d counts from 0.
+const (
+	PlatformName  = "platform"
+	engineFormat  = "engine-%d"
+	agentFormat   = "agent-%d"
+	gatewayFormat = "gateway-%d"
+)
+
+// EngineName returns the name of the i-th engine's process.
+func EngineName(i int) string { return fmt.Sprintf(engineFormat, i) }
+
+// AgentName returns the name of the i-th agent's process.
+func AgentName(i int) string { return fmt.Sprintf(agentFormat, i) }
+
+// GatewayName returns the name of the i-th gateway's process.
+func GatewayName(i int) string { return fmt.Sprintf(gatewayFormat, i) }
+
+// Start starts the processes in order and waits until all are ready. On an
+// error everything that was started is stopped.
+func Start(ctx context.Context, c Config) (*Fleet, error) {
+	f := c.layout()
+	if err := c.start(ctx, f); err != nil {
+		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
+		defer cancel()
+		return nil, trace.NewAggregate(err, f.Group.Stop(stopCtx))
+	}
+	return f, nil
+}
+
+// stopTime bounds the stop of a fleet that did not start.
+const stopTime = 10 * time.Second
+
+func (c Config) start(ctx context.Context, f *Fleet) error {
+	if err := startAll(ctx, f.Group, c.standins(f)); err != nil {
+		return err
+	}
+	if err := accept(ctx, f.Platform, c.document()); err != nil {
+		return trace.Wrap(err, "configuration")
+	}
+	if err := startAll(ctx, f.Group, c.agents(f)); err != nil {
+		return err
+	}
+	if err := startAll(ctx, f.Group, c.gateways(f)); err != nil {
+		return err
+	}
+	return f.waitConnected(ctx)
+}
+
+func startAll(ctx context.Context, g *procs.Group, specs []procs.Spec) error {
+	var started []*procs.Process
+	for _, s := range specs {
+		p, err := g.Start(s)
+		if err != nil {
+			return err
+		}
+		started = append(started, p)
+	}
+	for _, p := range started {
+		if err := p.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c Config) layout() *Fleet {
+	f := &Fleet{Group: procs.NewGroup(c.Dir), Platform: c.address(0)}
+	for i := range c.Engines {
+		f.Engines = append(f.Engines, "http://"+c.engineAddress(i))
+		f.Agents = append(f.Agents, "http://"+c.agentAddress(i, 1))
+	}
+	for i := range c.Gateways {
+		f.Gateways = append(f.Gateways, "http://"+c.gatewayAddress(i, 0))
+		f.Inner = append(f.Inner, c.gatewayAddress(i, 1))
+		f.Metrics = append(f.Metrics, "http://"+c.gatewayAddress(i, 2)+"/metrics")
+	}
+	return f
+}
+
+func (c Config) address(offset int) string { return fmt.Sprintf("127.0.0.1:%d", c.BasePort+offset) }
+
+func (c Config) engineAddress(i int) string { return c.address(1 + portsPerEngine*i) }
+
+// agentAddress returns the agent's address for gateways (0) or admin (1).
+func (c Config) agentAddress(i, which int) string {
+	return c.address(2 + portsPerEngine*i + which)
+}
+
+// gatewayAddress returns the gateway's address for callers (0), inner (1) or admin (2).
+func (c Config) gatewayAddress(i, which int) string {
+	return c.address(1 + portsPerEngine*c.Engines + portsPerGateway*i + which)
+}
+
+func (c Config) dataCentre(i int) string { return c.DataCentres[i%len(c.DataCentres)] }
+
+func hostName(i int) string { return fmt.Sprintf("host-%d", i) }
+
+func (c Config) document() *rudderv1.Document {
+	d := &rudderv1.Document{Generation: 1, PlanId: "fleet"}
+	replicas := make(map[string]uint32)
+	for i := range c.Engines {
+		replicas[c.dataCentre(i)]++
+		d.Hosts = append(d.Hosts, &rudderv1.Host{Name: hostName(i), DataCentre: c.dataCentre(i)})
+		d.Endpoints = append(d.Endpoints, &rudderv1.Endpoint{
+			Name: EngineName(i), Host: hostName(i), DataCentre: c.dataCentre(i),
+			AgentAddress: c.agentAddress(i, 0), MemoryTokens: uint64(c.MemoryTokens), Role: "mixed",
+		})
+	}
+	for _, m := range c.Models {
+		d.Models = append(d.Models, &rudderv1.Model{Name: m, Version: modelVersion, Weights: m + "/" + modelVersion, WeightBytes: weightBytes, MaxTokens: maxTokens, Replicas: replicas})
+	}
+	for _, w := range c.Workspaces {
+		d.Workspaces = append(d.Workspaces, &rudderv1.Workspace{
+			Name: w.Name, KeyDigests: []string{digest(w.Key)}, Priority: w.Priority, Weight: max(1, w.Weight), Models: c.Models,
+		})
+	}
+	return d
+}
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// accept writes the first configuration.
+func accept(ctx context.Context, address string, d *rudderv1.Document) error {
+	client, err := platform.NewClient(platform.Options{Addresses: []string{address}})
+	if err != nil {
+		return err
+	}
+	data, err := generation.Encode(d)
+	if err != nil {
+		return err
+	}
+	_, err = client.CompareAndSwap(ctx, platform.KeyDocument, 0, data, 0)
+	return err
+}
+
+// program returns the path of one of the repository's programs.
+func (c Config) program(name string) string {
+	path, err := filepath.Abs(filepath.Join(c.BinDir, name))
+	if err != nil {
+		return filepath.Join(c.BinDir, name)
+	}
+	return path
+}
--- /dev/null
+++ b/internal/fleet/specs.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/micarudder/micarudder/internal/procs"
+)
+
+const (
+	settingsFile = "settings.ini"
+	// drainTime bounds the stop of one daemon.
+	drainTime = "5s"
+)
+
+// standins returns the processes that the product's own depend on.
+func (c Config) standins(f *Fleet) []procs.Spec {
+	specs := []procs.Spec{{
+		Name:   PlatformName,
+		Binary: c.program("rudder-standin"),
+		Args:   []string{"platform", "--listen", f.Platform},
+		Ready:  "http://" + f.Platform + "/counts",
+	}}
+	for i := range c.Engines {
+		specs = append(specs, c.engine(i))
+	}
+	return specs
+}
+
+func (c Config) engine(i int) procs.Spec {
+	args := []string{
+		"engine", "--name", EngineName(i), "--listen", c.engineAddress(i),
+		"--memory-tokens", strconv.Itoa(c.MemoryTokens), "--max-running", strconv.Itoa(c.MaxRunning),
+	}
+	for _, m := range c.Models {
+		args = append(args, "--model", m+"@"+modelVersion)
+	}
+	return procs.Spec{
+		Name:   EngineName(i),
+		Binary: c.program("rudder-standin"),
+		Args:   append(args, c.EngineArgs...),
+		Ready:  "http://" + c.engineAddress(i) + "/executions",
+	}
+}
+
+func (c Config) agents(*Fleet) []procs.Spec {
+	var specs []procs.Spec
+	for i := range c.Engines {
+		specs = append(specs, c.agent(i))
+	}
+	return specs
+}
+
+func (c Config) agent(i int) procs.Spec {
+	text := fmt.Sprintf(`[agent]
+data_centre = %s
+host = %s
+listen = %s
+
+[endpoint]
+name = %s
+kind = engine
+address = %s
+memory_tokens = %d
+max_running = %d
+`, c.dataCentre(i), hostName(i), c.agentAddress(i, 0), EngineName(i), c.engineAddress(i), c.MemoryTokens, c.MaxRunning)
+	return c.daemon(AgentName(i), "rudder-agent", text, c.agentAddress(i, 1))
+}
+
+func (c Config) gateways(f *Fleet) []procs.Spec {
+	var specs []procs.Spec
+	for i := range c.Gateways {
+		specs = append(specs, c.gateway(i, f.Platform))
+	}
+	return specs
+}
+
+func (c Config) gateway(i int, platform string) procs.Spec {
+	text := fmt.Sprintf(`[gateway]
+name = %s
+data_centre = %s
+listen = %s
+inner_listen = %s
+peers = %s
+
+[platform]
+addresses = %s
+
+[routing]
+policy = %s
+`, GatewayName(i), c.dataCentre(i), c.gatewayAddress(i, 0), c.gatewayAddress(i, 1), c.peers(i), platform, c.Policy)
+	return c.daemon(GatewayName(i), "rudder-gateway", text, c.gatewayAddress(i, 2))
+}
+
+// peers lists the inner addresses of the gateways other than i.
+func (c Config) peers(i int) string {
+	list := ""
+	for j := range c.Gateways {
+		if j == i {
+			continue
+		}
+		if list != "" {
+			list += ", "
+		}
+		list += c.gatewayAddress(j, 1)
+	}
+	return list
+}
+
+// daemon returns a daemon's spec: its own sections and those all daemons share.
+func (c Config) daemon(name, program, own, admin string) procs.Spec {
+	text := own + fmt.Sprintf(`
+[tickets]
+keys = %s
+
+[process]
+admin_listen = %s
+log_level = %s
+drain_time = %s
+`, TicketKeys, admin, c.LogLevel, drainTime)
+	return procs.Spec{
+		Name:   name,
+		Binary: c.program(program),
+		Args:   []string{"--config", procs.DirVar + "/" + settingsFile},
+		Files:  map[string]string{settingsFile: text},
+		Ready:  "http://" + admin + "/readyz",
+	}
+}
