Put limits, breakers, lanes and prefix affinity to work

Cause: the decisions existed and nothing called them. Change: the gateway counts requests against its part of the workspace's limit (gateways tell each other their recent use every two seconds), spends retry budgets, feeds breakers, slowness, lanes and affinity into routing; the agent reads cache events, estimates uncached tokens and tells its queue when prefill ends. A loss after admission is continued without a budget, bounded by the number of attempts: an admitted request must not be dropped because many were lost at once. Ruled out: sending cache events on to gateways; 20 blocks a second to 25 gateways would exceed the control budget of 40 bytes a second per agent.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -70,11 +70,12 @@
 func (a *Agent) enqueue(req *rudderv1.RunRequest, claims *rudderv1.TicketClaims) (*run, bool, *rudderv1.End) {
 	now := time.Now()
 	r := newRun(a.ctx, req, now)
+	r.believed = a.cache.Cached(req.GetCompletion().GetPrefix())
 	r.item = a.item(req, now, r.deadline)
 	v := a.queue.Offer(r.item, a.capacity(), now)
 	if !v.Admitted {
 		r.cancel()
-		err := result.New(result.Overloaded, "")
+		err := result.New(v.Code, v.Detail)
 		err.RetryAfter = v.RetryAfter.Milliseconds()
 		return nil, false, a.sealRefusal(req, claims, err)
 	}
@@ -98,7 +99,7 @@
 		Weight:       req.Weight,
 		Priority:     req.Priority,
 		Class:        routing.ClassOf(c.GetPromptTokens()),
-		PromptTokens: c.GetPromptTokens(),
+		PromptTokens: c.GetPromptTokens() - a.cachedTokens(c),
 		MemoryTokens: c.GetPromptTokens() + c.GetMaxTokens(),
 		OutputTokens: c.GetMaxTokens(),
 		Arrived:      now,
@@ -162,7 +163,7 @@
 	if held := a.used + a.reserved; held < a.cfg.MemoryTokens {
 		free = a.cfg.MemoryTokens - held
 	}
-	return admission.Capacity{FreeTokens: free, Running: a.running, MaxRunning: a.cfg.MaxRunning}
+	return admission.Capacity{FreeTokens: free, MemoryTokens: a.cfg.MemoryTokens, Running: a.running, MaxRunning: a.cfg.MaxRunning}
 }
 
 // endOf makes the end frame of a refusal.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/micarudder/micarudder/admission"
+	"github.com/micarudder/micarudder/affinity"
 	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -67,6 +68,7 @@
 	used     uint64 // tokens of running runs
 	reserved uint64 // tokens of memory reservations
 	models   []*rudderv1.LoadedModel
+	cache    *affinity.Set // blocks that the endpoint is believed to hold
 	role     string
 	version  uint64        // counts changes worth reporting
 	changed  chan struct{} // closed at each change worth reporting
@@ -91,6 +93,7 @@
 		queue:       deps.Queue,
 		waiting:     make(map[string]*run),
 		changed:     make(chan struct{}),
+		cache:       affinity.New(cfg.MemoryTokens),
 		wake:        make(chan struct{}, 1),
 		ctx:         ctx,
 		stop:        stop,
@@ -108,6 +111,9 @@
 func (a *Agent) Start() {
 	a.workers.Go(a.dispatchLoop)
 	a.workers.Go(a.watchEndpoint)
+	if a.deps.Engine != nil {
+		a.workers.Go(a.followCache)
+	}
 }
 
 // Ready reports whether the agent accepts work.
--- /dev/null
+++ b/agent/cache.go
@@ -0,0 +1,60 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/prefix"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+const (
+	cachePoll     = time.Second
+	cachePollIdle = 10 * time.Second
+)
+
+// cachedTokens is how many prompt tokens the endpoint is believed to hold.
+func (a *Agent) cachedTokens(c *rudderv1.Completion) uint64 {
+	return min(c.GetPromptTokens(), uint64(a.cache.Cached(c.GetPrefix()))*prefix.BlockTokens)
+}
+
+// followCache reads the engine's cache events. They are hints: late, with
+// gaps, and corrected by what runs report.
+func (a *Agent) followCache() {
+	var after uint64
+	for {
+		pause := cachePollIdle
+		events, err := a.cacheEvents(after)
+		if err == nil && len(events) > 0 {
+			after = a.applyCache(events, after)
+			pause = cachePoll
+		}
+		select {
+		case <-time.After(pause):
+		case <-a.ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) cacheEvents(after uint64) ([]engine.CacheEvent, error) {
+	ctx, cancel := context.WithTimeout(a.ctx, probeTime)
+	defer cancel()
+	return a.deps.Engine.CacheEvents(ctx, after)
+}
+
+// applyCache takes events in and returns the last sequence number. Sequence
+// numbers that start again mean that the engine restarted empty.
+func (a *Agent) applyCache(events []engine.CacheEvent, after uint64) uint64 {
+	var added, removed []uint64
+	for _, e := range events {
+		if e.Evicted {
+			removed = append(removed, e.Block)
+		} else {
+			added = append(added, e.Block)
+		}
+	}
+	a.cache.Apply(events[0].Sequence <= after, added, removed)
+	return events[len(events)-1].Sequence
+}
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -16,20 +16,17 @@
 )
 
 const (
-	// expirySweep is how often waiting work is checked against its deadlines
-	// while there is any.
-	expirySweep = 100 * time.Millisecond
-	cancelTime  = 2 * time.Second
-	readChunk   = 32 << 10
+	cancelTime = 2 * time.Second
+	readChunk  = 32 << 10
 )
 
 // dispatchLoop starts waiting work as the endpoint has room for it.
 func (a *Agent) dispatchLoop() {
-	timer := time.NewTimer(expirySweep)
+	timer := time.NewTimer(admission.PollEvery)
 	defer timer.Stop()
 	for {
 		if a.startAll() {
-			timer.Reset(expirySweep)
+			timer.Reset(admission.PollEvery)
 		}
 		select {
 		case <-a.ctx.Done():
@@ -81,6 +78,7 @@
 	a.workers.Go(func() {
 		a.execute(r)
 		a.mu.Lock()
+		a.queue.Remove(it.ID) // unless Done has taught the queue what it took
 		a.running--
 		a.used -= it.MemoryTokens
 		a.mu.Unlock()
@@ -152,6 +150,7 @@
 			if first.IsZero() {
 				first = time.Now()
 				r.apply(lifecycle.Event{Kind: lifecycle.EvAnswer}, "")
+				a.prefilled(r, first)
 			}
 			r.append(ev.Text)
 		}
@@ -161,6 +160,14 @@
 	}
 }
 
+// prefilled tells the queue that a run's prefill is over.
+func (a *Agent) prefilled(r *run, now time.Time) {
+	a.mu.Lock()
+	a.queue.Prefilled(r.item.ID, now)
+	a.mu.Unlock()
+	a.poke()
+}
+
 func (a *Agent) finishCompletion(r *run, finish string, u engine.Usage, begun, first time.Time) {
 	now := time.Now()
 	if first.IsZero() {
@@ -171,6 +178,7 @@
 	a.queue.Done(r.item, queued, prefill, decode, u.CachedTokens)
 	load := a.load()
 	a.mu.Unlock()
+	a.cache.Ran(r.req.GetCompletion().GetPrefix(), r.believed, u.CachedTokens)
 	r.finishOK(finish, &rudderv1.Usage{PromptTokens: u.PromptTokens, CachedTokens: u.CachedTokens, OutputTokens: u.OutputTokens},
 		&rudderv1.RunTimes{QueuedUs: queued.Microseconds(), PrefillUs: prefill.Microseconds(), DecodeUs: decode.Microseconds()}, load)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -38,6 +38,11 @@
 	}
 	o.body = body
 	o.call = &rudderv1.ServiceCall{Service: name, Method: x.r.Method, Path: servicePath(x), Headers: forward(x.r.Header)}
+	if err := g.limits.admit(x.workspace.Name, 0); err != nil {
+		g.refuse(x.w, err)
+		return
+	}
+	defer g.limits.done(x.workspace.Name)
 	if err := g.claim(x, o); err != nil {
 		g.refuse(x.w, err)
 		return
--- a/gateway/faces.go
+++ b/gateway/faces.go
@@ -122,6 +122,11 @@
 		g.refuse(x.w, err)
 		return
 	}
+	if err := g.limits.admit(x.workspace.Name, o.completion.PromptTokens+o.completion.MaxTokens); err != nil {
+		g.refuse(x.w, err)
+		return
+	}
+	defer g.limits.done(x.workspace.Name)
 	if err := g.claim(x, o); err != nil {
 		g.refuse(x.w, err)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	explain  *explainer
 	auth     *authority
 	meter    *meter
+	limits   *limiter
+	lanes    lanes
 	platform platformHealth
 
 	ctx      context.Context
@@ -77,6 +79,7 @@
 	g.explain = newExplainer()
 	g.auth = newAuthority(deps.Keeper)
 	g.links = newLinks(g)
+	g.limits = newLimiter(g)
 	return g
 }
 
@@ -89,6 +92,8 @@
 		g.loops.Go(func() { g.followPeer(peer) })
 	}
 	g.loops.Go(g.links.loop)
+	g.loops.Go(g.laneLoop)
+	g.loops.Go(g.limits.loop)
 }
 
 // Ready reports whether the gateway has a configuration and is not leaving.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -8,7 +8,11 @@
 	"connectrpc.com/connect"
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/micarudder/micarudder/affinity"
+	"github.com/micarudder/micarudder/cost"
 	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
@@ -35,17 +39,22 @@
 	mu        sync.Mutex
 	report    *rudderv1.AgentReport
 	load      *rudderv1.Load
+	loadAt    time.Time // when the load arrived
 	heard     time.Time // when the last report arrived
 	connected bool
 	models    map[string]bool
 	pending   time.Duration // predicted work sent since the agent last told its load
+	pendingL  time.Duration // the long part of it
 	pendingN  int
+	breaker   limits.Breaker
+	slowness  cost.Slowness
+	cache     *affinity.Set // blocks that the endpoint is believed to hold
 }
 
 func newLink(g *Gateway, e *rudderv1.Endpoint) *link {
 	client := rudderv1connect.NewAgentServiceClient(g.deps.Client, g.deps.Client.URL(e.AgentAddress),
 		connect.WithReadMaxBytes(inner.MaxMessage), connect.WithSendMaxBytes(inner.MaxMessage))
-	return &link{g: g, declared: e, client: client}
+	return &link{g: g, declared: e, client: client, cache: affinity.New(e.MemoryTokens)}
 }
 
 // run subscribes at the agent for as long as ctx lasts.
@@ -98,7 +107,7 @@
 		}
 	}
 	if r.Load != nil {
-		l.load = r.Load
+		l.load, l.loadAt = r.Load, l.heard
 	}
 }
 
@@ -109,23 +118,53 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.load = load
+	l.load, l.loadAt = load, time.Now()
 }
 
 // sent counts predicted work towards the agent until settled is called.
-func (l *link) sent(work time.Duration) (settled func()) {
+func (l *link) sent(class routing.Class, work time.Duration) (settled func()) {
+	long := time.Duration(0)
+	if class >= routing.ClassLong {
+		long = work
+	}
 	l.mu.Lock()
+	l.breaker.Sent(time.Now())
 	l.pending += work
+	l.pendingL += long
 	l.pendingN++
 	l.mu.Unlock()
 	return sync.OnceFunc(func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.pending -= work
+		l.pendingL -= long
 		l.pendingN--
 	})
 }
 
+// outcome teaches the breaker how an attempt ended. Only the loss or failure
+// of the endpoint or its agent counts against it.
+func (l *link) outcome(c result.Code) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	switch c {
+	case result.OK:
+		l.breaker.Success(now)
+	case result.EndpointLost, result.EndpointFailed, result.AgentLost, result.OrderUnanswered, result.AnswerDamaged:
+		if l.breaker.Failure(now) {
+			l.g.deps.Log.Warn("Breaker opened.", "endpoint", l.declared.Name, "code", uint32(c))
+		}
+	}
+}
+
+// observe teaches the slowness how long a first token took against the prediction.
+func (l *link) observe(predicted, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slowness.Observe(predicted, took, time.Now())
+}
+
 // offer hands the agent a configuration it does not have yet.
 func (l *link) offer(ctx context.Context, has uint64) {
 	k := l.g.deps.Keeper
@@ -158,8 +197,9 @@
 	defer l.mu.Unlock()
 	c := routing.Candidate{
 		Endpoint: l.declared.Name, Host: l.declared.Host, DataCentre: l.declared.DataCentre, Service: l.declared.Service,
-		MemoryTokens: l.declared.MemoryTokens, Models: l.models, Pending: l.pending, PendingCount: l.pendingN,
-		Leaving: l.declared.Leaving,
+		MemoryTokens: l.declared.MemoryTokens, Models: l.models, Pending: l.pending, PendingLong: l.pendingL, PendingCount: l.pendingN,
+		Leaving: l.declared.Leaving, BreakerOpen: l.breaker.Blocks(now), LongLane: l.g.lanes.has(l.declared.Name),
+		Slowness: l.slowness.Factor(now), Cached: l.cache.Cached,
 	}
 	if l.report == nil {
 		return c
@@ -167,6 +207,7 @@
 	c.Connected = l.connected || now.Sub(l.heard) < freshness
 	c.Connected = c.Connected && l.report.State == rudderv1.AgentState_AGENT_STATE_SERVING
 	c.Leaving = c.Leaving || l.report.State == rudderv1.AgentState_AGENT_STATE_LEAVING
+	c.Silent, c.Age = now.Sub(l.heard), now.Sub(l.loadAt)
 	fillLoad(&c, l.load)
 	return c
 }
@@ -179,15 +220,20 @@
 	if load.MemoryTokens > 0 {
 		c.MemoryTokens = load.MemoryTokens
 	}
-	c.FreeTokens = load.FreeTokens
+	c.FreeTokens, c.LongTokens = load.FreeTokens, load.LongTokens
 	for i, ms := range load.WaitMs {
 		if i < routing.NumClasses {
 			c.Wait[i] = time.Duration(ms) * time.Millisecond
 		}
 	}
-	c.Cost = routing.Cost{
-		PrefillPerToken:  time.Duration(load.PrefillUsPerToken * float64(time.Microsecond)),
-		PrefillPerToken2: load.PrefillUsPerToken2,
-		DecodePerToken:   time.Duration(load.DecodeUsPerToken * float64(time.Microsecond)),
+	c.Cost = costOf(load)
+}
+
+// costOf returns the learned cost in a load; zero when none is known.
+func costOf(load *rudderv1.Load) routing.Cost {
+	return routing.Cost{
+		PrefillPerToken:  time.Duration(load.GetPrefillUsPerToken() * float64(time.Microsecond)),
+		PrefillPerToken2: load.GetPrefillUsPerToken2(),
+		DecodePerToken:   time.Duration(load.GetDecodeUsPerToken() * float64(time.Microsecond)),
 	}
 }
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -58,10 +58,9 @@
 	}
 }
 
-// retry counts a retry of the workspace.
-func (m *meter) retry(workspace string) bool {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_retries_total{workspace=%q}`, workspace)).Inc()
-	return true
+// retry counts a retry of the workspace, or one that its budget refused.
+func (m *meter) retry(workspace string, granted bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_retries_total{workspace=%q,granted="%t"}`, workspace, granted)).Inc()
 }
 
 func (m *meter) generationBack() {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/micarudder/micarudder/lifecycle"
+	"github.com/micarudder/micarudder/prefix"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -131,7 +132,11 @@
 }
 
 // budget reports whether the workspace may spend another retry.
-func (s *session) budget() bool { return s.g.meter.retry(s.o.workspace.Name) }
+func (s *session) budget() bool {
+	ok := s.g.limits.retry(s.o.workspace.Name)
+	s.g.meter.retry(s.o.workspace.Name, ok)
+	return ok
+}
 
 // place chooses the endpoint of the next attempt and makes its ticket.
 func (s *session) place() (*link, *rudderv1.End) {
@@ -175,13 +180,18 @@
 }
 
 // order sends one attempt to the agent behind l and relays its answer.
-func (s *session) order(ctx context.Context, l *link) *rudderv1.End {
+func (s *session) order(ctx context.Context, l *link) (end *rudderv1.End) {
 	s.attempt++
 	s.life.Attempts++
 	s.asm.Begin(s.attempt)
 	req := s.request(l)
-	settled := l.sent(l.predict(req))
+	class := routing.ClassOf(s.o.completion.GetPromptTokens())
+	work, believed := l.predict(req)
+	s.g.lanes.add(class, work)
+	settled := l.sent(class, work)
 	defer settled()
+	defer func() { l.outcome(result.Code(end.Code)) }()
+	l.cache.Sent(s.o.completion.GetPrefix())
 	stream, err := l.client.Run(ctx, connect.NewRequest(req))
 	if err != nil {
 		return s.broken(ctx, err, false)
@@ -196,6 +206,7 @@
 			s.accepted(l, f)
 		}
 		if end := s.frame(l, f); end != nil {
+			s.learn(l, believed, end)
 			return end
 		}
 	}
@@ -351,13 +362,29 @@
 	return req
 }
 
-// predict estimates the work an order brings, for the load not yet reported.
-func (l *link) predict(req *rudderv1.RunRequest) time.Duration {
+// learn takes in what a whole run tells about the endpoint.
+func (s *session) learn(l *link, believed int, end *rudderv1.End) {
+	c := s.o.completion
+	if result.Code(end.Code) != result.OK || c == nil {
+		return
+	}
+	l.cache.Ran(c.Prefix, believed, end.GetUsage().GetCachedTokens())
+	l.observe(l.prefill(c.PromptTokens, end.GetUsage().GetCachedTokens()), time.Duration(end.GetTimes().GetPrefillUs())*time.Microsecond)
+}
+
+// predict estimates the prefill that an order brings, and how many leading
+// blocks of it the endpoint is believed to hold.
+func (l *link) predict(req *rudderv1.RunRequest) (work time.Duration, believed int) {
+	c := req.GetCompletion()
+	believed = l.cache.Cached(c.GetPrefix())
+	return l.prefill(c.GetPromptTokens(), uint64(believed)*prefix.BlockTokens), believed
+}
+
+// prefill estimates the time to prefill a prompt of which a part is cached.
+func (l *link) prefill(prompt, cached uint64) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := float64(req.GetCompletion().GetPromptTokens())
-	us := n*l.load.GetPrefillUsPerToken() + n*n*l.load.GetPrefillUsPerToken2()
-	return time.Duration(us) * time.Microsecond
+	return costOf(l.load).OrDefault().Prefill(prompt, cached)
 }
 
 func ending(e *rudderv1.End) lifecycle.Ending {
--- a/lifecycle/dispatch.go
+++ b/lifecycle/dispatch.go
@@ -42,7 +42,7 @@
 	case result.NotRun:
 		return d.afterRefusal(e, budget)
 	default:
-		return d.afterLoss(budget)
+		return d.afterLoss()
 	}
 }
 
@@ -65,8 +65,10 @@
 	return d.elsewhere()
 }
 
-func (d *Dispatch) afterLoss(budget func() bool) Step {
-	if !d.Repeatable || !d.again() || !budget() {
+// afterLoss: an admitted request is not dropped for want of a retry budget;
+// the number of its attempts bounds what it can cost.
+func (d *Dispatch) afterLoss() Step {
+	if !d.Repeatable || !d.again() {
 		return StepAnswer
 	}
 	return d.elsewhere()
--- a/rudderv1/rudderv1connect/rudder.connect.go
+++ b/rudderv1/rudderv1connect/rudder.connect.go
@@ -67,6 +67,8 @@
 	GatewayServiceStatusProcedure = "/rudder.v1.GatewayService/Status"
 	// GatewayServiceExplainProcedure is the fully-qualified name of the GatewayService's Explain RPC.
 	GatewayServiceExplainProcedure = "/rudder.v1.GatewayService/Explain"
+	// GatewayServiceShareProcedure is the fully-qualified name of the GatewayService's Share RPC.
+	GatewayServiceShareProcedure = "/rudder.v1.GatewayService/Share"
 )
 
 // AgentServiceClient is a client for the rudder.v1.AgentService service.
@@ -425,6 +427,8 @@
 	Status(context.Context, *connect.Request[rudderv1.StatusRequest]) (*connect.Response[rudderv1.StatusResponse], error)
 	// Explain returns the recorded routing decisions of one request.
 	Explain(context.Context, *connect.Request[rudderv1.ExplainRequest]) (*connect.Response[rudderv1.ExplainResponse], error)
+	// Share tells a peer the sender's recent use, by which limits are split.
+	Share(context.Context, *connect.Request[rudderv1.ShareRequest]) (*connect.Response[rudderv1.ShareResponse], error)
 }
 
 // NewGatewayServiceClient constructs a client for the rudder.v1.GatewayService service. By default,
@@ -456,6 +460,12 @@
 			connect.WithSchema(gatewayServiceMethods.ByName("Explain")),
 			connect.WithClientOptions(opts...),
 		),
+		share: connect.NewClient[rudderv1.ShareRequest, rudderv1.ShareResponse](
+			httpClient,
+			baseURL+GatewayServiceShareProcedure,
+			connect.WithSchema(gatewayServiceMethods.ByName("Share")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -464,6 +474,7 @@
 	fetch   *connect.Client[rudderv1.FetchRequest, rudderv1.FetchResponse]
 	status  *connect.Client[rudderv1.StatusRequest, rudderv1.StatusResponse]
 	explain *connect.Client[rudderv1.ExplainRequest, rudderv1.ExplainResponse]
+	share   *connect.Client[rudderv1.ShareRequest, rudderv1.ShareResponse]
 }
 
 // Fetch calls rudder.v1.GatewayService.Fetch.
@@ -481,6 +492,11 @@
 	return c.explain.CallUnary(ctx, req)
 }
 
+// Share calls rudder.v1.GatewayService.Share.
+func (c *gatewayServiceClient) Share(ctx context.Context, req *connect.Request[rudderv1.ShareRequest]) (*connect.Response[rudderv1.ShareResponse], error) {
+	return c.share.CallUnary(ctx, req)
+}
+
 // GatewayServiceHandler is an implementation of the rudder.v1.GatewayService service.
 type GatewayServiceHandler interface {
 	// Fetch returns the highest accepted document the gateway has seen.
@@ -489,6 +505,8 @@
 	Status(context.Context, *connect.Request[rudderv1.StatusRequest]) (*connect.Response[rudderv1.StatusResponse], error)
 	// Explain returns the recorded routing decisions of one request.
 	Explain(context.Context, *connect.Request[rudderv1.ExplainRequest]) (*connect.Response[rudderv1.ExplainResponse], error)
+	// Share tells a peer the sender's recent use, by which limits are split.
+	Share(context.Context, *connect.Request[rudderv1.ShareRequest]) (*connect.Response[rudderv1.ShareResponse], error)
 }
 
 // NewGatewayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -516,6 +534,12 @@
 		connect.WithSchema(gatewayServiceMethods.ByName("Explain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayServiceShareHandler := connect.NewUnaryHandler(
+		GatewayServiceShareProcedure,
+		svc.Share,
+		connect.WithSchema(gatewayServiceMethods.ByName("Share")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rudder.v1.GatewayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayServiceFetchProcedure:
@@ -524,6 +548,8 @@
 			gatewayServiceStatusHandler.ServeHTTP(w, r)
 		case GatewayServiceExplainProcedure:
 			gatewayServiceExplainHandler.ServeHTTP(w, r)
+		case GatewayServiceShareProcedure:
+			gatewayServiceShareHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -544,3 +570,7 @@
 func (UnimplementedGatewayServiceHandler) Explain(context.Context, *connect.Request[rudderv1.ExplainRequest]) (*connect.Response[rudderv1.ExplainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.GatewayService.Explain is not implemented"))
 }
+
+func (UnimplementedGatewayServiceHandler) Share(context.Context, *connect.Request[rudderv1.ShareRequest]) (*connect.Response[rudderv1.ShareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.GatewayService.Share is not implemented"))
+}
