--- a/load/fake_test.go
+++ b/load/fake_test.go
@@ -1,57 +1,18 @@
 package load
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"testing"
 
 	"github.com/micarudder/micarudder/internal/standin/answer"
+	"github.com/micarudder/micarudder/internal/standin/pipe"
 )
 
-// pipeListener hands out in-memory connections, so that virtual time can pass.
-type pipeListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
-func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
-	a, b := net.Pipe()
-	select {
-	case l.conns <- b:
-		return a, nil
-	case <-l.done:
-		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
-	}
-}
-
 // gatewayFake answers presentations by a script; the last entry repeats.
 type gatewayFake struct {
 	mu     sync.Mutex
@@ -71,15 +32,9 @@
 func (g *gatewayFake) serve(t *testing.T, m *Mix) Options { return serveHandler(t, m, g) }
 
 func serveHandler(t *testing.T, m *Mix, h http.Handler) Options {
-	l := newPipeListener()
-	s := &http.Server{Handler: h}
-	tr := &http.Transport{DialContext: l.dial}
-	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() {
-		tr.CloseIdleConnections()
-		_ = s.Close()
-	})
-	return Options{Mix: m, Gateways: []string{"http://gateway"}, Seed: 1, Name: "t", Transport: tr}
+	s := pipe.Serve(h)
+	t.Cleanup(s.Close)
+	return Options{Mix: m, Gateways: []string{"http://gateway"}, Seed: 1, Name: "t", Transport: s.Client.Transport}
 }
 
 // bodyOf reads a completion request.
