Offer load runs and burn reports on the operators' command line

Both were libraries only. `rudderctl load MIX` shows progress on standard error, writes text or JSON, a page and every request as a line of JSON, and exits 13 when a promise was seen broken. `rudderctl burn` samples the gateways' admin listeners, keeps samples in a file and exits 12 when a budget burns so fast that somebody has to act. Both are outside the common time limit: their own options say how long they take.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -91,11 +91,16 @@
 	return p
 }
 
+// longRunning is a sub-command whose own options say how long it takes.
+type longRunning interface{ unbounded() }
+
 // execute runs one sub-command under the command's time limit.
 func (a *app) execute(c flags.Commander, rest []string) error {
-	ctx, cancel := context.WithTimeout(a.ctx, a.Timeout)
-	defer cancel()
-	a.ctx = ctx
+	if _, ok := c.(longRunning); !ok {
+		ctx, cancel := context.WithTimeout(a.ctx, a.Timeout)
+		defer cancel()
+		a.ctx = ctx
+	}
 	a.Gateways = slices.DeleteFunc(a.Gateways, func(address string) bool { return address == "" })
 	if len(rest) > 0 {
 		return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", rest[0])}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/internal/standin/engine"
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
 	"github.com/micarudder/micarudder/platform"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -91,11 +92,32 @@
 	e.Setenv("RUDDER_PLATFORM", strings.TrimPrefix(store.URL, "http://"))
 	e.Setenv("GATEWAY", strings.TrimPrefix(gateway.URL, "http://"))
 	e.Setenv("RUDDER_OPERATOR", "jana")
+	e.Setenv("ENGINE", serveEngine(e))
+	e.Setenv("ADMIN", serveMetrics(e))
 	wd, err := os.Getwd()
 	e.Setenv("EXAMPLES", wd+"/../examples")
 	return err
 }
 
+// serveEngine starts a stand-in engine, which speaks the completion protocol
+// as a gateway does, and returns its address.
+func serveEngine(e *testscript.Env) string {
+	cfg := engine.Default()
+	cfg.Speed = 1000
+	s := httptest.NewServer(engine.NewServer(cfg).Handler())
+	e.Defer(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// serveMetrics serves the script's file metrics and returns its address.
+func serveMetrics(e *testscript.Env) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.ServeFile(w, r, e.WorkDir+r.URL.Path)
+	}))
+	e.Defer(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
 // exits runs a command and checks its exit code: exits 5 rudderctl confirm p.json
 func runExits(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -28,6 +28,8 @@
 	ExitBack        Exit = 9
 	ExitPartial     Exit = 10
 	ExitNotFound    Exit = 11
+	ExitFiring      Exit = 12
+	ExitBroken      Exit = 13
 )
 
 // exitCodes describes the codes, in order.
@@ -47,6 +49,8 @@
 	{ExitBack, "the platform holds an older configuration than one seen before; see docs/ops/plans.md"},
 	{ExitPartial, "some gateways did not answer; what is shown is incomplete"},
 	{ExitNotFound, "no gateway knows the request"},
+	{ExitFiring, "`burn`: an error budget burns so fast that somebody has to act"},
+	{ExitBroken, "`load`: a request showed a promise broken"},
 }
 
 var exitOfCode = map[result.Code]Exit{
--- a/ctl/registry.go
+++ b/ctl/registry.go
@@ -18,6 +18,8 @@
 		{"explain", "Explain a request", "Shows the recorded routing decisions of a request.", &explainCommand{app: a}},
 		{"generations", "Show generations", "Shows the accepted generation, the plans before it and each gateway's.", &generationsCommand{app: a}},
 		{"restore", "Repair the platform", "Writes the gateways' highest configuration back into a platform that fell behind.", &restoreCommand{app: a}},
+		{"load", "Generate load", "Sends a load mix to the gateways and judges every answer.", &loadCommand{app: a}},
+		{"burn", "Report service-level burn", "Samples the gateways' metrics and reports how fast error budgets burn.", &burnCommand{app: a}},
 		{"completion", "Write shell completion", "Writes the completion script for bash.", &completionCommand{app: a}},
 	}
 }
--- a/load/check_test.go
+++ b/load/check_test.go
@@ -52,24 +52,27 @@
 func TestSummarize(t *testing.T) {
 	is := is.New(t)
 	m := &Mix{Run: RunSettings{Duration: 11 * time.Second, Warmup: time.Second}}
-	base := Record{Final: Whole, Repeatable: true, Executions: 1, Measured: true, Deadline: time.Second, Prompt: 1000, Presentations: 1}
+	base := Record{Final: Whole, Repeatable: true, Executions: 1, Measured: true, Deadline: time.Second, Due: 2 * time.Second, End: 2500 * time.Millisecond, Prompt: 1000, Presentations: 1}
 	with := func(change func(*Record)) Record { r := base; change(&r); return r }
 	s := Summarize(m, 5, 0.8, []Record{
-		with(func(r *Record) { r.FirstToken, r.End = 100*time.Millisecond, 200*time.Millisecond }),
-		with(func(r *Record) { r.Measured = false }),
-		with(func(r *Record) { r.End = 1500 * time.Millisecond }), // answered late, within the allowance
+		with(func(r *Record) { r.FirstToken, r.End = 2100*time.Millisecond, 2200*time.Millisecond }),
+		with(func(r *Record) { r.Measured, r.End = false, 500*time.Millisecond }),
+		with(func(r *Record) { r.End = 3500 * time.Millisecond }), // answered late, within the allowance
 		with(func(r *Record) { r.Executions = 3 }),
-		with(func(r *Record) { r.Final, r.Executions, r.End = Refused, 0, 5*time.Millisecond }),
+		with(func(r *Record) { r.Due, r.End = 10900*time.Millisecond, 11200*time.Millisecond }), // ended after the arrivals
+		with(func(r *Record) {
+			r.Final, r.Executions, r.Sent, r.End = Refused, 0, 2*time.Second, 2005*time.Millisecond
+		}),
 		with(func(r *Record) { r.Final, r.Class, r.Prompt = Damaged, routing.ClassHuge, 500_000 }),
 		with(func(r *Record) { r.Class, r.Prompt = routing.ClassLong, 99_000 }),
 	})
-	is.Equal(s.Requests, 7)
-	is.Equal(s.Finals, map[Final]int{Whole: 5, Refused: 1, Damaged: 1})
+	is.Equal(s.Requests, 8)
+	is.Equal(s.Finals, map[Final]int{Whole: 6, Refused: 1, Damaged: 1})
 	is.Equal(s.Breaches, map[Breach]int{BreachDamaged: 1})
 	is.Equal(len(s.Examples), 1)
 	is.Equal(s.Reruns, 2)
 	is.True(s.Joined)
-	is.Equal(s.Classes[0].Requests, 4)
+	is.Equal(s.Classes[0].Requests, 5)
 	is.Equal(s.Classes[0].Refused, 1)
 	is.Equal(s.Classes[0].FirstToken.Count, int64(1))
 	is.True(within(s.Classes[0].FirstToken.P95, 0.1, 0.001))
--- a/load/experiment.go
+++ b/load/experiment.go
@@ -13,6 +13,15 @@
 	Alone   bool
 }
 
+// Requests returns how many requests the experiment sends.
+func (e Experiment) Requests() int {
+	as := e.schedule()
+	if !e.Alone {
+		return len(as)
+	}
+	return len(as) + len(Only(as, IsShort))
+}
+
 // Report is the outcome of an experiment.
 type Report struct {
 	Mix      string    `json:"mix"`
--- a/load/summary.go
+++ b/load/summary.go
@@ -49,8 +49,8 @@
 	Classes  []ClassSummary `json:"classes"`
 	Refusals Quantiles      `json:"refusals"` // time from sent to the refusal
 	// UsefulTokens is the prompt and answer tokens a second of requests that
-	// were answered whole within their deadlines; LongTokens the part of the
-	// classes above 32k.
+	// were answered whole within their deadlines and ended while requests still
+	// arrived; LongTokens the part of the classes above 32k.
 	UsefulTokens float64 `json:"useful_tokens_per_s"`
 	LongTokens   float64 `json:"long_tokens_per_s"`
 }
@@ -79,7 +79,7 @@
 	}
 	s.classes(records)
 	s.refusals(records)
-	s.tokens(records)
+	s.tokens(m, records)
 	return s
 }
 
@@ -141,12 +141,14 @@
 	s.Refusals = quantiles(h)
 }
 
-func (s *Summary) tokens(records []Record) {
+// tokens counts the work that ended while requests arrived, after the
+// warm-up: what a queue still held at the end was not done at that rate.
+func (s *Summary) tokens(m *Mix, records []Record) {
 	if s.Duration <= 0 {
 		return
 	}
 	for _, r := range records {
-		if !r.Measured || r.Final != Whole || !r.InTime() {
+		if r.Final != Whole || !r.InTime() || r.End < m.Run.Warmup || r.End > m.Run.Duration {
 			continue
 		}
 		n := float64(r.Prompt+r.Answer) / s.Duration
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,6 +68,13 @@
 	return errors.Join(r.mistakes...)
 }
 
+// Defaults fills target, a pointer to a struct, with the defaults of its tags.
+func Defaults(target any) error {
+	r := &reader{name: "defaults", file: ini.Empty()}
+	r.read(reflect.ValueOf(target).Elem())
+	return errors.Join(r.mistakes...)
+}
+
 type reader struct {
 	name     string
 	file     *ini.File
--- a/slo/objectives.go
+++ b/slo/objectives.go
@@ -49,6 +49,15 @@
 	return c, nil
 }
 
+// DefaultConfig returns the objectives of an empty file.
+func DefaultConfig() *Config {
+	c := new(Config)
+	if err := settings.Defaults(c); err != nil {
+		panic(err) // a mistake in a field's tag
+	}
+	return c
+}
+
 // Check implements settings.Checker.
 func (c *Config) Check() []*settings.Mistake {
 	var out []*settings.Mistake
