Measure the default policy against its baselines with real processes

The goals of routing and admission are ratios that only whole processes under load can show. Measuring the decisions alone was ruled out: queues at agents, lagging reports and the engine's batching are what decides.

--- /dev/null
+++ b/internal/bench/fleet.go
@@ -0,0 +1,43 @@
+package bench
+
+import (
+	"github.com/micarudder/micarudder/internal/fleet"
+)
+
+// The fleet of the benchmark.
+const (
+	engines      = 20
+	gateways     = 2
+	memoryTokens = 450_000
+	maxRunning   = 64
+	// engineSpeed is modelled time over real time.
+	engineSpeed = "2"
+)
+
+// fleet describes the installation for one run.
+func (o Options) fleet(dir, policy string) fleet.Config {
+	return fleet.Config{
+		BinDir:       o.BinDir,
+		Dir:          dir,
+		BasePort:     o.BasePort,
+		DataCentres:  []string{"hall-petrzalka"},
+		Engines:      engines,
+		Gateways:     gateways,
+		Models:       []string{"rudder-llm"},
+		Workspaces:   o.workspaces(),
+		Policy:       policy,
+		EngineArgs:   []string{"--speed", engineSpeed},
+		MemoryTokens: memoryTokens,
+		MaxRunning:   maxRunning,
+		LogLevel:     "warn",
+	}
+}
+
+func (o Options) workspaces() []fleet.Workspace {
+	var out []fleet.Workspace
+	for _, name := range o.Mix.FlowNames() {
+		f := o.Mix.Flow[name]
+		out = append(out, fleet.Workspace{Name: f.Workspace, Key: f.Key})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/run/main.go
@@ -0,0 +1,96 @@
+// Command run carries out the benchmark and writes its table.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/micarudder/micarudder/internal/bench"
+)
+
+type options struct {
+	BinDir   string        `long:"bin" default:"bin" description:"directory of the programs"`
+	BasePort int           `long:"port" default:"21600" description:"first port of the fleet"`
+	Seeds    []uint64      `long:"seed" default:"1" default:"2" default:"3" description:"seed; may be repeated"`
+	Policies []string      `long:"policy" description:"policy to compare; may be repeated (default: all)"`
+	Loads    []float64     `long:"load" description:"load of the sweep; may be repeated (default: 0.8 to 1.5)"`
+	NoSweep  bool          `long:"no-sweep" description:"leave the sweep out"`
+	Duration time.Duration `long:"duration" description:"time of arrivals in each run instead of the mix's"`
+	JSON     string        `long:"json" description:"file for all results"`
+	Commit   string        `long:"commit" default:"unknown" description:"commit that is measured"`
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		if flags.WroteHelp(err) {
+			return nil
+		}
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	o, err := opts.bench()
+	if err != nil {
+		return err
+	}
+	res, err := bench.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	if err := writeJSON(opts.JSON, res); err != nil {
+		return err
+	}
+	return bench.WriteTable(os.Stdout, res, opts.Commit)
+}
+
+func (o options) bench() (bench.Options, error) {
+	mix, err := bench.DefaultMix()
+	if err != nil {
+		return bench.Options{}, err
+	}
+	if o.Duration > 0 {
+		mix.Run.Duration = o.Duration
+	}
+	b := bench.Options{
+		BinDir: o.BinDir, BasePort: o.BasePort, Seeds: o.Seeds,
+		Policies: bench.Policies, Sweep: bench.Sweep, Mix: mix, Log: logLine,
+	}
+	if len(o.Policies) > 0 {
+		b.Policies = o.Policies
+	}
+	if len(o.Loads) > 0 {
+		b.Sweep = o.Loads
+	}
+	if o.NoSweep {
+		b.Sweep = nil
+	}
+	return b, nil
+}
+
+func logLine(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
+
+func writeJSON(file string, v any) error {
+	if file == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, data, 0o644)
+}
