Weigh what requests cost each other, from a trial of whole fleets

Change: agents report the decode cost of an idle endpoint; every request's score holds half of what its prefill costs the running ones; decode counts over 16 tokens; the lane has the size of the long share. Long work no longer passes still longer work that is nearer its end than itself.

--- a/admission/pass.go
+++ b/admission/pass.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		switch c := r.entry.item.Class; {
-		case c == e.item.Class:
+		case c == e.item.Class, outlasts(e, r):
 			ahead += r.left()
 		case shorter(e.item.Class, c):
 			next = min(next, c)
@@ -60,6 +60,12 @@
 	return ahead < q.cfg.Window && !q.owedAny(next, w, now)
 }
 
+// outlasts reports whether an entry of long work would pass longer work that
+// is nearer its end: then it waits, for both are done sooner so on average.
+func outlasts(e *entry, r *run) bool {
+	return e.item.Class >= routing.ClassLong && shorter(e.item.Class, r.entry.item.Class) && r.left() < e.prefill
+}
+
 // owedAny reports whether any prefilling run of the class is owed time.
 func (q *queue) owedAny(class routing.Class, w *workspace, now time.Time) bool {
 	for _, r := range q.running {
--- a/admission/predict.go
+++ b/admission/predict.go
@@ -83,9 +83,10 @@
 	var sum, chunk time.Duration
 	for _, r := range q.running {
 		left := r.left()
-		if !shorter(class, r.entry.item.Class) {
+		switch {
+		case !shorter(class, r.entry.item.Class), class >= routing.ClassLong:
 			sum += left
-		} else if left > 0 {
+		case left > 0:
 			chunk = q.model.Cost().Prefill(chunkTokens, 0)
 		}
 	}
@@ -183,6 +184,7 @@
 func (q *queue) Load(now time.Time) Totals {
 	q.advance(now)
 	t := Totals{Queued: len(q.waiting), Cost: q.model.Cost()}
+	t.Cost.DecodePerToken = q.model.DecodeFloor()
 	var a ahead
 	for c := range routing.Class(routing.NumClasses) {
 		for _, w := range q.workspaces {
--- a/routing/lanes.go
+++ b/routing/lanes.go
@@ -8,12 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// laneHeadroom is the capacity given to the lane over the long share of work.
-	laneHeadroom = 1.15
-	// laneMaxShare bounds the lane's share of a model's endpoints in a data centre.
-	laneMaxShare = 0.67
-)
+// laneMaxShare bounds the lane's share of a model's endpoints in a data centre.
+const laneMaxShare = 0.67
 
 // Lanes returns the endpoints that take long work: for each model in each data
 // centre a part of its endpoints that follows longShare, the share of all work
@@ -51,7 +47,7 @@
 	if math.IsNaN(longShare) {
 		longShare = 0
 	}
-	want := int(math.Ceil(float64(n) * min(1, max(0, longShare)) * laneHeadroom))
+	want := int(math.Ceil(float64(n) * min(1, max(0, longShare))))
 	most := max(1, int(float64(n)*laneMaxShare))
 	return min(max(1, want), most)
 }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -16,8 +16,8 @@
 	// LanePenalty is the part of what long work could cost a short request
 	// that is added for an endpoint in the lane for long work.
 	LanePenalty float64
-	// HarmPenalty is the part of what a long request costs each running one
-	// that is added to its own score.
+	// HarmPenalty is the part of what a request's prefill costs the running
+	// ones that is added to its own score.
 	HarmPenalty float64
 	// SpillAfter is the wait, in lengths of its own prefill, that a long
 	// request takes for the lane over an endpoint outside it.
@@ -38,11 +38,11 @@
 const (
 	DefaultFreshFor        = 1500 * time.Millisecond
 	DefaultDistancePenalty = 2 * time.Millisecond
-	DefaultLanePenalty     = 0.1
-	DefaultHarmPenalty     = 0.1
+	DefaultLanePenalty     = 0.5
+	DefaultHarmPenalty     = 0.5
 	DefaultSpillAfter      = 2
 	DefaultBatchSlowdown   = 0.01
-	DefaultDecodeHorizon   = 128
+	DefaultDecodeHorizon   = 16
 	DefaultSpreadWork      = 0.02
 	DefaultSpreadAge       = 0.1
 )
--- a/routing/score.go
+++ b/routing/score.go
@@ -28,7 +28,7 @@
 		decodeScore(j, c.BatchSlowdown, c.DecodeHorizon) +
 		besideScore(j, c.DecodeHorizon) +
 		laneScore(j, c.LanePenalty, c.DecodeHorizon) +
-		harmScore(j, c.HarmPenalty, c.DecodeHorizon)
+		harmScore(j, c.HarmPenalty)
 }
 
 // parts returns a drawn score's parts in milliseconds.
@@ -41,7 +41,7 @@
 		PartDecode:   decodeScore(j, c.BatchSlowdown, c.DecodeHorizon),
 		PartBeside:   besideScore(j, c.DecodeHorizon),
 		PartLane:     laneScore(j, c.LanePenalty, c.DecodeHorizon),
-		PartHarm:     harmScore(j, c.HarmPenalty, c.DecodeHorizon),
+		PartHarm:     harmScore(j, c.HarmPenalty),
 		PartSpread:   spread,
 	}
 	for name := range m {
--- a/routing/score_beside.go
+++ b/routing/score_beside.go
@@ -24,15 +24,20 @@
 	return share * j.chunks(horizon)
 }
 
-// harmScore is a share of what the running requests would lose to a long
-// request's prefill.
-func harmScore(j *job, share float64, horizon uint64) float64 {
-	if !j.long {
+// remainingTokens is the number of tokens that a running request has left on
+// average, as far as this request could slow them.
+const remainingTokens = 32
+
+// harmScore is a share of what the running requests lose to this one's
+// prefill: each of their steps carries a chunk of it, until either is over.
+func harmScore(j *job, share float64) float64 {
+	running := j.cand.Running + j.cand.PendingCount
+	if running == 0 {
 		return 0
 	}
 	chunk := float64(j.cost.Prefill(chunkTokens, 0))
-	each := min(float64(horizon)*chunk, float64(j.prefill))
-	return share * each * float64(j.cand.Running+j.cand.PendingCount)
+	each := min(float64(j.prefill), remainingTokens*chunk)
+	return share * each * float64(running) * j.slow
 }
 
 // chunks is the time that chunks of other work add to the request's answer if
