--- a/agent/admit.go
+++ b/agent/admit.go
@@ -18,8 +18,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if old, ok := a.records.runs[req.RequestId]; ok && !a.replaceable(old, req) {
-		return old, true, nil
+	if old, ok := a.records.runs[req.RequestId]; ok {
+		return a.again(old, req)
 	}
 	if a.records.sealed(req.RequestId) {
 		return nil, false, endOf(result.New(result.TicketVoided, ""), true)
@@ -38,11 +38,12 @@
 	return a.enqueue(req, claims)
 }
 
-// replaceable reports whether a later attempt may take the place of a run that
-// ended badly.
-func (a *Agent) replaceable(old *run, req *rudderv1.RunRequest) bool {
-	code, final := old.final()
-	return req.Repeatable && final && code != result.OK && req.Attempt > old.req.Attempt
+// again leads a further order of a known id to its run, if it asks for the same.
+func (a *Agent) again(old *run, req *rudderv1.RunRequest) (*run, bool, *rudderv1.End) {
+	if old.digest != digestOf(req) {
+		return nil, false, endOf(result.New(result.KeyReused, ""), true)
+	}
+	return old, true, nil
 }
 
 // refuse checks everything that does not depend on the queue.
@@ -59,8 +60,7 @@
 	case (req.Call != nil) != (a.deps.Service != nil):
 		return result.New(result.EndpointRefused, "wrong kind of endpoint")
 	}
-	space := int64(req.GetCompletion().GetMaxTokens()) * answerBytesPerToken
-	if !a.records.fits(space) {
+	if !a.records.fits(req) {
 		return result.New(result.RecordsFull, "")
 	}
 	return nil
@@ -74,13 +74,10 @@
 	v := a.queue.Offer(r.item, a.capacity(), now)
 	if !v.Admitted {
 		r.cancel()
-		err := result.New(result.Overloaded, "")
+		err := result.New(v.Code, v.Detail)
 		err.RetryAfter = v.RetryAfter.Milliseconds()
 		return nil, false, a.sealRefusal(req, claims, err)
 	}
-	if old, ok := a.records.runs[req.RequestId]; ok {
-		a.records.forget(old)
-	}
 	a.records.add(r)
 	a.waiting[r.item.ID] = r
 	a.notify()
@@ -138,9 +135,11 @@
 	time.AfterFunc(after, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if _, final := r.final(); final {
-			a.records.forget(r)
+		if _, final := r.final(); !final {
+			a.forgetLater(r, claims)
+			return
 		}
+		a.records.forget(r)
 	})
 }
 
@@ -162,7 +161,7 @@
 	if held := a.used + a.reserved; held < a.cfg.MemoryTokens {
 		free = a.cfg.MemoryTokens - held
 	}
-	return admission.Capacity{FreeTokens: free, Running: a.running, MaxRunning: a.cfg.MaxRunning}
+	return admission.Capacity{FreeTokens: free, Running: a.running, MaxRunning: a.cfg.MaxRunning, MemoryTokens: a.cfg.MemoryTokens}
 }
 
 // endOf makes the end frame of a refusal.
@@ -185,9 +184,18 @@
 	a.records.ended(r)
 	a.notify()
 	a.poke()
-	time.AfterFunc(a.cfg.AnswerKeep, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.records.bytes -= int64(r.drop())
-	})
+	time.AfterFunc(a.cfg.AnswerKeep, func() { a.keepOver(r) })
+}
+
+// keepOver drops an answer that was kept long enough. The record of a
+// repeatable run goes with it: it may run again, and no "not run" is ever said
+// under its name.
+func (a *Agent) keepOver(r *run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.req.Repeatable {
+		a.records.forget(r)
+		return
+	}
+	a.records.drop(r)
 }
--- a/agent/call.go
+++ b/agent/call.go
@@ -7,10 +7,14 @@
 	"time"
 
 	"github.com/micarudder/micarudder/lifecycle"
+	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/service"
 )
 
+// maxStatus is the highest status that can be passed on.
+const maxStatus = 999
+
 // call runs a call at the plain service.
 func (a *Agent) call(r *run) {
 	begun := time.Now()
@@ -23,6 +27,10 @@
 		return
 	}
 	defer func() { _ = reply.Body.Close() }()
+	if reply.Status < http.StatusOK || reply.Status > maxStatus {
+		r.apply(lifecycle.Event{Kind: lifecycle.EvEnd, Code: result.EndpointFailed}, "status outside 200 to 999")
+		return
+	}
 	r.apply(lifecycle.Event{Kind: lifecycle.EvAnswer}, "")
 	r.setHead(&rudderv1.ServiceHead{Status: uint32(reply.Status), Headers: fromHeader(reply.Header)})
 	a.readBody(r, reply.Body, begun)
@@ -34,8 +42,8 @@
 	buf := make([]byte, readChunk)
 	for {
 		n, err := body.Read(buf)
-		if n > 0 {
-			r.append(buf[:n])
+		if n > 0 && !a.take(r, buf[:n]) {
+			return
 		}
 		if errors.Is(err, io.EOF) {
 			a.finishCall(r, begun, first)
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -16,20 +16,17 @@
 )
 
 const (
-	// expirySweep is how often waiting work is checked against its deadlines
-	// while there is any.
-	expirySweep = 100 * time.Millisecond
-	cancelTime  = 2 * time.Second
-	readChunk   = 32 << 10
+	cancelTime = 2 * time.Second
+	readChunk  = 32 << 10
 )
 
 // dispatchLoop starts waiting work as the endpoint has room for it.
 func (a *Agent) dispatchLoop() {
-	timer := time.NewTimer(expirySweep)
+	timer := time.NewTimer(admission.PollEvery)
 	defer timer.Stop()
 	for {
 		if a.startAll() {
-			timer.Reset(expirySweep)
+			timer.Reset(admission.PollEvery)
 		}
 		select {
 		case <-a.ctx.Done():
@@ -83,6 +80,7 @@
 		a.mu.Lock()
 		a.running--
 		a.used -= it.MemoryTokens
+		a.queue.Remove(it.ID) // of no effect after Done
 		a.mu.Unlock()
 		a.endRun(r)
 	})
@@ -151,9 +149,12 @@
 		if len(ev.Text) > 0 {
 			if first.IsZero() {
 				first = time.Now()
+				a.prefilled(r, first)
 				r.apply(lifecycle.Event{Kind: lifecycle.EvAnswer}, "")
 			}
-			r.append(ev.Text)
+			if !a.take(r, ev.Text) {
+				return
+			}
 		}
 		if ev.Finish != "" {
 			finish, usage = ev.Finish, ev.Usage
@@ -161,6 +162,38 @@
 	}
 }
 
+// prefilled tells the queue that a run has come to its first token.
+func (a *Agent) prefilled(r *run, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Prefilled(r.item.ID, now)
+}
+
+// take buffers answer text. An answer that outgrows the space for all answers
+// ends its run and reports false.
+func (a *Agent) take(r *run, text []byte) bool {
+	r.size += int64(len(text))
+	if r.size > r.room && !a.widen(r) {
+		r.apply(lifecycle.Event{Kind: lifecycle.EvEnd, Code: result.AnswerTooLong}, "")
+		a.cancelAtEngine(attemptID(r.req))
+		return false
+	}
+	r.append(text)
+	return true
+}
+
+// widen books more space for the run's answer.
+func (a *Agent) widen(r *run) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	more := r.size - r.room + growth
+	if !a.records.grow(r, more) {
+		return false
+	}
+	r.room += more
+	return true
+}
+
 func (a *Agent) finishCompletion(r *run, finish string, u engine.Usage, begun, first time.Time) {
 	now := time.Now()
 	if first.IsZero() {
@@ -193,7 +226,9 @@
 	case errors.Is(err, engine.ErrFailed):
 		r.apply(lifecycle.Event{Kind: lifecycle.EvEnd, Code: result.EndpointFailed}, err.Error())
 	default:
-		r.apply(lifecycle.Event{Kind: lifecycle.EvLost}, err.Error())
+		if r.apply(lifecycle.Event{Kind: lifecycle.EvLost}, err.Error()) == lifecycle.ActStop {
+			a.cancelAtEngine(attemptID(r.req))
+		}
 	}
 }
 
--- a/agent/records.go
+++ b/agent/records.go
@@ -2,10 +2,17 @@
 
 import (
 	"github.com/micarudder/micarudder/lifecycle"
+	"github.com/micarudder/micarudder/rudderv1"
 )
 
-// answerBytesPerToken is the buffer space set aside for each answer token.
-const answerBytesPerToken = 8
+const (
+	// answerBytesPerToken is the buffer space booked for each answer token.
+	answerBytesPerToken = 8
+	// callSpace is the buffer space booked for a plain service's answer.
+	callSpace = 64 << 10
+	// growth is by how much the space of an answer that outgrows it is raised.
+	growth = 64 << 10
+)
 
 // records is the table of runs and tombstones of this incarnation, by request
 // id. It is bounded: at the bound new ids are refused, and no record is
@@ -15,7 +22,7 @@
 	maxBytes   int64
 	runs       map[string]*run
 	tombs      map[string]struct{}
-	bytes      int64 // set aside or used by answers
+	bytes      int64 // booked for bodies and answers
 	unfinished int
 }
 
@@ -23,29 +30,48 @@
 	return &records{max: max, maxBytes: maxBytes, runs: make(map[string]*run), tombs: make(map[string]struct{})}
 }
 
-// fits reports whether a run with the given answer size can be recorded.
-func (t *records) fits(answer int64) bool {
-	return len(t.runs) < t.max && t.bytes+answer <= t.maxBytes
+// fits reports whether the order can be recorded.
+func (t *records) fits(req *rudderv1.RunRequest) bool {
+	return len(t.runs) < t.max && t.bytes+spaceOf(req) <= t.maxBytes
 }
 
-// add records a new run and sets its answer space aside.
+// add records a new run and books its space.
 func (t *records) add(r *run) {
 	t.runs[r.req.RequestId] = r
-	t.bytes += answerSpace(r)
+	t.hold(r, spaceOf(r.req))
 	t.unfinished++
 }
 
-// ended replaces the space set aside by what the answer took.
+// hold sets the bytes booked for a run.
+func (t *records) hold(r *run, bytes int64) {
+	t.bytes += bytes - r.held
+	r.held = bytes
+}
+
+// grow books more space for an answer; it reports false at the bound.
+func (t *records) grow(r *run, more int64) bool {
+	if t.bytes+more > t.maxBytes {
+		return false
+	}
+	t.hold(r, r.held+more)
+	return true
+}
+
+// ended replaces the space booked by what the answer took.
 func (t *records) ended(r *run) {
 	t.unfinished--
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t.bytes += int64(len(r.buf)) - answerSpace(r)
+	t.hold(r, r.trim())
 }
 
-// forget removes the run if it is still the one recorded under its id.
+// drop forgets a run's answer but not the run.
+func (t *records) drop(r *run) {
+	r.drop()
+	t.hold(r, 0)
+}
+
+// forget removes the run.
 func (t *records) forget(r *run) {
-	t.bytes -= int64(r.drop())
+	t.drop(r)
 	if t.runs[r.req.RequestId] == r {
 		delete(t.runs, r.req.RequestId)
 	}
@@ -77,6 +103,13 @@
 // busy returns the number of runs that have not ended.
 func (t *records) busy() int { return t.unfinished }
 
-func answerSpace(r *run) int64 {
-	return int64(r.req.GetCompletion().GetMaxTokens()) * answerBytesPerToken
+// spaceOf is the space that an order needs: its body until it has ended, and
+// its answer.
+func spaceOf(req *rudderv1.RunRequest) int64 { return int64(len(req.Body)) + answerSpace(req) }
+
+func answerSpace(req *rudderv1.RunRequest) int64 {
+	if req.Call != nil {
+		return callSpace
+	}
+	return int64(req.GetCompletion().GetMaxTokens())*answerBytesPerToken + int64(len(req.GetCompletion().GetResumeText()))
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -26,10 +26,14 @@
 	ctx      context.Context // ends with the deadline, a cancel or the agent
 	cancel   context.CancelFunc
 
+	digest uint64 // of what was asked for
+	held   int64  // bytes booked for it in the records; the agent's lock guards it
+	size   int64  // answer bytes so far; only the worker uses it
+	room   int64  // answer bytes that are booked; only the worker uses it
+
 	mu      sync.Mutex
 	life    lifecycle.Run
-	base    uint64 // offset of the first buffered byte
-	buf     []byte
+	buf     []byte // the answer, from offset 0
 	sum     *xxhash.Digest
 	head    *rudderv1.ServiceHead
 	end     *rudderv1.End
@@ -43,13 +47,24 @@
 	deadline := now.Add(time.Duration(req.RemainingMs) * time.Millisecond)
 	r := &run{req: req, deadline: deadline, admitted: now, changed: make(chan struct{}), sum: xxhash.New()}
 	r.ctx, r.cancel = context.WithDeadline(parent, deadline)
+	r.digest = digestOf(req)
+	r.room = answerSpace(req)
 	if resume := req.GetCompletion().GetResumeText(); len(resume) > 0 {
-		r.base = uint64(len(resume))
+		r.buf = append(r.buf, resume...)
+		r.size = int64(len(resume))
 		_, _ = r.sum.Write(resume)
 	}
 	return r
 }
 
+// digestOf names what an order asks for, whatever its attempt.
+func digestOf(req *rudderv1.RunRequest) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(req.GetCall().GetMethod() + " " + req.GetCall().GetPath() + req.GetCompletion().GetPath() + "\n")
+	_, _ = d.Write(req.Body)
+	return d.Sum64()
+}
+
 // apply makes a step of the state machine. A final step fixes the end that
 // every reader will see.
 func (r *run) apply(ev lifecycle.Event, detail string) lifecycle.Action {
@@ -67,7 +82,7 @@
 	r.end = &rudderv1.End{
 		Code:     uint32(r.life.Code),
 		Outcome:  rudderv1.Outcome(r.life.Outcome),
-		Length:   r.base + uint64(len(r.buf)),
+		Length:   uint64(len(r.buf)),
 		Checksum: r.sum.Sum64(),
 		Detail:   detail,
 		Sealed:   r.life.State == lifecycle.Refused,
@@ -104,7 +119,6 @@
 // view is what a reader sees at one moment.
 type view struct {
 	state   lifecycle.State
-	base    uint64
 	head    *rudderv1.ServiceHead
 	text    []byte // a part of the answer from the offset asked for
 	end     *rudderv1.End
@@ -117,10 +131,10 @@
 func (r *run) read(offset uint64) view {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := view{state: r.life.State, base: r.base, head: r.head, dropped: r.dropped, changed: r.changed}
-	total := r.base + uint64(len(r.buf))
-	if offset >= r.base && offset < total {
-		v.text = r.buf[offset-r.base:]
+	v := view{state: r.life.State, head: r.head, dropped: r.dropped, changed: r.changed}
+	total := uint64(len(r.buf))
+	if offset < total {
+		v.text = r.buf[offset:]
 		if len(v.text) > maxChunk {
 			v.text = v.text[:maxChunk]
 		}
@@ -162,13 +176,21 @@
 }
 
 // drop forgets the answer but keeps the record and its end.
-func (r *run) drop() (freed int) {
+func (r *run) drop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	freed = len(r.buf)
 	r.buf, r.dropped = nil, true
+}
+
+// trim lets go of what an ended run does not need and returns what it keeps.
+func (r *run) trim() (kept int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.req.Body = nil
-	return freed
+	if c := r.req.Completion; c != nil {
+		c.ResumeText = nil
+	}
+	return int64(len(r.buf))
 }
 
 // outcome returns the run's final code, or 0.
--- a/agent/server.go
+++ b/agent/server.go
@@ -81,7 +81,7 @@
 	headSent := false
 	for {
 		v := r.read(offset)
-		if offset < v.base || (v.dropped && v.end != nil && offset < v.end.Length) {
+		if v.dropped && v.end != nil && offset < v.end.Length {
 			return stream.Send(withEnd(frame(), endOf(result.New(result.AnswerDropped, ""), false)))
 		}
 		if v.head != nil && !headSent {
@@ -164,7 +164,7 @@
 	if end != nil {
 		return connect.NewResponse(&rudderv1.VoidResponse{Outcome: end.Outcome, Code: end.Code}), nil
 	}
-	return connect.NewResponse(s.a.void(claims)), nil
+	return connect.NewResponse(ranElsewhere(claims, s.a.void(claims))), nil
 }
 
 func (a *Agent) void(claims *rudderv1.TicketClaims) *rudderv1.VoidResponse {
@@ -183,6 +183,14 @@
 	return r.voidResponse()
 }
 
+// ranElsewhere: repeatable work may have been ordered from other agents too.
+func ranElsewhere(claims *rudderv1.TicketClaims, resp *rudderv1.VoidResponse) *rudderv1.VoidResponse {
+	if claims.Repeatable && resp.Outcome == rudderv1.Outcome_OUTCOME_NOT_RUN {
+		resp.Outcome = rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN
+	}
+	return resp
+}
+
 // voidUnknown seals an id that has no run; the caller holds mu.
 func (a *Agent) voidUnknown(claims *rudderv1.TicketClaims) *rudderv1.VoidResponse {
 	if a.records.sealed(claims.RequestId) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -23,26 +24,26 @@
 func (g *Gateway) serveService(x *exchange) {
 	name := x.param("name")
 	if !allowed(x.workspace.Services, name) {
-		g.refuse(x.w, result.New(result.UnknownService, name))
+		g.refuse(x.w, x.r, result.New(result.UnknownService, name))
 		return
 	}
 	body, err := g.readBody(x)
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
 	o, err := g.newOrder(x, repeatableMethod(x.r.Method))
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
-	o.body = body
+	o.body, o.skip = body, 0 // Last-Event-ID is the service's own here
 	o.call = &rudderv1.ServiceCall{Service: name, Method: x.r.Method, Path: servicePath(x), Headers: forward(x.r.Header)}
 	if err := g.claim(x, o); err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
-	out := &callWriter{g: g, x: x, o: o, rc: http.NewResponseController(x.raw), ticket: o.ticket}
+	out := newCallWriter(g, x, o)
 	out.finish(g.serve(x.r.Context(), o, out))
 }
 
@@ -79,32 +80,33 @@
 
 // callWriter writes one service answer to its caller.
 type callWriter struct {
-	g      *Gateway
-	x      *exchange
-	o      *order
-	rc     *http.ResponseController
-	ticket string
-	head   *rudderv1.ServiceHead
-	held   []byte
-	begun  bool
+	g     *Gateway
+	x     *exchange
+	o     *order
+	rc    *http.ResponseController
+	known bool // the caller may have been told its ticket
+	head  *rudderv1.ServiceHead
+	held  []byte
+	begun bool
+}
+
+func newCallWriter(g *Gateway, x *exchange, o *order) *callWriter {
+	return &callWriter{g: g, x: x, o: o, rc: http.NewResponseController(x.raw)}
 }
 
 // Named implements sink.
-func (c *callWriter) Named(ticket string) bool {
-	c.ticket = ticket
-	if c.o.repeatable || c.begun {
-		return c.begun
+func (c *callWriter) Named(ticket string) {
+	if c.begun {
+		return
+	}
+	setNames(c.x.w.Header(), ticket, c.o.id)
+	if !c.o.repeatable && earlyTicket(c.x) {
+		c.known = true
 	}
-	c.setHeaders()
-	c.x.raw.WriteHeader(http.StatusEarlyHints)
-	return true
 }
 
-func (c *callWriter) setHeaders() {
-	h := c.x.w.Header()
-	h.Set(headerTicket, c.ticket)
-	h.Set(headerRequest, c.o.id)
-}
+// Known implements sink.
+func (c *callWriter) Known() bool { return c.known || c.begun }
 
 // Head implements sink.
 func (c *callWriter) Head(h *rudderv1.ServiceHead) error {
@@ -121,8 +123,15 @@
 	return c.flush()
 }
 
-// Restart implements sink: what was not sent yet is dropped.
+// errBegun is why a service's answer cannot begin again.
+var errBegun = errors.New("part of the answer was sent")
+
+// Restart implements sink: what was not sent yet is dropped. A plain service's
+// answer has no event that could void the part that was sent.
 func (c *callWriter) Restart() error {
+	if c.begun {
+		return errBegun
+	}
 	c.held, c.head = nil, nil
 	return nil
 }
@@ -131,7 +140,6 @@
 func (c *callWriter) flush() error {
 	if !c.begun {
 		c.begun = true
-		c.setHeaders()
 		for _, kv := range c.head.GetHeaders() {
 			if !hopHeaders[http.CanonicalHeaderKey(kv.Name)] {
 				c.x.w.Header().Add(kv.Name, kv.Value)
@@ -152,7 +160,7 @@
 	case result.Code(end.Code) == result.OK:
 		_ = c.flush()
 	case !c.begun:
-		writeProblem(c.x.w, problemOf(end, c.o.id, c.ticket))
+		writeProblem(c.x.w, problemOf(end, c.o.id, c.o.ticket))
 	default:
 		panic(http.ErrAbortHandler)
 	}
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
+	"io"
 	"time"
 
 	"github.com/micarudder/micarudder/platform"
@@ -16,8 +18,20 @@
 	maxKey = 256
 	// claimTime bounds the platform calls of one claim.
 	claimTime = 2 * time.Second
+	// claimKeep is how long a key is remembered at least. It must not be
+	// shorter than a ticket's life: a late order under a claim that is gone
+	// must find its ticket expired.
+	claimKeep = 24 * time.Hour
+	// claimsAwayFor is the time to come back when no claim can be made.
+	claimsAwayFor = 5 * time.Second
 )
 
+// claimed is the value of a claim at the platform.
+type claimed struct {
+	Ticket string `json:"ticket"`
+	Digest string `json:"digest"` // of the request that claimed the key
+}
+
 // claim binds an unrepeatable request with a bare idempotency key to one
 // ticket, by one compare-and-swap at the platform: the first presentation
 // writes its ticket, every later one is led to that run. Requests with a
@@ -34,49 +48,111 @@
 	if _, end := s.place(); end != nil {
 		return &result.Err{Code: result.Code(end.Code), Outcome: result.Outcome(end.Outcome), Detail: end.Detail, RetryAfter: end.RetryAfterMs}
 	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), claimTime)
+	ctx, cancel := context.WithDeadline(x.r.Context(), o.deadline)
 	defer cancel()
-	ticket, err := g.writeClaim(ctx, claimKey(o.workspace.Name, key), s.ticket)
+	mine := claimed{s.ticket, digest(o)}
+	found, err := g.writeClaim(ctx, claimKey(o.workspace.Name, key), mine)
 	if err != nil {
 		return err
 	}
-	claims, err := g.readTicket(ticket, x.workspace)
+	if found.Digest != mine.Digest {
+		return result.New(result.KeyReused, "")
+	}
+	claims, err := g.readTicket(found.Ticket, x.workspace)
 	if err != nil {
 		return err
 	}
-	o.ticket, o.claims, o.id = ticket, claims, claims.RequestId
+	o.ticket, o.claims, o.id = found.Ticket, claims, claims.RequestId
 	return nil
 }
 
-// writeClaim returns the ticket that holds the key: mine, or an earlier one.
-func (g *Gateway) writeClaim(ctx context.Context, key, ticket string) (string, *result.Err) {
+// digest names what a request asks for.
+func digest(o *order) string {
+	h := sha256.New()
+	_, _ = io.WriteString(h, o.call.GetMethod()+" "+o.call.GetPath()+o.completion.GetPath()+"\n")
+	_, _ = h.Write(o.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// writeClaim returns the claim that holds the key: mine, or an earlier one.
+// Without an answer nothing is ordered: whatever becomes of the write, no run
+// exists under my ticket, and the next presentation is led to it.
+func (g *Gateway) writeClaim(ctx context.Context, key string, mine claimed) (claimed, *result.Err) {
 	if g.deps.Store == nil {
-		return "", claimsAway()
+		return claimed{}, claimsAway()
 	}
-	e, err := g.deps.Store.CompareAndSwap(ctx, key, 0, []byte(ticket), g.claimLease(ctx))
-	if errors.Is(err, platform.ErrUnknown) {
-		e, err = g.readBack(ctx, key)
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	value, err := json.Marshal(mine)
+	if err != nil {
+		return claimed{}, claimsAway()
+	}
+	e, err := g.swapClaim(ctx, key, value)
+	if errors.Is(err, platform.ErrLeaseGone) {
+		g.leases.drop()
+		e, err = g.swapClaim(ctx, key, value)
 	}
-	switch {
-	case err == nil, errors.Is(err, platform.ErrConflict):
-		return string(e.Value), nil
-	default:
-		// Nothing was ordered: whatever became of the claim, no run exists
-		// under my ticket, and the next presentation is led to it.
-		return "", claimsAway()
+	var found claimed
+	if (err != nil && e.Revision == 0) || json.Unmarshal(e.Value, &found) != nil {
+		return claimed{}, claimsAway()
 	}
+	return found, nil
 }
 
-func (g *Gateway) readBack(ctx context.Context, key string) (platform.Entry, error) {
-	return g.deps.Store.Get(ctx, key)
+// swapClaim writes the claim unless one is there. With an entry, whatever the
+// error, the key is claimed by it.
+func (g *Gateway) swapClaim(ctx context.Context, key string, value []byte) (platform.Entry, error) {
+	lease, err := g.leases.get(ctx, g.deps.Store)
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	same := func(e platform.Entry) bool { return string(e.Value) == string(value) }
+	return platform.Settle(ctx, g.deps.Store, key, 0, value, lease, same)
 }
 
-// claimLease returns the lease that removes claims after their time.
-func (g *Gateway) claimLease(context.Context) platform.LeaseID { return 0 }
+// claimLeases gives the lease that removes claims after their time: one per
+// gateway and hour, never renewed, so that claims cost no other platform call.
+type claimLeases struct {
+	turn  chan struct{} // holds a token while the lease is read or granted
+	id    platform.LeaseID
+	since time.Time
+}
+
+func newClaimLeases() *claimLeases { return &claimLeases{turn: make(chan struct{}, 1)} }
+
+// claimLeaseTurn is how long one lease takes new claims.
+const claimLeaseTurn = time.Hour
+
+// get returns the current lease, granted anew once an hour.
+func (l *claimLeases) get(ctx context.Context, store platform.Store) (platform.LeaseID, error) {
+	select {
+	case l.turn <- struct{}{}:
+		defer func() { <-l.turn }()
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	now := time.Now()
+	if l.id != 0 && now.Sub(l.since) < claimLeaseTurn {
+		return l.id, nil
+	}
+	id, err := store.Grant(ctx, claimKeep+claimLeaseTurn)
+	if err != nil {
+		return 0, err
+	}
+	l.id, l.since = id, now
+	return id, nil
+}
+
+// drop forgets a lease that the platform no longer knows.
+func (l *claimLeases) drop() {
+	l.turn <- struct{}{}
+	l.id = 0
+	<-l.turn
+}
 
 func claimsAway() *result.Err {
 	err := result.New(result.ClaimsAway, "")
-	err.RetryAfter = (5 * time.Second).Milliseconds()
+	err.RetryAfter = claimsAwayFor.Milliseconds()
 	return err
 }
 
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -10,6 +10,7 @@
 	"unicode/utf8"
 
 	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -27,8 +28,8 @@
 	chat   bool
 	stream bool
 	since  int64
-	ticket string
 	begun  bool   // the response's headers were sent
+	known  bool   // the caller may have been told its ticket
 	text   []byte // the answer, when not streaming
 	held   []byte // the begun part of a character
 	offset uint64 // answer bytes written as events
@@ -37,27 +38,28 @@
 func newCompletionWriter(g *Gateway, x *exchange, o *order, model string, stream bool, path string) *completionWriter {
 	return &completionWriter{
 		g: g, x: x, o: o, rc: http.NewResponseController(x.raw), model: model, chat: path == pathChat, stream: stream,
-		id: "cmpl-" + o.id, since: time.Now().Unix(), ticket: o.ticket, offset: o.skip,
+		id: "cmpl-" + o.id, since: time.Now().Unix(), offset: o.skip,
 	}
 }
 
-// Named implements sink. A caller of unrepeatable work is told its ticket at
-// once, in an informational response, so that it can ask again whatever happens.
-func (c *completionWriter) Named(ticket string) bool {
-	c.ticket = ticket
-	if c.o.repeatable || c.begun {
-		return c.begun
+// Named implements sink. A stream of unrepeatable work, or of a long prompt,
+// begins at once, so that the caller has its ticket whatever happens next.
+func (c *completionWriter) Named(ticket string) {
+	if c.begun {
+		return
+	}
+	setNames(c.x.w.Header(), ticket, c.o.id)
+	early := !c.o.repeatable || routing.ClassOf(c.o.completion.GetPromptTokens()) >= routing.ClassLong
+	if c.stream && early {
+		_ = c.write("")
+	}
+	if !c.stream && earlyTicket(c.x) {
+		c.known = true
 	}
-	c.setHeaders()
-	c.x.raw.WriteHeader(http.StatusEarlyHints)
-	return true
 }
 
-func (c *completionWriter) setHeaders() {
-	h := c.x.w.Header()
-	h.Set(headerTicket, c.ticket)
-	h.Set(headerRequest, c.o.id)
-}
+// Known implements sink.
+func (c *completionWriter) Known() bool { return c.known || c.begun }
 
 // Head implements sink; completions have none.
 func (c *completionWriter) Head(*rudderv1.ServiceHead) error { return nil }
@@ -93,7 +95,7 @@
 // Restart implements sink.
 func (c *completionWriter) Restart() error {
 	c.text, c.held, c.offset = nil, nil, 0
-	if !c.stream || !c.begun {
+	if !c.stream || !c.begun && c.o.skip == 0 {
 		return nil
 	}
 	return c.write("event: restart\nid: 0\ndata: {}\n\n")
@@ -105,7 +107,6 @@
 		return
 	}
 	c.begun = true
-	c.setHeaders()
 	h := c.x.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
@@ -191,7 +192,6 @@
 		c.finishStream(end, u)
 		return
 	}
-	c.setHeaders()
 	text := string(c.text)
 	var obj completionObject
 	if c.chat {
@@ -214,7 +214,7 @@
 // fail reports a problem: as the response itself, or as an event when the
 // stream has begun. The stream then ends without [DONE].
 func (c *completionWriter) fail(end *rudderv1.End) {
-	p := problemOf(end, c.o.id, c.ticket)
+	p := problemOf(end, c.o.id, c.o.ticket)
 	if !c.begun {
 		writeProblem(c.x.w, p)
 		return
--- a/gateway/faces.go
+++ b/gateway/faces.go
@@ -29,7 +29,9 @@
 	app.Delete("/v1/runs/{ticket:string}", g.face(g.serveVoid))
 	app.Any("/services/{name:string}/{path:path}", g.face(g.serveService))
 	app.Any("/services/{name:string}", g.face(g.serveService))
-	app.Any("/{path:path}", func(ctx iris.Context) { g.refuse(ctx.ResponseWriter(), result.New(result.MethodNotServed, ctx.Path())) })
+	app.Any("/{path:path}", func(ctx iris.Context) {
+		g.refuse(ctx.ResponseWriter(), ctx.Request(), result.New(result.MethodNotServed, ctx.Path()))
+	})
 	if err := app.Build(); err != nil {
 		return nil, err
 	}
@@ -52,13 +54,13 @@
 		if !g.enter() {
 			err := result.New(result.Draining, "")
 			err.RetryAfter = comeBack.Milliseconds()
-			g.refuse(w, err)
+			g.refuse(w, ctx.Request(), err)
 			return
 		}
 		defer g.leave()
 		ws, err := g.auth.workspace(ctx.Request())
 		if err != nil {
-			g.refuse(w, err)
+			g.refuse(w, ctx.Request(), err)
 			return
 		}
 		h(&exchange{w: w, r: ctx.Request(), workspace: ws, param: ctx.Params().Get, raw: w.Naive()})
@@ -104,28 +106,31 @@
 func (g *Gateway) serveCompletion(x *exchange) {
 	body, err := g.readBody(x)
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
 	c, err := readCompletion(body)
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
 	o, err := g.newOrder(x, true)
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
 	o.body = body
 	if o.completion, err = g.completion(c, x.r.URL.Path, x.workspace); err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
 	if err := g.claim(x, o); err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
+	if !c.Stream {
+		o.skip = 0 // an answer in one document is always whole
+	}
 	out := newCompletionWriter(g, x, o, c.Model, c.Stream, x.r.URL.Path)
 	out.finish(g.serve(x.r.Context(), o, out))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,7 @@
 	auth     *authority
 	meter    *meter
 	platform platformHealth
+	leases   *claimLeases
 
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -72,7 +73,7 @@
 // New returns a gateway; Start begins its background work.
 func New(cfg Config, deps Deps) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, stop: stop}
+	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, stop: stop, leases: newClaimLeases()}
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
 	g.auth = newAuthority(deps.Keeper)
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -18,8 +19,29 @@
 	headerDeadline   = "Rudder-Deadline"
 	headerKey        = "Idempotency-Key"
 	headerLastEvent  = "Last-Event-ID"
+	headerEarly      = "Rudder-Early-Ticket"
 )
 
+// setNames names the run in the response's headers.
+func setNames(h http.Header, ticket, id string) {
+	h.Set(headerTicket, ticket)
+	h.Set(headerRequest, id)
+}
+
+// earlyTicket sends the headers set so far as an informational response, to a
+// caller that asked for it: some HTTP clients take any informational response
+// but 100 for the answer.
+func earlyTicket(x *exchange) bool {
+	if x.r.Header.Get(headerEarly) != "true" {
+		return false
+	}
+	h := x.raw.Header()
+	h.Set(headerTicket, x.w.Header().Get(headerTicket))
+	h.Set(headerRequest, x.w.Header().Get(headerRequest))
+	x.raw.WriteHeader(http.StatusEarlyHints)
+	return true
+}
+
 // problem is an application/problem+json document (RFC 9457).
 type problem struct {
 	Type         string `json:"type"`
@@ -46,6 +68,9 @@
 	if p.Status == 0 {
 		p.Status = http.StatusInternalServerError
 	}
+	if info.Advice == result.AdviceLater && p.RetryAfterMS <= 0 {
+		p.RetryAfterMS = comeBack.Milliseconds()
+	}
 	return p
 }
 
@@ -66,8 +91,22 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
-// refuse answers a request that was not admitted.
-func (g *Gateway) refuse(w http.ResponseWriter, err *result.Err) {
+// refuse answers a request that was not admitted. Under a name that the caller
+// presents, an earlier presentation may have run.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, err *result.Err) {
 	g.meter.refusedEarly(err.Code)
-	writeProblem(w, problemOf(endOf(err), "", ""))
+	end := endOf(err)
+	if named(r) && !nameless(err.Code) && end.Outcome == rudderv1.Outcome_OUTCOME_NOT_RUN {
+		end.Outcome = rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN
+	}
+	writeProblem(w, problemOf(end, "", ""))
 }
+
+// named reports whether the request presents a name of a run.
+func named(r *http.Request) bool {
+	return r.Header.Get(headerTicket) != "" || r.Header.Get(headerKey) != "" || strings.HasPrefix(r.URL.Path, pathRuns)
+}
+
+// nameless reports whether the code says that the presented name is not one of
+// this request.
+func nameless(c result.Code) bool { return c == result.BadTicket || c == result.KeyReused }
--- a/gateway/runs.go
+++ b/gateway/runs.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"github.com/micarudder/micarudder/lifecycle"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -14,9 +16,8 @@
 const (
 	// maxTickets bounds one batch of tickets fetched in advance.
 	maxTickets = 100
-	// attachedModel is the model name in re-attached answers, where the
-	// original request is not at hand.
-	attachedModel = ""
+	// pathRuns is where runs are found by their ticket.
+	pathRuns = "/v1/runs/"
 )
 
 // ticketRequest is the body of POST /v1/tickets.
@@ -33,16 +34,16 @@
 func (g *Gateway) serveTickets(x *exchange) {
 	body, err := g.readBody(x)
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
 	var req ticketRequest
 	if json.Unmarshal(body, &req) != nil || (req.Model == "") == (req.Service == "") {
-		g.refuse(x.w, result.New(result.BadRequest, "a ticket request names a model or a service"))
+		g.refuse(x.w, x.r, result.New(result.BadRequest, "a ticket request names a model or a service"))
 		return
 	}
 	if req.Count < 1 || req.Count > maxTickets {
-		g.refuse(x.w, result.New(result.BadRequest, "count must be from 1 to 100"))
+		g.refuse(x.w, x.r, result.New(result.BadRequest, "count must be from 1 to 100"))
 		return
 	}
 	tickets, end := g.tickets(x, req)
@@ -81,38 +82,49 @@
 func (g *Gateway) serveAttach(x *exchange) {
 	claims, err := g.readTicket(x.param("ticket"), x.workspace)
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
 	deadline, err := g.readDeadline(x.r, time.Now())
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
 	skip, err := readOffset(x.r)
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
-	o := &order{id: claims.RequestId, workspace: x.workspace, ticket: x.param("ticket"), claims: claims, deadline: deadline, skip: skip}
-	stream := x.r.URL.Query().Get("stream") != "false"
-	out := newCompletionWriter(g, x, o, attachedModel, stream, pathChat)
+	o := &order{
+		id: claims.RequestId, workspace: x.workspace, ticket: x.param("ticket"), claims: claims,
+		repeatable: claims.Repeatable, deadline: deadline, skip: skip,
+	}
+	out := &attachWriter{g: g, x: x, o: o, stream: x.r.URL.Query().Get("stream") != "false"}
+	if !out.stream {
+		o.skip = 0
+	}
 	out.finish(g.attach(x, o, out))
 }
 
 // attach relays a run's answer without ever starting one.
 func (g *Gateway) attach(x *exchange, o *order, out sink) *rudderv1.End {
 	s := &session{g: g, o: o, out: out, ticket: o.ticket, began: time.Now()}
-	l := g.linkOf(o.claims)
-	stream, err := l.client.Attach(x.r.Context(), connect.NewRequest(&rudderv1.AttachRequest{
-		Ticket: o.ticket, RemainingMs: time.Until(o.deadline).Milliseconds(),
+	s.life = lifecycle.Dispatch{Repeatable: o.repeatable, Named: true}
+	ctx, cancel := context.WithDeadline(x.r.Context(), o.deadline)
+	defer cancel()
+	return s.settle(s.attach(ctx, g.linkOf(o.claims)))
+}
+
+func (s *session) attach(ctx context.Context, l *link) *rudderv1.End {
+	stream, err := l.client.Attach(ctx, connect.NewRequest(&rudderv1.AttachRequest{
+		Ticket: s.ticket, RemainingMs: time.Until(s.o.deadline).Milliseconds(),
 	}))
 	if err != nil {
-		return s.broken(x.r.Context(), err, true)
+		return s.broken(ctx, err, true)
 	}
 	defer func() { _ = stream.Close() }()
 	for stream.Receive() {
-		if a := stream.Msg().GetAccepted(); a != nil {
+		if stream.Msg().GetAccepted() != nil {
 			s.accepted(l, stream.Msg())
 			continue
 		}
@@ -120,9 +132,7 @@
 			return end
 		}
 	}
-	end := s.broken(x.r.Context(), stream.Err(), true)
-	end.Outcome = rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN
-	return end
+	return s.broken(ctx, stream.Err(), true)
 }
 
 // voidReply is the body of DELETE /v1/runs/{ticket}.
@@ -137,10 +147,12 @@
 	text := x.param("ticket")
 	claims, err := g.readTicket(text, x.workspace)
 	if err != nil {
-		g.refuse(x.w, err)
+		g.refuse(x.w, x.r, err)
 		return
 	}
-	resp, rpcErr := g.linkOf(claims).client.Void(x.r.Context(), connect.NewRequest(&rudderv1.VoidRequest{Ticket: text}))
+	ctx, cancel := context.WithTimeout(x.r.Context(), voidTime)
+	defer cancel()
+	resp, rpcErr := g.linkOf(claims).client.Void(ctx, connect.NewRequest(&rudderv1.VoidRequest{Ticket: text}))
 	if rpcErr != nil {
 		writeProblem(x.w, problemOf(endOf(result.New(result.AgentLost, rpcErr.Error())), claims.RequestId, text))
 		return
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"github.com/micarudder/micarudder/lifecycle"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
@@ -40,13 +36,16 @@
 
 // sink is where an answer goes. Each method's error means that the caller is gone.
 type sink interface {
-	// Named tells the caller its ticket early; it reports whether it was sent.
-	Named(ticket string) bool
+	// Named offers the caller its ticket before the answer.
+	Named(ticket string)
+	// Known reports whether the caller may have been told a ticket.
+	Known() bool
 	// Head passes on a plain service's status and headers.
 	Head(h *rudderv1.ServiceHead) error
 	// Text passes on answer text; end is the offset after it.
 	Text(text []byte, end uint64) error
-	// Restart tells the caller that the answer begins again.
+	// Restart tells the caller that the answer begins again; an error says that
+	// it cannot.
 	Restart() error
 }
 
@@ -58,7 +57,8 @@
 	life      lifecycle.Dispatch
 	asm       lifecycle.Assembler
 	attempt   uint32
-	delivered []byte // the answer so far, for an attempt that goes on after it
+	attached  bool   // the current attempt's run existed before
+	delivered []byte // the answer so far, where another attempt can go on after it
 	excluded  map[string]bool
 	ticket    string // of the current attempt
 	gone      error  // why the caller cannot be written to
@@ -69,14 +69,17 @@
 // serve runs the order to its end and returns what to tell the caller.
 func (g *Gateway) serve(ctx context.Context, o *order, out sink) *rudderv1.End {
 	s := &session{g: g, o: o, out: out, excluded: make(map[string]bool), began: time.Now(), ticket: o.ticket}
-	s.life = lifecycle.Dispatch{Repeatable: o.repeatable, Named: o.ticket != "", Pinned: o.ticket != "" && !o.repeatable}
+	s.life = lifecycle.Dispatch{Repeatable: o.repeatable, Named: o.ticket != "", Resumable: o.resumable()}
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
-	end := s.run(ctx)
+	end := s.settle(s.run(ctx))
 	g.meter.done(s, end)
 	return end
 }
 
+// resumable reports whether an answer can go on at another endpoint.
+func (o *order) resumable() bool { return o.repeatable && o.completion != nil }
+
 func (s *session) run(ctx context.Context) *rudderv1.End {
 	last := endOf(result.New(result.NoEndpoint, ""))
 	for {
@@ -89,14 +92,20 @@
 		}
 		last = s.order(ctx, l)
 		if s.gone != nil {
+			s.abandon(ctx, l)
 			return last
 		}
-		switch s.life.Next(ending(last), s.budget) {
+		switch step := s.life.Next(s.ending(last), s.budget); step {
 		case lifecycle.StepAnswer:
 			return last
 		case lifecycle.StepVoid:
 			return s.void(ctx, l, last)
-		case lifecycle.StepElsewhere, lifecycle.StepContinue:
+		case lifecycle.StepAgain:
+			s.g.learn(last.GetNewer().GetDocument(), "agent")
+		default:
+			if step == lifecycle.StepRestart && s.restart() != nil {
+				return last
+			}
 			s.moveOn(l, last)
 		}
 	}
@@ -121,13 +130,27 @@
 	return end
 }
 
-// moveOn prepares the next attempt after one at l ended as last.
+// moveOn prepares the next attempt after one at l ended as last. What became of
+// an earlier presentation says nothing against its endpoint; the request goes
+// on under an id of its own, for the old id leads to the old run.
 func (s *session) moveOn(l *link, last *rudderv1.End) {
-	if result.Code(last.Code) == result.OldGeneration && !s.excluded[l.declared.Name] {
-		s.g.learn(last.GetNewer().GetDocument(), "agent")
+	gone := s.o.claims != nil && result.Code(last.Code) == result.IncarnationGone
+	s.o.claims = nil
+	if s.attached || gone {
+		s.o.id = newID()
+		return
 	}
 	s.excluded[l.declared.Name] = true
-	s.o.claims = nil
+}
+
+// restart begins the answer again at offset 0 and tells the caller.
+func (s *session) restart() error {
+	if err := s.out.Restart(); err != nil {
+		return err
+	}
+	s.asm.Restart(s.attempt)
+	s.delivered, s.life.Delivered, s.o.skip = nil, 0, 0
+	return nil
 }
 
 // budget reports whether the workspace may spend another retry.
@@ -174,164 +197,6 @@
 	}
 }
 
-// order sends one attempt to the agent behind l and relays its answer.
-func (s *session) order(ctx context.Context, l *link) *rudderv1.End {
-	s.attempt++
-	s.life.Attempts++
-	s.asm.Begin(s.attempt)
-	req := s.request(l)
-	settled := l.sent(l.predict(req))
-	defer settled()
-	stream, err := l.client.Run(ctx, connect.NewRequest(req))
-	if err != nil {
-		return s.broken(ctx, err, false)
-	}
-	defer func() { _ = stream.Close() }()
-	heard := false
-	for stream.Receive() {
-		f := stream.Msg()
-		if !heard {
-			heard = true
-			settled()
-			s.accepted(l, f)
-		}
-		if end := s.frame(l, f); end != nil {
-			return end
-		}
-	}
-	return s.broken(ctx, stream.Err(), heard)
-}
-
-// accepted takes the first frame: the order arrived.
-func (s *session) accepted(l *link, f *rudderv1.Frame) {
-	a := f.GetAccepted()
-	if a == nil {
-		return
-	}
-	l.takeLoad(a.Load)
-	s.attempt = f.Attempt // an attached run keeps its own attempt number
-	s.asm.Begin(f.Attempt)
-	if s.out.Named(s.ticket) {
-		s.life.Named = true
-	}
-}
-
-// frame handles one frame and returns the end when the attempt is over.
-func (s *session) frame(l *link, f *rudderv1.Frame) *rudderv1.End {
-	switch b := f.Body.(type) {
-	case *rudderv1.Frame_Head:
-		s.gone = s.out.Head(b.Head)
-	case *rudderv1.Frame_Data:
-		return s.data(f.Attempt, f.Offset, b.Data.Text)
-	case *rudderv1.Frame_End:
-		l.takeLoad(b.End.Load)
-		return s.end(f.Attempt, b.End)
-	}
-	if s.gone != nil {
-		return endOf(result.New(result.Canceled, s.gone.Error()))
-	}
-	return nil
-}
-
-func (s *session) data(attempt uint32, offset uint64, text []byte) *rudderv1.End {
-	fresh, err := s.asm.Data(attempt, offset, text)
-	if err != nil {
-		return damaged(err)
-	}
-	if len(fresh) == 0 {
-		return nil
-	}
-	if s.firstText.IsZero() {
-		s.firstText = time.Now()
-	}
-	s.delivered = append(s.delivered, fresh...)
-	s.life.Delivered = uint64(len(s.delivered))
-	if err := s.pass(fresh); err != nil {
-		s.gone = err
-		return endOf(result.New(result.ReaderTooSlow, err.Error()))
-	}
-	return nil
-}
-
-// pass gives the caller the bytes it does not have yet.
-func (s *session) pass(fresh []byte) error {
-	end := s.asm.Offset()
-	if end <= s.o.skip {
-		return nil
-	}
-	if begin := end - uint64(len(fresh)); begin < s.o.skip {
-		fresh = fresh[s.o.skip-begin:]
-	}
-	return s.out.Text(fresh, end)
-}
-
-// end checks a whole answer; other ends are taken as they are.
-func (s *session) end(attempt uint32, e *rudderv1.End) *rudderv1.End {
-	if result.Code(e.Code) != result.OK {
-		return e
-	}
-	mine, err := s.asm.End(attempt, e.Length, e.Checksum)
-	if err != nil {
-		return damaged(err)
-	}
-	if !mine {
-		return nil
-	}
-	return e
-}
-
-func damaged(err error) *rudderv1.End {
-	var coded *result.Err
-	if errors.As(err, &coded) {
-		return endOf(coded)
-	}
-	return endOf(result.New(result.AnswerDamaged, err.Error()))
-}
-
-// broken is the end of an attempt whose stream broke off.
-func (s *session) broken(ctx context.Context, err error, heard bool) *rudderv1.End {
-	detail := ""
-	if err != nil {
-		detail = err.Error()
-	}
-	switch {
-	case neverLeft(err):
-		return endOf(&result.Err{Code: result.AgentLost, Outcome: result.NotRun, Detail: detail})
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return endOf(result.New(result.DeadlinePassed, ""))
-	case ctx.Err() != nil:
-		s.gone = ctx.Err()
-		return endOf(result.New(result.Canceled, ""))
-	case heard:
-		return endOf(result.New(result.AgentLost, detail))
-	default:
-		return endOf(result.New(result.OrderUnanswered, detail))
-	}
-}
-
-// neverLeft reports whether the error proves that no byte of the order was
-// sent: the connection could not be made.
-func neverLeft(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
-// void asks the agent to seal the id, so that "not run" may be said.
-func (s *session) void(ctx context.Context, l *link, last *rudderv1.End) *rudderv1.End {
-	ctx, cancel := context.WithTimeout(ctx, voidTime)
-	defer cancel()
-	resp, err := l.client.Void(ctx, connect.NewRequest(&rudderv1.VoidRequest{Ticket: s.ticket}))
-	if err == nil && resp.Msg.Outcome == rudderv1.Outcome_OUTCOME_NOT_RUN {
-		last.Sealed = true
-		return last
-	}
-	last.Outcome = rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN
-	if result.Lookup(result.Code(last.Code)).Outcome == result.NotRun {
-		last.Code = uint32(result.OrderUnanswered)
-	}
-	return last
-}
-
 // request is the order as the agent gets it.
 func (s *session) request(l *link) *rudderv1.RunRequest {
 	req := &rudderv1.RunRequest{
@@ -359,13 +224,3 @@
 	us := n*l.load.GetPrefillUsPerToken() + n*n*l.load.GetPrefillUsPerToken2()
 	return time.Duration(us) * time.Microsecond
 }
-
-func ending(e *rudderv1.End) lifecycle.Ending {
-	return lifecycle.Ending{Code: result.Code(e.Code), Outcome: result.Outcome(e.Outcome), Sealed: e.Sealed}
-}
-
-func endOf(err *result.Err) *rudderv1.End {
-	return &rudderv1.End{
-		Code: uint32(err.Code), Outcome: rudderv1.Outcome(err.Known()), Detail: err.Detail, RetryAfterMs: err.RetryAfter,
-	}
-}
--- a/result/result.go
+++ b/result/result.go
@@ -115,6 +115,7 @@
 	AnswerDamaged    Code = 5002
 	DeadlineInAnswer Code = 5003
 	ReaderTooSlow    Code = 5004
+	AnswerTooLong    Code = 5005
 
 	PlanStale       Code = 6001
 	PlanUnknown     Code = 6002
@@ -155,7 +156,7 @@
 	{BadTicket, "bad-ticket", http.StatusBadRequest, NotRun, AdviceFix, "The ticket is malformed, signed by an unknown key or made for another workspace."},
 	{TicketExpired, "ticket-expired", http.StatusGone, MayHaveRun, AdviceNone, "The ticket's time is over; this presentation did not run, an earlier one may have."},
 	{TicketVoided, "ticket-voided", http.StatusConflict, NotRun, AdviceFix, "The ticket was voided; fetch a new one."},
-	{UnknownRun, "unknown-run", http.StatusNotFound, NotRun, AdviceTicket, "The agent has no run under this ticket yet."},
+	{UnknownRun, "unknown-run", http.StatusNotFound, MayHaveRun, AdviceTicket, "The agent has no run under this ticket yet."},
 	{BadHeader, "bad-header", http.StatusBadRequest, NotRun, AdviceFix, "A header has a value that cannot be used."},
 	{SlowSender, "slow-sender", http.StatusRequestTimeout, NotRun, AdviceFix, "The request body did not arrive in time."},
 	{MethodNotServed, "method-not-served", http.StatusMethodNotAllowed, NotRun, AdviceFix, "This path does not serve the method or does not exist."},
@@ -188,6 +189,7 @@
 	{AnswerDamaged, "answer-damaged", http.StatusBadGateway, Ran, AdviceTicket, "The answer's length or checksum did not match."},
 	{DeadlineInAnswer, "deadline-in-answer", http.StatusGatewayTimeout, Ran, AdviceTicket, "The time was over in the middle of the answer."},
 	{ReaderTooSlow, "reader-too-slow", http.StatusRequestTimeout, Ran, AdviceTicket, "The caller read its answer too slowly; attach again to go on."},
+	{AnswerTooLong, "answer-too-long", http.StatusBadGateway, Ran, AdviceNone, "The answer outgrew the space that the agent has for answers."},
 
 	{PlanStale, "plan-stale", 0, NotRun, AdviceFix, "Another configuration was accepted after this plan was made."},
 	{PlanUnknown, "plan-unknown", 0, MayHaveRun, AdviceTicket, "Whether the plan was accepted is unknown; ask again with the same plan id."},
