--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -78,9 +78,9 @@
 	a.workers.Go(func() {
 		a.execute(r)
 		a.mu.Lock()
-		a.queue.Remove(it.ID) // unless Done has taught the queue what it took
 		a.running--
 		a.used -= it.MemoryTokens
+		a.queue.Remove(it.ID) // of no effect after Done
 		a.mu.Unlock()
 		a.endRun(r)
 	})
@@ -149,10 +149,12 @@
 		if len(ev.Text) > 0 {
 			if first.IsZero() {
 				first = time.Now()
-				r.apply(lifecycle.Event{Kind: lifecycle.EvAnswer}, "")
 				a.prefilled(r, first)
+				r.apply(lifecycle.Event{Kind: lifecycle.EvAnswer}, "")
+			}
+			if !a.take(r, ev.Text) {
+				return
 			}
-			r.append(ev.Text)
 		}
 		if ev.Finish != "" {
 			finish, usage = ev.Finish, ev.Usage
@@ -160,12 +162,36 @@
 	}
 }
 
-// prefilled tells the queue that a run's prefill is over.
+// prefilled tells the queue that a run has come to its first token.
 func (a *Agent) prefilled(r *run, now time.Time) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.queue.Prefilled(r.item.ID, now)
-	a.mu.Unlock()
-	a.poke()
+}
+
+// take buffers answer text. An answer that outgrows the space for all answers
+// ends its run and reports false.
+func (a *Agent) take(r *run, text []byte) bool {
+	r.size += int64(len(text))
+	if r.size > r.room && !a.widen(r) {
+		r.apply(lifecycle.Event{Kind: lifecycle.EvEnd, Code: result.AnswerTooLong}, "")
+		a.cancelAtEngine(attemptID(r.req))
+		return false
+	}
+	r.append(text)
+	return true
+}
+
+// widen books more space for the run's answer.
+func (a *Agent) widen(r *run) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	more := r.size - r.room + growth
+	if !a.records.grow(r, more) {
+		return false
+	}
+	r.room += more
+	return true
 }
 
 func (a *Agent) finishCompletion(r *run, finish string, u engine.Usage, begun, first time.Time) {
@@ -201,7 +227,9 @@
 	case errors.Is(err, engine.ErrFailed):
 		r.apply(lifecycle.Event{Kind: lifecycle.EvEnd, Code: result.EndpointFailed}, err.Error())
 	default:
-		r.apply(lifecycle.Event{Kind: lifecycle.EvLost}, err.Error())
+		if r.apply(lifecycle.Event{Kind: lifecycle.EvLost}, err.Error()) == lifecycle.ActStop {
+			a.cancelAtEngine(attemptID(r.req))
+		}
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	limits   *limiter
 	lanes    lanes
 	platform platformHealth
+	leases   *claimLeases
 
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -74,7 +75,7 @@
 // New returns a gateway; Start begins its background work.
 func New(cfg Config, deps Deps) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, stop: stop}
+	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, stop: stop, leases: newClaimLeases()}
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
 	g.auth = newAuthority(deps.Keeper)
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,9 +69,23 @@
 	if err != nil {
 		return false, err
 	}
+	printCodes(records)
 	return verdict(load.Summarize(s.mix, seed, 1, records), t), nil
 }
 
+// printCodes shows why requests had no whole answer.
+func printCodes(records []load.Record) {
+	counts := make(map[string]int)
+	for _, r := range records {
+		if r.Final != load.Whole {
+			counts[fmt.Sprintf("%s to %s: %s, %d %s", r.Flow, r.Class, r.Final, r.Code, r.Code)]++
+		}
+	}
+	for _, text := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Printf("%6d  %s\n", counts[text], text)
+	}
+}
+
 // progress shows a display on a terminal and nothing elsewhere.
 func progress(total int) (update func(load.Record), end func()) {
 	if info, err := os.Stderr.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
