Let agents pass cache spans to each other

Groups of endpoints hand the computed cache of one span to the next member. The bytes go from agent to agent, not through the gateways, which stand on thin hosts.

--- a/rudderv1/rudderv1connect/rudder.connect.go
+++ b/rudderv1/rudderv1connect/rudder.connect.go
@@ -59,6 +59,8 @@
 	AgentServiceReleaseProcedure = "/rudder.v1.AgentService/Release"
 	// AgentServicePrefillProcedure is the fully-qualified name of the AgentService's Prefill RPC.
 	AgentServicePrefillProcedure = "/rudder.v1.AgentService/Prefill"
+	// AgentServiceExportProcedure is the fully-qualified name of the AgentService's Export RPC.
+	AgentServiceExportProcedure = "/rudder.v1.AgentService/Export"
 	// AgentServiceHandoverProcedure is the fully-qualified name of the AgentService's Handover RPC.
 	AgentServiceHandoverProcedure = "/rudder.v1.AgentService/Handover"
 	// GatewayServiceFetchProcedure is the fully-qualified name of the GatewayService's Fetch RPC.
@@ -91,6 +93,8 @@
 	Release(context.Context, *connect.Request[rudderv1.ReleaseRequest]) (*connect.Response[rudderv1.ReleaseResponse], error)
 	// Prefill computes one span of a prompt under a reservation and exports its cache.
 	Prefill(context.Context, *connect.Request[rudderv1.PrefillRequest]) (*connect.Response[rudderv1.PrefillResponse], error)
+	// Export returns the cache of a span held under a live reservation, in parts.
+	Export(context.Context, *connect.Request[rudderv1.ExportRequest]) (*connect.ServerStreamForClient[rudderv1.ExportPart], error)
 	// Handover moves run records of a leaving agent to its successor.
 	Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error)
 }
@@ -166,6 +170,12 @@
 			connect.WithSchema(agentServiceMethods.ByName("Prefill")),
 			connect.WithClientOptions(opts...),
 		),
+		export: connect.NewClient[rudderv1.ExportRequest, rudderv1.ExportPart](
+			httpClient,
+			baseURL+AgentServiceExportProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Export")),
+			connect.WithClientOptions(opts...),
+		),
 		handover: connect.NewClient[rudderv1.HandoverRequest, rudderv1.HandoverResponse](
 			httpClient,
 			baseURL+AgentServiceHandoverProcedure,
@@ -187,6 +197,7 @@
 	renew     *connect.Client[rudderv1.RenewRequest, rudderv1.RenewResponse]
 	release   *connect.Client[rudderv1.ReleaseRequest, rudderv1.ReleaseResponse]
 	prefill   *connect.Client[rudderv1.PrefillRequest, rudderv1.PrefillResponse]
+	export    *connect.Client[rudderv1.ExportRequest, rudderv1.ExportPart]
 	handover  *connect.Client[rudderv1.HandoverRequest, rudderv1.HandoverResponse]
 }
 
@@ -240,6 +251,11 @@
 	return c.prefill.CallUnary(ctx, req)
 }
 
+// Export calls rudder.v1.AgentService.Export.
+func (c *agentServiceClient) Export(ctx context.Context, req *connect.Request[rudderv1.ExportRequest]) (*connect.ServerStreamForClient[rudderv1.ExportPart], error) {
+	return c.export.CallServerStream(ctx, req)
+}
+
 // Handover calls rudder.v1.AgentService.Handover.
 func (c *agentServiceClient) Handover(ctx context.Context, req *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error) {
 	return c.handover.CallUnary(ctx, req)
@@ -265,6 +281,8 @@
 	Release(context.Context, *connect.Request[rudderv1.ReleaseRequest]) (*connect.Response[rudderv1.ReleaseResponse], error)
 	// Prefill computes one span of a prompt under a reservation and exports its cache.
 	Prefill(context.Context, *connect.Request[rudderv1.PrefillRequest]) (*connect.Response[rudderv1.PrefillResponse], error)
+	// Export returns the cache of a span held under a live reservation, in parts.
+	Export(context.Context, *connect.Request[rudderv1.ExportRequest], *connect.ServerStream[rudderv1.ExportPart]) error
 	// Handover moves run records of a leaving agent to its successor.
 	Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error)
 }
@@ -336,6 +354,12 @@
 		connect.WithSchema(agentServiceMethods.ByName("Prefill")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceExportHandler := connect.NewServerStreamHandler(
+		AgentServiceExportProcedure,
+		svc.Export,
+		connect.WithSchema(agentServiceMethods.ByName("Export")),
+		connect.WithHandlerOptions(opts...),
+	)
 	agentServiceHandoverHandler := connect.NewUnaryHandler(
 		AgentServiceHandoverProcedure,
 		svc.Handover,
@@ -364,6 +388,8 @@
 			agentServiceReleaseHandler.ServeHTTP(w, r)
 		case AgentServicePrefillProcedure:
 			agentServicePrefillHandler.ServeHTTP(w, r)
+		case AgentServiceExportProcedure:
+			agentServiceExportHandler.ServeHTTP(w, r)
 		case AgentServiceHandoverProcedure:
 			agentServiceHandoverHandler.ServeHTTP(w, r)
 		default:
@@ -415,6 +441,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Prefill is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) Export(context.Context, *connect.Request[rudderv1.ExportRequest], *connect.ServerStream[rudderv1.ExportPart]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Export is not implemented"))
+}
+
 func (UnimplementedAgentServiceHandler) Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Handover is not implemented"))
 }
