Give the prefill of a span a priority

A span of a long prompt was prefilled at the most urgent priority, so that a short request beside one waited for its end: with priority 0 the new test fails, the short answer taking the 6 s of the span. The order now names its priority as completions do, and the stand-in honours it.

--- a/engine/client.go
+++ b/engine/client.go
@@ -135,6 +135,7 @@
 	h.Set(HeaderSpanPath, s.Path)
 	h.Set(HeaderSpanStart, formatUint(s.Start))
 	h.Set(HeaderSpanTokens, formatUint(s.Tokens))
+	h.Set(HeaderPriority, strconv.Itoa(s.Priority))
 	setImport(h, s.Import)
 	return c.drain(c.post(ctx, opPrefill, PathPrefill, h, nil, s.Body))
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -144,6 +144,8 @@
 	Start  uint64 // first token
 	Tokens uint64
 	Import []string // handles of the spans before it
+	// Priority orders the prefill among waiting ones, lower first.
+	Priority int
 }
 
 // Engine is one model engine. Implementations are safe for concurrent use.
--- a/engine/span_test.go
+++ b/engine/span_test.go
@@ -162,3 +162,21 @@
 		})
 	}
 }
+
+// TestShortPassesSpan: a completion of lower priority number passes a span
+// that is being prefilled.
+func TestShortPassesSpan(t *testing.T) {
+	withEngine(t, nil, func(is *is.I, b *bench) {
+		long := prompt("long", 100_000)
+		done := make(chan error, 1)
+		go func() {
+			done <- b.client.Prefill(bg, engine.Span{ID: "s", Owner: "g", Path: textPath, Body: textBody(long, 1), Priority: 24})
+		}()
+		time.Sleep(time.Second)
+		began := time.Now()
+		got := b.complete(engine.Request{ID: "1", Path: textPath, Body: textBody(prompt("short", 1000), 1)})
+		is.NoErr(got.err)
+		is.True(time.Since(began) < 200*time.Millisecond) // the span takes 6 s
+		is.NoErr(<-done)
+	})
+}
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/micarudder/micarudder/engine"
@@ -13,6 +14,7 @@
 // spanJob is a prefill request as read from the wire.
 type spanJob struct {
 	id, owner string
+	priority  int
 	start     uint64
 	tokens    uint64 // 0: to the prompt's end
 	imports   []string
@@ -38,6 +40,11 @@
 	if j.tokens, err = headerUint(r, engine.HeaderSpanTokens); err != nil {
 		return nil, badRequest("bad " + engine.HeaderSpanTokens)
 	}
+	if v := r.Header.Get(engine.HeaderPriority); v != "" {
+		if j.priority, err = strconv.Atoi(v); err != nil {
+			return nil, badRequest("bad " + engine.HeaderPriority)
+		}
+	}
 	return j, j.check()
 }
 
@@ -80,7 +87,7 @@
 		return nil, errNoMemory
 	}
 	rn := &run{
-		id: j.id, target: j.start + j.tokens, done: j.start, cached: j.start, lease: l, reads: spans,
+		id: j.id, priority: j.priority, target: j.start + j.tokens, done: j.start, cached: j.start, lease: l, reads: spans,
 		span: &heldSpan{
 			id: j.id, owner: j.owner, memory: j.tokens,
 			span: spanOf(j.body.Model, j.body.Prompt, j.start, j.tokens),
