Lease an endpoint's memory to groups

A prompt longer than one engine's memory is to be run by several endpoints. Package memory gives each agent a book of leases over its own endpoint's memory: granted whole or not at all, renewed or lapsed on the agent's monotonic clock, fenced by the epoch of the group's attempt, and given in one order to groups that wait. The agent's calls Reserve, Renew, Release, Prefill and Export work by that book.

Memory comes back in one way only: the agent compares what the engine says it holds with the live leases and frees the rest, when a lease ends, at each probe, and before it serves for the first time. Freeing by each call's own clean-up was ruled out: it misses what was held by an order whose answer was lost, and everything of an earlier agent. A lease's memory stays reserved until the engine has it back.

Reserved memory counts in the agent's capacity; spans go through the admission queue as runs do. A prompt's tokens held under a reservation are told to the queue apart, so that its predictions stay right.

Found by the property test: an attempt whose lease had lapsed could be granted again by a late copy of its request. Found by the bubble: a mutex held across a call to a frozen engine; it is a token in a channel now.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -18,10 +18,13 @@
 	Priority     uint32 // of the workspace; 0 is the most urgent
 	Class        routing.Class
 	PromptTokens uint64 // uncached estimate
-	MemoryTokens uint64 // prompt and answer, held while running
-	OutputTokens uint64
-	Arrived      time.Time
-	Deadline     time.Time
+	// ContextTokens are prompt tokens before those, held under a reservation and
+	// not counted in MemoryTokens.
+	ContextTokens uint64
+	MemoryTokens  uint64 // prompt and answer, held while running
+	OutputTokens  uint64
+	Arrived       time.Time
+	Deadline      time.Time
 }
 
 // Capacity is what the endpoint has for new work at one moment.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -174,6 +174,9 @@
 
 // promptOf returns the whole prompt's tokens, held ones included.
 func promptOf(it Item) uint64 {
+	if it.ContextTokens > 0 {
+		return it.ContextTokens + it.PromptTokens
+	}
 	if it.MemoryTokens > it.OutputTokens {
 		return max(it.PromptTokens, it.MemoryTokens-it.OutputTokens)
 	}
--- a/agent/admit.go
+++ b/agent/admit.go
@@ -47,17 +47,16 @@
 
 // refuse checks everything that does not depend on the queue.
 func (a *Agent) refuse(req *rudderv1.RunRequest) *result.Err {
+	if err := a.notServing(); err != nil {
+		return err
+	}
 	switch {
-	case a.state == rudderv1.AgentState_AGENT_STATE_LEAVING:
-		return result.New(result.Draining, "")
-	case a.state == rudderv1.AgentState_AGENT_STATE_ENDPOINT_LOST:
-		return result.New(result.EndpointRefused, "endpoint unreachable")
-	case a.state != rudderv1.AgentState_AGENT_STATE_SERVING:
-		return result.New(result.Starting, "")
 	case req.RemainingMs <= 0:
 		return result.New(result.OrderExpired, "")
 	case (req.Call != nil) != (a.deps.Service != nil):
 		return result.New(result.EndpointRefused, "wrong kind of endpoint")
+	case req.GetCompletion().GetGroup() != "" && !a.desk.book.Live(req.Completion.Group, time.Now()):
+		return result.New(result.LeaseLost, "")
 	}
 	space := int64(req.GetCompletion().GetMaxTokens()) * answerBytesPerToken
 	if !a.records.fits(space) {
@@ -84,6 +83,9 @@
 	}
 	a.records.add(r)
 	a.waiting[r.item.ID] = r
+	if group := req.GetCompletion().GetGroup(); group != "" {
+		a.desk.book.Pin(group, now)
+	}
 	a.notify()
 	a.poke()
 	a.forgetLater(r, claims)
@@ -93,7 +95,7 @@
 // item describes the run to admission.
 func (a *Agent) item(req *rudderv1.RunRequest, now, deadline time.Time) admission.Item {
 	c := req.GetCompletion()
-	return admission.Item{
+	it := admission.Item{
 		ID:           req.RequestId,
 		Workspace:    req.Workspace,
 		Weight:       req.Weight,
@@ -105,6 +107,19 @@
 		Arrived:      now,
 		Deadline:     deadline,
 	}
+	if c.GetGroup() != "" {
+		it.ContextTokens = spanTokens(c.Spans)
+		it.PromptTokens -= min(it.PromptTokens, it.ContextTokens)
+		it.MemoryTokens = 0 // reserved
+	}
+	return it
+}
+
+func spanTokens(spans []*rudderv1.KVHandle) (sum uint64) {
+	for _, s := range spans {
+		sum += s.Tokens
+	}
+	return sum
 }
 
 // sealRefusal refuses an order. A named id is sealed with it, so that "not
@@ -160,7 +175,7 @@
 // capacity is what the endpoint has for new work; the caller holds mu.
 func (a *Agent) capacity() admission.Capacity {
 	free := uint64(0)
-	if held := a.used + a.reserved; held < a.cfg.MemoryTokens {
+	if held := a.used + a.desk.tokens(); held < a.cfg.MemoryTokens {
 		free = a.cfg.MemoryTokens - held
 	}
 	return admission.Capacity{FreeTokens: free, MemoryTokens: a.cfg.MemoryTokens, Running: a.running, MaxRunning: a.cfg.MaxRunning}
@@ -184,6 +199,10 @@
 	defer a.mu.Unlock()
 	delete(a.waiting, r.item.ID)
 	a.records.ended(r)
+	if group := r.req.GetCompletion().GetGroup(); group != "" {
+		a.desk.book.Unpin(group)
+		a.desk.poke()
+	}
 	a.notify()
 	a.poke()
 	time.AfterFunc(a.cfg.AnswerKeep, func() {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/micarudder/micarudder/affinity"
 	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/inner"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/service"
 	"github.com/micarudder/micarudder/ticket"
@@ -47,6 +48,7 @@
 	Signer  *ticket.Signer
 	Queue   admission.Queue
 	Keeper  *generation.Keeper
+	Client  *inner.Client // reaches other agents; nil: no spans can be imported
 	Log     *log.Logger
 	Metrics *metrics.Set
 }
@@ -59,19 +61,21 @@
 	incarnation string
 	started     time.Time
 
-	mu       sync.Mutex
-	state    rudderv1.AgentState
-	records  *records
-	queue    admission.Queue
-	waiting  map[string]*run // admitted, by run key
-	running  int
-	used     uint64 // tokens of running runs
-	reserved uint64 // tokens of memory reservations
-	models   []*rudderv1.LoadedModel
-	cache    *affinity.Set // blocks that the endpoint is believed to hold
-	role     string
-	version  uint64        // counts changes worth reporting
-	changed  chan struct{} // closed at each change worth reporting
+	mu      sync.Mutex
+	state   rudderv1.AgentState
+	records *records
+	queue   admission.Queue
+	waiting map[string]*run // admitted, by run key
+	running int
+	used    uint64 // tokens of running runs
+	desk    *desk  // memory reservations
+	models  []*rudderv1.LoadedModel
+	cache   *affinity.Set // blocks that the endpoint is believed to hold
+	role    string
+	version uint64        // counts changes worth reporting
+	changed chan struct{} // closed at each change worth reporting
+
+	sweeping chan struct{} // a token while the endpoint's held memory is compared with the leases
 
 	wake    chan struct{}
 	stop    context.CancelFunc
@@ -92,8 +96,10 @@
 		records:     newRecords(cfg.MaxRecords, cfg.BufferBytes),
 		queue:       deps.Queue,
 		waiting:     make(map[string]*run),
+		desk:        newDesk(cfg.MemoryTokens),
 		changed:     make(chan struct{}),
 		cache:       affinity.New(cfg.MemoryTokens),
+		sweeping:    make(chan struct{}, 1),
 		wake:        make(chan struct{}, 1),
 		ctx:         ctx,
 		stop:        stop,
@@ -113,6 +119,7 @@
 	a.workers.Go(a.watchEndpoint)
 	if a.deps.Engine != nil {
 		a.workers.Go(a.followCache)
+		a.workers.Go(a.memoryLoop)
 	}
 }
 
@@ -124,7 +131,7 @@
 }
 
 // Drain refuses new work from now on and returns when every run has ended and
-// been read to its end, or when ctx ends.
+// been read to its end and no group uses the endpoint, or when ctx ends.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	a.setState(rudderv1.AgentState_AGENT_STATE_LEAVING)
@@ -132,9 +139,9 @@
 	a.deps.Log.Info("Draining.")
 	for {
 		a.mu.Lock()
-		busy, ch := a.records.busy(), a.changed
+		busy, grouped, ch := a.records.busy(), a.desk.busy(), a.changed
 		a.mu.Unlock()
-		if busy == 0 {
+		if busy == 0 && !grouped {
 			return nil
 		}
 		select {
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -52,13 +52,14 @@
 		}
 		a.begin(it)
 	}
-	return len(a.waiting) > 0
+	return len(a.waiting) > 0 || a.desk.waiting > 0
 }
 
 // expire ends a run that can no longer be done in time; the caller holds mu.
 func (a *Agent) expire(it admission.Item) {
 	r, ok := a.waiting[it.ID]
 	if !ok {
+		a.expireSpan(it)
 		return
 	}
 	if r.apply(lifecycle.Event{Kind: lifecycle.EvExpire}, "waited too long") != lifecycle.ActIgnore {
@@ -70,6 +71,7 @@
 func (a *Agent) begin(it admission.Item) {
 	r, ok := a.waiting[it.ID]
 	if !ok {
+		a.beginSpan(it)
 		return
 	}
 	delete(a.waiting, it.ID)
@@ -215,6 +217,9 @@
 		defer cancel()
 		if err := a.deps.Engine.Cancel(ctx, id); err != nil && !errors.Is(err, engine.ErrNotFound) {
 			a.deps.Log.Warn("Cancel failed.", "run", id, "err", err)
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.desk.uncancelled[id] = struct{}{}
 		}
 	})
 }
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -1,12 +1,12 @@
 package agent
 
 import (
-	"context"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -14,18 +14,26 @@
 	probeTime     = 2 * time.Second
 	probeInterval = 5 * time.Second
 	probeMax      = 2 * time.Second // longest wait between probes of a lost endpoint
+	// spanPatience is how long spans are waited for at an endpoint that does
+	// not answer probes.
+	spanPatience = 8 * time.Second
 )
 
 // watchEndpoint learns what the endpoint holds, and notices when it comes back
 // after it was lost.
 func (a *Agent) watchEndpoint() {
 	wait := newProbeBackoff()
+	answered := time.Now()
 	for a.ctx.Err() == nil {
 		pause := probeInterval
 		if err := a.probe(); err != nil {
 			a.endpointLost()
+			if time.Since(answered) > spanPatience {
+				a.stopSpans(result.New(result.EndpointLost, err.Error()))
+			}
 			pause = wait.NextBackOff()
 		} else {
+			answered = time.Now()
 			wait.Reset()
 		}
 		select {
@@ -42,15 +50,14 @@
 	return b
 }
 
-// probe asks the endpoint for its state.
+// probe asks the endpoint for its state and frees what no lease holds, so that
+// an agent serves only after the orphans of earlier ones were looked for.
 func (a *Agent) probe() error {
 	if a.deps.Engine == nil {
 		a.serving(nil, "")
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, probeTime)
-	defer cancel()
-	st, err := a.deps.Engine.State(ctx)
+	st, err := a.sweep()
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/agent/export.go
@@ -0,0 +1,88 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
+)
+
+// exportPart bounds the bytes of a span in one message.
+const exportPart = 1 << 20
+
+// Export sends the cache of a span that a live lease holds.
+func (s *server) Export(ctx context.Context, req *connect.Request[rudderv1.ExportRequest], stream *connect.ServerStream[rudderv1.ExportPart]) error {
+	a := s.a
+	a.mu.Lock()
+	live := a.desk.book.Live(req.Msg.Reservation, time.Now())
+	a.mu.Unlock()
+	if !live || a.deps.Engine == nil {
+		return connect.NewError(connect.CodeFailedPrecondition, result.New(result.LeaseLost, ""))
+	}
+	data, err := a.deps.Engine.Export(ctx, req.Msg.Span)
+	if err != nil {
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+	for len(data) > 0 {
+		n := min(len(data), exportPart)
+		if err := stream.Send(&rudderv1.ExportPart{Data: data[:n]}); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
+// importSpan fetches a span from the agent that holds it and puts it into this
+// engine under the job's lease.
+func (a *Agent) importSpan(j *spanJob, h *rudderv1.KVHandle) error {
+	data, err := a.fetchSpan(j.ctx, j.req.Reservation, h)
+	if err != nil {
+		if j.ctx.Err() != nil {
+			return context.Cause(j.ctx)
+		}
+		return result.New(result.AgentLost, h.Endpoint+": "+err.Error())
+	}
+	if err := a.deps.Engine.Import(j.ctx, h.Id, j.req.Reservation, data); err != nil {
+		if j.ctx.Err() != nil {
+			return context.Cause(j.ctx)
+		}
+		return err
+	}
+	return nil
+}
+
+// fetchSpan reads a span's cache from the agent beside the endpoint that holds it.
+func (a *Agent) fetchSpan(ctx context.Context, reservation string, h *rudderv1.KVHandle) ([]byte, error) {
+	address := a.peerAddress(h.Endpoint)
+	if address == "" || a.deps.Client == nil {
+		return nil, result.New(result.NoEndpoint, "no such endpoint")
+	}
+	client := rudderv1connect.NewAgentServiceClient(a.deps.Client, a.deps.Client.URL(address), connect.WithReadMaxBytes(inner.MaxMessage))
+	stream, err := client.Export(ctx, connect.NewRequest(&rudderv1.ExportRequest{Reservation: reservation, Span: h.Id}))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	var b bytes.Buffer
+	for stream.Receive() {
+		_, _ = b.Write(stream.Msg().Data)
+	}
+	return b.Bytes(), stream.Err()
+}
+
+// peerAddress returns the address of the agent beside an endpoint, as declared.
+func (a *Agent) peerAddress(endpoint string) string {
+	for _, e := range a.deps.Keeper.Document().GetEndpoints() {
+		if e.Name == endpoint {
+			return e.AgentAddress
+		}
+	}
+	return ""
+}
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -30,13 +30,23 @@
 	gauge("rudder_agent_running", func() float64 { return float64(a.running) })
 	gauge("rudder_agent_waiting", func() float64 { return float64(len(a.waiting)) })
 	gauge("rudder_agent_memory_used_tokens", func() float64 { return float64(a.used) })
-	gauge("rudder_agent_memory_reserved_tokens", func() float64 { return float64(a.reserved) })
+	gauge("rudder_agent_memory_reserved_tokens", func() float64 { return float64(a.desk.book.Reserved()) })
+	gauge("rudder_agent_memory_orphaned_tokens", func() float64 { return float64(a.desk.orphans) })
 	gauge("rudder_agent_records", func() float64 { return float64(len(a.records.runs)) })
 	gauge("rudder_agent_tombstones", func() float64 { return float64(len(a.records.tombs)) })
 	gauge("rudder_agent_answer_bytes", func() float64 { return float64(a.records.bytes) })
 	m.set.NewGauge("rudder_agent_generation", func() float64 { return float64(a.deps.Keeper.Generation()) })
 }
 
+func (m *meter) reserved(granted bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_agent_reservations_total{granted="%t"}`, granted)).Inc()
+}
+
+// freed counts cache memory that was held under no live lease.
+func (m *meter) freed(tokens uint64) {
+	m.set.GetOrCreateCounter("rudder_agent_memory_freed_tokens_total").Add(int(tokens))
+}
+
 func (m *meter) admitted(attached bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_agent_orders_total{attached="%t"}`, attached)).Inc()
 }
--- a/agent/report.go
+++ b/agent/report.go
@@ -36,6 +36,8 @@
 		PrefillUsPerToken2: t.Cost.PrefillPerToken2,
 		DecodeUsPerToken:   float64(t.Cost.DecodePerToken) / float64(time.Microsecond),
 		LongTokens:         t.LongTokens,
+		ReserveLimit:       a.desk.book.Limit(),
+		ReservedTokens:     a.desk.tokens(),
 	}
 	for _, w := range t.Wait {
 		l.WaitMs = append(l.WaitMs, w.Milliseconds())
--- /dev/null
+++ b/agent/span.go
@@ -0,0 +1,286 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/micarudder/micarudder/admission"
+	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/routing"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// spanJob computes one span of a prompt under a lease, or only imports those
+// before it. It goes on when its caller is lost, and ends with its lease.
+type spanJob struct {
+	id     string
+	req    *rudderv1.PrefillRequest
+	item   admission.Item
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	begun  chan struct{} // closed when the queue starts it
+	done   chan struct{}
+	handle *rudderv1.KVHandle // once done
+	err    *result.Err        // once done
+}
+
+// stop ends the job for the reason given.
+func (j *spanJob) stop(why *result.Err) { j.cancel(why) }
+
+func (j *spanJob) over() bool {
+	select {
+	case <-j.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// spanID names a span by its reservation and first token; an order that
+// computes nothing is named apart.
+func spanID(m *rudderv1.PrefillRequest) string {
+	if m.Tokens == 0 {
+		return m.Reservation + "/import"
+	}
+	return fmt.Sprintf("%s/%d", m.Reservation, m.StartToken)
+}
+
+// Prefill computes a span under a lease and keeps it held. The same order given
+// again joins the job or gets its result.
+func (s *server) Prefill(ctx context.Context, req *connect.Request[rudderv1.PrefillRequest]) (*connect.Response[rudderv1.PrefillResponse], error) {
+	j, err := s.a.spanJob(req.Msg)
+	if err != nil {
+		return connect.NewResponse(&rudderv1.PrefillResponse{Code: uint32(err.Code), Detail: err.Detail}), nil
+	}
+	select {
+	case <-j.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if j.err != nil {
+		return connect.NewResponse(&rudderv1.PrefillResponse{Code: uint32(j.err.Code), Detail: j.err.Detail}), nil
+	}
+	return connect.NewResponse(&rudderv1.PrefillResponse{Code: uint32(result.OK), Handle: j.handle}), nil
+}
+
+// spanJob finds or starts the job of an order.
+func (a *Agent) spanJob(m *rudderv1.PrefillRequest) (*spanJob, *result.Err) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.deps.Engine == nil {
+		return nil, result.New(result.EndpointRefused, "wrong kind of endpoint")
+	}
+	now := time.Now()
+	a.endLapsed(now)
+	if !a.desk.book.Live(m.Reservation, now) {
+		return nil, result.New(result.LeaseLost, "")
+	}
+	id := spanID(m)
+	if j, ok := a.desk.jobs[id]; ok {
+		return j, nil
+	}
+	j := a.newSpanJob(id, m, now)
+	a.desk.jobs[id] = j
+	a.workers.Go(func() { a.runSpan(j) })
+	return j, nil
+}
+
+func (a *Agent) newSpanJob(id string, m *rudderv1.PrefillRequest, now time.Time) *spanJob {
+	deadline := now.Add(time.Duration(m.RemainingMs) * time.Millisecond)
+	j := &spanJob{id: id, req: m, begun: make(chan struct{}), done: make(chan struct{})}
+	ctx, cancel := context.WithDeadlineCause(a.ctx, deadline, result.New(result.DeadlineTooNear, ""))
+	j.ctx, j.cancel = context.WithCancelCause(ctx)
+	context.AfterFunc(j.ctx, cancel)
+	j.item = admission.Item{
+		ID: id, Workspace: m.Workspace, Weight: m.Weight, Priority: m.Priority,
+		Class: routing.ClassOf(m.StartToken + m.Tokens), PromptTokens: m.Tokens, ContextTokens: m.StartToken,
+		Arrived: now, Deadline: deadline,
+	}
+	return j
+}
+
+// runSpan does the job and records its result. A job that failed is forgotten,
+// so that the order may be given again.
+func (a *Agent) runSpan(j *spanJob) {
+	err := a.prepareSpan(j)
+	if err == nil && j.req.Tokens > 0 {
+		err = a.computeSpan(j)
+	}
+	var coded *result.Err
+	if err != nil && !errors.As(err, &coded) {
+		coded = a.spanFailure(j, err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	j.err = coded
+	if coded != nil {
+		delete(a.desk.jobs, j.id)
+		a.deps.Log.Warn("Span failed.", "span", j.id, "err", coded)
+	}
+	j.handle = &rudderv1.KVHandle{Id: j.id, Endpoint: a.cfg.Endpoint, StartToken: j.req.StartToken, Tokens: j.req.Tokens}
+	j.req.Body = nil
+	j.cancel(nil)
+	close(j.done)
+	a.desk.poke()
+}
+
+// prepareSpan waits until the lease's memory is there and imports the spans
+// before the job's.
+func (a *Agent) prepareSpan(j *spanJob) error {
+	if err := a.awaitMemory(j.ctx); err != nil {
+		return err
+	}
+	for _, h := range j.req.Before {
+		if err := a.importSpan(j, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitMemory waits until the work that ran before the leases were granted has
+// left the endpoint. New work is started only in memory that is neither used
+// nor reserved.
+func (a *Agent) awaitMemory(ctx context.Context) error {
+	for {
+		a.mu.Lock()
+		ready, changed := a.used+a.desk.tokens() <= a.cfg.MemoryTokens, a.changed
+		a.mu.Unlock()
+		if ready {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// computeSpan waits for the span's turn and has the engine compute it.
+func (a *Agent) computeSpan(j *spanJob) error {
+	a.mu.Lock()
+	v := a.queue.Offer(j.item, a.capacity(), time.Now())
+	if v.Admitted {
+		a.desk.waiting++
+	}
+	a.mu.Unlock()
+	if !v.Admitted {
+		return result.New(v.Code, v.Detail)
+	}
+	a.poke()
+	select {
+	case <-j.begun:
+	case <-j.ctx.Done():
+		a.leaveQueue(j)
+		return context.Cause(j.ctx)
+	}
+	began := time.Now()
+	err := a.settledPrefill(j)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.running--
+	if err != nil {
+		a.queue.Remove(j.item.ID)
+	} else {
+		a.queue.Done(j.item, began.Sub(j.item.Arrived), time.Since(began), 0, j.item.ContextTokens)
+	}
+	a.notify()
+	a.poke()
+	return err
+}
+
+// leaveQueue takes a job that is over out of the queue.
+func (a *Agent) leaveQueue(j *spanJob) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Remove(j.item.ID)
+	select {
+	case <-j.begun:
+		a.running--
+	default:
+		a.desk.waiting--
+	}
+	a.poke()
+}
+
+// beginSpan starts the waiting job that the queue chose; the caller holds mu.
+func (a *Agent) beginSpan(it admission.Item) {
+	j, ok := a.desk.jobs[it.ID]
+	if !ok {
+		a.queue.Remove(it.ID)
+		return
+	}
+	a.desk.waiting--
+	a.running++
+	close(j.begun)
+}
+
+// expireSpan ends a waiting job that cannot be done in time; the caller holds mu.
+func (a *Agent) expireSpan(it admission.Item) {
+	if j, ok := a.desk.jobs[it.ID]; ok {
+		j.stop(result.New(result.DeadlineTooNear, "waited too long"))
+	}
+}
+
+// settledPrefill orders the prefill and, when its answer is lost, asks the
+// engine whether it holds the span.
+func (a *Agent) settledPrefill(j *spanJob) error {
+	err := a.deps.Engine.Prefill(j.ctx, engine.Span{
+		ID: j.id, Owner: j.req.Reservation, Path: j.req.Path, Body: j.req.Body,
+		Start: j.req.StartToken, Tokens: j.req.Tokens, Import: spanIDs(j.req.Before), Priority: admission.EnginePriority(j.item),
+	})
+	if err == nil {
+		return nil
+	}
+	if j.ctx.Err() != nil {
+		a.cancelAtEngine(j.id)
+		return context.Cause(j.ctx)
+	}
+	if !errors.Is(err, engine.ErrLost) {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(j.ctx, probeTime)
+	defer cancel()
+	st, stateErr := a.deps.Engine.State(ctx)
+	if stateErr != nil {
+		return err
+	}
+	for _, h := range st.Held {
+		if h.ID == j.id {
+			return nil
+		}
+	}
+	return err
+}
+
+// spanFailure is the code for an engine's error.
+func (a *Agent) spanFailure(j *spanJob, err error) *result.Err {
+	switch {
+	case j.ctx.Err() != nil:
+		return result.New(result.LeaseLost, "the agent is stopping")
+	case errors.Is(err, engine.ErrNoMemory):
+		return result.New(result.MemoryHeld, err.Error())
+	case errors.Is(err, engine.ErrUnreachable):
+		a.endpointLost()
+		return result.New(result.EndpointLost, err.Error())
+	case errors.Is(err, engine.ErrLost):
+		return result.New(result.EndpointLost, err.Error())
+	default:
+		return result.New(result.EndpointRefused, err.Error())
+	}
+}
+
+// stopSpans ends all span jobs for the reason given.
+func (a *Agent) stopSpans(why *result.Err) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, j := range a.desk.jobs {
+		j.stop(why)
+	}
+}
--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -183,7 +183,7 @@
 // agent starts the agent beside an endpoint; it can be called again after a kill.
 func (b *bubble) agent(name, serviceName string, memory uint64) *agent.Agent {
 	deps := agent.Deps{
-		Signer: b.signer, Queue: admission.New(admission.Config{}), Keeper: generation.NewKeeper(), Log: quiet(),
+		Client: b.innerClient(), Signer: b.signer, Queue: admission.New(admission.Config{}), Keeper: generation.NewKeeper(), Log: quiet(),
 	}
 	if serviceName == "" {
 		deps.Engine = engine.NewClient(engine.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient(), Name: name})
@@ -207,12 +207,18 @@
 	return a
 }
 
-// gateway starts a gateway; peers are names of other gateways.
-func (b *bubble) gateway(name string, peers ...string) *gateway.Gateway {
+// innerClient returns a client for the inner protocol.
+func (b *bubble) innerClient() *inner.Client {
 	client, err := inner.NewClient(inner.KeyFiles{}, b.dial)
 	if err != nil {
 		b.t.Fatal(err)
 	}
+	return client
+}
+
+// gateway starts a gateway; peers are names of other gateways.
+func (b *bubble) gateway(name string, peers ...string) *gateway.Gateway {
+	client := b.innerClient()
 	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
 	if err != nil {
 		b.t.Fatal(err)
--- /dev/null
+++ b/memory/lease.go
@@ -0,0 +1,104 @@
+package memory
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Live reports whether the reservation may be used now.
+func (b *Book) Live(id string, now time.Time) bool {
+	l, ok := b.leases[id]
+	return ok && l.live(now)
+}
+
+// Renew extends a live lease; it reports false when the lease is over.
+func (b *Book) Renew(id string, lease time.Duration, now time.Time) bool {
+	l, ok := b.leases[id]
+	if !ok || !l.live(now) {
+		return false
+	}
+	l.Until = now.Add(leaseOf(lease))
+	return true
+}
+
+// Pin ties a live lease to a run: it lasts until Unpin, renewed or not, so that
+// the run does not depend on its coordinator. It reports false when the lease is
+// over or already has a run.
+func (b *Book) Pin(id string, now time.Time) bool {
+	l, ok := b.leases[id]
+	if !ok || !l.live(now) || l.Pinned {
+		return false
+	}
+	l.Pinned = true
+	return true
+}
+
+// Unpin ends the lease of a run that is over.
+func (b *Book) Unpin(id string) {
+	if l, ok := b.leases[id]; ok {
+		l.Pinned = false
+		b.end(l)
+	}
+}
+
+// Release ends a reservation that no run uses. One that is not known, its
+// request being late or lost, will never be granted; it reports whether there
+// was one to end.
+func (b *Book) Release(id string, now time.Time) bool {
+	b.forget(now)
+	group, epoch, ok := ParseReservationID(id)
+	if !ok {
+		return false
+	}
+	if f, known := b.fences[group]; !known && len(b.fences) < maxFences || known && epoch >= f.epoch {
+		b.fences[group] = fence{epoch: epoch, over: true, until: now.Add(fenceTime)}
+	}
+	l, ok := b.leases[id]
+	if !ok || l.Pinned || l.Closing {
+		return false
+	}
+	l.Closing = true
+	return true
+}
+
+// Expire ends the leases that have lapsed and returns all that are closing and
+// not yet freed, in the order of their names.
+func (b *Book) Expire(now time.Time) []Lease {
+	var out []Lease
+	for _, l := range b.leases {
+		if !l.live(now) {
+			b.end(l)
+			out = append(out, *l)
+		}
+	}
+	slices.SortFunc(out, func(x, y Lease) int { return strings.Compare(x.ID, y.ID) })
+	return out
+}
+
+// Freed says that the endpoint has a closing lease's memory back.
+func (b *Book) Freed(id string) {
+	if l, ok := b.leases[id]; ok && l.Closing {
+		delete(b.leases, id)
+	}
+}
+
+// Next returns when the next lease lapses unless it is renewed; ok is false
+// when none will.
+func (b *Book) Next() (at time.Time, ok bool) {
+	for _, l := range b.leases {
+		if l.Closing || l.Pinned {
+			continue
+		}
+		if !ok || l.Until.Before(at) {
+			at, ok = l.Until, true
+		}
+	}
+	return at, ok
+}
+
+// Known reports whether the reservation's memory is counted in Reserved.
+func (b *Book) Known(id string) bool {
+	_, ok := b.leases[id]
+	return ok
+}
