Let callers tell what only they know of an unused ticket

Cause: in the demo 19 of 117 lookups were told "may have run": their tickets, fetched in advance, named an agent that was killed before they were presented. The gateway cannot know that a presentation is the first; the caller can. Ruled out: a header "first presentation", which a client library's silent retry would repeat falsely. Change: the load tool's caller takes another ticket when the first presentation of one is answered 4003, and asks for repeatable tickets for repeatable flows; the code's text says so.

--- a/load/caller.go
+++ b/load/caller.go
@@ -33,6 +33,7 @@
 	now    func() time.Duration // since the start of the run
 
 	ticket string
+	fresh  func(context.Context) string // fetches another ticket; nil without
 	key    string
 	sent   bool // whether a gateway ever took a connection
 	asked  int  // times the run was asked for after "may have run"
@@ -86,6 +87,9 @@
 		return c.afterBreak(ctx)
 	case r.final == Refused && attached && r.problem.Code == result.UnknownRun:
 		return again, reattachWait
+	case r.final == Unknown && c.neverPresented(r.problem.Code):
+		c.ticket = c.fresh(ctx)
+		return again, reattachWait
 	case r.final == Unknown && c.mayAsk(r.problem.Code):
 		c.asked++
 		return reattach, reattachWait
@@ -119,6 +123,13 @@
 	return again
 }
 
+// neverPresented tells whether a ticket's agent was gone before the ticket was
+// first presented: the request certainly did not run, and only its caller can
+// know that.
+func (c *caller) neverPresented(code result.Code) bool {
+	return code == result.IncarnationGone && c.fresh != nil && c.rec.Presentations == 1
+}
+
 // mayAsk tells whether the caller asks for its run after "may have run".
 func (c *caller) mayAsk(code result.Code) bool {
 	return c.ticket != "" && c.asked < maxAsks && result.Lookup(code).Advice == result.AdviceTicket
--- a/load/client.go
+++ b/load/client.go
@@ -43,7 +43,7 @@
 
 // tickets fetches a batch of tickets.
 func (c *client) tickets(ctx context.Context, f Flow, count int) ([]string, error) {
-	body, err := json.Marshal(ticketsRequest{Count: count, Model: f.Model})
+	body, err := json.Marshal(ticketsRequest{Count: count, Model: f.Model, Repeatable: f.Repeatable})
 	if err != nil {
 		return nil, err
 	}
--- a/load/protocol.go
+++ b/load/protocol.go
@@ -76,8 +76,9 @@
 }
 
 type ticketsRequest struct {
-	Count int    `json:"count"`
-	Model string `json:"model"`
+	Count      int    `json:"count"`
+	Model      string `json:"model"`
+	Repeatable bool   `json:"repeatable"`
 }
 
 type ticketsAnswer struct {
--- a/load/run.go
+++ b/load/run.go
@@ -159,7 +159,7 @@
 		asm:    newAssembly(prompt, a.Answer, g.verify),
 	}
 	if pool := g.tickets[a.Flow]; pool != nil {
-		c.ticket = pool.take(ctx)
+		c.ticket, c.fresh = pool.take(ctx), pool.fresh
 	}
 	c.run(ctx)
 	g.report(*rec)
@@ -192,6 +192,15 @@
 	list []string
 }
 
+// fresh drops the tickets fetched so far, which may name the same lost agent,
+// and returns a new one.
+func (p *ticketPool) fresh(ctx context.Context) string {
+	p.mu.Lock()
+	p.list = nil
+	p.mu.Unlock()
+	return p.take(ctx)
+}
+
 // take returns a ticket, or "" when none can be had now.
 func (p *ticketPool) take(ctx context.Context) string {
 	p.mu.Lock()
--- a/result/result.go
+++ b/result/result.go
@@ -180,7 +180,7 @@
 
 	{EndpointLost, "endpoint-lost", http.StatusBadGateway, MayHaveRun, AdviceTicket, "The endpoint was lost after the order was sent to it."},
 	{AgentLost, "agent-lost", http.StatusBadGateway, MayHaveRun, AdviceTicket, "The agent was lost after the order was sent to it."},
-	{IncarnationGone, "incarnation-gone", http.StatusGone, MayHaveRun, AdviceNone, "The agent that this ticket names has restarted; its records are gone."},
+	{IncarnationGone, "incarnation-gone", http.StatusGone, MayHaveRun, AdviceNone, "The agent that this ticket names has restarted; its records are gone. A ticket that was never presented before did not run: fetch another."},
 	{DeadlinePassed, "deadline-passed", http.StatusGatewayTimeout, MayHaveRun, AdviceTicket, "The time was over before the outcome was known."},
 	{OrderUnanswered, "order-unanswered", http.StatusBadGateway, MayHaveRun, AdviceTicket, "The order was sent and no answer came."},
 	{AnswerDropped, "answer-dropped", http.StatusGone, Ran, AdviceNone, "The request ran; its answer is no longer kept."},
