Add permits for orders to the inner protocol

An agent needs to be told which order to its endpoint it may give, on what report that was decided, and until when on its own clock; gateways and operators need to see what the agent is doing.

--- a/rudderv1/rudderv1connect/rudder.connect.go
+++ b/rudderv1/rudderv1connect/rudder.connect.go
@@ -61,6 +61,8 @@
 	AgentServicePrefillProcedure = "/rudder.v1.AgentService/Prefill"
 	// AgentServiceHandoverProcedure is the fully-qualified name of the AgentService's Handover RPC.
 	AgentServiceHandoverProcedure = "/rudder.v1.AgentService/Handover"
+	// AgentServicePlaceProcedure is the fully-qualified name of the AgentService's Place RPC.
+	AgentServicePlaceProcedure = "/rudder.v1.AgentService/Place"
 	// GatewayServiceFetchProcedure is the fully-qualified name of the GatewayService's Fetch RPC.
 	GatewayServiceFetchProcedure = "/rudder.v1.GatewayService/Fetch"
 	// GatewayServiceStatusProcedure is the fully-qualified name of the GatewayService's Status RPC.
@@ -93,6 +95,8 @@
 	Prefill(context.Context, *connect.Request[rudderv1.PrefillRequest]) (*connect.Response[rudderv1.PrefillResponse], error)
 	// Handover moves run records of a leaving agent to its successor.
 	Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error)
+	// Place permits one order to the endpoint; without an order it asks for the report.
+	Place(context.Context, *connect.Request[rudderv1.PlaceRequest]) (*connect.Response[rudderv1.PlaceResponse], error)
 }
 
 // NewAgentServiceClient constructs a client for the rudder.v1.AgentService service. By default, it
@@ -172,6 +176,12 @@
 			connect.WithSchema(agentServiceMethods.ByName("Handover")),
 			connect.WithClientOptions(opts...),
 		),
+		place: connect.NewClient[rudderv1.PlaceRequest, rudderv1.PlaceResponse](
+			httpClient,
+			baseURL+AgentServicePlaceProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -188,6 +198,7 @@
 	release   *connect.Client[rudderv1.ReleaseRequest, rudderv1.ReleaseResponse]
 	prefill   *connect.Client[rudderv1.PrefillRequest, rudderv1.PrefillResponse]
 	handover  *connect.Client[rudderv1.HandoverRequest, rudderv1.HandoverResponse]
+	place     *connect.Client[rudderv1.PlaceRequest, rudderv1.PlaceResponse]
 }
 
 // Run calls rudder.v1.AgentService.Run.
@@ -245,6 +256,11 @@
 	return c.handover.CallUnary(ctx, req)
 }
 
+// Place calls rudder.v1.AgentService.Place.
+func (c *agentServiceClient) Place(ctx context.Context, req *connect.Request[rudderv1.PlaceRequest]) (*connect.Response[rudderv1.PlaceResponse], error) {
+	return c.place.CallUnary(ctx, req)
+}
+
 // AgentServiceHandler is an implementation of the rudder.v1.AgentService service.
 type AgentServiceHandler interface {
 	// Run orders a run, or attaches to it when the agent already knows its id.
@@ -267,6 +283,8 @@
 	Prefill(context.Context, *connect.Request[rudderv1.PrefillRequest]) (*connect.Response[rudderv1.PrefillResponse], error)
 	// Handover moves run records of a leaving agent to its successor.
 	Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error)
+	// Place permits one order to the endpoint; without an order it asks for the report.
+	Place(context.Context, *connect.Request[rudderv1.PlaceRequest]) (*connect.Response[rudderv1.PlaceResponse], error)
 }
 
 // NewAgentServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -342,6 +360,12 @@
 		connect.WithSchema(agentServiceMethods.ByName("Handover")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServicePlaceHandler := connect.NewUnaryHandler(
+		AgentServicePlaceProcedure,
+		svc.Place,
+		connect.WithSchema(agentServiceMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rudder.v1.AgentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AgentServiceRunProcedure:
@@ -366,6 +390,8 @@
 			agentServicePrefillHandler.ServeHTTP(w, r)
 		case AgentServiceHandoverProcedure:
 			agentServiceHandoverHandler.ServeHTTP(w, r)
+		case AgentServicePlaceProcedure:
+			agentServicePlaceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -419,6 +445,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Handover is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) Place(context.Context, *connect.Request[rudderv1.PlaceRequest]) (*connect.Response[rudderv1.PlaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Place is not implemented"))
+}
+
 // GatewayServiceClient is a client for the rudder.v1.GatewayService service.
 type GatewayServiceClient interface {
 	// Fetch returns the highest accepted document the gateway has seen.
