Let the stand-in engine hold two versions of a model

Placement loads a new version beside the old one where there is room; the stand-in replaced the version in place, so that a plan's own simulation and the stand-in disagreed. Models are now told apart by name and version, and a request may name a version or an adapter.

--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -25,7 +25,7 @@
 // Config sets up a stand-in engine.
 type Config struct {
 	Name         string
-	Models       []string // NAME or NAME@VERSION, loaded from the start
+	Models       []string // NAME or NAME@VERSION, each may be followed by +ADAPTER; loaded from the start
 	Role         string
 	MemoryTokens uint64 // of cache memory
 	MaxRunning   int    // runs in the batch, prefilling or decoding
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -27,17 +27,25 @@
 func newOrderBook(c Config) *orderBook {
 	b := &orderBook{role: c.Role}
 	for _, m := range c.Models {
-		name, version, _ := strings.Cut(m, "@")
-		b.models = append(b.models, engine.Model{Name: name, Version: version})
+		parts := strings.Split(m, "+")
+		name, version, _ := strings.Cut(parts[0], "@")
+		b.models = append(b.models, engine.Model{Name: name, Version: version, Adapters: parts[1:]})
 	}
 	return b
 }
 
-func (b *orderBook) find(name string) int {
-	return slices.IndexFunc(b.models, func(m engine.Model) bool { return m.Name == name })
+func (b *orderBook) find(name, version string) int {
+	return slices.IndexFunc(b.models, func(m engine.Model) bool { return m.Name == name && m.Version == version })
 }
 
-func (b *orderBook) serves(model string) bool { return b.find(model) >= 0 }
+// serves tells whether a request may name a loaded model so: by its name, as
+// NAME@VERSION, or by one of its adapters with or without the version.
+func (b *orderBook) serves(name string) bool {
+	return slices.ContainsFunc(b.models, func(m engine.Model) bool {
+		named := func(id string) bool { return id == name || strings.HasPrefix(id, name+"@") }
+		return named(m.Name+"@"+m.Version) || m.Name == name || slices.ContainsFunc(m.Adapters, named)
+	})
+}
 
 func (b *orderBook) describe(st *engine.State) {
 	for _, m := range b.models {
@@ -55,17 +63,15 @@
 
 // carryOut applies an order whose weights are there.
 func (b *orderBook) carryOut(o engine.Order) error {
-	i := b.find(o.Model)
+	i := b.find(o.Model, o.Version)
 	switch o.Kind {
 	case engine.OrderSetRole:
 		b.role = o.Role
 		return nil
 	case engine.OrderLoadModel:
 		if i < 0 {
-			b.models = append(b.models, engine.Model{Name: o.Model})
-			i = len(b.models) - 1
+			b.models = append(b.models, engine.Model{Name: o.Model, Version: o.Version})
 		}
-		b.models[i].Version = o.Version
 		return nil
 	}
 	if i < 0 {
