Give an endpoint its orders, one at a time, after its runs

Nothing gave orders yet. Package orders decides: a permit is good for one report of one incarnation under the agent's own generation and until a time on the agent's clock; the order waits for the runs that need what it takes away; the endpoint's state is asked and everything is checked again right before it is sent. An order of unknown fate is found out from the endpoint's state, and so is one that an earlier agent left behind. A failed order waits with a doubling, jittered pause.

An agent now refuses a run for a model that its endpoint does not hold: an unload takes effect before every gateway has heard of it.

With both checks of the clock removed, the test of the paused agent fails.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -59,6 +59,9 @@
 	case (req.Call != nil) != (a.deps.Service != nil):
 		return result.New(result.EndpointRefused, "wrong kind of endpoint")
 	}
+	if m := req.GetCompletion().GetModel(); m != "" && !a.serves(m) {
+		return result.New(result.EndpointRefused, "the endpoint does not serve "+m)
+	}
 	space := int64(req.GetCompletion().GetMaxTokens()) * answerBytesPerToken
 	if !a.records.fits(space) {
 		return result.New(result.RecordsFull, "")
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/micarudder/micarudder/affinity"
 	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/orders"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/service"
 	"github.com/micarudder/micarudder/ticket"
@@ -65,19 +66,22 @@
 	queue    admission.Queue
 	waiting  map[string]*run // admitted, by run key
 	running  int
-	used     uint64 // tokens of running runs
-	reserved uint64 // tokens of memory reservations
-	models   []*rudderv1.LoadedModel
-	cache    *affinity.Set // blocks that the endpoint is believed to hold
+	used     uint64         // tokens of running runs
+	reserved uint64         // tokens of memory reservations
+	models   []engine.Model // as the endpoint last said
+	cache    *affinity.Set  // blocks that the endpoint is believed to hold
 	role     string
-	version  uint64        // counts changes worth reporting
-	changed  chan struct{} // closed at each change worth reporting
-
-	wake    chan struct{}
-	stop    context.CancelFunc
-	ctx     context.Context
-	workers sync.WaitGroup
-	meter   *meter
+	book     *orders.Book
+	blocking map[*run]struct{} // runs that the order in progress waits for
+	version  uint64            // counts changes worth reporting
+	changed  chan struct{}     // closed at each change worth reporting
+
+	wake      chan struct{}
+	orderWake chan struct{}
+	stop      context.CancelFunc
+	ctx       context.Context
+	workers   sync.WaitGroup
+	meter     *meter
 }
 
 // New returns an agent with a fresh incarnation. Start begins its work.
@@ -95,6 +99,8 @@
 		changed:     make(chan struct{}),
 		cache:       affinity.New(cfg.MemoryTokens),
 		wake:        make(chan struct{}, 1),
+		orderWake:   make(chan struct{}, 1),
+		book:        orders.NewBook(),
 		ctx:         ctx,
 		stop:        stop,
 		meter:       newMeter(deps.Metrics),
@@ -113,6 +119,7 @@
 	a.workers.Go(a.watchEndpoint)
 	if a.deps.Engine != nil {
 		a.workers.Go(a.followCache)
+		a.workers.Go(a.orderLoop)
 	}
 }
 
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -1,7 +1,7 @@
 package agent
 
 import (
-	"context"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -48,22 +48,17 @@
 		a.serving(nil, "")
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, probeTime)
-	defer cancel()
-	st, err := a.deps.Engine.State(ctx)
-	if err != nil {
-		return err
-	}
-	a.serving(loadedModels(st.Models), st.Role)
-	return nil
+	_, err := a.askState()
+	return err
 }
 
 // serving records what the endpoint serves.
-func (a *Agent) serving(models []*rudderv1.LoadedModel, role string) {
+func (a *Agent) serving(models []engine.Model, role string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !sameModels(a.models, models) || a.role != role {
 		a.models, a.role = models, role
+		a.book.Changed()
 		a.notify()
 	}
 	a.setState(rudderv1.AgentState_AGENT_STATE_SERVING)
@@ -76,22 +71,8 @@
 	a.setState(rudderv1.AgentState_AGENT_STATE_ENDPOINT_LOST)
 }
 
-func loadedModels(ms []engine.Model) []*rudderv1.LoadedModel {
-	out := make([]*rudderv1.LoadedModel, 0, len(ms))
-	for _, m := range ms {
-		out = append(out, &rudderv1.LoadedModel{Model: m.Name, Version: m.Version, Adapters: m.Adapters, Loading: m.Loading})
-	}
-	return out
-}
-
-func sameModels(a, b []*rudderv1.LoadedModel) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].Model != b[i].Model || a[i].Version != b[i].Version || a[i].Loading != b[i].Loading || len(a[i].Adapters) != len(b[i].Adapters) {
-			return false
-		}
-	}
-	return true
+func sameModels(a, b []engine.Model) bool {
+	return slices.EqualFunc(a, b, func(x, y engine.Model) bool {
+		return x.Name == y.Name && x.Version == y.Version && x.Loading == y.Loading && slices.Equal(x.Adapters, y.Adapters)
+	})
 }
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -44,3 +44,15 @@
 func (m *meter) refused(c result.Code) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_agent_refused_total{code="%d"}`, c)).Inc()
 }
+
+func (m *meter) order(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_agent_endpoint_orders_total{kind="%s"}`, kind)).Inc()
+}
+
+func (m *meter) orderFailed(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_agent_endpoint_orders_failed_total{kind="%s"}`, kind)).Inc()
+}
+
+func (m *meter) permitRefused(c result.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_agent_permits_refused_total{code="%d"}`, c)).Inc()
+}
--- a/agent/report.go
+++ b/agent/report.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
+	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -17,12 +19,47 @@
 		State:       a.state,
 		Generation:  a.deps.Keeper.Generation(),
 		Load:        a.load(),
-		Models:      a.models,
+		Models:      a.loadedModels(),
 		Role:        a.role,
 		Service:     a.cfg.Service,
+		Holds:       a.book.Holds(),
+		Order:       a.orderStatus(),
 	}
 }
 
+// orderStatus describes the latest order; the caller holds mu.
+func (a *Agent) orderStatus() *rudderv1.OrderStatus {
+	if a.deps.Engine == nil {
+		return nil
+	}
+	return a.book.Status(a.blockers(), time.Now())
+}
+
+// loadedModels is what the endpoint holds, as gateways may rely on it: what an
+// order in progress takes away is not served any more. The caller holds mu.
+func (a *Agent) loadedModels() []*rudderv1.LoadedModel {
+	o := a.book.Order()
+	out := make([]*rudderv1.LoadedModel, 0, len(a.models)+1)
+	loading := o.Kind == engine.OrderLoadModel
+	for _, m := range a.models {
+		same := m.Name == o.Model && m.Version == o.Version
+		l := &rudderv1.LoadedModel{Model: m.Name, Version: m.Version, Adapters: m.Adapters, Loading: m.Loading}
+		switch {
+		case same && o.Kind == engine.OrderUnloadModel:
+			l.Unloading = true
+		case same && o.Kind == engine.OrderUnloadAdapter:
+			l.Adapters = slices.DeleteFunc(slices.Clone(m.Adapters), func(id string) bool { return id == o.Adapter })
+		case same:
+			loading = false
+		}
+		out = append(out, l)
+	}
+	if loading {
+		out = append(out, &rudderv1.LoadedModel{Model: o.Model, Version: o.Version, Loading: true})
+	}
+	return out
+}
+
 // load is the agent's exact load; the caller holds mu.
 func (a *Agent) load() *rudderv1.Load {
 	t := a.queue.Load(time.Now())
--- a/agent/server.go
+++ b/agent/server.go
@@ -249,6 +249,11 @@
 	return connect.NewResponse(resp), nil
 }
 
+// Place accepts a permitted order to the endpoint, or says why not.
+func (s *server) Place(_ context.Context, req *connect.Request[rudderv1.PlaceRequest]) (*connect.Response[rudderv1.PlaceResponse], error) {
+	return connect.NewResponse(s.a.place(req.Msg)), nil
+}
+
 // Subscribe streams reports until the subscriber goes away.
 func (s *server) Subscribe(ctx context.Context, req *connect.Request[rudderv1.SubscribeRequest], stream *connect.ServerStream[rudderv1.AgentReport]) error {
 	for {
--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/micarudder/micarudder/admission"
 	"github.com/micarudder/micarudder/agent"
@@ -55,6 +56,9 @@
 	agents   map[string]*agent.Agent
 	gateways map[string]*gateway.Gateway
 	servers  map[string]*http.Server // by address
+	closers  []func()
+	orders   []orderSeen
+	delay    map[string]time.Duration // of an engine's word about its state
 }
 
 // run runs a session in a bubble and stops every process at its end.
@@ -67,11 +71,11 @@
 		}
 		b := &bubble{
 			t: t, hosts: make(map[string]*pipe.Listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), signer: signer,
-			engines: make(map[string]*standengine.Server), services: make(map[string]*standservice.Server),
+			engines: make(map[string]*standengine.Server), services: make(map[string]*standservice.Server), delay: make(map[string]time.Duration),
 			agents: make(map[string]*agent.Agent), gateways: make(map[string]*gateway.Gateway), servers: make(map[string]*http.Server),
 			doc: &rudderv1.Document{
 				Generation: 1, PlanId: "plan-1",
-				Models: []*rudderv1.Model{{Name: model, Version: "1", MaxTokens: 1_100_000}},
+				Models: []*rudderv1.Model{{Name: model, Version: "1", MaxTokens: 1_100_000, Replicas: map[string]uint32{dataCentre: 100}}},
 				Workspaces: []*rudderv1.Workspace{{
 					Name: "bid-desk", KeyDigests: []string{digestOf(bearer)}, Weight: 1, Models: []string{model}, Services: []string{"bid-api"},
 				}},
@@ -97,6 +101,9 @@
 	for _, e := range b.engines {
 		e.Close()
 	}
+	for _, c := range b.closers {
+		c()
+	}
 	time.Sleep(time.Hour) // lets every timer of the bubble end
 }
 
@@ -154,13 +161,13 @@
 // engine adds a model engine with its agent; the name of both is given.
 func (b *bubble) engine(name string, change func(*standengine.Config)) {
 	cfg := standengine.Default()
-	cfg.Name, cfg.Models = name, []string{model}
+	cfg.Name, cfg.Models = name, []string{model + "@1"}
 	if change != nil {
 		change(&cfg)
 	}
 	e := standengine.NewServer(cfg)
 	b.engines[name] = e
-	b.serve(engineAddr(name), e.Handler())
+	b.serve(engineAddr(name), b.logged(name, e.Handler()))
 	b.declare(name, "", cfg.MemoryTokens)
 	b.agent(name, "", cfg.MemoryTokens)
 }
@@ -186,7 +193,7 @@
 		Signer: b.signer, Queue: admission.New(admission.Config{}), Keeper: generation.NewKeeper(), Log: quiet(),
 	}
 	if serviceName == "" {
-		deps.Engine = engine.NewClient(engine.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient(), Name: name})
+		deps.Engine = &slowState{engine.NewClient(engine.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient(), Name: name}), b, name}
 	} else {
 		deps.Service = service.NewClient(service.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient()})
 	}
@@ -268,3 +275,7 @@
 func innerAddr(name string) string  { return "inner-" + name + ":7000" }
 
 func quiet() *log.Logger { return log.New(io.Discard) }
+
+func cloneDocument(d *rudderv1.Document) *rudderv1.Document {
+	return proto.Clone(d).(*rudderv1.Document)
+}
