--- a/agent/admit.go
+++ b/agent/admit.go
@@ -59,6 +59,9 @@
 	case req.GetCompletion().GetGroup() != "" && !a.desk.book.Live(req.Completion.Group, time.Now()):
 		return result.New(result.LeaseLost, "")
 	}
+	if m := req.GetCompletion().GetModel(); m != "" && !a.serves(m) {
+		return result.New(result.EndpointRefused, "the endpoint does not serve "+m)
+	}
 	if !a.records.fits(req) {
 		return result.New(result.RecordsFull, "")
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/orders"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/service"
 	"github.com/micarudder/micarudder/ticket"
@@ -61,27 +62,29 @@
 	incarnation string
 	started     time.Time
 
-	mu      sync.Mutex
-	state   rudderv1.AgentState
-	records *records
-	queue   admission.Queue
-	waiting map[string]*run // admitted, by run key
-	running int
-	used    uint64 // tokens of running runs
-	desk    *desk  // memory reservations
-	models  []*rudderv1.LoadedModel
-	cache   *affinity.Set // blocks that the endpoint is believed to hold
-	role    string
-	version uint64        // counts changes worth reporting
-	changed chan struct{} // closed at each change worth reporting
-
-	sweeping chan struct{} // a token while the endpoint's held memory is compared with the leases
-
-	wake    chan struct{}
-	stop    context.CancelFunc
-	ctx     context.Context
-	workers sync.WaitGroup
-	meter   *meter
+	mu       sync.Mutex
+	state    rudderv1.AgentState
+	records  *records
+	queue    admission.Queue
+	waiting  map[string]*run // admitted, by run key
+	running  int
+	used     uint64         // tokens of running runs
+	desk     *desk          // memory reservations
+	sweeping chan struct{}  // a token while the endpoint's held memory is compared with the leases
+	models   []engine.Model // as the endpoint last said
+	cache    *affinity.Set  // blocks that the endpoint is believed to hold
+	role     string
+	book     *orders.Book
+	blocking map[*run]struct{} // runs that the order in progress waits for
+	version  uint64            // counts changes worth reporting
+	changed  chan struct{}     // closed at each change worth reporting
+
+	wake      chan struct{}
+	orderWake chan struct{}
+	stop      context.CancelFunc
+	ctx       context.Context
+	workers   sync.WaitGroup
+	meter     *meter
 }
 
 // New returns an agent with a fresh incarnation. Start begins its work.
@@ -101,6 +104,8 @@
 		cache:       affinity.New(cfg.MemoryTokens),
 		sweeping:    make(chan struct{}, 1),
 		wake:        make(chan struct{}, 1),
+		orderWake:   make(chan struct{}, 1),
+		book:        orders.NewBook(),
 		ctx:         ctx,
 		stop:        stop,
 		meter:       newMeter(deps.Metrics),
@@ -120,6 +125,7 @@
 	if a.deps.Engine != nil {
 		a.workers.Go(a.followCache)
 		a.workers.Go(a.memoryLoop)
+		a.workers.Go(a.orderLoop)
 	}
 }
 
--- a/agent/sweep.go
+++ b/agent/sweep.go
@@ -27,7 +27,7 @@
 	ended := a.endedLeases()
 	ctx, cancel := context.WithTimeout(a.ctx, probeTime)
 	defer cancel()
-	st, err := a.deps.Engine.State(ctx)
+	st, err := a.askState()
 	if err != nil {
 		return st, err
 	}
