Add the messages of leaving and of handed-over records

A leaving host known only from the platform's list has to be told to its agent, and a part of a handover has to be safe to repeat.

--- a/rudderv1/rudderv1connect/rudder.connect.go
+++ b/rudderv1/rudderv1connect/rudder.connect.go
@@ -63,6 +63,8 @@
 	AgentServiceExportProcedure = "/rudder.v1.AgentService/Export"
 	// AgentServiceHandoverProcedure is the fully-qualified name of the AgentService's Handover RPC.
 	AgentServiceHandoverProcedure = "/rudder.v1.AgentService/Handover"
+	// AgentServiceLeaveProcedure is the fully-qualified name of the AgentService's Leave RPC.
+	AgentServiceLeaveProcedure = "/rudder.v1.AgentService/Leave"
 	// GatewayServiceFetchProcedure is the fully-qualified name of the GatewayService's Fetch RPC.
 	GatewayServiceFetchProcedure = "/rudder.v1.GatewayService/Fetch"
 	// GatewayServiceStatusProcedure is the fully-qualified name of the GatewayService's Status RPC.
@@ -97,6 +99,8 @@
 	Export(context.Context, *connect.Request[rudderv1.ExportRequest]) (*connect.ServerStreamForClient[rudderv1.ExportPart], error)
 	// Handover moves run records of a leaving agent to its successor.
 	Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error)
+	// Leave tells the agent that the platform takes its host away; it lapses unless repeated.
+	Leave(context.Context, *connect.Request[rudderv1.LeaveRequest]) (*connect.Response[rudderv1.LeaveResponse], error)
 }
 
 // NewAgentServiceClient constructs a client for the rudder.v1.AgentService service. By default, it
@@ -182,6 +186,12 @@
 			connect.WithSchema(agentServiceMethods.ByName("Handover")),
 			connect.WithClientOptions(opts...),
 		),
+		leave: connect.NewClient[rudderv1.LeaveRequest, rudderv1.LeaveResponse](
+			httpClient,
+			baseURL+AgentServiceLeaveProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -199,6 +209,7 @@
 	prefill   *connect.Client[rudderv1.PrefillRequest, rudderv1.PrefillResponse]
 	export    *connect.Client[rudderv1.ExportRequest, rudderv1.ExportPart]
 	handover  *connect.Client[rudderv1.HandoverRequest, rudderv1.HandoverResponse]
+	leave     *connect.Client[rudderv1.LeaveRequest, rudderv1.LeaveResponse]
 }
 
 // Run calls rudder.v1.AgentService.Run.
@@ -261,6 +272,11 @@
 	return c.handover.CallUnary(ctx, req)
 }
 
+// Leave calls rudder.v1.AgentService.Leave.
+func (c *agentServiceClient) Leave(ctx context.Context, req *connect.Request[rudderv1.LeaveRequest]) (*connect.Response[rudderv1.LeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
 // AgentServiceHandler is an implementation of the rudder.v1.AgentService service.
 type AgentServiceHandler interface {
 	// Run orders a run, or attaches to it when the agent already knows its id.
@@ -285,6 +301,8 @@
 	Export(context.Context, *connect.Request[rudderv1.ExportRequest], *connect.ServerStream[rudderv1.ExportPart]) error
 	// Handover moves run records of a leaving agent to its successor.
 	Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error)
+	// Leave tells the agent that the platform takes its host away; it lapses unless repeated.
+	Leave(context.Context, *connect.Request[rudderv1.LeaveRequest]) (*connect.Response[rudderv1.LeaveResponse], error)
 }
 
 // NewAgentServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -366,6 +384,12 @@
 		connect.WithSchema(agentServiceMethods.ByName("Handover")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceLeaveHandler := connect.NewUnaryHandler(
+		AgentServiceLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(agentServiceMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rudder.v1.AgentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AgentServiceRunProcedure:
@@ -392,6 +416,8 @@
 			agentServiceExportHandler.ServeHTTP(w, r)
 		case AgentServiceHandoverProcedure:
 			agentServiceHandoverHandler.ServeHTTP(w, r)
+		case AgentServiceLeaveProcedure:
+			agentServiceLeaveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -449,6 +475,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Handover is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) Leave(context.Context, *connect.Request[rudderv1.LeaveRequest]) (*connect.Response[rudderv1.LeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Leave is not implemented"))
+}
+
 // GatewayServiceClient is a client for the rudder.v1.GatewayService service.
 type GatewayServiceClient interface {
 	// Fetch returns the highest accepted document the gateway has seen.
