Decide membership from ranked evidence; let leaving agents refuse by themselves

Cause: a gateway believed the last report of a lost agent for two seconds, knew nothing of hosts that leave by the declaration or the platform's list, and an agent left only when its own process was told to stop.

Change: package membership ranks the declaration, the agent's word, its connection and the platform's list, damps endpoints that flap, keeps trying when everything is silent at once, and tells silence of all agents from this gateway being cut off. The gateway reads the list once a second, tells the agents it concerns under a lease, and is not ready while cut off. An agent leaves by signal, by the document it holds or by that word; it reports at once and, after a second, gives queued repeatable work back if a peer is declared.

Ruled out: letting the list alone end an agent for good (the list lags and is taken back); trusting a lost agent like a connected one for two seconds (an order to a dead process costs the caller a failed attempt).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,7 +62,8 @@
 	started     time.Time
 
 	mu      sync.Mutex
-	state   rudderv1.AgentState
+	state   rudderv1.AgentState // of the endpoint; current adds leaving
+	leave   departure
 	records *records
 	queue   admission.Queue
 	waiting map[string]*run // admitted, by run key
@@ -121,21 +122,20 @@
 		a.workers.Go(a.followCache)
 		a.workers.Go(a.memoryLoop)
 	}
+	a.workers.Go(a.watchDocument)
 }
 
 // Ready reports whether the agent accepts work.
 func (a *Agent) Ready() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.state == rudderv1.AgentState_AGENT_STATE_SERVING
+	return a.current() == rudderv1.AgentState_AGENT_STATE_SERVING
 }
 
 // Drain refuses new work from now on and returns when every run has ended and
 // been read to its end and no group uses the endpoint, or when ctx ends.
 func (a *Agent) Drain(ctx context.Context) error {
-	a.mu.Lock()
-	a.setState(rudderv1.AgentState_AGENT_STATE_LEAVING)
-	a.mu.Unlock()
+	a.stopping()
 	a.deps.Log.Info("Draining.")
 	for {
 		a.mu.Lock()
@@ -164,7 +164,7 @@
 
 // setState changes the state; the caller holds mu.
 func (a *Agent) setState(s rudderv1.AgentState) {
-	if a.state == s || a.state == rudderv1.AgentState_AGENT_STATE_LEAVING {
+	if a.state == s {
 		return
 	}
 	a.state = s
--- a/agent/memory.go
+++ b/agent/memory.go
@@ -80,7 +80,7 @@
 
 // notServing says why the agent takes no work; the caller holds mu.
 func (a *Agent) notServing() *result.Err {
-	switch a.state {
+	switch a.current() {
 	case rudderv1.AgentState_AGENT_STATE_SERVING:
 		return nil
 	case rudderv1.AgentState_AGENT_STATE_LEAVING:
--- a/agent/report.go
+++ b/agent/report.go
@@ -14,7 +14,7 @@
 		DataCentre:  a.cfg.DataCentre,
 		Incarnation: a.incarnation,
 		AgentMs:     a.clockMS(),
-		State:       a.state,
+		State:       a.current(),
 		Generation:  a.deps.Keeper.Generation(),
 		Load:        a.load(),
 		Models:      a.models,
@@ -44,9 +44,3 @@
 	}
 	return l
 }
-
-func (a *Agent) leaving() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.state == rudderv1.AgentState_AGENT_STATE_LEAVING
-}
--- a/agent/server.go
+++ b/agent/server.go
@@ -266,15 +266,16 @@
 		if err := stream.Send(report); err != nil {
 			return err
 		}
-		if !s.a.waitReport(ctx, changed) {
+		if !s.a.waitReport(ctx, changed, report.State) {
 			return nil
 		}
 	}
 }
 
-// waitReport waits for the next report: a change, but not before the shortest
-// interval, or the heartbeat. It reports false when ctx has ended.
-func (a *Agent) waitReport(ctx context.Context, changed <-chan struct{}) bool {
+// waitReport waits for the next report: at once when the agent begins to leave,
+// after the shortest interval for any other change, or the heartbeat. told is
+// the state last reported. It reports false when ctx has ended.
+func (a *Agent) waitReport(ctx context.Context, changed <-chan struct{}, told rudderv1.AgentState) bool {
 	heartbeat := time.NewTimer(a.cfg.Heartbeat)
 	defer heartbeat.Stop()
 	select {
@@ -286,15 +287,19 @@
 		return true
 	case <-changed:
 	}
-	if a.leaving() {
-		return true
-	}
 	pause := time.NewTimer(a.cfg.ReportInterval)
 	defer pause.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-pause.C:
-		return true
+	for {
+		next, leaving := a.leavingSince(told)
+		if leaving {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-pause.C:
+			return true
+		case <-next:
+		}
 	}
 }
--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -55,6 +55,9 @@
 	agents   map[string]*agent.Agent
 	gateways map[string]*gateway.Gateway
 	servers  map[string]*http.Server // by address
+	cleanup  []func()
+	revision int64 // of the accepted document
+	policy   routing.Policy
 }
 
 // run runs a session in a bubble and stops every process at its end.
@@ -66,7 +69,7 @@
 			t.Fatal(err)
 		}
 		b := &bubble{
-			t: t, hosts: make(map[string]*pipe.Listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), signer: signer,
+			t: t, policy: routing.Default(), hosts: make(map[string]*pipe.Listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), signer: signer,
 			engines: make(map[string]*standengine.Server), services: make(map[string]*standservice.Server),
 			agents: make(map[string]*agent.Agent), gateways: make(map[string]*gateway.Gateway), servers: make(map[string]*http.Server),
 			doc: &rudderv1.Document{
@@ -85,6 +88,9 @@
 }
 
 func (b *bubble) close() {
+	for _, f := range b.cleanup {
+		f()
+	}
 	for _, g := range b.gateways {
 		g.Close()
 	}
@@ -232,7 +238,7 @@
 		cfg.Peers = append(cfg.Peers, innerAddr(p))
 	}
 	g := gateway.New(cfg, gateway.Deps{
-		Store: store, Client: client, Signer: b.signer, Keeper: generation.NewKeeper(), Policy: routing.Default(), Log: quiet(),
+		Store: store, Hosts: store, Client: client, Signer: b.signer, Keeper: generation.NewKeeper(), Policy: b.policy, Log: quiet(),
 	})
 	b.gateways[name] = g
 	face, err := g.Handler()
@@ -253,6 +259,14 @@
 
 // publish accepts the document at the platform and waits until all is quiet.
 func (b *bubble) publish() {
+	b.t.Helper()
+	b.accept()
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+// accept writes the document to the platform.
+func (b *bubble) accept() {
 	b.t.Helper()
 	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
 	if err != nil {
@@ -262,11 +276,11 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	if _, err := store.CompareAndSwap(b.t.Context(), platform.KeyDocument, 0, value, 0); err != nil {
+	e, err := store.CompareAndSwap(b.t.Context(), platform.KeyDocument, b.revision, value, 0)
+	if err != nil {
 		b.t.Fatal(err)
 	}
-	time.Sleep(time.Second)
-	synctest.Wait()
+	b.revision = e.Revision
 }
 
 func engineAddr(name string) string { return "engine-" + name + ":8000" }
--- /dev/null
+++ b/e2e/leaving_test.go
@@ -0,0 +1,259 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/routing"
+	"github.com/micarudder/micarudder/rudderv1"
+	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
+)
+
+// callerTokens is the length of the answers that traffic asks for.
+const callerTokens = 8
+
+// traffic is a steady flow of callers through one gateway.
+type traffic struct {
+	b       *bubble
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	replies map[string]reply // by prompt
+	stop    func()
+}
+
+// flow starts callers, one every interval, each with a prompt of its own.
+func (b *bubble) flow(gw string, interval time.Duration, tokens int) *traffic {
+	t := &traffic{b: b, replies: make(map[string]reply)}
+	stop := make(chan struct{})
+	t.stop = sync.OnceFunc(func() { close(stop) })
+	b.cleanup = append(b.cleanup, t.stop)
+	t.wg.Go(func() {
+		for i := 0; ; i++ {
+			prompt := fmt.Sprintf("%s caller %d", gw, i)
+			t.wg.Go(func() {
+				r := b.ask(gw, "POST", chatPath, chat(prompt, tokens, true), nil)
+				t.mu.Lock()
+				defer t.mu.Unlock()
+				t.replies[prompt] = r
+			})
+			select {
+			case <-time.After(interval):
+			case <-stop:
+				return
+			}
+		}
+	})
+	return t
+}
+
+// end waits for every caller and checks that each got its whole answer.
+func (t *traffic) end(tokens int) {
+	t.b.t.Helper()
+	t.stop()
+	t.wg.Wait()
+	for prompt, r := range t.replies {
+		if t.b.t.Failed() {
+			return // one is enough to see
+		}
+		if r.err != nil || !r.done || r.text != answerTo(prompt, tokens) {
+			t.b.t.Errorf("%s: %d done=%v err=%v problem=%s body=%s", prompt, r.status, r.done, r.err, r.problem, r.body)
+		}
+	}
+}
+
+// lastStart watches an engine until stop and returns how long after begin it
+// last began a run.
+func (b *bubble) lastStart(name string, begin time.Time, watch time.Duration) time.Duration {
+	const sample = 5 * time.Millisecond
+	last, total := time.Duration(0), b.engines[name].Counts().Total
+	for time.Since(begin) < watch {
+		time.Sleep(sample)
+		if n := b.engines[name].Counts().Total; n > total {
+			last, total = time.Since(begin), n
+		}
+	}
+	return last
+}
+
+// agentClient reaches an agent as a gateway does.
+func (b *bubble) agentClient(name string) rudderv1connect.AgentServiceClient {
+	client, err := inner.NewClient(inner.KeyFiles{}, b.dial)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.cleanup = append(b.cleanup, client.CloseIdleConnections)
+	return rudderv1connect.NewAgentServiceClient(client, client.URL(agentAddr(name)))
+}
+
+// listHosts lists the hosts of all endpoints at the platform.
+func (b *bubble) listHosts() {
+	for _, e := range b.doc.Endpoints {
+		b.platform.SetHost(platform.Host{Name: e.Host, DataCentre: dataCentre, State: platform.HostLive, Address: e.AgentAddress})
+	}
+}
+
+// TestLeaving: whoever learns first that an endpoint leaves, it gets no new
+// work after two seconds, and no caller notices.
+func TestLeaving(t *testing.T) {
+	const bound = 2 * time.Second
+	cases := []struct {
+		name  string
+		leave func(b *bubble)
+		back  func(b *bubble) // takes it back; nil when it is final
+	}{
+		{"signal", func(b *bubble) { go func() { _ = b.agents["a"].Drain(b.t.Context()) }() }, nil},
+		{"declaration", func(b *bubble) { b.redeclare(true) }, func(b *bubble) { b.redeclare(false) }},
+		{"declaration known to the agent only, platform away", func(b *bubble) {
+			b.kill(platformAddr)
+			doc := b.leavingDoc(true)
+			_, err := b.agentClient("a").Offer(b.t.Context(), connect.NewRequest(&rudderv1.OfferRequest{Document: doc}))
+			is.New(b.t).NoErr(err)
+		}, nil},
+		{"platform's list only", func(b *bubble) {
+			b.platform.SetHost(platform.Host{Name: "host-a", State: platform.HostLeaving})
+		}, func(b *bubble) {
+			b.platform.SetHost(platform.Host{Name: "host-a", State: platform.HostLive})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(b *bubble) {
+				is := is.New(b.t)
+				b.engine("a", nil)
+				b.engine("b", nil)
+				b.policy = routing.RoundRobin() // so that both get work all the time
+				b.listHosts()
+				b.gateway("gw1")
+				b.publish()
+				callers := b.flow("gw1", 60*time.Millisecond, callerTokens)
+				time.Sleep(2 * time.Second)
+				is.True(b.engines["a"].Counts().Total > 10)
+				begin := time.Now()
+				c.leave(b)
+				last := b.lastStart("a", begin, 6*time.Second)
+				b.t.Log("last new run after", last)
+				is.True(last < bound)
+				if c.back != nil {
+					c.back(b)
+					time.Sleep(15 * time.Second) // longer than the word of the list holds
+					before := b.engines["a"].Counts().Total
+					go func() { _ = b.agents["b"].Drain(b.t.Context()) }()
+					time.Sleep(2 * time.Second)
+					is.True(b.engines["a"].Counts().Total > before)
+				}
+				callers.end(callerTokens)
+			})
+		})
+	}
+}
+
+// TestDeclaredLeavingAtTheAgent: an agent that learns a declaration before its
+// gateways refuses even orders that were planned under it, and says so at once.
+func TestDeclaredLeavingAtTheAgent(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.publish()
+		ctx, c := b.t.Context(), b.agentClient("a")
+		reports, err := c.Subscribe(ctx, connect.NewRequest(&rudderv1.SubscribeRequest{}))
+		is.NoErr(err)
+		defer func() { _ = reports.Close() }()
+		is.True(reports.Receive())
+		began := time.Now()
+		_, err = c.Offer(ctx, connect.NewRequest(&rudderv1.OfferRequest{Document: b.leavingDoc(true)}))
+		is.NoErr(err)
+		end := runOnce(is, ctx, c, b.order("early", b.agents["a"].Incarnation()))
+		is.Equal(result.Code(end.Code), result.Draining)
+		for reports.Receive() && reports.Msg().State != rudderv1.AgentState_AGENT_STATE_LEAVING {
+		}
+		is.True(time.Since(began) < 10*time.Millisecond)
+		_, err = c.Offer(ctx, connect.NewRequest(&rudderv1.OfferRequest{Document: b.leavingDoc(false)}))
+		is.NoErr(err)
+		end = runOnce(is, ctx, c, b.order("again", b.agents["a"].Incarnation()))
+		is.Equal(result.Code(end.Code), result.OK)
+	})
+}
+
+// leavingDoc returns the next document, in which endpoint a leaves or stays.
+func (b *bubble) leavingDoc(leaves bool) *rudderv1.Document {
+	doc := proto.CloneOf(b.doc)
+	doc.Generation++
+	doc.PlanId = fmt.Sprint("plan-", doc.Generation)
+	doc.Endpoints[0].Leaving = leaves
+	b.doc = doc
+	return doc
+}
+
+func (b *bubble) redeclare(leaves bool) {
+	b.leavingDoc(leaves)
+	b.accept()
+}
+
+// TestLateOrders: a gateway that was frozen sends what it decided before; the
+// agent decides by itself.
+func TestLateOrders(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.gateway("gw1")
+		b.publish()
+		ctx := b.t.Context()
+		c := b.agentClient("a")
+		leave := func(incarnation string, decided int64) bool {
+			resp, err := c.Leave(ctx, connect.NewRequest(&rudderv1.LeaveRequest{Incarnation: incarnation, DecidedAgentMs: decided, LeaseMs: 10_000}))
+			is.NoErr(err)
+			return resp.Msg.Leaving
+		}
+		time.Sleep(time.Minute)
+		now := time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)).Milliseconds() // the agent started with the bubble
+		own := b.agents["a"].Incarnation()
+		is.True(!leave("another", now))
+		is.True(!leave(own, now-4000))
+		is.True(leave(own, now-2000))
+		end := runOnce(is, ctx, c, b.order("late", own))
+		is.Equal(result.Code(end.Code), result.Draining)
+		is.True(end.Sealed)
+		time.Sleep(8001 * time.Millisecond) // what was left of the lease
+		is.Equal(result.Code(runOnce(is, ctx, c, b.order("late", own)).Code), result.TicketVoided)
+		is.Equal(result.Code(runOnce(is, ctx, c, b.order("next", own)).Code), result.OK)
+		is.Equal(b.engines["a"].Counts().Total, 1)
+	})
+}
+
+// order is an unrepeatable order under a ticket for an incarnation of agent a.
+func (b *bubble) order(id, incarnation string) *rudderv1.RunRequest {
+	t, err := b.signer.Sign(&rudderv1.TicketClaims{
+		RequestId: id, Workspace: "bid-desk", Endpoint: "a", AgentAddress: agentAddr("a"), Incarnation: incarnation, ExpiresAgentMs: 3_600_000,
+	})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return &rudderv1.RunRequest{
+		RequestId: id, Attempt: 1, Ticket: t, Workspace: "bid-desk", Weight: 1, RemainingMs: 10_000, Generation: b.doc.Generation,
+		Completion: &rudderv1.Completion{Model: model, Path: chatPath, PromptTokens: 5, MaxTokens: 10}, Body: []byte(chat(id, 10, true)),
+	}
+}
+
+// runOnce sends an order and returns its end.
+func runOnce(is *is.I, ctx context.Context, c rudderv1connect.AgentServiceClient, req *rudderv1.RunRequest) *rudderv1.End {
+	stream, err := c.Run(ctx, connect.NewRequest(req))
+	is.NoErr(err)
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		if e := stream.Msg().GetEnd(); e != nil {
+			return e
+		}
+	}
+	is.NoErr(stream.Err())
+	return nil
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,6 +84,7 @@
 		return s.data(f.Attempt, f.Offset, b.Data.Text)
 	case *rudderv1.Frame_End:
 		l.takeLoad(b.End.Load)
+		l.takeRefusal(b.End)
 		return s.end(f.Attempt, b.End)
 	}
 	if s.gone != nil {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/membership"
 	"github.com/micarudder/micarudder/platform"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
@@ -50,6 +51,7 @@
 		err := g.deps.Store.Watch(g.ctx, platform.KeyDocument, after, func(e platform.Entry) {
 			wait.Reset()
 			g.platform.seen()
+			g.members.apply(membership.Outside{})
 			after = e.Revision
 			g.learnEntry(e)
 		})
@@ -120,6 +122,7 @@
 	if err != nil {
 		return err
 	}
+	g.members.apply(membership.Outside{})
 	g.learn(resp.Msg.Document, "peer")
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,8 @@
 
 // Deps are the parts a gateway works with.
 type Deps struct {
-	Store   platform.Store // nil: no platform, for tests of the callers' face
+	Store   platform.Store      // nil: no platform, for tests of the callers' face
+	Hosts   platform.HostLister // nil: no list of hosts
 	Client  *inner.Client
 	Signer  *ticket.Signer
 	Keeper  *generation.Keeper
@@ -56,6 +57,7 @@
 	deps Deps
 
 	links    *links
+	members  *members
 	explain  *explainer
 	auth     *authority
 	meter    *meter
@@ -79,6 +81,7 @@
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
 	g.auth = newAuthority(deps.Keeper)
+	g.members = newMembers()
 	g.links = newLinks(g)
 	g.limits = newLimiter(g)
 	return g
@@ -89,6 +92,9 @@
 	if g.deps.Store != nil {
 		g.loops.Go(g.followPlatform)
 	}
+	if g.deps.Hosts != nil {
+		g.loops.Go(g.followHosts)
+	}
 	for _, peer := range g.cfg.Peers {
 		g.loops.Go(func() { g.followPeer(peer) })
 	}
@@ -97,9 +103,10 @@
 	g.loops.Go(g.limits.loop)
 }
 
-// Ready reports whether the gateway has a configuration and is not leaving.
+// Ready reports whether the gateway has a configuration, is not leaving and is
+// not cut off from everybody.
 func (g *Gateway) Ready() bool {
-	return g.deps.Keeper.Generation() > 0 && !g.draining.Load()
+	return g.deps.Keeper.Generation() > 0 && !g.draining.Load() && !g.members.cutOff()
 }
 
 // Drain refuses new requests, so that the balancer looks elsewhere, and
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -12,6 +12,7 @@
 	"github.com/micarudder/micarudder/cost"
 	"github.com/micarudder/micarudder/inner"
 	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/membership"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -23,10 +24,7 @@
 	// subscribe at an agent.
 	redialFirst = 100 * time.Millisecond
 	redialMax   = 3 * time.Second
-	// freshness is how long an agent's last report is believed after its
-	// connection was lost.
-	freshness = 2 * time.Second
-	offerTime = 2 * time.Second
+	offerTime   = 2 * time.Second
 )
 
 // link is the gateway's connection to one agent with what it last heard.
@@ -87,11 +85,15 @@
 	for stream.Receive() {
 		any = true
 		l.take(stream.Msg())
+		l.g.members.reported(l.declared.Name, stream.Msg())
 		l.offer(ctx, stream.Msg().Generation)
 	}
 	l.mu.Lock()
 	l.connected = false
 	l.mu.Unlock()
+	if ctx.Err() == nil { // else the link was closed: its successor may be connected
+		l.g.members.apply(membership.Lost{Endpoint: l.declared.Name})
+	}
 	return any
 }
 
@@ -192,22 +194,20 @@
 }
 
 // candidate is the link as routing sees it.
-func (l *link) candidate(now time.Time) routing.Candidate {
+func (l *link) candidate(v membership.Verdict, now time.Time) routing.Candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := routing.Candidate{
 		Endpoint: l.declared.Name, Host: l.declared.Host, DataCentre: l.declared.DataCentre, Service: l.declared.Service,
 		MemoryTokens: l.declared.MemoryTokens, Models: l.models, Pending: l.pending, PendingLong: l.pendingL, PendingCount: l.pendingN,
-		Leaving: l.declared.Leaving, BreakerOpen: l.breaker.Blocks(now), LongLane: l.g.lanes.has(l.declared.Name),
+		Connected: v.Usable(), Leaving: v.State == membership.Leaving,
+		BreakerOpen: l.breaker.Blocks(now), LongLane: l.g.lanes.has(l.declared.Name),
 		Slowness: l.slowness.Factor(now), Cached: l.cache.Cached,
 	}
 	if l.report == nil {
 		return c
 	}
-	c.Connected = l.connected || now.Sub(l.heard) < freshness
-	c.Connected = c.Connected && l.report.State == rudderv1.AgentState_AGENT_STATE_SERVING
-	c.Leaving = c.Leaving || l.report.State == rudderv1.AgentState_AGENT_STATE_LEAVING
-	c.Silent, c.Age = now.Sub(l.heard), now.Sub(l.loadAt)
+	c.Age = now.Sub(l.loadAt)
 	fillLoad(&c, l.load)
 	return c
 }
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -18,7 +18,8 @@
 	mu     sync.RWMutex
 	byName map[string]*link
 	byAddr map[string]*link
-	order  []*link // in the document's order
+	order  []*link  // in the document's order
+	names  []string // of order
 }
 
 func newLinks(g *Gateway) *links {
@@ -43,10 +44,11 @@
 func (ls *links) apply(doc *rudderv1.Document) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
+	ls.g.members.declare(doc)
 	old := ls.byName
 	ls.byName = make(map[string]*link, len(doc.Endpoints))
 	ls.byAddr = make(map[string]*link, len(doc.Endpoints))
-	ls.order = ls.order[:0:0]
+	ls.order, ls.names = nil, nil
 	for _, e := range doc.Endpoints {
 		l, ok := old[e.Name]
 		if ok && proto.Equal(l.declared, e) {
@@ -57,6 +59,7 @@
 		ls.byName[e.Name] = l
 		ls.byAddr[e.AgentAddress] = l
 		ls.order = append(ls.order, l)
+		ls.names = append(ls.names, e.Name)
 	}
 	for _, l := range old {
 		l.stop()
@@ -90,12 +93,19 @@
 	return ls.order
 }
 
+// named returns the endpoints' names with their links, index by index.
+func (ls *links) named() ([]string, []*link) {
+	ls.mu.RLock()
+	defer ls.mu.RUnlock()
+	return ls.names, ls.order
+}
+
 // view returns the candidates with their links, index by index.
 func (ls *links) view(now time.Time) ([]routing.Candidate, []*link) {
-	order := ls.all()
+	names, order := ls.named()
 	view := make([]routing.Candidate, len(order))
-	for i, l := range order {
-		view[i] = l.candidate(now)
+	for i, v := range ls.g.members.verdicts(names, now) {
+		view[i] = order[i].candidate(v, now)
 	}
 	return view, order
 }
--- /dev/null
+++ b/gateway/members.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/micarudder/micarudder/membership"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+const (
+	// listInterval is the mean time between two readings of the platform's
+	// list of hosts; each is spread by half of it.
+	listInterval = time.Second
+	// leaveLease is how long one word of the list holds at an agent.
+	leaveLease = 10 * time.Second
+	// leaveInterval is how often that word is repeated.
+	leaveInterval = 3 * time.Second
+	leaveTime     = 2 * time.Second
+)
+
+// members guards the gateway's view of the endpoints' membership.
+type members struct {
+	mu   sync.Mutex
+	view *membership.View
+}
+
+func newMembers() *members {
+	return &members{view: membership.NewView(membership.Default())}
+}
+
+// apply takes one piece of evidence.
+func (m *members) apply(ev membership.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Apply(ev, time.Now())
+}
+
+// verdicts judges the named endpoints.
+func (m *members) verdicts(names []string, now time.Time) []membership.Verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Verdicts(names, now)
+}
+
+// cutOff reports whether the gateway itself seems to be cut off.
+func (m *members) cutOff() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.CutOff(time.Now())
+}
+
+// declare hands membership the document's endpoints.
+func (m *members) declare(doc *rudderv1.Document) {
+	leaving := make(map[string]bool, len(doc.Hosts))
+	for _, h := range doc.Hosts {
+		leaving[h.Name] = h.Leaving
+	}
+	var ev membership.Declared
+	for _, e := range doc.Endpoints {
+		ev.Endpoints = append(ev.Endpoints, membership.Declaration{
+			Endpoint: e.Name, Host: e.Host, Service: e.Service, Leaving: e.Leaving || leaving[e.Host],
+		})
+	}
+	m.apply(ev)
+}
+
+// reported hands membership an agent's report.
+func (m *members) reported(endpoint string, r *rudderv1.AgentReport) {
+	ev := membership.Reported{Endpoint: endpoint, Incarnation: r.Incarnation, AgentMS: r.AgentMs, State: r.State}
+	for _, lm := range r.Models {
+		if !lm.Loading {
+			ev.Models = append(ev.Models, lm.Model)
+		}
+	}
+	m.apply(ev)
+}
+
+// takeRefusal learns from an end that the agent is leaving.
+func (l *link) takeRefusal(e *rudderv1.End) {
+	if result.Code(e.Code) == result.Draining {
+		l.g.members.apply(membership.Refused{Endpoint: l.declared.Name})
+	}
+}
+
+// followHosts reads the platform's list of hosts for as long as the gateway
+// lives and tells agents whose hosts it takes away.
+func (g *Gateway) followHosts() {
+	told := make(map[string]time.Time)
+	for g.ctx.Err() == nil {
+		if hosts, err := g.deps.Hosts.Hosts(g.ctx); err == nil {
+			var ev membership.Listed
+			for _, h := range hosts {
+				ev.Hosts = append(ev.Hosts, membership.ListedHost{Name: h.Name, Leaving: h.State != platform.HostLive})
+			}
+			g.members.apply(ev)
+		}
+		g.tellLeaving(told)
+		select {
+		case <-time.After(listInterval/2 + rand.N(listInterval)):
+		case <-g.ctx.Done():
+		}
+	}
+}
+
+// tellLeaving repeats the list's word to each agent that it concerns. told
+// holds when each was last told.
+func (g *Gateway) tellLeaving(told map[string]time.Time) {
+	now := time.Now()
+	names, order := g.links.named()
+	for i, v := range g.members.verdicts(names, now) {
+		if v.Evidence != membership.ByList || v.State != membership.Leaving {
+			continue
+		}
+		if now.Sub(told[names[i]]) < leaveInterval {
+			continue
+		}
+		told[names[i]] = now
+		g.loops.Go(order[i].tellLeaving)
+	}
+}
+
+// tellLeaving tells the agent that its host leaves. The agent checks the
+// incarnation and its own clock, so a word that is late does nothing.
+func (l *link) tellLeaving() {
+	ctx, cancel := context.WithTimeout(l.g.ctx, leaveTime)
+	defer cancel()
+	incarnation, clock := l.incarnation()
+	_, err := l.client.Leave(ctx, connect.NewRequest(&rudderv1.LeaveRequest{
+		Gateway: l.g.cfg.Name, Incarnation: incarnation, DecidedAgentMs: clock, LeaseMs: leaveLease.Milliseconds(),
+	}))
+	if err != nil {
+		l.g.deps.Log.Warn("An agent was not told that its host leaves.", "endpoint", l.declared.Name, "err", err)
+	}
+}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -99,7 +99,7 @@
 		return nil, err
 	}
 	g := New(s.config(), Deps{
-		Store: store, Client: client, Signer: signer, Keeper: generation.NewKeeper(),
+		Store: store, Hosts: store, Client: client, Signer: signer, Keeper: generation.NewKeeper(),
 		Policy: policies[s.Routing.Policy](), Log: env.Log, Metrics: env.Metrics,
 	})
 	p := &Process{g: g}
@@ -110,7 +110,7 @@
 	return p, nil
 }
 
-func openStore(s *Settings, env daemon.Env) (platform.Store, error) {
+func openStore(s *Settings, env daemon.Env) (*platform.Client, error) {
 	addrs := make([]string, 0, len(s.Platform.Addresses))
 	for _, a := range s.Platform.Addresses {
 		addrs = append(addrs, string(a))
