--- a/e2e/place_test.go
+++ b/e2e/place_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.closers = append(b.closers, client.CloseIdleConnections)
+	b.cleanup = append(b.cleanup, client.CloseIdleConnections)
 	return &hand{b, rudderv1connect.NewAgentServiceClient(client, client.URL(agentAddr(name)))}
 }
 
--- a/rudderv1/rudderv1connect/rudder.connect.go
+++ b/rudderv1/rudderv1connect/rudder.connect.go
@@ -65,6 +65,8 @@
 	AgentServiceHandoverProcedure = "/rudder.v1.AgentService/Handover"
 	// AgentServicePlaceProcedure is the fully-qualified name of the AgentService's Place RPC.
 	AgentServicePlaceProcedure = "/rudder.v1.AgentService/Place"
+	// AgentServiceLeaveProcedure is the fully-qualified name of the AgentService's Leave RPC.
+	AgentServiceLeaveProcedure = "/rudder.v1.AgentService/Leave"
 	// GatewayServiceFetchProcedure is the fully-qualified name of the GatewayService's Fetch RPC.
 	GatewayServiceFetchProcedure = "/rudder.v1.GatewayService/Fetch"
 	// GatewayServiceStatusProcedure is the fully-qualified name of the GatewayService's Status RPC.
@@ -101,6 +103,8 @@
 	Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error)
 	// Place permits one order to the endpoint; without an order it asks for the report.
 	Place(context.Context, *connect.Request[rudderv1.PlaceRequest]) (*connect.Response[rudderv1.PlaceResponse], error)
+	// Leave tells the agent that the platform takes its host away; it lapses unless repeated.
+	Leave(context.Context, *connect.Request[rudderv1.LeaveRequest]) (*connect.Response[rudderv1.LeaveResponse], error)
 }
 
 // NewAgentServiceClient constructs a client for the rudder.v1.AgentService service. By default, it
@@ -192,6 +196,12 @@
 			connect.WithSchema(agentServiceMethods.ByName("Place")),
 			connect.WithClientOptions(opts...),
 		),
+		leave: connect.NewClient[rudderv1.LeaveRequest, rudderv1.LeaveResponse](
+			httpClient,
+			baseURL+AgentServiceLeaveProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -210,6 +220,7 @@
 	export    *connect.Client[rudderv1.ExportRequest, rudderv1.ExportPart]
 	handover  *connect.Client[rudderv1.HandoverRequest, rudderv1.HandoverResponse]
 	place     *connect.Client[rudderv1.PlaceRequest, rudderv1.PlaceResponse]
+	leave     *connect.Client[rudderv1.LeaveRequest, rudderv1.LeaveResponse]
 }
 
 // Run calls rudder.v1.AgentService.Run.
@@ -277,6 +288,11 @@
 	return c.place.CallUnary(ctx, req)
 }
 
+// Leave calls rudder.v1.AgentService.Leave.
+func (c *agentServiceClient) Leave(ctx context.Context, req *connect.Request[rudderv1.LeaveRequest]) (*connect.Response[rudderv1.LeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
 // AgentServiceHandler is an implementation of the rudder.v1.AgentService service.
 type AgentServiceHandler interface {
 	// Run orders a run, or attaches to it when the agent already knows its id.
@@ -303,6 +319,8 @@
 	Handover(context.Context, *connect.Request[rudderv1.HandoverRequest]) (*connect.Response[rudderv1.HandoverResponse], error)
 	// Place permits one order to the endpoint; without an order it asks for the report.
 	Place(context.Context, *connect.Request[rudderv1.PlaceRequest]) (*connect.Response[rudderv1.PlaceResponse], error)
+	// Leave tells the agent that the platform takes its host away; it lapses unless repeated.
+	Leave(context.Context, *connect.Request[rudderv1.LeaveRequest]) (*connect.Response[rudderv1.LeaveResponse], error)
 }
 
 // NewAgentServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -390,6 +408,12 @@
 		connect.WithSchema(agentServiceMethods.ByName("Place")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceLeaveHandler := connect.NewUnaryHandler(
+		AgentServiceLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(agentServiceMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rudder.v1.AgentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AgentServiceRunProcedure:
@@ -418,6 +442,8 @@
 			agentServiceHandoverHandler.ServeHTTP(w, r)
 		case AgentServicePlaceProcedure:
 			agentServicePlaceHandler.ServeHTTP(w, r)
+		case AgentServiceLeaveProcedure:
+			agentServiceLeaveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -479,6 +505,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Place is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) Leave(context.Context, *connect.Request[rudderv1.LeaveRequest]) (*connect.Response[rudderv1.LeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rudder.v1.AgentService.Leave is not implemented"))
+}
+
 // GatewayServiceClient is a client for the rudder.v1.GatewayService service.
 type GatewayServiceClient interface {
 	// Fetch returns the highest accepted document the gateway has seen.
