Test what the first mutations of routing and admission left alive

Cause: of 27 mutations of the decisions four survived: an outside candidate passed over too early, pressing work without effect, long work passing longer work near its end, and the share beside a flooding workspace.

Change: a property holds traced and quick decisions equal; tables hold who passes whom; a run of short work without a pause shows the share that long work keeps. The first survivor stood for code without effect, which is gone: a candidate outside the lane that is no better than the lane's best never matters.

--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -99,7 +99,8 @@
 		{"over before the memory is free", 300, 160_000, 100, true},
 		{"takes what the large one needs", 300, 160_000, 2_000, false},
 		{"leaves enough", 300, 140_000, 2_000, true},
-		{"large one pressing", 900, 160_000, 50, false},
+		{"large one not pressing yet", 820, 160_000, 30, true},
+		{"large one pressing", 900, 160_000, 30, false},
 		{"large one pressing, leaves enough", 900, 140_000, 2_000, true},
 	}
 	for _, tc := range cases {
@@ -120,6 +121,68 @@
 	}
 }
 
+// TestPassing has long work of workspace b prefill for 200 ms while others come.
+func TestPassing(t *testing.T) {
+	cases := []struct {
+		name string
+		next Item
+		now  int
+		want bool
+	}{
+		{"short passes", item("next", "a", 1_000, 1, 0, 60_000), 10, true},
+		{"short of its own workspace passes", item("next", "b", 1_000, 1, 0, 60_000), 10, true},
+		{"long waits for longer that is nearer its end", item("next", "a", 120_000, 1, 0, 60_000), 150, false},
+		{"long passes longer that is far from its end", item("next", "a", 120_000, 1, 0, 60_000), 10, true},
+		{"long waits for long of its class", item("next", "a", 200_000, 1, 0, 60_000), 10, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			q := New(Config{Prior: prior})
+			is.True(q.Offer(item("long", "b", 200_000, 1, 0, 60_000), room(400_000), at(0)).Admitted)
+			_, ok := q.Next(room(210_000), at(0))
+			is.True(ok)
+			is.True(q.Offer(tc.next, room(210_000), at(tc.now)).Admitted)
+			_, ok = q.Next(room(210_000), at(tc.now))
+			is.Equal(ok, tc.want)
+		})
+	}
+}
+
+// TestLongKeepsItsShare has a workspace offer short work without a pause while
+// long work of 4 s prefills: beside another workspace's, long work gets half of
+// the time, beside its own a tenth.
+func TestLongKeepsItsShare(t *testing.T) {
+	cases := []struct {
+		workspace   string
+		least, most int // ms until the long work has had its 4 s
+	}{
+		{"b", 5_000, 14_000},
+		{"a", 25_000, 45_000},
+	}
+	for _, tc := range cases {
+		t.Run(tc.workspace, func(t *testing.T) {
+			is := is.New(t)
+			slow := routing.Cost{PrefillPerToken: 20 * time.Microsecond, DecodePerToken: time.Millisecond}
+			q := New(Config{Prior: slow}).(*queue)
+			is.True(q.Offer(item("long", tc.workspace, 200_000, 1, 0, 600_000), room(400_000), at(0)).Admitted)
+			q.Next(room(210_000), at(0))
+			ms := 0
+			for ; q.running["long"].left() > 0; ms += 80 {
+				it := item("short", "a", 4_000, 1, ms, 600_000)
+				q.Offer(it, room(210_000), at(ms))
+				if _, ok := q.Next(room(210_000), at(ms)); ok {
+					q.Prefilled("short", at(ms+80))
+					q.Done(it, 0, 80*time.Millisecond, 0, 0)
+				}
+				q.Remove("short")
+			}
+			t.Log(ms)
+			is.True(ms >= tc.least && ms <= tc.most)
+		})
+	}
+}
+
 func TestBounds(t *testing.T) {
 	is := is.New(t)
 	q := New(Config{Prior: prior, MaxQueued: 8})
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -56,28 +56,21 @@
 	return (c.SpreadWork*own + c.SpreadAge*age) / n
 }
 
-// best keeps the candidate with the least drawn score, and the least score of
-// all. Its size does not grow with the view.
+// best keeps the candidate with the least drawn score. Its size does not grow
+// with the view.
 type best struct {
 	found bool
 	index int
 	drawn float64
-	least float64
-	work  time.Duration // prefill at the candidate with the least drawn score
+	score float64       // without the draw
+	work  time.Duration // prefill there
 }
 
 func (b *best) add(index int, score, spread float64, work time.Duration) {
-	if !b.found {
+	if !b.excludes(score + spread) {
 		*b = best{true, index, score + spread, score, work}
-		return
-	}
-	b.least = min(b.least, score)
-	if score+spread < b.drawn {
-		b.index, b.drawn, b.work = index, score+spread, work
 	}
 }
 
-// excludes reports whether a candidate with these bounds changes nothing.
-func (b *best) excludes(score, spread float64) bool {
-	return b.found && score+spread >= b.drawn && score >= b.least
-}
+// excludes reports whether a candidate with at least this drawn score loses.
+func (b *best) excludes(drawn float64) bool { return b.found && drawn >= b.drawn }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -106,6 +106,7 @@
 	cost     Cost
 	uncached uint64        // prompt tokens to prefill there
 	prefill  time.Duration // predicted for them
+	chunk    float64       // prefill that one step carries, nanoseconds
 	long     bool          // long work, counted by the uncached tokens
 }
 
@@ -150,13 +151,14 @@
 }
 
 // consider filters and scores one candidate. Without a trace it passes over
-// one that is already too bad by what is known of it.
+// one that is already worse than the lane's best by what is known of it; long
+// work leaves the lane only for what is better.
 func (c *choice) consider(at int) {
 	j := &c.job
 	j.at(&c.view[at])
 	spread := -c.scale * c.noise.next()
 	known := c.cfg.known(j)
-	if c.scores == nil && c.hopeless(known, spread) {
+	if c.scores == nil && c.lane.excludes(known+spread) {
 		return
 	}
 	if f := rejectedBy(j, c.cfg.FreshFor); f != passed {
@@ -178,15 +180,6 @@
 	}
 }
 
-// hopeless reports whether a candidate with at least this score cannot be
-// chosen.
-func (c *choice) hopeless(score, spread float64) bool {
-	if !c.lane.excludes(score, spread) {
-		return false
-	}
-	return c.cfg.NoLanes || c.job.class < ClassLong || c.outside.excludes(score, spread)
-}
-
 func (c *choice) trace(at int, s Score) {
 	if c.scores == nil {
 		return
@@ -213,12 +206,12 @@
 // spills reports whether the lane is later than the others by more than the
 // request's own length allows, or too late for its deadline.
 func (c *choice) spills() bool {
-	over := c.lane.least - c.outside.least
+	over := c.lane.score - c.outside.score
 	if over > c.cfg.SpillAfter*float64(c.lane.work) {
 		return true
 	}
 	late := float64(c.job.req.Remaining)
-	return late > 0 && c.lane.least > late && c.outside.least <= late
+	return late > 0 && c.lane.score > late && c.outside.score <= late
 }
 
 // estimate fills in what depends on the candidate's prefix cache.
@@ -231,5 +224,6 @@
 	j.cost = j.cand.Cost.OrDefault()
 	j.uncached = j.req.PromptTokens - cached
 	j.prefill = j.cost.Prefill(j.req.PromptTokens, cached)
+	j.chunk = float64(j.cost.Prefill(chunkTokens, 0))
 	j.long = ClassOf(j.uncached) >= ClassLong
 }
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 const ms = time.Millisecond
@@ -154,3 +155,28 @@
 		})
 	}
 }
+
+// TestTraceChangesNothing checks that a traced decision, which looks at every
+// candidate, is the same as one that passes over hopeless ones, and that the
+// chosen candidate has the least total of those kept.
+func TestTraceChangesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		view := fleet(rapid.IntRange(1, 60).Draw(t, "endpoints"), time.Duration(rapid.IntRange(0, 60_000).Draw(t, "wait"))*ms)
+		req := Request{
+			Model: "caption", Prefix: benchPrefix, MaxTokens: 100, DataCentre: "cdf-a",
+			PromptTokens: rapid.Uint64Range(1, 300_000).Draw(t, "prompt"),
+			Remaining:    time.Duration(rapid.IntRange(0, 60_000).Draw(t, "remaining")) * ms,
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		choose := func(trace bool) Decision {
+			return Default().Choose(req, view, rand.New(rand.NewPCG(seed, 1)).IntN, trace)
+		}
+		quick, traced := choose(false), choose(true)
+		is.Equal(quick.Index, traced.Index)
+		is.Equal(quick.Reason, traced.Reason)
+		for _, s := range traced.Scores {
+			is.True(!s.Kept || traced.Reason != ReasonBest || s.Total >= traced.Scores[traced.Index].Total)
+		}
+	})
+}
--- a/routing/score_beside.go
+++ b/routing/score_beside.go
@@ -35,14 +35,12 @@
 	if running == 0 {
 		return 0
 	}
-	chunk := float64(j.cost.Prefill(chunkTokens, 0))
-	each := min(float64(j.prefill), remainingTokens*chunk)
+	each := min(float64(j.prefill), remainingTokens*j.chunk)
 	return share * each * float64(running) * j.slow
 }
 
 // chunks is the time that chunks of other work add to the request's answer if
 // every step carries one.
 func (j *job) chunks(horizon uint64) float64 {
-	tokens := min(j.req.MaxTokens, horizon)
-	return float64(tokens) * float64(j.cost.Prefill(chunkTokens, 0))
+	return float64(min(j.req.MaxTokens, horizon)) * j.chunk
 }
