--- /dev/null
+++ b/memory/group_test.go
@@ -0,0 +1,303 @@
+package memory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/micarudder/micarudder/result"
+)
+
+const (
+	simLimit = 100
+	simLease = 4 * time.Second
+)
+
+// sim drives groups over books without a network: one step of one group at a
+// time, in an order that the test chooses.
+type sim struct {
+	books  map[string]*Book
+	now    time.Time
+	groups []*simGroup
+	hold   time.Duration // how long each keeps its memory; less than a lease
+}
+
+type simGroup struct {
+	g      *Group
+	since  int64
+	plan   Plan
+	wakes  time.Time // when its pause ends
+	begun  bool
+	held   bool // its run has had its time
+	done   bool
+	failed result.Code
+}
+
+func newSim(endpoints ...string) *sim {
+	s := &sim{books: map[string]*Book{}, now: start}
+	for _, e := range endpoints {
+		s.books[e] = NewBook(simLimit)
+	}
+	return s
+}
+
+// add adds a group that wants tokens of each endpoint.
+func (s *sim) add(tokens uint64, endpoints ...string) {
+	var p Plan
+	for _, e := range endpoints {
+		p = append(p, Member{Endpoint: e, Tokens: 1, Reserve: tokens})
+	}
+	id := fmt.Sprint("g", len(s.groups))
+	s.groups = append(s.groups, &simGroup{g: NewGroup(id), since: s.now.UnixMilli(), plan: p, wakes: s.now})
+}
+
+// step lets one group take its next step; it reports whether there was one.
+func (s *sim) step(sg *simGroup) bool {
+	if sg.done || sg.failed != 0 || s.now.Before(sg.wakes) {
+		return false
+	}
+	if !sg.begun {
+		sg.begun = true
+		sg.g.Begin(sg.plan)
+	}
+	a := sg.g.Next()
+	switch a.Kind {
+	case DoReserve:
+		s.reserve(sg, a.Member)
+	case DoPause:
+		s.release(sg)
+		sg.begun, sg.wakes = false, s.now.Add(a.Pause)
+	case DoFail:
+		s.release(sg)
+		sg.failed = a.Code
+	case DoRun:
+		if !sg.held {
+			sg.held, sg.wakes = true, s.now.Add(s.hold)
+			return true
+		}
+		s.release(sg)
+		sg.done = true
+	default:
+		for _, m := range sg.g.Computed(a.Member) {
+			s.free(sg, m)
+		}
+	}
+	return true
+}
+
+func (s *sim) reserve(sg *simGroup, m int) {
+	sg.g.Asked(m)
+	v := s.books[sg.plan[m].Endpoint].Reserve(Request{
+		Group: sg.g.id, Epoch: sg.g.Epoch(), Tokens: sg.plan[m].Reserve, Lease: simLease, Since: sg.since,
+	}, s.now)
+	if v.Granted {
+		sg.g.Granted(m, s.now, simLease)
+		return
+	}
+	sg.g.Failed(v.Code)
+}
+
+func (s *sim) release(sg *simGroup) {
+	for _, m := range sg.g.Held(false) {
+		s.free(sg, m)
+	}
+}
+
+func (s *sim) free(sg *simGroup, m int) {
+	b := s.books[sg.plan[m].Endpoint]
+	b.Release(sg.g.Reservation(), s.now)
+	b.Freed(sg.g.Reservation())
+}
+
+// run goes on until every group has ended; it reports false when that takes
+// more than a virtual minute.
+func (s *sim) run(choose func(n int) int) bool {
+	for end := s.now.Add(time.Minute); s.now.Before(end); {
+		stepped := false
+		for _, i := range permutation(len(s.groups), choose) {
+			stepped = s.step(s.groups[i]) || stepped
+		}
+		if !stepped {
+			s.now = s.now.Add(10 * time.Millisecond)
+		}
+		if s.over() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *sim) over() bool {
+	for _, sg := range s.groups {
+		if !sg.done && sg.failed == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func permutation(n int, choose func(int) int) []int {
+	out := make([]int, n)
+	for i := range out {
+		j := choose(i + 1)
+		out[i], out[j] = out[j], i
+	}
+	return out
+}
+
+// TestGroupsNeverStarveEachOther: two to four groups over overlapping
+// endpoints, in every order of their steps, all finish, and give all back.
+func TestGroupsNeverStarveEachOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := []string{"a", "b", "c", "d"}
+		s := newSim(all...)
+		for range rapid.IntRange(2, 4).Draw(t, "groups") {
+			chosen := rapid.Permutation(all).Draw(t, "members")[:rapid.IntRange(2, 4).Draw(t, "size")]
+			s.add(rapid.Uint64Range(40, 100).Draw(t, "tokens"), chosen...)
+		}
+		if !s.run(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }) {
+			t.Fatal("not all groups finished")
+		}
+		for _, sg := range s.groups {
+			if sg.failed != 0 {
+				t.Fatalf("%s failed: %v", sg.g.id, sg.failed)
+			}
+		}
+		for e, b := range s.books {
+			if b.Reserved() != 0 {
+				t.Fatalf("%s: %d reserved in the end", e, b.Reserved())
+			}
+		}
+	})
+}
+
+// TestOlderGroupIsNotOvertaken: a group that needs everything is formed although
+// small ones that together leave no gap keep coming.
+func TestOlderGroupIsNotOvertaken(t *testing.T) {
+	is := is.New(t)
+	s := newSim("a", "b", "c", "d")
+	s.hold = 2 * time.Second
+	s.add(60, "a", "b")
+	s.step(s.groups[0])
+	s.add(100, "a", "b", "c", "d")
+	wide := s.groups[1]
+	for range 2000 {
+		for i := len(s.groups) - 1; i >= 0; i-- {
+			s.step(s.groups[i])
+		}
+		if wide.done {
+			break
+		}
+		s.now = s.now.Add(10 * time.Millisecond)
+		if s.now.Sub(start)%(500*time.Millisecond) == 0 {
+			s.add(60, "a", "b")
+			s.add(60, "c", "d")
+		}
+	}
+	is.True(wide.done)
+	is.True(s.now.Sub(start) < 12*time.Second)
+}
+
+func TestGroup(t *testing.T) {
+	plan := Plan{{Endpoint: "b"}, {Endpoint: "c"}, {Endpoint: "a"}}
+	formed := func() *Group {
+		g := NewGroup("g")
+		g.Begin(plan)
+		for range plan {
+			m := g.Next().Member
+			g.Asked(m)
+			g.Granted(m, at(0), time.Second)
+		}
+		return g
+	}
+	cases := []struct {
+		name string
+		do   func(is *is.I)
+	}{
+		{"reserves by name, computes by span", func(is *is.I) {
+			g := NewGroup("g")
+			g.Begin(plan)
+			var steps []string
+			for g.Next().Kind != DoRun {
+				a := g.Next()
+				steps = append(steps, fmt.Sprint(a.Kind, " ", plan[a.Member].Endpoint))
+				if a.Kind == DoReserve {
+					g.Asked(a.Member)
+					g.Granted(a.Member, at(0), time.Second)
+				} else {
+					g.Computed(a.Member)
+				}
+			}
+			is.Equal(steps, []string{"reserve a", "reserve b", "reserve c", "compute b", "compute c", "import a"})
+			is.Equal(plan[g.Next().Member].Endpoint, "a")
+		}},
+		{"earlier members are free once the next has imported", func(is *is.I) {
+			g := formed()
+			is.Equal(len(g.Computed(0)), 0)
+			is.Equal(g.Computed(1), []int{0})
+			is.Equal(g.Computed(2), []int{1})
+			is.Equal(g.Held(false), []int{2})
+		}},
+		{"a lease that was not renewed is over", func(is *is.I) {
+			g := formed()
+			g.Renewed(0, at(500), time.Second)
+			g.Renewed(2, at(500), time.Second)
+			m, lapsed := g.Lapsed(at(1000))
+			is.True(lapsed)
+			is.Equal(m, 1)
+			_, lapsed = g.Lapsed(at(999))
+			is.True(!lapsed)
+		}},
+		{"a request without an answer counts as held", func(is *is.I) {
+			g := NewGroup("g")
+			g.Begin(plan)
+			g.Asked(2)
+			is.Equal(g.Held(true), nil)
+			is.Equal(g.Held(false), []int{2})
+		}},
+		{"pauses grow while memory is held by others", func(is *is.I) {
+			g := NewGroup("g")
+			var last time.Duration
+			for range 20 {
+				g.Begin(plan)
+				g.Failed(result.MemoryHeld)
+				is.Equal(g.Next().Kind, DoPause)
+				is.True(g.Next().Pause >= last)
+				last = g.Next().Pause
+			}
+			is.Equal(last, MaxPause)
+			is.Equal(g.Epoch(), uint64(20))
+		}},
+		{"gives up after some losses", func(is *is.I) {
+			g := NewGroup("g")
+			for i := range maxLosses {
+				g.Begin(plan)
+				for range plan {
+					m := g.Next().Member
+					g.Granted(m, at(0), time.Second)
+				}
+				g.Failed(result.EndpointLost)
+				is.Equal(g.Next().Kind == DoFail, i == maxLosses-1)
+			}
+			is.Equal(g.Next().Code, result.EndpointLost)
+		}},
+		{"gives up without a plan after a while", func(is *is.I) {
+			g := NewGroup("g")
+			for range maxStrikes {
+				g.Unplanned(result.NoEndpoint)
+			}
+			is.Equal(g.Next(), Action{Kind: DoFail, Code: result.NoEndpoint})
+		}},
+		{"no time is no reason to try again", func(is *is.I) {
+			g := formed()
+			g.Failed(result.DeadlineTooNear)
+			is.Equal(g.Next().Kind, DoFail)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.do(is.New(t)) })
+	}
+}
