Run the longest prompts by groups of endpoints

A prompt that no single endpoint of its model can hold was refused with "no endpoint: memory too small". The gateway now forms a group, has the members compute the prompt in turn, and orders the run from the last one. Leases are renewed each second for four; a member whose lease may have lapsed ends the attempt before anything more is done under it. What fails before the run is ordered has not run, and is tried again with other endpoints while the deadline allows. A ticket's endpoint is made the group's last; a run that the agent knows already is attached to without a group.

A prompt of a million tokens over four stand-ins of 450,000 tokens is answered whole, and nothing stays held (TestLongPromptOverFour).

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -106,7 +106,7 @@
 	}
 	if c.GetGroup() != "" {
 		it.ContextTokens = spanTokens(c.Spans)
-		it.PromptTokens -= min(it.PromptTokens, it.ContextTokens)
+		it.PromptTokens = c.GetPromptTokens() - min(c.GetPromptTokens(), it.ContextTokens)
 		it.MemoryTokens = 0 // reserved
 	}
 	return it
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,7 +24,9 @@
 	settled := l.sent(class, work)
 	defer settled()
 	defer func() { l.outcome(result.Code(end.Code)) }()
-	l.cache.Sent(s.o.completion.GetPrefix())
+	if s.group == nil {
+		l.cache.Sent(s.o.completion.GetPrefix())
+	}
 	stream, err := l.client.Run(ctx, connect.NewRequest(req))
 	if err != nil {
 		return s.broken(ctx, err, false)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	meter    *meter
 	limits   *limiter
 	lanes    lanes
+	forming  chan struct{} // a token per group that is being formed
 	platform platformHealth
 	leases   *claimLeases
 
@@ -75,7 +76,7 @@
 // New returns a gateway; Start begins its background work.
 func New(cfg Config, deps Deps) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, stop: stop, leases: newClaimLeases()}
+	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, stop: stop, leases: newClaimLeases(), forming: make(chan struct{}, maxForming)}
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
 	g.auth = newAuthority(deps.Keeper)
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -19,11 +19,17 @@
 		set = metrics.NewSet()
 	}
 	set.NewGauge("rudder_gateway_in_flight", func() float64 { return float64(g.active.Load()) })
+	set.NewGauge("rudder_gateway_groups_forming", func() float64 { return float64(len(g.forming)) })
 	set.NewGauge("rudder_gateway_generation", func() float64 { return float64(g.deps.Keeper.Generation()) })
 	set.NewGauge("rudder_gateway_platform_silent_seconds", func() float64 { return g.platform.silent().Seconds() })
 	return &meter{set}
 }
 
+// group counts the steps of groups: attempts, and how they ended.
+func (m *meter) group(step string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_groups_total{step=%q}`, step)).Inc()
+}
+
 // done counts one request's end.
 func (m *meter) done(s *session, end *rudderv1.End) {
 	ws := s.o.workspace.Name
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -62,6 +62,7 @@
 	delivered []byte // the answer so far, where another attempt can go on after it
 	excluded  map[string]bool
 	ticket    string // of the current attempt
+	group     *group // set while the prompt is run by several endpoints
 	gone      error  // why the caller cannot be written to
 	began     time.Time
 	firstText time.Time
@@ -83,15 +84,16 @@
 
 func (s *session) run(ctx context.Context) *rudderv1.End {
 	last := endOf(result.New(result.NoEndpoint, ""))
+	defer s.disband()
 	for {
 		if end := s.timeOver(ctx, last); end != nil {
 			return end
 		}
-		l, end := s.place()
+		l, end := s.prepare(ctx)
 		if end != nil {
-			return s.noPlace(end, last)
+			return s.unplaced(ctx, end, last)
 		}
-		last = s.order(ctx, l)
+		last = s.attempted(ctx, l)
 		if s.gone != nil {
 			s.abandon(ctx, l)
 			return last
@@ -123,11 +125,16 @@
 	return endOf(result.New(result.DeadlineTooNear, ""))
 }
 
-// noPlace prefers what the last attempt said over "no endpoint".
-func (s *session) noPlace(end, last *rudderv1.End) *rudderv1.End {
+// unplaced is the answer when no attempt could be made: what the last attempt
+// said, or else the reason. Nothing ran for it, but an unrepeatable request with
+// a name may run through another gateway unless its agent seals it.
+func (s *session) unplaced(ctx context.Context, end, last *rudderv1.End) *rudderv1.End {
 	if s.life.Attempts > 0 {
 		return last
 	}
+	if s.o.claims != nil && !s.o.repeatable {
+		return s.void(ctx, s.g.linkOf(s.o.claims), end)
+	}
 	return end
 }
 
@@ -172,6 +179,11 @@
 		err.RetryAfter = comeBack.Milliseconds()
 		return nil, endOf(err)
 	}
+	return s.named(l)
+}
+
+// named makes the ticket of an attempt at l.
+func (s *session) named(l *link) (*link, *rudderv1.End) {
 	t, err := s.g.mint(l, s.o)
 	if err != nil {
 		return nil, endOf(result.New(result.NoEndpoint, err.Error()))
@@ -181,6 +193,9 @@
 }
 
 func (s *session) choose() (*link, routing.Decision) {
+	if c := s.o.completion; c != nil && s.g.needsGroup(c) {
+		return s.chooseLast()
+	}
 	view, order := s.g.links.view(time.Now())
 	d := s.g.deps.Policy.Choose(s.route(), view, rand.IntN, true)
 	if d.Index < 0 {
@@ -211,12 +226,12 @@
 		Generation: s.g.deps.Keeper.Generation(), Gateway: s.g.cfg.Name,
 		Completion: s.o.completion, Call: s.o.call, Body: s.o.body, Ephemeral: !s.life.Named,
 	}
-	if c := s.o.completion; c != nil && len(s.delivered) > 0 {
-		resumed := &rudderv1.Completion{
+	if c := s.o.completion; c != nil && (len(s.delivered) > 0 || s.group != nil) {
+		req.Completion = &rudderv1.Completion{
 			Model: c.Model, Path: c.Path, PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens,
 			Prefix: c.Prefix, ResumeText: s.delivered,
 		}
-		req.Completion = resumed
+		s.group.fill(req.Completion)
 	}
 	return req
 }
@@ -224,7 +239,7 @@
 // learn takes in what a whole run tells about the endpoint.
 func (s *session) learn(l *link, believed int, end *rudderv1.End) {
 	c := s.o.completion
-	if result.Code(end.Code) != result.OK || c == nil {
+	if result.Code(end.Code) != result.OK || c == nil || s.group != nil {
 		return
 	}
 	l.cache.Ran(c.Prefix, believed, end.GetUsage().GetCachedTokens())
