--- a/gateway/group.go
+++ b/gateway/group.go
@@ -227,8 +227,9 @@
 func (gr *group) rooms(now time.Time) ([]memory.Room, map[string]*link) {
 	var rooms []memory.Room
 	links := make(map[string]*link)
-	for _, l := range gr.s.g.links.all() {
-		c := l.candidate(now)
+	view, order := gr.s.g.links.view(now)
+	for i, c := range view {
+		l := order[i]
 		if !c.Connected || c.Leaving || !c.Models[gr.s.o.completion.Model] {
 			continue
 		}
