--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test bench demo generate fmt
+.PHONY: all build test bench demo slopes generate fmt
 
 all: build
 
@@ -18,6 +18,9 @@
 bench: build ## Measure the default policy against its baselines, about half an hour; the table goes to standard output.
 	$(GO) run ./internal/bench/run --bin $(BIN) --commit "$$(git rev-parse --short HEAD)" $(BENCHFLAGS)
 
+slopes: build ## Measure what control costs each process, about four minutes.
+	$(GO) run ./internal/slopes --bin $(BIN) $(SLOPEFLAGS)
+
 generate: ## Regenerate the inner protocol; needs protoc (Debian: protobuf-compiler).
 	mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
--- /dev/null
+++ b/internal/slopes/fit_test.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestLine(t *testing.T) {
+	is := is.New(t)
+	x := []float64{1, 2, 3, 4}
+	good := line("bytes", "B/s", x, []float64{12, 14, 16, 18})
+	is.True(strings.Contains(good, "10.0000 +  2.00000 n"))
+	is.True(!strings.Contains(good, "bad fit"))
+	is.True(strings.Contains(line("bytes", "B/s", x, []float64{1, 9, 0, 8}), "bad fit"))
+}
--- /dev/null
+++ b/internal/slopes/observe.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/micarudder/micarudder/internal/fleet"
+	"github.com/micarudder/micarudder/internal/standin/platform"
+)
+
+const (
+	// clockTick is the unit of processor time in /proc, in seconds (proc(5)).
+	clockTick = 0.01
+	pageSize  = 4096
+)
+
+// use is what one process used: bytes and processor time since its start.
+type use struct {
+	cpu      float64 // seconds
+	received float64 // bytes
+	sent     float64 // bytes
+	resident float64 // bytes, now
+}
+
+// point is what control cost per process and second at one size.
+type point struct {
+	gateway, agent role
+	reads, writes  float64 // platform calls a second, all processes together
+}
+
+// role is the mean over the processes of one role.
+type role struct {
+	cpu      float64 // share of a core
+	bytes    float64 // received and sent, a second
+	resident float64 // bytes
+}
+
+func (p point) String() string {
+	return fmt.Sprintf("gateway %.2f%% of a core, %.0f B/s, %.1f MB; agent %.3f%%, %.0f B/s, %.1f MB; platform %.2f reads/s, %.2f writes/s",
+		p.gateway.cpu*100, p.gateway.bytes, p.gateway.resident/1e6, p.agent.cpu*100, p.agent.bytes, p.agent.resident/1e6, p.reads, p.writes)
+}
+
+// observe measures the fleet over a window.
+func observe(ctx context.Context, f *fleet.Fleet, agents, gateways int, window time.Duration) (point, error) {
+	before, err := countCalls(ctx, f)
+	if err != nil {
+		return point{}, err
+	}
+	g0, a0 := usesOf(f, fleet.GatewayName, gateways), usesOf(f, fleet.AgentName, agents)
+	began := time.Now()
+	if err := sleep(ctx, window); err != nil {
+		return point{}, err
+	}
+	g1, a1 := usesOf(f, fleet.GatewayName, gateways), usesOf(f, fleet.AgentName, agents)
+	took := time.Since(began).Seconds()
+	after, err := countCalls(ctx, f)
+	if err != nil {
+		return point{}, err
+	}
+	return point{
+		gateway: mean(g0, g1, took), agent: mean(a0, a1, took),
+		reads: float64(after.Reads()-before.Reads()) / took, writes: float64(after.Writes()-before.Writes()) / took,
+	}, nil
+}
+
+// mean returns the use per process and second between two moments.
+func mean(before, after []use, seconds float64) role {
+	var r role
+	n := float64(len(after))
+	for i := range after {
+		r.cpu += (after[i].cpu - before[i].cpu) / seconds / n
+		r.bytes += (after[i].received + after[i].sent - before[i].received - before[i].sent) / seconds / n
+		r.resident += after[i].resident / n
+	}
+	return r
+}
+
+func usesOf(f *fleet.Fleet, name func(int) string, n int) []use {
+	out := make([]use, n)
+	for i := range n {
+		out[i] = useOf(f.Group.Get(name(i)).PID())
+	}
+	return out
+}
+
+// useOf reads a process's use from /proc; what cannot be read is zero.
+func useOf(pid int) use {
+	var u use
+	if b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
+		text := string(b)
+		fields := strings.Fields(text[strings.LastIndex(text, ")")+1:])
+		u.cpu = (number(fields[11]) + number(fields[12])) * clockTick
+		u.resident = number(fields[21]) * pageSize
+	}
+	if b, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid)); err == nil {
+		for line := range strings.Lines(string(b)) {
+			name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+			switch name {
+			case "rchar":
+				u.received = number(value)
+			case "wchar":
+				u.sent = number(value)
+			}
+		}
+	}
+	return u
+}
+
+func number(s string) float64 {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0
+	}
+	return v
+}
+
+// countCalls asks the platform's stand-in for the calls it has served.
+func countCalls(ctx context.Context, f *fleet.Fleet) (platform.Counts, error) {
+	var c platform.Counts
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.Platform+"/counts", nil)
+	if err != nil {
+		return c, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return c, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c, json.NewDecoder(resp.Body).Decode(&c)
+}
