--- a/load/schedule_test.go
+++ b/load/schedule_test.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -8,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"gopkg.in/ini.v1"
 	"pgregory.net/rapid"
 
 	"github.com/micarudder/micarudder/prefix"
@@ -49,6 +52,15 @@
 	return ReadMix(file)
 }
 
+func readWorkspaces(t *testing.T, file string) *ini.File {
+	t.Helper()
+	f, err := ini.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
 func mustMix(t testing.TB, text string) *Mix {
 	t.Helper()
 	m, err := readMix(t, text)
@@ -152,11 +164,18 @@
 	is.Equal(one.Class(), routing.ClassMedium)
 }
 
+// The ready mixes use workspaces, keys and models of the example declarations.
 func TestReadyMixes(t *testing.T) {
-	for _, name := range []string{"bid-desk", "albums"} {
+	for name, site := range map[string]string{"bid-desk": "bratislava", "albums": "cardiff"} {
 		is := is.New(t)
 		m, err := ReadMix("../examples/load/" + name + ".ini")
 		is.NoErr(err)
+		declared := readWorkspaces(t, "../examples/"+site+"/workspaces.ini")
+		for _, f := range m.Flow {
+			s := declared.Section("workspace " + f.Workspace)
+			is.Equal(s.Key("key-digests").String(), fmt.Sprintf("%x", sha256.Sum256([]byte(f.Key))))
+			is.Equal(s.Key("models").String(), f.Model)
+		}
 		long := Only(m.Schedule(1, 100), func(a Arrival) bool { return a.Prompt > 100_000 })
 		is.True(len(long) > 0)
 	}
