--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -121,7 +121,7 @@
 // oneLine sums a report up for the progress of a benchmark.
 func oneLine(r *load.Report) string {
 	s := r.Summary
-	text := fmt.Sprintf("ends %v, broken %v, useful %.0f k/s, first token p95", s.Finals, s.Breaches, s.UsefulTokens/1000)
+	text := fmt.Sprintf("ends %v, codes %v, broken %v, useful %.0f k/s, first token p95", s.Finals, s.Codes, s.Breaches, s.UsefulTokens/1000)
 	for _, c := range s.Classes {
 		text += fmt.Sprintf(" %s %.0f ms", c.Class, c.FirstToken.P95*1000)
 	}
--- a/load/check_test.go
+++ b/load/check_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 )
 
@@ -62,12 +63,14 @@
 		with(func(r *Record) { r.Due, r.End = 10900*time.Millisecond, 11200*time.Millisecond }), // ended after the arrivals
 		with(func(r *Record) {
 			r.Final, r.Executions, r.Sent, r.End = Refused, 0, 2*time.Second, 2005*time.Millisecond
+			r.Code = result.Overloaded
 		}),
 		with(func(r *Record) { r.Final, r.Class, r.Prompt = Damaged, routing.ClassHuge, 500_000 }),
 		with(func(r *Record) { r.Class, r.Prompt = routing.ClassLong, 99_000 }),
 	})
 	is.Equal(s.Requests, 8)
 	is.Equal(s.Finals, map[Final]int{Whole: 6, Refused: 1, Damaged: 1})
+	is.Equal(s.Codes, map[string]int{"overloaded": 1})
 	is.Equal(s.Breaches, map[Breach]int{BreachDamaged: 1})
 	is.Equal(len(s.Examples), 1)
 	is.Equal(s.Reruns, 2)
--- a/load/summary.go
+++ b/load/summary.go
@@ -35,6 +35,7 @@
 	Requests int     `json:"requests"`
 
 	Finals   map[Final]int  `json:"finals"`
+	Codes    map[string]int `json:"codes"` // result codes of requests not answered whole
 	Breaches map[Breach]int `json:"breaches"`
 	Examples []Record       `json:"examples,omitempty"` // of breaches, a few
 	// Reruns counts executions of repeatable requests beyond the first.
@@ -72,7 +73,7 @@
 
 // Summarize sums up the records of one run.
 func Summarize(m *Mix, seed uint64, load float64, records []Record) *Summary {
-	s := &Summary{Seed: seed, Load: load, Finals: map[Final]int{}, Breaches: map[Breach]int{}, Joined: true}
+	s := &Summary{Seed: seed, Load: load, Finals: map[Final]int{}, Codes: map[string]int{}, Breaches: map[Breach]int{}, Joined: true}
 	s.Duration = (m.Run.Duration - m.Run.Warmup).Seconds()
 	for _, r := range records {
 		s.count(r)
@@ -86,6 +87,9 @@
 func (s *Summary) count(r Record) {
 	s.Requests++
 	s.Finals[r.Final]++
+	if r.Final != Whole && r.Code != 0 {
+		s.Codes[r.Code.String()]++
+	}
 	s.Joined = s.Joined && r.Executions != notAsked
 	s.Resubmits += r.Resubmits
 	s.Reattached += r.Reattached
--- a/load/text.go
+++ b/load/text.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/gravitational/trace"
@@ -17,6 +19,9 @@
 			fmt.Fprintf(w, "%-8s %d\n", f, n)
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.Codes)) {
+		fmt.Fprintf(w, "  %s %d\n", name, s.Codes[name])
+	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(t, "\nprompt to\trequests\twhole\trefused\tfirst token p50 ms\tp95 ms\tp99 ms\tend p95 ms\t\n")
 	for _, c := range s.Classes {
