--- a/admission/predict.go
+++ b/admission/predict.go
@@ -6,12 +6,8 @@
 	"github.com/micarudder/micarudder/routing"
 )
 
-const (
-	// chunkTokens is the prompt length that an engine prefills without a pause.
-	chunkTokens = 1024
-	// maxPassing bounds the share of time taken by passing work in predictions.
-	maxPassing = 0.9
-)
+// maxPassing bounds the share of time taken by passing work in predictions.
+const maxPassing = 0.9
 
 // ahead sums up what is served before an item.
 type ahead struct {
@@ -87,7 +83,7 @@
 		case !shorter(class, r.entry.item.Class), class >= routing.ClassLong:
 			sum += left
 		case left > 0:
-			chunk = q.model.Cost().Prefill(chunkTokens, 0)
+			chunk = q.model.Cost().Prefill(routing.ChunkTokens, 0)
 		}
 	}
 	return sum + min(chunk, q.cfg.Window)
@@ -151,7 +147,7 @@
 func (q *queue) decodeBeside(tokens uint64) time.Duration {
 	c := q.model.Cost()
 	idle := time.Duration(tokens) * q.model.DecodeFloor()
-	chunks := time.Duration(tokens) * c.Prefill(chunkTokens, 0)
+	chunks := time.Duration(tokens) * c.Prefill(routing.ChunkTokens, 0)
 	usual := time.Duration(float64(chunks) * q.utilisation())
 	return max(c.Decode(tokens), idle+min(chunks, q.backlog()), idle+usual)
 }
--- a/cost/cost.go
+++ b/cost/cost.go
@@ -53,7 +53,7 @@
 	bands   [2]fit  // short and long prompts
 	scale   float64 // logarithm of observed over prior
 	streak  int     // predictions off in a row; negative when runs were quicker
-	floor   float64 // least decode time per token, nanoseconds
+	floor   float64 // least decode time per token seen, nanoseconds
 	samples int
 	last    time.Time
 }
@@ -62,15 +62,22 @@
 // are taken from routing.DefaultCost.
 func New(prior routing.Cost) *Model {
 	prior = prior.OrDefault()
-	return &Model{cost: prior, prior: prior, floor: float64(prior.DecodePerToken)}
+	return &Model{cost: prior, prior: prior}
 }
 
 // Cost returns the present estimate.
 func (m *Model) Cost() routing.Cost { return m.cost }
 
-// DecodeFloor returns the decode time per token of an endpoint that does
-// nothing else, as far as lately seen.
-func (m *Model) DecodeFloor() time.Duration { return time.Duration(m.floor) }
+// DecodeFloor returns the decode time per token that the endpoint would have
+// with nothing else to do: the least lately seen, or what a chunk of prefill in
+// every step cannot explain.
+func (m *Model) DecodeFloor() time.Duration {
+	if m.floor == 0 {
+		return m.cost.DecodePerToken // as assumed
+	}
+	chunk := m.cost.Prefill(routing.ChunkTokens, 0)
+	return max(time.Duration(m.floor), m.cost.DecodePerToken-chunk)
+}
 
 // Samples returns the number of observations.
 func (m *Model) Samples() int { return m.samples }
@@ -143,6 +150,9 @@
 	seen := clip(float64(took)/float64(output), old)
 	m.cost.DecodePerToken = time.Duration(math.Exp((1-decodeGain)*math.Log(old) + decodeGain*math.Log(seen)))
 	m.cost.DecodePerToken = max(1, m.cost.DecodePerToken)
+	if m.floor == 0 {
+		m.floor = seen
+	}
 	m.floor = min(m.floor*floorDrift, seen)
 }
 
--- a/cost/cost_test.go
+++ b/cost/cost_test.go
@@ -90,3 +90,27 @@
 	s.Observe(time.Second, time.Hour, time.Unix(10, 0))
 	is.True(s.Factor(time.Unix(10, 0)) < maxSlowness)
 }
+
+func TestDecodeFloor(t *testing.T) {
+	chunk := truth.Prefill(routing.ChunkTokens, 0)
+	cases := []struct {
+		name        string
+		times       []time.Duration // per token
+		least, most time.Duration
+	}{
+		{"nothing seen", nil, truth.DecodePerToken, truth.DecodePerToken},
+		{"idle", []time.Duration{15 * time.Millisecond}, 15 * time.Millisecond, 16 * time.Millisecond},
+		{"mostly busy", []time.Duration{15 * time.Millisecond, 15*time.Millisecond + chunk, 10*time.Millisecond + chunk}, 14 * time.Millisecond, 16 * time.Millisecond},
+		{"ten times slower than assumed", []time.Duration{200*time.Millisecond + chunk}, 190 * time.Millisecond, 270 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			m := New(truth)
+			for i := range 50 * len(tc.times) {
+				m.Observe(0, 0, 50, 0, 50*tc.times[i%len(tc.times)], time.Unix(int64(i), 0))
+			}
+			t.Log(m.DecodeFloor())
+			is.New(t).True(m.DecodeFloor() >= tc.least && m.DecodeFloor() <= tc.most)
+		})
+	}
+}
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -9,6 +9,10 @@
 	DecodePerToken:   20 * time.Millisecond,
 }
 
+// ChunkTokens is the number of prompt tokens that engines are assumed to take
+// into one step, between two output tokens.
+const ChunkTokens = 1024
+
 // Known reports whether the cost has been learned or set.
 func (c Cost) Known() bool { return c.PrefillPerToken > 0 || c.PrefillPerToken2 > 0 }
 
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -224,6 +224,6 @@
 	j.cost = j.cand.Cost.OrDefault()
 	j.uncached = j.req.PromptTokens - cached
 	j.prefill = j.cost.Prefill(j.req.PromptTokens, cached)
-	j.chunk = float64(j.cost.Prefill(chunkTokens, 0))
+	j.chunk = float64(j.cost.Prefill(ChunkTokens, 0))
 	j.long = ClassOf(j.uncached) >= ClassLong
 }
--- a/routing/score_beside.go
+++ b/routing/score_beside.go
@@ -1,9 +1,5 @@
 package routing
 
-// chunkTokens is the number of prompt tokens that an engine takes into one
-// step between two output tokens.
-const chunkTokens = 1024
-
 // besideScore is what the request's decode loses beside long work that it
 // passes: each of its steps carries a chunk of that work's prefill, until
 // either is over.
