--- a/admission/priority.go
+++ b/admission/priority.go
@@ -2,8 +2,9 @@
 
 import "github.com/micarudder/micarudder/routing"
 
-// priorityLevels is the number of workspace priorities told apart within a class.
-const priorityLevels = 8
+// priorityLevels is the number of workspace priorities told apart within a
+// class: those that declarations allow.
+const priorityLevels = 10
 
 // EnginePriority returns the priority that an item's run has at the engine,
 // lower first: by class, so that short prefill passes long prefill between
