Stop compressing the inner protocol's small messages

Cause: a gateway with 100 agents was 55.5 MB resident. A heap profile (new setting [process] profiling) showed gzip readers of the subscriptions first: each holds a window of some 50 KB, and agents hold a writer for each gateway. Ruled out: the affinity sets (0.5 MB together), bufio of the connections (2 MB). Change: handlers of the inner protocol offer no compression.

--- a/agent/server.go
+++ b/agent/server.go
@@ -24,7 +24,7 @@
 // Handler returns the path and handler of the agent's inner protocol.
 func (a *Agent) Handler() (string, http.Handler) {
 	return rudderv1connect.NewAgentServiceHandler(&server{a: a},
-		connect.WithReadMaxBytes(inner.MaxMessage), connect.WithSendMaxBytes(inner.MaxMessage))
+		append(inner.HandlerOptions(), connect.WithReadMaxBytes(inner.MaxMessage), connect.WithSendMaxBytes(inner.MaxMessage))...)
 }
 
 // Run admits an order and streams its answer.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"syscall"
@@ -38,6 +39,7 @@
 	AdminListen settings.Address `key:"admin_listen" required:"true" help:"address of /metrics, /healthz and /readyz"`
 	LogLevel    string           `key:"log_level" default:"info" allowed:"debug|info|warn|error" help:"least severe level that is logged"`
 	LogFormat   string           `key:"log_format" default:"text" allowed:"text|json|logfmt" help:"form of the log lines"`
+	Profiling   bool             `key:"profiling" default:"false" help:"whether the admin address serves /debug/pprof"`
 	DrainTime   time.Duration    `key:"drain_time" default:"5m" min:"0s" max:"2h" help:"longest wait for work in flight at a planned stop"`
 }
 
@@ -117,7 +119,7 @@
 		logger.Error("Start failed.", "err", err)
 		return ExitFailed
 	}
-	admin, err := startAdmin(string(common.AdminListen), set, svc, env.Fail)
+	admin, err := startAdmin(common, set, svc, env.Fail)
 	if err != nil {
 		logger.Error("Start failed.", "err", err)
 		return ExitFailed
@@ -162,12 +164,16 @@
 }
 
 // startAdmin serves metrics and health.
-func startAdmin(addr string, set *metrics.Set, svc Service, fail func(error)) (*http.Server, error) {
-	l, err := net.Listen("tcp", addr)
+func startAdmin(common *Common, set *metrics.Set, svc Service, fail func(error)) (*http.Server, error) {
+	l, err := net.Listen("tcp", string(common.AdminListen))
 	if err != nil {
 		return nil, err
 	}
-	srv := &http.Server{Handler: AdminHandler(set, svc), ReadHeaderTimeout: adminHeaderTime}
+	h := AdminHandler(set, svc)
+	if common.Profiling {
+		h = withProfiling(h)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: adminHeaderTime}
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			fail(err)
@@ -193,3 +199,13 @@
 	})
 	return m
 }
+
+// withProfiling adds the profiles of net/http/pprof.
+func withProfiling(h http.Handler) http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/", h)
+	m.HandleFunc("/debug/pprof/", pprof.Index)
+	m.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	m.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return m
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/micarudder/micarudder/inner"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
 )
@@ -19,7 +20,7 @@
 
 // InnerHandler returns the path and handler of the gateway's inner protocol.
 func (g *Gateway) InnerHandler() (string, http.Handler) {
-	return rudderv1connect.NewGatewayServiceHandler(&server{g})
+	return rudderv1connect.NewGatewayServiceHandler(&server{g}, inner.HandlerOptions()...)
 }
 
 // Fetch returns the current document once it is newer than the caller's.
--- a/inner/inner.go
+++ b/inner/inner.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"connectrpc.com/connect"
 )
 
 const (
@@ -138,6 +140,13 @@
 	return srv.Serve(l)
 }
 
+// HandlerOptions are the options that every handler of the inner protocol has.
+// Nothing is compressed: most messages are shorter than gzip's own frame, and
+// a decompressor for each subscription holds some 50 KB at the gateway.
+func HandlerOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{connect.WithCompression("gzip", nil, nil)}
+}
+
 // Dialer opens a connection to an address; nil means the system's.
 type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
