--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -56,7 +56,7 @@
 func (c Chart) SVG() (template.HTML, error) {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.Title, c.XLabel, c.YLabel
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	drawn, err := c.addSeries(p)
 	if err != nil || drawn == 0 {
--- a/load/html.go
+++ b/load/html.go
@@ -26,6 +26,10 @@
 // finals lists all ends in the order of reports.
 var finals = []Final{Whole, Refused, Unknown, Failed, CutOff, Damaged, Lost, Unsent}
 
+// distributionTicks is how many points of a distribution are drawn for each
+// halving of the rest.
+const distributionTicks = 10
+
 type reportPage struct {
 	*Report
 	FirstToken template.HTML
@@ -50,7 +54,7 @@
 	c := chart.Chart{Title: "Time to first token by prompt length", XLabel: "seconds", YLabel: "% of requests", LogX: true}
 	for _, cl := range r.Summary.Classes {
 		s := chart.Series{Name: cl.Class}
-		for _, b := range cl.FirstTokenHist.CumulativeDistribution() {
+		for _, b := range cl.FirstTokenHist.CumulativeDistributionWithTicks(distributionTicks) {
 			s.X = append(s.X, seconds(b.ValueAt))
 			s.Y = append(s.Y, b.Quantile)
 		}
