Permit orders from one gateway per data centre, and route adapters

Agents decided nothing by themselves because none knows what the others hold. The gateways know: each has every agent's report. One of them per data centre holds a lease while there is work, computes the next orders from its reports and permits them; an agent that took a permit reports it.

Gateways route a request by model, NAME@VERSION or adapter, to endpoints whose agents report it; two adapters of one name, or one named as a model, are now a mistake in the declarations.

--- a/agent/process.go
+++ b/agent/process.go
@@ -29,7 +29,7 @@
 		Host           string           `key:"host" required:"true" help:"name of this host"`
 		Listen         settings.Address `key:"listen" required:"true" help:"address for gateways; as declared for the endpoint"`
 		ReportInterval time.Duration    `key:"report_interval" default:"250ms" min:"10ms" help:"shortest time between two reports to a gateway"`
-		Heartbeat      time.Duration    `key:"heartbeat" default:"5s" min:"100ms" help:"longest time between two reports to a gateway"`
+		Heartbeat      time.Duration    `key:"heartbeat" default:"5s" min:"100ms" max:"10s" help:"longest time between two reports to a gateway"`
 	} `section:"agent"`
 	Endpoint struct {
 		Name         string           `key:"name" required:"true" help:"name of the endpoint, as declared"`
--- a/declaration/cross.go
+++ b/declaration/cross.go
@@ -28,11 +28,30 @@
 			s.add("", "belongs to the undeclared model "+quote(model), r.declared("model"))
 			continue
 		}
+		if other := r.named(name); other != "" {
+			s.add("", "has the name of "+other+", and requests name adapters without their model", "")
+			continue
+		}
 		m := r.doc.Models[i]
 		m.Adapters = append(m.Adapters, &rudderv1.Adapter{Name: name, Version: s.values["version"], Weights: s.values["weights"]})
 	}
 }
 
+// named returns what a request under the name would reach already, or "".
+func (r *reader) named(name string) string {
+	for _, m := range r.doc.Models {
+		if m.Name == name {
+			return "[model " + name + "]"
+		}
+		for _, a := range m.Adapters {
+			if a.Name == name {
+				return "[adapter " + m.Name + "/" + name + "]"
+			}
+		}
+	}
+	return ""
+}
+
 // declared lists the names of one kind for the "allowed" part of a mistake.
 func (r *reader) declared(kind string) string {
 	const most = 10
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -72,6 +72,8 @@
 		{"undeclared model", "models = m", "models = n", `d.ini:16: [workspace w] models: names the undeclared model "n"; allowed: m`},
 		{"undeclared service", "services = s", "services = t", `d.ini:17: [workspace w] services: names the undeclared service "t"; allowed: s`},
 		{"undeclared adapter model", "[adapter m/x]", "[adapter n/x]", `d.ini:8: [adapter n/x] belongs to the undeclared model "n"; allowed: m`},
+		{"adapter named as its model", "[adapter m/x]", "[adapter m/m]", "d.ini:8: [adapter m/m] has the name of [model m], and requests name adapters without their model"},
+		{"two adapters of one name", "[service s]", "[model n]\nversion = 1\nweights = n\nweight-size = 1 GiB\nmax-tokens = 1 ktokens\nfloor = 0\n[adapter n/x]\nversion = 1\n[service s]", "d.ini:17: [adapter n/x] has the name of [adapter m/x]"},
 		{"nothing to use", "models = m\nservices = s", "", "d.ini:13: [workspace w] models: is missing, and so is services"},
 		{"digest", digestA, "AA", `d.ini:14: [workspace w] key-digests: "AA" is not a digest`},
 		{"digest upper", digestA, strings.ToUpper(digestA), "is not a digest"},
--- a/gateway/faces.go
+++ b/gateway/faces.go
@@ -149,8 +149,12 @@
 	}
 	list := []model{}
 	for _, m := range g.deps.Keeper.Document().Models {
-		if allowed(x.workspace.Models, m.Name) {
-			list = append(list, model{m.Name, "model", "micarudder"})
+		if !allowed(x.workspace.Models, m.Name) {
+			continue
+		}
+		list = append(list, model{m.Name, "model", "micarudder"})
+		for _, a := range m.Adapters {
+			list = append(list, model{a.Name, "model", "micarudder"})
 		}
 	}
 	writeJSON(x.w, map[string]any{"object": "list", "data": list})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 
 	links    *links
 	members  *members
+	placer   *placer
 	explain  *explainer
 	auth     *authority
 	meter    *meter
@@ -84,6 +85,7 @@
 	g.auth = newAuthority(deps.Keeper)
 	g.members = newMembers()
 	g.links = newLinks(g)
+	g.placer = newPlacer(g)
 	g.limits = newLimiter(g)
 	return g
 }
@@ -100,6 +102,9 @@
 		g.loops.Go(func() { g.followPeer(peer) })
 	}
 	g.loops.Go(g.links.loop)
+	if g.deps.Store != nil {
+		g.loops.Go(g.placer.loop)
+	}
 	g.loops.Go(g.laneLoop)
 	g.loops.Go(g.limits.loop)
 }
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -10,9 +10,11 @@
 
 	"github.com/micarudder/micarudder/affinity"
 	"github.com/micarudder/micarudder/cost"
+	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/inner"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/membership"
+	"github.com/micarudder/micarudder/orders"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -104,8 +106,11 @@
 	l.report, l.heard, l.connected = r, time.Now(), true
 	l.models = make(map[string]bool, len(r.Models))
 	for _, m := range r.Models {
-		if !m.Loading {
-			l.models[m.Model] = true
+		if m.Loading || m.Unloading {
+			continue
+		}
+		for _, name := range orders.Names(engine.Model{Name: m.Model, Version: m.Version, Adapters: m.Adapters}) {
+			l.models[name] = true
 		}
 	}
 	if r.Load != nil {
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/micarudder/micarudder/result"
@@ -81,3 +82,15 @@
 func seconds(ms int64) int64 {
 	return max(1, (time.Duration(ms)*time.Millisecond+time.Second-1).Milliseconds()/1000)
 }
+
+// permit counts what became of one permit.
+func (m *meter) permit(kind string, resp *connect.Response[rudderv1.PlaceResponse], err error) {
+	ending := "refused"
+	switch {
+	case err != nil:
+		ending = "lost"
+	case resp.Msg.Accepted:
+		ending = "accepted"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_placer_permits_total{kind=%q,ending=%q}`, kind, ending)).Inc()
+}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -114,7 +115,7 @@
 // completion checks the model against the workspace and the document.
 func (g *Gateway) completion(c *completionBody, path string, ws *rudderv1.Workspace) (*rudderv1.Completion, *result.Err) {
 	m := findModel(g.deps.Keeper.Document(), c.Model)
-	if m == nil || !allowed(ws.Models, c.Model) {
+	if m == nil || !allowed(ws.Models, m.Name) {
 		return nil, result.New(result.UnknownModel, c.Model)
 	}
 	text := c.text()
@@ -134,13 +135,27 @@
 	return out, nil
 }
 
-// findModel finds a model, or the base model of an adapter, by its name.
+// mayUse tells whether a workspace may use the model or adapter of a name.
+func (g *Gateway) mayUse(ws *rudderv1.Workspace, name string) bool {
+	m := findModel(g.deps.Keeper.Document(), name)
+	return m != nil && allowed(ws.Models, m.Name)
+}
+
+// findModel finds a model, or the base model of an adapter, by its name. Both
+// may be named with a version, whichever it is: while the document moves to a
+// new one, endpoints serve the old one as well.
 func findModel(doc *rudderv1.Document, name string) *rudderv1.Model {
+	name, _, _ = strings.Cut(name, "@")
 	for _, m := range doc.Models {
 		if m.Name == name {
 			return m
 		}
 	}
+	for _, m := range doc.Models {
+		if slices.ContainsFunc(m.Adapters, func(a *rudderv1.Adapter) bool { return a.Name == name }) {
+			return m
+		}
+	}
 	return nil
 }
 
--- a/gateway/runs.go
+++ b/gateway/runs.go
@@ -55,7 +55,7 @@
 }
 
 func (g *Gateway) tickets(x *exchange, req ticketRequest) ([]string, *rudderv1.End) {
-	if req.Model != "" && (findModel(g.deps.Keeper.Document(), req.Model) == nil || !allowed(x.workspace.Models, req.Model)) {
+	if req.Model != "" && !g.mayUse(x.workspace, req.Model) {
 		return nil, endOf(result.New(result.UnknownModel, req.Model))
 	}
 	if req.Service != "" && !allowed(x.workspace.Services, req.Service) {
--- a/placement/next.go
+++ b/placement/next.go
@@ -100,7 +100,7 @@
 		b.wanted[a.Model]++
 	}
 	loading := slices.ContainsFunc(held.Models, func(m engine.Model) bool { return m.Loading })
-	if loading {
+	if loading || held.Fetching {
 		b.loads++
 	}
 	if loading || held.Busy {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -45,6 +45,9 @@
 	Role    string
 	Serving bool // connected and not leaving: callers reach its models
 	Busy    bool // an order is in progress
+	// Fetching tells that the order in progress reads an adapter's weights; a
+	// model that loads says so itself.
+	Fetching bool
 }
 
 // View holds what is known of the endpoints, by name. An endpoint that is not
