Let groups end before their model is unloaded

A reservation is an admitted session too, and an unload would have cut its prefill off. An unload of a model waits until no memory is reserved, and an endpoint that is about to hold no model takes no new reservation.

--- a/agent/memory.go
+++ b/agent/memory.go
@@ -66,6 +66,9 @@
 	if err := a.notServing(); err != nil {
 		return &rudderv1.ReserveResponse{Code: uint32(err.Code), Load: a.load()}
 	}
+	if !a.servesAny() {
+		return &rudderv1.ReserveResponse{Code: uint32(result.EndpointRefused), Load: a.load()}
+	}
 	now := time.Now()
 	a.endLapsed(now)
 	v := a.desk.book.Reserve(memory.Request{
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -203,22 +204,31 @@
 // situation is what the agent knows now; the caller holds mu.
 func (a *Agent) situation() orders.Situation {
 	return orders.Situation{
-		Incarnation: a.incarnation, ClockMS: a.clockMS(), State: a.state,
+		Incarnation: a.incarnation, ClockMS: a.clockMS(), State: a.current(),
 		Document: a.deps.Keeper.Document(), Endpoint: a.cfg.Endpoint, Models: a.models,
 	}
 }
 
-// blockers returns how many runs need what the order in progress takes away;
-// the caller holds mu.
+// blockers returns how many runs need what the order in progress takes away; a
+// group that holds memory counts as one when a model goes. The caller holds mu.
 func (a *Agent) blockers() int {
 	for r := range a.blocking {
 		if _, final := r.final(); final {
 			delete(a.blocking, r)
 		}
 	}
+	if a.book.Order().Kind == engine.OrderUnloadModel && a.desk.busy() {
+		return len(a.blocking) + 1
+	}
 	return len(a.blocking)
 }
 
+// servesAny tells whether the endpoint will serve a model after the order in
+// progress; the caller holds mu.
+func (a *Agent) servesAny() bool {
+	return slices.ContainsFunc(orders.Without(a.models, a.book.Order()), func(m engine.Model) bool { return !m.Loading })
+}
+
 // serves tells whether the endpoint takes new runs under a model's, version's
 // or adapter's name; the caller holds mu.
 func (a *Agent) serves(name string) bool {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -75,7 +75,7 @@
 func (m *members) reported(endpoint string, r *rudderv1.AgentReport) {
 	ev := membership.Reported{Endpoint: endpoint, Incarnation: r.Incarnation, AgentMS: r.AgentMs, State: r.State}
 	for _, lm := range r.Models {
-		if !lm.Loading {
+		if !lm.Loading && !lm.Unloading {
 			ev.Models = append(ev.Models, lm.Model)
 		}
 	}
