Roll versions out under faults and count what callers and engines see

13 faults in the middle of a roll-out of 6 engines with floor 4, against engines that check fencing numbers and that do not: agents die or are cut off, engines restart or hang, answers to orders or permits are lost, orders fail, the weight store is away or cuts, the platform is away, the placer dies, permits arrive a minute late, the next version comes in the middle. Every row ends with the new version everywhere, never fewer than 4 copies, at most two readers of the weight store, orders one at a time, and no run cut off where no engine crashed. The rows fail when an unload does not wait for runs, and when the floor is not looked at.

--- a/e2e/orders_seen_test.go
+++ b/e2e/orders_seen_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
 )
 
 // orderSeen is one order as it reached an engine.
@@ -85,3 +86,23 @@
 	w.status = status
 	w.ResponseWriter.WriteHeader(status)
 }
+
+// onPlace lets a test stand between placers and an agent.
+func (b *bubble) onPlace(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		f := b.place
+		b.mu.Unlock()
+		if f == nil || r.URL.Path != rudderv1connect.AgentServicePlaceProcedure {
+			next.ServeHTTP(w, r)
+			return
+		}
+		f(next, w, r)
+	})
+}
+
+func (b *bubble) setPlace(f func(next http.Handler, w http.ResponseWriter, r *http.Request)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.place = f
+}
--- /dev/null
+++ b/e2e/rollout_faults_test.go
@@ -0,0 +1,178 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	standengine "github.com/micarudder/micarudder/internal/standin/engine"
+	"github.com/micarudder/micarudder/internal/standin/weights"
+	"github.com/micarudder/micarudder/platform"
+)
+
+// rolloutFaults happen in the middle of a roll-out: begin some seconds after
+// the document was accepted, end a minute later.
+var rolloutFaults = []struct {
+	name       string
+	callers    bool // answers must stay whole
+	begin, end func(r *rollout)
+}{
+	{name: "agents die", callers: true, begin: func(r *rollout) {
+		for i := range r.engines / 2 {
+			r.b.restartAgent(engineName(i))
+		}
+	}},
+	{name: "agent cut off", callers: true, begin: func(r *rollout) { r.b.isolate(agentAddr(engineName(0)), true) }, end: func(r *rollout) {
+		r.b.isolate(agentAddr(engineName(0)), false)
+	}},
+	{name: "engines restart", callers: true, begin: func(r *rollout) {
+		for _, e := range r.b.engines {
+			e.Crash()
+		}
+		r.crashed = true
+	}},
+	{name: "engine hangs", begin: func(r *rollout) {
+		r.b.engines[engineName(1)].SetFaults(standengine.Faults{Hang: true})
+	}, end: func(r *rollout) { r.b.engines[engineName(1)].SetFaults(standengine.Faults{}) }},
+	{name: "answers to orders lost", callers: true, begin: func(r *rollout) { r.faultAll(standengine.Faults{LoseOrderAnswer: true}) }},
+	{name: "orders fail", callers: true, begin: func(r *rollout) { r.faultAll(standengine.Faults{FailOrders: true}) }, end: func(r *rollout) {
+		r.faultAll(standengine.Faults{})
+	}},
+	{name: "weight store away", callers: true, begin: func(r *rollout) { r.store.SetFaults(weights.Faults{Refuse: true}) }, end: func(r *rollout) {
+		r.store.SetFaults(weights.Faults{})
+	}},
+	{name: "weight store cuts", callers: true, begin: func(r *rollout) { r.store.SetFaults(weights.Faults{CutAfterBytes: 1000}) }, end: func(r *rollout) {
+		r.store.SetFaults(weights.Faults{})
+	}},
+	{name: "platform away", callers: true, begin: func(r *rollout) { r.b.kill(platformAddr) }, end: func(r *rollout) {
+		r.b.serve(platformAddr, r.b.platform.Handler())
+	}},
+	{name: "placer dies", begin: func(r *rollout) { r.b.killGateway(r.b.placer()) }},
+	{name: "permits arrive a minute late", callers: true, begin: func(r *rollout) {
+		r.b.setPlace(func(next http.Handler, w http.ResponseWriter, q *http.Request) {
+			time.Sleep(time.Minute)
+			next.ServeHTTP(w, q)
+		})
+	}, end: func(r *rollout) { r.b.setPlace(nil) }},
+	{name: "answers to permits lost", callers: true, begin: func(r *rollout) {
+		r.b.setPlace(func(next http.Handler, _ http.ResponseWriter, q *http.Request) {
+			next.ServeHTTP(httptest.NewRecorder(), q)
+			panic(http.ErrAbortHandler)
+		})
+	}},
+	{name: "next version in the middle", callers: true, begin: func(r *rollout) {
+		r.b.nextVersion()
+		r.b.publish()
+	}},
+}
+
+func (r *rollout) faultAll(f standengine.Faults) {
+	for _, e := range r.b.engines {
+		e.SetFaults(f)
+	}
+}
+
+// isolate cuts a process off from new and present connections, or ends that.
+func (b *bubble) isolate(addr string, away bool) {
+	b.mu.Lock()
+	b.cut[addr] = away
+	conns := b.conns[addr]
+	b.conns[addr] = nil
+	b.mu.Unlock()
+	if away {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+}
+
+// placer returns the gateway that holds the lease of placement.
+func (b *bubble) placer() string {
+	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	e, err := store.Get(b.t.Context(), platform.PrefixPlacers+dataCentre)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	name, _, _ := strings.Cut(string(e.Value), " ")
+	return name
+}
+
+// killGateway ends a gateway as a crash would: its lease is not given up.
+func (b *bubble) killGateway(name string) {
+	b.kill(name)
+	b.kill(innerAddr(name))
+	g := b.gateways[name]
+	delete(b.gateways, name)
+	b.isolate(platformAddr, true)
+	g.Close()
+	b.isolate(platformAddr, false)
+}
+
+// TestRollOutUnderFaults: whatever happens in the middle of a roll-out, it
+// ends, the floor holds, the weight store is not overrun, orders come one at a
+// time, and no answer is cut off.
+func TestRollOutUnderFaults(t *testing.T) {
+	for _, f := range rolloutFaults {
+		for _, checks := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/checks fencing %t", f.name, checks), func(t *testing.T) {
+				t.Parallel()
+				run(t, func(b *bubble) {
+					r := newRolloutOf(b, 6, 4, checks)
+					b.gateway("gw1")
+					b.gateway("gw2", "gw1")
+					b.publish()
+					r.watch(f.callers)
+					time.Sleep(5 * time.Second)
+					b.nextVersion()
+					b.publish()
+					time.Sleep(6 * time.Second)
+					f.begin(r)
+					time.Sleep(time.Minute)
+					if f.end != nil {
+						f.end(r)
+					}
+					took := r.await(b.doc.Models[0].Version)
+					r.end()
+					b.t.Logf("%v after the fault's end, %d orders, lowest %d", took, len(b.orders), r.lowest)
+				})
+			})
+		}
+	}
+}
+
+// TestEndpointLostIsReplaced: what an endpoint held that is away for good is
+// loaded elsewhere, also while the platform is away.
+func TestEndpointLostIsReplaced(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		run(t, func(b *bubble) {
+			is := is.New(b.t)
+			r := newRollout(b, 3, 1)
+			b.doc.Models[0].Replicas[dataCentre] = 2
+			b.gateway("gw1")
+			b.publish()
+			time.Sleep(time.Minute) // one engine holds more than is wanted
+			is.Equal(r.serving(), 2)
+			var gone string
+			for name, e := range b.engines {
+				if len(loaded(e.State())) > 0 {
+					gone = name
+				}
+			}
+			if outage {
+				b.kill(platformAddr)
+			}
+			b.isolate(agentAddr(gone), true)
+			b.agents[gone].Close()
+			time.Sleep(2 * time.Minute)
+			is.Equal(r.serving(), 3) // two that are reached, and the lost one
+		})
+	}
+}
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -37,6 +37,7 @@
 	reads  []*heldSpan // spans that cover the prompt's start
 	end    ending
 	notify chan struct{}
+	uses   served     // what it needs loaded
 	record *Execution // nil for a span
 	span   *heldSpan  // what a span's prefill becomes; nil for a completion
 }
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -132,6 +132,7 @@
 		},
 	}
 	r.done = r.cached
+	r.uses, _ = s.shop.resolve(j.model)
 	s.enter(r)
 	return r, nil
 }
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -93,6 +93,7 @@
 			span: spanOf(j.body.Model, j.body.Prompt, j.start, j.tokens),
 		},
 	}
+	rn.uses, _ = s.shop.resolve(j.body.Model)
 	s.enter(rn)
 	return rn, nil
 }
