Spread the configuration by delta, each agent from one gateway

Cause: every gateway pushed the whole document to every agent and to every peer at each change, a gateway cut off from platform and peers learned nothing from its agents' reports, and the platform's silence was counted from the last change of the document.

Change: a keeper remembers four earlier documents, encoded, and gives each receiver a delta when that is the shorter form, the whole document otherwise or when the delta does not fit. An agent ranks its subscribers by a hash and tells each its rank; a gateway offers in its turn, 400 ms after the one before, and only if the agent has not reported the generation by then. A new generation alone is reported at once and in short. A gateway polls three peers at a time, another one at each poll, and they hold a new document back for 250 to 500 ms, so that who learns it from the platform is not sent it. A gateway that hears of a newer generation from an agent waits for its peers and then asks that agent. At the start a gateway asks all peers for the highest generation and is not ready before. platform.Follow takes the place of the hand-made loop. The platform's silence counts from the last answer or frame.

Ruled out: a random slot for each gateway (25 gateways need a window of some 25 report times to send few twice, over the two seconds allowed); ranks computed by gateways from their lists of peers (lists differ, and a dead gateway keeps its rank); long polls at all peers (600 answers for each change among 25 gateways).

Seen failing first: ranks were stale until an agent's next report, 112 deltas for 100 needed; a heartbeat (5 s) later it is 100 for 100, which the test now waits for. Agents were asked before the peers had answered; the gateway now waits longer for the peers.

The inner protocol gains fields only: offer_rank and generation_only in reports (the latter only for subscribers that say short_reports), have and newer_delta in Offer.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -29,7 +29,7 @@
 	}
 	if gen := a.deps.Keeper.Generation(); req.Generation < gen {
 		end := endOf(result.New(result.OldGeneration, ""), false)
-		end.Newer = &rudderv1.OfferRequest{Document: a.deps.Keeper.Document()}
+		end.Newer = a.deps.Keeper.Update(req.Generation)
 		return nil, false, end
 	}
 	if err := a.refuse(req); err != nil {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -86,6 +86,8 @@
 	ctx       context.Context
 	workers   sync.WaitGroup
 	meter     *meter
+
+	subscribers subscribers
 }
 
 // New returns an agent with a fresh incarnation. Start begins its work.
--- /dev/null
+++ b/agent/configuration.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// Offer takes a configuration and hands back a newer one. An answer with a
+// generation below the offered one says that the offered delta's base is not
+// held here.
+func (s *server) Offer(_ context.Context, req *connect.Request[rudderv1.OfferRequest]) (*connect.Response[rudderv1.OfferResponse], error) {
+	k := s.a.deps.Keeper
+	verdict, err := k.Take(req.Msg)
+	if err != nil {
+		s.a.deps.Log.Debug("Delta does not fit.", "generation", k.Generation(), "err", err)
+	}
+	if verdict == generation.Diverge {
+		s.a.deps.Log.Error("Two documents of one generation.", "generation", k.Generation())
+	}
+	resp := &rudderv1.OfferResponse{Generation: k.Generation()}
+	if newer := k.Update(generation.Offered(req.Msg)); newer != nil && err == nil {
+		resp.Newer, resp.NewerDelta = newer.Document, newer.Delta
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// subscribers are the gateways that read the agent's reports now, by name.
+type subscribers struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+// join counts a gateway in until leave is called.
+func (s *subscribers) join(gateway string) (leave func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.count == nil {
+		s.count = make(map[string]int)
+	}
+	s.count[gateway]++
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.count[gateway]--; s.count[gateway] == 0 {
+			delete(s.count, gateway)
+		}
+	}
+}
+
+// rank returns how many of the subscribers come before the gateway in the
+// order in which they offer newer documents. The order differs from endpoint
+// to endpoint, so that the offers spread over the gateways.
+func (s *subscribers) rank(gateway, endpoint string) uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mine := rankKey(gateway, endpoint)
+	before := uint32(0)
+	for other := range s.count {
+		if k := rankKey(other, endpoint); k < mine || k == mine && other < gateway {
+			before++
+		}
+	}
+	return before
+}
+
+func rankKey(gateway, endpoint string) uint64 {
+	return xxhash.Sum64String(gateway + "\x00" + endpoint)
+}
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/result"
 )
 
@@ -35,7 +36,7 @@
 	gauge("rudder_agent_records", func() float64 { return float64(len(a.records.runs)) })
 	gauge("rudder_agent_tombstones", func() float64 { return float64(len(a.records.tombs)) })
 	gauge("rudder_agent_answer_bytes", func() float64 { return float64(a.records.bytes) })
-	m.set.NewGauge("rudder_agent_generation", func() float64 { return float64(a.deps.Keeper.Generation()) })
+	generation.Gauges(m.set, "agent", a.deps.Keeper)
 }
 
 func (m *meter) reserved(granted bool) {
--- a/agent/server.go
+++ b/agent/server.go
@@ -7,7 +7,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/inner"
 	"github.com/micarudder/micarudder/lifecycle"
 	"github.com/micarudder/micarudder/result"
@@ -239,57 +238,82 @@
 	return connect.NewResponse(&rudderv1.CancelResponse{Outcome: rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN}), nil
 }
 
-// Offer takes a configuration and hands back a newer one.
-func (s *server) Offer(_ context.Context, req *connect.Request[rudderv1.OfferRequest]) (*connect.Response[rudderv1.OfferResponse], error) {
-	k := s.a.deps.Keeper
-	resp := &rudderv1.OfferResponse{}
-	switch k.Offer(req.Msg.Document) {
-	case generation.Newer:
-		s.a.mu.Lock()
-		s.a.notify()
-		s.a.mu.Unlock()
-	case generation.Older:
-		resp.Newer = k.Document()
-	case generation.Diverge:
-		s.a.deps.Log.Error("Two documents of one generation.", "generation", k.Generation())
-	}
-	resp.Generation = k.Generation()
-	return connect.NewResponse(resp), nil
-}
-
 // Place accepts a permitted order to the endpoint, or says why not.
 func (s *server) Place(_ context.Context, req *connect.Request[rudderv1.PlaceRequest]) (*connect.Response[rudderv1.PlaceResponse], error) {
 	return connect.NewResponse(s.a.place(req.Msg)), nil
 }
 
-// Subscribe streams reports until the subscriber goes away.
+// Subscribe streams reports until the subscriber goes away. A change of the
+// generation alone is told at once and in short.
 func (s *server) Subscribe(ctx context.Context, req *connect.Request[rudderv1.SubscribeRequest], stream *connect.ServerStream[rudderv1.AgentReport]) error {
+	gateway := req.Msg.Gateway
+	leave := s.a.subscribers.join(gateway)
+	defer leave()
 	for {
-		s.a.mu.Lock()
-		report, changed := s.a.report(), s.a.changed
-		s.a.mu.Unlock()
+		report, changed, moved := s.a.fullReport(gateway)
 		if err := stream.Send(report); err != nil {
 			return err
 		}
-		if !s.a.waitReport(ctx, changed, report.State) {
+		told := report.State
+		next := s.a.waitReport(ctx, changed, moved, told)
+		for next == reportGeneration && req.Msg.ShortReports {
+			report, moved = s.a.generationReport(gateway)
+			if err := stream.Send(report); err != nil {
+				return err
+			}
+			next = s.a.waitReport(ctx, changed, moved, told)
+		}
+		if next == reportNone {
 			return nil
 		}
 	}
 }
 
-// waitReport waits for the next report: at once when the agent begins to leave,
-// after the shortest interval for any other change, or the heartbeat. told is
-// the state last reported. It reports false when ctx has ended.
-func (a *Agent) waitReport(ctx context.Context, changed <-chan struct{}, told rudderv1.AgentState) bool {
+// fullReport returns a report with the channels that are closed at the next
+// change of anything and of the generation.
+func (a *Agent) fullReport(gateway string) (r *rudderv1.AgentReport, changed, moved <-chan struct{}) {
+	moved = a.deps.Keeper.Changed()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r = a.report()
+	r.OfferRank = a.subscribers.rank(gateway, a.cfg.Endpoint)
+	return r, a.changed, moved
+}
+
+// generationReport returns the short report of a new generation.
+func (a *Agent) generationReport(gateway string) (r *rudderv1.AgentReport, moved <-chan struct{}) {
+	moved = a.deps.Keeper.Changed()
+	r = &rudderv1.AgentReport{
+		AgentMs: a.clockMS(), Generation: a.deps.Keeper.Generation(), GenerationOnly: true,
+		OfferRank: a.subscribers.rank(gateway, a.cfg.Endpoint),
+	}
+	return r, moved
+}
+
+// nextReport is the kind of report that is due.
+type nextReport int
+
+const (
+	reportNone       nextReport = iota // the subscriber or the agent is gone
+	reportFull                         // a change or the heartbeat
+	reportGeneration                   // a new generation
+)
+
+// waitReport waits for the next report: at once for a new generation or when
+// the agent begins to leave, after the shortest interval for any other change,
+// or the heartbeat. told is the state last reported.
+func (a *Agent) waitReport(ctx context.Context, changed, moved <-chan struct{}, told rudderv1.AgentState) nextReport {
 	heartbeat := time.NewTimer(a.cfg.Heartbeat)
 	defer heartbeat.Stop()
 	select {
 	case <-ctx.Done():
-		return false
+		return reportNone
 	case <-a.ctx.Done():
-		return false
+		return reportNone
+	case <-moved:
+		return reportGeneration
 	case <-heartbeat.C:
-		return true
+		return reportFull
 	case <-changed:
 	}
 	pause := time.NewTimer(a.cfg.ReportInterval)
@@ -297,13 +321,15 @@
 	for {
 		next, leaving := a.leavingSince(told)
 		if leaving {
-			return true
+			return reportFull
 		}
 		select {
 		case <-ctx.Done():
-			return false
+			return reportNone
+		case <-moved:
+			return reportGeneration
 		case <-pause.C:
-			return true
+			return reportFull
 		case <-next:
 		}
 	}
--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"google.golang.org/protobuf/proto"
 
@@ -47,6 +48,8 @@
 	hosts  map[string]*pipe.Listener
 	conns  map[string][]net.Conn
 	cut    map[string]bool // addresses that no connection can be made to
+	parted map[route]bool  // routes that no connection can be made on
+	joined map[route][]net.Conn
 	signer *ticket.Signer
 	doc    *rudderv1.Document
 
@@ -61,6 +64,8 @@
 	cleanup  []func()
 	revision int64 // of the accepted document
 	policy   routing.Policy
+	keepers  map[string]*generation.Keeper
+	metrics  map[string]*metrics.Set // of gateways
 }
 
 // run runs a session in a bubble and stops every process at its end.
@@ -75,6 +80,8 @@
 			t: t, policy: routing.Default(), hosts: make(map[string]*pipe.Listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), signer: signer,
 			engines: make(map[string]*standengine.Server), services: make(map[string]*standservice.Server), delay: make(map[string]time.Duration),
 			agents: make(map[string]*agent.Agent), gateways: make(map[string]*gateway.Gateway), servers: make(map[string]*http.Server),
+			parted: make(map[route]bool), joined: make(map[route][]net.Conn),
+			keepers: make(map[string]*generation.Keeper), metrics: make(map[string]*metrics.Set),
 			doc: &rudderv1.Document{
 				Generation: 1, PlanId: "plan-1",
 				Models: []*rudderv1.Model{{Name: model, Version: "1", MaxTokens: 1_100_000, Replicas: map[string]uint32{dataCentre: 100}}},
@@ -130,8 +137,11 @@
 }
 
 // httpClient returns a client that reaches every process of the bubble.
-func (b *bubble) httpClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: b.dial, DisableCompression: true, IdleConnTimeout: time.Minute}}
+func (b *bubble) httpClient() *http.Client { return b.httpClientFrom("") }
+
+// httpClientFrom returns the HTTP client of one process.
+func (b *bubble) httpClientFrom(from string) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: b.dialFrom(from), DisableCompression: true, IdleConnTimeout: time.Minute}}
 }
 
 func (b *bubble) serve(addr string, h http.Handler) {
@@ -191,8 +201,9 @@
 
 // agent starts the agent beside an endpoint; it can be called again after a kill.
 func (b *bubble) agent(name, serviceName string, memory uint64) *agent.Agent {
+	b.keepers[name] = generation.NewKeeper()
 	deps := agent.Deps{
-		Client: b.innerClient(), Signer: b.signer, Queue: admission.New(admission.Config{}), Keeper: generation.NewKeeper(), Log: quiet(),
+		Client: b.innerClientFrom(name), Signer: b.signer, Queue: admission.New(admission.Config{}), Keeper: b.keepers[name], Log: quiet(),
 	}
 	if serviceName == "" {
 		deps.Engine = &slowState{engine.NewClient(engine.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient(), Name: name}), b, name}
@@ -216,9 +227,12 @@
 	return a
 }
 
-// innerClient returns a client for the inner protocol.
-func (b *bubble) innerClient() *inner.Client {
-	client, err := inner.NewClient(inner.KeyFiles{}, b.dial)
+// innerClient returns a client for the inner protocol that nothing cuts off.
+func (b *bubble) innerClient() *inner.Client { return b.innerClientFrom("") }
+
+// innerClientFrom returns a process's client for the inner protocol.
+func (b *bubble) innerClientFrom(name string) *inner.Client {
+	client, err := inner.NewClient(inner.KeyFiles{}, b.dialFrom(name))
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -227,8 +241,10 @@
 
 // gateway starts a gateway; peers are names of other gateways.
 func (b *bubble) gateway(name string, peers ...string) *gateway.Gateway {
-	client := b.innerClient()
-	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+	client := b.innerClientFrom(name)
+	set := metrics.NewSet()
+	b.keepers[name], b.metrics[name] = generation.NewKeeper(), set
+	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClientFrom(name), Timeout: time.Second, Metrics: set})
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -241,7 +257,7 @@
 		cfg.Peers = append(cfg.Peers, innerAddr(p))
 	}
 	g := gateway.New(cfg, gateway.Deps{
-		Store: store, Hosts: store, Client: client, Signer: b.signer, Keeper: generation.NewKeeper(), Policy: b.policy, Log: quiet(),
+		Store: store, Hosts: store, Client: client, Signer: b.signer, Keeper: b.keepers[name], Policy: b.policy, Log: quiet(), Metrics: set,
 	})
 	b.gateways[name] = g
 	face, err := g.Handler()
--- /dev/null
+++ b/e2e/spread_test.go
@@ -0,0 +1,371 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/micarudder/micarudder/document"
+	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
+	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// settle is longer than a change takes to be in force everywhere.
+const settle = 2 * time.Second
+
+// confirm changes the configuration and writes it to the platform as the next
+// generation.
+func (b *bubble) confirm(change func(d *rudderv1.Document)) {
+	b.t.Helper()
+	next := proto.CloneOf(b.doc)
+	next.Generation++
+	next.PlanId = fmt.Sprint("plan-", next.Generation)
+	next.History = document.History(b.doc)
+	if change != nil {
+		change(next)
+	}
+	b.doc = next
+	b.write(next)
+}
+
+// write puts a document into the platform, whatever is there.
+func (b *bubble) write(d *rudderv1.Document) {
+	b.t.Helper()
+	is := is.New(b.t)
+	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+	is.NoErr(err)
+	value, err := document.Encode(d)
+	is.NoErr(err)
+	e, err := store.CompareAndSwap(b.t.Context(), platform.KeyDocument, 0, value, 0)
+	if e.Revision != 0 && err != nil {
+		_, err = store.CompareAndSwap(b.t.Context(), platform.KeyDocument, e.Revision, value, 0)
+	}
+	is.NoErr(err)
+}
+
+// inForce fails unless every process has the generation.
+func (b *bubble) inForce(generation uint64) {
+	b.t.Helper()
+	for name, k := range b.keepers {
+		if k.Generation() != generation {
+			b.t.Fatalf("%s has generation %d, want %d", name, k.Generation(), generation)
+		}
+	}
+}
+
+// metric sums a metric over all gateways; name includes the labels.
+func (b *bubble) metric(name string) float64 {
+	sum := 0.0
+	for _, set := range b.metrics {
+		var text bytes.Buffer
+		set.WritePrometheus(&text)
+		for line := range strings.Lines(text.String()) {
+			if value, ok := strings.CutPrefix(strings.TrimSpace(line), name+" "); ok {
+				v, _ := strconv.ParseFloat(value, 64)
+				sum += v
+			}
+		}
+	}
+	return sum
+}
+
+// threeGateways starts three gateways, all peers, and agents beside plain services.
+func (b *bubble) threeGateways(agents int) {
+	b.t.Helper()
+	for i := range agents {
+		b.service(fmt.Sprint("s", i), "bid-api")
+	}
+	b.gateway("gw1", "gw2", "gw3")
+	b.gateway("gw2", "gw1", "gw3")
+	b.gateway("gw3", "gw1", "gw2")
+	b.publish()
+	time.Sleep(10 * time.Second) // the agents' next reports tell each gateway its rank
+	b.inForce(1)
+}
+
+const (
+	deltasToAgents = `rudder_gateway_offers_total{to="agent",form="delta"}`
+	wholeToAgents  = `rudder_gateway_offers_total{to="agent",form="whole"}`
+	deltasToPeers  = `rudder_gateway_offers_total{to="peer",form="delta"}`
+	wholeToPeers   = `rudder_gateway_offers_total{to="peer",form="whole"}`
+	learnedPeer    = `rudder_gateway_learned_total{from="peer"}`
+	learnedAgent   = `rudder_gateway_learned_total{from="agent"}`
+)
+
+// TestEachAgentHearsOnce: a change reaches every agent by one delta from one
+// gateway, and no gateway from its peers.
+func TestEachAgentHearsOnce(t *testing.T) {
+	const agents = 20
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.threeGateways(agents)
+		whole, reads := b.metric(wholeToAgents), b.platform.Counts().Reads()
+		peers := b.metric(wholeToPeers)
+		for i := range 5 {
+			b.confirm(func(d *rudderv1.Document) { d.Workspaces[0].Weight++ })
+			time.Sleep(settle)
+			b.inForce(uint64(i) + 2)
+		}
+		is.Equal(b.metric(deltasToAgents), 5.0*agents)
+		is.Equal(b.metric(wholeToAgents), whole)
+		is.Equal(b.metric(deltasToPeers), 0.0)
+		is.Equal(b.metric(wholeToPeers), peers)
+		b.t.Log("platform reads", b.platform.Counts().Reads()-reads)
+	})
+}
+
+// TestOffersSpreadOverGateways: no gateway brings a change to all agents.
+func TestOffersSpreadOverGateways(t *testing.T) {
+	const agents = 20
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.threeGateways(agents)
+		b.confirm(nil)
+		time.Sleep(settle)
+		all := b.metrics
+		for name := range all {
+			b.metrics = map[string]*metrics.Set{name: all[name]}
+			n := b.metric(deltasToAgents)
+			b.t.Log(name, n)
+			is.True(n > 0 && n < agents*3/4)
+		}
+		b.metrics = all
+	})
+}
+
+// neverBack are what old values can come from. Before each the fleet is at
+// generation 2; after it no process has gone back, and generation 3 is taken.
+var neverBack = []struct {
+	name  string
+	meet  func(b *bubble)
+	alarm string // metric that shows it
+}{
+	{"reads from a lagging replica", func(b *bubble) {
+		b.platform.SetFaults(standplatform.Faults{OldReads: true})
+		time.Sleep(6 * time.Second)
+		b.platform.SetFaults(standplatform.Faults{})
+	}, ""},
+	{"a watch that delivers old values", func(b *bubble) {
+		b.platform.SetFaults(standplatform.Faults{Watch: standplatform.WatchOld})
+		b.write(proto.CloneOf(b.doc))
+		time.Sleep(settle)
+		b.platform.SetFaults(standplatform.Faults{})
+	}, ""},
+	{"a paused watch", func(b *bubble) {
+		b.platform.SetFaults(standplatform.Faults{Watch: standplatform.WatchPaused})
+		b.write(proto.CloneOf(b.doc))
+		time.Sleep(time.Minute)
+		b.platform.SetFaults(standplatform.Faults{})
+	}, ""},
+	{"the store restored to generation 1", func(b *bubble) {
+		is.New(b.t).True(b.platform.Restore())
+		time.Sleep(time.Minute)
+	}, "rudder_gateway_platform_restores"},
+	{"generation 1 written again", func(b *bubble) {
+		b.write(&rudderv1.Document{Generation: 1, PlanId: "plan-1"})
+	}, "rudder_generation_back_total"},
+	{"the document deleted", func(b *bubble) {
+		is := is.New(b.t)
+		store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+		is.NoErr(err)
+		e, err := store.Get(b.t.Context(), platform.KeyDocument)
+		is.NoErr(err)
+		is.NoErr(store.Delete(b.t.Context(), platform.KeyDocument, e.Revision))
+	}, ""},
+	{"another document of generation 2", func(b *bubble) {
+		b.write(&rudderv1.Document{Generation: 2, PlanId: "another"})
+	}, "rudder_gateway_generation_diverged_offers"},
+	{"a value that is no document", func(b *bubble) {
+		d := &rudderv1.Document{}
+		d.ProtoReflect().SetUnknown(protowire.AppendTag(nil, 1, protowire.EndGroupType))
+		b.write(d)
+	}, ""},
+	{"a process that starts in an outage", func(b *bubble) {
+		b.platform.SetFaults(standplatform.Faults{Outage: standplatform.OutageHang})
+		b.gateway("gw4", "gw1", "gw2", "gw3")
+		time.Sleep(settle)
+		is.New(b.t).True(b.gateways["gw4"].Ready())
+		b.service("late", "bid-api")
+		b.inForceBut(2, "late")
+		b.platform.SetFaults(standplatform.Faults{})
+		delete(b.keepers, "late")
+	}, ""},
+	{"a process that starts after the store was restored", func(b *bubble) {
+		is.New(b.t).True(b.platform.Restore())
+		b.gateway("gw4", "gw1", "gw2", "gw3")
+		time.Sleep(time.Minute)
+	}, "rudder_gateway_platform_restores"},
+	{"an outage of ten minutes", func(b *bubble) {
+		b.platform.SetFaults(standplatform.Faults{Outage: standplatform.OutageReset})
+		time.Sleep(10 * time.Minute)
+		b.platform.SetFaults(standplatform.Faults{})
+	}, ""},
+}
+
+func TestNeverBack(t *testing.T) {
+	for _, c := range neverBack {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(b *bubble) {
+				b.threeGateways(3)
+				b.platform.Snapshot()
+				b.confirm(nil)
+				time.Sleep(settle)
+				b.inForce(2)
+				c.meet(b)
+				synctest.Wait()
+				time.Sleep(settle)
+				b.inForce(2)
+				if c.alarm != "" && b.metric(c.alarm) == 0 {
+					b.t.Errorf("%s is 0", c.alarm)
+				}
+				b.confirm(nil)
+				time.Sleep(30 * time.Second)
+				b.inForce(3)
+			})
+		})
+	}
+}
+
+// inForceBut is inForce for all but one process.
+func (b *bubble) inForceBut(generation uint64, name string) {
+	b.t.Helper()
+	k := b.keepers[name]
+	delete(b.keepers, name)
+	b.inForce(generation)
+	b.keepers[name] = k
+}
+
+// TestCutOffFromPlatform: a gateway without the platform learns from its
+// peers, and without them from its agents.
+func TestCutOffFromPlatform(t *testing.T) {
+	cases := []struct {
+		name    string
+		cut     []string
+		learned string
+	}{
+		{"platform", []string{platformAddr}, learnedPeer},
+		{"platform and peers", []string{platformAddr, innerAddr("gw2"), innerAddr("gw3")}, learnedAgent},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(b *bubble) {
+				is := is.New(b.t)
+				b.threeGateways(6)
+				b.part("gw1", c.cut...)
+				time.Sleep(30 * time.Second)
+				peer, agent := b.metric(learnedPeer), b.metric(learnedAgent)
+				b.confirm(nil)
+				time.Sleep(settle)
+				b.inForce(2)
+				is.Equal(b.metric(learnedPeer)+b.metric(learnedAgent)-peer-agent, 1.0)
+				is.True(b.metric(c.learned) > 0)
+				b.join("gw1", c.cut...)
+				time.Sleep(30 * time.Second)
+				b.confirm(nil)
+				time.Sleep(settle)
+				b.inForce(3)
+			})
+		})
+	}
+}
+
+// TestCutOffFromEverything: a gateway that hears nothing reaches no endpoint
+// either, keeps what it has, and catches up when it is back.
+func TestCutOffFromEverything(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.threeGateways(2)
+		all := []string{platformAddr, innerAddr("gw2"), innerAddr("gw3"), agentAddr("s0"), agentAddr("s1")}
+		b.part("gw1", all...)
+		b.confirm(nil)
+		time.Sleep(settle)
+		b.inForceBut(2, "gw1")
+		is.Equal(b.keepers["gw1"].Generation(), uint64(1))
+		r := b.ask("gw1", "POST", "/services/bid-api/x", "{}", nil)
+		is.True(strings.Contains(r.body, `"outcome":"not run"`))
+		is.Equal(b.services["s0"].Counts().Total+b.services["s1"].Counts().Total, 0)
+		time.Sleep(settle)
+		is.True(!b.gateways["gw1"].Ready()) // the balancer looks elsewhere
+		b.join("gw1", all...)
+		time.Sleep(10 * time.Second)
+		b.inForce(2)
+		is.True(b.gateways["gw1"].Ready())
+		is.Equal(b.ask("gw1", "POST", "/services/bid-api/x", "{}", nil).status, 200)
+	})
+}
+
+// TestOldGenerationIsRetriedAtOnce: an order planned under an older generation
+// is refused by the agent, which hands the newer one back; the gateway orders
+// again from the same endpoint, and the call runs once.
+func TestOldGenerationIsRetriedAtOnce(t *testing.T) {
+	for _, header := range []map[string]string{nil, {"Rudder-Repeatable": "true"}} {
+		run(t, func(b *bubble) {
+			is := is.New(b.t)
+			b.threeGateways(1)
+			b.part("gw1", platformAddr, innerAddr("gw2"), innerAddr("gw3"))
+			b.confirm(nil)
+			for b.keepers["s0"].Generation() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(b.keepers["gw1"].Generation(), uint64(1))
+			began := time.Now()
+			r := b.ask("gw1", "POST", "/services/bid-api/x", "{}", header)
+			is.Equal(r.status, 200)
+			is.True(time.Since(began) < 100*time.Millisecond)
+			is.Equal(b.keepers["gw1"].Generation(), uint64(2))
+			is.Equal(b.services["s0"].Counts().Total, 1)
+		})
+	}
+}
+
+// TestNewerRelease: fields that this release does not know survive the
+// platform, a delta, a peer and an agent.
+func TestNewerRelease(t *testing.T) {
+	unknown := protowire.AppendString(protowire.AppendTag(nil, 999, protowire.BytesType), "of a newer release")
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.threeGateways(2)
+		b.part("gw1", platformAddr)
+		b.part("gw2", platformAddr, innerAddr("gw1"), innerAddr("gw3"))
+		time.Sleep(30 * time.Second)
+		b.confirm(func(d *rudderv1.Document) {
+			d.ProtoReflect().SetUnknown(unknown)
+			d.Workspaces[0].ProtoReflect().SetUnknown(unknown)
+		})
+		time.Sleep(settle)
+		b.confirm(func(d *rudderv1.Document) { d.Endpoints[0].MemoryTokens++ })
+		time.Sleep(settle)
+		b.inForce(3)
+		is.True(b.metric(deltasToAgents) > 0)
+		is.True(b.metric(learnedPeer) > 0)
+		is.True(b.metric(learnedAgent) > 0)
+		for _, k := range b.keepers {
+			is.True(bytes.Equal(k.Document().ProtoReflect().GetUnknown(), unknown))
+			is.True(bytes.Equal(k.Document().Workspaces[0].ProtoReflect().GetUnknown(), unknown))
+		}
+	})
+}
+
+// TestPlatformSilence: the gateway counts from the last contact with the
+// platform, not from the last change.
+func TestPlatformSilence(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.threeGateways(1)
+		time.Sleep(10 * time.Minute)
+		is.True(b.metric("rudder_gateway_platform_silent_seconds") < 3*10)
+		b.platform.SetFaults(standplatform.Faults{Outage: standplatform.OutageReset})
+		time.Sleep(10 * time.Minute)
+		is.True(b.metric("rudder_gateway_platform_silent_seconds") > 3*590)
+	})
+}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -2,127 +2,127 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
+	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/cenkalti/backoff/v5"
-
+	"github.com/micarudder/micarudder/document"
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/membership"
 	"github.com/micarudder/micarudder/platform"
 	"github.com/micarudder/micarudder/rudderv1"
-	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
 )
 
+// platformSilence is how long the platform may be silent before it counts as
+// unreachable: three checks of the watch.
+const platformSilence = 3 * platform.DefaultWatchCheck
+
+// source names where a document came from, in logs and metrics.
+type source string
+
 const (
-	// fetchWait is the length of one long poll at a peer.
-	fetchWait  = 20 * time.Second
-	fetchSlack = 5 * time.Second
+	fromPlatform source = "platform"
+	fromPeer     source = "peer"
+	fromAgent    source = "agent"
 )
 
-// platformHealth records when the platform was last heard.
+// platformHealth is what the gateway knows of the platform.
 type platformHealth struct {
-	mu    sync.Mutex
-	heard time.Time
-}
-
-func (p *platformHealth) seen() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.heard = time.Now()
+	contact    platform.Contact // nil: the store does not tell
+	generation atomic.Uint64    // of the document last read there; 0: none
+	restored   atomic.Uint64    // how often the store was found to have gone back
 }
 
 // silent returns how long nothing was heard, or -1 before the first word.
 func (p *platformHealth) silent() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.heard.IsZero() {
+	if p.contact == nil {
+		return -1
+	}
+	heard := p.contact.Heard()
+	if heard.IsZero() {
 		return -1
 	}
-	return time.Since(p.heard)
+	return time.Since(heard)
 }
 
-// followPlatform keeps the document equal to the platform's.
+// reachable reports whether the platform was heard lately.
+func (p *platformHealth) reachable() bool {
+	s := p.silent()
+	return s >= 0 && s < platformSilence
+}
+
+// followPlatform learns every document that the platform accepts.
 func (g *Gateway) followPlatform() {
-	wait := backoff.NewExponentialBackOff()
-	var after int64
-	for g.ctx.Err() == nil {
-		err := g.deps.Store.Watch(g.ctx, platform.KeyDocument, after, func(e platform.Entry) {
-			wait.Reset()
-			g.platform.seen()
-			g.members.apply(membership.Outside{})
-			after = e.Revision
-			g.learnEntry(e)
-		})
-		if g.ctx.Err() != nil {
-			return
-		}
-		g.deps.Log.Warn("Watch ended.", "err", err)
-		select {
-		case <-time.After(wait.NextBackOff()):
-		case <-g.ctx.Done():
-		}
-	}
+	_ = platform.Follow(g.ctx, g.deps.Store, platform.KeyDocument, 0, g.platformChange)
 }
 
-func (g *Gateway) learnEntry(e platform.Entry) {
-	if e.Value == nil {
+func (g *Gateway) platformChange(c platform.Change) {
+	g.members.apply(membership.Outside{})
+	if c.Restored {
+		g.platform.restored.Add(1)
+		g.deps.Log.Error("The platform's store went back to an older state; the configuration in force stays.",
+			"generation", g.deps.Keeper.Generation(), "revision", c.Seen)
+		return
+	}
+	if c.Entry.Value == nil {
+		g.platform.generation.Store(0)
 		g.deps.Log.Error("The document was deleted from the platform; the last one stays in force.")
 		return
 	}
-	doc, err := generation.Decode(e.Value)
+	doc, err := generation.Decode(c.Entry.Value)
 	if err != nil {
-		g.deps.Log.Error("The stored document cannot be read.", "err", err)
+		g.deps.Log.Error("The stored document cannot be read; the last one stays in force.", "err", err)
 		return
 	}
-	g.learn(doc, "platform")
+	g.platform.generation.Store(doc.Generation)
+	_ = g.learn(&rudderv1.OfferRequest{Document: doc}, fromPlatform)
 }
 
-// learn offers a document to the keeper and spreads it when it is newer.
-func (g *Gateway) learn(doc *rudderv1.Document, from string) {
-	switch g.deps.Keeper.Offer(doc) {
+// learn takes a document or delta. It returns document.ErrBase when only the
+// whole document would help.
+func (g *Gateway) learn(o *rudderv1.OfferRequest, from source) error {
+	verdict, err := g.deps.Keeper.Take(o)
+	if err != nil {
+		return err
+	}
+	offered := generation.Offered(o)
+	switch verdict {
 	case generation.Newer:
-		g.deps.Log.Info("Configuration in force.", "generation", doc.Generation, "from", from)
-		g.links.offerAll()
+		g.deps.Log.Info("Configuration in force.", "generation", offered, "from", from)
+		g.meter.learned(from)
 	case generation.Older:
-		if from == "platform" {
-			g.deps.Log.Error("The platform holds an older configuration than the one in force.", "generation", doc.Generation)
+		if from == fromPlatform {
+			g.deps.Log.Error("The platform holds an older configuration than the one in force.", "generation", offered)
 			g.meter.generationBack()
 		}
 	case generation.Diverge:
-		g.deps.Log.Error("Two documents of one generation.", "generation", doc.Generation, "from", from)
+		g.deps.Log.Error("Two documents of one generation.", "generation", offered, "from", from)
 	}
+	return nil
 }
 
-// followPeer learns newer documents from another gateway, so that an outage
-// of the platform keeps nobody behind.
-func (g *Gateway) followPeer(addr string) {
-	client := rudderv1connect.NewGatewayServiceClient(g.deps.Client, g.deps.Client.URL(addr))
-	wait := backoff.NewExponentialBackOff()
-	for g.ctx.Err() == nil {
-		err := g.fetch(client)
-		if err == nil {
-			wait.Reset()
-			continue
-		}
-		select {
-		case <-time.After(wait.NextBackOff()):
-		case <-g.ctx.Done():
-		}
+// learnOr takes a document or delta and calls whole for the whole document
+// when the delta belongs to another base.
+func (g *Gateway) learnOr(o *rudderv1.OfferRequest, from source, whole func() (*rudderv1.Document, error)) error {
+	err := g.learn(o, from)
+	if !errors.Is(err, document.ErrBase) {
+		return err
 	}
-}
-
-func (g *Gateway) fetch(client rudderv1connect.GatewayServiceClient) error {
-	ctx, cancel := context.WithTimeout(g.ctx, fetchWait+fetchSlack)
-	defer cancel()
-	resp, err := client.Fetch(ctx, connect.NewRequest(&rudderv1.FetchRequest{
-		Have: g.deps.Keeper.Generation(), WaitMs: uint32(fetchWait.Milliseconds()),
-	}))
+	doc, err := whole()
 	if err != nil {
 		return err
 	}
-	g.members.apply(membership.Outside{})
-	g.learn(resp.Msg.Document, "peer")
-	return nil
+	return g.learn(&rudderv1.OfferRequest{Document: doc}, from)
+}
+
+// pause waits for d; it reports false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 	forming  chan struct{} // a token per group that is being formed
 	platform platformHealth
 	leases   *claimLeases
+	peers    *peers
 
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -85,6 +86,8 @@
 	g.members = newMembers()
 	g.links = newLinks(g)
 	g.limits = newLimiter(g)
+	g.peers = newPeers(g)
+	g.platform.contact, _ = deps.Store.(platform.Contact)
 	return g
 }
 
@@ -96,18 +99,16 @@
 	if g.deps.Hosts != nil {
 		g.loops.Go(g.followHosts)
 	}
-	for _, peer := range g.cfg.Peers {
-		g.loops.Go(func() { g.followPeer(peer) })
-	}
+	g.peers.start()
 	g.loops.Go(g.links.loop)
 	g.loops.Go(g.laneLoop)
 	g.loops.Go(g.limits.loop)
 }
 
-// Ready reports whether the gateway has a configuration, is not leaving and is
-// not cut off from everybody.
+// Ready reports whether the gateway has a configuration, has asked its peers
+// for a newer one, is not leaving and is not cut off from everybody.
 func (g *Gateway) Ready() bool {
-	return g.deps.Keeper.Generation() > 0 && !g.draining.Load() && !g.members.cutOff()
+	return g.deps.Keeper.Generation() > 0 && g.peers.asked.Load() && !g.draining.Load() && !g.members.cutOff()
 }
 
 // Drain refuses new requests, so that the balancer looks elsewhere, and
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cenkalti/backoff/v5"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/micarudder/micarudder/affinity"
 	"github.com/micarudder/micarudder/cost"
@@ -24,7 +25,6 @@
 	// subscribe at an agent.
 	redialFirst = 100 * time.Millisecond
 	redialMax   = 3 * time.Second
-	offerTime   = 2 * time.Second
 )
 
 // link is the gateway's connection to one agent with what it last heard.
@@ -33,6 +33,7 @@
 	declared *rudderv1.Endpoint
 	client   rudderv1connect.AgentServiceClient
 	stop     context.CancelFunc
+	told     chan struct{} // holds one when a report came since it was last read
 
 	mu        sync.Mutex
 	report    *rudderv1.AgentReport
@@ -52,7 +53,7 @@
 func newLink(g *Gateway, e *rudderv1.Endpoint) *link {
 	client := rudderv1connect.NewAgentServiceClient(g.deps.Client, g.deps.Client.URL(e.AgentAddress),
 		connect.WithReadMaxBytes(inner.MaxMessage), connect.WithSendMaxBytes(inner.MaxMessage))
-	return &link{g: g, declared: e, client: client, cache: affinity.New(e.MemoryTokens)}
+	return &link{g: g, declared: e, client: client, cache: affinity.New(e.MemoryTokens), told: make(chan struct{}, 1)}
 }
 
 // run subscribes at the agent for as long as ctx lasts.
@@ -75,7 +76,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := l.client.Subscribe(ctx, connect.NewRequest(&rudderv1.SubscribeRequest{
-		Gateway: l.g.cfg.Name, Generation: l.g.deps.Keeper.Generation(),
+		Gateway: l.g.cfg.Name, Generation: l.g.deps.Keeper.Generation(), ShortReports: true,
 	}))
 	if err != nil {
 		return false
@@ -84,9 +85,7 @@
 	any := false
 	for stream.Receive() {
 		any = true
-		l.take(stream.Msg())
-		l.g.members.reported(l.declared.Name, stream.Msg())
-		l.offer(ctx, stream.Msg().Generation)
+		l.g.members.reported(l.declared.Name, l.take(stream.Msg()))
 	}
 	l.mu.Lock()
 	l.connected = false
@@ -97,11 +96,25 @@
 	return any
 }
 
-// take records a report.
-func (l *link) take(r *rudderv1.AgentReport) {
+// take records a report, wakes the offers and returns the report as a whole.
+func (l *link) take(r *rudderv1.AgentReport) *rudderv1.AgentReport {
+	r = l.record(r)
+	select {
+	case l.told <- struct{}{}:
+	default:
+	}
+	return r
+}
+
+func (l *link) record(r *rudderv1.AgentReport) *rudderv1.AgentReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.report, l.heard, l.connected = r, time.Now(), true
+	l.heard, l.connected = time.Now(), true
+	if r.GenerationOnly && l.report != nil {
+		l.report = withGeneration(l.report, r)
+		return l.report
+	}
+	l.report = r
 	l.models = make(map[string]bool, len(r.Models))
 	for _, m := range r.Models {
 		if !m.Loading {
@@ -111,6 +124,15 @@
 	if r.Load != nil {
 		l.load, l.loadAt = r.Load, l.heard
 	}
+	return r
+}
+
+// withGeneration merges a short report into the last whole one, of which it
+// returns a copy.
+func withGeneration(last, short *rudderv1.AgentReport) *rudderv1.AgentReport {
+	whole := proto.CloneOf(last)
+	whole.AgentMs, whole.Generation, whole.OfferRank = short.AgentMs, short.Generation, short.OfferRank
+	return whole
 }
 
 // takeLoad records the load that came with a reply and settles what was pending.
@@ -167,22 +189,6 @@
 	l.slowness.Observe(predicted, took, time.Now())
 }
 
-// offer hands the agent a configuration it does not have yet.
-func (l *link) offer(ctx context.Context, has uint64) {
-	k := l.g.deps.Keeper
-	if has >= k.Generation() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, offerTime)
-	defer cancel()
-	resp, err := l.client.Offer(ctx, connect.NewRequest(&rudderv1.OfferRequest{Document: k.Document()}))
-	if err != nil {
-		l.g.deps.Log.Warn("Offer failed.", "endpoint", l.declared.Name, "err", err)
-		return
-	}
-	l.g.learn(resp.Msg.Newer, "agent")
-}
-
 // incarnation returns the agent's incarnation and its clock now, as last heard.
 func (l *link) incarnation() (string, int64) {
 	l.mu.Lock()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -13,7 +13,9 @@
 
 // links holds one link per declared endpoint and follows the document.
 type links struct {
-	g *Gateway
+	g      *Gateway
+	offers chan struct{} // one for each offer in progress
+	asking sync.Mutex    // held while an agent is asked for a newer document
 
 	mu     sync.RWMutex
 	byName map[string]*link
@@ -23,7 +25,7 @@
 }
 
 func newLinks(g *Gateway) *links {
-	return &links{g: g, byName: make(map[string]*link), byAddr: make(map[string]*link)}
+	return &links{g: g, offers: make(chan struct{}, offersAtOnce), byName: make(map[string]*link), byAddr: make(map[string]*link)}
 }
 
 // loop keeps the links equal to the current document's endpoints.
@@ -71,21 +73,10 @@
 	ctx, cancel := context.WithCancel(ls.g.ctx)
 	l.stop = cancel
 	ls.g.loops.Go(func() { l.run(ctx) })
+	ls.g.loops.Go(func() { l.offerLoop(ctx) })
 	return l
 }
 
-// offerAll hands the current document to every agent that lacks it.
-func (ls *links) offerAll() {
-	for _, l := range ls.all() {
-		l.mu.Lock()
-		has, connected := l.report.GetGeneration(), l.connected
-		l.mu.Unlock()
-		if connected {
-			ls.g.loops.Go(func() { l.offer(ls.g.ctx, has) })
-		}
-	}
-}
-
 // all returns the links in the document's order.
 func (ls *links) all() []*link {
 	ls.mu.RLock()
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -20,7 +22,9 @@
 	}
 	set.NewGauge("rudder_gateway_in_flight", func() float64 { return float64(g.active.Load()) })
 	set.NewGauge("rudder_gateway_groups_forming", func() float64 { return float64(len(g.forming)) })
-	set.NewGauge("rudder_gateway_generation", func() float64 { return float64(g.deps.Keeper.Generation()) })
+	generation.Gauges(set, "gateway", g.deps.Keeper)
+	set.NewGauge("rudder_gateway_platform_generation", func() float64 { return float64(g.platform.generation.Load()) })
+	set.NewGauge("rudder_gateway_platform_restores", func() float64 { return float64(g.platform.restored.Load()) })
 	set.NewGauge("rudder_gateway_platform_silent_seconds", func() float64 { return g.platform.silent().Seconds() })
 	return &meter{set}
 }
@@ -73,6 +77,33 @@
 	m.set.GetOrCreateCounter("rudder_generation_back_total").Inc()
 }
 
+// receiver sorts the documents sent by who gets them.
+type receiver string
+
+const (
+	toAgent receiver = "agent"
+	toPeer  receiver = "peer"
+)
+
+// sent counts a document or delta on its way to another process.
+func (m *meter) sent(to receiver, o *rudderv1.OfferRequest) {
+	form := "whole"
+	switch {
+	case o.Delta != nil:
+		form = "delta"
+	case o.Document == nil:
+		form = "question"
+	}
+	labels := fmt.Sprintf(`{to=%q,form=%q}`, to, form)
+	m.set.GetOrCreateCounter("rudder_gateway_offers_total" + labels).Inc()
+	m.set.GetOrCreateCounter("rudder_gateway_offer_bytes_total" + labels).Add(proto.Size(o))
+}
+
+// learned counts a newer document by where it came from.
+func (m *meter) learned(from source) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_gateway_learned_total{from=%q}`, from)).Inc()
+}
+
 func (m *meter) refusedEarly(c result.Code) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rudder_request_codes_total{code="%d"}`, c)).Inc()
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -22,37 +22,13 @@
 	return rudderv1connect.NewGatewayServiceHandler(&server{g})
 }
 
-// Fetch returns the current document once it is newer than the caller's.
-func (s *server) Fetch(ctx context.Context, req *connect.Request[rudderv1.FetchRequest]) (*connect.Response[rudderv1.FetchResponse], error) {
-	k := s.g.deps.Keeper
-	wait := min(time.Duration(req.Msg.WaitMs)*time.Millisecond, maxFetchWait)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		changed := k.Changed()
-		doc := k.Document()
-		if doc.Generation > req.Msg.Have {
-			return connect.NewResponse(&rudderv1.FetchResponse{Generation: doc.Generation, Document: doc}), nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return connect.NewResponse(&rudderv1.FetchResponse{Generation: doc.Generation}), nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-s.g.ctx.Done():
-			return nil, connect.NewError(connect.CodeUnavailable, context.Canceled)
-		}
-	}
-}
-
 // Status reports what the gateway knows of the fleet.
 func (s *server) Status(context.Context, *connect.Request[rudderv1.StatusRequest]) (*connect.Response[rudderv1.StatusResponse], error) {
 	g := s.g
 	silent := g.platform.silent()
 	resp := &rudderv1.StatusResponse{
 		Gateway: g.cfg.Name, DataCentre: g.cfg.DataCentre, Generation: g.deps.Keeper.Generation(),
-		PlatformReachable: silent >= 0, PlatformSilentMs: silent.Milliseconds(), Draining: g.draining.Load(),
+		PlatformReachable: g.platform.reachable(), PlatformSilentMs: silent.Milliseconds(), Draining: g.draining.Load(),
 	}
 	for _, l := range g.links.all() {
 		resp.Endpoints = append(resp.Endpoints, l.status())
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -104,7 +104,7 @@
 		case lifecycle.StepVoid:
 			return s.void(ctx, l, last)
 		case lifecycle.StepAgain:
-			s.g.learn(last.GetNewer().GetDocument(), "agent")
+			l.relearn(ctx, last)
 		default:
 			if step == lifecycle.StepRestart && s.restart() != nil {
 				return last
--- /dev/null
+++ b/generation/gauges.go
@@ -0,0 +1,24 @@
+package generation
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Gauges registers the metrics that show a keeper to operators; process is
+// "gateway" or "agent".
+func Gauges(set *metrics.Set, process string, k *Keeper) {
+	gauge := func(name string, f func() float64) {
+		set.NewGauge(fmt.Sprintf("rudder_%s_generation%s", process, name), f)
+	}
+	gauge("", func() float64 { return float64(k.Generation()) })
+	gauge("_timestamp_seconds", func() float64 {
+		if k.Since().IsZero() {
+			return 0
+		}
+		return float64(k.Since().UnixMicro()) / 1e6
+	})
+	gauge("_stale_offers", func() float64 { return float64(k.Stale()) })
+	gauge("_diverged_offers", func() float64 { return float64(k.Diverged()) })
+}
--- /dev/null
+++ b/generation/generation_test.go
@@ -0,0 +1,95 @@
+package generation
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/micarudder/micarudder/document"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+func doc(generation uint64, plan string, hosts int) *rudderv1.Document {
+	d := &rudderv1.Document{Generation: generation, PlanId: plan}
+	for i := range hosts {
+		d.Hosts = append(d.Hosts, &rudderv1.Host{Name: fmt.Sprintf("host-%03d", i), DataCentre: "cdf-a"})
+	}
+	return d
+}
+
+func TestVerdicts(t *testing.T) {
+	cases := []struct {
+		name string
+		o    *rudderv1.OfferRequest
+		want Verdict
+		err  error
+	}{
+		{"nothing", nil, Same, nil},
+		{"a question", &rudderv1.OfferRequest{Have: 9}, Same, nil},
+		{"the same", &rudderv1.OfferRequest{Document: doc(5, "p5", 1)}, Same, nil},
+		{"newer", &rudderv1.OfferRequest{Document: doc(6, "p6", 0)}, Newer, nil},
+		{"much newer", &rudderv1.OfferRequest{Document: doc(90, "p90", 0)}, Newer, nil},
+		{"older", &rudderv1.OfferRequest{Document: doc(4, "p4", 0)}, Older, nil},
+		{"other content", &rudderv1.OfferRequest{Document: doc(5, "q5", 0)}, Diverge, nil},
+		{"delta", &rudderv1.OfferRequest{Delta: document.Diff(doc(5, "p5", 1), doc(6, "p6", 2))}, Newer, nil},
+		{"delta from another base", &rudderv1.OfferRequest{Delta: document.Diff(doc(4, "p4", 1), doc(6, "p6", 2))}, Same, document.ErrBase},
+		{"delta from the base's twin", &rudderv1.OfferRequest{Delta: document.Diff(doc(5, "q5", 1), doc(6, "p6", 2))}, Same, document.ErrBase},
+		{"delta to the same", &rudderv1.OfferRequest{Delta: document.Diff(doc(4, "p4", 1), doc(5, "p5", 1))}, Same, nil},
+		{"delta to an older one", &rudderv1.OfferRequest{Delta: document.Diff(doc(3, "p3", 1), doc(4, "p4", 1))}, Older, nil},
+		{"delta to other content", &rudderv1.OfferRequest{Delta: document.Diff(doc(4, "p4", 1), doc(5, "q5", 1))}, Diverge, nil},
+		{"empty delta", &rudderv1.OfferRequest{Delta: &rudderv1.DocumentDelta{}}, Same, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			k := NewKeeper()
+			is.Equal(k.Offer(doc(5, "p5", 1)), Newer)
+			got, err := k.Take(c.o)
+			is.Equal(got, c.want)
+			is.True(errors.Is(err, c.err))
+			is.Equal(k.Generation() > 5, c.want == Newer)
+		})
+	}
+}
+
+// TestUpdate: whatever generation a receiver has, the update leads it to the
+// current document, and it is never longer than the whole document.
+func TestUpdate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sender, receivers := NewKeeper(), []*Keeper{NewKeeper()}
+		for gen := range uint64(8) {
+			d := doc(gen*2+1, fmt.Sprint("p", gen), rapid.IntRange(0, 50).Draw(t, "hosts"))
+			sender.Offer(d)
+			r := NewKeeper()
+			r.Offer(d)
+			receivers = append(receivers, r)
+		}
+		for _, r := range receivers {
+			u := sender.Update(r.Generation())
+			if proto.Size(u) > proto.Size(&rudderv1.OfferRequest{Document: sender.Document()}) {
+				t.Fatalf("from %d: longer than the whole document", r.Generation())
+			}
+			if _, err := r.Take(u); err != nil || !proto.Equal(r.Document(), sender.Document()) {
+				t.Fatalf("from %d: %v", r.Generation(), err)
+			}
+		}
+	})
+}
+
+func TestUpdateForms(t *testing.T) {
+	is := is.New(t)
+	k := NewKeeper()
+	for gen := range uint64(10) {
+		k.Offer(doc(gen+1, fmt.Sprint("p", gen+1), 100))
+	}
+	for have := range uint64(12) {
+		u := k.Update(have)
+		is.Equal(u == nil, have >= 10)
+		is.Equal(u.GetDelta() != nil, have < 10 && have >= 10-Remembered)
+		is.Equal(u.GetDocument() != nil, have < 10-Remembered)
+	}
+}
