--- a/agent/process.go
+++ b/agent/process.go
@@ -84,8 +84,9 @@
 
 // Process is an agent with its listener.
 type Process struct {
-	a   *Agent
-	srv *http.Server
+	a        *Agent
+	settings *Settings
+	srv      *http.Server
 }
 
 // Open wires an agent from its settings and starts it. Binding the listener is
@@ -124,7 +125,7 @@
 		}
 	}()
 	a.Start()
-	return &Process{a: a, srv: srv}, nil
+	return &Process{a: a, settings: s, srv: srv}, nil
 }
 
 // Ready implements daemon.Service.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -48,6 +49,13 @@
 	Shutdown(ctx context.Context) error
 }
 
+// Reloader is a service that takes some changes of its settings without a
+// restart. Reload gets newly read and checked settings of the type that the
+// process was started with, and returns why it does not take them.
+type Reloader interface {
+	Reload(fresh any) error
+}
+
 // Env is what a process is built with.
 type Env struct {
 	Log     *log.Logger
@@ -91,7 +99,10 @@
 		fmt.Println(opts.Config + ": ok")
 		return ExitOK
 	}
-	return serve(name, common, build)
+	return serve(name, common, build, func() (any, error) {
+		fresh := reflect.New(reflect.TypeOf(target).Elem()).Interface()
+		return fresh, settings.Load(opts.Config, fresh)
+	})
 }
 
 func fail(err error, code int) int {
@@ -99,8 +110,9 @@
 	return code
 }
 
-// serve runs the wired process until a signal or a failure.
-func serve(name string, common *Common, build func(Env) (Service, error)) int {
+// serve runs the wired process until a signal or a failure. At SIGHUP it reads
+// the settings anew.
+func serve(name string, common *Common, build func(Env) (Service, error), read func() (any, error)) int {
 	logger := NewLogger(common, name)
 	set := metrics.NewSet()
 	failed := make(chan error, 1)
@@ -112,6 +124,9 @@
 	}}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	svc, err := build(env)
 	if err != nil {
 		logger.Error("Start failed.", "err", err)
@@ -123,14 +138,31 @@
 		return ExitFailed
 	}
 	logger.Info("Started.", "version", Version)
-	code := ExitOK
-	select {
-	case <-ctx.Done():
-	case err := <-failed:
-		logger.Error("Stopping after a failure.", "err", err)
-		code = ExitFailed
+	for {
+		select {
+		case <-hup:
+			reload(logger, svc, read)
+		case <-ctx.Done():
+			return shutdown(logger, common, svc, admin, ExitOK)
+		case err := <-failed:
+			logger.Error("Stopping after a failure.", "err", err)
+			return shutdown(logger, common, svc, admin, ExitFailed)
+		}
+	}
+}
+
+// reload gives the service the settings as they stand now. Settings that
+// cannot be used change nothing.
+func reload(logger *log.Logger, svc Service, read func() (any, error)) {
+	fresh, err := read()
+	if r, ok := svc.(Reloader); ok && err == nil {
+		err = r.Reload(fresh)
+	}
+	if err != nil {
+		logger.Error("The settings were not taken; the old ones stay.", "err", err)
+		return
 	}
-	return shutdown(logger, common, svc, admin, code)
+	logger.Info("Settings read again.")
 }
 
 func shutdown(logger *log.Logger, common *Common, svc Service, admin *http.Server, code int) int {
@@ -193,3 +225,14 @@
 	})
 	return m
 }
+
+// WarnRestart logs a warning when settings have changed besides those that
+// were taken, which without clears in a copy.
+func WarnRestart[S any](logger *log.Logger, old, fresh *S, without func(*S)) {
+	a, b := *old, *fresh
+	without(&a)
+	without(&b)
+	if !reflect.DeepEqual(a, b) {
+		logger.Warn("Other settings have changed; they take effect at the next start.")
+	}
+}
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -39,6 +39,23 @@
 
 // Signer returns the signer for the keys.
 func (t Tickets) Signer() (*ticket.Signer, error) {
+	keys, err := t.parse()
+	if err != nil {
+		return nil, err
+	}
+	return ticket.NewSigner(keys...)
+}
+
+// Rotate gives the signer the keys.
+func (t Tickets) Rotate(s *ticket.Signer) error {
+	keys, err := t.parse()
+	if err != nil {
+		return err
+	}
+	return s.Rotate(keys...)
+}
+
+func (t Tickets) parse() ([]ticket.Key, error) {
 	keys := make([]ticket.Key, 0, len(t.Keys))
 	for _, text := range t.Keys {
 		k, err := parseKey(text)
@@ -47,7 +64,7 @@
 		}
 		keys = append(keys, k)
 	}
-	return ticket.NewSigner(keys...)
+	return keys, nil
 }
 
 // Check returns the mistakes in the settings; secrets are not repeated in them.
--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -40,6 +40,9 @@
 	platformAddr = "10.0.0.1:2379"
 )
 
+// oldKey signs tickets unless a test rotates the keys.
+var oldKey = ticket.Key{ID: 1, Secret: []byte("0123456789abcdef")}
+
 // bubble is one installation inside a synctest bubble. Its processes are
 // reached by address, as in the real one.
 type bubble struct {
@@ -66,13 +69,14 @@
 	policy   routing.Policy
 	keepers  map[string]*generation.Keeper
 	metrics  map[string]*metrics.Set // of gateways
+	signers  map[string]*ticket.Signer
 }
 
 // run runs a session in a bubble and stops every process at its end.
 func run(t *testing.T, session func(b *bubble)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		signer, err := ticket.NewSigner(ticket.Key{ID: 1, Secret: []byte("0123456789abcdef")})
+		signer, err := ticket.NewSigner(oldKey)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -81,7 +85,7 @@
 			engines: make(map[string]*standengine.Server), services: make(map[string]*standservice.Server), delay: make(map[string]time.Duration),
 			agents: make(map[string]*agent.Agent), gateways: make(map[string]*gateway.Gateway), servers: make(map[string]*http.Server),
 			parted: make(map[route]bool), joined: make(map[route][]net.Conn),
-			keepers: make(map[string]*generation.Keeper), metrics: make(map[string]*metrics.Set),
+			keepers: make(map[string]*generation.Keeper), metrics: make(map[string]*metrics.Set), signers: make(map[string]*ticket.Signer),
 			doc: &rudderv1.Document{
 				Generation: 1, PlanId: "plan-1",
 				Models: []*rudderv1.Model{{Name: model, Version: "1", MaxTokens: 1_100_000, Replicas: map[string]uint32{dataCentre: 100}}},
@@ -203,7 +207,7 @@
 func (b *bubble) agent(name, serviceName string, memory uint64) *agent.Agent {
 	b.keepers[name] = generation.NewKeeper()
 	deps := agent.Deps{
-		Client: b.innerClientFrom(name), Signer: b.signer, Queue: admission.New(admission.Config{}), Keeper: b.keepers[name], Log: quiet(),
+		Client: b.innerClientFrom(name), Signer: b.signerOf(name), Queue: admission.New(admission.Config{}), Keeper: b.keepers[name], Log: quiet(),
 	}
 	if serviceName == "" {
 		deps.Engine = &slowState{engine.NewClient(engine.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient(), Name: name}), b, name}
@@ -227,6 +231,18 @@
 	return a
 }
 
+// signerOf returns the signer of one process, with keys of its own.
+func (b *bubble) signerOf(name string) *ticket.Signer {
+	if b.signers[name] == nil {
+		s, err := ticket.NewSigner(oldKey)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		b.signers[name] = s
+	}
+	return b.signers[name]
+}
+
 // innerClient returns a client for the inner protocol that nothing cuts off.
 func (b *bubble) innerClient() *inner.Client { return b.innerClientFrom("") }
 
@@ -257,7 +273,7 @@
 		cfg.Peers = append(cfg.Peers, innerAddr(p))
 	}
 	g := gateway.New(cfg, gateway.Deps{
-		Store: store, Hosts: store, Client: client, Signer: b.signer, Keeper: b.keepers[name], Policy: b.policy, Log: quiet(), Metrics: set,
+		Store: store, Hosts: store, Client: client, Signer: b.signerOf(name), Keeper: b.keepers[name], Policy: b.policy, Log: quiet(), Metrics: set,
 	})
 	b.gateways[name] = g
 	face, err := g.Handler()
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -79,9 +79,10 @@
 
 // Process is a gateway with its listeners.
 type Process struct {
-	g       *Gateway
-	callers *http.Server
-	inner   *http.Server
+	g        *Gateway
+	settings *Settings
+	callers  *http.Server
+	inner    *http.Server
 }
 
 // Open wires a gateway from its settings and starts it.
@@ -102,7 +103,7 @@
 		Store: store, Hosts: store, Client: client, Signer: signer, Keeper: generation.NewKeeper(),
 		Policy: policies[s.Routing.Policy](), Log: env.Log, Metrics: env.Metrics,
 	})
-	p := &Process{g: g}
+	p := &Process{g: g, settings: s}
 	if err := p.listen(s, env); err != nil {
 		return nil, err
 	}
--- a/inner/inner.go
+++ b/inner/inner.go
@@ -6,12 +6,8 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
-	"errors"
 	"net"
 	"net/http"
-	"os"
 	"time"
 )
 
@@ -27,86 +23,6 @@
 	MaxMessage = 24 << 20
 )
 
-// KeyFiles names the PEM files for mutual TLS; all empty means clear text.
-type KeyFiles struct {
-	Cert string
-	Key  string
-	CA   string
-}
-
-// Enabled reports whether TLS is on.
-func (k KeyFiles) Enabled() bool { return k.Cert != "" || k.Key != "" || k.CA != "" }
-
-// Check returns an error unless all files or none are named.
-func (k KeyFiles) Check() error {
-	if k.Enabled() && (k.Cert == "" || k.Key == "" || k.CA == "") {
-		return errors.New("cert, key and ca must be set together")
-	}
-	return nil
-}
-
-// config reads the key files anew at each handshake, so that rotated files are
-// used without a restart.
-func (k KeyFiles) config() (*tls.Config, error) {
-	if err := k.Check(); err != nil {
-		return nil, err
-	}
-	if _, _, err := k.load(); err != nil {
-		return nil, err
-	}
-	base := &tls.Config{
-		MinVersion: tls.VersionTLS13,
-		NextProtos: []string{"h2"},
-		ClientAuth: tls.RequireAnyClientCert,
-		// The names in certificates are not used: processes are reached by IP
-		// number, and any holder of a certificate of the authority is a peer.
-		InsecureSkipVerify: true,
-		VerifyConnection:   k.verify,
-		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			cert, _, err := k.load()
-			return cert, err
-		},
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, _, err := k.load()
-			return cert, err
-		},
-	}
-	return base, nil
-}
-
-func (k KeyFiles) load() (*tls.Certificate, *x509.CertPool, error) {
-	cert, err := tls.LoadX509KeyPair(k.Cert, k.Key)
-	if err != nil {
-		return nil, nil, err
-	}
-	pem, err := os.ReadFile(k.CA)
-	if err != nil {
-		return nil, nil, err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, nil, errors.New("no certificate in " + k.CA)
-	}
-	return &cert, pool, nil
-}
-
-// verify checks the peer's chain against the installation's authority.
-func (k KeyFiles) verify(cs tls.ConnectionState) error {
-	_, pool, err := k.load()
-	if err != nil {
-		return err
-	}
-	if len(cs.PeerCertificates) == 0 {
-		return errors.New("inner: peer has no certificate")
-	}
-	opts := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
-	for _, c := range cs.PeerCertificates[1:] {
-		opts.Intermediates.AddCert(c)
-	}
-	_, err = cs.PeerCertificates[0].Verify(opts)
-	return err
-}
-
 // NewServer returns a server for the inner protocol.
 func NewServer(h http.Handler, keys KeyFiles) (*http.Server, error) {
 	p := new(http.Protocols)
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"errors"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -31,15 +32,23 @@
 	Secret []byte
 }
 
-// Signer makes and checks tickets. The first key signs; all keys verify.
-type Signer struct{ keys []Key }
+// Signer makes and checks tickets. The first key signs; all keys verify. It is
+// safe for concurrent use, Rotate included.
+type Signer struct{ keys atomic.Pointer[[]Key] }
 
 // NewSigner returns a signer; at least one key is needed.
 func NewSigner(keys ...Key) (*Signer, error) {
+	s := new(Signer)
+	return s, s.Rotate(keys...)
+}
+
+// Rotate replaces the keys; at least one is needed.
+func (s *Signer) Rotate(keys ...Key) error {
 	if len(keys) == 0 {
-		return nil, errors.New("ticket: no keys")
+		return errors.New("ticket: no keys")
 	}
-	return &Signer{keys: keys}, nil
+	s.keys.Store(&keys)
+	return nil
 }
 
 // Sign returns the ticket for the claims.
@@ -48,7 +57,7 @@
 	if err != nil {
 		return "", err
 	}
-	k := s.keys[0]
+	k := (*s.keys.Load())[0]
 	raw := append([]byte{k.ID}, body...)
 	return base64.RawURLEncoding.EncodeToString(append(raw, mac(k, raw)...)), nil
 }
@@ -63,7 +72,7 @@
 		return nil, ErrBad
 	}
 	signed, sum := raw[:len(raw)-macLen], raw[len(raw)-macLen:]
-	for _, k := range s.keys {
+	for _, k := range *s.keys.Load() {
 		if k.ID != signed[0] || !hmac.Equal(sum, mac(k, signed)) {
 			continue
 		}
