Hold the spread to one delta for each agent up to 25 gateways

The test ran with three gateways only; it now runs with 1, 3 and 25, of which each sees the others as peers. The offers are as many as the agents in each.

--- a/e2e/spread_test.go
+++ b/e2e/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -81,13 +82,23 @@
 
 // threeGateways starts three gateways, all peers, and agents beside plain services.
 func (b *bubble) threeGateways(agents int) {
+	b.t.Helper()
+	b.fleetOf(3, agents)
+}
+
+// fleetOf is threeGateways with any number of gateways, gw1 and on.
+func (b *bubble) fleetOf(gateways, agents int) {
 	b.t.Helper()
 	for i := range agents {
 		b.service(fmt.Sprint("s", i), "bid-api")
 	}
-	b.gateway("gw1", "gw2", "gw3")
-	b.gateway("gw2", "gw1", "gw3")
-	b.gateway("gw3", "gw1", "gw2")
+	var names []string
+	for i := range gateways {
+		names = append(names, fmt.Sprint("gw", i+1))
+	}
+	for i, name := range names {
+		b.gateway(name, slices.Delete(slices.Clone(names), i, i+1)...)
+	}
 	b.publish()
 	time.Sleep(10 * time.Second) // the agents' next reports tell each gateway its rank
 	b.inForce(1)
@@ -105,23 +116,26 @@
 // TestEachAgentHearsOnce: a change reaches every agent by one delta from one
 // gateway, and no gateway from its peers.
 func TestEachAgentHearsOnce(t *testing.T) {
-	const agents = 20
-	run(t, func(b *bubble) {
-		is := is.New(b.t)
-		b.threeGateways(agents)
-		whole, reads := b.metric(wholeToAgents), b.platform.Counts().Reads()
-		peers := b.metric(wholeToPeers)
-		for i := range 5 {
-			b.confirm(func(d *rudderv1.Document) { d.Workspaces[0].Weight++ })
-			time.Sleep(settle)
-			b.inForce(uint64(i) + 2)
-		}
-		is.Equal(b.metric(deltasToAgents), 5.0*agents)
-		is.Equal(b.metric(wholeToAgents), whole)
-		is.Equal(b.metric(deltasToPeers), 0.0)
-		is.Equal(b.metric(wholeToPeers), peers)
-		b.t.Log("platform reads", b.platform.Counts().Reads()-reads)
-	})
+	const changes = 5
+	cases := []struct{ gateways, agents int }{{1, 20}, {3, 20}, {25, 8}}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.gateways, " gateways"), func(t *testing.T) {
+			run(t, func(b *bubble) {
+				is := is.New(b.t)
+				b.fleetOf(c.gateways, c.agents)
+				whole, peers := b.metric(wholeToAgents), b.metric(wholeToPeers)
+				for i := range changes {
+					b.confirm(func(d *rudderv1.Document) { d.Workspaces[0].Weight++ })
+					time.Sleep(settle)
+					b.inForce(uint64(i) + 2)
+				}
+				is.Equal(b.metric(deltasToAgents), float64(changes*c.agents))
+				is.Equal(b.metric(wholeToAgents), whole)
+				is.Equal(b.metric(deltasToPeers), 0.0)
+				is.Equal(b.metric(wholeToPeers), peers)
+			})
+		})
+	}
 }
 
 // TestOffersSpreadOverGateways: no gateway brings a change to all agents.
