Compress stored documents from 4 KiB on

Cause: every gateway is sent the stored document at each change, in base64; with 54 endpoints that was about half of a gateway's bytes for a change.

Both forms were and are read, so releases mix.

--- a/document/document.go
+++ b/document/document.go
@@ -19,7 +19,7 @@
 
 const (
 	// PlainLimit is the longest encoding that is stored uncompressed, in bytes.
-	PlainLimit = 64 << 10
+	PlainLimit = 4 << 10
 	// maxDecoded bounds what a damaged value can expand to, in bytes.
 	maxDecoded = 64 << 20
 )
