Measure how a confirmed configuration spreads

It takes the time from the confirming write to the moment at which the last process put the generation into force, by that process's own metric; the platform's calls against gateways and agents; and the bytes that processes read and write for a change, by the kernel's counters.

A fleet can now have one plain service in the place of its engines, and an address of its own, so that many agents take few processes and few ports.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test bench demo slopes generate fmt
+.PHONY: all build test bench demo slopes spread generate fmt
 
 all: build
 
@@ -21,6 +21,9 @@
 slopes: build ## Measure what control costs each process, about four minutes.
 	$(GO) run ./internal/slopes --bin $(BIN) $(SLOPEFLAGS)
 
+spread: build ## Measure how a confirmed configuration spreads, under a minute.
+	$(GO) run ./internal/experiment/spread --bin $(BIN) --commit "$$(git rev-parse --short HEAD)"
+
 generate: ## Regenerate the inner protocol; needs protoc (Debian: protobuf-compiler).
 	mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
--- a/internal/fleet/connected.go
+++ b/internal/fleet/connected.go
@@ -36,7 +36,7 @@
 
 func (f *Fleet) connected(ctx context.Context, gateway rudderv1connect.GatewayServiceClient) bool {
 	status, err := gateway.Status(ctx, connect.NewRequest(&rudderv1.StatusRequest{}))
-	if err != nil || len(status.Msg.Endpoints) < len(f.Engines) {
+	if err != nil || len(status.Msg.Endpoints) < len(f.Agents) {
 		return false
 	}
 	for _, e := range status.Msg.Endpoints {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,14 +33,18 @@
 type Config struct {
 	BinDir      string   // where the programs are
 	Dir         string   // where settings and logs go; must exist
+	Address     string   // loopback address; empty: 127.0.0.1
 	BasePort    int      // first of Ports() consecutive ports
 	DataCentres []string // endpoints and gateways are spread over them in turn
 	Engines     int
-	Gateways    int
-	Models      []string
-	Workspaces  []Workspace
-	Policy      string   // routing policy of the gateways
-	EngineArgs  []string // added to each engine's command line
+	// SharedService, when set, puts one plain service of this name in the place
+	// of all engines, so that many agents can be started with few processes.
+	SharedService string
+	Gateways      int
+	Models        []string
+	Workspaces    []Workspace
+	Policy        string   // routing policy of the gateways
+	EngineArgs    []string // added to each engine's command line
 	// MemoryTokens is the cache memory of one engine.
 	MemoryTokens int
 	MaxRunning   int
@@ -113,7 +117,7 @@
 	if err := startAll(ctx, f.Group, c.standins(f)); err != nil {
 		return err
 	}
-	if err := accept(ctx, f.Platform, c.document()); err != nil {
+	if err := accept(ctx, f.Platform, c.Document()); err != nil {
 		return trace.Wrap(err, "configuration")
 	}
 	if err := startAll(ctx, f.Group, c.agents(f)); err != nil {
@@ -145,7 +149,9 @@
 func (c Config) layout() *Fleet {
 	f := &Fleet{Group: procs.NewGroup(c.Dir), Platform: c.address(0)}
 	for i := range c.Engines {
-		f.Engines = append(f.Engines, "http://"+c.engineAddress(i))
+		if c.SharedService == "" {
+			f.Engines = append(f.Engines, "http://"+c.engineAddress(i))
+		}
 		f.Agents = append(f.Agents, "http://"+c.agentAddress(i, 1))
 	}
 	for i := range c.Gateways {
@@ -156,7 +162,13 @@
 	return f
 }
 
-func (c Config) address(offset int) string { return fmt.Sprintf("127.0.0.1:%d", c.BasePort+offset) }
+func (c Config) address(offset int) string {
+	host := c.Address
+	if host == "" {
+		host = "127.0.0.1"
+	}
+	return fmt.Sprintf("%s:%d", host, c.BasePort+offset)
+}
 
 func (c Config) engineAddress(i int) string { return c.address(1 + portsPerEngine*i) }
 
@@ -174,7 +186,8 @@
 
 func hostName(i int) string { return fmt.Sprintf("host-%d", i) }
 
-func (c Config) document() *rudderv1.Document {
+// Document returns the configuration that a fleet starts with, generation 1.
+func (c Config) Document() *rudderv1.Document {
 	d := &rudderv1.Document{Generation: 1, PlanId: "fleet"}
 	replicas := make(map[string]uint32)
 	for i := range c.Engines {
@@ -182,9 +195,12 @@
 		d.Hosts = append(d.Hosts, &rudderv1.Host{Name: hostName(i), DataCentre: c.dataCentre(i)})
 		d.Endpoints = append(d.Endpoints, &rudderv1.Endpoint{
 			Name: EngineName(i), Host: hostName(i), DataCentre: c.dataCentre(i),
-			AgentAddress: c.agentAddress(i, 0), MemoryTokens: uint64(c.MemoryTokens), Role: "mixed",
+			AgentAddress: c.agentAddress(i, 0), MemoryTokens: uint64(c.MemoryTokens), Role: "mixed", Service: c.SharedService,
 		})
 	}
+	if c.SharedService != "" {
+		d.Services = append(d.Services, &rudderv1.Service{Name: c.SharedService})
+	}
 	for _, m := range c.Models {
 		d.Models = append(d.Models, &rudderv1.Model{Name: m, Version: modelVersion, Weights: m + "/" + modelVersion, WeightBytes: weightBytes, MaxTokens: maxTokens, Replicas: replicas})
 	}
--- a/internal/fleet/specs.go
+++ b/internal/fleet/specs.go
@@ -21,12 +21,26 @@
 		Args:   []string{"platform", "--listen", f.Platform},
 		Ready:  "http://" + f.Platform + "/counts",
 	}}
+	if c.SharedService != "" {
+		return append(specs, c.service())
+	}
 	for i := range c.Engines {
 		specs = append(specs, c.engine(i))
 	}
 	return specs
 }
 
+// service is the plain service that stands in the place of all engines.
+func (c Config) service() procs.Spec {
+	address := c.engineAddress(0)
+	return procs.Spec{
+		Name:   c.SharedService,
+		Binary: c.program("rudder-standin"),
+		Args:   []string{"service", "--name", c.SharedService, "--listen", address},
+		Ready:  "http://" + address + "/executions",
+	}
+}
+
 func (c Config) engine(i int) procs.Spec {
 	args := []string{
 		"engine", "--name", EngineName(i), "--listen", c.engineAddress(i),
@@ -59,14 +73,20 @@
 
 [endpoint]
 name = %s
-kind = engine
-address = %s
-memory_tokens = %d
+%s
 max_running = %d
-`, c.dataCentre(i), hostName(i), c.agentAddress(i, 0), EngineName(i), c.engineAddress(i), c.MemoryTokens, c.MaxRunning)
+`, c.dataCentre(i), hostName(i), c.agentAddress(i, 0), EngineName(i), c.beside(i), c.MaxRunning)
 	return c.daemon(AgentName(i), "rudder-agent", text, c.agentAddress(i, 1))
 }
 
+// beside is the part of an agent's settings that tells what it stands beside.
+func (c Config) beside(i int) string {
+	if c.SharedService != "" {
+		return fmt.Sprintf("kind = service\nservice = %s\naddress = %s", c.SharedService, c.engineAddress(0))
+	}
+	return fmt.Sprintf("kind = engine\naddress = %s\nmemory_tokens = %d", c.engineAddress(i), c.MemoryTokens)
+}
+
 func (c Config) gateways(f *Fleet) []procs.Spec {
 	var specs []procs.Spec
 	for i := range c.Gateways {
