--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	forming  chan struct{} // a token per group that is being formed
 	platform platformHealth
 	leases   *claimLeases
+	peers    *peers
 
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -87,6 +88,8 @@
 	g.links = newLinks(g)
 	g.placer = newPlacer(g)
 	g.limits = newLimiter(g)
+	g.peers = newPeers(g)
+	g.platform.contact, _ = deps.Store.(platform.Contact)
 	return g
 }
 
@@ -98,9 +101,7 @@
 	if g.deps.Hosts != nil {
 		g.loops.Go(g.followHosts)
 	}
-	for _, peer := range g.cfg.Peers {
-		g.loops.Go(func() { g.followPeer(peer) })
-	}
+	g.peers.start()
 	g.loops.Go(g.links.loop)
 	if g.deps.Store != nil {
 		g.loops.Go(g.placer.loop)
@@ -109,10 +110,10 @@
 	g.loops.Go(g.limits.loop)
 }
 
-// Ready reports whether the gateway has a configuration, is not leaving and is
-// not cut off from everybody.
+// Ready reports whether the gateway has a configuration, has asked its peers
+// for a newer one, is not leaving and is not cut off from everybody.
 func (g *Gateway) Ready() bool {
-	return g.deps.Keeper.Generation() > 0 && !g.draining.Load() && !g.members.cutOff()
+	return g.deps.Keeper.Generation() > 0 && g.peers.asked.Load() && !g.draining.Load() && !g.members.cutOff()
 }
 
 // Drain refuses new requests, so that the balancer looks elsewhere, and
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -40,7 +40,7 @@
 	for i, s := range c.agents(c.layout()) {
 		var a agent.Settings
 		load(t, s, &a)
-		is.Equal(string(a.Agent.Listen), c.document().Endpoints[i].AgentAddress)
+		is.Equal(string(a.Agent.Listen), c.Document().Endpoints[i].AgentAddress)
 		ports[a.Agent.Listen], ports[a.Process.AdminListen], ports[a.Endpoint.Address] = true, true, true
 	}
 	for i, s := range c.gateways(c.layout()) {
@@ -55,7 +55,7 @@
 
 func TestDocument(t *testing.T) {
 	is := is.New(t)
-	d := sample().document()
+	d := sample().Document()
 	is.Equal(d.Models[0].Replicas, map[string]uint32{"a": 2, "b": 1})
 	is.Equal(d.Endpoints[1].DataCentre, "b")
 	is.Equal(d.Workspaces[0].KeyDigests[0], "8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a")
