Let a request that meets a starting gateway wait a moment

Cause: in the demo a lookup met the gateway just restarted and was refused as not configured, and, having a ticket, told "may have run"; the listener opens before the first document and the first word of the agents. Ruled out: opening the listener only when configured; a gateway that starts in an outage without peers would then look dead instead of saying why. Change: for two seconds after its start a gateway lets requests wait for the configuration and for an agent; a request's explanation keeps its last eight decisions. Measured: the session test got 503 before and 200 after; with the document a minute late it still gets 503.

--- a/gateway/auth.go
+++ b/gateway/auth.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 
-	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -15,22 +14,17 @@
 // authority finds the workspace of a bearer key in the current document. Its
 // index is built once per generation.
 type authority struct {
-	keeper *generation.Keeper
-
 	mu     sync.Mutex
 	doc    *rudderv1.Document
 	byHash map[string]*rudderv1.Workspace
 }
 
-func newAuthority(k *generation.Keeper) *authority { return &authority{keeper: k} }
-
-// workspace returns the caller's workspace.
-func (a *authority) workspace(r *http.Request) (*rudderv1.Workspace, *result.Err) {
+// workspace returns the caller's workspace in the document.
+func (a *authority) workspace(r *http.Request, doc *rudderv1.Document) (*rudderv1.Workspace, *result.Err) {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
 		return nil, result.New(result.BadKey, "bearer key missing")
 	}
-	doc := a.keeper.Document()
 	if doc.Generation == 0 {
 		return nil, result.New(result.NotConfigured, "")
 	}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -11,6 +11,9 @@
 // explainKeep is the number of requests whose decisions are kept.
 const explainKeep = 512
 
+// explainEach is the number of decisions kept of one request, the latest.
+const explainEach = 8
+
 // explainer keeps the routing decisions of the latest requests.
 type explainer struct {
 	mu    sync.Mutex
@@ -38,7 +41,8 @@
 		e.order[e.next] = id
 		e.next = (e.next + 1) % explainKeep
 	}
-	e.byID[id] = append(e.byID[id], recorded{time.Now(), attempt, picked, d})
+	kept := append(e.byID[id], recorded{time.Now(), attempt, picked, d})
+	e.byID[id] = kept[max(0, len(kept)-explainEach):]
 }
 
 func (e *explainer) lookup(id string) (bool, []*rudderv1.Decision) {
--- a/gateway/faces.go
+++ b/gateway/faces.go
@@ -58,7 +58,7 @@
 			return
 		}
 		defer g.leave()
-		ws, err := g.auth.workspace(ctx.Request())
+		ws, err := g.auth.workspace(ctx.Request(), g.configured(ctx.Request().Context()))
 		if err != nil {
 			g.refuse(w, ctx.Request(), err)
 			return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,7 @@
 	leases   *claimLeases
 	peers    *peers
 
+	started  time.Time
 	ctx      context.Context
 	stop     context.CancelFunc
 	loops    sync.WaitGroup
@@ -80,10 +81,10 @@
 // New returns a gateway; Start begins its background work.
 func New(cfg Config, deps Deps) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, deps: deps, ctx: ctx, stop: stop, leases: newClaimLeases(), forming: make(chan struct{}, maxForming)}
+	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), forming: make(chan struct{}, maxForming)}
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
-	g.auth = newAuthority(deps.Keeper)
+	g.auth = new(authority)
 	g.members = newMembers()
 	g.links = newLinks(g)
 	g.placer = newPlacer(g)
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -173,7 +173,7 @@
 	if s.o.claims != nil {
 		return s.g.linkOf(s.o.claims), nil
 	}
-	l, decision := s.choose()
+	l, decision := s.chooseAtStart()
 	if l == nil {
 		err := result.New(result.NoEndpoint, decision.Reason)
 		err.RetryAfter = comeBack.Milliseconds()
