Keep medium work in the lane, and count all prefill that short work passes

Change: the lane takes all work over 4 k tokens; the score counts every queued token that the request passes (Candidate.QueuedTokens, additive; Totals and the load message already had the field, which now holds what running work still prefills, as the message says); long work waits longer for the lane; decode counts over 12 tokens.

--- a/admission/predict.go
+++ b/admission/predict.go
@@ -193,20 +193,14 @@
 		t.LongTokens += longTokens(e.item)
 	}
 	for _, r := range q.running {
-		t.LongTokens += longLeft(r)
+		t.QueuedTokens += r.tokensLeft()
+		if r.entry.item.Class >= routing.ClassLong {
+			t.LongTokens += r.tokensLeft()
+		}
 	}
 	return t
 }
 
-// longLeft returns the prompt tokens of long work that a run still prefills.
-func longLeft(r *run) uint64 {
-	if r.entry.prefill <= 0 {
-		return 0
-	}
-	part := float64(r.left()) / float64(r.entry.prefill)
-	return uint64(part * float64(longTokens(r.entry.item)))
-}
-
 func longTokens(it Item) uint64 {
 	if it.Class < routing.ClassLong {
 		return 0
--- a/admission/running.go
+++ b/admission/running.go
@@ -57,6 +57,15 @@
 	return max(0, r.entry.prefill-r.got)
 }
 
+// tokensLeft predicts the prompt tokens that the run still prefills.
+func (r *run) tokensLeft() uint64 {
+	if r.entry.prefill <= 0 {
+		return 0
+	}
+	part := float64(r.left()) / float64(r.entry.prefill)
+	return uint64(part * float64(r.entry.item.PromptTokens))
+}
+
 // overdueGrowth is the share of its age by which a run that exceeded its
 // prediction is expected to last on.
 const overdueGrowth = 0.25
--- a/routing/filter_test.go
+++ b/routing/filter_test.go
@@ -22,7 +22,7 @@
 	long := Request{Model: "caption", PromptTokens: 120_000, DataCentre: "cdf-a"}
 	huge := Request{Model: "caption", PromptTokens: 399_999, MaxTokens: 2}
 	call := Request{Service: "album-web"}
-	held := func([]uint64) int { return 110 }
+	held := func([]uint64) int { return 116 }
 	cases := []struct {
 		name   string
 		req    Request
@@ -44,6 +44,7 @@
 		{"memory unknown", huge, func(c *Candidate) { c.MemoryTokens = 0 }, ""},
 		{"memory taken now", short, func(c *Candidate) { c.FreeTokens = 0 }, ""},
 		{"short outside lane", short, func(c *Candidate) { c.LongLane = false }, ""},
+		{"medium outside lane", Request{Model: "caption", PromptTokens: 5_000}, func(c *Candidate) { c.LongLane = false }, FilterLane},
 		{"long outside lane", long, func(c *Candidate) { c.LongLane = false }, FilterLane},
 		{"long but held", withPrefix(long), func(c *Candidate) { c.LongLane, c.Cached = false, held }, ""},
 	}
@@ -72,6 +73,6 @@
 }
 
 func withPrefix(r Request) Request {
-	r.Prefix = make([]uint64, 110)
+	r.Prefix = make([]uint64, 116)
 	return r
 }
--- a/routing/lanes.go
+++ b/routing/lanes.go
@@ -8,6 +8,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// laneClass is the shortest class that counts as long work: that which belongs
+// into the lane.
+const laneClass = ClassMedium
+
 // laneMaxShare bounds the lane's share of a model's endpoints in a data centre.
 const laneMaxShare = 0.67
 
--- a/routing/longshare.go
+++ b/routing/longshare.go
@@ -31,7 +31,7 @@
 func (s *LongShare) Add(class Class, work time.Duration, now time.Time) {
 	s.decay(now)
 	s.all += float64(work)
-	if class >= ClassLong {
+	if class >= laneClass {
 		s.long += float64(work)
 	}
 }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -40,9 +40,9 @@
 	DefaultDistancePenalty = 2 * time.Millisecond
 	DefaultLanePenalty     = 0.5
 	DefaultHarmPenalty     = 0.5
-	DefaultSpillAfter      = 2
+	DefaultSpillAfter      = 5
 	DefaultBatchSlowdown   = 0.01
-	DefaultDecodeHorizon   = 16
+	DefaultDecodeHorizon   = 12
 	DefaultSpreadWork      = 0.02
 	DefaultSpreadAge       = 0.1
 )
@@ -107,7 +107,7 @@
 	uncached uint64        // prompt tokens to prefill there
 	prefill  time.Duration // predicted for them
 	chunk    float64       // prefill that one step carries, nanoseconds
-	long     bool          // long work, counted by the uncached tokens
+	long     bool          // work for the lane, counted by the uncached tokens
 }
 
 // at turns the job to a candidate.
@@ -225,5 +225,5 @@
 	j.uncached = j.req.PromptTokens - cached
 	j.prefill = j.cost.Prefill(j.req.PromptTokens, cached)
 	j.chunk = float64(j.cost.Prefill(ChunkTokens, 0))
-	j.long = ClassOf(j.uncached) >= ClassLong
+	j.long = ClassOf(j.uncached) >= laneClass
 }
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -52,6 +52,8 @@
 		{"larger batch", short, func(a, b *Candidate) { a.Running = 40 }},
 		{"other data centre", tiny, func(a, b *Candidate) { a.DataCentre = "cdf-b" }},
 		{"beside long work", short, func(a, b *Candidate) { a.LongTokens = 100_000; wait(b, 500*ms) }},
+		{"beside other prefill", short, func(a, b *Candidate) { a.QueuedTokens = 9_000; wait(b, 300*ms) }},
+		{"queued, but waited for", short, func(a, b *Candidate) { b.QueuedTokens = 9_000; wait(a, 600*ms); wait(b, 450*ms) }},
 		{"beside long work just sent", short, func(a, b *Candidate) { a.Pending, a.PendingLong = 5*time.Second, 5*time.Second }},
 		{"long work harms many", long, func(a, b *Candidate) { a.Running, b.Running = 9, 1 }},
 		{"lane for long work", short, func(a, b *Candidate) { b.LongLane = false }},
@@ -85,9 +87,9 @@
 		change       func(a, b *Candidate)
 		want, reason string
 	}{
-		{"lane busier", func(a, b *Candidate) { b.LongLane = false; wait(a, 8*time.Second) }, "a", ReasonBest},
-		{"lane busier than worth", func(a, b *Candidate) { b.LongLane = false; wait(a, 12*time.Second) }, "b", ReasonLaneLate},
-		{"lane too late", func(a, b *Candidate) { b.LongLane = false; wait(a, time.Minute) }, "b", ReasonLaneLate},
+		{"lane busier", func(a, b *Candidate) { b.LongLane = false; wait(a, 24*time.Second) }, "a", ReasonBest},
+		{"lane busier than worth", func(a, b *Candidate) { b.LongLane = false; wait(a, 27*time.Second) }, "b", ReasonLaneLate},
+		{"lane too late", func(a, b *Candidate) { b.LongLane = false; wait(a, 40*time.Second); wait(b, 20*time.Second) }, "b", ReasonLaneLate},
 		{"all too late", func(a, b *Candidate) { b.LongLane = false; wait(a, time.Minute); wait(b, time.Minute) }, "a", ReasonBest},
 		{"lane gone", func(a, b *Candidate) { b.LongLane = false; a.Leaving = true }, "b", ReasonNoLane},
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -73,7 +73,8 @@
 	Running      int
 	MemoryTokens uint64
 	FreeTokens   uint64
-	LongTokens   uint64                    // prompt tokens of long work queued or prefilling
+	QueuedTokens uint64                    // prompt tokens queued or prefilling
+	LongTokens   uint64                    // those of long work
 	Wait         [NumClasses]time.Duration // predicted by the agent, by class
 	Cost         Cost
 	Pending      time.Duration // work sent since the last report, predicted
--- a/routing/score_beside.go
+++ b/routing/score_beside.go
@@ -1,20 +1,34 @@
 package routing
 
-// besideScore is what the request's decode loses beside long work that it
-// passes: each of its steps carries a chunk of that work's prefill, until
-// either is over.
+import "time"
+
+// besideScore is what the request's decode loses beside prefill that it
+// passes: each of its steps carries a chunk of that, until either is over.
 func besideScore(j *job, horizon uint64) float64 {
-	if j.class >= ClassLong || j.cand.LongTokens == 0 && j.cand.PendingLong <= 0 {
+	passed := j.passed()
+	if passed <= 0 {
+		return 0
+	}
+	return min(j.chunks(horizon), float64(passed)) * j.slow
+}
+
+// passed is the prefill at the candidate that the request does not wait for.
+func (j *job) passed() time.Duration {
+	if j.class >= ClassLong {
 		return 0
 	}
-	work := j.cost.Prefill(j.cand.LongTokens, 0) + j.cand.PendingLong
-	return min(j.chunks(horizon), float64(work)) * j.slow
+	tokens := max(j.cand.QueuedTokens, j.cand.LongTokens)
+	if tokens == 0 {
+		return j.cand.PendingLong
+	}
+	backlog := j.cost.Prefill(tokens, 0) - j.cand.Wait[j.class]
+	return max(0, backlog) + j.cand.PendingLong
 }
 
 // laneScore is what a short request expects to lose in the lane, where long
 // work may arrive while it decodes: a share of the most that could be.
 func laneScore(j *job, share float64, horizon uint64) float64 {
-	if share <= 0 || !j.cand.LongLane || j.class >= ClassLong {
+	if share <= 0 || !j.cand.LongLane || j.class >= laneClass {
 		return 0
 	}
 	return share * j.chunks(horizon)
