Give routing the queued tokens of an endpoint's load

Cause: the score of what short work loses beside prefill reads Candidate.QueuedTokens, which the gateway did not fill in.

Change: one field in fillLoad.

--- a/gateway/link.go
+++ b/gateway/link.go
@@ -225,7 +225,7 @@
 	if load.MemoryTokens > 0 {
 		c.MemoryTokens = load.MemoryTokens
 	}
-	c.FreeTokens, c.LongTokens = load.FreeTokens, load.LongTokens
+	c.FreeTokens, c.QueuedTokens, c.LongTokens = load.FreeTokens, load.QueuedTokens, load.LongTokens
 	for i, ms := range load.WaitMs {
 		if i < routing.NumClasses {
 			c.Wait[i] = time.Duration(ms) * time.Millisecond
