Report a departure when it changes, not at each generation

Cause: an agent notified its subscribers at each new document, so each change of the configuration cost a whole report to every gateway besides the short one.

Change: the document is compared with the departure last told.

--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -65,9 +65,13 @@
 
 // watchDocument reports at once when a document begins or ends a departure.
 func (a *Agent) watchDocument() {
+	told := false
 	for {
 		changed := a.deps.Keeper.Changed()
-		a.departing()
+		if leaving := a.isLeaving(); leaving != told {
+			told = leaving
+			a.departing()
+		}
 		select {
 		case <-changed:
 		case <-a.ctx.Done():
@@ -76,6 +80,13 @@
 	}
 }
 
+// isLeaving reports whether the agent is leaving, for whatever reason.
+func (a *Agent) isLeaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.current() == rudderv1.AgentState_AGENT_STATE_LEAVING
+}
+
 // stopping begins a planned stop.
 func (a *Agent) stopping() {
 	a.mu.Lock()
