Show a store that went back until it is restored

Cause: after a restore to a state without the document, the gauge of the platform's generation kept the last value read, and an alarm over it would have stayed silent. It is 0 now until the restored store is read. The test follows a restore to generation 1 and to nothing until rudderctl's restore has written the highest document back.

--- a/e2e/spread_test.go
+++ b/e2e/spread_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/micarudder/micarudder/document"
 	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
+	"github.com/micarudder/micarudder/plan"
 	"github.com/micarudder/micarudder/platform"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -250,6 +251,41 @@
 	}
 }
 
+// TestRestoreEndsTheAlarm: after the platform's store was put back, to an older
+// document or to none, the gateways show that it is behind until the operators
+// have written the highest document back.
+func TestRestoreEndsTheAlarm(t *testing.T) {
+	const shown = "rudder_gateway_platform_generation" // summed over three gateways
+	for _, back := range []uint64{0, 1} {
+		run(t, func(b *bubble) {
+			is := is.New(b.t)
+			if back == 0 {
+				b.platform.Snapshot()
+			}
+			b.threeGateways(2)
+			if back == 1 {
+				b.platform.Snapshot()
+			}
+			b.confirm(nil)
+			time.Sleep(settle)
+			is.Equal(b.metric(shown), 3*2.0)
+			is.True(b.platform.Restore())
+			time.Sleep(time.Minute)
+			b.inForce(2)
+			is.Equal(b.metric(shown), 3*float64(back))
+			store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+			is.NoErr(err)
+			_, err = plan.Restore(b.t.Context(), store, b.keepers["gw1"].Document(), "")
+			is.NoErr(err)
+			time.Sleep(settle)
+			is.Equal(b.metric(shown), 3*2.0)
+			b.confirm(nil)
+			time.Sleep(settle)
+			b.inForce(3)
+		})
+	}
+}
+
 // inForceBut is inForce for all but one process.
 func (b *bubble) inForceBut(generation uint64, name string) {
 	b.t.Helper()
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -60,6 +60,7 @@
 	g.members.apply(membership.Outside{})
 	if c.Restored {
 		g.platform.restored.Add(1)
+		g.platform.generation.Store(0) // until the restored store is read
 		g.deps.Log.Error("The platform's store went back to an older state; the configuration in force stays.",
 			"generation", g.deps.Keeper.Generation(), "revision", c.Seen)
 		return
