--- a/e2e/spread_test.go
+++ b/e2e/spread_test.go
@@ -158,6 +158,33 @@
 	})
 }
 
+// TestPlatformCallsGrowWithGatewaysOnly: over ten quiet minutes and ten
+// changes, ten times the agents cost the platform nothing more.
+func TestPlatformCallsGrowWithGatewaysOnly(t *testing.T) {
+	calls := func(gateways, agents int) (reads, writes int64) {
+		run(t, func(b *bubble) {
+			b.fleetOf(gateways, agents)
+			before := b.platform.Counts()
+			time.Sleep(10 * time.Minute)
+			for range 10 {
+				b.confirm(nil)
+				time.Sleep(settle)
+			}
+			reads = b.platform.Counts().Reads() - before.Reads()
+			writes = b.platform.Counts().Writes() - before.Writes()
+		})
+		return reads, writes
+	}
+	is := is.New(t)
+	few, fewWrites := calls(2, 2)
+	many, manyWrites := calls(2, 20)
+	double, _ := calls(4, 2)
+	t.Log("reads with 2 agents, 20 agents, twice the gateways:", few, many, double)
+	is.Equal(fewWrites, manyWrites)
+	is.True(many < few*105/100 && few < many*105/100)
+	is.True(double > few*180/100 && double < few*220/100)
+}
+
 // neverBack are what old values can come from. Before each the fleet is at
 // generation 2; after it no process has gone back, and generation 3 is taken.
 var neverBack = []struct {
