Show orders in the status, and test groups, adapters and a frozen placer

rudderctl status names the order in progress at each endpoint or the one that failed, what it waits for and when it is tried again. A plan no longer counts a model that is on its way out.

A placer frozen with permits on their way is replaced by another gateway; all its permits are refused after the thaw, under the same generation and a later one.

--- a/ctl/gateways.go
+++ b/ctl/gateways.go
@@ -109,6 +109,9 @@
 		Serving: e.Connected && r.GetState() == rudderv1.AgentState_AGENT_STATE_SERVING,
 	}
 	for _, m := range r.GetModels() {
+		if m.Unloading {
+			continue // it goes whatever is planned
+		}
 		h.Models = append(h.Models, engine.Model{Name: m.Model, Version: m.Version, Adapters: m.Adapters, Loading: m.Loading})
 	}
 	return h
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -34,19 +34,21 @@
 }
 
 type endpointStatus struct {
-	Name       string   `json:"name"`
-	DataCentre string   `json:"data_centre"`
-	Generation uint64   `json:"generation"`
-	Behind     uint64   `json:"behind"`
-	State      string   `json:"state"`
-	Role       string   `json:"role,omitempty"`
-	Service    string   `json:"service,omitempty"`
-	Models     []string `json:"models,omitempty"`
-	Loading    []string `json:"loading,omitempty"`
-	Queued     uint32   `json:"queued"`
-	Running    uint32   `json:"running"`
-	Breaker    string   `json:"breaker,omitempty"`
-	SilentMS   int64    `json:"silent_ms"`
+	Name       string       `json:"name"`
+	DataCentre string       `json:"data_centre"`
+	Generation uint64       `json:"generation"`
+	Behind     uint64       `json:"behind"`
+	State      string       `json:"state"`
+	Role       string       `json:"role,omitempty"`
+	Service    string       `json:"service,omitempty"`
+	Models     []string     `json:"models,omitempty"`
+	Loading    []string     `json:"loading,omitempty"`
+	Queued     uint32       `json:"queued"`
+	Running    uint32       `json:"running"`
+	Breaker    string       `json:"breaker,omitempty"`
+	SilentMS   int64        `json:"silent_ms"`
+	Unloading  []string     `json:"unloading,omitempty"` // no new runs reach these
+	Order      *orderStatus `json:"order,omitempty"`
 }
 
 // Execute implements flags.Commander.
@@ -118,13 +120,16 @@
 	s := endpointStatus{
 		Name: r.Endpoint, DataCentre: r.DataCentre, Generation: r.Generation, Behind: f.Generation - r.Generation,
 		State: stateText(e), Role: r.Role, Service: r.Service,
-		Queued: r.GetLoad().GetQueued(), Running: r.GetLoad().GetRunning(), Breaker: e.Breaker, SilentMS: e.SilentMs,
+		Queued: r.GetLoad().GetQueued(), Running: r.GetLoad().GetRunning(), Breaker: e.Breaker, SilentMS: e.SilentMs, Order: orderOf(r.Order),
 	}
 	for _, m := range r.Models {
 		name := m.Model + "@" + m.Version
-		if m.Loading {
+		switch {
+		case m.Loading:
 			s.Loading = append(s.Loading, name)
-		} else {
+		case m.Unloading:
+			s.Unloading = append(s.Unloading, name)
+		default:
 			s.Models = append(s.Models, name)
 		}
 	}
@@ -150,11 +155,11 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\n", orDash(g.Name, g.Address), orDash(g.DataCentre), g.Generation, g.Behind, orDash(g.Platform), note)
 	}
-	fmt.Fprintln(t, "\nendpoint\tdata centre\tgeneration\tbehind\tstate\tholds\tloading\tqueued\trunning")
+	fmt.Fprintln(t, "\nendpoint\tdata centre\tgeneration\tbehind\tstate\tholds\tloading\tqueued\trunning\torder")
 	for _, e := range f.Endpoints {
 		holds := strings.Join(e.Models, " ")
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\t%s\t%d\t%d\n", e.Name, e.DataCentre, e.Generation, e.Behind,
-			e.State, orDash(e.Service, holds), orDash(strings.Join(e.Loading, " ")), e.Queued, e.Running)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\t%s\t%d\t%d\t%s\n", e.Name, e.DataCentre, e.Generation, e.Behind,
+			e.State, orDash(e.Service, holds), orDash(strings.Join(e.Loading, " ")), e.Queued, e.Running, e.Order.text())
 	}
 	_ = t.Flush()
 }
--- /dev/null
+++ b/e2e/placer_test.go
@@ -0,0 +1,152 @@
+package e2e
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// frozen holds back the permits of one placer, as if it had been paused right
+// after it decided.
+type frozen struct {
+	b       *bubble
+	gateway string
+
+	mu       sync.Mutex
+	thaw     chan struct{} // closed at its end
+	held     int
+	accepted int // of the permits held back
+}
+
+func (b *bubble) freezePlacer() *frozen {
+	f := &frozen{b: b, gateway: b.placer(), thaw: make(chan struct{})}
+	b.setPlace(f.place)
+	b.part(f.gateway, platformAddr)
+	return f
+}
+
+func (f *frozen) place(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	raw, _ := io.ReadAll(r.Body)
+	var req rudderv1.PlaceRequest
+	_ = proto.Unmarshal(raw, &req)
+	r.Body = io.NopCloser(bytes.NewReader(raw))
+	if req.Gateway != f.gateway || req.Kind == "" {
+		next.ServeHTTP(w, r)
+		return
+	}
+	f.mu.Lock()
+	f.held++
+	f.mu.Unlock()
+	<-f.thaw
+	late := httptest.NewRecorder()
+	next.ServeHTTP(late, r)
+	var resp rudderv1.PlaceResponse
+	_ = proto.Unmarshal(late.Body.Bytes(), &resp)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if resp.Accepted {
+		f.accepted++
+	}
+}
+
+// TestFrozenPlacerDoesNothing freezes the placer with permits on their way.
+// Another gateway takes over; the permits that arrive after the thaw are
+// refused, under the same generation and under a later one.
+func TestFrozenPlacerDoesNothing(t *testing.T) {
+	for _, renewed := range []bool{false, true} {
+		run(t, func(b *bubble) {
+			is := is.New(b.t)
+			r := newRollout(b, 6, 4)
+			b.gateway("gw1")
+			b.gateway("gw2", "gw1")
+			b.publish()
+			r.watch(false)
+			b.nextVersion()
+			b.publish()
+			time.Sleep(12 * time.Second)
+			f := b.freezePlacer()
+			time.Sleep(25 * time.Second)
+			is.True(b.placer() != f.gateway)
+			if renewed {
+				b.nextVersion()
+				b.publish()
+			}
+			close(f.thaw)
+			r.await(b.doc.Models[0].Version)
+			r.end()
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			is.True(f.held > 0)
+			is.Equal(f.accepted, 0)
+		})
+	}
+}
+
+// TestUnloadWaitsForGroups reserves memory for a group before its model is to go.
+func TestUnloadWaitsForGroups(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		h := b.hand("a")
+		h.offer()
+		h.await()
+		reserve := func(group string) *rudderv1.ReserveResponse {
+			resp, err := h.client.Reserve(b.t.Context(), connect.NewRequest(&rudderv1.ReserveRequest{
+				Group: group, Holder: "gw1", Tokens: 1000, LeaseMs: 5000, Epoch: 1, SinceUnixMs: time.Now().UnixMilli(),
+			}))
+			is.NoErr(err)
+			return resp.Msg
+		}
+		is.True(reserve("g1").Granted)
+		is.True(h.place(h.permit(unload1)).Accepted)
+		time.Sleep(4 * time.Second)
+		is.Equal(h.report().Order.Phase, rudderv1.OrderPhase_ORDER_PHASE_WAITING)
+		is.True(!reserve("g2").Granted)
+		time.Sleep(5 * time.Second) // the lease is over
+		h.await()
+		is.Equal(len(b.engines["a"].State().Models), 0)
+	})
+}
+
+// TestUnloadOfAdapterWaitsForItsRuns: runs of the model itself do not hold an
+// adapter's unload up, and go on.
+func TestUnloadOfAdapterWaitsForItsRuns(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.doc.Models[0].Adapters = []*rudderv1.Adapter{{Name: "style", Version: "1"}}
+		b.gateway("gw1")
+		b.publish()
+		time.Sleep(10 * time.Second)
+		answers := make(chan reply, 2)
+		ask := func(name string, tokens int) {
+			answers <- b.ask("gw1", "POST", chatPath, strings.Replace(chat("of "+name, tokens, true), model, name, 1), nil)
+		}
+		go ask("style", 200)
+		go ask(model, 400)
+		time.Sleep(500 * time.Millisecond)
+		h := b.hand("a")
+		is.True(h.place(h.permit(engine.Order{Kind: engine.OrderUnloadAdapter, Model: model, Version: "1", Adapter: styleOne})).Accepted)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(h.report().Order.Runs, uint32(1))
+		is.True(hasAdapter(b.engines["a"].State(), styleOne))
+		is.Equal((<-answers).text, answerTo("of style", 200))
+		is.True(len(b.seen("a")) <= 2) // the load, and the unload at most just now
+		is.Equal((<-answers).text, answerTo("of "+model, 400))
+		time.Sleep(time.Second)
+		is.Equal(b.seen("a")[1].order.Kind, engine.OrderUnloadAdapter)
+		is.Equal(b.engines["a"].Counts().Died, 0)
+	})
+}
