--- a/e2e/rollout_test.go
+++ b/e2e/rollout_test.go
@@ -17,6 +17,9 @@
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
+// storeReaders can read a model's weights in loadTime together.
+const storeReaders = 2
+
 // answerTokens is the length of an answer.
 const answerTokens = 40
 
@@ -43,7 +46,7 @@
 
 func newRolloutOf(b *bubble, n, floor int, checksFencing bool) *rollout {
 	r := &rollout{b: b, engines: n, floor: floor, stop: make(chan struct{}), lowest: n}
-	store := weights.NewServer(weights.Config{BytesPerSecond: 2 * weightBytes / loadTime.Seconds(), DefaultBytes: weightBytes})
+	store := weights.NewServer(weights.Config{BytesPerSecond: storeReaders * weightBytes / loadTime.Seconds(), DefaultBytes: weightBytes})
 	b.serve(weightsAddr, r.counted(store.Handler()))
 	r.store = store
 	for i := range n {
