Deliver the permits of a frozen placer for certain

The held permits came with the context of a caller that had given up and were not looked at by the agent, so the test and one row of the fault table could not fail. They are delivered now, and each must be refused for being late: with the checks of the report and of the clock removed the test fails.

--- a/e2e/placer_test.go
+++ b/e2e/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -15,25 +16,32 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
-// frozen holds back the permits of one placer, as if it had been paused right
-// after it decided.
+// freezeTime is how long a placer is frozen: the lease lapses meanwhile.
+const freezeTime = 25 * time.Second
+
+// placeBatch is the time within which the permits of one round are sent.
+const placeBatch = 100 * time.Millisecond
+
+// frozen holds back the permits of one placer from its next one on, as if it
+// had been paused right after it decided.
 type frozen struct {
 	b       *bubble
 	gateway string
+	thaw    chan struct{} // closed at its end
 
-	mu       sync.Mutex
-	thaw     chan struct{} // closed at its end
-	held     int
-	accepted int // of the permits held back
+	mu    sync.Mutex
+	began time.Time
+	held  int
+	codes []result.Code // what became of the permits held back
 }
 
 func (b *bubble) freezePlacer() *frozen {
 	f := &frozen{b: b, gateway: b.placer(), thaw: make(chan struct{})}
 	b.setPlace(f.place)
-	b.part(f.gateway, platformAddr)
 	return f
 }
 
@@ -46,18 +54,53 @@
 		next.ServeHTTP(w, r)
 		return
 	}
-	f.mu.Lock()
-	f.held++
-	f.mu.Unlock()
+	select {
+	case <-f.thaw:
+		next.ServeHTTP(w, r)
+		return
+	default:
+	}
+	if !f.hold() {
+		panic(http.ErrAbortHandler)
+	}
 	<-f.thaw
 	late := httptest.NewRecorder()
-	next.ServeHTTP(late, r)
+	next.ServeHTTP(late, r.WithContext(context.WithoutCancel(r.Context())))
 	var resp rudderv1.PlaceResponse
-	_ = proto.Unmarshal(late.Body.Bytes(), &resp)
+	if err := proto.Unmarshal(late.Body.Bytes(), &resp); err != nil || late.Code != http.StatusOK {
+		f.b.t.Errorf("late permit: %d %v", late.Code, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.codes = append(f.codes, result.Code(resp.Code))
+}
+
+// hold begins the freeze with the first permit and reports whether this one
+// was on its way then: a frozen process sends no more.
+func (f *frozen) hold() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if resp.Accepted {
-		f.accepted++
+	if f.began.IsZero() {
+		f.began = time.Now()
+		f.b.part(f.gateway, platformAddr)
+	}
+	if time.Since(f.began) > placeBatch {
+		return false
+	}
+	f.held++
+	return true
+}
+
+// await waits until the freeze has lasted its time.
+func (f *frozen) await() {
+	for {
+		time.Sleep(100 * time.Millisecond)
+		f.mu.Lock()
+		over := !f.began.IsZero() && time.Since(f.began) >= freezeTime
+		f.mu.Unlock()
+		if over {
+			return
+		}
 	}
 }
 
@@ -75,9 +118,9 @@
 			r.watch(false)
 			b.nextVersion()
 			b.publish()
-			time.Sleep(12 * time.Second)
+			time.Sleep(6 * time.Second)
 			f := b.freezePlacer()
-			time.Sleep(25 * time.Second)
+			f.await()
 			is.True(b.placer() != f.gateway)
 			if renewed {
 				b.nextVersion()
@@ -89,7 +132,11 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			is.True(f.held > 0)
-			is.Equal(f.accepted, 0)
+			is.Equal(len(f.codes), f.held)
+			for _, c := range f.codes {
+				// Refused for being late, not because the order makes no sense by now.
+				is.True(c == result.OrderExpired || c == result.FenceOld || c == result.OldGeneration || c == result.OrderInProgress)
+			}
 		})
 	}
 }
--- a/e2e/rollout_faults_test.go
+++ b/e2e/rollout_faults_test.go
@@ -1,7 +1,10 @@
 package e2e
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -54,9 +57,12 @@
 	}},
 	{name: "placer dies", begin: func(r *rollout) { r.b.killGateway(r.b.placer()) }},
 	{name: "permits arrive a minute late", callers: true, begin: func(r *rollout) {
-		r.b.setPlace(func(next http.Handler, w http.ResponseWriter, q *http.Request) {
+		r.b.setPlace(func(next http.Handler, _ http.ResponseWriter, q *http.Request) {
+			raw, _ := io.ReadAll(q.Body)
 			time.Sleep(time.Minute)
-			next.ServeHTTP(w, q)
+			q = q.WithContext(context.WithoutCancel(q.Context())) // the sender has given up
+			q.Body = io.NopCloser(bytes.NewReader(raw))
+			next.ServeHTTP(httptest.NewRecorder(), q)
 		})
 	}, end: func(r *rollout) { r.b.setPlace(nil) }},
 	{name: "answers to permits lost", callers: true, begin: func(r *rollout) {
