Take the agent's word that the deadline has passed

Cause: TestAttachDeadline failed in one of 60 runs with 4002 (agent lost) in place of 4004 (deadline passed). The deadline travels with the call; when the agent's timer fires first, its stream ends with deadline-exceeded while the gateway's own context has not ended yet, and that was taken for a lost agent. Ruled out: a race in the stand-in (its hang is switched before the call). Change: a stream that ends with that code has passed its deadline.

--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -29,7 +29,8 @@
 	switch {
 	case neverLeft(err):
 		return endOf(&result.Err{Code: result.AgentLost, Outcome: result.NotRun, Detail: detail})
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), connect.CodeOf(err) == connect.CodeDeadlineExceeded:
+		// The deadline travels with the call: the agent's end may come first.
 		return endOf(result.New(result.DeadlinePassed, ""))
 	case ctx.Err() != nil:
 		s.gone = ctx.Err()
