--- a/gateway/group.go
+++ b/gateway/group.go
@@ -56,7 +56,7 @@
 // newGroup returns a group that avoids the endpoints excluded so far.
 func newGroup(s *session) *group {
 	id := newID()
-	gr := &group{s: s, id: id, since: s.began, avoid: make(map[string]time.Time), state: memory.NewGroup(id)}
+	gr := &group{s: s, id: id, since: s.began, avoid: make(map[string]time.Time), state: memory.NewGroup(id, s.life.Attempts > 0)}
 	for name := range s.excluded {
 		gr.avoid[name] = time.Now()
 	}
--- a/memory/group.go
+++ b/memory/group.go
@@ -41,8 +41,8 @@
 	MaxPause   = 2 * time.Second
 	// maxLosses bounds the attempts of one group that fail after it was formed.
 	maxLosses = 3
-	// maxStrikes bounds the attempts in a row that fail for another reason than
-	// memory before the group is formed.
+	// maxStrikes bounds the attempts that fail for another reason than memory
+	// before the group was ever formed. One that was is tried until its deadline.
 	maxStrikes = 8
 )
 
@@ -69,10 +69,14 @@
 	pause   time.Duration
 	losses  int
 	strikes int
+	ever    bool // formed at least once
 }
 
-// NewGroup returns a group without a plan.
-func NewGroup(id string) *Group { return &Group{id: id, pause: FirstPause} }
+// NewGroup returns a group without a plan. One that follows an earlier group of
+// the same request is as patient as if it had been formed before.
+func NewGroup(id string, follows bool) *Group {
+	return &Group{id: id, pause: FirstPause, ever: follows}
+}
 
 // Begin starts the next attempt with a plan.
 func (g *Group) Begin(p Plan) {
@@ -121,6 +125,7 @@
 func (g *Group) Granted(member int, sent time.Time, lease time.Duration) {
 	g.states[member].granted, g.states[member].lapse = true, sent.Add(lease)
 	g.formed++
+	g.ever = g.ever || g.formed == len(g.plan)
 	g.advance()
 }
 
@@ -136,7 +141,6 @@
 // on all of them.
 func (g *Group) Computed(member int) (free []int) {
 	g.done++
-	g.strikes = 0
 	for i := range member {
 		if g.states[i].granted {
 			free = append(free, i)
@@ -177,7 +181,7 @@
 	case formed:
 		g.losses++
 		g.pause = FirstPause
-	case code != result.MemoryHeld:
+	case code != result.MemoryHeld && !g.ever:
 		g.strikes++
 	}
 	if !mayHelp(code) || g.losses >= maxLosses || g.strikes >= maxStrikes {
