Move spans ahead of their turn

Each member imported all spans before its own when its turn came, while nobody computed. The members after the next one now import a span as soon as it is computed, in memory that is reserved for it anyway; an import that fails is made again when its turn comes.

--- a/agent/export.go
+++ b/agent/export.go
@@ -39,9 +39,53 @@
 	return nil
 }
 
-// importSpan fetches a span from the agent that holds it and puts it into this
-// engine under the job's lease.
+// move is one span's way into this engine. err is valid once done is closed.
+type move struct {
+	reservation string
+	done        chan struct{}
+	err         error
+}
+
+// importSpan returns when the span is in this engine under the job's lease. It
+// is imported once, whichever job comes first; when that one fails, the next
+// takes over.
 func (a *Agent) importSpan(j *spanJob, h *rudderv1.KVHandle) error {
+	for {
+		a.mu.Lock()
+		m, begun := a.desk.moves[h.Id]
+		if !begun {
+			m = &move{reservation: j.req.Reservation, done: make(chan struct{})}
+			a.desk.moves[h.Id] = m
+		}
+		a.mu.Unlock()
+		if !begun {
+			return a.finishMove(h.Id, m, a.moveSpan(j, h))
+		}
+		select {
+		case <-m.done:
+		case <-j.ctx.Done():
+			return context.Cause(j.ctx)
+		}
+		if m.err == nil {
+			return nil
+		}
+	}
+}
+
+func (a *Agent) finishMove(id string, m *move, err error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		delete(a.desk.moves, id)
+	}
+	m.err = err
+	close(m.done)
+	return err
+}
+
+// moveSpan fetches a span from the agent that holds it and puts it into this
+// engine under the job's lease.
+func (a *Agent) moveSpan(j *spanJob, h *rudderv1.KVHandle) error {
 	data, err := a.fetchSpan(j.ctx, j.req.Reservation, h)
 	if err != nil {
 		if j.ctx.Err() != nil {
--- a/agent/memory.go
+++ b/agent/memory.go
@@ -26,6 +26,7 @@
 	jobs    map[string]*spanJob // by span id
 	waiting int                 // of them in the queue
 	orphans uint64              // tokens held at the endpoint under no lease, as last seen
+	moves   map[string]*move    // spans imported or being imported, by span id
 	// uncancelled are the runs whose cancelling failed; they may hold memory.
 	uncancelled map[string]struct{}
 	wake        chan struct{}
@@ -37,6 +38,7 @@
 		jobs: make(map[string]*spanJob),
 		wake: make(chan struct{}, 1),
 
+		moves:       make(map[string]*move),
 		uncancelled: make(map[string]struct{}),
 	}
 }
--- a/agent/span.go
+++ b/agent/span.go
@@ -42,10 +42,10 @@
 }
 
 // spanID names a span by its reservation and first token; an order that
-// computes nothing is named apart.
+// only imports is named apart.
 func spanID(m *rudderv1.PrefillRequest) string {
 	if m.Tokens == 0 {
-		return m.Reservation + "/import"
+		return fmt.Sprintf("%s/import/%d", m.Reservation, m.StartToken)
 	}
 	return fmt.Sprintf("%s/%d", m.Reservation, m.StartToken)
 }
--- a/agent/sweep.go
+++ b/agent/sweep.go
@@ -119,11 +119,16 @@
 	a.poke()
 }
 
-// forgetJobs drops the finished span jobs of a lease; the caller holds mu.
+// forgetJobs drops the finished span jobs and imports of a lease; the caller holds mu.
 func (a *Agent) forgetJobs(reservation string) {
 	for id, j := range a.desk.jobs {
 		if j.req.Reservation == reservation && j.over() {
 			delete(a.desk.jobs, id)
 		}
 	}
+	for id, m := range a.desk.moves {
+		if m.reservation == reservation {
+			delete(a.desk.moves, id)
+		}
+	}
 }
--- a/gateway/form.go
+++ b/gateway/form.go
@@ -172,6 +172,22 @@
 	free := gr.state.Computed(a.Member)
 	gr.mu.Unlock()
 	gr.release(free)
+	if a.Kind == memory.DoCompute {
+		gr.preload(a.Member+2, h)
+	}
+}
+
+// preload has the members after the next import a span already, while the next
+// one computes. It is not waited for: what fails is done when its turn comes.
+func (gr *group) preload(from int, h *rudderv1.KVHandle) {
+	req := &rudderv1.PrefillRequest{
+		Reservation: gr.reservation(), RequestId: gr.s.o.id, StartToken: h.StartToken, Before: []*rudderv1.KVHandle{h},
+		RemainingMs: time.Until(gr.s.o.deadline).Milliseconds(),
+	}
+	ctx := gr.ctx
+	for _, l := range gr.links[min(from, len(gr.links)):] {
+		gr.leases.Go(func() { _, _ = l.client.Prefill(ctx, connect.NewRequest(req)) })
+	}
 }
 
 func (gr *group) reservation() string {
