Let admitted work go before a group

A reservation was granted beside work that had been admitted and waited for memory; that work then waited for the group's end. A lease is granted now only if what waits still fits beside it; short work is not counted, for the eighth that is never reserved is enough for it. While a group waits in line, longer work that would keep it waiting is refused at once and goes elsewhere, and what does not fit beside the present reservations is too.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -74,6 +74,10 @@
 	r := newRun(a.ctx, req, now)
 	r.believed = a.cache.Cached(req.GetCompletion().GetPrefix())
 	r.item = a.item(req, now, r.deadline)
+	if err := a.leavesRoom(r.item, now); err != nil {
+		r.cancel()
+		return nil, false, a.sealRefusal(req, claims, err)
+	}
 	v := a.queue.Offer(r.item, a.capacity(), now)
 	if !v.Admitted {
 		r.cancel()
@@ -176,11 +180,15 @@
 
 // capacity is what the endpoint has for new work; the caller holds mu.
 func (a *Agent) capacity() admission.Capacity {
-	free := uint64(0)
-	if held := a.used + a.desk.tokens(); held < a.cfg.MemoryTokens {
-		free = a.cfg.MemoryTokens - held
+	free, whole := uint64(0), a.cfg.MemoryTokens
+	if held := a.used + a.desk.tokens(); held < whole {
+		free = whole - held
+	}
+	if whole > 0 {
+		// Work that does not fit beside the reservations is refused at once.
+		whole -= min(a.desk.tokens(), whole-1)
 	}
-	return admission.Capacity{FreeTokens: free, MemoryTokens: a.cfg.MemoryTokens, Running: a.running, MaxRunning: a.cfg.MaxRunning}
+	return admission.Capacity{FreeTokens: free, MemoryTokens: whole, Running: a.running, MaxRunning: a.cfg.MaxRunning}
 }
 
 // endOf makes the end frame of a refusal.
--- a/agent/memory.go
+++ b/agent/memory.go
@@ -6,8 +6,10 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/micarudder/micarudder/admission"
 	"github.com/micarudder/micarudder/memory"
 	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -34,7 +36,7 @@
 
 func newDesk(tokens uint64) *desk {
 	return &desk{
-		book: memory.NewBook(tokens / reserveOf * reserveParts),
+		book: memory.NewBook(tokens, tokens/reserveOf*reserveParts),
 		jobs: make(map[string]*spanJob),
 		wake: make(chan struct{}, 1),
 
@@ -75,7 +77,7 @@
 	a.endLapsed(now)
 	v := a.desk.book.Reserve(memory.Request{
 		Group: m.Group, Epoch: m.Epoch, Holder: m.Holder, Tokens: m.Tokens,
-		Lease: time.Duration(m.LeaseMs) * time.Millisecond, Since: m.SinceUnixMs,
+		Lease: time.Duration(m.LeaseMs) * time.Millisecond, Since: m.SinceUnixMs, Queued: a.queuedMemory(),
 	}, now)
 	a.meter.reserved(v.Granted)
 	a.desk.poke()
@@ -83,6 +85,31 @@
 	return &rudderv1.ReserveResponse{Granted: v.Granted, Code: uint32(v.Code), Reservation: v.Reservation, Load: a.load()}
 }
 
+// queuedMemory is the memory that admitted work waits for. Short work is left
+// out: what is never reserved is enough for it, and it is soon over. The caller
+// holds mu.
+func (a *Agent) queuedMemory() (sum uint64) {
+	for _, r := range a.waiting {
+		if r.item.Class > routing.ClassShort {
+			sum += r.item.MemoryTokens
+		}
+	}
+	return sum
+}
+
+// leavesRoom refuses longer work that would keep a group in line waiting, or
+// would itself wait for the group's end; the caller holds mu.
+func (a *Agent) leavesRoom(it admission.Item, now time.Time) *result.Err {
+	wanted := a.desk.book.Wanted(now)
+	if wanted == 0 || it.Class == routing.ClassShort || it.MemoryTokens == 0 {
+		return nil
+	}
+	if a.queuedMemory()+it.MemoryTokens+wanted+a.desk.tokens() <= a.cfg.MemoryTokens {
+		return nil
+	}
+	return result.New(result.MemoryHeld, "a group is being formed")
+}
+
 // notServing says why the agent takes no work; the caller holds mu.
 func (a *Agent) notServing() *result.Err {
 	switch a.current() {
--- a/e2e/group_test.go
+++ b/e2e/group_test.go
@@ -84,6 +84,31 @@
 	}
 }
 
+// TestAdmittedWorkGoesFirst: a group does not take memory for which admitted
+// work waits; that work ends in time, and then the group is formed.
+func TestAdmittedWorkGoesFirst(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.smallFleet("gw1")
+		got := make(chan bool, 9)
+		ask := func(prompt string, tokens int, deadline string) {
+			r := b.ask("gw1", "POST", chatPath, chat(prompt, tokens, true), map[string]string{"Rudder-Deadline": deadline})
+			got <- r.done && r.text == answerTo(prompt, tokens)
+			b.t.Log(r.status, r.body, r.problem)
+		}
+		for i := range 8 { // one runs and one waits at each engine
+			go ask(longPrompt(fmt.Sprint("reconciliation ", i), 30_000), 400, "40s")
+			time.Sleep(60 * time.Millisecond)
+		}
+		go ask(longPrompt("archive", groupTokens), 3000, "3m")
+		for range 9 {
+			is.True(<-got)
+		}
+		time.Sleep(time.Minute)
+		b.allFree()
+	})
+}
+
 // shortWork asks a short question every 100 ms and returns the slowest answer.
 func (b *bubble) shortWork(span time.Duration) time.Duration {
 	is := is.New(b.t)
--- a/memory/book.go
+++ b/memory/book.go
@@ -16,6 +16,8 @@
 	Tokens uint64
 	Lease  time.Duration
 	Since  int64 // when the group was begun, Unix milliseconds of its coordinator
+	// Queued is the memory that admitted work waits for at the endpoint.
+	Queued uint64
 }
 
 // Verdict is the answer to a Request. Code says why it was refused:
@@ -71,15 +73,17 @@
 // safe for concurrent use. Times are of the agent's monotonic clock: a lease
 // that lapsed while the agent was frozen is over before the agent acts on it.
 type Book struct {
+	total  uint64
 	limit  uint64
 	leases map[string]*Lease
 	fences map[string]fence
 	line   []place
 }
 
-// NewBook returns an empty book that reserves at most limit tokens.
-func NewBook(limit uint64) *Book {
-	return &Book{limit: limit, leases: make(map[string]*Lease), fences: make(map[string]fence)}
+// NewBook returns an empty book over an endpoint of total tokens that reserves
+// at most limit of them.
+func NewBook(total, limit uint64) *Book {
+	return &Book{total: total, limit: limit, leases: make(map[string]*Lease), fences: make(map[string]fence)}
 }
 
 // Limit returns the most tokens that leases may take together.
@@ -156,11 +160,11 @@
 	}
 }
 
-// fits reports whether the request fits beside all leases and all earlier
-// groups in line.
+// fits reports whether the request fits beside all leases, the work that was
+// admitted before it, and all earlier groups in line.
 func (b *Book) fits(r Request, now time.Time) bool {
 	reserved := b.Reserved()
-	if reserved+r.Tokens > b.limit {
+	if reserved+r.Tokens > b.limit || reserved+r.Tokens+r.Queued > b.total {
 		return false
 	}
 	me := place{group: r.Group, since: r.Since}
@@ -196,6 +200,18 @@
 	}
 }
 
+// Wanted returns the tokens that the first group in line waits for, 0 when
+// there is none. Work that would not fit beside them had better go elsewhere.
+func (b *Book) Wanted(now time.Time) uint64 {
+	var first place
+	for _, p := range b.line {
+		if now.Before(p.until) && !b.holds(p.group, now) && (first.group == "" || p.before(first)) {
+			first = p
+		}
+	}
+	return first.tokens
+}
+
 // forget drops places and fences whose time is over.
 func (b *Book) forget(now time.Time) {
 	b.line = slices.DeleteFunc(b.line, func(p place) bool { return !now.Before(p.until) })
--- a/memory/book_test.go
+++ b/memory/book_test.go
@@ -87,6 +87,16 @@
 			is.True(!b.Reserve(younger, at(4)).Granted)
 			is.True(b.Reserve(older, at(5)).Granted)
 		}},
+		{"admitted work goes first", func(is *is.I, b *Book) {
+			r := ask("a", 1, 60)
+			r.Queued = 41
+			is.True(!b.Reserve(r, at(0)).Granted)
+			is.Equal(b.Wanted(at(1)), uint64(60))
+			is.Equal(b.Wanted(at(5000)), uint64(0))
+			r.Epoch, r.Queued = 2, 40
+			is.True(b.Reserve(r, at(2)).Granted)
+			is.Equal(b.Wanted(at(2)), uint64(0))
+		}},
 		{"a place in line lapses", func(is *is.I, b *Book) {
 			b.Reserve(ask("x", 1, 60), at(0))
 			b.Reserve(Request{Group: "o", Epoch: 1, Tokens: 80, Since: 1}, at(1))
@@ -102,7 +112,7 @@
 		}},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) { c.do(is.New(t), NewBook(limit)) })
+		t.Run(c.name, func(t *testing.T) { c.do(is.New(t), NewBook(limit, limit)) })
 	}
 }
 
@@ -112,7 +122,7 @@
 func TestBookNeverOvercommitsOrLeaks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 100
-		b, now := NewBook(limit), start
+		b, now := NewBook(limit, limit), start
 		over := map[string]bool{}
 		group := rapid.SampledFrom([]string{"a", "b", "c"})
 		epoch := rapid.Uint64Range(1, 5)
--- a/memory/group_test.go
+++ b/memory/group_test.go
@@ -39,7 +39,7 @@
 func newSim(endpoints ...string) *sim {
 	s := &sim{books: map[string]*Book{}, now: start}
 	for _, e := range endpoints {
-		s.books[e] = NewBook(simLimit)
+		s.books[e] = NewBook(simLimit, simLimit)
 	}
 	return s
 }
