Hand a stopping agent's records to a peer and let gateways leave in order

Cause: a planned stop of an agent lost its run records, so that a request presented again was "may have run" although its answer had been there; it did not wait for readers of ended answers, and its listener cut them off. A gateway refused from the moment it was told to stop, before the balancer could know.

Change: an agent that stops refuses everything new, waits for runs and readers, then sends the records, tombstones and answers of its incarnation, and of those it answers for, to the best peer of a list that all compute alike. The successor answers for the incarnation only once every record is there by count, never runs anything under it, and lets it expire on the old clock. The gateways learn the successor from its own word, which outranks that of agents that leave, and follow tickets there. A gateway stops being ready first and refuses after stop.leave_time; its last bytes are sent before it closes.

Ruled out: running an unused ticket at the successor (two successors after a lost answer could each run it); records in the platform (a write per run).

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -18,6 +18,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if claims.Incarnation != a.incarnation {
+		return a.admitInherited(req, claims)
+	}
 	if old, ok := a.records.runs[req.RequestId]; ok {
 		return a.again(old, req)
 	}
@@ -38,6 +41,16 @@
 	return a.enqueue(req, claims)
 }
 
+// admitInherited answers an order under an inherited ticket: nothing is ever
+// run under one.
+func (a *Agent) admitInherited(req *rudderv1.RunRequest, claims *rudderv1.TicketClaims) (*run, bool, *rudderv1.End) {
+	old, end := a.findInherited(claims)
+	if end != nil {
+		return nil, false, end
+	}
+	return a.again(old, req)
+}
+
 // again leads a further order of a known id to its run, if it asks for the same.
 func (a *Agent) again(old *run, req *rudderv1.RunRequest) (*run, bool, *rudderv1.End) {
 	if old.digest != digestOf(req) {
@@ -81,6 +94,7 @@
 		err.RetryAfter = v.RetryAfter.Milliseconds()
 		return nil, false, a.sealRefusal(req, claims, err)
 	}
+	r.expires = r.deadline.Add(a.untilExpiry(claims))
 	a.records.add(r)
 	a.waiting[r.item.ID] = r
 	if group := req.GetCompletion().GetGroup(); group != "" {
@@ -128,20 +142,23 @@
 	if req.Ephemeral {
 		return endOf(err, false)
 	}
-	sealed := a.records.seal(req.RequestId)
+	sealed := a.records.seal(req.RequestId, time.Now().Add(a.untilExpiry(claims)))
 	if sealed {
 		a.unsealLater(req.RequestId, claims)
 	}
 	return endOf(err, sealed)
 }
 
-// checkTicket verifies a ticket and that it names this incarnation.
+// checkTicket verifies a ticket and that it names this incarnation or one that
+// this agent answers for.
 func (a *Agent) checkTicket(text, id string) (*rudderv1.TicketClaims, *rudderv1.End) {
 	claims, err := a.deps.Signer.Parse(text)
 	if err != nil || (id != "" && claims.RequestId != id) {
 		return nil, endOf(result.New(result.BadTicket, ""), false)
 	}
-	if claims.Incarnation != a.incarnation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if claims.Incarnation != a.incarnation && a.heir(claims.Incarnation) == nil {
 		return nil, endOf(result.New(result.IncarnationGone, ""), false)
 	}
 	return claims, nil
@@ -150,8 +167,7 @@
 // forgetLater drops the record once its ticket has expired: from then on the
 // ticket itself is refused.
 func (a *Agent) forgetLater(r *run, claims *rudderv1.TicketClaims) {
-	after := a.untilExpiry(claims) + time.Until(r.deadline)
-	time.AfterFunc(after, func() {
+	time.AfterFunc(max(time.Until(r.expires), expirySlack), func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if _, final := r.final(); !final {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,7 +49,7 @@
 	Signer  *ticket.Signer
 	Queue   admission.Queue
 	Keeper  *generation.Keeper
-	Client  *inner.Client // reaches other agents; nil: no spans can be imported
+	Client  *inner.Client // reaches other agents; nil: no spans can be imported and no records handed over
 	Log     *log.Logger
 	Metrics *metrics.Set
 }
@@ -80,6 +80,11 @@
 	version  uint64            // counts changes worth reporting
 	changed  chan struct{}     // closed at each change worth reporting
 
+	inherited     map[string]*inheritance // records of stopped incarnations, by incarnation
+	successor     string                  // address of the agent that took this one's records
+	subscriptions map[*subscription]struct{}
+	readers       int // streams of answers to gateways
+
 	wake      chan struct{}
 	orderWake chan struct{}
 	stop      context.CancelFunc
@@ -87,6 +92,7 @@
 	workers   sync.WaitGroup
 	meter     *meter
 
+	cut         chan struct{} // closed when a drain ends
 	subscribers subscribers
 }
 
@@ -104,6 +110,8 @@
 		waiting:     make(map[string]*run),
 		desk:        newDesk(cfg.MemoryTokens),
 		changed:     make(chan struct{}),
+		cut:         make(chan struct{}),
+		inherited:   make(map[string]*inheritance),
 		cache:       affinity.New(cfg.MemoryTokens),
 		sweeping:    make(chan struct{}, 1),
 		wake:        make(chan struct{}, 1),
@@ -112,6 +120,8 @@
 		ctx:         ctx,
 		stop:        stop,
 		meter:       newMeter(deps.Metrics),
+
+		subscriptions: make(map[*subscription]struct{}),
 	}
 	a.meter.watch(a)
 	return a
@@ -140,27 +150,6 @@
 	return a.current() == rudderv1.AgentState_AGENT_STATE_SERVING
 }
 
-// Drain refuses new work from now on and returns when every run has ended and
-// been read to its end and no group uses the endpoint, or when ctx ends.
-func (a *Agent) Drain(ctx context.Context) error {
-	a.stopping()
-	a.deps.Log.Info("Draining.")
-	for {
-		a.mu.Lock()
-		busy, grouped, ch := a.records.busy(), a.desk.busy(), a.changed
-		a.mu.Unlock()
-		if busy == 0 && !grouped {
-			return nil
-		}
-		select {
-		case <-ch:
-		case <-ctx.Done():
-			a.deps.Log.Warn("Drain ended early.", "runs", busy)
-			return ctx.Err()
-		}
-	}
-}
-
 // Close ends all work and waits for the loops.
 func (a *Agent) Close() {
 	a.stop()
--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -105,13 +105,14 @@
 	}
 }
 
-// leavingSince reports whether the agent leaves while told says otherwise, and
-// returns the channel that is closed at the next change.
-func (a *Agent) leavingSince(told rudderv1.AgentState) (<-chan struct{}, bool) {
+// urgentSince reports whether the agent leaves or has a successor while told
+// says otherwise, and returns the channel that is closed at the next change.
+func (a *Agent) urgentSince(told *rudderv1.AgentReport) (<-chan struct{}, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.current()
-	return a.changed, now != told && now == rudderv1.AgentState_AGENT_STATE_LEAVING
+	leaves := now != told.State && now == rudderv1.AgentState_AGENT_STATE_LEAVING
+	return a.changed, leaves || a.successor != told.Successor
 }
 
 // giveBack refuses the repeatable work that still waits, if another endpoint
--- a/agent/process.go
+++ b/agent/process.go
@@ -112,6 +112,9 @@
 	} else {
 		deps.Service = service.NewClient(service.Options{BaseURL: base})
 	}
+	if deps.Client, err = inner.NewClient(s.TLS.Files(), nil); err != nil {
+		return nil, err
+	}
 	a := New(s.config(), deps)
 	m := http.NewServeMux()
 	m.Handle(a.Handler())
@@ -132,9 +135,4 @@
 func (p *Process) Ready() bool { return p.a.Ready() }
 
 // Shutdown implements daemon.Service.
-func (p *Process) Shutdown(ctx context.Context) error {
-	err := p.a.Drain(ctx)
-	p.a.Close()
-	_ = p.srv.Close()
-	return err
-}
+func (p *Process) Shutdown(ctx context.Context) error { return p.a.Stop(ctx, p.srv) }
--- a/agent/records.go
+++ b/agent/records.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/micarudder/micarudder/lifecycle"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -21,13 +23,13 @@
 	max        int
 	maxBytes   int64
 	runs       map[string]*run
-	tombs      map[string]struct{}
-	bytes      int64 // booked for bodies and answers
+	tombs      map[string]time.Time // until when each is kept
+	bytes      int64                // booked for bodies and answers
 	unfinished int
 }
 
 func newRecords(max int, maxBytes int64) *records {
-	return &records{max: max, maxBytes: maxBytes, runs: make(map[string]*run), tombs: make(map[string]struct{})}
+	return &records{max: max, maxBytes: maxBytes, runs: make(map[string]*run), tombs: make(map[string]time.Time)}
 }
 
 // fits reports whether the order can be recorded.
@@ -78,11 +80,11 @@
 }
 
 // seal records that an id never ran here; it reports false at the bound.
-func (t *records) seal(id string) bool {
+func (t *records) seal(id string, until time.Time) bool {
 	if len(t.tombs) >= t.max {
 		return false
 	}
-	t.tombs[id] = struct{}{}
+	t.tombs[id] = until
 	return true
 }
 
--- a/agent/report.go
+++ b/agent/report.go
@@ -24,6 +24,8 @@
 		Service:     a.cfg.Service,
 		Holds:       a.book.Holds(),
 		Order:       a.orderStatus(),
+		Successor:   a.successor,
+		Inherited:   a.inheritedNames(),
 	}
 }
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -23,6 +23,7 @@
 	item     admission.Item
 	deadline time.Time
 	admitted time.Time
+	expires  time.Time       // when the record goes; not before its ticket
 	believed int             // leading blocks believed cached when admitted
 	ctx      context.Context // ends with the deadline, a cancel or the agent
 	cancel   context.CancelFunc
--- a/agent/server.go
+++ b/agent/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -44,13 +45,9 @@
 	if end != nil {
 		return stream.Send(&rudderv1.Frame{Body: &rudderv1.Frame_End{End: end}})
 	}
-	s.a.mu.Lock()
-	r, ok := s.a.records.runs[claims.RequestId]
-	sealed := s.a.records.sealed(claims.RequestId)
-	late := s.a.clockMS() > claims.ExpiresAgentMs
-	s.a.mu.Unlock()
-	if !ok {
-		return stream.Send(&rudderv1.Frame{RequestId: claims.RequestId, Body: &rudderv1.Frame_End{End: missingRun(sealed, late)}})
+	r, end := s.a.find(claims)
+	if end != nil {
+		return stream.Send(&rudderv1.Frame{RequestId: claims.RequestId, Body: &rudderv1.Frame_End{End: end}})
 	}
 	return s.a.follow(ctx, r, true, req.Msg.Offset, stream)
 }
@@ -71,6 +68,8 @@
 func (a *Agent) follow(ctx context.Context, r *run, attached bool, offset uint64, stream *connect.ServerStream[rudderv1.Frame]) error {
 	r.attach()
 	defer r.detach(a.cfg.ReattachWindow, func() { a.abandon(r) })
+	a.reading(1)
+	defer a.reading(-1)
 	frame := func() *rudderv1.Frame {
 		return &rudderv1.Frame{RequestId: r.req.RequestId, Attempt: r.req.Attempt, Offset: offset}
 	}
@@ -95,6 +94,9 @@
 			}
 			offset += uint64(len(v.text))
 		}
+		if v.end != nil && a.cutShort(v.end) {
+			return connect.NewError(connect.CodeUnavailable, errCut)
+		}
 		if v.end != nil {
 			return stream.Send(withEnd(frame(), v.end))
 		}
@@ -103,12 +105,37 @@
 		}
 		select {
 		case <-v.changed:
+		case <-a.cut:
+			return connect.NewError(connect.CodeUnavailable, errCut)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// errCut ends the streams of a drain that ran out of time.
+var errCut = errors.New("agent: stopped")
+
+// cutShort reports whether a run was ended by the agent's own stop.
+func (a *Agent) cutShort(end *rudderv1.End) bool {
+	select {
+	case <-a.cut:
+		return result.Code(end.Code) == result.Canceled
+	default:
+		return false
+	}
+}
+
+// reading counts the streams of answers.
+func (a *Agent) reading(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.readers += n
+	if a.leave.stopped {
+		a.notify()
+	}
+}
+
 func withAccepted(f *rudderv1.Frame, x *rudderv1.Accepted) *rudderv1.Frame {
 	f.Body = &rudderv1.Frame_Accepted{Accepted: x}
 	return f
@@ -168,6 +195,10 @@
 
 func (a *Agent) void(claims *rudderv1.TicketClaims) *rudderv1.VoidResponse {
 	a.mu.Lock()
+	if claims.Incarnation != a.incarnation {
+		defer a.mu.Unlock()
+		return a.voidInherited(claims)
+	}
 	r, ok := a.records.runs[claims.RequestId]
 	if !ok {
 		defer a.mu.Unlock()
@@ -198,7 +229,7 @@
 	if a.clockMS() > claims.ExpiresAgentMs {
 		return &rudderv1.VoidResponse{Outcome: rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN, Code: uint32(result.TicketExpired)}
 	}
-	if !a.records.seal(claims.RequestId) {
+	if !a.records.seal(claims.RequestId, time.Now().Add(a.untilExpiry(claims))) {
 		return &rudderv1.VoidResponse{Outcome: rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN, Code: uint32(result.RecordsFull)}
 	}
 	a.unsealLater(claims.RequestId, claims)
@@ -232,7 +263,7 @@
 	s.a.mu.Lock()
 	r, ok := s.a.records.runs[claims.RequestId]
 	s.a.mu.Unlock()
-	if ok {
+	if ok && claims.Incarnation == s.a.incarnation {
 		s.a.cancelRun(r)
 	}
 	return connect.NewResponse(&rudderv1.CancelResponse{Outcome: rudderv1.Outcome_OUTCOME_MAY_HAVE_RUN}), nil
@@ -249,19 +280,22 @@
 	gateway := req.Msg.Gateway
 	leave := s.a.subscribers.join(gateway)
 	defer leave()
+	sub, done := s.a.subscribe()
+	defer done()
 	for {
 		report, changed, moved := s.a.fullReport(gateway)
 		if err := stream.Send(report); err != nil {
 			return err
 		}
-		told := report.State
-		next := s.a.waitReport(ctx, changed, moved, told)
+		s.a.told(sub, report)
+		full := report
+		next := s.a.waitReport(ctx, changed, moved, full)
 		for next == reportGeneration && req.Msg.ShortReports {
 			report, moved = s.a.generationReport(gateway)
 			if err := stream.Send(report); err != nil {
 				return err
 			}
-			next = s.a.waitReport(ctx, changed, moved, told)
+			next = s.a.waitReport(ctx, changed, moved, full)
 		}
 		if next == reportNone {
 			return nil
@@ -300,9 +334,9 @@
 )
 
 // waitReport waits for the next report: at once for a new generation or when
-// the agent begins to leave, after the shortest interval for any other change,
-// or the heartbeat. told is the state last reported.
-func (a *Agent) waitReport(ctx context.Context, changed, moved <-chan struct{}, told rudderv1.AgentState) nextReport {
+// the agent begins to leave or has a successor, after the shortest interval for
+// any other change, or the heartbeat. told is the last full report.
+func (a *Agent) waitReport(ctx context.Context, changed, moved <-chan struct{}, told *rudderv1.AgentReport) nextReport {
 	heartbeat := time.NewTimer(a.cfg.Heartbeat)
 	defer heartbeat.Stop()
 	select {
@@ -319,8 +353,8 @@
 	pause := time.NewTimer(a.cfg.ReportInterval)
 	defer pause.Stop()
 	for {
-		next, leaving := a.leavingSince(told)
-		if leaving {
+		next, urgent := a.urgentSince(told)
+		if urgent {
 			return reportFull
 		}
 		select {
--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -56,21 +56,23 @@
 	signer *ticket.Signer
 	doc    *rudderv1.Document
 
-	platform *standplatform.Server
-	engines  map[string]*standengine.Server
-	services map[string]*standservice.Server
-	agents   map[string]*agent.Agent
-	gateways map[string]*gateway.Gateway
-	servers  map[string]*http.Server // by address
-	orders   []orderSeen
-	delay    map[string]time.Duration // of an engine's word about its state
-	cleanup  []func()
-	revision int64 // of the accepted document
-	policy   routing.Policy
-	place    func(next http.Handler, w http.ResponseWriter, r *http.Request) // stands between placers and agents
-	keepers  map[string]*generation.Keeper
-	metrics  map[string]*metrics.Set // of gateways
-	signers  map[string]*ticket.Signer
+	platform   *standplatform.Server
+	engines    map[string]*standengine.Server
+	services   map[string]*standservice.Server
+	agents     map[string]*agent.Agent
+	gateways   map[string]*gateway.Gateway
+	servers    map[string]*http.Server // by address
+	orders     []orderSeen
+	delay      map[string]time.Duration // of an engine's word about its state
+	cleanup    []func()
+	revision   int64 // of the accepted document
+	policy     routing.Policy
+	place      func(next http.Handler, w http.ResponseWriter, r *http.Request) // stands between placers and agents
+	keepers    map[string]*generation.Keeper
+	metrics    map[string]*metrics.Set // of gateways
+	signers    map[string]*ticket.Signer
+	change     func(*gateway.Config) // of gateways started from now on; may be nil
+	maxRunning int                   // runs at once of agents started from now on
 }
 
 // run runs a session in a bubble and stops every process at its end.
@@ -82,7 +84,7 @@
 			t.Fatal(err)
 		}
 		b := &bubble{
-			t: t, policy: routing.Default(), hosts: make(map[string]*pipe.Listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), signer: signer,
+			t: t, policy: routing.Default(), maxRunning: 64, hosts: make(map[string]*pipe.Listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), signer: signer,
 			engines: make(map[string]*standengine.Server), services: make(map[string]*standservice.Server), delay: make(map[string]time.Duration),
 			agents: make(map[string]*agent.Agent), gateways: make(map[string]*gateway.Gateway), servers: make(map[string]*http.Server),
 			parted: make(map[route]bool), joined: make(map[route][]net.Conn),
@@ -216,7 +218,7 @@
 		deps.Service = service.NewClient(service.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClient()})
 	}
 	a := agent.New(agent.Config{
-		Endpoint: name, Host: "host-" + name, DataCentre: dataCentre, Service: serviceName, MemoryTokens: memory, MaxRunning: 64,
+		Endpoint: name, Host: "host-" + name, DataCentre: dataCentre, Service: serviceName, MemoryTokens: memory, MaxRunning: b.maxRunning,
 		ReattachWindow: 10 * time.Second, AnswerKeep: 2 * time.Minute, BufferBytes: 64 << 20, MaxRecords: 1000,
 		ReportInterval: 50 * time.Millisecond, Heartbeat: 5 * time.Second,
 	}, deps)
@@ -274,6 +276,9 @@
 	for _, p := range peers {
 		cfg.Peers = append(cfg.Peers, innerAddr(p))
 	}
+	if b.change != nil {
+		b.change(&cfg)
+	}
 	g := gateway.New(cfg, gateway.Deps{
 		Store: store, Hosts: store, Client: client, Signer: b.signerOf(name), Keeper: b.keepers[name], Policy: b.policy, Log: quiet(), Metrics: set,
 	})
@@ -329,3 +334,26 @@
 func cloneDocument(d *rudderv1.Document) *rudderv1.Document {
 	return proto.Clone(d).(*rudderv1.Document)
 }
+
+// stopAgent stops an agent as SIGTERM does.
+func (b *bubble) stopAgent(name string, drain time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	defer b.kill(agentAddr(name))
+	return b.agents[name].Stop(ctx, b.server(agentAddr(name)))
+}
+
+// stopGateway stops a gateway as SIGTERM does.
+func (b *bubble) stopGateway(name string, drain time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	defer b.kill(name)
+	defer b.kill(innerAddr(name))
+	return b.gateways[name].Stop(ctx, b.server(name), b.server(innerAddr(name)))
+}
+
+func (b *bubble) server(addr string) *http.Server {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.servers[addr]
+}
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -230,16 +230,22 @@
 	})
 }
 
-// order is an unrepeatable order under a ticket for an incarnation of agent a.
-func (b *bubble) order(id, incarnation string) *rudderv1.RunRequest {
+// ticket names a run of an incarnation of agent a.
+func (b *bubble) ticket(id, incarnation string, repeatable bool) string {
 	t, err := b.signer.Sign(&rudderv1.TicketClaims{
-		RequestId: id, Workspace: "bid-desk", Endpoint: "a", AgentAddress: agentAddr("a"), Incarnation: incarnation, ExpiresAgentMs: 3_600_000,
+		RequestId: id, Workspace: "bid-desk", Endpoint: "a", AgentAddress: agentAddr("a"), Incarnation: incarnation,
+		ExpiresAgentMs: 3_600_000, Repeatable: repeatable,
 	})
 	if err != nil {
 		b.t.Fatal(err)
 	}
+	return t
+}
+
+// order is an unrepeatable order under a ticket for an incarnation of agent a.
+func (b *bubble) order(id, incarnation string) *rudderv1.RunRequest {
 	return &rudderv1.RunRequest{
-		RequestId: id, Attempt: 1, Ticket: t, Workspace: "bid-desk", Weight: 1, RemainingMs: 10_000, Generation: b.doc.Generation,
+		RequestId: id, Attempt: 1, Ticket: b.ticket(id, incarnation, false), Workspace: "bid-desk", Weight: 1, RemainingMs: 10_000, Generation: b.doc.Generation,
 		Completion: &rudderv1.Completion{Model: model, Path: chatPath, PromptTokens: 5, MaxTokens: 10}, Body: []byte(chat(id, 10, true)),
 	}
 }
--- /dev/null
+++ b/e2e/stops_test.go
@@ -0,0 +1,306 @@
+package e2e
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/gateway"
+	"github.com/micarudder/micarudder/result"
+	"github.com/micarudder/micarudder/routing"
+	"github.com/micarudder/micarudder/rudderv1"
+)
+
+// TestHostStop: a planned stop of an endpoint's host, agent first and engine
+// after it, under traffic through two gateways.
+func TestHostStop(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.engine("b", nil)
+		b.policy = routing.RoundRobin()
+		b.gateway("gw1")
+		b.gateway("gw2")
+		b.publish()
+		flows := []*traffic{b.flow("gw1", 300*time.Millisecond, 50), b.flow("gw2", 400*time.Millisecond, 50)}
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		var drained time.Duration
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			is.NoErr(b.stopAgent("a", time.Minute))
+			drained = time.Since(began)
+			b.kill(engineAddr("a"))
+		})
+		last := b.lastStart("a", began, 5*time.Second)
+		wg.Wait()
+		b.t.Log("drained in", drained, "last new run after", last)
+		is.True(last < 2*time.Second)
+		is.Equal(b.engines["a"].Counts().Died, 0)
+		for _, f := range flows {
+			f.end(50)
+		}
+	})
+}
+
+// TestQueueMovesOn: work that still waits at an agent that stops is done by
+// another one, and the endpoint gets none of it after two seconds.
+func TestQueueMovesOn(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.maxRunning = 1
+		b.engine("a", nil)
+		b.laterEngine("b")
+		b.gateway("gw1")
+		b.publish()
+		f := b.flow("gw1", 10*time.Millisecond, 100)
+		time.Sleep(35 * time.Millisecond)
+		f.stop() // four callers, a second of work each
+		b.startAgent("b")
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(b.engines["a"].Counts().Total, 1)
+		began := time.Now()
+		go func() { _ = b.stopAgent("a", time.Minute) }()
+		last := b.lastStart("a", began, 5*time.Second)
+		b.t.Log("last new run after", last)
+		is.True(last < 2*time.Second)
+		f.end(100)
+		is.True(b.engines["b"].Counts().Total > 0)
+		is.Equal(b.executed(), 4)
+	})
+}
+
+// TestSlowReaderAtStop: an agent that stops waits until its answers were taken.
+func TestSlowReaderAtStop(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.service("s", "bid-api")
+		b.publish()
+		answer := make([]byte, 8<<20) // more than a connection takes in unread, however well compressed
+		_, _ = rand.NewChaCha8([32]byte{}).Read(answer)
+		b.kill(engineAddr("s"))
+		b.serve(engineAddr("s"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) }))
+		stream, err := b.agentClient("s").Run(b.t.Context(), connect.NewRequest(&rudderv1.RunRequest{
+			RequestId: "r", Attempt: 1, Ticket: b.ticket("r", b.agents["s"].Incarnation(), false), RemainingMs: 60_000,
+			Generation: 1, Weight: 1, Call: &rudderv1.ServiceCall{Service: "bid-api", Method: "POST", Path: "/x"},
+		}))
+		is.NoErr(err)
+		is.True(stream.Receive())
+		time.Sleep(time.Second)
+		stopped := make(chan error, 1)
+		go func() { stopped <- b.stopAgent("s", time.Minute) }()
+		time.Sleep(10 * time.Second)
+		is.Equal(len(stopped), 0)
+		var end *rudderv1.End
+		for stream.Receive() {
+			end = stream.Msg().GetEnd()
+		}
+		is.NoErr(stream.Err())
+		is.Equal(result.Code(end.GetCode()), result.OK)
+		is.NoErr(<-stopped)
+		is.NoErr(stream.Close())
+	})
+}
+
+// TestEngineStopsFirst: a host that takes its engine down before its agent
+// still cuts off no repeatable answer.
+func TestEngineStopsFirst(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.engine("b", nil)
+		b.policy = routing.RoundRobin()
+		b.gateway("gw1")
+		b.publish()
+		f := b.flow("gw1", 200*time.Millisecond, 50)
+		time.Sleep(3 * time.Second)
+		b.kill(engineAddr("a"))
+		is.NoErr(b.stopAgent("a", time.Minute))
+		time.Sleep(2 * time.Second)
+		f.end(50)
+	})
+}
+
+// TestGatewayStop: a gateway that stops is not ready at once, serves what the
+// balancer still sends, then refuses, and ends what it has.
+func TestGatewayStop(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.change = func(cfg *gateway.Config) { cfg.LeaveTime = 3 * time.Second }
+		b.gateway("gw1")
+		b.publish()
+		var long, late, refused reply
+		var wg sync.WaitGroup
+		wg.Go(func() { long = b.ask("gw1", "POST", chatPath, chat("long", 800, true), nil) })
+		time.Sleep(time.Second)
+		is.True(b.gateways["gw1"].Ready())
+		stopped := make(chan error)
+		began := time.Now()
+		go func() { stopped <- b.stopGateway("gw1", time.Minute) }()
+		time.Sleep(time.Second)
+		is.True(!b.gateways["gw1"].Ready())
+		late = b.ask("gw1", "POST", chatPath, chat("late", 5, true), nil)
+		is.Equal(late.text, answerTo("late", 5))
+		time.Sleep(2500 * time.Millisecond)
+		refused = b.ask("gw1", "POST", chatPath, chat("refused", 5, true), nil)
+		is.Equal(refused.fault().Outcome, "not run")
+		is.NoErr(<-stopped)
+		wg.Wait()
+		b.t.Log("stopped in", time.Since(began))
+		is.Equal(long.text, answerTo("long", 800))
+		is.True(long.done)
+		is.True(b.ask("gw1", "POST", chatPath, chat("x", 5, true), nil).err != nil)
+		is.Equal(b.executed(), 2)
+	})
+}
+
+// TestGatewayStopRunsOut: a stream that outlasts the stop is attached to
+// elsewhere from its last event, without a gap and without a second run.
+func TestGatewayStopRunsOut(t *testing.T) {
+	for _, repeatable := range []string{"true", "false"} {
+		t.Run(repeatable, func(t *testing.T) {
+			run(t, func(b *bubble) {
+				is := is.New(b.t)
+				b.engine("a", nil)
+				b.gateway("gw1")
+				b.gateway("gw2")
+				b.publish()
+				var first reply
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					first = b.ask("gw1", "POST", chatPath, chat("long", 800, true), map[string]string{"Rudder-Repeatable": repeatable})
+				})
+				time.Sleep(time.Second)
+				is.True(b.stopGateway("gw1", 2*time.Second) != nil)
+				wg.Wait()
+				is.True(!first.done && len(first.text) > 0 && first.problem == "")
+				rest := b.ask("gw2", "GET", "/v1/runs/"+first.header.Get("Rudder-Ticket"), "", map[string]string{"Last-Event-ID": first.lastID})
+				is.Equal(first.text+rest.text, answerTo("long", 800))
+				is.True(rest.done)
+				is.Equal(b.executed(), 1)
+			})
+		})
+	}
+}
+
+// TestFlappingHost: an endpoint that comes and goes is left alone while others
+// serve, and no caller notices.
+func TestFlappingHost(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.engine("b", nil)
+		b.policy = routing.RoundRobin()
+		b.gateway("gw1")
+		b.publish()
+		f := b.flow("gw1", 100*time.Millisecond, 5)
+		for range 4 {
+			time.Sleep(1500 * time.Millisecond)
+			b.kill(agentAddr("a"))
+			b.startAgent("a")
+		}
+		time.Sleep(2 * time.Second)
+		damped := b.engines["a"].Counts().Total
+		time.Sleep(3 * time.Second)
+		is.Equal(b.engines["a"].Counts().Total, damped)
+		time.Sleep(30 * time.Second)
+		is.True(b.engines["a"].Counts().Total > damped)
+		f.end(5)
+	})
+}
+
+// TestRackLoss: half of the endpoints die at once. Repeatable work goes on
+// elsewhere, and the lost endpoints are not tried again.
+func TestRackLoss(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		names := []string{"a", "b", "c", "d", "e", "f"}
+		for _, name := range names {
+			b.engine(name, nil)
+		}
+		b.policy = routing.RoundRobin()
+		g := b.gateway("gw1")
+		b.publish()
+		f := b.flow("gw1", 50*time.Millisecond, 30)
+		time.Sleep(2 * time.Second)
+		for _, name := range names[:3] {
+			b.kill(agentAddr(name))
+			b.kill(engineAddr(name))
+		}
+		time.Sleep(5 * time.Second)
+		is.True(g.Ready())
+		f.end(30)
+		for _, name := range names[:3] { // a whole rack comes back
+			b.serve(engineAddr(name), b.engines[name].Handler())
+			b.startAgent(name)
+		}
+		time.Sleep(8 * time.Second)
+		before := b.engines["a"].Counts().Total
+		f = b.flow("gw1", 50*time.Millisecond, 5)
+		time.Sleep(time.Second)
+		f.end(5)
+		is.True(b.engines["a"].Counts().Total > before)
+	})
+}
+
+// TestGatewayCutOff: a gateway that reaches nobody leaves the balancer and
+// answers what still comes with a definite refusal; it recovers by itself. One
+// that only lost its agents stays ready.
+func TestGatewayCutOff(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.engine("b", nil)
+		b.listHosts()
+		g := b.gateway("gw1")
+		b.publish()
+		cut := func(addrs ...string) {
+			for _, addr := range addrs {
+				b.setCut(addr, true)
+			}
+		}
+		cut(agentAddr("a"), agentAddr("b"))
+		time.Sleep(10 * time.Second)
+		is.True(g.Ready()) // the platform is heard: the agents are lost
+		cut(platformAddr)
+		time.Sleep(10 * time.Second)
+		is.True(g.Ready()) // silence of the agents began before that of the platform
+		for _, addr := range []string{agentAddr("a"), agentAddr("b"), platformAddr} {
+			b.setCut(addr, false)
+		}
+		time.Sleep(20 * time.Second)
+		cut(agentAddr("a"), agentAddr("b"), platformAddr)
+		time.Sleep(5 * time.Second)
+		is.True(!g.Ready())
+		r := b.ask("gw1", "POST", chatPath, chat("x", 5, true), map[string]string{"Rudder-Deadline": "5s"})
+		is.Equal(r.fault().Outcome, "not run")
+		is.True(strings.Contains(r.header.Get("Content-Type"), "problem+json"))
+		for _, addr := range []string{agentAddr("a"), agentAddr("b"), platformAddr} {
+			b.setCut(addr, false)
+		}
+		time.Sleep(20 * time.Second)
+		is.True(g.Ready())
+		is.Equal(b.ask("gw1", "POST", chatPath, chat("x", 5, true), nil).text, answerTo("x", 5))
+	})
+}
+
+// setCut cuts a process off from all others, or ends that.
+func (b *bubble) setCut(addr string, cut bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cut[addr] = cut
+	if !cut {
+		return
+	}
+	for _, c := range b.conns[addr] {
+		_ = c.Close()
+	}
+	b.conns[addr] = nil
+}
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -53,6 +53,7 @@
 func (s *session) void(ctx context.Context, l *link, last *rudderv1.End) *rudderv1.End {
 	ctx, cancel := context.WithTimeout(ctx, voidTime)
 	defer cancel()
+	l = s.g.linkOfTicket(s.ticket, l) // its agent may have stopped meanwhile
 	resp, err := l.client.Void(ctx, connect.NewRequest(&rudderv1.VoidRequest{Ticket: s.ticket}))
 	if err == nil {
 		last.Sealed = resp.Msg.Sealed
--- a/gateway/faces.go
+++ b/gateway/faces.go
@@ -51,6 +51,9 @@
 func (g *Gateway) face(h func(*exchange)) iris.Handler {
 	return func(ctx iris.Context) {
 		w := ctx.ResponseWriter()
+		if g.leaving.Load() {
+			w.Header().Set("Connection", "close") // the next request finds another gateway
+		}
 		if !g.enter() {
 			err := result.New(result.Draining, "")
 			err.RetryAfter = comeBack.Milliseconds()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -37,6 +36,7 @@
 	TicketLife      time.Duration
 	DefaultTokens   uint64 // answer tokens when the caller names none
 	FirstTokenGoal  time.Duration
+	LeaveTime       time.Duration // from not ready to refusing: the balancer's time to notice
 }
 
 // Deps are the parts a gateway works with.
@@ -73,7 +73,8 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	loops    sync.WaitGroup
-	draining atomic.Bool
+	leaving  atomic.Bool // not ready, but still serving
+	draining atomic.Bool // refusing
 	inFlight sync.WaitGroup
 	active   atomic.Int64
 }
@@ -114,25 +115,7 @@
 // Ready reports whether the gateway has a configuration, has asked its peers
 // for a newer one, is not leaving and is not cut off from everybody.
 func (g *Gateway) Ready() bool {
-	return g.deps.Keeper.Generation() > 0 && g.peers.asked.Load() && !g.draining.Load() && !g.members.cutOff()
-}
-
-// Drain refuses new requests, so that the balancer looks elsewhere, and
-// returns when those in flight have ended or ctx ends.
-func (g *Gateway) Drain(ctx context.Context) error {
-	g.draining.Store(true)
-	g.deps.Log.Info("Draining.", "requests", g.active.Load())
-	done := make(chan struct{})
-	go func() {
-		g.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errors.New("requests were still in flight")
-	}
+	return g.deps.Keeper.Generation() > 0 && g.peers.asked.Load() && !g.leaving.Load() && !g.members.cutOff()
 }
 
 // Close ends the background work and waits for it.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -87,7 +87,9 @@
 	any := false
 	for stream.Receive() {
 		any = true
-		l.g.members.reported(l.declared.Name, l.take(stream.Msg()))
+		r := l.take(stream.Msg())
+		l.g.members.reported(l.declared.Name, r)
+		l.g.members.inherited(l.declared.AgentAddress, r)
 	}
 	l.mu.Lock()
 	l.connected = false
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -27,12 +27,13 @@
 
 // members guards the gateway's view of the endpoints' membership.
 type members struct {
-	mu   sync.Mutex
-	view *membership.View
+	mu    sync.Mutex
+	view  *membership.View
+	heirs *membership.Heirs
 }
 
 func newMembers() *members {
-	return &members{view: membership.NewView(membership.Default())}
+	return &members{view: membership.NewView(membership.Default()), heirs: membership.NewHeirs()}
 }
 
 // apply takes one piece of evidence.
@@ -71,6 +72,30 @@
 	m.apply(ev)
 }
 
+// heir returns the address of the agent that answers for an incarnation;
+// empty when its own does.
+func (m *members) heir(incarnation string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heirs.Address(incarnation)
+}
+
+// inherited learns which agent answers for which incarnations: the reporting
+// one, or its successor.
+func (m *members) inherited(address string, r *rudderv1.AgentReport) {
+	if len(r.Inherited) == 0 && r.Successor == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if r.Successor == "" {
+		m.heirs.Holds(address, r.Inherited, now)
+		return
+	}
+	m.heirs.Passed(address, r.Successor, append([]string{r.Incarnation}, r.Inherited...), now)
+}
+
 // reported hands membership an agent's report.
 func (m *members) reported(endpoint string, r *rudderv1.AgentReport) {
 	ev := membership.Reported{Endpoint: endpoint, Incarnation: r.Incarnation, AgentMS: r.AgentMs, State: r.State}
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -34,6 +34,9 @@
 		DefaultTokens   int           `key:"default_tokens" default:"256" min:"1" help:"answer tokens set aside when a request names none"`
 		FirstTokenGoal  time.Duration `key:"first_token_goal" default:"360ms" min:"1ms" help:"first token later than this counts as slow"`
 	} `section:"callers"`
+	Stop struct {
+		LeaveTime time.Duration `key:"leave_time" default:"5s" min:"0s" help:"from not ready to refusing at a planned stop; longer than the balancer takes to notice"`
+	} `section:"stop"`
 	Tickets struct {
 		daemon.Tickets
 		Life time.Duration `key:"life" default:"15m" min:"1s" max:"24h" help:"how long a ticket can be presented"`
@@ -64,7 +67,7 @@
 		Name: s.Gateway.Name, DataCentre: s.Gateway.DataCentre,
 		MaxBody: int64(s.Callers.MaxBody), BodyTime: s.Callers.BodyTime, WriteTime: s.Callers.WriteTime,
 		DefaultDeadline: s.Callers.DefaultDeadline, MaxDeadline: s.Callers.MaxDeadline, TicketLife: s.Tickets.Life,
-		DefaultTokens: uint64(s.Callers.DefaultTokens), FirstTokenGoal: s.Callers.FirstTokenGoal,
+		LeaveTime: s.Stop.LeaveTime, DefaultTokens: uint64(s.Callers.DefaultTokens), FirstTokenGoal: s.Callers.FirstTokenGoal,
 	}
 	for _, p := range s.Gateway.Peers {
 		c.Peers = append(c.Peers, string(p))
@@ -153,12 +156,7 @@
 // Ready implements daemon.Service.
 func (p *Process) Ready() bool { return p.g.Ready() }
 
-// Shutdown implements daemon.Service: the balancer sees the gateway not ready,
-// requests in flight end, then the listeners and the gateway close.
+// Shutdown implements daemon.Service.
 func (p *Process) Shutdown(ctx context.Context) error {
-	err := p.g.Drain(ctx)
-	_ = p.callers.Close()
-	_ = p.inner.Close()
-	p.g.Close()
-	return err
+	return p.g.Stop(ctx, p.callers, p.inner)
 }
--- a/gateway/runs.go
+++ b/gateway/runs.go
@@ -112,7 +112,12 @@
 	s.life = lifecycle.Dispatch{Repeatable: o.repeatable, Named: true}
 	ctx, cancel := context.WithDeadline(x.r.Context(), o.deadline)
 	defer cancel()
-	return s.settle(s.attach(ctx, g.linkOf(o.claims)))
+	l := g.linkOf(o.claims)
+	end := s.attach(ctx, l)
+	if s.forwarded(l, end) {
+		end = s.attach(ctx, g.linkOf(o.claims))
+	}
+	return s.settle(end)
 }
 
 func (s *session) attach(ctx context.Context, l *link) *rudderv1.End {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -98,6 +98,9 @@
 			s.abandon(ctx, l)
 			return last
 		}
+		if s.forwarded(l, last) {
+			continue
+		}
 		switch step := s.life.Next(s.ending(last), s.budget); step {
 		case lifecycle.StepAnswer:
 			return last
@@ -114,6 +117,20 @@
 	}
 }
 
+// forwarded reports whether the agent of the presented ticket stopped while it
+// was asked, and another one answers for it now.
+func (s *session) forwarded(l *link, last *rudderv1.End) bool {
+	if s.o.claims == nil || s.life.Attempts >= lifecycle.MaxAttempts {
+		return false
+	}
+	switch result.Code(last.Code) {
+	case result.AgentLost, result.IncarnationGone, result.OrderUnanswered:
+		return s.g.linkOf(s.o.claims).declared.AgentAddress != l.declared.AgentAddress
+	default:
+		return false
+	}
+}
+
 // timeOver returns the final answer when no time is left for another attempt.
 func (s *session) timeOver(ctx context.Context, last *rudderv1.End) *rudderv1.End {
 	if ctx.Err() == nil && time.Until(s.o.deadline) > minRemaining {
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -21,16 +21,31 @@
 	})
 }
 
-// linkOf returns the link to the agent that a ticket names. An agent that is
-// no longer declared is still asked: it may hold the run.
+// linkOf returns the link to the agent that answers for a ticket: the one it
+// names, or that one's successor. An agent that is no longer declared is still
+// asked: it may hold the run.
 func (g *Gateway) linkOf(c *rudderv1.TicketClaims) *link {
+	address := c.AgentAddress
+	if heir := g.members.heir(c.Incarnation); heir != "" {
+		address = heir
+	}
 	g.links.mu.RLock()
-	l, ok := g.links.byAddr[c.AgentAddress]
+	l, ok := g.links.byAddr[address]
 	g.links.mu.RUnlock()
 	if ok {
 		return l
 	}
-	return newLink(g, &rudderv1.Endpoint{Name: c.Endpoint, AgentAddress: c.AgentAddress})
+	return newLink(g, &rudderv1.Endpoint{Name: c.Endpoint, AgentAddress: address})
+}
+
+// linkOfTicket returns the link to the agent that answers for a ticket of this
+// installation, or l when that cannot be told.
+func (g *Gateway) linkOfTicket(ticket string, l *link) *link {
+	claims, err := g.deps.Signer.Parse(ticket)
+	if err != nil {
+		return l
+	}
+	return g.linkOf(claims)
 }
 
 // readTicket checks a ticket that a caller presents.
--- /dev/null
+++ b/membership/successor.go
@@ -0,0 +1,53 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Peer is an endpoint with the address of its agent.
+type Peer struct {
+	Endpoint   string
+	Host       string
+	DataCentre string
+	Address    string
+	Leaving    bool
+}
+
+// Successors returns the agents that can take over the records of a leaving
+// one, best first: of its own data centre before others, on another host
+// before its own, and among equals by a hash that spreads the incarnations of
+// a stopped rack over the fleet. The same input gives the same order.
+func Successors(self Peer, incarnation string, peers []Peer) []Peer {
+	out := make([]Peer, 0, len(peers))
+	for _, p := range peers {
+		if !p.Leaving && p.Address != self.Address && p.Endpoint != self.Endpoint {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		return cmp.Or(
+			cmp.Compare(distance(self, a), distance(self, b)),
+			cmp.Compare(weight(incarnation, a), weight(incarnation, b)),
+			cmp.Compare(a.Endpoint, b.Endpoint),
+		)
+	})
+	return out
+}
+
+func distance(self, p Peer) int {
+	far := 0
+	if p.DataCentre != self.DataCentre {
+		far += 2
+	}
+	if p.Host == self.Host {
+		far++
+	}
+	return far
+}
+
+func weight(incarnation string, p Peer) uint64 {
+	return xxhash.Sum64String(incarnation + "\x00" + p.Endpoint)
+}
