Let an answer go on under the version it began under

While a roll-out lasts, an answer cut off by a lost endpoint could go on under another version: two halves of two models joined into one answer. It is routed to the same version now, and begins again, with the event that tells the caller, where nobody serves that any more. The test fails without the change: the answer went on under version 2 without a word.

--- a/e2e/rollout_test.go
+++ b/e2e/rollout_test.go
@@ -262,3 +262,32 @@
 		is.Equal(len(b.seen("a")), 1)
 	})
 }
+
+// TestAnswerKeepsItsVersion kills the endpoint of an answer in its middle
+// while two versions are served: it goes on under the version that it began
+// under, or begins again where nobody serves that any more.
+func TestAnswerKeepsItsVersion(t *testing.T) {
+	for _, other := range []string{"1", "2"} {
+		run(t, func(b *bubble) {
+			is := is.New(b.t)
+			b.engine("a", nil)
+			b.gateway("gw1")
+			b.doc.Models[0].Floor = 100 // nothing is unloaded
+			b.publish()
+			answer := make(chan reply, 1)
+			go func() { answer <- b.ask("gw1", "POST", chatPath, chat("two versions", 200, true), nil) }()
+			time.Sleep(time.Second)
+			b.engine("b", func(c *standengine.Config) { c.Models = []string{model + "@2"} })
+			b.engine("c", func(c *standengine.Config) { c.Models = []string{model + "@" + other} })
+			b.doc = cloneDocument(b.doc)
+			b.doc.Generation, b.doc.PlanId = 2, "plan-2"
+			b.publish()
+			b.kill(agentAddr("a"))
+			got := <-answer
+			is.Equal(got.text, answerTo("two versions", 200))
+			is.True(got.done)
+			is.Equal(got.restart, other == "2")
+			is.True(other == "2" || len(b.engines["c"].Executions()) == 1)
+		})
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,6 +58,9 @@
 	s.attempt = f.Attempt // an attached run keeps its own attempt number
 	s.asm.Begin(f.Attempt)
 	s.attached = a.Attached
+	if len(s.delivered) == 0 {
+		s.using = l.using(s.o.completion.GetModel())
+	}
 	if !a.Attached && s.o.skip > s.asm.Offset() {
 		s.startOver()
 	}
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/orders"
 	"github.com/micarudder/micarudder/placement"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -44,3 +45,17 @@
 	}
 	return h
 }
+
+// using returns the exact name of what a request for the name runs on at the
+// endpoint, as far as its agent's report tells; "" if unknown.
+func (l *link) using(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var models []engine.Model
+	for _, m := range l.report.GetModels() {
+		if !m.Unloading {
+			models = append(models, engine.Model{Name: m.Model, Version: m.Version, Adapters: m.Adapters, Loading: m.Loading})
+		}
+	}
+	return orders.Copy(models, name)
+}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -122,7 +122,8 @@
 		if m.Loading || m.Unloading {
 			continue
 		}
-		for _, name := range orders.Names(engine.Model{Name: m.Model, Version: m.Version, Adapters: m.Adapters}) {
+		held := engine.Model{Name: m.Model, Version: m.Version, Adapters: m.Adapters}
+		for _, name := range append(orders.Names(held), orders.Copies(held)...) {
 			l.models[name] = true
 		}
 	}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -60,6 +60,7 @@
 	attempt   uint32
 	attached  bool   // the current attempt's run existed before
 	delivered []byte // the answer so far, where another attempt can go on after it
+	using     string // what the answer began under, see link.using
 	excluded  map[string]bool
 	ticket    string // of the current attempt
 	group     *group // set while the prompt is run by several endpoints
@@ -196,8 +197,22 @@
 	if c := s.o.completion; c != nil && s.g.needsGroup(c) {
 		return s.chooseLast()
 	}
+	l, d := s.pick(s.route())
+	if l != nil || s.using == "" || len(s.delivered) == 0 {
+		return l, d
+	}
+	// Nobody serves the version that the answer began under any more.
+	s.using = ""
+	if l, d = s.pick(s.route()); l != nil {
+		s.gone = s.restart()
+	}
+	return l, d
+}
+
+// pick asks the policy and records its decision.
+func (s *session) pick(req routing.Request) (*link, routing.Decision) {
 	view, order := s.g.links.view(time.Now())
-	d := s.g.deps.Policy.Choose(s.route(), view, rand.IntN, true)
+	d := s.g.deps.Policy.Choose(req, view, rand.IntN, true)
 	if d.Index < 0 {
 		s.g.explain.record(s.o.id, s.life.Attempts+1, "", d)
 		return nil, d
@@ -207,11 +222,16 @@
 	return l, d
 }
 
-// route is the request as routing sees it.
+// route is the request as routing sees it. An answer that has begun goes on
+// under the version that it began under.
 func (s *session) route() routing.Request {
 	c := s.o.completion
+	model := c.GetModel()
+	if s.using != "" && len(s.delivered) > 0 {
+		model = s.using
+	}
 	return routing.Request{
-		ID: s.o.id, Workspace: s.o.workspace.Name, Model: c.GetModel(), Service: s.o.call.GetService(),
+		ID: s.o.id, Workspace: s.o.workspace.Name, Model: model, Service: s.o.call.GetService(),
 		PromptTokens: c.GetPromptTokens(), MaxTokens: c.GetMaxTokens(), Prefix: c.GetPrefix(),
 		Remaining: time.Until(s.o.deadline), DataCentre: s.g.cfg.DataCentre, Excluded: s.excluded,
 	}
--- a/orders/names.go
+++ b/orders/names.go
@@ -26,6 +26,36 @@
 	return out
 }
 
+// Copies returns the exact names of what a loaded model can run: itself as
+// NAME@VERSION, and each adapter together with that.
+func Copies(m engine.Model) []string {
+	whole := m.Name + "@" + m.Version
+	out := []string{whole}
+	for _, id := range m.Adapters {
+		out = append(out, id+" on "+whole)
+	}
+	return out
+}
+
+// Copy returns the exact name of what a request for the name runs on, or "".
+// Of several the one loaded last is meant.
+func Copy(models []engine.Model, name string) string {
+	for _, m := range slices.Backward(models) {
+		if m.Loading {
+			continue
+		}
+		if name == m.Name || name == m.Name+"@"+m.Version {
+			return m.Name + "@" + m.Version
+		}
+		for _, id := range slices.Backward(m.Adapters) {
+			if plain, _, _ := strings.Cut(id, "@"); name == id || name == plain {
+				return id + " on " + m.Name + "@" + m.Version
+			}
+		}
+	}
+	return ""
+}
+
 // Without returns the models as they serve while the order takes something
 // away: without the model or adapter that it unloads.
 func Without(models []engine.Model, o engine.Order) []engine.Model {
