Say in the demo why a request had no answer

Cause: five archives ended with 3002 and the table did not say where. Change: the problem's detail stands in the demo's list.

--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -78,7 +78,7 @@
 	counts := make(map[string]int)
 	for _, r := range records {
 		if r.Final != load.Whole {
-			counts[fmt.Sprintf("%s to %s: %s, %d %s", r.Flow, r.Class, r.Final, r.Code, r.Code)]++
+			counts[fmt.Sprintf("%s to %s: %s, %d %s: %s", r.Flow, r.Class, r.Final, r.Code, r.Code, r.Detail)]++
 		}
 	}
 	for _, text := range slices.Sorted(maps.Keys(counts)) {
