--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -195,7 +195,7 @@
 		d.Hosts = append(d.Hosts, &rudderv1.Host{Name: hostName(i), DataCentre: c.dataCentre(i)})
 		d.Endpoints = append(d.Endpoints, &rudderv1.Endpoint{
 			Name: EngineName(i), Host: hostName(i), DataCentre: c.dataCentre(i),
-			AgentAddress: c.agentAddress(i, 0), MemoryTokens: uint64(c.MemoryTokens), Role: "mixed", Service: c.SharedService,
+			AgentAddress: c.agentAddress(i, 0), MemoryTokens: uint64(c.MemoryTokens), Role: "mixed", Service: c.SharedService, MaxModels: uint32(len(c.Models)),
 		})
 	}
 	if c.SharedService != "" {
