Give the placer's lease up when its gateway drains, and show who places

A draining gateway kept the lease for half a minute without using it. Two more rows of the roll-out's fault table: the placer drains, and all agents are paused for a minute right before their orders.

--- a/ctl/status.go
+++ b/ctl/status.go
@@ -30,6 +30,7 @@
 	Behind     uint64 `json:"behind"` // generations behind the highest
 	Platform   string `json:"platform,omitempty"`
 	Draining   bool   `json:"draining"`
+	Placing    bool   `json:"placing"` // permits the orders of its data centre
 	Error      string `json:"error,omitempty"`
 }
 
@@ -103,7 +104,7 @@
 	s := v.Status
 	g := gatewayStatus{
 		Address: v.Address, Name: s.Gateway, DataCentre: s.DataCentre, Generation: s.Generation,
-		Behind: f.Generation - s.Generation, Platform: "reachable", Draining: s.Draining,
+		Behind: f.Generation - s.Generation, Platform: "reachable", Draining: s.Draining, Placing: s.Placing,
 	}
 	switch {
 	case s.PlatformReachable:
@@ -150,8 +151,11 @@
 	fmt.Fprintln(t, "gateway\tdata centre\tgeneration\tbehind\tplatform\tnote")
 	for _, g := range f.Gateways {
 		note := g.Error
-		if g.Draining {
+		switch {
+		case g.Draining:
 			note = "draining"
+		case g.Placing:
+			note = "places models"
 		}
 		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\n", orDash(g.Name, g.Address), orDash(g.DataCentre), g.Generation, g.Behind, orDash(g.Platform), note)
 	}
--- a/e2e/rollout_faults_test.go
+++ b/e2e/rollout_faults_test.go
@@ -56,6 +56,21 @@
 		r.b.serve(platformAddr, r.b.platform.Handler())
 	}},
 	{name: "placer dies", begin: func(r *rollout) { r.b.killGateway(r.b.placer()) }},
+	{name: "placer drains", begin: func(r *rollout) {
+		g := r.b.gateways[r.b.placer()]
+		if err := g.Drain(r.b.t.Context()); err != nil {
+			r.b.t.Error(err)
+		}
+	}},
+	{name: "agents paused before their orders", callers: true, begin: func(r *rollout) {
+		for i := range r.engines {
+			r.b.setDelay(engineName(i), time.Minute)
+		}
+	}, end: func(r *rollout) {
+		for i := range r.engines {
+			r.b.setDelay(engineName(i), 0)
+		}
+	}},
 	{name: "permits arrive a minute late", callers: true, begin: func(r *rollout) {
 		r.b.setPlace(func(next http.Handler, _ http.ResponseWriter, q *http.Request) {
 			raw, _ := io.ReadAll(q.Body)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -79,7 +79,11 @@
 	now := time.Now()
 	doc := p.g.deps.Keeper.Document()
 	links := p.own()
-	if doc.Generation == 0 || len(links) == 0 || p.g.draining.Load() {
+	if p.g.draining.Load() {
+		p.tenure.release()
+		return
+	}
+	if doc.Generation == 0 || len(links) == 0 {
 		p.tenure.rest(now)
 		return
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -30,6 +30,7 @@
 	resp := &rudderv1.StatusResponse{
 		Gateway: g.cfg.Name, DataCentre: g.cfg.DataCentre, Generation: g.deps.Keeper.Generation(),
 		PlatformReachable: g.platform.reachable(), PlatformSilentMs: silent.Milliseconds(), Draining: g.draining.Load(),
+		Placing: g.placer.tenure.held(time.Now()) != 0,
 	}
 	for _, l := range g.links.all() {
 		resp.Endpoints = append(resp.Endpoints, l.status())
