Serve a group's part to the end while leaving

An agent that began to leave after it had granted a lease refused the group's run with "draining": in the new test the last member's planned stop ended the request, for no other endpoint was left. A run whose group was granted a lease before is owed now, and is not given back to look for another endpoint.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -61,7 +61,7 @@
 
 // refuse checks everything that does not depend on the queue.
 func (a *Agent) refuse(req *rudderv1.RunRequest) *result.Err {
-	if err := a.notServing(); err != nil {
+	if err := a.notServing(); err != nil && !a.promised(req) {
 		return err
 	}
 	switch {
@@ -81,6 +81,13 @@
 	return nil
 }
 
+// promised reports whether a leaving agent still owes the run: its group was
+// granted a lease before.
+func (a *Agent) promised(req *rudderv1.RunRequest) bool {
+	leaving := a.current() == rudderv1.AgentState_AGENT_STATE_LEAVING
+	return leaving && a.desk.book.Live(req.GetCompletion().GetGroup(), time.Now())
+}
+
 // enqueue offers the run to the queue.
 func (a *Agent) enqueue(req *rudderv1.RunRequest, claims *rudderv1.TicketClaims) (*run, bool, *rudderv1.End) {
 	now := time.Now()
--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -116,8 +116,8 @@
 }
 
 // giveBack refuses the repeatable work that still waits, if another endpoint
-// is declared that can take it. Unrepeatable work is bound to this agent and
-// runs here.
+// is declared that can take it. Unrepeatable work, and a group's run, are bound
+// to this agent and run here.
 func (a *Agent) giveBack() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -125,7 +125,7 @@
 		return
 	}
 	for id, r := range a.waiting {
-		if !r.req.Repeatable || !a.queue.Remove(id) {
+		if !r.req.Repeatable || r.req.GetCompletion().GetGroup() != "" || !a.queue.Remove(id) {
 			continue
 		}
 		if r.apply(lifecycle.Event{Kind: lifecycle.EvRefused, Code: result.Draining}, "") != lifecycle.ActIgnore {
--- a/e2e/group_test.go
+++ b/e2e/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
 
+	standengine "github.com/micarudder/micarudder/internal/standin/engine"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -185,3 +187,85 @@
 	}
 	return strings.Join(out, "\n") + "\n"
 }
+
+// TestGroupWithTicket: a long prompt with a ticket fetched in advance runs at
+// the endpoint that the ticket names, and a second presentation gets the same
+// run's answer without another group.
+func TestGroupWithTicket(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.smallFleet("gw1", "gw2")
+		r := b.ask("gw1", "POST", "/v1/tickets", fmt.Sprintf(`{"model":%q,"count":1,"prompt_tokens":%d}`, model, groupTokens), nil)
+		is.Equal(r.status, 200)
+		var batch struct{ Tickets []string }
+		is.NoErr(json.Unmarshal([]byte(r.body), &batch))
+		header := map[string]string{"Rudder-Ticket": batch.Tickets[0], "Rudder-Deadline": "3m"}
+		prompt := longPrompt("archive", groupTokens)
+		got := make(chan reply, 2)
+		go func() { got <- b.ask("gw1", "POST", chatPath, chat(prompt, 500, true), header) }()
+		time.Sleep(11 * time.Second) // in the answer
+		go func() { got <- b.ask("gw2", "POST", chatPath, chat(prompt, 500, true), header) }()
+		for range 2 {
+			r := <-got
+			is.Equal(r.problem, "")
+			is.Equal(r.text, answerTo(prompt, 500))
+		}
+		ran := 0
+		for _, e := range b.engines {
+			ran += len(e.Executions())
+		}
+		is.Equal(ran, 1)
+		time.Sleep(time.Minute)
+		b.allFree()
+	})
+}
+
+// TestTicketOfLostEndpoint: when the endpoint that the ticket names cannot take
+// its part, the request did not run, and says so.
+func TestTicketOfLostEndpoint(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.smallFleet("gw1")
+		r := b.ask("gw1", "POST", "/v1/tickets", fmt.Sprintf(`{"model":%q,"count":1,"prompt_tokens":%d}`, model, groupTokens), nil)
+		var batch struct{ Tickets []string }
+		is.NoErr(json.Unmarshal([]byte(r.body), &batch))
+		for _, e := range b.engines {
+			e.SetFaults(standengine.Faults{Refuse: true})
+		}
+		header := map[string]string{"Rudder-Ticket": batch.Tickets[0], "Rudder-Deadline": "3m"}
+		r = b.ask("gw1", "POST", chatPath, chat(longPrompt("archive", groupTokens), 5, true), header)
+		b.t.Log(r.status, r.body, r.problem)
+		is.True(strings.Contains(r.body+r.problem, `"outcome":"not run"`))
+		for _, e := range b.engines {
+			e.SetFaults(standengine.Faults{})
+		}
+		time.Sleep(time.Minute)
+		b.allFree()
+	})
+}
+
+// TestMemberLeaves: an agent that is stopped as planned while it is a member
+// serves its part to the end.
+func TestMemberLeaves(t *testing.T) {
+	for _, member := range []string{"e1", "e2", "e4"} {
+		t.Run(member, func(t *testing.T) {
+			run(t, func(b *bubble) {
+				is := is.New(b.t)
+				b.smallFleet("gw1")
+				prompt := longPrompt("archive", groupTokens)
+				got := make(chan reply, 1)
+				go func() {
+					got <- b.ask("gw1", "POST", chatPath, chat(prompt, 20, true), map[string]string{"Rudder-Deadline": "3m"})
+				}()
+				time.Sleep(time.Second)
+				is.NoErr(b.agents[member].Drain(b.t.Context()))
+				is.Equal(b.heldAt(member), uint64(0))
+				b.agents[member].Close()
+				r := <-got
+				b.t.Log(r.status, r.body, r.problem, r.err)
+				is.Equal(r.text, answerTo(prompt, 20))
+				is.Equal(len(b.engines[member].State().Held), 0)
+			})
+		})
+	}
+}
