Keep a group's model until its run is over

An order to unload a model already waited for the group that holds memory at the endpoint, but the group's run was then refused because the model was to go, and new groups could put the order off. The run of a group with a live lease is accepted; new reservations for that model are not.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -59,9 +59,12 @@
 	return old, true, nil
 }
 
-// refuse checks everything that does not depend on the queue.
+// refuse checks everything that does not depend on the queue. A run whose group
+// was granted a lease is owed, though the agent or the model has begun to leave.
 func (a *Agent) refuse(req *rudderv1.RunRequest) *result.Err {
-	if err := a.notServing(); err != nil && !a.promised(req) {
+	group := req.GetCompletion().GetGroup()
+	promised := a.desk.book.Live(group, time.Now())
+	if err := a.notServing(); err != nil && !(promised && a.current() == rudderv1.AgentState_AGENT_STATE_LEAVING) {
 		return err
 	}
 	switch {
@@ -69,10 +72,10 @@
 		return result.New(result.OrderExpired, "")
 	case (req.Call != nil) != (a.deps.Service != nil):
 		return result.New(result.EndpointRefused, "wrong kind of endpoint")
-	case req.GetCompletion().GetGroup() != "" && !a.desk.book.Live(req.Completion.Group, time.Now()):
+	case group != "" && !promised:
 		return result.New(result.LeaseLost, "")
 	}
-	if m := req.GetCompletion().GetModel(); m != "" && !a.serves(m) {
+	if m := req.GetCompletion().GetModel(); m != "" && !promised && !a.serves(m) {
 		return result.New(result.EndpointRefused, "the endpoint does not serve "+m)
 	}
 	if !a.records.fits(req) {
@@ -81,13 +84,6 @@
 	return nil
 }
 
-// promised reports whether a leaving agent still owes the run: its group was
-// granted a lease before.
-func (a *Agent) promised(req *rudderv1.RunRequest) bool {
-	leaving := a.current() == rudderv1.AgentState_AGENT_STATE_LEAVING
-	return leaving && a.desk.book.Live(req.GetCompletion().GetGroup(), time.Now())
-}
-
 // enqueue offers the run to the queue.
 func (a *Agent) enqueue(req *rudderv1.RunRequest, claims *rudderv1.TicketClaims) (*run, bool, *rudderv1.End) {
 	now := time.Now()
--- a/agent/memory.go
+++ b/agent/memory.go
@@ -70,6 +70,9 @@
 	if err := a.notServing(); err != nil {
 		return &rudderv1.ReserveResponse{Code: uint32(err.Code), Load: a.load()}
 	}
+	if m.Model != "" && !a.serves(m.Model) {
+		return &rudderv1.ReserveResponse{Code: uint32(result.EndpointRefused), Load: a.load()}
+	}
 	if !a.servesAny() {
 		return &rudderv1.ReserveResponse{Code: uint32(result.EndpointRefused), Load: a.load()}
 	}
--- a/e2e/group_test.go
+++ b/e2e/group_test.go
@@ -12,7 +12,9 @@
 	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/micarudder/micarudder/engine"
 	standengine "github.com/micarudder/micarudder/internal/standin/engine"
+	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -269,3 +271,31 @@
 		})
 	}
 }
+
+// TestModelTakenFromMember: an order that takes a member's model waits for the
+// group, whose run is still accepted; new groups are not.
+func TestModelTakenFromMember(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.smallFleet("gw1")
+		prompt := longPrompt("archive", groupTokens)
+		got := make(chan reply, 1)
+		go func() {
+			got <- b.ask("gw1", "POST", chatPath, chat(prompt, 20, true), map[string]string{"Rudder-Deadline": "3m"})
+		}()
+		time.Sleep(time.Second)
+		h := b.hand("e4")
+		resp := h.place(h.permit(engine.Order{Kind: engine.OrderUnloadModel, Model: model, Version: "1"}))
+		b.t.Log(resp.Code, resp.Detail)
+		is.True(resp.Accepted)
+		other, err := h.client.Reserve(b.t.Context(), connect.NewRequest(&rudderv1.ReserveRequest{Group: "other", Epoch: 1, Tokens: 1, Model: model}))
+		is.NoErr(err)
+		is.Equal(other.Msg.Code, uint32(result.EndpointRefused))
+		r := <-got
+		is.Equal(r.text, answerTo(prompt, 20))
+		for len(b.engines["e4"].State().Models) > 0 {
+			time.Sleep(time.Second)
+		}
+		is.Equal(len(b.engines["e4"].State().Held), 0)
+	})
+}
--- a/gateway/form.go
+++ b/gateway/form.go
@@ -72,7 +72,7 @@
 	sent := time.Now()
 	resp, err := l.client.Reserve(ctx, connect.NewRequest(&rudderv1.ReserveRequest{
 		Group: gr.id, Holder: gr.s.g.cfg.Name, Tokens: m.Reserve, LeaseMs: groupLease.Milliseconds(),
-		Epoch: epoch, SinceUnixMs: gr.since.UnixMilli(),
+		Epoch: epoch, SinceUnixMs: gr.since.UnixMilli(), Model: gr.s.o.completion.Model,
 	}))
 	if err != nil {
 		gr.fail(member, gr.lost(err))
