--- a/agent/sweep.go
+++ b/agent/sweep.go
@@ -102,10 +102,12 @@
 func (a *Agent) settleFreed(ended []string, left map[string]uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	before, freed := a.desk.orphans, false
 	for _, id := range ended {
 		if left[id] > 0 {
 			continue
 		}
+		freed = true
 		a.desk.book.Freed(id)
 		a.forgetJobs(id)
 	}
@@ -115,8 +117,10 @@
 			a.desk.orphans += tokens
 		}
 	}
-	a.notify()
-	a.poke()
+	if freed || a.desk.orphans != before {
+		a.notify()
+		a.poke()
+	}
 }
 
 // forgetJobs drops the finished span jobs and imports of a lease; the caller holds mu.
