Let servers of the inner protocol ping after 5 s of silence

Cause: both ends of a connection pinged every 2 s when nothing else came, 34 bytes each time, though a client's ping already shows the server that it lives.

Ruled out: no ping at the server (a gateway whose host vanished would keep its streams for ever); a longer ping at the client (it bounds how long a frozen agent looks alive).

Change: a server pings after 5 s without a frame. A vanished gateway is noticed after 7 s instead of 4 s; until then its repeatable runs go on and it counts in the order of offers, which costs 400 ms once.

--- a/inner/inner.go
+++ b/inner/inner.go
@@ -17,9 +17,11 @@
 	dialTimeout       = time.Second
 	readHeaderTimeout = 5 * time.Second
 	// pingTimeout and pingInterval bound how long a connection to a frozen or
-	// cut-off peer looks alive.
-	pingInterval = 2 * time.Second
-	pingTimeout  = 2 * time.Second
+	// cut-off peer looks alive. A server asks later than a client, whose
+	// questions show it that the client lives.
+	pingInterval       = 2 * time.Second
+	serverPingInterval = 5 * time.Second
+	pingTimeout        = 2 * time.Second
 	// MaxMessage bounds one message, in bytes: a prompt of a million tokens
 	// with its envelope.
 	MaxMessage = 24 << 20
@@ -32,7 +34,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		Protocols:         p,
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout, MaxConcurrentStreams: 4096},
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: serverPingInterval, PingTimeout: pingTimeout, MaxConcurrentStreams: 4096},
 	}
 	if !keys.Enabled() {
 		p.SetUnencryptedHTTP2(true)
