Stop real processes under load

Cause: the stops were proved in virtual time only, where the listener's close and the balancer's view are simple.

A drain that ends exactly when its last request does is not called a failure any more, a leave time that is not shorter than the drain time is a mistake in the settings, and an agent waits only for readers before its listener closes.

--- a/agent/stop.go
+++ b/agent/stop.go
@@ -16,13 +16,30 @@
 	err := a.Drain(ctx)
 	_ = a.HandOver(context.WithoutCancel(ctx))
 	a.Close()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTime)
-	defer cancel()
-	_ = srv.Shutdown(ctx)
+	a.awaitReaders()
 	_ = srv.Close()
 	return err
 }
 
+// awaitReaders waits for streams of answers that began after the drain.
+func (a *Agent) awaitReaders() {
+	over := time.NewTimer(closeTime)
+	defer over.Stop()
+	for {
+		a.mu.Lock()
+		readers, ch := a.readers, a.changed
+		a.mu.Unlock()
+		if readers == 0 {
+			return
+		}
+		select {
+		case <-ch:
+		case <-over.C:
+			return
+		}
+	}
+}
+
 // Drain refuses new work from now on and returns when every run has ended and
 // been read to its end and no group uses the endpoint, or when ctx ends.
 func (a *Agent) Drain(ctx context.Context) error {
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -55,6 +55,9 @@
 // Check implements settings.Checker.
 func (s *Settings) Check() []*settings.Mistake {
 	out := append(s.TLS.Check(), s.Tickets.Check()...)
+	if s.Stop.LeaveTime > 0 && s.Stop.LeaveTime >= s.Process.DrainTime {
+		out = append(out, &settings.Mistake{Section: "stop", Key: "leave_time", Problem: "is not shorter than drain_time"})
+	}
 	if s.Callers.DefaultDeadline > s.Callers.MaxDeadline {
 		out = append(out, &settings.Mistake{Section: "callers", Key: "default_deadline", Problem: "is longer than max_deadline"})
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -44,6 +44,9 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
+	}
+	if g.active.Load() > 0 {
 		return errors.New("requests were still in flight")
 	}
+	return nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,7 @@
 	MemoryTokens int
 	MaxRunning   int
 	LogLevel     string
+	LeaveTime    time.Duration // of a gateway that stops, before it refuses
 }
 
 // Workspace is one workspace of the accepted configuration. It may use every
@@ -78,6 +79,7 @@
 	Metrics  []string // URLs of the gateways' metrics
 	Engines  []string // base URLs of the stand-in engines
 	Agents   []string // base URLs of the agents' admin listeners
+	Admin    []string // base URLs of the gateways' admin listeners
 	Platform string   // address of the platform's stand-in
 }
 
@@ -157,7 +159,8 @@
 	for i := range c.Gateways {
 		f.Gateways = append(f.Gateways, "http://"+c.gatewayAddress(i, 0))
 		f.Inner = append(f.Inner, c.gatewayAddress(i, 1))
-		f.Metrics = append(f.Metrics, "http://"+c.gatewayAddress(i, 2)+"/metrics")
+		f.Admin = append(f.Admin, "http://"+c.gatewayAddress(i, 2))
+		f.Metrics = append(f.Metrics, f.Admin[i]+"/metrics")
 	}
 	return f
 }
--- a/internal/fleet/specs.go
+++ b/internal/fleet/specs.go
@@ -108,7 +108,10 @@
 
 [routing]
 policy = %s
-`, GatewayName(i), c.dataCentre(i), c.gatewayAddress(i, 0), c.gatewayAddress(i, 1), c.peers(i), platform, c.Policy)
+
+[stop]
+leave_time = %s
+`, GatewayName(i), c.dataCentre(i), c.gatewayAddress(i, 0), c.gatewayAddress(i, 1), c.peers(i), platform, c.Policy, c.LeaveTime)
 	return c.daemon(GatewayName(i), "rudder-gateway", text, c.gatewayAddress(i, 2))
 }
 
