Hold the placer's view against reports that do not count

An adapter stays reachable while its model moves on, also with a single load at a time; a placer cut off from most agents makes room for another.

--- a/e2e/rollout_faults_test.go
+++ b/e2e/rollout_faults_test.go
@@ -62,6 +62,12 @@
 			r.b.t.Error(err)
 		}
 	}},
+	{name: "placer cut off from most agents", begin: func(r *rollout) {
+		holder := r.b.placer()
+		for i := range r.engines - 1 {
+			r.b.part(holder, agentAddr(engineName(i)))
+		}
+	}},
 	{name: "agents paused before their orders", callers: true, begin: func(r *rollout) {
 		for i := range r.engines {
 			r.b.setDelay(engineName(i), time.Minute)
--- a/e2e/rollout_test.go
+++ b/e2e/rollout_test.go
@@ -36,9 +36,10 @@
 	lowest   int // copies that served at the same time
 	problems []string
 	answers  int
-	reading  int  // downloads in progress
-	readers  int  // most of them
-	crashed  bool // an engine was
+	reading  int    // downloads in progress
+	readers  int    // most of them
+	crashed  bool   // an engine was
+	under    string // the name that callers ask under; empty: the model's
 }
 
 // newRollout starts n engines with one gateway, moving at most two at a time.
@@ -133,7 +134,11 @@
 }
 
 func (r *rollout) ask(prompt string) {
-	got := r.b.ask("gw1", "POST", chatPath, chat(prompt, answerTokens, true), nil)
+	body := chat(prompt, answerTokens, true)
+	if r.under != "" {
+		body = strings.Replace(body, model, r.under, 1)
+	}
+	got := r.b.ask("gw1", "POST", chatPath, body, nil)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answers++
@@ -291,3 +296,32 @@
 		})
 	}
 }
+
+// TestAdapterServedDuringRollOut: an adapter stays reachable while its model
+// moves to the next version, however few may load at once.
+func TestAdapterServedDuringRollOut(t *testing.T) {
+	for _, loads := range []uint32{1, 2} {
+		t.Run(fmt.Sprintf("%d loads", loads), func(t *testing.T) {
+			t.Parallel()
+			run(t, func(b *bubble) {
+				is := is.New(b.t)
+				r := newRollout(b, 6, 3)
+				b.doc.Placement.ConcurrentLoads, b.doc.Placement.MovingPercent = loads, 50
+				b.doc.Models[0].Adapters = []*rudderv1.Adapter{{Name: "style", Version: "1", Weights: "style-1"}}
+				b.gateway("gw1")
+				b.publish()
+				time.Sleep(3 * time.Minute)
+				r.under = "style"
+				r.watch(true)
+				b.nextVersion()
+				b.publish()
+				r.await("2")
+				time.Sleep(3 * time.Minute)
+				for _, e := range b.engines {
+					is.Equal(e.State().Models[0].Adapters, []string{styleOne})
+				}
+				r.end()
+			})
+		})
+	}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -121,6 +121,16 @@
 	if lease := p.tenure.held(now); lease != p.lease {
 		p.lease, p.confirmed = lease, nil
 	}
+	p.forget(links)
+	view, live := p.view(links, now)
+	p.assign(doc, live)
+	steps, _ := placement.Next(doc, p.g.cfg.DataCentre, p.assigned, view)
+	return steps
+}
+
+// view returns what the endpoints hold by the reports that count, as if every
+// permit had been taken, and which endpoints are live; the caller holds mu.
+func (p *placer) view(links map[string]*link, now time.Time) (placement.View, map[string]bool) {
 	p.decided = make(map[string]word, len(links))
 	view, live := make(placement.View, len(links)), make(map[string]bool, len(links))
 	for name, l := range links {
@@ -134,11 +144,8 @@
 			view[name], p.decided[name] = h, w
 		}
 	}
-	p.forget(links)
-	p.assign(doc, live)
 	p.grants.Apply(view)
-	steps, _ := placement.Next(doc, p.g.cfg.DataCentre, p.assigned, view)
-	return steps
+	return view, live
 }
 
 // believed tells whether a report counts: under a lease only one that is not
