Close an agent's server only after its last frames have left

Cause: TestSlowReaderAtStop failed after the inner servers' pings became rarer: the stopping agent closed its server as soon as the last stream's handler had returned, while the connection still held frames to be sent; more pings had only happened to delay that. Ruled out: a ping that was not answered (the server never pinged: the client's own pings count).

--- a/agent/stop.go
+++ b/agent/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/micarudder/micarudder/inner"
 )
 
 // closeTime bounds the end of streams that began while the agent stopped.
@@ -17,7 +19,7 @@
 	_ = a.HandOver(context.WithoutCancel(ctx))
 	a.Close()
 	a.awaitReaders()
-	_ = srv.Close()
+	inner.Stop(srv, closeTime)
 	return err
 }
 
--- a/inner/inner.go
+++ b/inner/inner.go
@@ -58,6 +58,16 @@
 	return srv.Serve(l)
 }
 
+// Stop closes a server once what its handlers wrote has left, or after limit: a
+// handler that has returned may still have frames waiting to be sent.
+func Stop(srv *http.Server, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if srv.Shutdown(ctx) != nil {
+		_ = srv.Close()
+	}
+}
+
 // HandlerOptions are the options that every handler of the inner protocol has.
 // Nothing is compressed: most messages are shorter than gzip's own frame, and
 // a decompressor for each subscription holds some 50 KB at the gateway.
