--- a/e2e/spread_test.go
+++ b/e2e/spread_test.go
@@ -381,6 +381,33 @@
 	})
 }
 
+// TestNextInRankOffers: whichever gateways do not reach an agent, or die as a
+// change comes, the next one brings it the change.
+func TestNextInRankOffers(t *testing.T) {
+	gateways := []string{"gw1", "gw2", "gw3"}
+	for away := range 1<<len(gateways) - 1 { // every choice but all of them
+		for _, dead := range []bool{false, true} {
+			run(t, func(b *bubble) {
+				b.threeGateways(3)
+				for i, gw := range gateways {
+					if away&(1<<i) == 0 {
+						continue
+					}
+					b.part(gw, agentAddr("s0"), agentAddr("s1"), agentAddr("s2"))
+					if dead {
+						b.kill(innerAddr(gw))
+						b.part(gw, platformAddr)
+						delete(b.keepers, gw)
+					}
+				}
+				b.confirm(nil)
+				time.Sleep(settle)
+				b.inForce(2)
+			})
+		}
+	}
+}
+
 // TestOldGenerationIsRetriedAtOnce: an order planned under an older generation
 // is refused by the agent, which hands the newer one back; the gateway orders
 // again from the same endpoint, and the call runs once.
