Let a fleet's gateways stop without waiting for a balancer

Cause: since gateways wait stop.leave_time (5 s) before they refuse, a fleet's gateway used up its whole drain time of 5 s, exited with 1, and left no time for the stop of the others; make spread failed on it. A fleet has no balancer.

--- a/internal/fleet/specs.go
+++ b/internal/fleet/specs.go
@@ -108,6 +108,9 @@
 
 [routing]
 policy = %s
+
+[stop]
+leave_time = 0s
 `, GatewayName(i), c.dataCentre(i), c.gatewayAddress(i, 0), c.gatewayAddress(i, 1), c.peers(i), platform, c.Policy)
 	return c.daemon(GatewayName(i), "rudder-gateway", text, c.gatewayAddress(i, 2))
 }
