Test a start among unequal peers, and twins of one generation

A gateway that starts takes the highest of what its peers hold, with one of them behind and one dead. Processes that hold another document of a generation cannot use the next delta and are given the whole document, by gateways and by agents.

--- a/e2e/spread_test.go
+++ b/e2e/spread_test.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/micarudder/micarudder/document"
+	"github.com/micarudder/micarudder/generation"
 	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
 	"github.com/micarudder/micarudder/plan"
 	"github.com/micarudder/micarudder/platform"
@@ -381,6 +382,55 @@
 	})
 }
 
+// TestStartTakesTheHighest: a gateway that starts in an outage takes the
+// highest of the documents that its peers hold, the dead ones aside.
+func TestStartTakesTheHighest(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.threeGateways(2)
+		b.part("gw2", platformAddr, innerAddr("gw1"), innerAddr("gw3"), agentAddr("s0"), agentAddr("s1"))
+		b.confirm(nil)
+		time.Sleep(settle)
+		b.inForceBut(2, "gw2")
+		is.Equal(b.keepers["gw2"].Generation(), uint64(1))
+		b.platform.SetFaults(standplatform.Faults{Outage: standplatform.OutageHang})
+		b.kill(innerAddr("gw3"))
+		g := b.gateway("gw4", "gw2", "gw3", "gw1")
+		is.True(!g.Ready())
+		time.Sleep(settle)
+		is.Equal(b.keepers["gw4"].Generation(), uint64(2))
+		is.True(g.Ready())
+	})
+}
+
+// TestTwinsEnd: processes that hold another document of the generation in
+// force cannot use a delta and are given the next document whole.
+func TestTwinsEnd(t *testing.T) {
+	twin := &rudderv1.Document{Generation: 2, PlanId: "twin"}
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.threeGateways(3)
+		rest := []string{platformAddr, innerAddr("gw2"), innerAddr("gw3")}
+		b.part("gw1", append(rest, agentAddr("s0"), agentAddr("s1"), agentAddr("s2"))...)
+		is.Equal(b.keepers["s0"].Offer(twin), generation.Newer)
+		twin := proto.CloneOf(b.doc)
+		twin.Generation, twin.PlanId = 2, "twin"
+		is.Equal(b.keepers["gw1"].Offer(twin), generation.Newer)
+		b.confirm(nil)
+		time.Sleep(settle)
+		b.inForce(2)
+		is.Equal(b.keepers["s0"].Document().PlanId, "twin")
+		b.join("gw1", agentAddr("s0"), agentAddr("s1"), agentAddr("s2"))
+		time.Sleep(10 * time.Second)
+		b.confirm(nil)
+		time.Sleep(2 * settle)
+		b.inForce(3)
+		for _, k := range b.keepers {
+			is.Equal(k.Document().PlanId, "plan-3")
+		}
+	})
+}
+
 // TestNextInRankOffers: whichever gateways do not reach an agent, or die as a
 // change comes, the next one brings it the change.
 func TestNextInRankOffers(t *testing.T) {
