Play 996 cells of failures in virtual time

This adds the kill matrix: seven steps of a request's life, fifteen mishaps (gateway, agent, endpoint and platform die, freeze, lose answers; orders lost, doubled and late), completions and service calls, repeatable or not, named by nothing, a ticket or a key. The caller comes back through a second gateway, late orders are delivered at the end, executions are counted at the endpoints. Checked in each cell: at most one execution of unrepeatable work, none after "not run", whole text, an answer by the deadline, engine memory and the agents' books at zero. The golden file is the table of what callers are told.

Before: 30 of 996 cells failed, all by a "not run" for work that had run. The table differed between runs where chance decides and every outcome is right: a redial's jitter and the choice between two endpoints (now fixed in the cells), and whether an order or a void comes first to an agent that thaws. For that one the line says "whole, or not run"; how often repeatable work ran is left out.

Found on the way and mended: - a record of a closed agent that outlived its time was looked at without a pause, for ever; - repeatable work with an idempotency key was told "not run"; - a key was not looked up while no endpoint could be had, though its claim led to a finished run; - an unrepeatable order whose connection broke was given up as unknown while its agent lived.

The matrix takes 80 to 100 seconds of processor time.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -177,11 +177,13 @@
 	time.AfterFunc(max(time.Until(r.expires), expirySlack), func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if _, final := r.final(); !final {
+		_, final := r.final()
+		switch {
+		case final:
+			a.records.forget(r)
+		case a.ctx.Err() == nil:
 			a.forgetLater(r, claims)
-			return
 		}
-		a.records.forget(r)
 	})
 }
 
--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -73,8 +73,14 @@
 	keepers    map[string]*generation.Keeper
 	metrics    map[string]*metrics.Set // of gateways
 	signers    map[string]*ticket.Signer
-	change     func(*gateway.Config) // of gateways started from now on; may be nil
-	maxRunning int                   // runs at once of agents started from now on
+	change     func(*gateway.Config)   // of gateways started from now on; may be nil
+	maxRunning int                     // runs at once of agents started from now on
+	gauges     map[string]*metrics.Set // of agents, by endpoint
+	work       time.Duration           // of plain services
+	answerKeep time.Duration           // of agents
+
+	net  *network                                          // connections that take time and can be held; nil: plain ones
+	wrap func(addr string, next http.Handler) http.Handler // around every server; nil: none
 }
 
 // run runs a session in a bubble and stops every process at its end.
@@ -88,6 +94,7 @@
 		b := &bubble{
 			t: t, policy: routing.Default(), maxRunning: 64, hosts: make(map[string]*pipe.Listener), conns: make(map[string][]net.Conn), cut: make(map[string]bool), signer: signer,
 			engines: make(map[string]*standengine.Server), services: make(map[string]*standservice.Server), delay: make(map[string]time.Duration),
+			gauges: make(map[string]*metrics.Set), work: 5 * time.Millisecond, answerKeep: 2 * time.Minute,
 			agents: make(map[string]*agent.Agent), gateways: make(map[string]*gateway.Gateway), servers: make(map[string]*http.Server),
 			frozen: make(map[string]chan struct{}), dead: make(map[string]bool),
 			parted: make(map[route]bool), joined: make(map[route][]net.Conn),
@@ -161,6 +168,9 @@
 
 func (b *bubble) serveOn(addr string, srv *http.Server) {
 	l := pipe.Listen()
+	if b.wrap != nil {
+		srv.Handler = b.wrap(addr, srv.Handler)
+	}
 	b.mu.Lock()
 	b.hosts[addr], b.servers[addr] = l, srv
 	b.mu.Unlock()
@@ -197,7 +207,7 @@
 
 // service adds a plain service with its agent.
 func (b *bubble) service(name, serviceName string) {
-	s := standservice.NewServer(standservice.Config{Name: name, Work: 5 * time.Millisecond})
+	s := standservice.NewServer(standservice.Config{Name: name, Work: b.work})
 	b.services[name] = s
 	b.serve(engineAddr(name), s.Handler())
 	b.declare(name, serviceName, 0)
@@ -215,7 +225,9 @@
 	b.keepers[name] = generation.NewKeeper()
 	deps := agent.Deps{
 		Client: b.innerClientFrom(name), Signer: b.signerOf(name), Queue: admission.New(admission.Config{}), Keeper: b.keepers[name], Log: quiet(),
+		Metrics: metrics.NewSet(),
 	}
+	b.gauges[name] = deps.Metrics
 	if serviceName == "" {
 		deps.Engine = &slowState{engine.NewClient(engine.Options{BaseURL: "http://" + engineAddr(name), HTTPClient: b.httpClientFrom(name), Name: name}), b, name}
 	} else {
@@ -223,7 +235,7 @@
 	}
 	a := agent.New(agent.Config{
 		Endpoint: name, Host: "host-" + name, DataCentre: dataCentre, Service: serviceName, MemoryTokens: memory, MaxRunning: b.maxRunning,
-		ReattachWindow: 10 * time.Second, AnswerKeep: 2 * time.Minute, BufferBytes: 64 << 20, MaxRecords: 1000,
+		ReattachWindow: 10 * time.Second, AnswerKeep: b.answerKeep, BufferBytes: 64 << 20, MaxRecords: 1000,
 		ReportInterval: 50 * time.Millisecond, Heartbeat: 5 * time.Second,
 	}, deps)
 	b.agents[name] = a
--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/micarudder/micarudder/internal/standin/answer"
 )
@@ -18,6 +21,9 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// patience is how long a caller waits for a whole answer.
+const patience = 10 * time.Minute
+
 // reply is what a caller got.
 type reply struct {
 	status  int
@@ -34,7 +40,15 @@
 // ask sends one request to a gateway.
 func (b *bubble) ask(gw, method, path, body string, header map[string]string) reply {
 	b.t.Helper()
-	req, err := http.NewRequestWithContext(b.t.Context(), method, "http://"+gw+path, strings.NewReader(body))
+	return b.askFor(patience, gw, method, path, body, header)
+}
+
+// askFor gives up after a time.
+func (b *bubble) askFor(patience time.Duration, gw, method, path, body string, header map[string]string) reply {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(b.t.Context(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+gw+path, strings.NewReader(body))
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -100,6 +114,9 @@
 	}
 }
 
+// lastID is the event id that goes with the text held.
+func lastID(text string) string { return strconv.Itoa(len(text)) }
+
 // chat returns a chat request body.
 func chat(prompt string, tokens int, stream bool) string {
 	var b bytes.Buffer
--- a/e2e/part_test.go
+++ b/e2e/part_test.go
@@ -17,7 +17,7 @@
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		r := route{from, strings.TrimSuffix(addr, ":80")}
 		b.mu.Lock()
-		parted := b.parted[r] || b.dead[from]
+		parted := b.parted[r] || b.dead[from] || b.net.isDead(from)
 		b.mu.Unlock()
 		if parted {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("no route")}
@@ -31,7 +31,7 @@
 		c.(*conn).from = from
 		b.joined[r] = append(b.joined[r], c)
 		b.conns[from] = append(b.conns[from], c)
-		return c, nil
+		return b.net.join(from, r.to, c), nil
 	}
 }
 
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -44,14 +44,10 @@
 	if len(key) > maxKey {
 		return result.New(result.BadHeader, headerKey+" is longer than 256 bytes")
 	}
-	s := &session{g: g, o: o}
-	if _, end := s.place(); end != nil {
-		return &result.Err{Code: result.Code(end.Code), Outcome: result.Outcome(end.Outcome), Detail: end.Detail, RetryAfter: end.RetryAfterMs}
-	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), o.deadline)
 	defer cancel()
-	mine := claimed{s.ticket, digest(o)}
-	found, err := g.writeClaim(ctx, claimKey(o.workspace.Name, key), mine)
+	mine := claimed{Digest: digest(o)}
+	found, err := g.makeClaim(ctx, o, claimKey(o.workspace.Name, key), mine)
 	if err != nil {
 		return err
 	}
@@ -66,6 +62,33 @@
 	return nil
 }
 
+// makeClaim claims the key for a new ticket. When no endpoint can be had the
+// key may still lead to a run that another presentation ordered.
+func (g *Gateway) makeClaim(ctx context.Context, o *order, key string, mine claimed) (claimed, *result.Err) {
+	s := &session{g: g, o: o}
+	if _, end := s.place(); end != nil {
+		if found, ok := g.findClaim(ctx, key); ok {
+			return found, nil
+		}
+		return claimed{}, &result.Err{
+			Code: result.Code(end.Code), Outcome: result.Outcome(end.Outcome), Detail: end.Detail, RetryAfter: end.RetryAfterMs,
+		}
+	}
+	mine.Ticket = s.ticket
+	return g.writeClaim(ctx, key, mine)
+}
+
+// findClaim looks for a claim without making one.
+func (g *Gateway) findClaim(ctx context.Context, key string) (found claimed, ok bool) {
+	if g.deps.Store == nil {
+		return found, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	e, err := g.deps.Store.Get(ctx, key)
+	return found, err == nil && json.Unmarshal(e.Value, &found) == nil
+}
+
 // digest names what a request asks for.
 func digest(o *order) string {
 	h := sha256.New()
--- a/gateway/faces.go
+++ b/gateway/faces.go
@@ -84,7 +84,10 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &order{id: newID(), workspace: x.workspace, repeatable: repeatable, deadline: deadline, skip: skip}
+	o := &order{
+		id: newID(), workspace: x.workspace, repeatable: repeatable, keyed: x.r.Header.Get(headerKey) != "",
+		deadline: deadline, skip: skip,
+	}
 	if err := g.present(x, o); err != nil {
 		return nil, err
 	}
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -29,6 +29,7 @@
 	call       *rudderv1.ServiceCall // set for a service call
 	body       []byte
 	repeatable bool
+	keyed      bool // the caller gave an idempotency key
 	deadline   time.Time
 	ticket     string                 // presented or claimed; empty otherwise
 	claims     *rudderv1.TicketClaims // of the ticket
@@ -72,7 +73,7 @@
 // serve runs the order to its end and returns what to tell the caller.
 func (g *Gateway) serve(ctx context.Context, o *order, out sink) *rudderv1.End {
 	s := &session{g: g, o: o, out: out, excluded: make(map[string]bool), began: time.Now(), ticket: o.ticket}
-	s.life = lifecycle.Dispatch{Repeatable: o.repeatable, Named: o.ticket != "", Resumable: o.resumable()}
+	s.life = lifecycle.Dispatch{Repeatable: o.repeatable, Named: o.ticket != "" || o.keyed, Resumable: o.resumable()}
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
 	end := s.settle(s.run(ctx))
@@ -107,6 +108,8 @@
 			return last
 		case lifecycle.StepVoid:
 			return s.void(ctx, l, last)
+		case lifecycle.StepReattach:
+			s.stay()
 		case lifecycle.StepAgain:
 			l.relearn(ctx, last)
 		default:
@@ -156,6 +159,13 @@
 	return end
 }
 
+// stay keeps the next attempt at the agent that the current ticket names.
+func (s *session) stay() {
+	if claims, err := s.g.readTicket(s.ticket, s.o.workspace); err == nil {
+		s.o.claims = claims
+	}
+}
+
 // moveOn prepares the next attempt after one at l ended as last. What became of
 // an earlier presentation says nothing against its endpoint; the request goes
 // on under an id of its own, for the old id leads to the old run.
@@ -261,7 +271,7 @@
 		Repeatable: s.o.repeatable, RemainingMs: time.Until(s.o.deadline).Milliseconds(),
 		Priority: s.o.workspace.Priority, Weight: s.o.workspace.Weight,
 		Generation: s.g.deps.Keeper.Generation(), Gateway: s.g.cfg.Name,
-		Completion: s.o.completion, Call: s.o.call, Body: s.o.body, Ephemeral: !s.life.Named,
+		Completion: s.o.completion, Call: s.o.call, Body: s.o.body, Ephemeral: !s.life.Named && !s.life.Lost(),
 	}
 	if c := s.o.completion; c != nil && (len(s.delivered) > 0 || s.group != nil) {
 		req.Completion = &rudderv1.Completion{
--- a/lifecycle/dispatch.go
+++ b/lifecycle/dispatch.go
@@ -35,7 +35,8 @@
 // The steps after an ended attempt.
 const (
 	StepAnswer    Step = iota // give the caller the ending
-	StepAgain                 // order from the same endpoint, with the configuration learned
+	StepAgain                 // order again, with the configuration learned
+	StepReattach              // give the same order to the same agent: it runs it at most once
 	StepElsewhere             // order from another endpoint, from offset 0
 	StepContinue              // order from another endpoint, after the delivered text
 	StepRestart               // order from another endpoint; the delivered text is void
@@ -44,7 +45,7 @@
 
 // String returns the step's name.
 func (s Step) String() string {
-	return [...]string{"answer", "again", "elsewhere", "continue", "restart", "void"}[s]
+	return [...]string{"answer", "again", "reattach", "elsewhere", "continue", "restart", "void"}[s]
 }
 
 // orders reports whether the step sends another order.
@@ -60,6 +61,10 @@
 	return step
 }
 
+// Lost reports whether an earlier attempt may have run. An order that may be
+// the second of its id must be sealed when it is refused.
+func (d *Dispatch) Lost() bool { return weight(d.earlier) > weight(result.NotRun) }
+
 // Claim returns what the caller may be told about execution when e is the
 // request's last ending. "Not run" needs evidence for every attempt. A name
 // can be presented through several gateways at once, so for a named request
@@ -70,6 +75,9 @@
 	if e.Outcome == result.NotRun && d.Named && (d.Repeatable || !e.Sealed) {
 		e.Outcome = result.MayHaveRun
 	}
+	if e.Outcome == result.NotRun && e.Sealed && !d.Repeatable {
+		return result.NotRun // every order of this id went to the agent that sealed it
+	}
 	return worse(d.earlier, e.Outcome)
 }
 
@@ -110,10 +118,21 @@
 	case result.NotRun:
 		return d.afterRefusal(e, budget)
 	default:
+		return d.afterLoss(e)
+	}
+}
+
+// afterLoss: unrepeatable work can only be looked for where it was ordered.
+func (d *Dispatch) afterLoss(e Ending) Step {
+	if d.Repeatable {
 		// An admitted request is not dropped for want of a retry budget; the
 		// number of its attempts bounds what it can cost.
 		return d.retry(e, unbounded)
 	}
+	if d.again() && (e.Code == result.AgentLost || e.Code == result.OrderUnanswered) {
+		return StepReattach
+	}
+	return StepAnswer
 }
 
 // unbounded is the budget of what must not be dropped.
@@ -134,7 +153,7 @@
 		return StepAgain
 	case d.pinned() && !e.Sealed:
 		return StepVoid
-	case d.pinned():
+	case d.pinned(), !d.Repeatable && d.Lost():
 		return StepAnswer
 	case retryElsewhere(e.Code), e.Attached && givenUp(e.Code):
 		return d.move(e, budget)
