Compare the policies under virtual time too

Real processes stay the proof that the ratios hold with real sockets.

Run at ordinary size it is a test: every answer whole, no promise broken.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test bench demo slopes spread generate fmt
+.PHONY: all build test bench bench-virtual demo slopes spread generate fmt
 
 all: build
 
@@ -24,6 +24,11 @@
 spread: build ## Measure how a confirmed configuration spreads, under a minute.
 	$(GO) run ./internal/experiment/spread --bin $(BIN) --commit "$$(git rev-parse --short HEAD)"
 
+bench-virtual: ## The same comparison in one process under virtual time, a few minutes; the table goes to bin/bench-virtual.md.
+	mkdir -p $(BIN)
+	$(GO) test ./internal/bench -run TestVirtual -count 1 -timeout 30m -parallel 4 -v -policies \
+		-commit "$$(git rev-parse --short HEAD)" -table $(CURDIR)/$(BIN)/bench-virtual.md $(BENCHFLAGS)
+
 generate: ## Regenerate the inner protocol; needs protoc (Debian: protobuf-compiler).
 	mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -1,6 +1,8 @@
 package bench
 
 import (
+	"strconv"
+
 	"github.com/micarudder/micarudder/internal/fleet"
 )
 
@@ -11,7 +13,8 @@
 	memoryTokens = 450_000
 	maxRunning   = 64
 	// engineSpeed is modelled time over real time.
-	engineSpeed = "2"
+	engineSpeed = 2
+	dataCentre  = "hall-petrzalka"
 )
 
 // fleet describes the installation for one run.
@@ -20,13 +23,13 @@
 		BinDir:       o.BinDir,
 		Dir:          dir,
 		BasePort:     o.BasePort,
-		DataCentres:  []string{"hall-petrzalka"},
+		DataCentres:  []string{dataCentre},
 		Engines:      engines,
 		Gateways:     gateways,
 		Models:       []string{"rudder-llm"},
 		Workspaces:   o.workspaces(),
 		Policy:       policy,
-		EngineArgs:   []string{"--speed", engineSpeed},
+		EngineArgs:   []string{"--speed", strconv.Itoa(engineSpeed)},
 		MemoryTokens: memoryTokens,
 		MaxRunning:   maxRunning,
 		LogLevel:     "warn",
