Count a request as unsent when its connection never came about

The script test of load runs failed on a busy machine: the deadline passed during the dial, the error was the deadline's and not the dial's, and a request that no gateway had taken was reported as lost. Whether it was sent now follows from the connection itself, not from the kind of error. The new test, a dial that hangs, failed before the change with lost for unsent.

--- a/load/caller_test.go
+++ b/load/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -241,3 +242,19 @@
 		}
 	})
 }
+
+// A connection that never comes about carries no request, however it ends.
+func TestNoConnectionIsUnsent(t *testing.T) {
+	m := mustMix(t, oneRequest)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		over := make(chan struct{})
+		defer close(over)
+		hangs := func(context.Context, string, string) (net.Conn, error) {
+			<-over
+			return nil, net.ErrClosed
+		}
+		recs := doVerified(t, Options{Mix: m, Gateways: []string{"http://gateway"}, Seed: 1, Keep: first, Transport: &http.Transport{DialContext: hangs}})
+		is.Equal(recs[0].Final, Unsent)
+	})
+}
--- a/load/client.go
+++ b/load/client.go
@@ -7,8 +7,8 @@
 	"errors"
 	"io"
 	"mime"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -68,9 +68,11 @@
 // present sends a request and reads its answer into a. onText is called
 // before each piece of text is added.
 func (c *client) present(req *http.Request, a *assembly, onText func()) reply {
-	resp, err := c.http.Do(req)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
-		return reply{refused: notConnected(err)}
+		return reply{refused: !connected.Load()}
 	}
 	defer drain(resp.Body)
 	r := reply{ticket: resp.Header.Get(headerTicket)}
@@ -159,12 +161,6 @@
 	return a.finish()
 }
 
-// notConnected tells whether the request certainly was not sent.
-func notConnected(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func drain(body io.ReadCloser) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxEventBytes))
 	_ = body.Close()
