Read the gateway's error events, and present again a run that nobody knows

An error inside a stream stands under "error" in its event; the caller read it one level up, so that the code was missing and every such end counted as "may have run". And "unknown-run" is told with "may have run", as its result code says, while the caller expected "not run" and gave up; it now presents the request again under the same name, which runs it at most once.

--- a/load/caller.go
+++ b/load/caller.go
@@ -85,7 +85,8 @@
 		return c.sameAgain(attached), reattachWait
 	case r.final == "":
 		return c.afterBreak(ctx)
-	case r.final == Refused && attached && r.problem.Code == result.UnknownRun:
+	case attached && r.problem.Code == result.UnknownRun:
+		// Presented again under the same name, it runs at most once.
 		return again, reattachWait
 	case r.final == Unknown && c.neverPresented(r.problem.Code):
 		c.ticket = c.fresh(ctx)
--- a/load/client.go
+++ b/load/client.go
@@ -122,9 +122,9 @@
 		case ev.Type == eventRestart:
 			a.restart()
 		case ev.Type == eventError:
-			var p problem
-			_ = json.Unmarshal([]byte(ev.Data), &p)
-			return p.final(), p
+			var e errorEvent
+			_ = json.Unmarshal([]byte(ev.Data), &e)
+			return e.Error.final(), e.Error
 		case ev.Data == endOfStream:
 			return a.finish(), problem{}
 		default:
--- a/load/protocol.go
+++ b/load/protocol.go
@@ -38,6 +38,11 @@
 	RetryAfterMS int64       `json:"retry_after_ms"`
 }
 
+// errorEvent is the data of an error inside a stream.
+type errorEvent struct {
+	Error problem `json:"error"`
+}
+
 func (p problem) retryAfter() time.Duration {
 	return time.Duration(p.RetryAfterMS) * time.Millisecond
 }
