Let a refused caller come back with another ticket

Cause: after a drain 39 lookups of the demo were told 3005, not run: their tickets named the agent that had stopped, whose successor had sealed them. A retry under the same ticket is refused for good, and the load tool's caller retried just so. Ruled out: the gateway running it under a new ticket by itself; a second presentation of the old one would then be told "not run" of what ran.

--- a/load/caller.go
+++ b/load/caller.go
@@ -89,12 +89,13 @@
 		// Presented again under the same name, it runs at most once.
 		return again, reattachWait
 	case r.final == Unknown && c.neverPresented(r.problem.Code):
-		c.ticket = c.fresh(ctx)
+		c.renew(ctx)
 		return again, reattachWait
 	case r.final == Unknown && c.mayAsk(r.problem.Code):
 		c.asked++
 		return reattach, reattachWait
 	case r.final == Refused && c.mayRetry(r.problem.retryAfter()):
+		c.renew(ctx)
 		return again, r.problem.retryAfter()
 	}
 	c.rec.Final = r.final
@@ -136,6 +137,14 @@
 	return c.ticket != "" && c.asked < maxAsks && result.Lookup(code).Advice == result.AdviceTicket
 }
 
+// renew takes another ticket for a request that was not run: its old one is
+// refused from now on.
+func (c *caller) renew(ctx context.Context) {
+	if c.fresh != nil {
+		c.ticket = c.fresh(ctx)
+	}
+}
+
 // mayRetry tells whether a refused request comes back.
 func (c *caller) mayRetry(wait time.Duration) bool {
 	if c.rec.Presentations > c.flow.Retries {
