Measure what gateway and agent add to the first token

Cause: the goal of 1 ms at idle had no figure. Change: make overhead asks an engine directly and through gateway and agent, in turns in the same run.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test bench bench-virtual demo slopes spread generate fmt
+.PHONY: all build test bench bench-virtual demo slopes spread overhead generate fmt
 
 all: build
 
@@ -29,6 +29,9 @@
 	$(GO) test ./internal/bench -run TestVirtual -count 1 -timeout 30m -parallel 4 -v -policies \
 		-commit "$$(git rev-parse --short HEAD)" -table $(CURDIR)/$(BIN)/bench-virtual.md $(BENCHFLAGS)
 
+overhead: build ## Measure what gateway and agent add to the first token, ten seconds.
+	$(GO) run ./internal/experiment/overhead --bin $(BIN)
+
 generate: ## Regenerate the inner protocol; needs protoc (Debian: protobuf-compiler).
 	mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
