--- /dev/null
+++ b/lifecycle/assembler_test.go
@@ -0,0 +1,85 @@
+package lifecycle
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestAssemblerNeverJoinsWrongly: whatever frames of one answer come, late,
+// twice or mixed with another attempt's, what is delivered is a beginning of
+// the answer, and the end is accepted only for all of it.
+func TestAssemblerNeverJoinsWrongly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		answer := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "answer")
+		var a Assembler
+		a.Begin(1)
+		var got []byte
+		for range rapid.IntRange(0, 40).Draw(t, "frames") {
+			from := rapid.IntRange(0, len(answer)).Draw(t, "from")
+			to := rapid.IntRange(from, len(answer)).Draw(t, "to")
+			attempt, text := uint32(1), answer[from:to]
+			if rapid.Bool().Draw(t, "other") {
+				attempt, text = 2, bytes.Repeat([]byte{'x'}, to-from)
+			}
+			before := len(got)
+			fresh, err := a.Data(attempt, uint64(from), text)
+			got = append(got, fresh...)
+			if gap := attempt == 1 && from > before; (err != nil) != gap {
+				t.Fatalf("from %d after %d bytes: %v", from, before, err)
+			}
+			if !bytes.HasPrefix(answer, got) || uint64(len(got)) != a.Offset() {
+				t.Fatalf("delivered %q of %q", got, answer)
+			}
+		}
+		mine, err := a.End(1, uint64(len(answer)), xxhash.Sum64(answer))
+		if !mine || (err == nil) != (len(got) == len(answer)) {
+			t.Fatalf("end after %d of %d bytes: %v %v", len(got), len(answer), mine, err)
+		}
+		if mine, _ := a.End(2, 0, 0); mine {
+			t.Fatal("the end of another attempt was taken")
+		}
+	})
+}
+
+// TestAssemblerFindsDamage: a changed byte is found at the end.
+func TestAssemblerFindsDamage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		answer := rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "answer")
+		bad := bytes.Clone(answer)
+		bad[rapid.IntRange(0, len(bad)-1).Draw(t, "at")] ^= 1
+		var a Assembler
+		a.Begin(1)
+		if _, err := a.Data(1, 0, bad); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := a.End(1, uint64(len(answer)), xxhash.Sum64(answer)); err == nil {
+			t.Fatal("damage was not found")
+		}
+	})
+}
+
+// TestAssemblerContinues: a later attempt goes on after the delivered text; a
+// restart begins at offset 0.
+func TestAssemblerContinues(t *testing.T) {
+	is := is.New(t)
+	var a Assembler
+	a.Begin(1)
+	_, err := a.Data(1, 0, []byte("hour"))
+	is.NoErr(err)
+	a.Begin(2)
+	fresh, err := a.Data(2, 4, []byte(" 12"))
+	is.NoErr(err)
+	is.Equal(string(fresh), " 12")
+	_, err = a.End(2, 7, xxhash.Sum64String("hour 12"))
+	is.NoErr(err)
+	a.Restart(3)
+	is.Equal(a.Offset(), uint64(0))
+	_, err = a.Data(3, 0, []byte("other"))
+	is.NoErr(err)
+	_, err = a.End(3, 5, xxhash.Sum64String("other"))
+	is.NoErr(err)
+}
--- /dev/null
+++ b/lifecycle/run_test.go
@@ -0,0 +1,67 @@
+package lifecycle
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/micarudder/micarudder/result"
+)
+
+var events = []EventKind{EvDispatch, EvRefused, EvAnswer, EvEnd, EvLost, EvExpire, EvVoid, EvCancel}
+
+// TestRunKeepsItsWord: in any order of events the endpoint gets one order at
+// most, a final state stays, and the outcome follows from what was seen.
+func TestRunKeepsItsWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Run
+		var final Run
+		orders, answered, refused := 0, false, false
+		for _, k := range rapid.SliceOfN(rapid.SampledFrom(events), 1, 12).Draw(t, "events") {
+			was := r.State
+			action := r.Apply(Event{Kind: k, Code: result.EndpointRefused})
+			if action == ActOrder {
+				orders++
+			}
+			if action == ActIgnore && r.State != was {
+				t.Fatalf("%v was ignored and changed the state", k)
+			}
+			if action != ActIgnore {
+				answered = answered || k == EvAnswer || k == EvEnd
+				refused = refused || k == EvRefused
+			}
+			if was.Final() && r != final {
+				t.Fatalf("%v changed the final state %v", k, &final)
+			}
+			if r.State.Final() {
+				final = r
+			}
+		}
+		checkRun(t, r, orders, answered, refused)
+	})
+}
+
+func checkRun(t *rapid.T, r Run, orders int, answered, refused bool) {
+	if orders > 1 {
+		t.Fatalf("%d orders", orders)
+	}
+	if !r.State.Final() {
+		return
+	}
+	switch r.Outcome {
+	case result.NotRun:
+		if answered || orders > 0 && !refused {
+			t.Fatalf("not run after an order: %v", &r)
+		}
+	case result.Ran:
+		if !answered {
+			t.Fatalf("ran without an answer: %v", &r)
+		}
+	case result.MayHaveRun:
+		if orders == 0 {
+			t.Fatalf("may have run without an order: %v", &r)
+		}
+	default:
+		t.Fatalf("no outcome: %v", &r)
+	}
+}
--- a/result/result.go
+++ b/result/result.go
@@ -135,7 +135,7 @@
 	Code    Code
 	Name    string
 	Status  int     // HTTP status towards callers; 0 when never sent to one
-	Outcome Outcome // what the code claims; a response may narrow it with evidence
+	Outcome Outcome // what the code claims; a response may say more or less by its evidence
 	Advice  Advice
 	Text    string // one sentence for people
 }
