--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -28,7 +28,10 @@
 	if out, err := exec.Command("go", "build", "-o", bin, "../cmd/rudder-gateway", "../cmd/rudder-agent", "../cmd/rudder-standin").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v %s", err, out)
 	}
-	c.BinDir, c.Dir, c.BasePort = bin, t.TempDir(), processPort
+	c.BinDir, c.Dir = bin, t.TempDir()
+	if c.BasePort == 0 {
+		c.BasePort = processPort
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	f, err := fleet.Start(ctx, c)
