--- a/e2e/names_test.go
+++ b/e2e/names_test.go
@@ -257,3 +257,27 @@
 		b.services["s"].SetFaults(standservice.Faults{})
 	})
 }
+
+// TestVoidBeforeOrder: a gateway that froze with an order on its way is thawed
+// after its caller was told "not run" through another one.
+func TestVoidBeforeOrder(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.net = newNetwork()
+		b.engine("a", nil)
+		b.gateway("gw1")
+		b.gateway("gw2")
+		b.publish()
+		ticket := b.buy("gw1", onceTicket)
+		b.net.hold(outgoing("gw1"))
+		got := make(chan reply, 1)
+		header := map[string]string{"Rudder-Ticket": ticket, "Rudder-Deadline": "1m"}
+		go func() { got <- b.ask("gw1", "POST", chatPath, chat("x", 40, true), header) }()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(b.ask("gw2", "DELETE", "/v1/runs/"+ticket, "", nil).fault().Outcome, "not run")
+		b.net.release()
+		is.Equal((<-got).fault().Outcome, "not run")
+		time.Sleep(time.Minute)
+		is.Equal(b.engines["a"].Counts().Total, 0)
+	})
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -22,7 +22,7 @@
 const processPort = 22600
 
 // startFleet builds the programs and starts them as real processes.
-func startFleet(t *testing.T, c fleet.Config) *fleet.Fleet {
+func startFleet(t testing.TB, c fleet.Config) *fleet.Fleet {
 	t.Helper()
 	bin := t.TempDir()
 	if out, err := exec.Command("go", "build", "-o", bin, "../cmd/rudder-gateway", "../cmd/rudder-agent", "../cmd/rudder-standin").CombinedOutput(); err != nil {
