--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -22,13 +22,16 @@
 const processPort = 22600
 
 // startFleet builds the programs and starts them as real processes.
-func startFleet(t *testing.T, c fleet.Config) *fleet.Fleet {
+func startFleet(t testing.TB, c fleet.Config) *fleet.Fleet {
 	t.Helper()
 	bin := t.TempDir()
 	if out, err := exec.Command("go", "build", "-o", bin, "../cmd/rudder-gateway", "../cmd/rudder-agent", "../cmd/rudder-standin").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v %s", err, out)
 	}
-	c.BinDir, c.Dir, c.BasePort = bin, t.TempDir(), processPort
+	c.BinDir, c.Dir = bin, t.TempDir()
+	if c.BasePort == 0 {
+		c.BasePort = processPort
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	f, err := fleet.Start(ctx, c)
