Give gateways time to hear of an unload

An agent refused new runs of a model from the moment it took the permit, while gateways still sent them: each cost a retry, and a run on a caller's ticket was lost for good. It takes them for two report intervals more and waits for them. Without the change the test's run is refused.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -104,6 +104,9 @@
 	r.expires = r.deadline.Add(a.untilExpiry(claims))
 	a.records.add(r)
 	a.waiting[r.item.ID] = r
+	if time.Now().Before(a.withdraw) {
+		a.block(r)
+	}
 	if group := req.GetCompletion().GetGroup(); group != "" {
 		a.desk.book.Pin(group, now)
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -77,6 +77,7 @@
 	role     string
 	book     *orders.Book
 	blocking map[*run]struct{} // runs that the order in progress waits for
+	withdraw time.Time         // when new runs are refused what it takes away
 	version  uint64            // counts changes worth reporting
 	changed  chan struct{}     // closed at each change worth reporting
 
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -21,6 +21,9 @@
 	orderLook = 250 * time.Millisecond
 	// orderPoll is how often the endpoint is asked while an order is in progress.
 	orderPoll = time.Second
+	// withdrawReports is how many report intervals gateways get to learn that
+	// a model or adapter goes, before new runs of it are refused.
+	withdrawReports = 2
 )
 
 // orderLoop carries out accepted orders, one at a time.
@@ -210,13 +213,17 @@
 }
 
 // blockers returns how many runs need what the order in progress takes away; a
-// group that holds memory counts as one when a model goes. The caller holds mu.
+// group that holds memory counts as one when a model goes, and so do the runs
+// that may still come while gateways learn of it. The caller holds mu.
 func (a *Agent) blockers() int {
 	for r := range a.blocking {
 		if _, final := r.final(); final {
 			delete(a.blocking, r)
 		}
 	}
+	if time.Now().Before(a.withdraw) {
+		return len(a.blocking) + 1
+	}
 	if a.book.Order().Kind == engine.OrderUnloadModel && a.desk.busy() {
 		return len(a.blocking) + 1
 	}
@@ -232,7 +239,11 @@
 // serves tells whether the endpoint takes new runs under a model's, version's
 // or adapter's name; the caller holds mu.
 func (a *Agent) serves(name string) bool {
-	for _, m := range orders.Without(a.models, a.book.Order()) {
+	left := a.models
+	if !time.Now().Before(a.withdraw) {
+		left = orders.Without(a.models, a.book.Order())
+	}
+	for _, m := range left {
 		if orders.Serves(m, name) {
 			return true
 		}
@@ -240,6 +251,14 @@
 	return false
 }
 
+// block lets the order in progress wait for a run that needs what it takes
+// away; the caller holds mu.
+func (a *Agent) block(r *run) {
+	if a.blocking != nil && orders.Takes(a.models, a.book.Order(), r.req.GetCompletion().GetModel()) {
+		a.blocking[r] = struct{}{}
+	}
+}
+
 // place accepts a permitted order, or says why not.
 func (a *Agent) place(req *rudderv1.PlaceRequest) *rudderv1.PlaceResponse {
 	a.mu.Lock()
@@ -265,9 +284,13 @@
 		return err
 	}
 	a.blocking = make(map[*run]struct{})
+	a.withdraw = time.Time{}
+	if k := a.book.Order().Kind; k == engine.OrderUnloadModel || k == engine.OrderUnloadAdapter {
+		a.withdraw = time.Now().Add(withdrawReports * a.cfg.ReportInterval)
+	}
 	for _, r := range a.records.runs {
-		if _, final := r.final(); !final && orders.Takes(a.models, a.book.Order(), r.req.GetCompletion().GetModel()) {
-			a.blocking[r] = struct{}{}
+		if _, final := r.final(); !final {
+			a.block(r)
 		}
 	}
 	a.notify()
--- a/e2e/place_test.go
+++ b/e2e/place_test.go
@@ -204,6 +204,26 @@
 	})
 }
 
+// TestUnloadGivesGatewaysTime: a run that a gateway sends before it has heard
+// of the unload is taken, and the unload waits for it.
+func TestUnloadGivesGatewaysTime(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.gateway("gw1")
+		b.publish()
+		h := b.hand("a")
+		h.await()
+		is.True(h.place(h.permit(unload1)).Accepted)
+		got := b.ask("gw1", "POST", chatPath, chat("just in time", 100, true), nil)
+		is.Equal(got.text, answerTo("just in time", 100))
+		is.True(got.done)
+		time.Sleep(time.Second)
+		is.Equal(b.engines["a"].Counts().Died, 0)
+		is.Equal(b.seen("a")[0].order.Kind, engine.OrderUnloadModel)
+	})
+}
+
 // TestPausedAgentGivesNothing pauses an agent between the endpoint's word and
 // the order, with and without a new generation in the meantime.
 func TestPausedAgentGivesNothing(t *testing.T) {
