Ignore what an endpoint said before a later word of its own

Two questions about the endpoint's state can be in flight, and an answer from before an unload that arrived after its end brought the model back into the agent's books: runs were taken and refused by the engine until the next probe, and callers saw it when all agents were paused at once. An answer counts only if it was asked for after the last one that counted, and after the last order was sent. The new test fails without that.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,6 +73,7 @@
 	desk     *desk          // memory reservations
 	sweeping chan struct{}  // a token while the endpoint's held memory is compared with the leases
 	models   []engine.Model // as the endpoint last said
+	stated   time.Time      // when it was asked for that; what it said earlier does not count
 	cache    *affinity.Set  // blocks that the endpoint is believed to hold
 	role     string
 	book     *orders.Book
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -55,17 +55,22 @@
 // an agent serves only after the orphans of earlier ones were looked for.
 func (a *Agent) probe() error {
 	if a.deps.Engine == nil {
-		a.serving(nil, "")
+		a.serving(time.Now(), nil, "")
 		return nil
 	}
 	_, err := a.sweep()
 	return err
 }
 
-// serving records what the endpoint serves.
-func (a *Agent) serving(models []engine.Model, role string) {
+// serving records what the endpoint said it serves when it was asked at the
+// given time. An answer that was overtaken by a later one does not count.
+func (a *Agent) serving(asked time.Time, models []engine.Model, role string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if asked.Before(a.stated) {
+		return
+	}
+	a.stated = asked
 	if !sameModels(a.models, models) || a.role != role {
 		a.models, a.role = models, role
 		a.book.Changed()
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -107,6 +107,7 @@
 		a.mu.Unlock()
 		return
 	}
+	a.stated = time.Now()
 	a.notify()
 	a.mu.Unlock()
 	a.deps.Log.Info("Giving an order.", "kind", o.Kind, "model", o.Model, "version", o.Version, "adapter", o.Adapter, "role", o.Role, "fence", o.Fence)
@@ -196,11 +197,12 @@
 func (a *Agent) askState() (engine.State, error) {
 	ctx, cancel := context.WithTimeout(a.ctx, probeTime)
 	defer cancel()
+	asked := time.Now()
 	st, err := a.deps.Engine.State(ctx)
 	if err != nil {
 		return st, err
 	}
-	a.serving(st.Models, st.Role)
+	a.serving(asked, st.Models, st.Role)
 	return st, nil
 }
 
--- a/e2e/place_test.go
+++ b/e2e/place_test.go
@@ -250,3 +250,25 @@
 		})
 	}
 }
+
+// TestLateWordOfTheEndpoint: what the endpoint said before an order, and what
+// arrives after its end, changes nothing.
+func TestLateWordOfTheEndpoint(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		h := b.hand("a")
+		h.offer()
+		h.await()
+		b.setDelay("a", 30*time.Second)
+		time.Sleep(6 * time.Second) // a probe is on its way
+		b.setDelay("a", 0)
+		is.True(h.place(h.permit(unload1)).Accepted)
+		h.await()
+		is.Equal(len(h.report().Models), 0)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(len(h.report().Models), 0)
+		}
+	})
+}
