Learn no cost of a token from prompts of a few tokens

Cause: an idle engine with 64 slots refused 94 of 250 short requests, one every 80 ms with 30 s each, as too late (3002), and 157 at 40 ms. A prompt of three tokens takes one step of the engine, 10 ms; the cost model spread that over three tokens and predicted seconds for the chunks that pass an answer. Ruled out: the decode estimate (its floor was right); memory and slots (7 of 64 taken). Change: prefill of fewer than 256 uncached tokens is not observed.

--- a/cost/cost.go
+++ b/cost/cost.go
@@ -33,6 +33,10 @@
 	offFactor = 2
 	offStreak = 3
 	forgetful = 0.1
+	// leastTokens is the least number of uncached tokens whose prefill says
+	// something about the cost of a token: that of fewer is mostly the fixed cost
+	// of an engine's step.
+	leastTokens = 256
 	// decodeGain is the weight of a new observation of decode.
 	decodeGain = 0.2
 	// floorDrift is the factor by which the least decode time rises with each
@@ -89,7 +93,7 @@
 // already, output tokens, and the times of prefill and decode. A time of zero
 // or less was not observed.
 func (m *Model) Observe(prompt, cached, output uint64, prefill, decode time.Duration, now time.Time) {
-	if prefill > minPrefill && prompt > cached {
+	if prefill > minPrefill && prompt >= cached+leastTokens {
 		m.observePrefill(prompt, cached, prefill)
 	}
 	if decode > 0 && output > 0 {
--- a/cost/cost_test.go
+++ b/cost/cost_test.go
@@ -114,3 +114,17 @@
 		})
 	}
 }
+
+// TestTinyPromptsTeachNoTokenCost: a prompt of a few tokens takes one step of
+// the engine, which says nothing about what a thousand tokens take.
+func TestTinyPromptsTeachNoTokenCost(t *testing.T) {
+	is := is.New(t)
+	m := New(routing.Cost{})
+	before := m.Cost().Prefill(routing.ChunkTokens, 0)
+	now := time.Unix(0, 0)
+	for range 100 {
+		now = now.Add(time.Second)
+		m.Observe(3, 0, 50, 12*time.Millisecond, 600*time.Millisecond, now)
+	}
+	is.Equal(m.Cost().Prefill(routing.ChunkTokens, 0), before)
+}
