Measure groups with real processes

`make groups` runs prompts of a million tokens over four stand-in engines, kills and freezes processes of the group, and waits until no engine holds anything.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test bench bench-virtual demo slopes spread overhead generate fmt
+.PHONY: all build test bench bench-virtual demo slopes spread overhead groups generate fmt
 
 all: build
 
@@ -32,6 +32,9 @@
 overhead: build ## Measure what gateway and agent add to the first token, ten seconds.
 	$(GO) run ./internal/experiment/overhead --bin $(BIN)
 
+groups: build ## Measure prompts of a million tokens with real processes, about five minutes.
+	$(GO) run ./internal/experiment/groups --bin $(BIN) --commit "$$(git rev-parse --short HEAD)"
+
 generate: ## Regenerate the inner protocol; needs protoc (Debian: protobuf-compiler).
 	mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
--- a/e2e/group_test.go
+++ b/e2e/group_test.go
@@ -287,6 +287,7 @@
 		}()
 		time.Sleep(time.Second)
 		h := b.hand("e4")
+		h.await()
 		resp := h.place(h.permit(engine.Order{Kind: engine.OrderUnloadModel, Model: model, Version: "1"}))
 		b.t.Log(resp.Code, resp.Detail)
 		is.True(resp.Accepted)
--- /dev/null
+++ b/internal/experiment/groups/calls.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/internal/fleet"
+	"github.com/micarudder/micarudder/internal/standin/answer"
+)
+
+const million = 1_000_000
+
+// bench is a running fleet with what was counted so far.
+type bench struct {
+	*fleet.Fleet
+	opts    options
+	prompts int
+}
+
+// prompt returns a prompt of n tokens that was not used before.
+func (b *bench) prompt(n int) string {
+	b.prompts++
+	p := fmt.Sprintf("archive %d ", b.prompts) + strings.Repeat("word", n)
+	return p[:4*n]
+}
+
+// ask sends a completion and returns the modelled time to the whole answer of
+// one token; status 0 means that no answer came.
+func (b *bench) ask(ctx context.Context, gateway, prompt string) (took time.Duration, status int, right bool) {
+	body, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": 1})
+	if err != nil {
+		return 0, 0, false
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, gateway+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return 0, 0, false
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Rudder-Deadline", "5m")
+	began := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return b.modelled(time.Since(began)), 0, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	right = err == nil && resp.StatusCode == http.StatusOK && bytes.Contains(raw, answer.Text([]byte(prompt), 1))
+	return b.modelled(time.Since(began)), resp.StatusCode, right
+}
+
+func (b *bench) modelled(d time.Duration) time.Duration {
+	return (d * time.Duration(b.opts.Speed)).Round(time.Millisecond)
+}
+
+// state asks an engine what it holds.
+func (b *bench) state(ctx context.Context, i int) (st engine.State, err error) {
+	return engine.NewClient(engine.Options{BaseURL: b.Engines[i]}).State(ctx)
+}
+
+// awaitFree waits until no engine holds anything and returns how long it took,
+// in real time.
+func (b *bench) awaitFree(ctx context.Context) (time.Duration, error) {
+	began := time.Now()
+	for {
+		free := true
+		for i := range b.Engines {
+			st, err := b.state(ctx, i)
+			if err != nil {
+				return 0, err
+			}
+			free = free && len(st.Held) == 0 && st.Load.FreeTokens == st.Load.MemoryTokens
+		}
+		if free {
+			return time.Since(began).Round(time.Millisecond), nil
+		}
+		if time.Since(began) > time.Minute {
+			return 0, trace.Errorf("memory is still held after a minute")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// peakMemory returns the most resident memory that a process has had, in MiB.
+func (b *bench) peakMemory(name string) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.Group.Get(name).PID()))
+	if err != nil {
+		return 0
+	}
+	var kib float64
+	for line := range strings.Lines(string(raw)) {
+		_, _ = fmt.Sscanf(line, "VmHWM: %f kB", &kib)
+	}
+	return kib / 1024
+}
--- /dev/null
+++ b/internal/experiment/groups/main.go
@@ -0,0 +1,99 @@
+// Command groups measures, with real processes on the loopback interface,
+// prompts of a million tokens over four engines: the time to the first token,
+// short requests beside it, the agents' resident memory, and what is left held
+// after gateways, agents and engines were killed or frozen. It takes about five
+// minutes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/micarudder/micarudder/internal/fleet"
+)
+
+const (
+	engines      = 4
+	engineTokens = 450_000
+	model        = "rudder-llm"
+	key          = "key-of-the-archive"
+	startTime    = 20 * time.Second
+	stopTime     = 10 * time.Second
+	wholeTime    = 10 * time.Minute
+)
+
+type options struct {
+	BinDir   string `long:"bin" default:"bin" description:"directory of the programs"`
+	BasePort int    `long:"port" default:"22300" description:"first port of the fleet; 19 are used"`
+	Speed    int    `long:"speed" default:"20" description:"modelled time of the engines over real time"`
+	Rounds   int    `long:"rounds" default:"3" description:"prompts of each undisturbed case"`
+	Commit   string `long:"commit" default:"unknown" description:"commit that is measured"`
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "groups:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		if flags.WroteHelp(err) {
+			return nil
+		}
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, wholeTime)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "micarudder-groups-")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	b, err := opts.start(ctx, dir)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("commit %s, %d engines of %d tokens, speed %d; times are modelled\n\n", opts.Commit, engines, engineTokens, opts.Speed)
+	return trace.NewAggregate(b.measure(ctx), b.stop())
+}
+
+// start starts the fleet: four engines with their agents and two gateways.
+func (o options) start(ctx context.Context, dir string) (*bench, error) {
+	c := fleet.Config{
+		BinDir: o.BinDir, Dir: dir, BasePort: o.BasePort, DataCentres: []string{"cdf-a"}, Engines: engines, Gateways: 2,
+		Models: []string{model}, Workspaces: []fleet.Workspace{{Name: "archive", Key: key}}, Policy: "default",
+		EngineArgs: []string{"--speed", fmt.Sprint(o.Speed)}, MemoryTokens: engineTokens, MaxRunning: 64, LogLevel: "warn",
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	f, err := fleet.Start(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return &bench{Fleet: f, opts: o}, nil
+}
+
+func (b *bench) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	return b.Group.Stop(ctx)
+}
+
+func (b *bench) measure(ctx context.Context) error {
+	if err := b.undisturbed(ctx); err != nil {
+		return err
+	}
+	return b.disturbed(ctx)
+}
