Count the time that a freeze held an order back; show the verdicts

Cause: an order carries the time left when it was sent. One that lay in a frozen agent's socket, or with a gateway that froze between deciding and sending, kept all of that time and ran long after its caller had its answer.

The status shows what membership decided of each endpoint and the evidence, and a gateway as draining from the moment it leaves the balancer.

Ruled out: taking off every transit, for the gateway's idea of the clock is late by the way of a report.

Test: seen failing without the deduction.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -35,6 +35,7 @@
 		end.Newer = a.deps.Keeper.Update(req.Generation)
 		return nil, false, end
 	}
+	req.RemainingMs -= a.transit(req)
 	if err := a.refuse(req); err != nil {
 		return nil, false, a.sealRefusal(req, claims, err)
 	}
@@ -59,6 +60,24 @@
 	return old, true, nil
 }
 
+// maxTransit is the time, in milliseconds, that an order takes at most when
+// neither side was frozen; the gateway's idea of the agent's clock is late by
+// no more.
+const maxTransit = 1000
+
+// transit returns how long an order was held back, by a freeze of its gateway
+// after it was decided or of this agent before it was read. That time is gone
+// from what the order has left, though nobody counted it.
+func (a *Agent) transit(req *rudderv1.RunRequest) int64 {
+	if req.SentAgentMs == 0 {
+		return 0
+	}
+	if t := a.clockMS() - req.SentAgentMs; t > maxTransit {
+		return t
+	}
+	return 0
+}
+
 // refuse checks everything that does not depend on the queue. A run whose group
 // was granted a lease is owed, though the agent or the model has begun to leave.
 func (a *Agent) refuse(req *rudderv1.RunRequest) *result.Err {
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -138,6 +138,9 @@
 }
 
 func stateText(e *rudderv1.EndpointStatus) string {
+	if e.Membership != "" {
+		return e.Membership
+	}
 	if !e.Connected {
 		return "unreachable"
 	}
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -230,6 +230,32 @@
 	})
 }
 
+// TestHeldOrders: an order that was held back by a freeze has lost that time.
+func TestHeldOrders(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.publish()
+		time.Sleep(time.Minute)
+		now := time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)).Milliseconds() // the agent started with the bubble
+		send := func(id string, held int64) *rudderv1.End {
+			req := b.order(id, b.agents["a"].Incarnation())
+			req.Completion.MaxTokens, req.Body = 500, []byte(chat(id, 500, true)) // five seconds of work, ten are left
+			req.SentAgentMs = now - held
+			return runOnce(is, b.t.Context(), b.agentClient("a"), req)
+		}
+		expired := send("too late", 10_000)
+		is.Equal(result.Code(expired.Code), result.OrderExpired)
+		is.True(expired.Sealed)
+		is.Equal(result.Code(send("on its way", 900).Code), result.OK)
+		now = time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)).Milliseconds()
+		began := time.Now()
+		late := send("late", 7_000)
+		is.True(result.Code(late.Code) != result.OK)
+		is.True(time.Since(began) <= 3*time.Second)
+	})
+}
+
 // ticket names a run of an incarnation of agent a.
 func (b *bubble) ticket(id, incarnation string, repeatable bool) string {
 	t, err := b.signer.Sign(&rudderv1.TicketClaims{
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -29,11 +29,15 @@
 	silent := g.platform.silent()
 	resp := &rudderv1.StatusResponse{
 		Gateway: g.cfg.Name, DataCentre: g.cfg.DataCentre, Generation: g.deps.Keeper.Generation(),
-		PlatformReachable: g.platform.reachable(), PlatformSilentMs: silent.Milliseconds(), Draining: g.draining.Load(),
+		PlatformReachable: g.platform.reachable(), PlatformSilentMs: silent.Milliseconds(), Draining: g.leaving.Load(),
 		Placing: g.placer.tenure.held(time.Now()) != 0,
 	}
-	for _, l := range g.links.all() {
-		resp.Endpoints = append(resp.Endpoints, l.status())
+	names, order := g.links.named()
+	verdicts := g.members.verdicts(names, time.Now())
+	for i, l := range order {
+		st := l.status()
+		st.Membership = verdicts[i].String()
+		resp.Endpoints = append(resp.Endpoints, st)
 	}
 	return connect.NewResponse(resp), nil
 }
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -266,12 +266,14 @@
 
 // request is the order as the agent gets it.
 func (s *session) request(l *link) *rudderv1.RunRequest {
+	_, clock := l.incarnation()
 	req := &rudderv1.RunRequest{
 		RequestId: s.o.id, Attempt: s.attempt, Ticket: s.ticket, Workspace: s.o.workspace.Name,
 		Repeatable: s.o.repeatable, RemainingMs: time.Until(s.o.deadline).Milliseconds(),
 		Priority: s.o.workspace.Priority, Weight: s.o.workspace.Weight,
 		Generation: s.g.deps.Keeper.Generation(), Gateway: s.g.cfg.Name,
 		Completion: s.o.completion, Call: s.o.call, Body: s.o.body, Ephemeral: !s.life.Named && !s.life.Lost(),
+		SentAgentMs: clock,
 	}
 	if c := s.o.completion; c != nil && (len(s.delivered) > 0 || s.group != nil) {
 		req.Completion = &rudderv1.Completion{
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -112,6 +112,14 @@
 	Promoted bool
 }
 
+// String returns the state, with the evidence for it when it is not "serving".
+func (v Verdict) String() string {
+	if v.State == Serving || v.Evidence == ByNothing {
+		return v.State.String()
+	}
+	return v.State.String() + " (" + v.Evidence.String() + ")"
+}
+
 // Usable reports whether new work may go to the endpoint now.
 func (v Verdict) Usable() bool { return v.Use == Normal || v.Promoted }
 
