--- a/agent/admit.go
+++ b/agent/admit.go
@@ -78,12 +78,18 @@
 	return 0
 }
 
+// owed reports whether what was promised before the agent began to leave is
+// still taken; the caller holds mu.
+func (a *Agent) owed() bool {
+	return a.current() == rudderv1.AgentState_AGENT_STATE_LEAVING && !a.leave.closed
+}
+
 // refuse checks everything that does not depend on the queue. A run whose group
 // was granted a lease is owed, though the agent or the model has begun to leave.
 func (a *Agent) refuse(req *rudderv1.RunRequest) *result.Err {
 	group := req.GetCompletion().GetGroup()
 	promised := a.desk.book.Live(group, time.Now())
-	if err := a.notServing(); err != nil && !(promised && a.current() == rudderv1.AgentState_AGENT_STATE_LEAVING) {
+	if err := a.notServing(); err != nil && !(promised && a.owed()) {
 		return err
 	}
 	switch {
--- a/agent/handover.go
+++ b/agent/handover.go
@@ -83,6 +83,7 @@
 func (a *Agent) cutOff() {
 	close(a.cut)
 	a.mu.Lock()
+	a.leave.stopped, a.leave.closed = true, true
 	for _, r := range a.records.runs {
 		if _, final := r.final(); !final {
 			defer a.cancelRun(r)
--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -25,6 +25,7 @@
 // departure is why an agent takes no new work. The reasons are independent.
 type departure struct {
 	stopped  bool      // a planned stop; never taken back
+	closed   bool      // the records were taken: nothing is admitted, whatever was promised
 	advised  time.Time // until then the platform's list takes the host away
 	declared bool      // by the document of generation
 	checked  uint64    // the generation that declared was read from
--- a/e2e/handover_test.go
+++ b/e2e/handover_test.go
@@ -332,6 +332,35 @@
 	})
 }
 
+// TestPromisedAfterHandover: a run that was promised memory is taken while an
+// agent drains, but not once its records were taken: the successor would not
+// know of it.
+func TestPromisedAfterHandover(t *testing.T) {
+	for _, handed := range []bool{false, true} {
+		run(t, func(b *bubble) {
+			is := is.New(b.t)
+			b.engine("a", nil)
+			b.engine("b", nil)
+			b.gateway("gw1")
+			b.publish()
+			d, a := b.desk("a"), b.agents["a"]
+			lease := d.reserve("g", 1, 1000)
+			is.True(lease.Granted)
+			ctx, cancel := context.WithTimeout(b.t.Context(), 100*time.Millisecond)
+			defer cancel()
+			is.True(a.Drain(ctx) != nil)
+			want := result.OK
+			if handed {
+				is.NoErr(a.HandOver(b.t.Context()))
+				want = result.Draining
+			}
+			req := b.order("promised", a.Incarnation())
+			req.Completion.Group = lease.Reservation
+			is.Equal(result.Code(runOnce(is, b.t.Context(), d.client, req).Code), want)
+		})
+	}
+}
+
 // TestDrainRunsOut: what a stop cannot wait for goes on elsewhere if it may,
 // and is unknown, never "not run", if it may not.
 func TestDrainRunsOut(t *testing.T) {
