--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"sync"
@@ -21,6 +22,13 @@
 
 const processPort = 22600
 
+// ownAddress is a loopback address of this process alone, so that the tests of
+// several checkouts do not meet.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f)
+}
+
 // startFleet builds the programs and starts them as real processes.
 func startFleet(t *testing.T, c fleet.Config) *fleet.Fleet {
 	t.Helper()
@@ -28,7 +36,7 @@
 	if out, err := exec.Command("go", "build", "-o", bin, "../cmd/rudder-gateway", "../cmd/rudder-agent", "../cmd/rudder-standin").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v %s", err, out)
 	}
-	c.BinDir, c.Dir, c.BasePort = bin, t.TempDir(), processPort
+	c.BinDir, c.Dir, c.Address, c.BasePort = bin, t.TempDir(), ownAddress(), processPort
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	f, err := fleet.Start(ctx, c)
