Let work of a stopping agent move on without a retry budget

Queued work that a stopping agent gives back was admitted; with the workspace's retries used up it was refused for the sake of a planned stop. The number of attempts bounds it as before. Test seen failing before.

--- a/lifecycle/dispatch.go
+++ b/lifecycle/dispatch.go
@@ -155,6 +155,8 @@
 		return StepVoid
 	case d.pinned(), !d.Repeatable && d.Lost():
 		return StepAnswer
+	case e.Code == result.Draining:
+		return d.move(e, unbounded) // a planned stop drops nothing
 	case retryElsewhere(e.Code), e.Attached && givenUp(e.Code):
 		return d.move(e, budget)
 	default:
