Gauge endpoints by membership state

An operator had to ask rudderctl for what a gateway believes; alerts need it as metrics: endpoints by state, and whether the gateway is cut off.

--- a/e2e/stops_test.go
+++ b/e2e/stops_test.go
@@ -279,6 +279,10 @@
 		cut(agentAddr("a"), agentAddr("b"), platformAddr)
 		time.Sleep(5 * time.Second)
 		is.True(!g.Ready())
+		var page strings.Builder
+		b.metrics["gw1"].WritePrometheus(&page)
+		is.True(strings.Contains(page.String(), "rudder_gateway_cut_off 1"))
+		is.True(strings.Contains(page.String(), `rudder_gateway_endpoints{state="silent"} 2`))
 		r := b.ask("gw1", "POST", chatPath, chat("x", 5, true), map[string]string{"Rudder-Deadline": "5s"})
 		is.Equal(r.fault().Outcome, "not run")
 		is.True(strings.Contains(r.header.Get("Content-Type"), "problem+json"))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	g.auth = new(authority)
 	g.members = newMembers()
 	g.links = newLinks(g)
+	g.gaugeMembers()
 	g.placer = newPlacer(g)
 	g.limits = newLimiter(g)
 	g.peers = newPeers(g)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -66,6 +66,9 @@
 	Gone                      // its agent is lost
 )
 
+// States lists all states.
+var States = [...]State{Unheard, Starting, Serving, Damped, Silent, EndpointLost, Leaving, Gone}
+
 // String returns the state's name.
 func (s State) String() string {
 	return [...]string{"unheard", "starting", "serving", "damped", "silent", "endpoint-lost", "leaving", "gone"}[s]
