--- a/e2e/names_test.go
+++ b/e2e/names_test.go
@@ -281,3 +281,38 @@
 		is.Equal(b.engines["a"].Counts().Total, 0)
 	})
 }
+
+// TestFrozenAgentDeadline: the gateway's own clock ends a request, before the
+// connection to a frozen agent is found lost.
+func TestFrozenAgentDeadline(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.net = newNetwork()
+		b.engine("a", nil)
+		b.gateway("gw1")
+		b.publish()
+		b.net.hold(agentAddr("a"))
+		began := time.Now()
+		r := b.ask("gw1", "POST", chatPath, chat("x", 4, false), map[string]string{"Rudder-Deadline": "500ms"})
+		is.True(time.Since(began) < 550*time.Millisecond)
+		is.Equal(r.fault().Code, 4004)
+		is.Equal(r.fault().Outcome, "may have run")
+		is.True(r.fault().Ticket != "") // it can be asked what became of it
+		b.net.release()
+	})
+}
+
+// TestCutStreamFreesEngine: a run whose stream broke is cancelled at its engine.
+func TestCutStreamFreesEngine(t *testing.T) {
+	run(t, func(b *bubble) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.gateway("gw1")
+		b.publish()
+		b.engines["a"].SetFaults(standengine.Faults{CutAfterTokens: 5})
+		r := b.ask("gw1", "POST", chatPath, chat("x", 1000, true), map[string]string{"Rudder-Repeatable": "false"})
+		is.Equal(r.fault().Code, 4001)
+		time.Sleep(time.Second) // the answer would take ten
+		is.Equal(len(b.engines["a"].State().Running), 0)
+	})
+}
