Refuse an empty choice and a leave time as long as the drain; free the platform rates

Ruled out: more default writes without bound; the platform handles several hundred a second for all. Change: empty values of a choice are mistakes; leave_time must be shorter than drain_time; [platform] read_rate and write_rate, 20 by default; the test stops at the first kill.

--- a/e2e/kill_test.go
+++ b/e2e/kill_test.go
@@ -28,6 +28,7 @@
 				for name, e := range b.engines {
 					if len(e.State().Running) > 0 {
 						b.kill(c.addr(name))
+						break // the run moves to the other one at once
 					}
 				}
 				r := <-got
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -44,6 +44,8 @@
 	Platform struct {
 		Addresses []settings.Address `key:"addresses" required:"true" help:"addresses of the platform's key-value service"`
 		Timeout   time.Duration      `key:"timeout" default:"2s" min:"10ms" help:"longest wait for one call"`
+		ReadRate  float64            `key:"read_rate" default:"20" min:"1" help:"reads a second that this gateway allows itself"`
+		WriteRate float64            `key:"write_rate" default:"20" min:"1" help:"writes a second that this gateway allows itself; a bare idempotency key of unrepeatable work costs one"`
 	} `section:"platform"`
 	Routing struct {
 		Policy string `key:"policy" default:"default" allowed:"default|round-robin|least-load|no-lanes" help:"routing policy; all but default are baselines for measurements"`
@@ -58,6 +60,9 @@
 	if s.Stop.LeaveTime > 0 && s.Stop.LeaveTime >= s.Process.DrainTime {
 		out = append(out, &settings.Mistake{Section: "stop", Key: "leave_time", Problem: "is not shorter than drain_time"})
 	}
+	if s.Stop.LeaveTime >= s.Process.DrainTime {
+		out = append(out, &settings.Mistake{Section: "stop", Key: "leave_time", Problem: "is not shorter than [process] drain_time, of which it is a part"})
+	}
 	if s.Callers.DefaultDeadline > s.Callers.MaxDeadline {
 		out = append(out, &settings.Mistake{Section: "callers", Key: "default_deadline", Problem: "is longer than max_deadline"})
 	}
@@ -122,7 +127,7 @@
 	for _, a := range s.Platform.Addresses {
 		addrs = append(addrs, string(a))
 	}
-	return platform.NewClient(platform.Options{Addresses: addrs, Timeout: s.Platform.Timeout, Metrics: env.Metrics})
+	return platform.NewClient(platform.Options{Addresses: addrs, Timeout: s.Platform.Timeout, ReadRate: s.Platform.ReadRate, WriteRate: s.Platform.WriteRate, Metrics: env.Metrics})
 }
 
 // listen opens both listeners and serves them.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -161,6 +161,9 @@
 		text = sec.Key(key).String()
 	}
 	if text == "" {
+		if field.Tag.Get("allowed") != "" {
+			r.add(sec.Name(), key, "is empty", allowedText(field))
+		}
 		if field.Tag.Get("required") == "true" {
 			r.add(sec.Name(), key, "missing", allowedText(field))
 		}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -68,6 +68,7 @@
 		{"size unit", "[main]\nname=x\nbody=5MB\n", `[main] body: "5MB" is not a size`},
 		{"host name", "[main]\nname=x\nlisten=localhost:1\n", "is not an IP number with a port"},
 		{"choice", "[main]\nname=x\npolicy=c\n", `[main] policy: "c" is not allowed; allowed: a, b`},
+		{"empty choice", "[main]\nname=x\npolicy=\n", "[main] policy: is empty; allowed: a, b"},
 		{"bool", "[main]\nname=x\nstrict=yes\n", "is neither true nor false"},
 		{"twice", "[main]\nname=x\nname=y\n", "[main] name: given more than once"},
 		{"range", "[main]\nname=x\ncount=0\n", `[main] count: "0" is too small; allowed: a whole number, at least 1`},
