Tell recent use less often the more gateways there are

Cause: each gateway told each peer its recent use every 2 s, through a client made anew each time. Beside 24 gateways an idle one sent and received 3,291 B/s; with the names of used workspaces it would be many times that.

Ruled out: a digest or deltas of the uses (a word that is lost must be made good by the next one); fewer peers (shares would not sum to one).

Change: half a second between two words for each peer, at least 2 s as now, which holds up to four peers, at most 10 s, a third of the time for which a word counts. Uses of workspaces without a limit are not told: nothing is split for them. The peers' clients are kept.

The price: a workspace that moves to another gateway waits up to 10 s for its share to follow.

--- a/agent/export.go
+++ b/agent/export.go
@@ -108,7 +108,7 @@
 	if address == "" || a.deps.Client == nil {
 		return nil, result.New(result.NoEndpoint, "no such endpoint")
 	}
-	client := rudderv1connect.NewAgentServiceClient(a.deps.Client, a.deps.Client.URL(address), connect.WithReadMaxBytes(inner.MaxMessage))
+	client := rudderv1connect.NewAgentServiceClient(a.deps.Client, a.deps.Client.URL(address), inner.ClientOptions()...)
 	stream, err := client.Export(ctx, connect.NewRequest(&rudderv1.ExportRequest{Reservation: reservation, Span: h.Id}))
 	if err != nil {
 		return nil, err
--- a/agent/handover.go
+++ b/agent/handover.go
@@ -148,7 +148,7 @@
 func (a *Agent) giveTo(ctx context.Context, peers []membership.Peer, estates []*estate) (membership.Peer, error) {
 	err := errNoSuccessor
 	for _, p := range peers {
-		client := rudderv1connect.NewAgentServiceClient(a.deps.Client, a.deps.Client.URL(p.Address), connect.WithSendMaxBytes(inner.MaxMessage))
+		client := rudderv1connect.NewAgentServiceClient(a.deps.Client, a.deps.Client.URL(p.Address), inner.ClientOptions()...)
 		if err = a.giveAll(ctx, client, estates); err == nil {
 			return p, nil
 		}
--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -10,13 +10,16 @@
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
-	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
 )
 
 const (
-	// shareEvery is how often gateways tell each other their recent use.
-	shareEvery = 2 * time.Second
-	shareTime  = time.Second
+	// shareEvery is how often gateways tell each other their recent use. Beyond
+	// four peers it takes shareSpacing for each, so that the bytes a second stay
+	// bounded, up to shareMost, well within the time for which a word counts.
+	shareEvery   = 2 * time.Second
+	shareSpacing = 500 * time.Millisecond
+	shareMost    = 10 * time.Second
+	shareTime    = time.Second
 	// leastUse is the recent use, in requests a second, that is worth telling.
 	leastUse = 0.05
 )
@@ -87,7 +90,7 @@
 
 // loop follows the document's limits and shares the recent use.
 func (l *limiter) loop() {
-	tick := time.NewTicker(shareEvery)
+	tick := time.NewTicker(shareInterval(len(l.g.cfg.Peers)))
 	defer tick.Stop()
 	for {
 		changed := l.g.deps.Keeper.Changed()
@@ -105,6 +108,11 @@
 	}
 }
 
+// shareInterval is the time between two words to so many peers.
+func shareInterval(peers int) time.Duration {
+	return min(max(time.Duration(peers)*shareSpacing, shareEvery), shareMost)
+}
+
 // share tells every peer what this gateway was lately asked for.
 func (l *limiter) share() {
 	req := &rudderv1.ShareRequest{Gateway: l.g.cfg.Name}
@@ -119,18 +127,17 @@
 		}
 	}
 	l.mu.Unlock()
-	for _, peer := range l.g.cfg.Peers {
-		l.g.loops.Go(func() { l.g.tell(peer, req) })
+	for _, x := range l.g.peers.all {
+		l.g.loops.Go(func() { l.g.tell(x, req) })
 	}
 }
 
 // tell sends the recent use to one peer; a lost message is made good by the next.
-func (g *Gateway) tell(peer string, req *rudderv1.ShareRequest) {
+func (g *Gateway) tell(x peer, req *rudderv1.ShareRequest) {
 	ctx, cancel := context.WithTimeout(g.ctx, shareTime)
 	defer cancel()
-	client := rudderv1connect.NewGatewayServiceClient(g.deps.Client, g.deps.Client.URL(peer))
-	if _, err := client.Share(ctx, connect.NewRequest(req)); err != nil {
-		g.deps.Log.Debug("Share failed.", "peer", peer, "err", err)
+	if _, err := x.client.Share(ctx, connect.NewRequest(req)); err != nil {
+		g.deps.Log.Debug("Share failed.", "peer", x.addr, "err", err)
 	}
 }
 
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -53,8 +53,7 @@
 }
 
 func newLink(g *Gateway, e *rudderv1.Endpoint) *link {
-	client := rudderv1connect.NewAgentServiceClient(g.deps.Client, g.deps.Client.URL(e.AgentAddress),
-		connect.WithReadMaxBytes(inner.MaxMessage), connect.WithSendMaxBytes(inner.MaxMessage))
+	client := rudderv1connect.NewAgentServiceClient(g.deps.Client, g.deps.Client.URL(e.AgentAddress), inner.ClientOptions()...)
 	return &link{g: g, declared: e, client: client, cache: affinity.New(e.MemoryTokens), told: make(chan struct{}, 1)}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/micarudder/micarudder/inner"
 	"github.com/micarudder/micarudder/membership"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
@@ -37,6 +39,7 @@
 // does not tell it.
 type peers struct {
 	g     *Gateway
+	all   []peer
 	asked atomic.Bool // every peer was asked once, or did not answer in time
 
 	mu   sync.Mutex
@@ -51,19 +54,19 @@
 func newPeers(g *Gateway) *peers {
 	p := &peers{g: g}
 	for _, addr := range g.cfg.Peers {
-		p.free = append(p.free, peer{addr, rudderv1connect.NewGatewayServiceClient(g.deps.Client, g.deps.Client.URL(addr))})
+		p.all = append(p.all, peer{addr, rudderv1connect.NewGatewayServiceClient(g.deps.Client, g.deps.Client.URL(addr), inner.ClientOptions()...)})
 	}
+	p.free = slices.Clone(p.all)
 	return p
 }
 
 // start asks every peer for the highest generation and goes on polling some.
 func (p *peers) start() {
-	all := append([]peer(nil), p.free...)
 	p.g.loops.Go(func() {
-		p.askAll(all)
+		p.askAll(p.all)
 		p.asked.Store(true)
 	})
-	for range min(len(all), polledPeers) {
+	for range min(len(p.all), polledPeers) {
 		p.g.loops.Go(p.pollLoop)
 	}
 }
--- a/inner/inner.go
+++ b/inner/inner.go
@@ -75,6 +75,15 @@
 	return []connect.HandlerOption{connect.WithCompression("gzip", nil, nil)}
 }
 
+// ClientOptions are the options that every client of the inner protocol has:
+// no compression, as for handlers, and the bound of a message.
+func ClientOptions() []connect.ClientOption {
+	return []connect.ClientOption{
+		connect.WithAcceptCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(MaxMessage), connect.WithSendMaxBytes(MaxMessage),
+	}
+}
+
 // Dialer opens a connection to an address; nil means the system's.
 type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
--- a/limits/split.go
+++ b/limits/split.go
@@ -51,11 +51,14 @@
 	d.at = now
 }
 
-// Uses returns this gateway's recent use, to be told to its peers, ordered by
-// workspace.
+// Uses returns this gateway's recent use of what is limited, to be told to its
+// peers, ordered by workspace.
 func (t *Table) Uses(now time.Time) []Use {
 	out := make([]Use, 0, len(t.workspaces))
 	for name, a := range t.workspaces {
+		if a.limit == (Limit{}) {
+			continue
+		}
 		a.demand.decay(now)
 		out = append(out, Use{name, a.demand.requests, a.demand.tokens})
 	}
