Measure open streams, private memory and decisions with the slopes

Cause: docs/CAPACITY.md needs the cost of an open stream at a gateway, the memory that is not program pages, 181 agents at once, and the cost of decisions for 181 and 2,900 endpoints; a line through two points was printed with R2 1.000.

Change: a third series opens 0, 100 and 300 streams at one gateway beside ten agents; private memory is resident less shared pages; the agents go up to 181; the benchmarks of routing, membership and admission are run and printed; a fit of fewer than three points is called so. Windows are 10 s.

--- a/internal/slopes/fit.go
+++ b/internal/slopes/fit.go
@@ -6,9 +6,13 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// badFit is the coefficient of determination below which a line is called a
-// bad fit.
-const badFit = 0.9
+const (
+	// badFit is the coefficient of determination below which a line is called
+	// a bad fit.
+	badFit = 0.9
+	// leastPoints is the number of points below which a fit says nothing.
+	leastPoints = 3
+)
 
 // report prints a line through each figure of a series.
 func report(over string, numbers []int, points []point) {
@@ -24,9 +28,11 @@
 		{"gateway processor", "% of a core", func(p point) float64 { return p.gateway.cpu * 100 }},
 		{"gateway bytes", "B/s", func(p point) float64 { return p.gateway.bytes }},
 		{"gateway resident", "MB", func(p point) float64 { return p.gateway.resident / 1e6 }},
+		{"gateway private", "MB", func(p point) float64 { return p.gateway.private / 1e6 }},
 		{"agent processor", "% of a core", func(p point) float64 { return p.agent.cpu * 100 }},
 		{"agent bytes", "B/s", func(p point) float64 { return p.agent.bytes }},
 		{"agent resident", "MB", func(p point) float64 { return p.agent.resident / 1e6 }},
+		{"agent private", "MB", func(p point) float64 { return p.agent.private / 1e6 }},
 		{"platform reads", "1/s", func(p point) float64 { return p.reads }},
 		{"platform writes", "1/s", func(p point) float64 { return p.writes }},
 	}
@@ -48,7 +54,10 @@
 		residual = max(residual, abs(y[i]-base-slope*x[i]))
 	}
 	text := fmt.Sprintf("%-18s %10.4f + %8.5f n %-12s R2 %.3f, largest residual %.4f", name, base, slope, unit, r2, residual)
-	if r2 < badFit {
+	switch {
+	case len(x) < leastPoints:
+		text += "  (too few points)"
+	case r2 < badFit:
 		text += "  (bad fit)"
 	}
 	return text
--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -4,6 +4,7 @@
 //
 // Nothing but control runs: subscriptions with heartbeats, probes of the
 // endpoints, the configuration's watch and the gateways' exchange of recent use.
+// The decisions for a request are measured apart, by their benchmarks.
 package main
 
 import (
@@ -30,9 +31,10 @@
 type options struct {
 	Bin      string        `long:"bin" default:"bin" description:"folder of the programs"`
 	Port     int           `long:"port" default:"23000" description:"first of the consecutive ports to use"`
-	Window   time.Duration `long:"window" default:"15s" description:"time over which each point is measured"`
-	Agents   []int         `long:"agents" default:"5" default:"25" default:"50" default:"100" description:"numbers of agents, beside one gateway"`
-	Gateways []int         `long:"gateways" default:"1" default:"2" default:"4" default:"8" description:"numbers of gateways, beside 25 agents"`
+	Window   time.Duration `long:"window" default:"10s" description:"time over which each point is measured"`
+	Agents   []int         `long:"agents" default:"5" default:"50" default:"100" default:"181" description:"numbers of agents, beside one gateway"`
+	Gateways []int         `long:"gateways" default:"1" default:"4" default:"8" description:"numbers of gateways, beside 25 agents"`
+	Streams  []int         `long:"streams" default:"0" default:"100" default:"300" description:"numbers of open streams at one gateway, beside 10 agents"`
 }
 
 // besideGateways is the number of agents while the gateways vary.
@@ -51,37 +53,38 @@
 	}
 }
 
+// size is one point of a series.
+type size struct{ agents, gateways, streams int }
+
 func run(ctx context.Context, o options) error {
-	byAgents, err := series(ctx, o, o.Agents, func(n int) (agents, gateways int) { return n, 1 })
-	if err != nil {
-		return err
+	all := []struct {
+		over    string
+		numbers []int
+		size    func(int) size
+	}{
+		{"agents (one gateway)", o.Agents, func(n int) size { return size{n, 1, 0} }},
+		{fmt.Sprintf("gateways (%d agents)", besideGateways), o.Gateways, func(n int) size { return size{besideGateways, n, 0} }},
+		{fmt.Sprintf("open streams (%d agents, one gateway)", besideStreams), o.Streams, func(n int) size { return size{besideStreams, 1, n} }},
 	}
-	byGateways, err := series(ctx, o, o.Gateways, func(n int) (agents, gateways int) { return besideGateways, n })
-	if err != nil {
-		return err
-	}
-	report("agents (one gateway)", o.Agents, byAgents)
-	report(fmt.Sprintf("gateways (%d agents)", besideGateways), o.Gateways, byGateways)
-	return nil
-}
-
-// series measures one point for each number.
-func series(ctx context.Context, o options, numbers []int, size func(int) (agents, gateways int)) ([]point, error) {
-	var out []point
-	for _, n := range numbers {
-		agents, gateways := size(n)
-		p, err := measure(ctx, o, agents, gateways)
-		if err != nil {
-			return nil, err
+	points := make([][]point, len(all))
+	for i, s := range all {
+		for _, n := range s.numbers {
+			p, err := measure(ctx, o, s.size(n))
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%+v: %s\n", s.size(n), p)
+			points[i] = append(points[i], p)
 		}
-		fmt.Printf("%3d agents, %d gateways: %s\n", agents, gateways, p)
-		out = append(out, p)
 	}
-	return out, nil
+	for i, s := range all {
+		report(s.over, s.numbers, points[i])
+	}
+	return decisions(ctx)
 }
 
 // measure starts a fleet and measures its control over the window.
-func measure(ctx context.Context, o options, agents, gateways int) (point, error) {
+func measure(ctx context.Context, o options, s size) (point, error) {
 	dir, err := os.MkdirTemp("", "micarudder-slopes-")
 	if err != nil {
 		return point{}, err
@@ -90,8 +93,10 @@
 	startCtx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
 	f, err := fleet.Start(startCtx, fleet.Config{
-		BinDir: o.Bin, Dir: dir, BasePort: o.Port, DataCentres: []string{"hall-petrzalka"}, Engines: agents, Gateways: gateways,
-		Models: []string{"rudder-llm"}, Policy: "default", MemoryTokens: memoryTokens, MaxRunning: maxRunning, LogLevel: "warn",
+		BinDir: o.Bin, Dir: dir, BasePort: o.Port, DataCentres: []string{"hall-petrzalka"}, Engines: s.agents, Gateways: s.gateways,
+		Models: []string{model}, Workspaces: []fleet.Workspace{{Name: workspace, Key: workspaceKey}},
+		EngineArgs: []string{"--decode-token", decodeToken},
+		Policy:     "default", MemoryTokens: memoryTokens, MaxRunning: maxRunning, LogLevel: "warn",
 	})
 	if err != nil {
 		return point{}, err
@@ -101,10 +106,15 @@
 		defer cancel()
 		_ = f.Group.Stop(stopCtx)
 	}()
+	closeStreams, err := openStreams(startCtx, f, s.streams)
+	if err != nil {
+		return point{}, err
+	}
+	defer closeStreams()
 	if err := sleep(ctx, settle); err != nil {
 		return point{}, err
 	}
-	return observe(ctx, f, agents, gateways, o.Window)
+	return observe(ctx, f, s, o.Window)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/internal/slopes/observe.go
+++ b/internal/slopes/observe.go
@@ -26,6 +26,7 @@
 	received float64 // bytes
 	sent     float64 // bytes
 	resident float64 // bytes, now
+	private  float64 // bytes of it that are not pages of files, now
 }
 
 // point is what control cost per process and second at one size.
@@ -39,25 +40,27 @@
 	cpu      float64 // share of a core
 	bytes    float64 // received and sent, a second
 	resident float64 // bytes
+	private  float64 // bytes of it that are not pages of files
 }
 
 func (p point) String() string {
-	return fmt.Sprintf("gateway %.2f%% of a core, %.0f B/s, %.1f MB; agent %.3f%%, %.0f B/s, %.1f MB; platform %.2f reads/s, %.2f writes/s",
-		p.gateway.cpu*100, p.gateway.bytes, p.gateway.resident/1e6, p.agent.cpu*100, p.agent.bytes, p.agent.resident/1e6, p.reads, p.writes)
+	return fmt.Sprintf("gateway %.2f%% of a core, %.0f B/s, %.1f MB (%.1f private); agent %.3f%%, %.0f B/s, %.1f MB (%.1f private); platform %.2f reads/s, %.2f writes/s",
+		p.gateway.cpu*100, p.gateway.bytes, p.gateway.resident/1e6, p.gateway.private/1e6,
+		p.agent.cpu*100, p.agent.bytes, p.agent.resident/1e6, p.agent.private/1e6, p.reads, p.writes)
 }
 
 // observe measures the fleet over a window.
-func observe(ctx context.Context, f *fleet.Fleet, agents, gateways int, window time.Duration) (point, error) {
+func observe(ctx context.Context, f *fleet.Fleet, s size, window time.Duration) (point, error) {
 	before, err := countCalls(ctx, f)
 	if err != nil {
 		return point{}, err
 	}
-	g0, a0 := usesOf(f, fleet.GatewayName, gateways), usesOf(f, fleet.AgentName, agents)
+	g0, a0 := usesOf(f, fleet.GatewayName, s.gateways), usesOf(f, fleet.AgentName, s.agents)
 	began := time.Now()
 	if err := sleep(ctx, window); err != nil {
 		return point{}, err
 	}
-	g1, a1 := usesOf(f, fleet.GatewayName, gateways), usesOf(f, fleet.AgentName, agents)
+	g1, a1 := usesOf(f, fleet.GatewayName, s.gateways), usesOf(f, fleet.AgentName, s.agents)
 	took := time.Since(began).Seconds()
 	after, err := countCalls(ctx, f)
 	if err != nil {
@@ -77,6 +80,7 @@
 		r.cpu += (after[i].cpu - before[i].cpu) / seconds / n
 		r.bytes += (after[i].received + after[i].sent - before[i].received - before[i].sent) / seconds / n
 		r.resident += after[i].resident / n
+		r.private += after[i].private / n
 	}
 	return r
 }
@@ -98,6 +102,11 @@
 		u.cpu = (number(fields[11]) + number(fields[12])) * clockTick
 		u.resident = number(fields[21]) * pageSize
 	}
+	if b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid)); err == nil {
+		if fields := strings.Fields(string(b)); len(fields) > 2 {
+			u.private = u.resident - number(fields[2])*pageSize
+		}
+	}
 	if b, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid)); err == nil {
 		for line := range strings.Lines(string(b)) {
 			name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
