Give a fleet's daemons a log level where none is named

Change: fleets default to warn. Measured: the test failed in the full run before, passes twice after.

--- a/internal/fleet/specs.go
+++ b/internal/fleet/specs.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 
@@ -11,6 +12,8 @@
 	settingsFile = "settings.ini"
 	// drainTime bounds the stop of one daemon.
 	drainTime = "5s"
+	// defaultLogLevel is the daemons' level where a fleet names none.
+	defaultLogLevel = "warn"
 )
 
 // standins returns the processes that the product's own depend on.
@@ -140,7 +143,7 @@
 admin_listen = %s
 log_level = %s
 drain_time = %s
-`, TicketKeys, admin, c.LogLevel, drainTime)
+`, TicketKeys, admin, cmp.Or(c.LogLevel, defaultLogLevel), drainTime)
 	return procs.Spec{
 		Name:   name,
 		Binary: c.program(program),
