--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -20,6 +20,9 @@
 	req := s.request(l)
 	class := routing.ClassOf(s.o.completion.GetPromptTokens())
 	work, believed := l.predict(req)
+	if s.life.Attempts == 1 {
+		s.alone = work
+	}
 	s.g.lanes.add(class, work)
 	settled := l.sent(class, work)
 	defer settled()
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -51,6 +51,28 @@
 	if took > s.g.cfg.FirstTokenGoal {
 		m.set.GetOrCreateCounter("rudder_slow_first_token_total" + labels).Inc()
 	}
+	m.compare(routing.ClassOf(s.o.completion.GetPromptTokens()), took, s.alone, labels)
+}
+
+const (
+	// slowdownGoal is the factor over its time alone beyond which a short
+	// request counts as slowed down.
+	slowdownGoal = 1.2
+	// leastAlone is the shortest predicted time that says something: below it an
+	// engine's step is the larger part.
+	leastAlone = 20 * time.Millisecond
+)
+
+// compare counts a short request against the time that its prefill alone is
+// predicted to take.
+func (m *meter) compare(class routing.Class, took, alone time.Duration, labels string) {
+	if class != routing.ClassShort || alone < leastAlone {
+		return
+	}
+	m.set.GetOrCreateCounter("rudder_compared_total" + labels).Inc()
+	if float64(took) > slowdownGoal*float64(alone) {
+		m.set.GetOrCreateCounter("rudder_slowed_total" + labels).Inc()
+	}
 }
 
 // outcomeLabel sorts an end for the outcome counters.
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -68,6 +68,7 @@
 	gone      error  // why the caller cannot be written to
 	began     time.Time
 	firstText time.Time
+	alone     time.Duration // predicted prefill with nothing beside it, at the first order
 }
 
 // serve runs the order to its end and returns what to tell the caller.
