Share what the measuring programs' mains repeated

Cause: read as a newcomer: six mains parsed flags, took signals and bounded themselves each in its own words; two reloads took the same keys. Ruled out: one more use of daemon.Main, which is about settings files. Change: internal/tool.Main; daemon.TakeKeys. Lists that default to several numbers say so in their description and default in code.

--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -55,6 +55,15 @@
 	return s.Rotate(keys...)
 }
 
+// TakeKeys gives the signer the keys of fresh settings. The TLS files are read
+// at each handshake and only checked here.
+func TakeKeys(t TLS, k Tickets, s *ticket.Signer) error {
+	if err := t.Files().Usable(); err != nil {
+		return err
+	}
+	return k.Rotate(s)
+}
+
 func (t Tickets) parse() ([]ticket.Key, error) {
 	keys := make([]ticket.Key, 0, len(t.Keys))
 	for _, text := range t.Keys {
--- a/internal/bench/run/main.go
+++ b/internal/bench/run/main.go
@@ -7,19 +7,16 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/micarudder/micarudder/internal/bench"
+	"github.com/micarudder/micarudder/internal/tool"
 )
 
 type options struct {
 	BinDir   string        `long:"bin" default:"bin" description:"directory of the programs"`
 	BasePort int           `long:"port" default:"21600" description:"first port of the fleet"`
-	Seeds    []uint64      `long:"seed" default:"1" default:"2" default:"3" description:"seed; may be repeated"`
+	Seeds    []uint64      `long:"seed" description:"seed; may be repeated (default: 1, 2, 3)"`
 	Policies []string      `long:"policy" description:"policy to compare; may be repeated (default: all)"`
 	Loads    []float64     `long:"load" description:"load of the sweep; may be repeated (default: 0.8 to 1.5)"`
 	NoSweep  bool          `long:"no-sweep" description:"leave the sweep out"`
@@ -29,22 +26,10 @@
 }
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "bench:", err)
-		os.Exit(1)
-	}
+	tool.Main("bench", 0, run)
 }
 
-func run() error {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		if flags.WroteHelp(err) {
-			return nil
-		}
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+func run(ctx context.Context, opts options) error {
 	o, err := opts.bench()
 	if err != nil {
 		return err
@@ -66,6 +51,9 @@
 		BinDir: o.BinDir, BasePort: o.BasePort, Seeds: o.Seeds,
 		Policies: bench.Policies, Sweep: bench.Sweep, Mix: mix, Log: logLine,
 	}
+	if len(b.Seeds) == 0 {
+		b.Seeds = []uint64{1, 2, 3}
+	}
 	if len(o.Policies) > 0 {
 		b.Policies = o.Policies
 	}
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -9,16 +9,14 @@
 import (
 	"context"
 	_ "embed"
+	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/micarudder/micarudder/internal/fleet"
+	"github.com/micarudder/micarudder/internal/tool"
 	"github.com/micarudder/micarudder/load"
 )
 
@@ -41,23 +39,18 @@
 }
 
 func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	ok, err := run(ctx, o)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-	}
-	if err != nil || !ok {
-		os.Exit(1)
-	}
+	tool.Main("demo", limit, func(ctx context.Context, o options) error {
+		ok, err := run(ctx, o)
+		if err == nil && !ok {
+			return errBroken
+		}
+		return err
+	})
 }
 
+// errBroken is the verdict on a run that broke a promise.
+var errBroken = errors.New("a promise was broken, see above")
+
 // run starts everything, runs the session and stops everything.
 func run(ctx context.Context, o options) (bool, error) {
 	dir, err := os.MkdirTemp("", "micarudder-demo-")
--- a/internal/experiment/groups/main.go
+++ b/internal/experiment/groups/main.go
@@ -9,14 +9,12 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/jessevdk/go-flags"
 
 	"github.com/micarudder/micarudder/internal/fleet"
+	"github.com/micarudder/micarudder/internal/tool"
 )
 
 const (
@@ -38,24 +36,10 @@
 }
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "groups:", err)
-		os.Exit(1)
-	}
+	tool.Main("groups", wholeTime, run)
 }
 
-func run() error {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		if flags.WroteHelp(err) {
-			return nil
-		}
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, wholeTime)
-	defer cancel()
+func run(ctx context.Context, opts options) error {
 	dir, err := os.MkdirTemp("", "micarudder-groups-")
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/experiment/overhead/main.go
+++ b/internal/experiment/overhead/main.go
@@ -9,15 +9,12 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/micarudder/micarudder/internal/fleet"
+	"github.com/micarudder/micarudder/internal/tool"
 )
 
 const (
@@ -35,18 +32,7 @@
 }
 
 func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "overhead:", err)
-		os.Exit(1)
-	}
+	tool.Main("overhead", limit, run)
 }
 
 func run(ctx context.Context, o options) error {
--- a/internal/experiment/spread/main.go
+++ b/internal/experiment/spread/main.go
@@ -6,13 +6,10 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
+	"github.com/micarudder/micarudder/internal/tool"
 )
 
 type options struct {
@@ -24,24 +21,13 @@
 }
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "spread:", err)
-		os.Exit(1)
-	}
+	tool.Main("spread", wholeTime, run)
 }
 
-func run() error {
-	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
-		if flags.WroteHelp(err) {
-			return nil
-		}
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
-	defer cancel()
+// wholeTime bounds the run.
+const wholeTime = 2 * time.Minute
+
+func run(ctx context.Context, opts options) error {
 	times, err := opts.measureTimes(ctx)
 	if err != nil {
 		return err
--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -11,13 +11,10 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/micarudder/micarudder/internal/fleet"
+	"github.com/micarudder/micarudder/internal/tool"
 )
 
 const (
@@ -32,39 +29,38 @@
 	Bin      string        `long:"bin" default:"bin" description:"folder of the programs"`
 	Port     int           `long:"port" default:"23000" description:"first of the consecutive ports to use"`
 	Window   time.Duration `long:"window" default:"10s" description:"time over which each point is measured"`
-	Agents   []int         `long:"agents" default:"5" default:"50" default:"100" default:"181" description:"numbers of agents, beside one gateway"`
-	Gateways []int         `long:"gateways" default:"1" default:"4" default:"8" description:"numbers of gateways, beside 25 agents"`
-	Streams  []int         `long:"streams" default:"0" default:"100" default:"300" description:"numbers of open streams at one gateway, beside 10 agents"`
+	Agents   []int         `long:"agents" description:"number of agents beside one gateway; may be repeated (default: 5, 50, 100, 181)"`
+	Gateways []int         `long:"gateways" description:"number of gateways beside 25 agents; may be repeated (default: 1, 4, 8)"`
+	Streams  []int         `long:"streams" description:"number of open streams at one gateway beside 10 agents; may be repeated (default: 0, 100, 300)"`
 }
 
 // besideGateways is the number of agents while the gateways vary.
 const besideGateways = 25
 
 func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "slopes:", err)
-		os.Exit(1)
-	}
+	tool.Main("slopes", 0, run)
 }
 
 // size is one point of a series.
 type size struct{ agents, gateways, streams int }
 
+// orDefault returns the numbers given, or else the default ones.
+func orDefault(given []int, byDefault ...int) []int {
+	if len(given) > 0 {
+		return given
+	}
+	return byDefault
+}
+
 func run(ctx context.Context, o options) error {
 	all := []struct {
 		over    string
 		numbers []int
 		size    func(int) size
 	}{
-		{"agents (one gateway)", o.Agents, func(n int) size { return size{n, 1, 0} }},
-		{fmt.Sprintf("gateways (%d agents)", besideGateways), o.Gateways, func(n int) size { return size{besideGateways, n, 0} }},
-		{fmt.Sprintf("open streams (%d agents, one gateway)", besideStreams), o.Streams, func(n int) size { return size{besideStreams, 1, n} }},
+		{"agents (one gateway)", orDefault(o.Agents, 5, 50, 100, 181), func(n int) size { return size{n, 1, 0} }},
+		{fmt.Sprintf("gateways (%d agents)", besideGateways), orDefault(o.Gateways, 1, 4, 8), func(n int) size { return size{besideGateways, n, 0} }},
+		{fmt.Sprintf("open streams (%d agents, one gateway)", besideStreams), orDefault(o.Streams, 0, 100, 300), func(n int) size { return size{besideStreams, 1, n} }},
 	}
 	points := make([][]point, len(all))
 	for i, s := range all {
