--- a/agent/server.go
+++ b/agent/server.go
@@ -17,7 +17,6 @@
 
 // server implements rudder.v1.AgentService over an Agent.
 type server struct {
-	rudderv1connect.UnimplementedAgentServiceHandler
 	a *Agent
 }
 
