--- a/engine/client.go
+++ b/engine/client.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
+
+	"github.com/micarudder/micarudder/internal/localhttp"
 )
 
 // The operations named in errors.
@@ -30,9 +30,6 @@
 )
 
 const (
-	dialTimeout   = 2 * time.Second
-	idleTimeout   = 30 * time.Second
-	maxIdleConns  = 16
 	maxReplyBytes = 64 << 20
 )
 
@@ -55,25 +52,7 @@
 
 // NewClient returns a client of the engine at o.BaseURL.
 func NewClient(o Options) *Client {
-	c := &Client{base: strings.TrimSuffix(o.BaseURL, "/"), name: o.Name}
-	if o.HTTPClient != nil {
-		c.http = *o.HTTPClient
-	} else {
-		c.http.Transport = newTransport()
-	}
-	// A redirect would send the request a second time.
-	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return c
-}
-
-func newTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         d.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
+	return &Client{base: strings.TrimSuffix(o.BaseURL, "/"), http: localhttp.New(o.HTTPClient), name: o.Name}
 }
 
 // Start implements Engine. The context covers the stream too.
--- /dev/null
+++ b/internal/localhttp/localhttp.go
@@ -0,0 +1,38 @@
+// Package localhttp makes the HTTP clients by which an agent talks to the
+// endpoint beside it.
+package localhttp
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout  = 2 * time.Second
+	idleTimeout  = 30 * time.Second
+	maxIdleConns = 16
+)
+
+// New returns a client made from the one given, or else one for a peer on the
+// same host. It follows no redirect, which would send a request a second time.
+func New(given *http.Client) http.Client {
+	var c http.Client
+	if given != nil {
+		c = *given
+	} else {
+		c.Transport = newTransport()
+	}
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c
+}
+
+func newTransport() *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
--- a/service/client.go
+++ b/service/client.go
@@ -5,23 +5,17 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
-	"time"
+
+	"github.com/micarudder/micarudder/internal/localhttp"
 )
 
 // HeaderRequestID carries Call.ID.
 const HeaderRequestID = "Rudder-Request-Id"
 
-const (
-	dialTimeout  = 2 * time.Second
-	idleTimeout  = 30 * time.Second
-	maxIdleConns = 16
-)
-
 // Options configure a client.
 type Options struct {
 	BaseURL    string       // http://host:port of the service
@@ -39,24 +33,7 @@
 
 // NewClient returns a client of the service at o.BaseURL.
 func NewClient(o Options) *Client {
-	c := &Client{base: strings.TrimSuffix(o.BaseURL, "/")}
-	if o.HTTPClient != nil {
-		c.http = *o.HTTPClient
-	} else {
-		c.http.Transport = newTransport()
-	}
-	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return c
-}
-
-func newTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         d.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
+	return &Client{base: strings.TrimSuffix(o.BaseURL, "/"), http: localhttp.New(o.HTTPClient)}
 }
 
 // Do implements Service. The context covers the reply's body too.
