--- a/cmd/rudder-standin/commands.go
+++ b/cmd/rudder-standin/commands.go
@@ -9,7 +9,7 @@
 	standinplatform "github.com/micarudder/micarudder/internal/standin/platform"
 	"github.com/micarudder/micarudder/internal/standin/service"
 	"github.com/micarudder/micarudder/internal/standin/weights"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // engineCommand sets up a stand-in engine. Times are modelled times; --speed
@@ -105,7 +105,7 @@
 		if len(f) != hostFields {
 			return cfg, fmt.Errorf("--host %q: want NAME,DATA-CENTRE,IP:PORT", h)
 		}
-		cfg.Hosts = append(cfg.Hosts, platform.Host{Name: f[0], DataCentre: f[1], State: platform.HostLive, Address: f[2]})
+		cfg.Hosts = append(cfg.Hosts, metastore.Host{Name: f[0], DataCentre: f[1], State: metastore.HostLive, Address: f[2]})
 	}
 	return cfg, nil
 }
--- a/cmd/rudder-standin/main_test.go
+++ b/cmd/rudder-standin/main_test.go
@@ -10,7 +10,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/micarudder/micarudder/internal/standin/engine"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 func TestMain(m *testing.M) {
@@ -49,7 +49,7 @@
 	c := &platformCommand{Hosts: []string{"h1,cdf-a,127.0.0.1:1"}}
 	cfg, err := c.config()
 	is.NoErr(err)
-	is.Equal(cfg.Hosts, []platform.Host{{Name: "h1", DataCentre: "cdf-a", State: platform.HostLive, Address: "127.0.0.1:1"}})
+	is.Equal(cfg.Hosts, []metastore.Host{{Name: "h1", DataCentre: "cdf-a", State: metastore.HostLive, Address: "127.0.0.1:1"}})
 	c.Hosts = []string{"h1"}
 	_, err = c.config()
 	is.True(err != nil)
--- a/cmd/rudderctl/main.go
+++ b/cmd/rudderctl/main.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/ctl"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 func main() { os.Exit(run()) }
@@ -42,6 +42,6 @@
 	return u.Username
 }
 
-func store(address string) (platform.Store, error) {
-	return platform.NewClient(platform.Options{Addresses: []string{address}})
+func store(address string) (metastore.Store, error) {
+	return metastore.NewClient(metastore.Options{Addresses: []string{address}})
 }
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -14,7 +14,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // Version is the release, set by the linker.
@@ -28,7 +28,7 @@
 	Now      func() time.Time
 	Operator string // recorded with an accepted plan
 	// Store opens the platform's key-value service at an address.
-	Store func(address string) (platform.Store, error)
+	Store func(address string) (metastore.Store, error)
 }
 
 // globals are the options of every sub-command.
@@ -123,7 +123,7 @@
 }
 
 // store opens the platform's service, which most commands need.
-func (a *app) store() (platform.Store, error) {
+func (a *app) store() (metastore.Store, error) {
 	if a.Platform == "" {
 		return nil, usage("--platform or RUDDER_PLATFORM is needed")
 	}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -22,7 +22,7 @@
 	"github.com/micarudder/micarudder/inner"
 	"github.com/micarudder/micarudder/internal/standin/engine"
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
 )
@@ -37,8 +37,8 @@
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
 		Now:      func() time.Time { return time.Date(2026, 3, 9, 8, 0, 0, 0, time.UTC) },
 		Operator: os.Getenv("RUDDER_OPERATOR"),
-		Store: func(address string) (platform.Store, error) {
-			return platform.NewClient(platform.Options{Addresses: []string{address}})
+		Store: func(address string) (metastore.Store, error) {
+			return metastore.NewClient(metastore.Options{Addresses: []string{address}})
 		},
 	}, os.Args[1:])
 }
--- a/document/document.go
+++ b/document/document.go
@@ -1,5 +1,5 @@
 // Package document encodes a rudder.v1.Document as the value of
-// platform.KeyDocument and decodes it again. Values over PlainLimit are
+// metastore.KeyDocument and decodes it again. Values over PlainLimit are
 // compressed with gzip; both forms are told apart by their first bytes, which
 // no encoded Document can share.
 package document
@@ -12,7 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -37,8 +37,8 @@
 	if len(raw) > PlainLimit {
 		raw = compress(raw)
 	}
-	if len(raw) > platform.MaxValue {
-		return nil, result.New(result.DocumentTooBig, fmt.Sprintf("%d bytes, the limit is %d", len(raw), platform.MaxValue))
+	if len(raw) > metastore.MaxValue {
+		return nil, result.New(result.DocumentTooBig, fmt.Sprintf("%d bytes, the limit is %d", len(raw), metastore.MaxValue))
 	}
 	return raw, nil
 }
--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -26,7 +26,7 @@
 	"github.com/micarudder/micarudder/internal/standin/pipe"
 	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
 	standservice "github.com/micarudder/micarudder/internal/standin/service"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/service"
@@ -280,7 +280,7 @@
 	client := b.innerClientFrom(name)
 	set := metrics.NewSet()
 	b.keepers[name], b.metrics[name] = generation.NewKeeper(), set
-	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClientFrom(name), Timeout: time.Second, Metrics: set})
+	store, err := metastore.NewClient(metastore.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClientFrom(name), Timeout: time.Second, Metrics: set})
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -326,7 +326,7 @@
 // accept writes the document to the platform.
 func (b *bubble) accept() {
 	b.t.Helper()
-	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+	store, err := metastore.NewClient(metastore.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -334,7 +334,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	e, err := store.CompareAndSwap(b.t.Context(), platform.KeyDocument, b.revision, value, 0)
+	e, err := store.CompareAndSwap(b.t.Context(), metastore.KeyDocument, b.revision, value, 0)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/micarudder/micarudder/inner"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -98,7 +98,7 @@
 // listHosts lists the hosts of all endpoints at the platform.
 func (b *bubble) listHosts() {
 	for _, e := range b.doc.Endpoints {
-		b.platform.SetHost(platform.Host{Name: e.Host, DataCentre: dataCentre, State: platform.HostLive, Address: e.AgentAddress})
+		b.platform.SetHost(metastore.Host{Name: e.Host, DataCentre: dataCentre, State: metastore.HostLive, Address: e.AgentAddress})
 	}
 }
 
@@ -120,9 +120,9 @@
 			is.New(b.t).NoErr(err)
 		}, nil},
 		{"platform's list only", func(b *bubble) {
-			b.platform.SetHost(platform.Host{Name: "host-a", State: platform.HostLeaving})
+			b.platform.SetHost(metastore.Host{Name: "host-a", State: metastore.HostLeaving})
 		}, func(b *bubble) {
-			b.platform.SetHost(platform.Host{Name: "host-a", State: platform.HostLive})
+			b.platform.SetHost(metastore.Host{Name: "host-a", State: metastore.HostLive})
 		}},
 	}
 	for _, c := range cases {
--- a/e2e/names_test.go
+++ b/e2e/names_test.go
@@ -10,7 +10,7 @@
 
 	standengine "github.com/micarudder/micarudder/internal/standin/engine"
 	standservice "github.com/micarudder/micarudder/internal/standin/service"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // problemDoc is what a caller reads of a problem.
@@ -153,10 +153,10 @@
 		b.publish()
 		key := map[string]string{"Idempotency-Key": "hour-12"}
 		is.Equal(b.ask("gw1", "POST", checkPath, "", key).status, 200)
-		store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient()})
+		store, err := metastore.NewClient(metastore.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient()})
 		is.NoErr(err)
 		claims := func() int {
-			list, err := store.List(b.t.Context(), platform.PrefixClaims)
+			list, err := store.List(b.t.Context(), metastore.PrefixClaims)
 			is.NoErr(err)
 			return len(list)
 		}
--- a/e2e/never_back_test.go
+++ b/e2e/never_back_test.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/plan"
-	"github.com/micarudder/micarudder/platform"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -48,11 +48,11 @@
 	}, "rudder_generation_back_total"},
 	{"the document deleted", func(b *bubble) {
 		is := is.New(b.t)
-		store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+		store, err := metastore.NewClient(metastore.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
 		is.NoErr(err)
-		e, err := store.Get(b.t.Context(), platform.KeyDocument)
+		e, err := store.Get(b.t.Context(), metastore.KeyDocument)
 		is.NoErr(err)
-		is.NoErr(store.Delete(b.t.Context(), platform.KeyDocument, e.Revision))
+		is.NoErr(store.Delete(b.t.Context(), metastore.KeyDocument, e.Revision))
 	}, ""},
 	{"another document of generation 2", func(b *bubble) {
 		b.write(&rudderv1.Document{Generation: 2, PlanId: "another"})
@@ -132,7 +132,7 @@
 			time.Sleep(time.Minute)
 			b.inForce(2)
 			is.Equal(b.metric(shown), 3*float64(back))
-			store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+			store, err := metastore.NewClient(metastore.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
 			is.NoErr(err)
 			_, err = plan.Restore(b.t.Context(), store, b.keepers["gw1"].Document(), "")
 			is.NoErr(err)
--- a/e2e/rollout_faults_test.go
+++ b/e2e/rollout_faults_test.go
@@ -15,7 +15,7 @@
 
 	standengine "github.com/micarudder/micarudder/internal/standin/engine"
 	"github.com/micarudder/micarudder/internal/standin/weights"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // rolloutFaults happen in the middle of a roll-out: begin some seconds after
@@ -120,11 +120,11 @@
 
 // placer returns the gateway that holds the lease of placement.
 func (b *bubble) placer() string {
-	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+	store, err := metastore.NewClient(metastore.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	e, err := store.Get(b.t.Context(), platform.PrefixPlacers+dataCentre)
+	e, err := store.Get(b.t.Context(), metastore.PrefixPlacers+dataCentre)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/e2e/spread_test.go
+++ b/e2e/spread_test.go
@@ -17,7 +17,7 @@
 	"github.com/micarudder/micarudder/document"
 	"github.com/micarudder/micarudder/generation"
 	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -43,13 +43,13 @@
 func (b *bubble) write(d *rudderv1.Document) {
 	b.t.Helper()
 	is := is.New(b.t)
-	store, err := platform.NewClient(platform.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
+	store, err := metastore.NewClient(metastore.Options{Addresses: []string{platformAddr}, HTTPClient: b.httpClient(), Timeout: time.Second})
 	is.NoErr(err)
 	value, err := document.Encode(d)
 	is.NoErr(err)
-	e, err := store.CompareAndSwap(b.t.Context(), platform.KeyDocument, 0, value, 0)
+	e, err := store.CompareAndSwap(b.t.Context(), metastore.KeyDocument, 0, value, 0)
 	if e.Revision != 0 && err != nil {
-		_, err = store.CompareAndSwap(b.t.Context(), platform.KeyDocument, e.Revision, value, 0)
+		_, err = store.CompareAndSwap(b.t.Context(), metastore.KeyDocument, e.Revision, value, 0)
 	}
 	is.NoErr(err)
 }
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -9,7 +9,7 @@
 	"io"
 	"time"
 
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 )
 
@@ -111,7 +111,7 @@
 		return claimed{}, claimsAway()
 	}
 	e, err := g.swapClaim(ctx, key, value)
-	if errors.Is(err, platform.ErrLeaseGone) {
+	if errors.Is(err, metastore.ErrLeaseGone) {
 		g.leases.drop()
 		e, err = g.swapClaim(ctx, key, value)
 	}
@@ -124,20 +124,20 @@
 
 // swapClaim writes the claim unless one is there. With an entry, whatever the
 // error, the key is claimed by it.
-func (g *Gateway) swapClaim(ctx context.Context, key string, value []byte) (platform.Entry, error) {
+func (g *Gateway) swapClaim(ctx context.Context, key string, value []byte) (metastore.Entry, error) {
 	lease, err := g.leases.get(ctx, g.deps.Store)
 	if err != nil {
-		return platform.Entry{}, err
+		return metastore.Entry{}, err
 	}
-	same := func(e platform.Entry) bool { return string(e.Value) == string(value) }
-	return platform.Settle(ctx, g.deps.Store, key, 0, value, lease, same)
+	same := func(e metastore.Entry) bool { return string(e.Value) == string(value) }
+	return metastore.Settle(ctx, g.deps.Store, key, 0, value, lease, same)
 }
 
 // claimLeases gives the lease that removes claims after their time: one per
 // gateway and hour, never renewed, so that claims cost no other platform call.
 type claimLeases struct {
 	turn  chan struct{} // holds a token while the lease is read or granted
-	id    platform.LeaseID
+	id    metastore.LeaseID
 	since time.Time
 }
 
@@ -147,7 +147,7 @@
 const claimLeaseTurn = time.Hour
 
 // get returns the current lease, granted anew once an hour.
-func (l *claimLeases) get(ctx context.Context, store platform.Store) (platform.LeaseID, error) {
+func (l *claimLeases) get(ctx context.Context, store metastore.Store) (metastore.LeaseID, error) {
 	select {
 	case l.turn <- struct{}{}:
 		defer func() { <-l.turn }()
@@ -181,5 +181,5 @@
 
 func claimKey(workspace, key string) string {
 	sum := sha256.Sum256([]byte(key))
-	return platform.PrefixClaims + workspace + "/" + hex.EncodeToString(sum[:])
+	return metastore.PrefixClaims + workspace + "/" + hex.EncodeToString(sum[:])
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -9,13 +9,13 @@
 	"github.com/micarudder/micarudder/document"
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/membership"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
 // platformSilence is how long the platform may be silent before it counts as
 // unreachable: three checks of the watch.
-const platformSilence = 3 * platform.DefaultWatchCheck
+const platformSilence = 3 * metastore.DefaultWatchCheck
 
 // source names where a document came from, in logs and metrics.
 type source string
@@ -28,9 +28,9 @@
 
 // platformHealth is what the gateway knows of the platform.
 type platformHealth struct {
-	contact    platform.Contact // nil: the store does not tell
-	generation atomic.Uint64    // of the document last read there; 0: none
-	restored   atomic.Uint64    // how often the store was found to have gone back
+	contact    metastore.Contact // nil: the store does not tell
+	generation atomic.Uint64     // of the document last read there; 0: none
+	restored   atomic.Uint64     // how often the store was found to have gone back
 }
 
 // silent returns how long nothing was heard, or -1 before the first word.
@@ -53,10 +53,10 @@
 
 // followPlatform learns every document that the platform accepts.
 func (g *Gateway) followPlatform() {
-	_ = platform.Follow(g.ctx, g.deps.Store, platform.KeyDocument, 0, g.platformChange)
+	_ = metastore.Follow(g.ctx, g.deps.Store, metastore.KeyDocument, 0, g.platformChange)
 }
 
-func (g *Gateway) platformChange(c platform.Change) {
+func (g *Gateway) platformChange(c metastore.Change) {
 	g.members.apply(membership.Outside{})
 	if c.Restored {
 		g.platform.restored.Add(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,7 +17,7 @@
 
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/inner"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/ticket"
 )
@@ -41,8 +41,8 @@
 
 // Deps are the parts a gateway works with.
 type Deps struct {
-	Store   platform.Store      // nil: no platform, for tests of the callers' face
-	Hosts   platform.HostLister // nil: no list of hosts
+	Store   metastore.Store      // nil: no platform, for tests of the callers' face
+	Hosts   metastore.HostLister // nil: no list of hosts
 	Client  *inner.Client
 	Signer  *ticket.Signer
 	Keeper  *generation.Keeper
@@ -92,7 +92,7 @@
 	g.placer = newPlacer(g)
 	g.limits = newLimiter(g)
 	g.peers = newPeers(g)
-	g.platform.contact, _ = deps.Store.(platform.Contact)
+	g.platform.contact, _ = deps.Store.(metastore.Contact)
 	return g
 }
 
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -9,7 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/micarudder/micarudder/membership"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -122,7 +122,7 @@
 		if hosts, err := g.deps.Hosts.Hosts(g.ctx); err == nil {
 			var ev membership.Listed
 			for _, h := range hosts {
-				ev.Hosts = append(ev.Hosts, membership.ListedHost{Name: h.Name, Leaving: h.State != platform.HostLive})
+				ev.Hosts = append(ev.Hosts, membership.ListedHost{Name: h.Name, Leaving: h.State != metastore.HostLive})
 			}
 			g.members.apply(ev)
 		}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -8,8 +8,8 @@
 	"connectrpc.com/connect"
 
 	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/placement"
-	"github.com/micarudder/micarudder/platform"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -40,7 +40,7 @@
 
 	mu        sync.Mutex
 	grants    placement.Grants
-	lease     platform.LeaseID     // held in the latest round; 0: none
+	lease     metastore.LeaseID    // held in the latest round; 0: none
 	decided   map[string]word      // the reports that the latest round went by
 	confirmed map[string]word      // what agents said when asked under the present lease
 	notBefore map[string]time.Time // when to permit to an endpoint again
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -10,7 +10,7 @@
 	"github.com/micarudder/micarudder/daemon"
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/inner"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/settings"
 )
@@ -122,12 +122,12 @@
 	return p, nil
 }
 
-func openStore(s *Settings, env daemon.Env) (*platform.Client, error) {
+func openStore(s *Settings, env daemon.Env) (*metastore.Client, error) {
 	addrs := make([]string, 0, len(s.Platform.Addresses))
 	for _, a := range s.Platform.Addresses {
 		addrs = append(addrs, string(a))
 	}
-	return platform.NewClient(platform.Options{Addresses: addrs, Timeout: s.Platform.Timeout, ReadRate: s.Platform.ReadRate, WriteRate: s.Platform.WriteRate, Metrics: env.Metrics})
+	return metastore.NewClient(metastore.Options{Addresses: addrs, Timeout: s.Platform.Timeout, ReadRate: s.Platform.ReadRate, WriteRate: s.Platform.WriteRate, Metrics: env.Metrics})
 }
 
 // listen opens both listeners and serves them.
--- a/gateway/tenure.go
+++ b/gateway/tenure.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 const (
@@ -41,7 +41,7 @@
 	name string // unique, so that an answer that was lost can be told
 
 	mu     sync.Mutex
-	lease  *platform.Lease
+	lease  *metastore.Lease
 	away   bool
 	trying bool
 	next   time.Time // of the next attempt; zero while there is nothing to do
@@ -51,7 +51,7 @@
 func newTenure(g *Gateway) *tenure { return &tenure{g: g, name: g.cfg.Name + " " + uuid.NewString()} }
 
 // held returns the lease that is held at now, or 0.
-func (t *tenure) held(now time.Time) platform.LeaseID {
+func (t *tenure) held(now time.Time) metastore.LeaseID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lease == nil || !t.lease.Held(now) {
@@ -108,7 +108,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.trying = false
-	t.away = err != nil && !errors.Is(err, platform.ErrConflict)
+	t.away = err != nil && !errors.Is(err, metastore.ErrConflict)
 	t.next = time.Now().Add(claimPause/2 + rand.N(claimPause))
 	if err != nil {
 		return
@@ -119,22 +119,22 @@
 }
 
 // acquire returns the lease, or ErrConflict when another gateway holds it.
-func (t *tenure) acquire(ctx context.Context) (*platform.Lease, error) {
-	store, key := t.g.deps.Store, platform.PrefixPlacers+t.g.cfg.DataCentre
+func (t *tenure) acquire(ctx context.Context) (*metastore.Lease, error) {
+	store, key := t.g.deps.Store, metastore.PrefixPlacers+t.g.cfg.DataCentre
 	_, err := store.Get(ctx, key)
 	if err == nil {
-		return nil, platform.ErrConflict
+		return nil, metastore.ErrConflict
 	}
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, metastore.ErrNotFound) {
 		return nil, err
 	}
-	l, err := platform.Acquire(ctx, store, placerTTL)
+	l, err := metastore.Acquire(ctx, store, placerTTL)
 	if err != nil {
 		return nil, err
 	}
 	value := []byte(t.name + " " + uuid.NewString())
-	same := func(e platform.Entry) bool { return string(e.Value) == string(value) }
-	if _, err := platform.Settle(ctx, store, key, 0, value, l.ID(), same); err != nil {
+	same := func(e metastore.Entry) bool { return string(e.Value) == string(value) }
+	if _, err := metastore.Settle(ctx, store, key, 0, value, l.ID(), same); err != nil {
 		t.g.loops.Go(func() { t.revoke(l) })
 		return nil, err
 	}
@@ -142,7 +142,7 @@
 }
 
 // keep renews the lease until it is over.
-func (t *tenure) keep(l *platform.Lease) {
+func (t *tenure) keep(l *metastore.Lease) {
 	err := l.Keep(t.g.ctx)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -163,7 +163,7 @@
 	}
 }
 
-func (t *tenure) revoke(l *platform.Lease) {
+func (t *tenure) revoke(l *metastore.Lease) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.g.ctx), revokeTime)
 	defer cancel()
 	_ = l.Release(ctx)
--- a/internal/bench/virtual_test.go
+++ b/internal/bench/virtual_test.go
@@ -31,7 +31,7 @@
 	"github.com/micarudder/micarudder/internal/standin/pipe"
 	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
 	"github.com/micarudder/micarudder/load"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/ticket"
@@ -145,8 +145,8 @@
 	return "http://" + name
 }
 
-func (b *bubble) store() *platform.Client {
-	c, err := platform.NewClient(platform.Options{Addresses: []string{platformAddress}, HTTPClient: b.client(), Timeout: time.Second})
+func (b *bubble) store() *metastore.Client {
+	c, err := metastore.NewClient(metastore.Options{Addresses: []string{platformAddress}, HTTPClient: b.client(), Timeout: time.Second})
 	b.check(err)
 	return c
 }
@@ -173,7 +173,7 @@
 		}
 		value, err := generation.Encode(b.doc)
 		b.check(err)
-		_, err = b.store().CompareAndSwap(t.Context(), platform.KeyDocument, 0, value, 0)
+		_, err = b.store().CompareAndSwap(t.Context(), metastore.KeyDocument, 0, value, 0)
 		b.check(err)
 		for i := range gateways {
 			e.Gateways = append(e.Gateways, b.gateway(i, policies[c.Policy]()))
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -17,7 +17,7 @@
 	"github.com/micarudder/micarudder/internal/fleet"
 	"github.com/micarudder/micarudder/internal/procs"
 	"github.com/micarudder/micarudder/load"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -143,11 +143,11 @@
 }
 
 func (s *stage) accepted(ctx context.Context) (*rudderv1.Document, error) {
-	client, err := platform.NewClient(platform.Options{Addresses: []string{s.fleet.Platform}})
+	client, err := metastore.NewClient(metastore.Options{Addresses: []string{s.fleet.Platform}})
 	if err != nil {
 		return nil, err
 	}
-	e, err := client.Get(ctx, platform.KeyDocument)
+	e, err := client.Get(ctx, metastore.KeyDocument)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/spread/fleet.go
+++ b/internal/experiment/spread/fleet.go
@@ -14,7 +14,7 @@
 	"github.com/micarudder/micarudder/document"
 	"github.com/micarudder/micarudder/internal/fleet"
 	standplatform "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -29,7 +29,7 @@
 type running struct {
 	*fleet.Fleet
 	dir   string
-	store *platform.Client
+	store *metastore.Client
 	doc   *rudderv1.Document
 	at    int64 // revision of doc
 }
@@ -62,10 +62,10 @@
 
 func (r *running) open(ctx context.Context) error {
 	var err error
-	if r.store, err = platform.NewClient(platform.Options{Addresses: []string{r.Platform}}); err != nil {
+	if r.store, err = metastore.NewClient(metastore.Options{Addresses: []string{r.Platform}}); err != nil {
 		return err
 	}
-	e, err := r.store.Get(ctx, platform.KeyDocument)
+	e, err := r.store.Get(ctx, metastore.KeyDocument)
 	r.at = e.Revision
 	return trace.Wrap(err)
 }
@@ -89,7 +89,7 @@
 		return began, err
 	}
 	began = time.Now()
-	e, err := r.store.CompareAndSwap(ctx, platform.KeyDocument, r.at, value, 0)
+	e, err := r.store.CompareAndSwap(ctx, metastore.KeyDocument, r.at, value, 0)
 	if err != nil {
 		return began, trace.Wrap(err)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,7 +16,7 @@
 
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/internal/procs"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -222,7 +222,7 @@
 
 // accept writes the first configuration.
 func accept(ctx context.Context, address string, d *rudderv1.Document) error {
-	client, err := platform.NewClient(platform.Options{Addresses: []string{address}})
+	client, err := metastore.NewClient(metastore.Options{Addresses: []string{address}})
 	if err != nil {
 		return err
 	}
@@ -230,7 +230,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = client.CompareAndSwap(ctx, platform.KeyDocument, 0, data, 0)
+	_, err = client.CompareAndSwap(ctx, metastore.KeyDocument, 0, data, 0)
 	return err
 }
 
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // control registers the calls that switch the service.
@@ -55,13 +55,13 @@
 		}
 		s.SetHostLag(lag)
 	}
-	state, err := oneOf(r.FormValue("state"), "", platform.HostLive, platform.HostLeaving, HostGone)
+	state, err := oneOf(r.FormValue("state"), "", metastore.HostLive, metastore.HostLeaving, HostGone)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	if name := r.FormValue("host"); name != "" {
-		s.SetHost(platform.Host{
+		s.SetHost(metastore.Host{
 			Name:       name,
 			DataCentre: r.FormValue("data_centre"),
 			State:      state,
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -7,22 +7,22 @@
 	"sync"
 	"time"
 
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // HostGone takes a host off the list.
-const HostGone platform.HostState = "gone"
+const HostGone metastore.HostState = "gone"
 
 // hostList is the truth about the hosts, and what the list shows of it.
 type hostList struct {
 	mu    sync.Mutex
 	lag   time.Duration
-	truth map[string]platform.Host
-	shown map[string]platform.Host
+	truth map[string]metastore.Host
+	shown map[string]metastore.Host
 }
 
-func newHostList(lag time.Duration, hosts []platform.Host) *hostList {
-	l := &hostList{lag: lag, truth: map[string]platform.Host{}, shown: map[string]platform.Host{}}
+func newHostList(lag time.Duration, hosts []metastore.Host) *hostList {
+	l := &hostList{lag: lag, truth: map[string]metastore.Host{}, shown: map[string]metastore.Host{}}
 	for _, h := range hosts {
 		l.truth[h.Name] = h
 		l.shown[h.Name] = h
@@ -31,7 +31,7 @@
 }
 
 // set changes one host; the list shows it after the lag.
-func (l *hostList) set(h platform.Host) {
+func (l *hostList) set(h metastore.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if old, ok := l.truth[h.Name]; ok {
@@ -50,7 +50,7 @@
 }
 
 // merge returns h with its empty fields taken from old.
-func merge(old, h platform.Host) platform.Host {
+func merge(old, h metastore.Host) metastore.Host {
 	if h.DataCentre == "" {
 		h.DataCentre = old.DataCentre
 	}
@@ -63,7 +63,7 @@
 	return h
 }
 
-func (l *hostList) show(h platform.Host) {
+func (l *hostList) show(h metastore.Host) {
 	if h.State == HostGone {
 		delete(l.shown, h.Name)
 		return
@@ -79,10 +79,10 @@
 }
 
 // list returns the hosts shown, ordered by name.
-func (l *hostList) list() []platform.Host {
+func (l *hostList) list() []metastore.Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	hosts := make([]platform.Host, 0, len(l.shown))
+	hosts := make([]metastore.Host, 0, len(l.shown))
 	for _, name := range slices.Sorted(maps.Keys(l.shown)) {
 		hosts = append(hosts, l.shown[name])
 	}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/internal/etcdjson"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"golang.org/x/time/rate"
 )
 
@@ -28,10 +28,10 @@
 	// burst of one second's calls; zero means no limit.
 	ReadRate  float64
 	WriteRate float64
-	// MaxValue is the largest value in bytes; zero means platform.MaxValue.
+	// MaxValue is the largest value in bytes; zero means metastore.MaxValue.
 	MaxValue int
 	// Hosts is the list at the start.
-	Hosts []platform.Host
+	Hosts []metastore.Host
 	// HostLag is how long a change of a host takes to show in the list.
 	HostLag time.Duration
 }
@@ -61,7 +61,7 @@
 		mux:      http.NewServeMux(),
 	}
 	if s.maxValue == 0 {
-		s.maxValue = platform.MaxValue
+		s.maxValue = metastore.MaxValue
 	}
 	s.routes()
 	return s
@@ -87,7 +87,7 @@
 func (s *Server) RestoreCluster() bool { return s.store.restore(true) }
 
 // SetHost adds or changes a host; empty fields keep what they were.
-func (s *Server) SetHost(h platform.Host) { s.hosts.set(h) }
+func (s *Server) SetHost(h metastore.Host) { s.hosts.set(h) }
 
 // SetHostLag changes the lag of later changes of hosts.
 func (s *Server) SetHostLag(lag time.Duration) { s.hosts.setLag(lag) }
@@ -130,7 +130,7 @@
 	s.serve("POST "+etcdjson.PathKeepAlive, call{write: true, count: func(c *Counts) *int64 { return &c.KeepAlive }, serve: s.serveKeepAlive})
 	s.serve("POST "+etcdjson.PathRevoke, call{write: true, count: func(c *Counts) *int64 { return &c.Revoke }, serve: s.serveRevoke})
 	s.serve("POST "+etcdjson.PathWatch, call{stream: true, count: func(c *Counts) *int64 { return &c.Watch }, serve: s.serveWatch})
-	s.serve("GET "+platform.DefaultHostsPath, call{count: func(c *Counts) *int64 { return &c.Hosts }, serve: s.serveHosts})
+	s.serve("GET "+metastore.DefaultHostsPath, call{count: func(c *Counts) *int64 { return &c.Hosts }, serve: s.serveHosts})
 	s.control()
 }
 
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // ask makes one call of the handler and returns its status and body.
@@ -66,7 +66,7 @@
 
 func TestRefusedControl(t *testing.T) {
 	is := is.New(t)
-	s := standin.NewServer(standin.Config{Hosts: []platform.Host{{Name: "h1", State: platform.HostLive}}})
+	s := standin.NewServer(standin.Config{Hosts: []metastore.Host{{Name: "h1", State: metastore.HostLive}}})
 	for target, want := range map[string]int{
 		"/restore":               http.StatusConflict, // there is no snapshot
 		"/host?host=h1&state=up": http.StatusBadRequest,
--- a/internal/standin/platform/watch.go
+++ b/internal/standin/platform/watch.go
@@ -7,7 +7,7 @@
 	"sort"
 
 	"github.com/micarudder/micarudder/internal/etcdjson"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // view is what a watch sees at one moment.
@@ -129,10 +129,10 @@
 
 // History returns the changes of a key still known, oldest first; a deletion
 // has a nil Value.
-func (s *Server) History(key string) []platform.Entry {
-	var entries []platform.Entry
+func (s *Server) History(key string) []metastore.Entry {
+	var entries []metastore.Entry
 	for _, e := range s.store.look(key, 0).events {
-		entry := platform.Entry{Key: key, Revision: int64(e.Kv.ModRevision)}
+		entry := metastore.Entry{Key: key, Revision: int64(e.Kv.ModRevision)}
 		if e.Type != etcdjson.EventDelete {
 			entry.Value = append([]byte{}, e.Kv.Value...)
 		}
--- a/platform/address_test.go
+++ b/metastore/address_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"errors"
@@ -8,13 +8,13 @@
 	"time"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // second is the address of a second door to the same service.
 const second = "10.0.0.2:2379"
 
-func twoAddresses(o *platform.Options) { o.Addresses = []string{address, second} }
+func twoAddresses(o *metastore.Options) { o.Addresses = []string{address, second} }
 
 // TestAddresses: what certainly had no effect is tried at the next address; a
 // write that may have had one is not, but the next call goes elsewhere.
@@ -30,9 +30,9 @@
 			hanging := standin.NewServer(standin.Config{})
 			hanging.SetFaults(standin.Faults{Outage: standin.OutageHang})
 			b.serve(address, hanging.Handler())
-		}, nil, platform.ErrUnknown},
-		{"first fails", answering(http.StatusBadGateway, ""), nil, platform.ErrUnknown},
-		{"first refuses the call", answering(http.StatusTooManyRequests, ""), platform.ErrUnavailable, platform.ErrUnavailable},
+		}, nil, metastore.ErrUnknown},
+		{"first fails", answering(http.StatusBadGateway, ""), nil, metastore.ErrUnknown},
+		{"first refuses the call", answering(http.StatusTooManyRequests, ""), metastore.ErrUnavailable, metastore.ErrUnavailable},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -47,7 +47,7 @@
 				writer := b.newClient()
 				_, err = writer.CompareAndSwap(t.Context(), "k", e.Revision, []byte("new"), 0)
 				b.True(errors.Is(err, c.write))
-				if !errors.Is(c.write, platform.ErrUnknown) {
+				if !errors.Is(c.write, metastore.ErrUnknown) {
 					return
 				}
 				got, err := writer.Get(t.Context(), "k")
@@ -74,7 +74,7 @@
 		mux.HandleFunc("/moved", func(http.ResponseWriter, *http.Request) { followed++ })
 		b.serve(address, mux)
 		_, err := b.client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
-		b.True(errors.Is(err, platform.ErrUnavailable))
+		b.True(errors.Is(err, metastore.ErrUnavailable))
 		b.Equal(followed, 0)
 	})
 }
@@ -83,13 +83,13 @@
 // what cannot be sent in time is refused at once.
 func TestLimiters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, standin.Config{}, func(o *platform.Options) { o.ReadRate, o.WriteRate, o.LeaseRate = 2, 1, 1 })
+		b := newBench(t, standin.Config{}, func(o *metastore.Options) { o.ReadRate, o.WriteRate, o.LeaseRate = 2, 1, 1 })
 		id, err := b.client.Grant(t.Context(), time.Minute) // the one write at once
 		b.NoErr(err)
 		start := time.Now()
 		for range 4 {
 			_, err := b.client.Get(t.Context(), "k")
-			b.True(errors.Is(err, platform.ErrNotFound))
+			b.True(errors.Is(err, metastore.ErrNotFound))
 		}
 		b.Equal(time.Since(start), time.Second) // two at once, two more at two a second
 		for range 3 {
@@ -98,7 +98,7 @@
 		synctest.Wait()
 		start = time.Now()
 		_, err = b.client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
-		b.True(errors.Is(err, platform.ErrUnavailable))
+		b.True(errors.Is(err, metastore.ErrUnavailable))
 		b.Equal(time.Since(start), time.Duration(0))
 		_, err = b.client.KeepAlive(t.Context(), id)
 		b.NoErr(err) // not held up by the writes
@@ -108,16 +108,16 @@
 func TestOptions(t *testing.T) {
 	cases := []struct {
 		name    string
-		options platform.Options
+		options metastore.Options
 	}{
-		{"no address", platform.Options{}},
-		{"empty address", platform.Options{Addresses: []string{"a:1", " "}}},
-		{"negative time", platform.Options{Addresses: []string{"a:1"}, Timeout: -1}},
-		{"negative rate", platform.Options{Addresses: []string{"a:1"}, LeaseRate: -1}},
+		{"no address", metastore.Options{}},
+		{"empty address", metastore.Options{Addresses: []string{"a:1", " "}}},
+		{"negative time", metastore.Options{Addresses: []string{"a:1"}, Timeout: -1}},
+		{"negative rate", metastore.Options{Addresses: []string{"a:1"}, LeaseRate: -1}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if _, err := platform.NewClient(c.options); err == nil {
+			if _, err := metastore.NewClient(c.options); err == nil {
 				t.Fatal("accepted")
 			}
 		})
@@ -128,22 +128,22 @@
 // work.
 func TestHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		one := platform.Host{Name: "h1", DataCentre: "cdf-a", State: platform.HostLive, Address: "10.1.0.1:7000"}
-		b := newBench(t, standin.Config{Hosts: []platform.Host{one}, HostLag: 30 * time.Second}, nil)
-		list := func() []platform.Host {
+		one := metastore.Host{Name: "h1", DataCentre: "cdf-a", State: metastore.HostLive, Address: "10.1.0.1:7000"}
+		b := newBench(t, standin.Config{Hosts: []metastore.Host{one}, HostLag: 30 * time.Second}, nil)
+		list := func() []metastore.Host {
 			hosts, err := b.client.Hosts(t.Context())
 			b.NoErr(err)
 			return hosts
 		}
-		b.Equal(list(), []platform.Host{one})
-		b.server.SetHost(platform.Host{Name: "h1", State: "draining"})
+		b.Equal(list(), []metastore.Host{one})
+		b.server.SetHost(metastore.Host{Name: "h1", State: "draining"})
 		time.Sleep(29 * time.Second)
-		b.Equal(list(), []platform.Host{one})
+		b.Equal(list(), []metastore.Host{one})
 		time.Sleep(2 * time.Second)
-		one.State = platform.HostLeaving
-		b.Equal(list(), []platform.Host{one})
-		b.server.SetHost(platform.Host{Name: "h1", State: standin.HostGone})
+		one.State = metastore.HostLeaving
+		b.Equal(list(), []metastore.Host{one})
+		b.server.SetHost(metastore.Host{Name: "h1", State: standin.HostGone})
 		time.Sleep(31 * time.Second)
-		b.Equal(list(), []platform.Host{})
+		b.Equal(list(), []metastore.Host{})
 	})
 }
--- a/platform/bench_test.go
+++ b/metastore/bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"bytes"
@@ -9,17 +9,17 @@
 	"testing"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // unlimited is a rate that no benchmark reaches.
 const unlimited = 1e9
 
 // dialService serves a stand-in on loopback and returns a client of it.
-func dialService(b *testing.B) (*platform.Client, string) {
+func dialService(b *testing.B) (*metastore.Client, string) {
 	s := httptest.NewServer(standin.NewServer(standin.Config{}).Handler())
 	b.Cleanup(s.Close)
-	c, err := platform.NewClient(platform.Options{
+	c, err := metastore.NewClient(metastore.Options{
 		Addresses: []string{s.URL},
 		ReadRate:  unlimited,
 		WriteRate: unlimited,
--- a/platform/fault_test.go
+++ b/metastore/fault_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -10,48 +10,48 @@
 	"time"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // operation is one call of the client; a write also says how to see whether
 // it took effect.
 type operation struct {
 	name    string
-	call    func(ctx context.Context, c *platform.Client, s setup) error
+	call    func(ctx context.Context, c *metastore.Client, s setup) error
 	applied func(b *bench, s setup) bool // nil for a read
 }
 
 // setup is what exists before the fault begins.
 type setup struct {
-	entry platform.Entry // under the key "k", attached to lease
-	lease platform.LeaseID
+	entry metastore.Entry // under the key "k", attached to lease
+	lease metastore.LeaseID
 }
 
 // operations lists every call. A renewal that took effect cannot be seen at
 // the service, so keep-alives have no effect to compare.
 var operations = []operation{
-	{name: "get", call: func(ctx context.Context, c *platform.Client, _ setup) error {
+	{name: "get", call: func(ctx context.Context, c *metastore.Client, _ setup) error {
 		_, err := c.Get(ctx, "k")
 		return err
 	}},
-	{name: "list", call: func(ctx context.Context, c *platform.Client, _ setup) error {
+	{name: "list", call: func(ctx context.Context, c *metastore.Client, _ setup) error {
 		_, err := c.List(ctx, "k")
 		return err
 	}},
-	{name: "hosts", call: func(ctx context.Context, c *platform.Client, _ setup) error {
+	{name: "hosts", call: func(ctx context.Context, c *metastore.Client, _ setup) error {
 		_, err := c.Hosts(ctx)
 		return err
 	}},
-	{name: "watch", call: func(ctx context.Context, c *platform.Client, s setup) error {
+	{name: "watch", call: func(ctx context.Context, c *metastore.Client, s setup) error {
 		ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
-		err := c.Watch(ctx, "k", s.entry.Revision, func(platform.Entry) {})
+		err := c.Watch(ctx, "k", s.entry.Revision, func(metastore.Entry) {})
 		if errors.Is(err, context.DeadlineExceeded) && ctx.Err() != nil {
 			return nil // it was open until the test ended it
 		}
 		return err
 	}},
-	{name: "swap", call: func(ctx context.Context, c *platform.Client, s setup) error {
+	{name: "swap", call: func(ctx context.Context, c *metastore.Client, s setup) error {
 		_, err := c.CompareAndSwap(ctx, "k", s.entry.Revision, []byte("new"), 0)
 		return err
 	}, applied: func(b *bench, _ setup) bool {
@@ -59,10 +59,10 @@
 		b.NoErr(err)
 		return string(e.Value) == "new"
 	}},
-	{name: "delete", call: func(ctx context.Context, c *platform.Client, s setup) error {
+	{name: "delete", call: func(ctx context.Context, c *metastore.Client, s setup) error {
 		return c.Delete(ctx, "k", s.entry.Revision)
 	}, applied: keyGone},
-	{name: "grant", call: func(ctx context.Context, c *platform.Client, _ setup) error {
+	{name: "grant", call: func(ctx context.Context, c *metastore.Client, _ setup) error {
 		_, err := c.Grant(ctx, time.Hour)
 		return err
 	}, applied: func(b *bench, s setup) bool {
@@ -70,18 +70,18 @@
 		b.NoErr(err)
 		return id > s.lease+1
 	}},
-	{name: "keep-alive", call: func(ctx context.Context, c *platform.Client, s setup) error {
+	{name: "keep-alive", call: func(ctx context.Context, c *metastore.Client, s setup) error {
 		_, err := c.KeepAlive(ctx, s.lease)
 		return err
 	}},
-	{name: "revoke", call: func(ctx context.Context, c *platform.Client, s setup) error {
+	{name: "revoke", call: func(ctx context.Context, c *metastore.Client, s setup) error {
 		return c.Revoke(ctx, s.lease)
 	}, applied: keyGone},
 }
 
 func keyGone(b *bench, _ setup) bool {
 	_, err := b.client.Get(b.t.Context(), "k")
-	return errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, metastore.ErrNotFound)
 }
 
 // writes reports whether the operation can change the store.
@@ -97,28 +97,28 @@
 	applied bool
 }{
 	{name: "none", begin: func(*bench) {}, applied: true},
-	{name: "nothing listens", begin: func(b *bench) { b.net.remove(address) }, read: platform.ErrUnavailable, write: platform.ErrUnavailable},
-	{name: "no leader", begin: with(standin.Faults{Outage: standin.OutageRefuse}), read: platform.ErrUnavailable, write: platform.ErrUnavailable},
-	{name: "connections closed", begin: with(standin.Faults{Outage: standin.OutageReset}), read: platform.ErrUnavailable, write: platform.ErrUnknown},
-	{name: "calls hang", begin: with(standin.Faults{Outage: standin.OutageHang}), read: platform.ErrUnavailable, write: platform.ErrUnknown},
+	{name: "nothing listens", begin: func(b *bench) { b.net.remove(address) }, read: metastore.ErrUnavailable, write: metastore.ErrUnavailable},
+	{name: "no leader", begin: with(standin.Faults{Outage: standin.OutageRefuse}), read: metastore.ErrUnavailable, write: metastore.ErrUnavailable},
+	{name: "connections closed", begin: with(standin.Faults{Outage: standin.OutageReset}), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "calls hang", begin: with(standin.Faults{Outage: standin.OutageHang}), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
 	{name: "slow, in time", begin: with(standin.Faults{Delay: 900 * time.Millisecond}), applied: true},
-	{name: "slow, too late", begin: with(standin.Faults{Delay: 3 * time.Second}), read: platform.ErrUnavailable, write: platform.ErrUnknown, applied: true},
-	{name: "answer too late", begin: with(standin.Faults{AnswerDelay: 3 * time.Second}), read: platform.ErrUnavailable, write: platform.ErrUnknown, applied: true},
-	{name: "applied, answer lost", begin: with(standin.Faults{LoseApplied: 1}), write: platform.ErrUnknown, applied: true},
-	{name: "not applied, answer lost", begin: with(standin.Faults{LoseUnapplied: 1}), write: platform.ErrUnknown},
-	{name: "rate limit of the service", begin: func(b *bench) { b.server.SetRates(1e-9, 1e-9); b.drain() }, read: platform.ErrUnavailable, write: platform.ErrUnavailable},
+	{name: "slow, too late", begin: with(standin.Faults{Delay: 3 * time.Second}), read: metastore.ErrUnavailable, write: metastore.ErrUnknown, applied: true},
+	{name: "answer too late", begin: with(standin.Faults{AnswerDelay: 3 * time.Second}), read: metastore.ErrUnavailable, write: metastore.ErrUnknown, applied: true},
+	{name: "applied, answer lost", begin: with(standin.Faults{LoseApplied: 1}), write: metastore.ErrUnknown, applied: true},
+	{name: "not applied, answer lost", begin: with(standin.Faults{LoseUnapplied: 1}), write: metastore.ErrUnknown},
+	{name: "rate limit of the service", begin: func(b *bench) { b.server.SetRates(1e-9, 1e-9); b.drain() }, read: metastore.ErrUnavailable, write: metastore.ErrUnavailable},
 	{name: "own rate limit", begin: func(b *bench) {
 		b.options.ReadRate, b.options.WriteRate, b.options.LeaseRate = 1e-9, 1e-9, 1e-9
 		b.client = b.newClient()
 		b.drain()
-	}, read: platform.ErrUnavailable, write: platform.ErrUnavailable},
-	{name: "status 500", begin: answering(http.StatusInternalServerError, "{}"), read: platform.ErrUnavailable, write: platform.ErrUnknown},
-	{name: "status 503 of another kind", begin: answering(http.StatusServiceUnavailable, `{"message":"busy"}`), read: platform.ErrUnavailable, write: platform.ErrUnknown},
-	{name: "status 404", begin: answering(http.StatusNotFound, "no such page"), read: platform.ErrUnavailable, write: platform.ErrUnavailable},
-	{name: "redirect", begin: answering(http.StatusTemporaryRedirect, ""), read: platform.ErrUnavailable, write: platform.ErrUnavailable},
-	{name: "empty answer", begin: answering(http.StatusOK, ""), read: platform.ErrUnavailable, write: platform.ErrUnknown},
-	{name: "answer cut", begin: answering(http.StatusOK, `{"header":{"revision":"9"`), read: platform.ErrUnavailable, write: platform.ErrUnknown},
-	{name: "answer of another service", begin: answering(http.StatusOK, `"<html>"`), read: platform.ErrUnavailable, write: platform.ErrUnknown},
+	}, read: metastore.ErrUnavailable, write: metastore.ErrUnavailable},
+	{name: "status 500", begin: answering(http.StatusInternalServerError, "{}"), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "status 503 of another kind", begin: answering(http.StatusServiceUnavailable, `{"message":"busy"}`), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "status 404", begin: answering(http.StatusNotFound, "no such page"), read: metastore.ErrUnavailable, write: metastore.ErrUnavailable},
+	{name: "redirect", begin: answering(http.StatusTemporaryRedirect, ""), read: metastore.ErrUnavailable, write: metastore.ErrUnavailable},
+	{name: "empty answer", begin: answering(http.StatusOK, ""), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "answer cut", begin: answering(http.StatusOK, `{"header":{"revision":"9"`), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "answer of another service", begin: answering(http.StatusOK, `"<html>"`), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
 }
 
 // with switches faults of the stand-in on.
@@ -209,7 +209,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				cancel()
 				err := o.call(ctx, b.client, s)
-				b.True(errors.Is(err, platform.ErrUnavailable))
+				b.True(errors.Is(err, metastore.ErrUnavailable))
 				b.True(errors.Is(err, context.Canceled))
 				b.Equal(b.server.Counts(), before)
 			})
--- a/platform/follow_test.go
+++ b/metastore/follow_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"time"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // followed is what one Follow has reported.
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancel(b.t.Context())
 	b.t.Cleanup(cancel)
 	go func() {
-		_ = platform.Follow(ctx, b.client, "k", after, func(c platform.Change) {
+		_ = metastore.Follow(ctx, b.client, "k", after, func(c metastore.Change) {
 			if c.Restored {
 				f.lines = append(f.lines, fmt.Sprintf("restored after %d", c.Seen))
 				f.last = 0
@@ -48,11 +48,11 @@
 // followCases are what happens between the values "1" and "3" of a key.
 var followCases = []struct {
 	name  string
-	meet  func(b *bench, e platform.Entry) platform.Entry
+	meet  func(b *bench, e metastore.Entry) metastore.Entry
 	lines []string
 }{
-	{"nothing", func(_ *bench, e platform.Entry) platform.Entry { return e }, []string{"1", "3"}},
-	{"outage with a change in it", func(b *bench, e platform.Entry) platform.Entry {
+	{"nothing", func(_ *bench, e metastore.Entry) metastore.Entry { return e }, []string{"1", "3"}},
+	{"outage with a change in it", func(b *bench, e metastore.Entry) metastore.Entry {
 		for _, o := range []standin.Outage{standin.OutageReset, standin.OutageRefuse, standin.OutageHang} {
 			b.server.SetFaults(standin.Faults{Outage: o})
 			time.Sleep(time.Hour)
@@ -62,20 +62,20 @@
 		time.Sleep(longest)
 		return e
 	}, []string{"1", "2", "3"}},
-	{"a watch that delivers old values", func(b *bench, e platform.Entry) platform.Entry {
+	{"a watch that delivers old values", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.server.SetFaults(standin.Faults{Watch: standin.WatchOld})
 		e = b.swap(e, "2")
 		synctest.Wait()
 		return e
 	}, []string{"1", "2", "3"}},
-	{"a watch that stays open and silent", func(b *bench, e platform.Entry) platform.Entry {
+	{"a watch that stays open and silent", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.server.SetFaults(standin.Faults{Watch: standin.WatchPaused})
 		e = b.swap(e, "2")
 		time.Sleep(12 * time.Second)
 		b.server.SetFaults(standin.Faults{})
 		return e
 	}, []string{"1", "2", "3"}},
-	{"a paused watch that goes on", func(b *bench, e platform.Entry) platform.Entry {
+	{"a paused watch that goes on", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.server.SetFaults(standin.Faults{Watch: standin.WatchPaused})
 		e = b.swap(e, "2")
 		time.Sleep(time.Second)
@@ -83,7 +83,7 @@
 		synctest.Wait()
 		return e
 	}, []string{"1", "2", "3"}},
-	{"deletion during an outage", func(b *bench, e platform.Entry) platform.Entry {
+	{"deletion during an outage", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.server.SetFaults(standin.Faults{Outage: standin.OutageReset})
 		synctest.Wait()
 		b.server.SetFaults(standin.Faults{})
@@ -93,9 +93,9 @@
 		synctest.Wait()
 		b.server.SetFaults(standin.Faults{}) // a second break does not report it again
 		time.Sleep(longest)
-		return platform.Entry{Key: "k"}
+		return metastore.Entry{Key: "k"}
 	}, []string{"1", "deleted", "3"}},
-	{"reads from a lagging replica", func(b *bench, e platform.Entry) platform.Entry {
+	{"reads from a lagging replica", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.server.Snapshot()
 		e = b.swap(e, "2")
 		synctest.Wait()
@@ -107,7 +107,7 @@
 		time.Sleep(longest)
 		return e
 	}, []string{"1", "2", "3"}},
-	{"a store restored to an older value", func(b *bench, e platform.Entry) platform.Entry {
+	{"a store restored to an older value", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.server.Snapshot()
 		b.swap(e, "2")
 		synctest.Wait()
@@ -115,7 +115,7 @@
 		time.Sleep(time.Minute)
 		return e
 	}, []string{"1", "2", "restored after 3", "1", "3"}},
-	{"a store restored and then written beyond the old revision", func(b *bench, e platform.Entry) platform.Entry {
+	{"a store restored and then written beyond the old revision", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.server.Snapshot()
 		b.swap(e, "2")
 		synctest.Wait()
@@ -126,7 +126,7 @@
 		time.Sleep(time.Minute)
 		return e
 	}, []string{"1", "2", "restored after 3", "1", "3"}},
-	{"a store restored into a new cluster that has the same revisions", func(b *bench, e platform.Entry) platform.Entry {
+	{"a store restored into a new cluster that has the same revisions", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.server.Snapshot()
 		b.swap(e, "2")
 		synctest.Wait()
@@ -137,14 +137,14 @@
 		time.Sleep(time.Minute)
 		return e
 	}, []string{"1", "2", "restored after 3", "another 2", "3"}},
-	{"a store restored to a time without the key", func(b *bench, e platform.Entry) platform.Entry {
+	{"a store restored to a time without the key", func(b *bench, e metastore.Entry) metastore.Entry {
 		b.NoErr(b.client.Delete(b.t.Context(), "k", e.Revision))
 		b.server.Snapshot()
 		b.create("k", "2")
 		synctest.Wait()
 		b.True(b.server.Restore())
 		time.Sleep(time.Minute)
-		return platform.Entry{Key: "k"}
+		return metastore.Entry{Key: "k"}
 	}, []string{"1", "deleted", "2", "restored after 4", "3"}},
 }
 
@@ -169,7 +169,7 @@
 func TestRestoredStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var told []int64
-		b := newBench(t, standin.Config{}, func(o *platform.Options) {
+		b := newBench(t, standin.Config{}, func(o *metastore.Options) {
 			o.OnRestore = func(seen, now int64) { told = append(told, seen, now) }
 		})
 		e := b.create("k", "1")
@@ -177,21 +177,21 @@
 		claim := b.create("claim", "mine")
 		b.True(b.server.Restore())
 		_, err := b.client.Get(t.Context(), "claim")
-		b.True(errors.Is(err, platform.ErrRestored))
-		b.True(errors.Is(err, platform.ErrUnavailable))
-		b.True(!errors.Is(err, platform.ErrNotFound)) // the claim must not look free
+		b.True(errors.Is(err, metastore.ErrRestored))
+		b.True(errors.Is(err, metastore.ErrUnavailable))
+		b.True(!errors.Is(err, metastore.ErrNotFound)) // the claim must not look free
 		time.Sleep(3 * time.Second)
 		_, err = b.client.CompareAndSwap(t.Context(), "claim", 0, []byte("yours"), 0)
-		b.True(errors.Is(err, platform.ErrRestored))
-		b.True(errors.Is(err, platform.ErrUnknown))
+		b.True(errors.Is(err, metastore.ErrRestored))
+		b.True(errors.Is(err, metastore.ErrUnknown))
 		_, err = b.client.Get(t.Context(), "k")
 		b.NoErr(err) // the swap has brought the store up to the revision seen
 		b.Equal(len(told), 0)
 
 		b.swap(e, "2")
-		b.swap(platform.Entry{Key: "claim", Revision: claim.Revision}, "yours again")
+		b.swap(metastore.Entry{Key: "claim", Revision: claim.Revision}, "yours again")
 		b.True(b.server.Restore())
-		var back *platform.RestoredError
+		var back *metastore.RestoredError
 		for i := range 3 {
 			_, err = b.client.Get(t.Context(), "claim")
 			b.True(errors.As(err, &back))
@@ -200,6 +200,6 @@
 		}
 		b.Equal(told, []int64{claim.Revision + 2, claim.Revision - 1})
 		_, err = b.client.Get(t.Context(), "claim")
-		b.True(errors.Is(err, platform.ErrNotFound))
+		b.True(errors.Is(err, metastore.ErrNotFound))
 	})
 }
--- a/platform/golden_test.go
+++ b/metastore/golden_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	"time"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/sebdah/goldie/v2"
 )
 
@@ -89,8 +89,8 @@
 // through a lost answer and a break of the connection.
 func TestGoldenSession(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, standin.Config{Hosts: []platform.Host{
-			{Name: "h1", DataCentre: "hall-mlynska", State: platform.HostLive, Address: "10.1.0.1:7000"},
+		b := newBench(t, standin.Config{Hosts: []metastore.Host{
+			{Name: "h1", DataCentre: "hall-mlynska", State: metastore.HostLive, Address: "10.1.0.1:7000"},
 		}}, nil)
 		record := &transcript{inner: b.server.Handler()}
 		b.net.remove(address)
@@ -107,14 +107,14 @@
 		b.NoErr(err)
 
 		say("a lease with a key")
-		l, err := platform.Acquire(ctx, b.client, 10*time.Second)
+		l, err := metastore.Acquire(ctx, b.client, 10*time.Second)
 		b.NoErr(err)
 		e, err := b.client.CompareAndSwap(ctx, "k", 0, []byte("1"), l.ID())
 		b.NoErr(err)
 		b.NoErr(l.Renew(ctx))
 
 		say("a watch and a change")
-		go func() { _ = b.client.Watch(ctx, "k", e.Revision, func(platform.Entry) {}) }()
+		go func() { _ = b.client.Watch(ctx, "k", e.Revision, func(metastore.Entry) {}) }()
 		synctest.Wait()
 		e = b.swap(e, "2")
 		synctest.Wait()
@@ -124,7 +124,7 @@
 
 		say("a write that is applied and whose answer is lost")
 		b.server.SetFaults(standin.Faults{LoseApplied: 1})
-		e, err = platform.Settle(ctx, b.client, "k", e.Revision, []byte("4"), l.ID(), func(e platform.Entry) bool { return string(e.Value) == "4" })
+		e, err = metastore.Settle(ctx, b.client, "k", e.Revision, []byte("4"), l.ID(), func(e metastore.Entry) bool { return string(e.Value) == "4" })
 		b.NoErr(err)
 		synctest.Wait()
 
@@ -136,7 +136,7 @@
 
 		say("a watch that learns of a deletion")
 		b.NoErr(l.Release(ctx))
-		go func() { _ = b.client.Watch(ctx, "k", e.Revision, func(platform.Entry) {}) }()
+		go func() { _ = b.client.Watch(ctx, "k", e.Revision, func(metastore.Entry) {}) }()
 		synctest.Wait()
 
 		g := goldie.New(t)
--- a/platform/harness_test.go
+++ b/metastore/harness_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // pipeNet is a network of net.Pipe connections, since a synctest bubble must
@@ -111,16 +111,16 @@
 	t       *testing.T
 	net     *pipeNet
 	server  *standin.Server
-	client  *platform.Client
-	options platform.Options
+	client  *metastore.Client
+	options metastore.Options
 }
 
 // newBench serves a stand-in until the test ends. It has to be called in the
 // bubble.
-func newBench(t *testing.T, config standin.Config, change func(*platform.Options)) *bench {
+func newBench(t *testing.T, config standin.Config, change func(*metastore.Options)) *bench {
 	b := &bench{I: is.New(t), t: t, net: &pipeNet{ports: map[string]*pipeListener{}}, server: standin.NewServer(config)}
 	b.serve(address, b.server.Handler())
-	b.options = platform.Options{
+	b.options = metastore.Options{
 		Addresses: []string{address},
 		ReadRate:  1000,
 		WriteRate: 1000,
@@ -143,18 +143,18 @@
 }
 
 // newClient returns another client with the same options.
-func (b *bench) newClient() *platform.Client {
+func (b *bench) newClient() *metastore.Client {
 	transport := &http.Transport{DialContext: b.net.dial}
 	b.t.Cleanup(transport.CloseIdleConnections)
 	o := b.options
 	o.HTTPClient = &http.Client{Transport: transport}
-	c, err := platform.NewClient(o)
+	c, err := metastore.NewClient(o)
 	b.NoErr(err)
 	return c
 }
 
 // create writes a key that does not exist yet.
-func (b *bench) create(key, value string) platform.Entry {
+func (b *bench) create(key, value string) metastore.Entry {
 	b.t.Helper()
 	e, err := b.client.CompareAndSwap(b.t.Context(), key, 0, []byte(value), 0)
 	b.NoErr(err)
@@ -162,7 +162,7 @@
 }
 
 // swap replaces the value of e.
-func (b *bench) swap(e platform.Entry, value string) platform.Entry {
+func (b *bench) swap(e metastore.Entry, value string) metastore.Entry {
 	b.t.Helper()
 	e, err := b.client.CompareAndSwap(b.t.Context(), e.Key, e.Revision, []byte(value), 0)
 	b.NoErr(err)
--- a/platform/lease_test.go
+++ b/metastore/lease_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"time"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // leaseTTL is the TTL of the leases in these tests; margin is what a holder
@@ -19,11 +19,11 @@
 )
 
 // patient lets a call take longer than a lease lasts.
-func patient(o *platform.Options) { o.Timeout = time.Minute }
+func patient(o *metastore.Options) { o.Timeout = time.Minute }
 
 // acquire acquires a lease and attaches the key "k" to it.
-func (b *bench) acquire() *platform.Lease {
-	l, err := platform.Acquire(b.t.Context(), b.client, leaseTTL)
+func (b *bench) acquire() *metastore.Lease {
+	l, err := metastore.Acquire(b.t.Context(), b.client, leaseTTL)
 	b.NoErr(err)
 	_, err = b.client.CompareAndSwap(b.t.Context(), "k", 0, []byte("holder"), l.ID())
 	b.NoErr(err)
@@ -40,7 +40,7 @@
 		time.Sleep(time.Millisecond)
 		b.True(!l.Held(time.Now()))
 		b.True(!keyGone(b, setup{}))
-		b.True(errors.Is(l.Renew(t.Context()), platform.ErrLeaseGone)) // final, though the service still knows it
+		b.True(errors.Is(l.Renew(t.Context()), metastore.ErrLeaseGone)) // final, though the service still knows it
 		time.Sleep(margin)
 		synctest.Wait()
 		b.True(keyGone(b, setup{}))
@@ -62,13 +62,13 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := newBench(t, standin.Config{}, func(o *platform.Options) { o.Timeout = 2 * time.Hour })
+				b := newBench(t, standin.Config{}, func(o *metastore.Options) { o.Timeout = 2 * time.Hour })
 				held := b.acquire()
 				b.server.SetFaults(standin.Faults{AnswerDelay: c.d})
 				err := held.Renew(t.Context())
 				b.Equal(err == nil, c.held)
 				b.Equal(held.Held(time.Now()), c.held)
-				fresh, err := platform.Acquire(t.Context(), b.client, leaseTTL)
+				fresh, err := metastore.Acquire(t.Context(), b.client, leaseTTL)
 				b.NoErr(err)
 				b.Equal(fresh.Held(time.Now()), c.held) // reckoned from when it was sent
 				b.Equal(fresh.Remaining(time.Now()), max(0, leaseTTL-margin-c.d))
@@ -106,7 +106,7 @@
 					b.True(errors.Is(err, context.DeadlineExceeded))
 					return
 				}
-				b.True(errors.Is(err, platform.ErrLeaseGone))
+				b.True(errors.Is(err, metastore.ErrLeaseGone))
 				b.True(time.Since(start) <= leaseTTL-margin)
 			})
 		})
@@ -120,12 +120,12 @@
 		b := newBench(t, standin.Config{}, nil)
 		l := b.acquire()
 		b.NoErr(b.client.Revoke(t.Context(), l.ID()))
-		b.True(errors.Is(l.Renew(t.Context()), platform.ErrLeaseGone))
+		b.True(errors.Is(l.Renew(t.Context()), metastore.ErrLeaseGone))
 		b.True(!l.Held(time.Now()))
 
 		l = b.acquire()
 		b.server.SetFaults(standin.Faults{Outage: standin.OutageReset})
-		b.True(errors.Is(l.Release(t.Context()), platform.ErrUnknown))
+		b.True(errors.Is(l.Release(t.Context()), metastore.ErrUnknown))
 		b.True(!l.Held(time.Now()))
 	})
 }
--- a/platform/linear_test.go
+++ b/metastore/linear_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"time"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"pgregory.net/rapid"
 )
 
@@ -31,15 +31,15 @@
 }
 
 // write reads the key and swaps it, as an operator does.
-func (r *race) write(ctx context.Context, c *platform.Client, value string, settle bool) {
+func (r *race) write(ctx context.Context, c *metastore.Client, value string, settle bool) {
 	e, err := c.Get(ctx, "k")
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, metastore.ErrNotFound) {
 		return
 	}
 	a := attempt{value: value, expect: e.Revision, settled: settle}
 	if settle {
-		same := func(e platform.Entry) bool { return string(e.Value) == value }
-		e, a.err = platform.Settle(ctx, c, "k", a.expect, []byte(value), 0, same)
+		same := func(e metastore.Entry) bool { return string(e.Value) == value }
+		e, a.err = metastore.Settle(ctx, c, "k", a.expect, []byte(value), 0, same)
 	} else {
 		e, a.err = c.CompareAndSwap(ctx, "k", a.expect, []byte(value), 0)
 	}
@@ -76,7 +76,7 @@
 			rt.Fatalf("%+v was told applied; the key says %v at %d", a, applied, at)
 		case a.err == nil && previous[at] != a.expect:
 			rt.Fatalf("%+v replaced revision %d", a, previous[at])
-		case a.err != nil && !errors.Is(a.err, platform.ErrUnknown) && applied:
+		case a.err != nil && !errors.Is(a.err, metastore.ErrUnknown) && applied:
 			rt.Fatalf("%+v was told not applied; it was, at %d", a, at)
 		}
 	}
--- a/platform/metrics_test.go
+++ b/metastore/metrics_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"os"
@@ -8,7 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // TestMetrics: each call is counted once under its result, and every name is
@@ -16,7 +16,7 @@
 func TestMetrics(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		set := metrics.NewSet()
-		b := newBench(t, standin.Config{}, func(o *platform.Options) { o.Metrics = set })
+		b := newBench(t, standin.Config{}, func(o *metastore.Options) { o.Metrics = set })
 		b.create("k", "1")
 		b.server.Snapshot()
 		b.create("claim", "1")
--- a/platform/platform.go
+++ b/metastore/platform.go
@@ -1,11 +1,11 @@
-// Package platform is the client of the platform's key-value service and of
+// Package metastore is the client of the platform's key-value service and of
 // its list of hosts. The service speaks the JSON mapping of the etcd v3
 // protocol (/v3/kv/range, /v3/kv/txn, /v3/lease/…, /v3/watch); the host list
 // is in the format of Prometheus' HTTP service discovery.
 //
 // Every write reports one of three endings: applied, certainly not applied,
 // or unknown (ErrUnknown). Callers must read back after an unknown write.
-package platform
+package metastore
 
 import (
 	"context"
--- a/platform/settle_test.go
+++ b/metastore/settle_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -8,53 +8,53 @@
 	"time"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // settleCases are a swap from "old" to "mine" under a fault, with what another
 // writer does in the meantime.
 var settleCases = []struct {
 	name  string
-	begin func(b *bench, e platform.Entry)
+	begin func(b *bench, e metastore.Entry)
 	err   error
 	value string // in the key afterwards
 }{
-	{"no fault", func(*bench, platform.Entry) {}, nil, "mine"},
-	{"conflict", func(b *bench, e platform.Entry) { b.swap(e, "other") }, platform.ErrConflict, "other"},
+	{"no fault", func(*bench, metastore.Entry) {}, nil, "mine"},
+	{"conflict", func(b *bench, e metastore.Entry) { b.swap(e, "other") }, metastore.ErrConflict, "other"},
 	{"applied, answer lost", lose(standin.Faults{LoseApplied: 1}), nil, "mine"},
 	{"not applied, answer lost", lose(standin.Faults{LoseUnapplied: 1}), nil, "mine"},
 	{"both answers lost", lose(standin.Faults{LoseUnapplied: 1, LoseApplied: 1}), nil, "mine"},
 	{"many answers lost", lose(standin.Faults{LoseUnapplied: 20}), nil, "mine"},
-	{"applied too late", func(b *bench, _ platform.Entry) {
+	{"applied too late", func(b *bench, _ metastore.Entry) {
 		b.server.SetFaults(standin.Faults{Delay: 1500 * time.Millisecond})
 		b.after(1100*time.Millisecond, func() { b.server.SetFaults(standin.Faults{}) })
 	}, nil, "mine"},
-	{"an outage after it", func(b *bench, _ platform.Entry) {
+	{"an outage after it", func(b *bench, _ metastore.Entry) {
 		b.server.SetFaults(standin.Faults{AnswerDelay: 3 * time.Second})
 		b.after(500*time.Millisecond, func() { b.server.SetFaults(standin.Faults{Outage: standin.OutageReset}) })
 		b.after(20*time.Second, func() { b.server.SetFaults(standin.Faults{}) })
 	}, nil, "mine"},
-	{"an outage without end", lose(standin.Faults{Outage: standin.OutageHang}), platform.ErrUnknown, "old"},
-	{"no service at all", func(b *bench, _ platform.Entry) { b.net.remove(address); synctest.Wait() }, platform.ErrUnavailable, "old"},
-	{"not applied, then another writer", func(b *bench, e platform.Entry) {
+	{"an outage without end", lose(standin.Faults{Outage: standin.OutageHang}), metastore.ErrUnknown, "old"},
+	{"no service at all", func(b *bench, _ metastore.Entry) { b.net.remove(address); synctest.Wait() }, metastore.ErrUnavailable, "old"},
+	{"not applied, then another writer", func(b *bench, e metastore.Entry) {
 		b.server.SetFaults(standin.Faults{Outage: standin.OutageHang})
 		b.after(500*time.Millisecond, func() {
 			b.server.SetFaults(standin.Faults{})
 			b.swap(e, "other")
 		})
-	}, platform.ErrUnknown, "other"},
-	{"applied, then replaced by a descendant", func(b *bench, e platform.Entry) {
+	}, metastore.ErrUnknown, "other"},
+	{"applied, then replaced by a descendant", func(b *bench, e metastore.Entry) {
 		b.server.SetFaults(standin.Faults{AnswerDelay: 3 * time.Second})
 		b.after(500*time.Millisecond, func() {
 			b.server.SetFaults(standin.Faults{})
-			b.swap(platform.Entry{Key: "k", Revision: e.Revision + 1}, "mine and more")
+			b.swap(metastore.Entry{Key: "k", Revision: e.Revision + 1}, "mine and more")
 		})
 	}, nil, "mine and more"},
 }
 
 // lose switches faults on for good.
-func lose(f standin.Faults) func(*bench, platform.Entry) {
-	return func(b *bench, _ platform.Entry) { b.server.SetFaults(f) }
+func lose(f standin.Faults) func(*bench, metastore.Entry) {
+	return func(b *bench, _ metastore.Entry) { b.server.SetFaults(f) }
 }
 
 // after runs f in d.
@@ -74,8 +74,8 @@
 				c.begin(b, e)
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
-				same := func(e platform.Entry) bool { return len(e.Value) >= 4 && string(e.Value[:4]) == "mine" }
-				got, err := platform.Settle(ctx, b.client, "k", e.Revision, []byte("mine"), 0, same)
+				same := func(e metastore.Entry) bool { return len(e.Value) >= 4 && string(e.Value[:4]) == "mine" }
+				got, err := metastore.Settle(ctx, b.client, "k", e.Revision, []byte("mine"), 0, same)
 				b.True(errors.Is(err, c.err))
 				time.Sleep(5 * time.Second)
 				b.heal()
@@ -99,8 +99,8 @@
 		b.NoErr(err)
 		b.server.SetFaults(standin.Faults{AnswerDelay: 3 * time.Second})
 		b.after(2500*time.Millisecond, func() { b.server.SetFaults(standin.Faults{}) })
-		_, err = platform.Settle(t.Context(), b.client, "k", 0, []byte("mine"), id, func(platform.Entry) bool { return true })
-		b.True(errors.Is(err, platform.ErrUnknown))
-		b.True(errors.Is(err, platform.ErrLeaseGone))
+		_, err = metastore.Settle(t.Context(), b.client, "k", 0, []byte("mine"), id, func(metastore.Entry) bool { return true })
+		b.True(errors.Is(err, metastore.ErrUnknown))
+		b.True(errors.Is(err, metastore.ErrLeaseGone))
 	})
 }
--- a/platform/socket_test.go
+++ b/metastore/socket_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // TestSockets repeats on real sockets what the endings rest on: a connection
@@ -24,21 +24,21 @@
 		<-r.Context().Done()
 	}))
 	defer server.Close()
-	client, err := platform.NewClient(platform.Options{Addresses: []string{server.Listener.Addr().String()}, Timeout: time.Minute})
+	client, err := metastore.NewClient(metastore.Options{Addresses: []string{server.Listener.Addr().String()}, Timeout: time.Minute})
 	is.NoErr(err)
 	calls := []struct {
 		call func() error
 		want error
 	}{
-		{func() error { _, err := client.Get(t.Context(), "k"); return err }, platform.ErrUnavailable},
+		{func() error { _, err := client.Get(t.Context(), "k"); return err }, metastore.ErrUnavailable},
 		{func() error {
-			_, err := client.CompareAndSwap(t.Context(), "k", 0, make([]byte, platform.MaxValue), 0)
+			_, err := client.CompareAndSwap(t.Context(), "k", 0, make([]byte, metastore.MaxValue), 0)
 			return err
-		}, platform.ErrUnknown},
-		{func() error { _, err := client.Grant(t.Context(), time.Hour); return err }, platform.ErrUnknown},
+		}, metastore.ErrUnknown},
+		{func() error { _, err := client.Grant(t.Context(), time.Hour); return err }, metastore.ErrUnknown},
 		{func() error {
-			return client.Watch(t.Context(), "k", 0, func(platform.Entry) {})
-		}, platform.ErrUnavailable},
+			return client.Watch(t.Context(), "k", 0, func(metastore.Entry) {})
+		}, metastore.ErrUnavailable},
 	}
 	for _, c := range calls {
 		ended := make(chan error, 1)
@@ -50,6 +50,6 @@
 	is.Equal(len(service.History("k")), 1) // the write had taken effect
 	server.Close()
 	for _, c := range calls {
-		is.True(errors.Is(c.call(), platform.ErrUnavailable)) // refused
+		is.True(errors.Is(c.call(), metastore.ErrUnavailable)) // refused
 	}
 }
--- a/platform/watch_test.go
+++ b/metastore/watch_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package metastore_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"time"
 
 	standin "github.com/micarudder/micarudder/internal/standin/platform"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 )
 
 // TestBrokenWatch: whatever the service sends instead of a whole watch, Watch
@@ -59,8 +59,8 @@
 				b.serve(address, mux)
 				start := time.Now()
 				var seen []string
-				err := b.client.Watch(t.Context(), "k", 0, func(e platform.Entry) { seen = append(seen, show(e)) })
-				b.True(errors.Is(err, platform.ErrUnavailable))
+				err := b.client.Watch(t.Context(), "k", 0, func(e metastore.Entry) { seen = append(seen, show(e)) })
+				b.True(errors.Is(err, metastore.ErrUnavailable))
 				b.True(time.Since(start) <= b.options.Timeout)
 				b.Equal(seen, c.seen)
 			})
@@ -80,7 +80,7 @@
 		got := 0
 		for range followers {
 			c := b.newClient()
-			go func() { _ = platform.Follow(ctx, c, "k", e.Revision, func(platform.Change) { got++ }) }()
+			go func() { _ = metastore.Follow(ctx, c, "k", e.Revision, func(metastore.Change) { got++ }) }()
 		}
 		time.Sleep(time.Minute)
 		before := b.server.Counts()
--- a/plan/confirm.go
+++ b/plan/confirm.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/micarudder/micarudder/document"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -43,7 +43,7 @@
 // code PlanUnknown (ask again with the same plan), PlatformAway (this call
 // changed nothing), GenerationBack (the store holds an older document than the
 // plan's base) or DocumentTooBig.
-func Confirm(ctx context.Context, store platform.Store, p *Plan, now time.Time) (*Receipt, error) {
+func Confirm(ctx context.Context, store metastore.Store, p *Plan, now time.Time) (*Receipt, error) {
 	cur, revision, err := Accepted(ctx, store)
 	if err != nil {
 		return nil, p.unknown("the platform cannot be read: " + err.Error())
@@ -55,15 +55,15 @@
 	if err != nil {
 		return nil, err
 	}
-	entry, err := store.CompareAndSwap(ctx, platform.KeyDocument, revision, value, 0)
+	entry, err := store.CompareAndSwap(ctx, metastore.KeyDocument, revision, value, 0)
 	switch {
 	case err == nil:
 		return p.receipt(result.OK, p.BaseGeneration+1), nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, metastore.ErrConflict):
 		return p.afterConflict(entry)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, metastore.ErrTooLarge):
 		return nil, result.New(result.DocumentTooBig, fmt.Sprintf("%d bytes", len(value)))
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, metastore.ErrUnavailable):
 		return nil, result.New(result.PlatformAway, "this call changed nothing; ask again with plan "+p.ID)
 	default:
 		return p.readBack(ctx, store)
@@ -72,9 +72,9 @@
 
 // Accepted reads the accepted document and its revision; both are zero when
 // there is none yet.
-func Accepted(ctx context.Context, store platform.Store) (*rudderv1.Document, int64, error) {
-	e, err := store.Get(ctx, platform.KeyDocument)
-	if errors.Is(err, platform.ErrNotFound) {
+func Accepted(ctx context.Context, store metastore.Store) (*rudderv1.Document, int64, error) {
+	e, err := store.Get(ctx, metastore.KeyDocument)
+	if errors.Is(err, metastore.ErrNotFound) {
 		return new(rudderv1.Document), 0, nil
 	}
 	if err != nil {
@@ -100,7 +100,7 @@
 	return d
 }
 
-func (p *Plan) afterConflict(e platform.Entry) (*Receipt, error) {
+func (p *Plan) afterConflict(e metastore.Entry) (*Receipt, error) {
 	cur := new(rudderv1.Document)
 	if e.Revision != 0 {
 		var err error
@@ -116,7 +116,7 @@
 
 // readBack looks for the plan after a write whose answer was lost. Finding
 // the base proves nothing: the write may still be on its way.
-func (p *Plan) readBack(ctx context.Context, store platform.Store) (*Receipt, error) {
+func (p *Plan) readBack(ctx context.Context, store metastore.Store) (*Receipt, error) {
 	cur, _, err := Accepted(ctx, store)
 	if err != nil {
 		return nil, p.unknown("the answer to the write was lost and the platform cannot be read: " + err.Error())
--- a/plan/confirm_test.go
+++ b/plan/confirm_test.go
@@ -10,39 +10,39 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/document"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
 // memory is a store with one key; writes end with the given error.
 type memory struct {
-	platform.Store
-	entry    platform.Entry
+	metastore.Store
+	entry    metastore.Entry
 	readErr  error
 	writeErr error
 	writes   int
 }
 
-func (m *memory) Get(context.Context, string) (platform.Entry, error) {
+func (m *memory) Get(context.Context, string) (metastore.Entry, error) {
 	if m.readErr != nil {
-		return platform.Entry{}, m.readErr
+		return metastore.Entry{}, m.readErr
 	}
 	if m.entry.Revision == 0 {
-		return platform.Entry{}, platform.ErrNotFound
+		return metastore.Entry{}, metastore.ErrNotFound
 	}
 	return m.entry, nil
 }
 
-func (m *memory) CompareAndSwap(_ context.Context, key string, expect int64, value []byte, _ platform.LeaseID) (platform.Entry, error) {
+func (m *memory) CompareAndSwap(_ context.Context, key string, expect int64, value []byte, _ metastore.LeaseID) (metastore.Entry, error) {
 	m.writes++
 	if m.writeErr != nil {
 		return m.entry, m.writeErr
 	}
 	if expect != m.entry.Revision {
-		return m.entry, platform.ErrConflict
+		return m.entry, metastore.ErrConflict
 	}
-	m.entry = platform.Entry{Key: key, Value: value, Revision: expect + 1}
+	m.entry = metastore.Entry{Key: key, Value: value, Revision: expect + 1}
 	return m.entry, nil
 }
 
@@ -52,7 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.entry = platform.Entry{Value: value, Revision: m.entry.Revision + 1}
+	m.entry = metastore.Entry{Value: value, Revision: m.entry.Revision + 1}
 }
 
 func newPlan(t *testing.T, base *rudderv1.Document, service string) *Plan {
@@ -109,17 +109,17 @@
 		writes int
 	}{
 		{"accepted", func(*testing.T, *memory) {}, 0, 1},
-		{"unreadable", func(_ *testing.T, m *memory) { m.readErr = platform.ErrUnavailable }, result.PlanUnknown, 0},
+		{"unreadable", func(_ *testing.T, m *memory) { m.readErr = metastore.ErrUnavailable }, result.PlanUnknown, 0},
 		{"damaged value", func(_ *testing.T, m *memory) { m.entry.Value = []byte{0xff} }, result.PlanUnknown, 0},
-		{"refused before sending", func(_ *testing.T, m *memory) { m.writeErr = platform.ErrUnavailable }, result.PlatformAway, 1},
-		{"too large", func(_ *testing.T, m *memory) { m.writeErr = platform.ErrTooLarge }, result.DocumentTooBig, 1},
-		{"answer lost", func(_ *testing.T, m *memory) { m.writeErr = platform.ErrUnknown }, result.PlanUnknown, 1},
+		{"refused before sending", func(_ *testing.T, m *memory) { m.writeErr = metastore.ErrUnavailable }, result.PlatformAway, 1},
+		{"too large", func(_ *testing.T, m *memory) { m.writeErr = metastore.ErrTooLarge }, result.DocumentTooBig, 1},
+		{"answer lost", func(_ *testing.T, m *memory) { m.writeErr = metastore.ErrUnknown }, result.PlanUnknown, 1},
 		{"deadline", func(_ *testing.T, m *memory) { m.writeErr = context.DeadlineExceeded }, result.PlanUnknown, 1},
-		{"base written anew", func(_ *testing.T, m *memory) { m.writeErr = platform.ErrConflict }, result.PlanUnknown, 1},
+		{"base written anew", func(_ *testing.T, m *memory) { m.writeErr = metastore.ErrConflict }, result.PlanUnknown, 1},
 		{"store restored", func(t *testing.T, m *memory) {
 			m.put(t, &rudderv1.Document{Generation: 6, PlanId: "p6"})
 		}, result.GenerationBack, 0},
-		{"store emptied", func(_ *testing.T, m *memory) { m.entry = platform.Entry{} }, result.GenerationBack, 0},
+		{"store emptied", func(_ *testing.T, m *memory) { m.entry = metastore.Entry{} }, result.GenerationBack, 0},
 		{"other history of the same length", func(t *testing.T, m *memory) {
 			m.put(t, &rudderv1.Document{Generation: 7, PlanId: "other"})
 		}, result.PlanStale, 0},
--- a/plan/race_test.go
+++ b/plan/race_test.go
@@ -14,7 +14,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/micarudder/micarudder/document"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -52,7 +52,7 @@
 }
 
 type answer struct {
-	entry platform.Entry
+	entry metastore.Entry
 	err   error
 }
 
@@ -66,15 +66,15 @@
 	pending  *call
 }
 
-func (o *operator) Get(context.Context, string) (platform.Entry, error) {
+func (o *operator) Get(context.Context, string) (metastore.Entry, error) {
 	return o.ask(call{})
 }
 
-func (o *operator) CompareAndSwap(_ context.Context, _ string, expect int64, value []byte, _ platform.LeaseID) (platform.Entry, error) {
+func (o *operator) CompareAndSwap(_ context.Context, _ string, expect int64, value []byte, _ metastore.LeaseID) (metastore.Entry, error) {
 	return o.ask(call{write: true, value: value, from: expect})
 }
 
-func (o *operator) ask(c call) (platform.Entry, error) {
+func (o *operator) ask(c call) (metastore.Entry, error) {
 	c.reply = make(chan answer)
 	o.calls <- c
 	a := <-c.reply
@@ -83,15 +83,15 @@
 
 // store gives an operator the rest of the interface, which Confirm must not use.
 type store struct {
-	platform.Store
+	metastore.Store
 	*operator
 }
 
-func (s store) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s store) Get(ctx context.Context, key string) (metastore.Entry, error) {
 	return s.operator.Get(ctx, key)
 }
 
-func (s store) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, l platform.LeaseID) (platform.Entry, error) {
+func (s store) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte, l metastore.LeaseID) (metastore.Entry, error) {
 	return s.operator.CompareAndSwap(ctx, key, expect, value, l)
 }
 
@@ -134,13 +134,13 @@
 	effects  map[string]int // times that a plan took effect
 }
 
-func (w *world) entry() platform.Entry {
-	return platform.Entry{Key: platform.KeyDocument, Value: w.value, Revision: w.revision}
+func (w *world) entry() metastore.Entry {
+	return metastore.Entry{Key: metastore.KeyDocument, Value: w.value, Revision: w.revision}
 }
 
 func (w *world) swap(c call) answer {
 	if c.from != w.revision {
-		return answer{w.entry(), platform.ErrConflict}
+		return answer{w.entry(), metastore.ErrConflict}
 	}
 	w.value, w.revision = c.value, w.revision+1
 	d, err := document.Decode(c.value)
@@ -170,17 +170,17 @@
 	case fault == 0:
 		c.reply <- w.plain(c)
 	case !c.write:
-		c.reply <- answer{err: platform.ErrUnavailable}
+		c.reply <- answer{err: metastore.ErrUnavailable}
 	case fault == 1: // refused before it was sent
-		c.reply <- answer{err: platform.ErrUnavailable}
+		c.reply <- answer{err: metastore.ErrUnavailable}
 	case fault == 2: // takes effect, answer lost
 		w.swap(c)
-		c.reply <- answer{err: platform.ErrUnknown}
+		c.reply <- answer{err: metastore.ErrUnknown}
 	case fault == 3: // lost on the way
-		c.reply <- answer{err: platform.ErrUnknown}
+		c.reply <- answer{err: metastore.ErrUnknown}
 	case fault == 4: // answer lost, takes effect later
 		w.late = append(w.late, c)
-		c.reply <- answer{err: platform.ErrUnknown}
+		c.reply <- answer{err: metastore.ErrUnknown}
 	}
 }
 
@@ -189,7 +189,7 @@
 		return w.swap(c)
 	}
 	if w.revision == 0 {
-		return answer{err: platform.ErrNotFound}
+		return answer{err: metastore.ErrNotFound}
 	}
 	return answer{entry: w.entry()}
 }
--- a/plan/restore.go
+++ b/plan/restore.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/micarudder/micarudder/document"
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -19,7 +19,7 @@
 // Errors are *result.Err with code PlatformAway (this call changed nothing),
 // PlanUnknown (ask again), PlanStale (the store moved on or holds another
 // history) or DocumentTooBig.
-func Restore(ctx context.Context, store platform.Store, doc *rudderv1.Document, discard string) (*Receipt, error) {
+func Restore(ctx context.Context, store metastore.Store, doc *rudderv1.Document, discard string) (*Receipt, error) {
 	cur, revision, err := Accepted(ctx, store)
 	if err != nil {
 		return nil, result.New(result.PlatformAway, err.Error())
@@ -40,15 +40,15 @@
 	if err != nil {
 		return nil, err
 	}
-	_, err = store.CompareAndSwap(ctx, platform.KeyDocument, revision, value, 0)
+	_, err = store.CompareAndSwap(ctx, metastore.KeyDocument, revision, value, 0)
 	switch {
 	case err == nil:
 		return done, nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, metastore.ErrUnavailable):
 		return nil, result.New(result.PlatformAway, "this call changed nothing")
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, metastore.ErrConflict):
 		return nil, result.New(result.PlanStale, "the platform's document changed meanwhile; ask again")
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, metastore.ErrTooLarge):
 		return nil, result.New(result.DocumentTooBig, fmt.Sprintf("%d bytes", len(value)))
 	}
 	cur, _, err = Accepted(ctx, store)
--- a/plan/restore_test.go
+++ b/plan/restore_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/micarudder/micarudder/platform"
+	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -30,9 +30,9 @@
 		{"other history, wrong name", &rudderv1.Document{Generation: 8, PlanId: "q8"}, nil, "p8", result.PlanStale, "q8"},
 		{"other history, discarded", &rudderv1.Document{Generation: 8, PlanId: "q8"}, nil, "q8", 0, "p9"},
 		{"before the history", &rudderv1.Document{Generation: 6, PlanId: "p6"}, nil, "", result.PlanStale, "p6"},
-		{"refused", &rudderv1.Document{Generation: 7, PlanId: "p7"}, platform.ErrUnavailable, "", result.PlatformAway, "p7"},
-		{"raced", &rudderv1.Document{Generation: 7, PlanId: "p7"}, platform.ErrConflict, "", result.PlanStale, "p7"},
-		{"answer lost", &rudderv1.Document{Generation: 7, PlanId: "p7"}, platform.ErrUnknown, "", result.PlanUnknown, "p7"},
+		{"refused", &rudderv1.Document{Generation: 7, PlanId: "p7"}, metastore.ErrUnavailable, "", result.PlatformAway, "p7"},
+		{"raced", &rudderv1.Document{Generation: 7, PlanId: "p7"}, metastore.ErrConflict, "", result.PlanStale, "p7"},
+		{"answer lost", &rudderv1.Document{Generation: 7, PlanId: "p7"}, metastore.ErrUnknown, "", result.PlanUnknown, "p7"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
