--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,7 +70,7 @@
 }
 
 type options struct {
-	Config  string `short:"c" long:"config" description:"settings file" value-name:"FILE"`
+	Config  string `short:"c" long:"config" env:"MICARUDDER_CONFIG" description:"settings file" value-name:"FILE"`
 	Check   bool   `long:"check" description:"check the settings and exit"`
 	Version bool   `long:"version" description:"print the release and exit"`
 }
--- /dev/null
+++ b/peers/peers.go
@@ -0,0 +1,172 @@
+// Package peers carries what gateways tell each other: datagrams with the load
+// that each has in flight. A word holds the whole of its sender's load, so that
+// a lost or repeated datagram does no harm.
+package peers
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/micarudder/micarudder/balance"
+)
+
+const (
+	// maxWord is the largest datagram that is read.
+	maxWord = 60 << 10
+	// memberLife is how long an address that sent a word is answered when no
+	// list names it.
+	memberLife = 10 * time.Second
+)
+
+// Word is one datagram.
+type Word struct {
+	From     string                  `msgpack:"f"` // name of the sender
+	Life     uint64                  `msgpack:"i"` // random number of the sender's process
+	Sequence uint64                  `msgpack:"n"` // rises within a life
+	Version  uint64                  `msgpack:"v"` // configuration in force there
+	Leaving  bool                    `msgpack:"x,omitempty"`
+	Loads    map[string]balance.Load `msgpack:"l,omitempty"` // by endpoint id
+}
+
+// Mesh sends and receives words. Its methods may be called concurrently.
+type Mesh struct {
+	socket *net.UDPConn
+	name   string
+	life   uint64
+
+	mu       sync.Mutex
+	sequence uint64
+	listed   []netip.AddrPort
+	heard    map[netip.AddrPort]time.Time
+	last     map[string]position
+}
+
+// position is how far a sender's words were read.
+type position struct{ life, sequence uint64 }
+
+// Listen opens the mesh's socket.
+func Listen(name, address string) (*Mesh, error) {
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	socket, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Mesh{
+		socket: socket, name: name, life: rand.Uint64(),
+		heard: make(map[netip.AddrPort]time.Time), last: make(map[string]position),
+	}, nil
+}
+
+// Close ends the mesh; Receive returns.
+func (m *Mesh) Close() error { return m.socket.Close() }
+
+// SetMembers replaces the listed addresses, which are sent to besides those
+// that were heard lately.
+func (m *Mesh) SetMembers(addresses []netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = addresses
+}
+
+// Members returns where words are sent to.
+func (m *Mesh) Members(now time.Time) []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members(now)
+}
+
+func (m *Mesh) members(now time.Time) []netip.AddrPort {
+	self, _ := netip.ParseAddrPort(m.socket.LocalAddr().String())
+	out := make([]netip.AddrPort, 0, len(m.listed)+len(m.heard))
+	seen := map[netip.AddrPort]bool{self: true}
+	add := func(a netip.AddrPort) {
+		if !seen[a] {
+			seen[a] = true
+			out = append(out, a)
+		}
+	}
+	for _, a := range m.listed {
+		add(a)
+	}
+	for a, at := range m.heard {
+		if now.Sub(at) > memberLife {
+			delete(m.heard, a)
+			continue
+		}
+		add(a)
+	}
+	return out
+}
+
+// Send tells every member the word, whose sender fields are filled in.
+func (m *Mesh) Send(w Word, now time.Time) error {
+	m.mu.Lock()
+	m.sequence++
+	w.From, w.Life, w.Sequence = m.name, m.life, m.sequence
+	to := m.members(now)
+	m.mu.Unlock()
+	p, err := msgpack.Marshal(&w)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	var failed error
+	for _, a := range to {
+		if _, err := m.socket.WriteToUDPAddrPort(p, a); err != nil {
+			failed = trace.Wrap(err)
+		}
+	}
+	return failed
+}
+
+// Receive calls take for each word of another gateway, in the order of its
+// sending, until the mesh is closed. It returns how many datagrams could not be
+// read.
+func (m *Mesh) Receive(take func(Word)) (malformed int) {
+	buf := make([]byte, maxWord)
+	for {
+		n, from, err := m.socket.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return malformed
+		}
+		w, err := decode(buf[:n])
+		if err != nil {
+			malformed++
+			continue
+		}
+		if w.From != m.name && m.newer(w, from) {
+			take(w)
+		}
+	}
+}
+
+// decode reads one datagram.
+func decode(p []byte) (Word, error) {
+	var w Word
+	err := msgpack.Unmarshal(p, &w)
+	return w, err
+}
+
+// newer notes a word and reports whether it was not overtaken by a later one.
+func (m *Mesh) newer(w Word, from netip.AddrPort) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if last, ok := m.last[w.From]; ok && last.life == w.Life && last.sequence >= w.Sequence {
+		return false
+	}
+	m.last[w.From] = position{w.Life, w.Sequence}
+	if w.Leaving {
+		delete(m.heard, from)
+	} else {
+		m.heard[from] = time.Now()
+	}
+	return true
+}
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,308 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/upstream"
+)
+
+// outcome is how a request ended, as it stands in logs and metrics.
+type outcome string
+
+const (
+	answered    outcome = "answered"
+	brokenOff   outcome = "broken-off"   // the answer ended early
+	refusedFull outcome = "refused-full" // not run: no endpoint took it
+	refusedKey  outcome = "refused-key"  // not run: no proof that the key is still good
+	noRoute     outcome = "no-route"     // 404
+	noKey       outcome = "unknown-key"  // 401
+	badRequest  outcome = "bad-request"  // 4xx
+	unknownEnd  outcome = "may-have-run" // 502: sent, no answer, must not be sent again
+	outOfTime   outcome = "out-of-time"  // deadline
+	callerGone  outcome = "caller-gone"  // the caller closed its connection
+	notStarted  outcome = "not-started"  // 503: no configuration is known yet
+	stopping    outcome = "stopping"     // 503: the process is about to end
+	tooLarge    outcome = "body-too-large"
+)
+
+const (
+	// retryAfterFull is the time to come back that a refused caller is told:
+	// about one pass of a busy engine.
+	retryAfterFull = 200 * time.Millisecond
+	// retryAfterStore is told while the gateway waits for the store or peers.
+	retryAfterStore = 500 * time.Millisecond
+	// retryAfterStop is told by a gateway that is about to end.
+	retryAfterStop = 50 * time.Millisecond
+	// freshPatience is how long a request waits for a younger proof.
+	freshPatience = 600 * time.Millisecond
+	// proofMargin is taken off RevokeAfter for timers that run late.
+	proofMargin = 150 * time.Millisecond
+	// maxUnsent is how many sends of a request may fail before a byte was
+	// written; they do not count as attempts.
+	maxUnsent = 4
+	// queueStep is the longest pause between two looks at the load.
+	queueStep = 20 * time.Millisecond
+	// leastRemaining is the time below which a request is not sent any more:
+	// nothing can answer in it.
+	leastRemaining = 20 * time.Millisecond
+	// staleBefore is the age of the proof beyond which an unknown route or key
+	// is not answered as such, since a newer configuration may have it.
+	staleBefore = 2 * time.Second
+	// unsafeIdle is how long a kept connection may have been idle to carry a
+	// request that may run only once: endpoints forget idle connections.
+	unsafeIdle = 1500 * time.Millisecond
+)
+
+// exchange is one caller's request on its way through the gateway.
+type exchange struct {
+	g         *Gateway
+	w         http.ResponseWriter
+	r         *http.Request
+	call      Call
+	table     *catalog.Table
+	route     *catalog.Route
+	service   *catalog.Service
+	workspace *catalog.Workspace
+	body      []byte
+	started   time.Time
+	deadline  time.Time
+
+	attempts  int // sends that may have reached an endpoint
+	unsent    int // sends that did not
+	tried     []string
+	mayRun    bool // whether a send may have run or run later
+	granted   bool // whether the next send was already taken out of the budget
+	stream    *eventStream
+	firstSeen bool
+	lastError error
+	lastSent  time.Time
+}
+
+// refuse answers a request that has not run with a status that says so, or
+// ends it when the head of an answer is already out.
+func (x *exchange) refuse(status int, after time.Duration, o outcome) outcome {
+	if x.stream != nil && x.stream.headSent {
+		return x.abort()
+	}
+	if after > 0 {
+		x.w.Header().Set("Retry-After", seconds(after))
+	}
+	x.w.Header().Set("Content-Length", "0")
+	x.w.WriteHeader(status)
+	return o
+}
+
+// abort cuts the caller's connection, so that an answer that ends early does
+// not look whole.
+func (x *exchange) abort() outcome {
+	x.finish(brokenOff)
+	panic(http.ErrAbortHandler)
+}
+
+// giveUp ends a request for which nothing more can be done.
+func (x *exchange) giveUp(o outcome) outcome {
+	switch {
+	case x.r.Context().Err() != nil:
+		return callerGone
+	case x.mayRun && o == outOfTime:
+		return x.refuse(http.StatusGatewayTimeout, 0, o)
+	case x.mayRun:
+		return x.refuse(http.StatusBadGateway, 0, unknownEnd)
+	default:
+		return x.refuse(http.StatusServiceUnavailable, retryAfterFull, o)
+	}
+}
+
+// run sends the request until it is answered or must be given up.
+func (x *exchange) run() outcome {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	x.g.picker.request(x.service.Name, x.started)
+	for {
+		if o, ok := x.mayProceed(); !ok {
+			return o
+		}
+		at, o := x.place(ctx)
+		if at == nil {
+			return o
+		}
+		o, again := x.attempt(ctx, at)
+		if !again {
+			return o
+		}
+		if ctx.Err() != nil {
+			return x.giveUp(outOfTime)
+		}
+		if !x.mayRepeat() {
+			return x.giveUp(refusedFull)
+		}
+	}
+}
+
+// mayProceed looks again at everything that a wait or a freeze may have
+// changed, right before the request is placed.
+func (x *exchange) mayProceed() (outcome, bool) {
+	if time.Until(x.deadline) < leastRemaining {
+		return x.giveUp(outOfTime), false
+	}
+	return x.authorize()
+}
+
+// mayRepeat reports whether the request may be sent once more.
+func (x *exchange) mayRepeat() bool {
+	if x.granted {
+		x.granted = false
+		return true
+	}
+	if x.unsent > maxUnsent {
+		return false
+	}
+	if x.attempts == 0 {
+		return true
+	}
+	if x.attempts >= x.route.MaxAttempts {
+		return false
+	}
+	if x.mayRun && !x.route.Idempotent() {
+		return false
+	}
+	ok := x.g.picker.retry(x.service.Name, time.Now())
+	if ok {
+		x.g.meter.retries.Inc()
+	}
+	x.g.deps.Log.Request("Second send decided.", "request", x.call.ID, "granted", ok, "attempts", x.attempts, "tried", x.tried, "err", x.lastError)
+	return ok
+}
+
+// place finds an endpoint, waiting for one where that is better.
+func (x *exchange) place(ctx context.Context) (*place, outcome) {
+	began := time.Now()
+	defer func() { x.g.meter.wait.UpdateDuration(began) }()
+	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: x.tried}
+	for {
+		now := time.Now()
+		work.Slack = x.route.Objective*waitShare/100 - now.Sub(x.started)
+		at, wait, ok := x.g.picker.pick(x.service, work, now)
+		if at != nil {
+			x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", len(at.helpers),
+				"tokens", x.call.Input, "waited_ms", now.Sub(began).Milliseconds())
+			return at, ""
+		}
+		if !ok && len(work.Avoid) > 0 {
+			work.Avoid = nil // better the same endpoint again than none
+			continue
+		}
+		if !ok && now.Sub(x.started) > x.route.Objective/4 {
+			return nil, x.giveUp(refusedFull)
+		}
+		_ = wait
+		x.g.picker.await(ctx, queueStep)
+		if ctx.Err() != nil {
+			return nil, x.giveUp(outOfTime)
+		}
+	}
+}
+
+// waitShare is the part of its objective, in percent, that a long prompt may
+// wait for quiet endpoints.
+const waitShare = 35
+
+// attempt sends the request to one endpoint and relays the answer. again is set
+// when the request got no answer that could be passed on.
+func (x *exchange) attempt(ctx context.Context, at *place) (o outcome, again bool) {
+	defer at.release()
+	now := time.Now()
+	if _, ok := x.g.state.Endpoint(at.endpoint.ID); !ok {
+		x.unsent++
+		return "", true
+	}
+	req := x.request(at, now)
+	x.g.meter.sends.Inc()
+	x.lastSent = now
+	res, err := x.g.deps.Endpoints.Do(ctx, at.endpoint.ID, at.endpoint.Address, req)
+	if err != nil {
+		return "", x.failed(ctx, at, err)
+	}
+	defer res.Body.Close()
+	x.attempts++
+	x.tried = append(x.tried, at.endpoint.ID)
+	verdict := x.g.deps.Protocol.Verdict(res)
+	if verdict == NotRun || verdict == WrongEndpoint {
+		x.note(at, balance.Good)
+		x.lastError = errors.New("the endpoint did not take the request: " + res.Status)
+		return "", true
+	}
+	x.mayRun = true
+	if verdict == Failed && x.mayRepeat() {
+		x.lastError = errors.New("the endpoint failed: " + res.Status)
+		x.granted = true
+		return "", true
+	}
+	return x.relay(ctx, at, res)
+}
+
+// failed takes in a send without an answer and reports whether to go on.
+func (x *exchange) failed(ctx context.Context, at *place, err error) bool {
+	x.lastError = err
+	var failure *upstream.Error
+	if errors.As(err, &failure) && failure.Stage == upstream.NotSent {
+		x.unsent++
+		if ctx.Err() == nil {
+			x.note(at, balance.Unreachable)
+			x.tried = append(x.tried, at.endpoint.ID)
+		}
+		return true
+	}
+	x.attempts++
+	x.tried = append(x.tried, at.endpoint.ID)
+	x.mayRun = true
+	if ctx.Err() == nil {
+		x.note(at, balance.Bad)
+	}
+	return true
+}
+
+func (x *exchange) note(at *place, o balance.Outcome) {
+	if x.g.picker.note(at.endpoint.ID, o, time.Now()) {
+		x.g.deps.Log.Logger().Warn("Endpoint suspect.", "endpoint", at.endpoint.ID, "request", x.call.ID, "err", x.lastError)
+	}
+}
+
+// request builds what is sent to the endpoint.
+func (x *exchange) request(at *place, now time.Time) *upstream.Request {
+	s := Send{
+		EndpointID:  at.endpoint.ID,
+		Remaining:   x.deadline.Sub(now),
+		LastEventID: x.call.LastEventID,
+		Priority:    DefaultPriority,
+	}
+	if x.stream != nil && x.stream.lastID != "" {
+		s.LastEventID = x.stream.lastID
+	}
+	if x.workspace != nil {
+		s.Workspace = x.workspace.Name
+	}
+	for _, h := range at.helpers {
+		s.Helpers = append(s.Helpers, Helper{Address: h.Address})
+	}
+	req := &upstream.Request{
+		Method: x.r.Method,
+		Target: x.r.RequestURI,
+		Host:   x.r.Host,
+		Header: x.g.deps.Protocol.Header(x.r.Header, x.call, s),
+		Body:   x.body,
+		Echo:   x.g.deps.Protocol.Echo(),
+	}
+	if !x.route.Idempotent() {
+		req.MaxIdle = unsafeIdle
+	}
+	return req
+}
+
+// DefaultPriority is the rank of a request that endpoints take as usual.
+const DefaultPriority = 5
--- /dev/null
+++ b/relay/follow.go
@@ -0,0 +1,195 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/micarudder/micarudder/peers"
+)
+
+const (
+	// readEvery is how often configuration and endpoints are read while all is
+	// well: half of the two seconds within which a change must be in force.
+	readEvery = 800 * time.Millisecond
+	// readAgain is the pause after a failed read.
+	readAgain = 300 * time.Millisecond
+	// readTime bounds one read; a slow store answers within a quarter of it.
+	readTime = 1500 * time.Millisecond
+	// askPeersAfter is the age of the own proof at which peers are asked for
+	// theirs.
+	askPeersAfter = 1600 * time.Millisecond
+	// gatewaysEvery is how often the list of gateways is read and the own
+	// entry renewed.
+	gatewaysEvery = 3 * time.Second
+	// tellEvery is the longest time between two words to the peers, tellGap
+	// the shortest.
+	tellEvery = 250 * time.Millisecond
+	tellGap   = 10 * time.Millisecond
+)
+
+// followConfiguration keeps the configuration and its proof young.
+func (g *Gateway) followConfiguration() {
+	lost := false
+	for {
+		sent := time.Now()
+		err := g.readConfiguration(sent)
+		if (err != nil) != lost {
+			lost = err != nil
+			g.logDependency("configuration store", lost, err)
+		}
+		if err != nil {
+			g.askPeers()
+		}
+		wait := readEvery
+		if err != nil {
+			wait = readAgain
+		}
+		if !g.pause(wait) {
+			return
+		}
+	}
+}
+
+func (g *Gateway) readConfiguration(sent time.Time) error {
+	ctx, cancel := context.WithTimeout(g.ctx, readTime)
+	defer cancel()
+	c, err := g.deps.Source.Configuration(ctx)
+	if err != nil {
+		g.meter.storeFailures.Inc()
+		return err
+	}
+	if c == nil {
+		g.state.Prove(g.state.Version(), sent)
+		return nil
+	}
+	if g.state.Take(c) {
+		g.deps.Log.Logger().Info("Configuration in force.", "version", c.Version, "from", "store", "read_ms", time.Since(sent).Milliseconds())
+	}
+	g.state.Prove(c.Version, sent)
+	return nil
+}
+
+// logDependency logs that something the gateway needs was lost or regained.
+func (g *Gateway) logDependency(name string, lost bool, err error) {
+	age, _ := g.state.ProofAge(time.Now())
+	if lost {
+		g.deps.Log.Logger().Warn("Dependency lost.", "dependency", name, "err", err, "proof_age_ms", age.Milliseconds())
+		return
+	}
+	g.deps.Log.Logger().Info("Dependency regained.", "dependency", name, "proof_age_ms", age.Milliseconds())
+}
+
+// followEndpoints keeps the list of endpoints young.
+func (g *Gateway) followEndpoints() {
+	var failed time.Time
+	for {
+		wait := readEvery
+		ctx, cancel := context.WithTimeout(g.ctx, readTime)
+		list, err := g.deps.Source.Endpoints(ctx)
+		cancel()
+		now := time.Now()
+		if err != nil {
+			failed = now
+			wait = readAgain
+			g.meter.storeFailures.Inc()
+		} else {
+			for _, c := range g.state.Listed(list, now, failed) {
+				g.memberChanged(c)
+			}
+		}
+		if !g.pause(wait) {
+			return
+		}
+	}
+}
+
+func (g *Gateway) memberChanged(c MemberChange) {
+	e := c.Endpoint
+	g.deps.Log.Logger().Info("Endpoint changed.", "endpoint", e.ID, "change", c.Kind, "service", e.Service, "address", e.Address)
+	if c.Kind == "gone" {
+		g.deps.Endpoints.Forget(e.ID)
+		g.picker.forget(e.ID)
+	}
+}
+
+// followGateways keeps the own entry and the list of peers young.
+func (g *Gateway) followGateways() {
+	if g.deps.Mesh == nil {
+		return
+	}
+	lost := false
+	for {
+		ctx, cancel := context.WithTimeout(g.ctx, readTime)
+		list, err := g.deps.Source.Gateways(ctx)
+		cancel()
+		if (err != nil) != lost {
+			lost = err != nil
+			g.logDependency("gateway list", lost, err)
+		}
+		if len(list) > 0 {
+			g.deps.Mesh.SetMembers(g.addresses(list))
+		}
+		if !g.pause(gatewaysEvery) {
+			return
+		}
+	}
+}
+
+// addresses parses peer addresses; one that cannot be parsed is logged and left
+// out.
+func (g *Gateway) addresses(list []string) []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(list))
+	for _, text := range list {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			g.deps.Log.Logger().Warn("A gateway's address cannot be read.", "address", text, "err", err)
+			continue
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// tell sends this gateway's load to its peers: soon after it changed, and now
+// and then while it does not.
+func (g *Gateway) tell() {
+	if g.deps.Mesh == nil {
+		return
+	}
+	heartbeat := time.NewTicker(tellEvery)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-heartbeat.C:
+		case <-g.picker.urgent:
+		}
+		loads, _ := g.picker.own()
+		w := peers.Word{Version: g.state.Version(), Leaving: g.leaving.Load(), Loads: loads}
+		if err := g.deps.Mesh.Send(w, time.Now()); err != nil {
+			g.meter.tellFailures.Inc()
+		}
+		if !g.pause(tellGap) {
+			return
+		}
+	}
+}
+
+// hear takes in what peers say.
+func (g *Gateway) hear() {
+	if g.deps.Mesh == nil {
+		return
+	}
+	g.deps.Mesh.Receive(func(w peers.Word) {
+		g.picker.peer(w.From, w.Loads, time.Now())
+	})
+}
+
+// peerURL returns where another gateway answers.
+func (g *Gateway) peerURL(a netip.AddrPort, path string) string {
+	return "http://" + net.JoinHostPort(a.Addr().String(), strconv.Itoa(g.deps.PeerPort)) + path
+}
--- /dev/null
+++ b/relay/gateway.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/upstream"
+)
+
+// Config holds the gateway's own bounds.
+type Config struct {
+	Name       string
+	DataCentre string
+	// RevokeAfter is how long after a key was withdrawn the last request for it
+	// may be sent; a gateway without a younger proof of its configuration
+	// refuses requests with keys. Zero: no proof is needed.
+	RevokeAfter time.Duration
+	Retries     limits.WindowConfig
+	// DrainTime is the time from the stop signal to the end of the process.
+	DrainTime time.Duration
+	Policy    balance.Policy
+}
+
+// Deps are what a gateway works with.
+type Deps struct {
+	Protocol  Protocol
+	Source    Source
+	Endpoints *upstream.Client
+	Mesh      *peers.Mesh
+	PeerPort  int // TCP port at which other gateways answer
+	Log       *eventlog.Log
+	Metrics   *metrics.Set
+}
+
+// Gateway relays requests.
+type Gateway struct {
+	config Config
+	deps   Deps
+	state  *State
+	picker *picker
+	meter  *meter
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	stopAt   atomic.Pointer[time.Time] // when the stop signal came
+	peers    *peerClient
+	faces    *faces
+}
+
+// New returns a gateway whose background work runs until Close.
+func New(c Config, d Deps) *Gateway {
+	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics)}
+	g.picker = newPicker(g.state, c.Policy, c.Retries)
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.peers = newPeerClient(d.PeerPort)
+	g.faces = newFaces(g)
+	return g
+}
+
+// Start begins the background work.
+func (g *Gateway) Start() {
+	for _, task := range []func(){g.followConfiguration, g.followEndpoints, g.followGateways, g.tell, g.hear} {
+		g.tasks.Go(task)
+	}
+}
+
+// Close ends the background work.
+func (g *Gateway) Close() {
+	g.cancel()
+	if g.deps.Mesh != nil {
+		_ = g.deps.Mesh.Close()
+	}
+	g.tasks.Wait()
+	g.deps.Endpoints.Close()
+}
+
+// Ready reports whether the balancer may send new connections here.
+func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.state.Table() != nil }
+
+// ReadyHandler answers the balancer.
+func (g *Gateway) ReadyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// pause waits for d; it reports false when the gateway was closed first.
+func (g *Gateway) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-g.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/relay/members.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+const (
+	// returnTime is how long after the store's return an endpoint whose entry
+	// lapsed may still come back; the platform says about two seconds.
+	returnTime = 2 * time.Second
+	// massLapse is the part of a service's endpoints that has to be missing
+	// from one list for the store to be suspected instead of the endpoints.
+	massLapse = 0.5
+)
+
+// MemberChange is a change of what is believed of an endpoint.
+type MemberChange struct {
+	Endpoint catalog.Endpoint
+	Kind     string // "new", "draining", "missing" or "gone"
+}
+
+// members decides from the store's list which endpoints take new requests. It
+// is pure: times are arguments.
+type members struct {
+	known   map[string]catalog.Endpoint
+	missing map[string]time.Time // entries that lapsed, and when that was seen
+	order   map[string][]catalog.Endpoint
+}
+
+func newMembers() *members {
+	return &members{
+		known:   make(map[string]catalog.Endpoint),
+		missing: make(map[string]time.Time),
+		order:   make(map[string][]catalog.Endpoint),
+	}
+}
+
+// listed takes in a list that was read at now. An entry that disappeared while
+// the store could be read means that the endpoint has left; one that lapsed
+// with the store may come back within returnTime.
+func (m *members) listed(list []catalog.Endpoint, now, storeFailed time.Time) []MemberChange {
+	var changes []MemberChange
+	present := make(map[string]bool, len(list))
+	for _, e := range list {
+		present[e.ID] = true
+		delete(m.missing, e.ID)
+		old, ok := m.known[e.ID]
+		switch {
+		case !ok:
+			changes = append(changes, MemberChange{e, "new"})
+		case e.Draining && !old.Draining:
+			changes = append(changes, MemberChange{e, "draining"})
+		}
+		m.known[e.ID] = e
+	}
+	tolerant := !storeFailed.IsZero() && now.Sub(storeFailed) < returnTime
+	lapsed := m.massLapsed(present)
+	for id, e := range m.known {
+		if present[id] {
+			continue
+		}
+		since, seen := m.missing[id]
+		if !seen && !e.Draining && (tolerant || lapsed[e.Service]) {
+			m.missing[id] = now
+			changes = append(changes, MemberChange{e, "missing"})
+			continue
+		}
+		if seen && now.Sub(since) < returnTime {
+			continue
+		}
+		delete(m.known, id)
+		delete(m.missing, id)
+		changes = append(changes, MemberChange{e, "gone"})
+	}
+	m.sort()
+	return changes
+}
+
+// massLapsed returns the services of which most endpoints are missing at once.
+func (m *members) massLapsed(present map[string]bool) map[string]bool {
+	all, missing := make(map[string]int), make(map[string]int)
+	for id, e := range m.known {
+		all[e.Service]++
+		if !present[id] {
+			missing[e.Service]++
+		}
+	}
+	out := make(map[string]bool)
+	for service, n := range missing {
+		out[service] = n > 1 && float64(n) >= massLapse*float64(all[service])
+	}
+	return out
+}
+
+// sort puts the endpoints in an order that every gateway shares.
+func (m *members) sort() {
+	m.order = make(map[string][]catalog.Endpoint)
+	for _, e := range m.known {
+		if !e.Draining {
+			m.order[e.Service] = append(m.order[e.Service], e)
+		}
+	}
+	for _, list := range m.order {
+		slices.SortFunc(list, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+func (m *members) usable(service string) []catalog.Endpoint { return m.order[service] }
+
+func (m *members) endpoint(id string) (catalog.Endpoint, bool) {
+	e, ok := m.known[id]
+	return e, ok && !e.Draining
+}
--- /dev/null
+++ b/relay/meter.go
@@ -0,0 +1,40 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meter holds the gateway's counters and histograms.
+type meter struct {
+	set           *metrics.Set
+	storeFailures *metrics.Counter
+	tellFailures  *metrics.Counter
+	sends         *metrics.Counter
+	retries       *metrics.Counter
+	resumes       *metrics.Counter
+	firstByte     *metrics.Histogram
+	whole         *metrics.Histogram
+	wait          *metrics.Histogram
+}
+
+func newMeter(set *metrics.Set) *meter {
+	return &meter{
+		set:           set,
+		storeFailures: set.NewCounter("relay_store_failures_total"),
+		tellFailures:  set.NewCounter("relay_peer_send_failures_total"),
+		sends:         set.NewCounter("relay_sends_total"),
+		retries:       set.NewCounter("relay_retries_total"),
+		resumes:       set.NewCounter("relay_resumes_total"),
+		firstByte:     set.NewHistogram("relay_first_event_seconds"),
+		whole:         set.NewHistogram("relay_request_seconds"),
+		wait:          set.NewHistogram("relay_wait_seconds"),
+	}
+}
+
+// ended counts a request by its outcome.
+func (m *meter) ended(o outcome, started time.Time) {
+	m.set.GetOrCreateCounter(`relay_requests_total{outcome="` + string(o) + `"}`).Inc()
+	m.whole.UpdateDuration(started)
+}
--- /dev/null
+++ b/relay/peerclient.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+const (
+	// peerTime bounds a question to a peer; it is in the same network.
+	peerTime = 500 * time.Millisecond
+	// peersAsked is how many peers are asked at once.
+	peersAsked = 3
+
+	pathProof         = "/peer/proof"
+	pathConfiguration = "/peer/configuration"
+)
+
+// proofAnswer is what a gateway says of its newest proof.
+type proofAnswer struct {
+	Version uint64
+	AgeMs   int64 // since the read was sent that proved Version
+}
+
+// PeerHandler answers other gateways that cannot reach the store.
+func (g *Gateway) PeerHandler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+pathProof, func(w http.ResponseWriter, _ *http.Request) {
+		age, _ := g.state.ProofAge(time.Now())
+		g.answerPeer(w, proofAnswer{g.state.Version(), age.Milliseconds()})
+	})
+	m.HandleFunc("GET "+pathConfiguration, func(w http.ResponseWriter, _ *http.Request) {
+		t := g.state.Table()
+		if t == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		g.answerPeer(w, t.Configuration)
+	})
+	return m
+}
+
+func (g *Gateway) answerPeer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		g.deps.Log.Logger().Debug("A peer did not take its answer.", "err", err)
+	}
+}
+
+// peerClient asks other gateways.
+type peerClient struct {
+	http *http.Client
+	port int
+}
+
+func newPeerClient(port int) *peerClient {
+	return &peerClient{port: port, http: &http.Client{
+		Timeout:   peerTime,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second},
+	}}
+}
+
+func (c *peerClient) get(ctx context.Context, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return trace.Errorf("%s: %s", url, res.Status)
+	}
+	return trace.Wrap(json.NewDecoder(res.Body).Decode(into))
+}
+
+// askPeers takes a younger proof from the peers when the own one grows old, and
+// the configuration that it is for. A peer counts its proof's age from its own
+// read; here the age counts from the time at which the peer was asked, so that
+// time on the way or in a freeze never makes a proof younger.
+func (g *Gateway) askPeers() {
+	if g.deps.Mesh == nil {
+		return
+	}
+	if age, _ := g.state.ProofAge(time.Now()); age < askPeersAfter {
+		return
+	}
+	members := g.deps.Mesh.Members(time.Now())
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	done := make(chan struct{})
+	asked := members[:min(peersAsked, len(members))]
+	for _, m := range asked {
+		go func() {
+			g.askPeer(m)
+			done <- struct{}{}
+		}()
+	}
+	for range asked {
+		<-done
+	}
+}
+
+func (g *Gateway) askPeer(m netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(g.ctx, 2*peerTime)
+	defer cancel()
+	sent := time.Now()
+	var proof proofAnswer
+	if err := g.peers.get(ctx, g.peerURL(m, pathProof), &proof); err != nil {
+		g.deps.Log.Logger().Debug("A peer could not be asked.", "peer", m, "err", err)
+		return
+	}
+	if proof.Version > g.state.Version() {
+		c := new(catalog.Configuration)
+		if err := g.peers.get(ctx, g.peerURL(m, pathConfiguration), c); err != nil {
+			g.deps.Log.Logger().Warn("A peer's configuration could not be read.", "peer", m, "err", err)
+			return
+		}
+		if g.state.Take(c) {
+			g.deps.Log.Logger().Info("Configuration in force.", "version", c.Version, "from", "peer", "peer", m, "proof_age_ms", proof.AgeMs)
+		}
+	}
+	g.state.Prove(proof.Version, sent.Add(-time.Duration(proof.AgeMs)*time.Millisecond))
+}
--- /dev/null
+++ b/relay/process.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/daemon"
+	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/upstream"
+)
+
+// Process is a gateway with its listeners.
+type Process struct {
+	*Gateway
+	settings  *Settings
+	listeners []net.Listener
+}
+
+// Adapter makes what translates for one platform.
+type Adapter func(s *Settings, log *log.Logger) (Protocol, Source)
+
+// logCloseTime is how long the end of the process waits for its last lines.
+const logCloseTime = 200 * time.Millisecond
+
+// Open builds a gateway from its settings and starts it.
+func Open(s *Settings, env daemon.Env, adapt Adapter) (*Process, error) {
+	events := eventlog.New(os.Stdout, eventlog.Options{
+		Prefix: "relay", LinesPerSecond: s.Log.LinesPerSecond, Level: log.InfoLevel, Format: log.LogfmtFormatter,
+	})
+	protocol, source := adapt(s, events.Logger())
+	peerAddress, err := netip.ParseAddrPort(string(s.Relay.PeerListen))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	mesh, err := peers.Listen(s.Relay.Name, string(s.Relay.PeerListen))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	mesh.SetMembers(seeds(s, peerAddress.Port()))
+	c := s.config()
+	c.Policy = balance.Default()
+	g := New(c, Deps{
+		Protocol: protocol, Source: source, Mesh: mesh, PeerPort: int(peerAddress.Port()), Log: events, Metrics: env.Metrics,
+		Endpoints: upstream.New(upstream.Options{
+			DialTimeout: s.Endpoints.DialTimeout, MaxIdle: s.Endpoints.MaxIdle, IdlePerHost: s.Endpoints.IdlePerHost,
+		}),
+	})
+	p := &Process{Gateway: g, settings: s}
+	if err := p.listen(env); err != nil {
+		return nil, err
+	}
+	g.Start()
+	events.Logger().Info("Started.", "name", s.Relay.Name, "version", daemon.Version, "data_centre", s.Relay.DataCentre)
+	return p, nil
+}
+
+// seeds returns the peer addresses of the hosts that the settings name.
+func seeds(s *Settings, port uint16) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, text := range s.Relay.Seeds {
+		a, err := netip.ParseAddrPort(string(text))
+		if err != nil {
+			continue // checked when the settings were read
+		}
+		out = append(out, netip.AddrPortFrom(a.Addr(), port))
+	}
+	return out
+}
+
+// listen opens the listeners and serves them.
+func (p *Process) listen(env daemon.Env) error {
+	serve := func(address string, run func(net.Listener) error) error {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		p.listeners = append(p.listeners, l)
+		go func() {
+			if err := run(l); err != nil && !p.leaving.Load() {
+				env.Fail(err)
+			}
+		}()
+		return nil
+	}
+	handle := func(h http.Handler) func(net.Listener) error {
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: firstHeaderTimeout}
+		return srv.Serve
+	}
+	if err := serve(string(p.settings.Relay.ReadyListen), handle(p.ReadyHandler())); err != nil {
+		return err
+	}
+	if err := serve(string(p.settings.Relay.PeerListen), handle(p.PeerHandler())); err != nil {
+		return err
+	}
+	return serve(string(p.settings.Relay.Listen), p.Serve)
+}
+
+// Shutdown implements daemon.Service.
+func (p *Process) Shutdown(ctx context.Context) error {
+	err := p.Gateway.Shutdown(ctx)
+	p.Close()
+	for _, l := range p.listeners {
+		_ = l.Close()
+	}
+	p.deps.Log.Logger().Info("Stopped.", "in_flight", p.inFlight.Load())
+	p.deps.Log.Close(logCloseTime)
+	return err
+}
+
+// Reload implements daemon.Reloader: no setting changes while the process runs;
+// what changed takes effect at the next start, and nothing is cut off.
+func (p *Process) Reload(fresh any) error {
+	s, ok := fresh.(*Settings)
+	if !ok {
+		return trace.BadParameter("settings of another process")
+	}
+	p.deps.Log.Logger().Info("Settings read again.")
+	daemon.WarnRestart(p.deps.Log.Logger(), p.settings, s, func(*Settings) {})
+	return nil
+}
--- /dev/null
+++ b/relay/protocol.go
@@ -0,0 +1,83 @@
+// Package relay is a gateway that passes any HTTP request on to one of the
+// endpoints of its route and the answer back, byte for byte. It owns what must
+// hold for each request: one deadline, a bounded number of sends, no second run
+// where none is allowed, a stream that goes on elsewhere without a gap, and
+// nothing sent for a key that may have been withdrawn. What stands in which
+// header is the business of a Protocol.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+// Call is what a caller's head says, beside method, path and body.
+type Call struct {
+	ID          string        // names this attempt of the caller
+	Deadline    time.Duration // how long the caller waits; 0: it does not say
+	Key         string        // empty: none was given
+	Input       int           // prompt tokens
+	Output      int           // most tokens generated
+	LastEventID string        // a stream goes on after this event; empty: from the start
+}
+
+// Send is what the gateway adds to a request for one endpoint.
+type Send struct {
+	EndpointID  string
+	Remaining   time.Duration // until the request's deadline
+	Workspace   string
+	LastEventID string
+	Helpers     []Helper
+	Priority    int // 0 is the most urgent, DefaultPriority the usual
+}
+
+// Helper is an endpoint that reads part of a prompt.
+type Helper struct {
+	Address string
+	// Reservation names memory set aside there; empty: none.
+	Reservation string
+}
+
+// Verdict says what an endpoint's answer means for the request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Final: the endpoint worked on the request, and this is the answer.
+	Final Verdict = iota
+	// NotRun: the endpoint did not run the request and never will.
+	NotRun
+	// WrongEndpoint: another incarnation has the address; not run either.
+	WrongEndpoint
+	// Failed: the endpoint ran the request and failed.
+	Failed
+)
+
+// Protocol translates between the heads of requests and answers and the
+// product's types.
+type Protocol interface {
+	// Call reads a caller's head. An error means a malformed head.
+	Call(h http.Header) (Call, error)
+	// Header returns the head for an endpoint: the caller's without what belongs
+	// to its connection or to the gateway, and with what s says.
+	Header(caller http.Header, c Call, s Send) http.Header
+	// Verdict reads an endpoint's answer.
+	Verdict(res *http.Response) Verdict
+	// Echo names the header that an answer repeats from its request.
+	Echo() string
+}
+
+// Source gives the gateway what the operators declared and which endpoints
+// exist. Its methods return when they have an answer or ctx ends.
+type Source interface {
+	// Configuration returns the newest configuration, or nil when it is still
+	// the one of that version that was returned last.
+	Configuration(ctx context.Context) (*catalog.Configuration, error)
+	// Endpoints returns every endpoint that is known to exist.
+	Endpoints(ctx context.Context) ([]catalog.Endpoint, error)
+	// Gateways announces this gateway and returns the peer addresses of all.
+	Gateways(ctx context.Context) ([]string, error)
+}
--- /dev/null
+++ b/relay/settings.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/micarudder/micarudder/daemon"
+	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/settings"
+)
+
+// Settings are the INI settings of rudder-relay.
+type Settings struct {
+	Relay struct {
+		Name        string             `key:"name" required:"true" help:"name of this gateway, unique in the installation"`
+		DataCentre  string             `key:"data_centre" required:"true" help:"data centre that this host stands in"`
+		Listen      settings.Address   `key:"listen" required:"true" help:"address for callers"`
+		ReadyListen settings.Address   `key:"ready_listen" required:"true" help:"address that the balancer asks whether this gateway is ready"`
+		PeerListen  settings.Address   `key:"peer_listen" required:"true" help:"address for other gateways, TCP and UDP; all gateways use the same port"`
+		Seeds       []settings.Address `key:"seeds" help:"addresses of some gateways' hosts, used while the store cannot tell them; only the IP numbers count"`
+	} `section:"relay"`
+	Store struct {
+		Address settings.Address `key:"address" required:"true" help:"address of the platform's key-value service"`
+	} `section:"store"`
+	Endpoints struct {
+		DialTimeout time.Duration `key:"dial_timeout" default:"400ms" min:"10ms" help:"longest wait for a connection to an endpoint"`
+		MaxIdle     time.Duration `key:"max_idle" default:"8s" min:"10ms" help:"longest that a connection to an endpoint is kept without use"`
+		IdlePerHost int           `key:"idle_per_host" default:"24" min:"1" help:"most connections kept without use to one endpoint"`
+	} `section:"endpoints"`
+	Bounds struct {
+		RevokeAfter time.Duration `key:"revoke_after" default:"0s" help:"how long after its removal a key may still be used; 0s: no proof of the configuration's age is needed"`
+		RetryRatio  float64       `key:"retry_ratio" default:"0.2" min:"0" help:"second sends for each first one, all gateways together"`
+		RetrySlack  float64       `key:"retry_slack" default:"100" min:"0" help:"second sends in a window beyond the ratio, all gateways together"`
+		RetryWindow time.Duration `key:"retry_window" default:"10s" min:"1s" help:"window of the two"`
+	} `section:"bounds"`
+	Log struct {
+		LinesPerSecond float64 `key:"lines_per_second" default:"300" min:"0" help:"request lines a second; more are counted and left out"`
+	} `section:"log"`
+	Process daemon.Common `section:"process"`
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check() []*settings.Mistake {
+	var out []*settings.Mistake
+	if s.Bounds.RevokeAfter > 0 && s.Bounds.RevokeAfter < minRevokeAfter {
+		out = append(out, &settings.Mistake{Section: "bounds", Key: "revoke_after", Problem: "is shorter than two reads of the configuration", Allowed: "0s, or at least " + minRevokeAfter.String()})
+	}
+	return out
+}
+
+// minRevokeAfter leaves time for a read that fails and one that succeeds.
+const minRevokeAfter = 2 * readEvery
+
+// config returns the gateway's own part of the settings.
+func (s *Settings) config() Config {
+	return Config{
+		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
+		Retries: limits.WindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
+	}
+}
--- /dev/null
+++ b/relay/state.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+// State is what the gateway believes of configuration and endpoints, with the
+// time of the reads that prove it. The configuration never goes back to an
+// older version within one life of the process.
+type State struct {
+	table atomic.Pointer[catalog.Table]
+
+	mu      sync.Mutex
+	proof   time.Time     // when the last read was sent that proved the configuration
+	changed chan struct{} // closed at the next proof
+	members *members
+}
+
+// NewState returns a state that knows nothing.
+func NewState() *State {
+	return &State{changed: make(chan struct{}), members: newMembers()}
+}
+
+// Table returns the configuration in force, or nil before one is known.
+func (s *State) Table() *catalog.Table { return s.table.Load() }
+
+// Version returns the version in force, 0 for none.
+func (s *State) Version() uint64 {
+	if t := s.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// Take puts a configuration in force if it is newer, and reports whether it is.
+func (s *State) Take(c *catalog.Configuration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.table.Load(); old != nil && old.Version >= c.Version {
+		return false
+	}
+	s.table.Store(catalog.NewTable(c))
+	return true
+}
+
+// Prove notes that a read sent at that time found no newer configuration than
+// version. A proof for another version than the one in force proves nothing.
+func (s *State) Prove(version uint64, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.table.Load(); t == nil || t.Version != version || !sent.After(s.proof) {
+		return
+	}
+	s.proof = sent
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ProofAge returns how old the newest proof is, and a channel that is closed at
+// the next one. Before the first proof the age is the largest there is.
+func (s *State) ProofAge(now time.Time) (time.Duration, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.proof.IsZero() {
+		return 1<<63 - 1, s.changed
+	}
+	return now.Sub(s.proof), s.changed
+}
+
+// Fresh waits until there is a proof younger than limit; it reports false when
+// patience or ctx ended first.
+func (s *State) Fresh(ctx context.Context, limit, patience time.Duration) bool {
+	var timer *time.Timer
+	for {
+		age, changed := s.ProofAge(time.Now())
+		if age < limit {
+			return true
+		}
+		if timer == nil {
+			timer = time.NewTimer(patience)
+			defer timer.Stop()
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Endpoints returns the endpoints of a service that take new requests, in an
+// order that is the same at every gateway.
+func (s *State) Endpoints(service string) []catalog.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.usable(service)
+}
+
+// Endpoint returns an endpoint and whether it takes new requests.
+func (s *State) Endpoint(id string) (catalog.Endpoint, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.endpoint(id)
+}
+
+// Listed takes in a list of endpoints that was read at now, and returns what it
+// changed. storeFailed is when a read of the list failed last; zero: never.
+func (s *State) Listed(list []catalog.Endpoint, now, storeFailed time.Time) []MemberChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.listed(list, now, storeFailed)
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,213 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/micarudder/micarudder/balance"
+)
+
+// maxEvent is the largest event that is held back until it is whole.
+const maxEvent = 1 << 20
+
+// eventStream is what a caller has got of a stream so far.
+type eventStream struct {
+	headSent bool
+	lastID   string // of the last whole event passed on
+	partial  []byte // of the event that is still coming
+}
+
+// cut splits off the whole events of buf and notes the id of the last one. The
+// events end with an empty line; lines may end with CR LF.
+func (s *eventStream) cut(buf []byte) (whole, rest []byte) {
+	end := 0
+	for {
+		n := eventEnd(buf[end:])
+		if n == 0 {
+			return buf[:end], buf[end:]
+		}
+		if id, ok := eventID(buf[end : end+n]); ok {
+			s.lastID = id
+		}
+		end += n
+	}
+}
+
+// eventEnd returns the length of the first whole event in buf, 0 for none.
+func eventEnd(buf []byte) int {
+	for at := 0; ; {
+		n := bytes.IndexByte(buf[at:], '\n')
+		if n < 0 {
+			return 0
+		}
+		line := buf[at : at+n]
+		at += n + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return at
+		}
+	}
+}
+
+// eventID returns the value of the event's id line.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
+
+// relay passes an answer on. again is set when a stream broke that may go on at
+// another endpoint.
+func (x *exchange) relay(ctx context.Context, at *place, res *http.Response) (o outcome, again bool) {
+	if x.resumes(res) {
+		return x.relayEvents(ctx, at, res)
+	}
+	if x.stream != nil && x.stream.headSent {
+		return x.abort(), false
+	}
+	x.writeHead(res)
+	err := x.copyBody(at, res.Body)
+	return x.answerEnded(at, err), false
+}
+
+// resumes reports whether the answer is a stream that may go on elsewhere.
+func (x *exchange) resumes(res *http.Response) bool {
+	return x.route.Resumable && res.StatusCode == http.StatusOK
+}
+
+// writeHead passes on the head of an answer, less what belongs to the
+// endpoint's connection.
+func (x *exchange) writeHead(res *http.Response) {
+	h := x.w.Header()
+	for name, values := range res.Header {
+		if !hopByHop(name) {
+			h[name] = values
+		}
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	x.w.WriteHeader(res.StatusCode)
+}
+
+// copyBody passes on a body as it comes.
+func (x *exchange) copyBody(at *place, body io.Reader) error {
+	flush := http.NewResponseController(x.w)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			x.firstPart(at)
+			if _, e := x.w.Write(buf[:n]); e != nil {
+				return &callerError{e}
+			}
+			if x.route.Kind != streamingKind {
+				continue
+			}
+			if e := flush.Flush(); e != nil {
+				return &callerError{e}
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// relayEvents passes on whole events, so that a break inside an event leaves
+// the caller with a stream that another endpoint can go on with.
+func (x *exchange) relayEvents(ctx context.Context, at *place, res *http.Response) (o outcome, again bool) {
+	if x.stream == nil {
+		x.stream = &eventStream{}
+	}
+	s := x.stream
+	s.partial = s.partial[:0]
+	flush := http.NewResponseController(x.w)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := res.Body.Read(buf)
+		if n > 0 {
+			s.partial = append(s.partial, buf[:n]...)
+			whole, rest := s.cut(s.partial)
+			if len(whole) > 0 {
+				if e := x.writeEvents(at, res, whole, flush); e != nil {
+					return callerGone, false
+				}
+				s.partial = append(s.partial[:0], rest...)
+			}
+		}
+		if err == nil && len(s.partial) <= maxEvent {
+			continue
+		}
+		if err == io.EOF && len(s.partial) == 0 {
+			if !s.headSent {
+				x.writeHead(res)
+			}
+			return x.answerEnded(at, nil), false
+		}
+		return x.streamBroke(ctx, at, err)
+	}
+}
+
+// writeEvents passes on whole events, after the head of the first answer.
+func (x *exchange) writeEvents(at *place, res *http.Response, events []byte, flush *http.ResponseController) error {
+	x.firstPart(at)
+	if !x.stream.headSent {
+		x.stream.headSent = true
+		x.writeHead(res)
+	}
+	if _, err := x.w.Write(events); err != nil {
+		return err
+	}
+	return flush.Flush()
+}
+
+// streamBroke decides what becomes of a stream that ended early.
+func (x *exchange) streamBroke(ctx context.Context, at *place, err error) (outcome, bool) {
+	if x.r.Context().Err() != nil {
+		return callerGone, false
+	}
+	x.lastError = err
+	if ctx.Err() == nil {
+		x.note(at, balance.Bad)
+		x.g.meter.resumes.Inc()
+	}
+	return "", true
+}
+
+// firstPart notes that the endpoint has begun to answer.
+func (x *exchange) firstPart(at *place) {
+	if !x.firstSeen {
+		x.firstSeen = true
+		x.g.meter.firstByte.UpdateDuration(x.started)
+	}
+	at.read()
+}
+
+// answerEnded judges how the relaying of an answer ended.
+func (x *exchange) answerEnded(at *place, err error) outcome {
+	if err == nil {
+		x.note(at, balance.Good)
+		return answered
+	}
+	x.lastError = err
+	if _, ok := err.(*callerError); ok || x.r.Context().Err() != nil {
+		return callerGone
+	}
+	if time.Until(x.deadline) > 0 {
+		x.note(at, balance.Bad)
+	}
+	return x.abort()
+}
+
+// callerError is a failure to write to the caller.
+type callerError struct{ error }
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+)
+
+// pool keeps idle connections by endpoint, the one used last on top.
+type pool struct {
+	mu     sync.Mutex
+	perKey int
+	conns  map[string][]*conn
+	closed bool
+}
+
+// take returns a sound connection that was idle for at most maxIdle, or nil.
+func (p *pool) take(key, address string, maxIdle time.Duration) *conn {
+	for {
+		c := p.pop(key)
+		if c == nil {
+			return nil
+		}
+		if c.address == address && c.fresh(maxIdle, time.Now()) && quiet(c.Conn) {
+			return c
+		}
+		_ = c.Conn.Close()
+	}
+}
+
+func (p *pool) pop(key string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.conns[key]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.conns[key] = list[:len(list)-1]
+	return c
+}
+
+// fresh reports whether the connection was used lately enough.
+func (c *conn) fresh(maxIdle time.Duration, now time.Time) bool {
+	if c.idleLimit > 0 {
+		maxIdle = min(maxIdle, c.idleLimit)
+	}
+	return now.Sub(c.idleSince) < maxIdle
+}
+
+func (p *pool) put(c *conn) {
+	c.unwatch()
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.conns[c.key]) >= p.perKey {
+		_ = c.Conn.Close()
+		return
+	}
+	p.conns[c.key] = append(p.conns[c.key], c)
+}
+
+func (p *pool) closeKey(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns[key] {
+		_ = c.Conn.Close()
+	}
+	delete(p.conns, key)
+}
+
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, list := range p.conns {
+		for _, c := range list {
+			_ = c.Conn.Close()
+		}
+	}
+	p.conns = nil
+}
