Choose endpoints by the harm that long prompts do to short ones

Change: a long prompt takes the fewest parts with which its first event is expected in time without a pass over 220 ms on an endpoint with short requests; short requests go to the fullest endpoint where the first event is expected within 170 ms.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -13,6 +12,7 @@
 type Work struct {
 	InputTokens  int
 	OutputTokens int
+	ObjectiveMs  float64 // time to the first event that counts as in time
 	// Slack is how much of its objective is left; a request that cannot be in
 	// time any more is not delayed for the sake of others.
 	Slack time.Duration
@@ -47,31 +47,36 @@
 	Load      Load
 }
 
-// Policy holds the figures of the choice. All times are milliseconds.
+// Policy holds the figures of the choice. Times are milliseconds.
 type Policy struct {
 	ShortMs    float64 // prompts that take no longer to read are short
-	PartMs     float64 // reading time of a part that a long prompt is split into
 	MaxHelpers int     // most helpers of one request
-	// BusyMs is the reading time that one endpoint should have before it at
+	// PartMs is the longest reading time of a part of a long prompt, as long as
+	// there are endpoints and helpers enough.
+	PartMs float64
+	// BusyMs is the reading time that an endpoint should have before it at
 	// most; long prompts wait for it while they have time.
 	BusyMs float64
-	// WriterCostMs is what a running short request counts when an endpoint is
-	// chosen for a part of a long prompt.
-	WriterCostMs float64
+	// PauseMs is the longest pass that short requests bear without a late
+	// event.
+	PauseMs float64
+	// FirstMs is the expected time to the first event up to which short
+	// requests are put together.
+	FirstMs float64
 	// PackSlots is the part of an endpoint's slots up to which short requests
 	// are put together.
 	PackSlots float64
-	// PackMs is how much later the first event may be expected for the sake
-	// of putting short requests together.
-	PackMs float64
+	// FirstShare is the part of its objective within which a long prompt should
+	// have its first event by the estimate.
+	FirstShare float64
 }
 
 // Default returns the policy that the measurements in docs/MEASUREMENTS.md
 // chose.
 func Default() Policy {
 	return Policy{
-		ShortMs: 60, PartMs: 120, MaxHelpers: 15, BusyMs: 200,
-		WriterCostMs: 30, PackSlots: 0.75, PackMs: 25,
+		ShortMs: 60, MaxHelpers: 15, PartMs: 250, BusyMs: 250,
+		PauseMs: 220, FirstMs: 170, PackSlots: 0.75, FirstShare: 0.5,
 	}
 }
 
@@ -118,38 +123,52 @@
 	return Choice{Endpoint: best, Loads: []Placed{{best, Load{Short: 1}}}}
 }
 
-// short picks the endpoint where the first event is expected first; among those
-// that are nearly as good, the fullest that still has room, and then the first
-// of the list.
+// short picks the fullest endpoint among those where the first event is
+// expected early enough, so that long prompts find others free of short work;
+// where none is early enough, the one where it is expected first.
 func (p Policy) short(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
 	tokens := w.InputTokens + w.OutputTokens
-	first := make([]float64, len(all))
-	earliest := math.Inf(1)
+	best, earliest := -1, -1
+	var bestFirst, earliestFirst float64
 	for _, i := range usable {
-		first[i] = p.firstEvent(e, all[i].Load, tokens)
-		earliest = min(earliest, first[i])
-	}
-	best := -1
-	for _, i := range usable {
-		if first[i] > earliest+p.PackMs {
+		first := p.firstEvent(e, all[i].Load, tokens) + read
+		if earliest < 0 || first < earliestFirst {
+			earliest, earliestFirst = i, first
+		}
+		if first > p.FirstMs {
 			continue
 		}
-		if best < 0 || all[i].Load.Short > all[best].Load.Short {
-			best = i
+		if best < 0 || preferred(all[i].Load, first, all[best].Load, bestFirst) {
+			best, bestFirst = i, first
 		}
 	}
+	if best < 0 {
+		best = earliest
+	}
 	return Choice{Endpoint: best, Loads: []Placed{{best, Load{ReadMs: read, Short: 1, Tokens: tokens, Pending: 1}}}}
 }
 
+// preferred reports whether a is better for a short request than b: fewer long
+// requests, then more short ones, then an earlier first event.
+func preferred(a Load, firstA float64, b Load, firstB float64) bool {
+	if a.Long != b.Long {
+		return a.Long < b.Long
+	}
+	if a.Short != b.Short {
+		return a.Short > b.Short
+	}
+	return firstA < firstB
+}
+
 // firstEvent estimates how long a short request waits for its first event:
 // what is still to be read, and the pass of those that generate. An endpoint
 // that is nearly full or out of memory counts as far away.
 func (p Policy) firstEvent(e *catalog.Engine, l Load, tokens int) float64 {
 	writers := l.Short + l.Long
-	ms := l.ReadMs + passMs(e, writers, l.Tokens)
+	ms := l.ReadMs + passMs(e, writers, l.Tokens)*passesToFirst
 	full := float64(e.Slots) * p.PackSlots
 	if over := float64(writers) - full; over >= 0 {
-		ms += (over + 1) * p.PackMs
+		ms += (over + 1) * crowdedMs
 	}
 	if writers >= e.Slots {
 		ms += float64(writers-e.Slots+1) * slotWaitMs
@@ -161,6 +180,12 @@
 }
 
 const (
+	// passesToFirst is the number of passes until the first event: half of the
+	// one under way, and the one that makes it.
+	passesToFirst = 1.5
+	// crowdedMs is what each request beyond PackSlots adds to the expected
+	// wait, so that the last slots are taken only when all are as full.
+	crowdedMs = 25
 	// slotWaitMs is what each request over the slots of an endpoint adds to
 	// the expected wait: a generation of a second and a half among 16 slots.
 	slotWaitMs = 100
@@ -169,36 +194,84 @@
 	memoryWaitMs = 1000
 )
 
-// long splits the reading of a prompt over the endpoints that are least
-// disturbed by it.
+// long splits the reading of a prompt over endpoints. It takes the fewest parts
+// with which the first event is expected in time without a late event for the
+// short requests beside it; where that cannot be had, what is least bad.
 func (p Policy) long(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
-	tokens := w.InputTokens + w.OutputTokens
-	order := slices.Clone(usable)
-	cost := func(i int) float64 {
-		l := all[i].Load
-		return l.ReadMs + float64(l.Short)*p.WriterCostMs
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		if c := cmp.Compare(cost(a), cost(b)); c != 0 {
-			return c
+	most := min(1+p.MaxHelpers, len(usable))
+	target := w.ObjectiveMs * p.FirstShare
+	var best split
+	for parts := 1; parts <= most; parts++ {
+		s := p.split(e, read/float64(parts), parts, all, usable)
+		s.cost = s.harm + max(0, s.first-target)/lateMs
+		if part := read / float64(parts); part > p.PartMs {
+			s.cost += part / p.PartMs
 		}
-		return cmp.Compare(b, a)
-	})
-	parts := min(int(math.Ceil(read/p.PartMs)), 1+p.MaxHelpers, len(order))
-	chosen := order[:parts]
-	part := read / float64(parts)
-	if worst := all[chosen[parts-1]].Load.ReadMs; worst+part > p.BusyMs+p.PartMs && w.Slack > 0 && worst > 0 {
+		if best.chosen == nil || s.cost < best.cost-costMargin {
+			best = s
+		}
+	}
+	if best.busiest > p.BusyMs && w.Slack > 0 {
 		return Choice{Endpoint: -1, Wait: true}
 	}
-	// The endpoint that generates holds the prompt: the one with the most room.
-	room := func(i int) int {
+	return p.placeLong(e, w, read, all, best.chosen)
+}
+
+const (
+	// lateMs is the delay of a long prompt that weighs as much as one late
+	// short request.
+	lateMs = 100
+	// costMargin is how much better more parts must be to be taken.
+	costMargin = 0.05
+)
+
+// split is a way to read a long prompt in parts.
+type split struct {
+	chosen  []int   // candidates, the best first
+	harm    float64 // short requests that would get a late event
+	first   float64 // expected time to the first event, ms
+	busiest float64 // most reading that a chosen candidate has before it, ms
+	cost    float64
+}
+
+// split returns the candidates on which so many parts do the least harm.
+func (p Policy) split(e *catalog.Engine, part float64, parts int, all []Candidate, usable []int) split {
+	type option struct {
+		index      int
+		harm, wait float64
+	}
+	options := make([]option, len(usable))
+	for n, i := range usable {
 		l := all[i].Load
-		return e.MemoryTokens - l.Tokens - (l.Short+l.Long)*tokens/(4*e.Slots)
+		o := option{index: i, wait: l.ReadMs}
+		if l.Short > 0 && l.ReadMs+part+passMs(e, l.Short+l.Long, l.Tokens) > p.PauseMs {
+			o.harm = float64(l.Short)
+		}
+		options[n] = o
+	}
+	slices.SortFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.harm, b.harm), cmp.Compare(a.wait, b.wait), cmp.Compare(all[a.index].Load.Short, all[b.index].Load.Short), cmp.Compare(b.index, a.index))
+	})
+	var s split
+	for _, o := range options[:parts] {
+		s.chosen = append(s.chosen, o.index)
+		s.harm += o.harm
+		s.busiest = max(s.busiest, o.wait)
 	}
-	first := slices.MaxFunc(chosen, func(a, b int) int { return cmp.Compare(room(a), room(b)) })
+	s.first = s.busiest + part + 2*passMs(e, 1, 0)
+	return s
+}
+
+// placeLong spreads the parts. The endpoint that generates holds the prompt: it
+// is the one with the most memory free.
+func (p Policy) placeLong(e *catalog.Engine, w Work, read float64, all []Candidate, chosen []int) Choice {
+	tokens := w.InputTokens + w.OutputTokens
+	first := slices.MinFunc(chosen, func(a, b int) int {
+		return cmp.Or(cmp.Compare(all[a].Load.Tokens, all[b].Load.Tokens), cmp.Compare(all[a].Load.Short, all[b].Load.Short))
+	})
 	c := Choice{Endpoint: first}
 	for _, i := range chosen {
-		l := Load{ReadMs: part}
+		l := Load{ReadMs: read / float64(len(chosen))}
 		if i == first {
 			l.Long, l.Tokens = 1, tokens
 		} else {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -78,9 +78,10 @@
 	mayRun    bool // whether a send may have run or run later
 	granted   bool // whether the next send was already taken out of the budget
 	stream    *eventStream
-	firstSeen bool
+	firstAt   time.Time     // of the first part of the answer
+	lastAt    time.Time     // of the newest part
+	maxGap    time.Duration // longest pause between two parts
 	lastError error
-	lastSent  time.Time
 }
 
 // refuse answers a request that has not run with a status that says so, or
@@ -183,7 +184,8 @@
 func (x *exchange) place(ctx context.Context) (*place, outcome) {
 	began := time.Now()
 	defer func() { x.g.meter.wait.UpdateDuration(began) }()
-	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: x.tried}
+	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: x.tried,
+		ObjectiveMs: float64(x.route.Objective.Milliseconds())}
 	for {
 		now := time.Now()
 		work.Slack = x.route.Objective*waitShare/100 - now.Sub(x.started)
@@ -223,7 +225,6 @@
 	}
 	req := x.request(at, now)
 	x.g.meter.sends.Inc()
-	x.lastSent = now
 	res, err := x.g.deps.Endpoints.Do(ctx, at.endpoint.ID, at.endpoint.Address, req)
 	if err != nil {
 		return "", x.failed(ctx, at, err)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -36,7 +36,15 @@
 	}
 	x.g.deps.Log.Request("Request ended.", "request", x.call.ID, "outcome", string(o), "route", route, "version", x.g.state.Version(),
 		"proof_age_ms", age.Milliseconds(), "attempts", x.attempts, "unsent", x.unsent, "tried", x.tried,
-		"ms", time.Since(x.started).Milliseconds(), "err", x.lastError)
+		"first_ms", x.firstMs(), "gap_ms", x.maxGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "err", x.lastError)
+}
+
+// firstMs returns how long the first part of the answer took, -1 before it.
+func (x *exchange) firstMs() int64 {
+	if x.firstAt.IsZero() {
+		return -1
+	}
+	return x.firstAt.Sub(x.started).Milliseconds()
 }
 
 // serve checks a request and runs it.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -103,7 +103,7 @@
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			x.firstPart(at)
+			x.part(at)
 			if _, e := x.w.Write(buf[:n]); e != nil {
 				return &callerError{e}
 			}
@@ -160,7 +160,7 @@
 
 // writeEvents passes on whole events, after the head of the first answer.
 func (x *exchange) writeEvents(at *place, res *http.Response, events []byte, flush *http.ResponseController) error {
-	x.firstPart(at)
+	x.part(at)
 	if !x.stream.headSent {
 		x.stream.headSent = true
 		x.writeHead(res)
@@ -184,12 +184,16 @@
 	return "", true
 }
 
-// firstPart notes that the endpoint has begun to answer.
-func (x *exchange) firstPart(at *place) {
-	if !x.firstSeen {
-		x.firstSeen = true
+// part notes that a part of the answer has come.
+func (x *exchange) part(at *place) {
+	now := time.Now()
+	if x.firstAt.IsZero() {
+		x.firstAt = now
 		x.g.meter.firstByte.UpdateDuration(x.started)
+	} else {
+		x.maxGap = max(x.maxGap, now.Sub(x.lastAt))
 	}
+	x.lastAt = now
 	at.read()
 }
 
