Serve prompts over one endpoint's memory; test the relaying gateway

Answers of plain services that broke off were lost although they could be asked for again. Answers of plain services are held back up to 64 KiB until whole.

--- a/balance/book.go
+++ b/balance/book.go
@@ -6,64 +6,106 @@
 
 // Load is what is under way at one endpoint.
 type Load struct {
-	ReadMs  float64 `msgpack:"r"` // time of prompts that are still to be read
-	Short   int     `msgpack:"s"` // requests with short prompts
-	Long    int     `msgpack:"l"` // requests with long prompts
-	Tokens  int     `msgpack:"t"` // memory that the requests need
-	Pending int     `msgpack:"p"` // of Short, those whose first event has not come
+	ReadMs float64 `msgpack:"r,omitempty"` // time of prompts that are still to be read
+	Short  int     `msgpack:"s,omitempty"` // requests with short prompts
+	Long   int     `msgpack:"l,omitempty"` // requests with long prompts
+	Tokens int     `msgpack:"t,omitempty"` // memory that the requests need
+	// Waiting counts the requests sent to this endpoint whose first event has
+	// not come. An engine reads the parts that it helps with before its own
+	// prompts, so parts that come later hold these up.
+	Waiting int `msgpack:"w,omitempty"`
+	// Parts counts the parts of long prompts that are still read here. An
+	// engine reads the newest part first, so a second one holds up the first.
+	Parts int `msgpack:"p,omitempty"`
 }
 
-func (l *Load) add(o Load, sign int) {
-	l.ReadMs += float64(sign) * o.ReadMs
-	l.Short += sign * o.Short
-	l.Long += sign * o.Long
-	l.Tokens += sign * o.Tokens
-	l.Pending += sign * o.Pending
+// plus returns the sum of both loads.
+func (l Load) plus(o Load) Load {
+	return Load{l.ReadMs + o.ReadMs, l.Short + o.Short, l.Long + o.Long, l.Tokens + o.Tokens, l.Waiting + o.Waiting, l.Parts + o.Parts}
+}
+
+// minus returns l without o.
+func (l Load) minus(o Load) Load {
+	return Load{l.ReadMs - o.ReadMs, l.Short - o.Short, l.Long - o.Long, l.Tokens - o.Tokens, l.Waiting - o.Waiting, l.Parts - o.Parts}
+}
+
+// reading returns the part of the load that is over with the first event.
+func (l Load) reading() Load {
+	return Load{ReadMs: l.ReadMs, Waiting: l.Waiting, Parts: l.Parts}
 }
 
 // peerLife is how long a peer's last word counts. A live peer speaks several
 // times a second.
 const peerLife = 1500 * time.Millisecond
 
+// account is this gateway's load at one endpoint.
+type account struct {
+	load     Load
+	requests int // whose load is counted here
+	unread   int // those of them whose first event has not come
+}
+
 type peer struct {
 	at    time.Time
 	loads map[string]Load
 }
 
-// Book keeps the load by endpoint. It is not safe for concurrent use.
+// Book keeps the load by endpoint. A prompt's reading counts whole until its
+// first event: counting it down by the model's time lets more prompts in than
+// engines read while they are busy. Book is not safe for concurrent use.
 type Book struct {
-	own   map[string]*Load
+	own   map[string]*account
 	peers map[string]peer
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{own: make(map[string]*Load), peers: make(map[string]peer)}
+	return &Book{own: make(map[string]*account), peers: make(map[string]peer)}
 }
 
-// Add counts load at an endpoint; Remove takes the same load off again.
-func (b *Book) Add(endpoint string, l Load) { b.change(endpoint, l, 1) }
+// Add counts load that an endpoint is given for one request.
+func (b *Book) Add(endpoint string, l Load) {
+	a := b.own[endpoint]
+	if a == nil {
+		a = new(account)
+		b.own[endpoint] = a
+	}
+	a.load = a.load.plus(l)
+	a.requests++
+	a.unread++
+}
 
-// Remove takes load off an endpoint.
-func (b *Book) Remove(endpoint string, l Load) { b.change(endpoint, l, -1) }
+// Read notes that the prompt of a load that was added has been read.
+func (b *Book) Read(endpoint string, l Load) {
+	a := b.own[endpoint]
+	if a == nil {
+		return
+	}
+	a.load = a.load.minus(l.reading())
+	a.unread--
+	if a.unread == 0 {
+		a.load.ReadMs = 0 // what rounding has left
+	}
+}
 
-func (b *Book) change(endpoint string, l Load, sign int) {
-	own := b.own[endpoint]
-	if own == nil {
-		own = new(Load)
-		b.own[endpoint] = own
+// Remove takes a load off that was added, and read.
+func (b *Book) Remove(endpoint string, l Load) {
+	a := b.own[endpoint]
+	if a == nil {
+		return
 	}
-	own.add(l, sign)
-	if own.Short == 0 && own.Long == 0 && own.ReadMs < 0.01 && own.Tokens == 0 {
+	a.load = a.load.minus(l).plus(l.reading())
+	a.requests--
+	if a.requests == 0 {
 		delete(b.own, endpoint)
 	}
 }
 
-// Own returns a copy of this gateway's load, to be told to its peers.
+// Own returns this gateway's load, to be told to its peers.
 func (b *Book) Own() map[string]Load {
 	out := make(map[string]Load, len(b.own))
-	for id, l := range b.own {
-		out[id] = *l
+	for id, a := range b.own {
+		out[id] = a.load
 	}
 	return out
 }
@@ -87,11 +129,11 @@
 func (b *Book) Load(endpoint string, now time.Time) Load {
 	var sum Load
 	if own := b.own[endpoint]; own != nil {
-		sum = *own
+		sum = own.load
 	}
 	for _, p := range b.peers {
 		if now.Sub(p.at) <= peerLife {
-			sum.add(p.loads[endpoint], 1)
+			sum = sum.plus(p.loads[endpoint])
 		}
 	}
 	return sum
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -13,6 +13,8 @@
 	InputTokens  int
 	OutputTokens int
 	ObjectiveMs  float64 // time to the first event that counts as in time
+	// Busy is the part of the endpoints that read long prompts lately.
+	Busy float64
 	// Slack is how much of its objective is left; a request that cannot be in
 	// time any more is not delayed for the sake of others.
 	Slack time.Duration
@@ -35,12 +37,21 @@
 type Choice struct {
 	Endpoint int   // index of the candidate; -1: none
 	Helpers  []int // candidates that read parts of the prompt
+	// Reserve is the memory to set aside at helpers before the request is sent,
+	// where the endpoint has not enough for the whole prompt.
+	Reserve []Reservation
 	// Wait is set when it is better to ask again soon.
 	Wait bool
 	// Loads is what the choice adds, by candidate.
 	Loads []Placed
 }
 
+// Reservation is memory of a candidate that is set aside for a request.
+type Reservation struct {
+	Candidate int
+	Tokens    int
+}
+
 // Placed is load that a choice adds to a candidate.
 type Placed struct {
 	Candidate int
@@ -51,6 +62,11 @@
 type Policy struct {
 	ShortMs    float64 // prompts that take no longer to read are short
 	MaxHelpers int     // most helpers of one request
+	// OversizeIdle is how many endpoints without short requests and reading a
+	// prompt needs that is larger than the memory of one, and OversizeBusy the
+	// largest part of the endpoints that may have read lately.
+	OversizeIdle int
+	OversizeBusy float64
 	// PartMs is the longest reading time of a part of a long prompt, as long as
 	// there are endpoints and helpers enough.
 	PartMs float64
@@ -75,7 +91,7 @@
 // chose.
 func Default() Policy {
 	return Policy{
-		ShortMs: 60, MaxHelpers: 15, PartMs: 250, BusyMs: 250,
+		ShortMs: 60, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.7, PartMs: 250, BusyMs: 250,
 		PauseMs: 220, FirstMs: 170, PackSlots: 0.75, FirstShare: 0.5,
 	}
 }
@@ -145,7 +161,7 @@
 	if best < 0 {
 		best = earliest
 	}
-	return Choice{Endpoint: best, Loads: []Placed{{best, Load{ReadMs: read, Short: 1, Tokens: tokens, Pending: 1}}}}
+	return Choice{Endpoint: best, Loads: []Placed{{best, Load{ReadMs: read, Short: 1, Tokens: tokens}}}}
 }
 
 // preferred reports whether a is better for a short request than b: fewer long
@@ -198,6 +214,9 @@
 // with which the first event is expected in time without a late event for the
 // short requests beside it; where that cannot be had, what is least bad.
 func (p Policy) long(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
+	if w.InputTokens+w.OutputTokens > int(memoryShare*float64(e.MemoryTokens)) {
+		return p.oversize(e, w, read, all, usable)
+	}
 	most := min(1+p.MaxHelpers, len(usable))
 	target := w.ObjectiveMs * p.FirstShare
 	var best split
@@ -271,7 +290,7 @@
 	})
 	c := Choice{Endpoint: first}
 	for _, i := range chosen {
-		l := Load{ReadMs: read / float64(len(chosen))}
+		l := Load{ReadMs: read / float64(len(chosen)), Parts: 1}
 		if i == first {
 			l.Long, l.Tokens = 1, tokens
 		} else {
@@ -281,3 +300,51 @@
 	}
 	return c
 }
+
+// memoryShare is the part of an endpoint's memory that is given to long
+// prompts; the rest is for short requests that gateways send at the same time.
+const memoryShare = 0.95
+
+// freeTokens returns the memory of an endpoint that a long prompt may take.
+func freeTokens(e *catalog.Engine, l Load) int {
+	return max(0, int(memoryShare*float64(e.MemoryTokens))-l.Tokens)
+}
+
+// oversize places a prompt that is larger than an endpoint's memory. It takes
+// much of all endpoints for the little that it brings, so it waits until enough
+// of them neither read nor have short requests, and sets memory aside at as few
+// of them as it needs.
+func (p Policy) oversize(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
+	var idle []int
+	for _, i := range usable {
+		if l := all[i].Load; l.Parts == 0 && l.Short == 0 {
+			idle = append(idle, i)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b int) int {
+		return cmp.Compare(freeTokens(e, all[b].Load), freeTokens(e, all[a].Load))
+	})
+	idle = idle[:min(len(idle), 1+p.MaxHelpers)]
+	need := w.InputTokens + w.OutputTokens
+	free := 0
+	for _, i := range idle {
+		free += freeTokens(e, all[i].Load)
+	}
+	if len(idle) < p.OversizeIdle || free < need || w.Busy > p.OversizeBusy {
+		return Choice{Endpoint: -1, Wait: true}
+	}
+	part := read / float64(len(idle))
+	c := Choice{Endpoint: idle[0], Helpers: idle[1:]}
+	for n, i := range idle {
+		held := min(need, freeTokens(e, all[i].Load))
+		need -= held
+		l := Load{ReadMs: part, Tokens: held, Parts: 1}
+		if n == 0 {
+			l.Long = 1
+		} else if held > 0 {
+			c.Reserve = append(c.Reserve, Reservation{i, held})
+		}
+		c.Loads = append(c.Loads, Placed{i, l})
+	}
+	return c
+}
--- /dev/null
+++ b/deploy/deploy_test.go
@@ -0,0 +1,87 @@
+// Package deploy holds the files by which the users' platform runs the system;
+// its test checks that the settings which they make are accepted.
+package deploy
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/relay"
+	"github.com/micarudder/micarudder/settings"
+)
+
+// fields are the platform's settings of a gateway's host.
+var fields = map[string]string{
+	"node": "front-a-1", "zone": "a", "ip": "10.1.0.40", "seeds": "10.1.0.40:8229,10.2.0.29:8229",
+	"listen.front": "10.1.0.40:8227", "listen.ready": "10.1.0.40:8220", "listen.control": "10.1.0.40:8229",
+	"internalPorts.0": "7340", "provider.address": "10.200.1.7:8223",
+	"bounds.strictRevoke": "true", "bounds.revokeMs": "5000", "bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "104.0",
+	"bounds.budgetWindowS": "10", "bounds.graceS": "8",
+}
+
+var (
+	section  = regexp.MustCompile(`\{\{([#^])([^}]+)\}\}(.*?)\{\{/[^}]+\}\}`)
+	variable = regexp.MustCompile(`\{\{([^}]+)\}\}`)
+)
+
+// render fills the template as the platform does, as far as it is used here.
+func render(text string, fields map[string]string) string {
+	text = section.ReplaceAllStringFunc(text, func(s string) string {
+		m := section.FindStringSubmatch(s)
+		set := fields[m[2]] != "" && fields[m[2]] != "false"
+		if set == (m[1] == "#") {
+			return m[3]
+		}
+		return ""
+	})
+	return variable.ReplaceAllStringFunc(text, func(s string) string { return fields[strings.Trim(s, "{}")] })
+}
+
+func load(t *testing.T, changes map[string]string) (*relay.Settings, error) {
+	t.Helper()
+	p, err := os.ReadFile("relay.ini.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := make(map[string]string)
+	for _, m := range []map[string]string{fields, changes} {
+		for k, v := range m {
+			all[k] = v
+		}
+	}
+	file := filepath.Join(t.TempDir(), "relay.ini")
+	if err := os.WriteFile(file, []byte(render(string(p), all)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := new(relay.Settings)
+	return s, settings.Load(file, s)
+}
+
+func TestTemplate(t *testing.T) {
+	is := is.New(t)
+	s, err := load(t, nil)
+	is.NoErr(err)
+	is.Equal(fmt.Sprint(s.Relay.Seeds), "[10.1.0.40:8229 10.2.0.29:8229]")
+	is.Equal(s.Bounds.RevokeAfter.String(), "5s")
+	is.Equal(s.Process.DrainTime.String(), "8s")
+}
+
+func TestTemplateWithoutProofs(t *testing.T) {
+	is := is.New(t)
+	s, err := load(t, map[string]string{"bounds.strictRevoke": "false", "seeds": ""})
+	is.NoErr(err)
+	is.Equal(s.Bounds.RevokeAfter.String(), "0s")
+}
+
+func TestTemplateNamesTheMistake(t *testing.T) {
+	is := is.New(t)
+	_, err := load(t, map[string]string{"listen.front": "nowhere"})
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "[relay] listen"))
+}
--- /dev/null
+++ b/limits/window_test.go
@@ -0,0 +1,69 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var windowBounds = WindowConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+
+func TestWindowSlackIsShared(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	granted := 0
+	w := NewWindow(windowBounds)
+	for w.Retry(now, 4) {
+		granted++
+	}
+	is.Equal(granted, int(windowShare*windowBounds.Slack/4))
+}
+
+func TestWindowForgets(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	w := NewWindow(windowBounds)
+	for w.Retry(now, 4) {
+	}
+	is.True(!w.Retry(now.Add(9*time.Second), 4))
+	is.True(w.Retry(now.Add(12*time.Second), 4))
+}
+
+// TestWindowBound: however requests and retries of several gateways fall, no
+// window holds more retries than the bound allows.
+func TestWindowBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := rapid.IntRange(1, 6).Draw(t, "gateways")
+		windows := make([]*Window, gateways)
+		for i := range windows {
+			windows[i] = NewWindow(windowBounds)
+		}
+		now := time.Unix(1000, 0)
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			w := windows[rapid.IntRange(0, gateways-1).Draw(t, "gateway")]
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+			} else if w.Retry(now, gateways) {
+				retries = append(retries, now)
+			}
+			recent := func(list []time.Time) (n float64) {
+				for _, at := range list {
+					if now.Sub(at) < windowBounds.Window {
+						n++
+					}
+				}
+				return n
+			}
+			// A cell may reach back a tenth of a window further.
+			all := float64(len(requests))
+			if bound := windowBounds.Ratio*all + windowBounds.Slack; recent(retries) > bound {
+				t.Fatalf("%v retries in a window, at most %v", recent(retries), bound)
+			}
+		}
+	})
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -184,25 +184,24 @@
 func (x *exchange) place(ctx context.Context) (*place, outcome) {
 	began := time.Now()
 	defer func() { x.g.meter.wait.UpdateDuration(began) }()
-	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: x.tried,
-		ObjectiveMs: float64(x.route.Objective.Milliseconds())}
+	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: x.tried, ObjectiveMs: float64(x.route.Objective.Milliseconds())}
 	for {
 		now := time.Now()
 		work.Slack = x.route.Objective*waitShare/100 - now.Sub(x.started)
 		at, wait, ok := x.g.picker.pick(x.service, work, now)
 		if at != nil {
-			x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", len(at.helpers),
-				"tokens", x.call.Input, "waited_ms", now.Sub(began).Milliseconds())
+			x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
+				"tokens", x.call.Input, "waited_ms", now.Sub(began).Milliseconds(),
+				"read_ms", int(at.before.ReadMs), "short", at.before.Short, "long", at.before.Long, "memory", at.before.Tokens, "candidates", at.candidates)
 			return at, ""
 		}
 		if !ok && len(work.Avoid) > 0 {
 			work.Avoid = nil // better the same endpoint again than none
 			continue
 		}
-		if !ok && now.Sub(x.started) > x.route.Objective/4 {
+		if !x.mayWait(wait, now) {
 			return nil, x.giveUp(refusedFull)
 		}
-		_ = wait
 		x.g.picker.await(ctx, queueStep)
 		if ctx.Err() != nil {
 			return nil, x.giveUp(outOfTime)
@@ -210,9 +209,24 @@
 	}
 }
 
-// waitShare is the part of its objective, in percent, that a long prompt may
-// wait for quiet endpoints.
-const waitShare = 35
+// mayWait reports whether a request that was not placed goes on waiting: for
+// endpoints that are busy, or for any endpoint at all.
+func (x *exchange) mayWait(busy bool, now time.Time) bool {
+	waited := now.Sub(x.started)
+	if busy {
+		return waited < x.deadline.Sub(x.started)*oversizeShare/100
+	}
+	return waited < x.route.Objective/4
+}
+
+const (
+	// waitShare is the part of its objective, in percent, that a long prompt may
+	// wait for quiet endpoints.
+	waitShare = 35
+	// oversizeShare is the part of its deadline, in percent, that a prompt may
+	// wait that no single endpoint can hold; late is worth more than never.
+	oversizeShare = 70
+)
 
 // attempt sends the request to one endpoint and relays the answer. again is set
 // when the request got no answer that could be passed on.
@@ -223,7 +237,18 @@
 		x.unsent++
 		return "", true
 	}
-	req := x.request(at, now)
+	var memory *reservations
+	if len(at.reserve) > 0 {
+		var err error
+		if memory, err = x.g.reserve(ctx, x.call.ID, at); err != nil {
+			x.lastError = err
+			x.unsent++
+			return "", true
+		}
+		defer memory.release()
+		now = time.Now()
+	}
+	req := x.request(at, memory, now)
 	x.g.meter.sends.Inc()
 	res, err := x.g.deps.Endpoints.Do(ctx, at.endpoint.ID, at.endpoint.Address, req)
 	if err != nil {
@@ -239,6 +264,9 @@
 		return "", true
 	}
 	x.mayRun = true
+	if verdict == Failed && x.route.Kind == catalog.Streaming {
+		x.note(at, balance.Bad) // plain services also fail by the request itself
+	}
 	if verdict == Failed && x.mayRepeat() {
 		x.lastError = errors.New("the endpoint failed: " + res.Status)
 		x.granted = true
@@ -275,7 +303,7 @@
 }
 
 // request builds what is sent to the endpoint.
-func (x *exchange) request(at *place, now time.Time) *upstream.Request {
+func (x *exchange) request(at *place, memory *reservations, now time.Time) *upstream.Request {
 	s := Send{
 		EndpointID:  at.endpoint.ID,
 		Remaining:   x.deadline.Sub(now),
@@ -288,9 +316,7 @@
 	if x.workspace != nil {
 		s.Workspace = x.workspace.Name
 	}
-	for _, h := range at.helpers {
-		s.Helpers = append(s.Helpers, Helper{Address: h.Address})
-	}
+	s.Helpers = memory.helpers(at)
 	req := &upstream.Request{
 		Method: x.r.Method,
 		Target: x.r.RequestURI,
@@ -307,3 +333,12 @@
 
 // DefaultPriority is the rank of a request that endpoints take as usual.
 const DefaultPriority = 5
+
+// ids returns the names of endpoints, for the log.
+func ids(list []catalog.Endpoint) []string {
+	out := make([]string, len(list))
+	for i, e := range list {
+		out[i] = e.ID
+	}
+	return out
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -12,12 +12,6 @@
 	"github.com/micarudder/micarudder/catalog"
 )
 
-const (
-	streamingKind = catalog.Streaming
-	// copyBuffer is the most that is read from an endpoint at once.
-	copyBuffer = 16 << 10
-)
-
 // ServeHTTP relays one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, started: time.Now()}
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -8,28 +8,32 @@
 
 // meter holds the gateway's counters and histograms.
 type meter struct {
-	set           *metrics.Set
-	storeFailures *metrics.Counter
-	tellFailures  *metrics.Counter
-	sends         *metrics.Counter
-	retries       *metrics.Counter
-	resumes       *metrics.Counter
-	firstByte     *metrics.Histogram
-	whole         *metrics.Histogram
-	wait          *metrics.Histogram
+	set             *metrics.Set
+	storeFailures   *metrics.Counter
+	tellFailures    *metrics.Counter
+	sends           *metrics.Counter
+	retries         *metrics.Counter
+	resumes         *metrics.Counter
+	orders          *metrics.Counter
+	reserveFailures *metrics.Counter
+	firstByte       *metrics.Histogram
+	whole           *metrics.Histogram
+	wait            *metrics.Histogram
 }
 
 func newMeter(set *metrics.Set) *meter {
 	return &meter{
-		set:           set,
-		storeFailures: set.NewCounter("relay_store_failures_total"),
-		tellFailures:  set.NewCounter("relay_peer_send_failures_total"),
-		sends:         set.NewCounter("relay_sends_total"),
-		retries:       set.NewCounter("relay_retries_total"),
-		resumes:       set.NewCounter("relay_resumes_total"),
-		firstByte:     set.NewHistogram("relay_first_event_seconds"),
-		whole:         set.NewHistogram("relay_request_seconds"),
-		wait:          set.NewHistogram("relay_wait_seconds"),
+		set:             set,
+		storeFailures:   set.NewCounter("relay_store_failures_total"),
+		tellFailures:    set.NewCounter("relay_peer_send_failures_total"),
+		sends:           set.NewCounter("relay_sends_total"),
+		retries:         set.NewCounter("relay_retries_total"),
+		orders:          set.NewCounter("relay_orders_total"),
+		reserveFailures: set.NewCounter("relay_reserve_failures_total"),
+		resumes:         set.NewCounter("relay_resumes_total"),
+		firstByte:       set.NewHistogram("relay_first_event_seconds"),
+		whole:           set.NewHistogram("relay_request_seconds"),
+		wait:            set.NewHistogram("relay_wait_seconds"),
 	}
 }
 
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -23,25 +23,36 @@
 	book    *balance.Book
 	health  *balance.Health
 	budgets map[string]*limits.Window // by service
-	changed chan struct{}             // closed when load was taken off
-	dirty   bool                      // load changed since it was last told
+	busy    map[string]*balance.Average
+	changed chan struct{} // closed when load was taken off
+	dirty   bool          // load changed since it was last told
 }
 
 func newPicker(state *State, policy balance.Policy, window limits.WindowConfig) *picker {
 	return &picker{
 		state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
 		book: balance.NewBook(), health: balance.NewHealth(),
-		budgets: make(map[string]*limits.Window), changed: make(chan struct{}),
+		budgets: make(map[string]*limits.Window), busy: make(map[string]*balance.Average), changed: make(chan struct{}),
 	}
 }
 
 // place is where a request was put; its load counts until it is released.
 type place struct {
-	picker    *picker
-	endpoint  catalog.Endpoint
-	helpers   []catalog.Endpoint
-	loads     []placedLoad
-	firstSeen bool
+	picker   *picker
+	endpoint catalog.Endpoint
+	helpers  []catalog.Endpoint
+	reserve  []wantedMemory
+	before   balance.Load // at the endpoint, before this request
+	// candidates is how many endpoints there were to choose among.
+	candidates int
+	loads      []placedLoad
+	readOver   bool
+}
+
+// wantedMemory is memory that has to be set aside before a send.
+type wantedMemory struct {
+	endpoint catalog.Endpoint
+	tokens   int
 }
 
 type placedLoad struct {
@@ -65,6 +76,13 @@
 			Load: p.book.Load(e.ID, now), Suspect: p.health.Suspect(e.ID, now),
 		}
 	}
+	reading := 0
+	for _, c := range candidates {
+		if c.Load.Parts > 0 {
+			reading++
+		}
+	}
+	w.Busy = p.average(service.Name).Observe(float64(reading)/float64(len(candidates)), now)
 	c := p.policy.Choose(service, w, endpoints[0].Slots, candidates)
 	if c.Wait {
 		return nil, true, true
@@ -72,10 +90,13 @@
 	if c.Endpoint < 0 {
 		return nil, false, false
 	}
-	chosen = &place{picker: p, endpoint: endpoints[c.Endpoint]}
+	chosen = &place{picker: p, endpoint: endpoints[c.Endpoint], before: candidates[c.Endpoint].Load, candidates: len(candidates)}
 	for _, i := range c.Helpers {
 		chosen.helpers = append(chosen.helpers, endpoints[i])
 	}
+	for _, r := range c.Reserve {
+		chosen.reserve = append(chosen.reserve, wantedMemory{endpoints[r.Candidate], r.Tokens})
+	}
 	for _, l := range c.Loads {
 		id := endpoints[l.Candidate].ID
 		chosen.loads = append(chosen.loads, placedLoad{id, l.Load})
@@ -117,16 +138,20 @@
 	p := pl.picker
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pl.firstSeen {
-		return
+	if pl.takeOffReading() {
+		p.wake()
 	}
-	pl.firstSeen = true
-	for i := range pl.loads {
-		done := balance.Load{ReadMs: pl.loads[i].load.ReadMs, Pending: pl.loads[i].load.Pending}
-		p.book.Remove(pl.loads[i].endpoint, done)
-		pl.loads[i].load.ReadMs, pl.loads[i].load.Pending = 0, 0
+}
+
+func (pl *place) takeOffReading() bool {
+	if pl.readOver {
+		return false
 	}
-	p.wake()
+	pl.readOver = true
+	for _, l := range pl.loads {
+		pl.picker.book.Read(l.endpoint, l.load)
+	}
+	return true
 }
 
 // release takes off all load of the request.
@@ -134,6 +159,7 @@
 	p := pl.picker
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	pl.takeOffReading()
 	for _, l := range pl.loads {
 		p.book.Remove(l.endpoint, l.load)
 	}
@@ -142,7 +168,7 @@
 }
 
 func (p *picker) wake() {
-	p.told(false)
+	p.told(true)
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -174,6 +200,15 @@
 	return p.budget(service).Retry(now, p.book.Peers(now)+1)
 }
 
+func (p *picker) average(service string) *balance.Average {
+	a := p.busy[service]
+	if a == nil {
+		a = new(balance.Average)
+		p.busy[service] = a
+	}
+	return a
+}
+
 func (p *picker) budget(service string) *limits.Window {
 	b := p.budgets[service]
 	if b == nil {
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/upstream"
 )
 
 // Call is what a caller's head says, beside method, path and body.
@@ -66,6 +67,12 @@
 	Header(caller http.Header, c Call, s Send) http.Header
 	// Verdict reads an endpoint's answer.
 	Verdict(res *http.Response) Verdict
+	// Reserve returns the order to set memory for so many tokens aside under an
+	// id, or to renew it, for the time hold from its arrival. A 200 says that it
+	// is set aside.
+	Reserve(endpointID, id string, tokens int, hold time.Duration) *upstream.Request
+	// Release returns the order to end a reservation.
+	Release(endpointID, id string) *upstream.Request
 	// Echo names the header that an answer repeats from its request.
 	Echo() string
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,13 +5,22 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
 )
 
-// maxEvent is the largest event that is held back until it is whole.
-const maxEvent = 1 << 20
+const (
+	// maxEvent is the largest event that is held back until it is whole.
+	maxEvent = 1 << 20
+	// holdBack is how much of an answer that is no stream is held back; answers
+	// of plain services are a few KB.
+	holdBack = 64 << 10
+	// copyBuffer is the most that is read from an endpoint at once.
+	copyBuffer = 16 << 10
+)
 
 // eventStream is what a caller has got of a stream so far.
 type eventStream struct {
@@ -71,14 +80,43 @@
 	if x.stream != nil && x.stream.headSent {
 		return x.abort(), false
 	}
+	if x.route.Kind == catalog.Streaming {
+		x.writeHead(res)
+		return x.answerEnded(at, x.copyBody(at, res.Body, true)), false
+	}
+	return x.relayWhole(ctx, at, res)
+}
+
+// relayWhole holds the beginning of an answer back until it is whole or too
+// long to hold, so that one that breaks early costs the caller nothing where
+// the request may be sent again.
+func (x *exchange) relayWhole(ctx context.Context, at *place, res *http.Response) (o outcome, again bool) {
+	held, err := io.ReadAll(io.LimitReader(res.Body, holdBack))
+	if err != nil {
+		x.lastError = err
+		if ctx.Err() == nil {
+			x.note(at, balance.Bad)
+		}
+		return "", true
+	}
+	x.part(at)
 	x.writeHead(res)
-	err := x.copyBody(at, res.Body)
-	return x.answerEnded(at, err), false
+	if _, err := x.w.Write(held); err != nil {
+		return callerGone, false
+	}
+	if len(held) < holdBack {
+		return x.answerEnded(at, nil), false
+	}
+	return x.answerEnded(at, x.copyBody(at, res.Body, false)), false
 }
 
 // resumes reports whether the answer is a stream that may go on elsewhere.
 func (x *exchange) resumes(res *http.Response) bool {
-	return x.route.Resumable && res.StatusCode == http.StatusOK
+	if !x.route.Resumable || res.StatusCode != http.StatusOK {
+		return false
+	}
+	kind := res.Header.Get("Content-Type")
+	return kind == "" || strings.HasPrefix(kind, "text/event-stream")
 }
 
 // writeHead passes on the head of an answer, less what belongs to the
@@ -96,8 +134,8 @@
 	x.w.WriteHeader(res.StatusCode)
 }
 
-// copyBody passes on a body as it comes.
-func (x *exchange) copyBody(at *place, body io.Reader) error {
+// copyBody passes on a body, each part at once if flushed is set.
+func (x *exchange) copyBody(at *place, body io.Reader, flushed bool) error {
 	flush := http.NewResponseController(x.w)
 	buf := make([]byte, copyBuffer)
 	for {
@@ -107,11 +145,10 @@
 			if _, e := x.w.Write(buf[:n]); e != nil {
 				return &callerError{e}
 			}
-			if x.route.Kind != streamingKind {
-				continue
-			}
-			if e := flush.Flush(); e != nil {
-				return &callerError{e}
+			if flushed {
+				if e := flush.Flush(); e != nil {
+					return &callerError{e}
+				}
 			}
 		}
 		if err == io.EOF {
--- /dev/null
+++ b/relay/stream_test.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestCutEvents(t *testing.T) {
+	cases := []struct{ name, in, whole, id string }{
+		{"nothing", "", "", ""},
+		{"one", "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n", "1"},
+		{"part of a second", "id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", "1"},
+		{"end of line missing", "id: 1\ndata: a\n", "", ""},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\nid: 2", "id: 1\r\ndata: a\r\n\r\n", "1"},
+		{"line before the id", "weight-versions: 3\nid: 9\ndata: a\n\n", "weight-versions: 3\nid: 9\ndata: a\n\n", "9"},
+		{"no id", "data: a\n\n", "data: a\n\n", ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var s eventStream
+			whole, rest := s.cut([]byte(tc.in))
+			is.Equal(string(whole), tc.whole)
+			is.Equal(string(whole)+string(rest), tc.in)
+			is.Equal(s.lastID, tc.id)
+		})
+	}
+}
+
+// TestCutAnywhere: wherever a stream is cut into reads, the same events come out.
+func TestCutAnywhere(t *testing.T) {
+	stream := strings.Repeat("id: 1\ndata: a\n\nid: 22\r\ndata: b\r\n\r\n", 4)
+	rapid.Check(t, func(t *rapid.T) {
+		var s eventStream
+		out, partial := "", []byte(nil)
+		for left := stream; left != ""; {
+			n := rapid.IntRange(1, min(9, len(left))).Draw(t, "read")
+			partial = append(partial, left[:n]...)
+			left = left[n:]
+			whole, rest := s.cut(partial)
+			out += string(whole)
+			partial = append([]byte(nil), rest...)
+		}
+		if out != stream || len(partial) != 0 {
+			t.Fatalf("got %q and %q", out, partial)
+		}
+	})
+}
+
+func FuzzCut(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var s eventStream
+		whole, rest := s.cut(in)
+		if string(whole)+string(rest) != string(in) {
+			t.Fatal("bytes were lost")
+		}
+	})
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -170,7 +170,8 @@
 	if err != nil || seconds < 0 {
 		return 0 // not a time; the client's own bound holds
 	}
-	return max(time.Duration(seconds)*time.Second-keepAliveMargin, time.Millisecond)
+	announced := time.Duration(seconds) * time.Second
+	return max(announced-keepAliveMargin, announced/2, time.Nanosecond)
 }
 
 // conn is one connection to an endpoint.
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,371 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	okAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nhi"
+	testTime = 10 * time.Second
+)
+
+// endpoint is a scripted endpoint: serve is called for each connection with its
+// number, counted from 1.
+type endpoint struct {
+	net.Listener
+	conns atomic.Int32
+}
+
+func listen(t *testing.T, serve func(n int, c *net.TCPConn)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(int(e.conns.Add(1)), c.(*net.TCPConn))
+		}
+	}()
+	return e
+}
+
+// readRequest reads one request with its body.
+func readRequest(br *bufio.Reader) (*http.Request, error) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return r, err
+}
+
+func newClient() *Client {
+	return New(Options{DialTimeout: testTime, MaxIdle: testTime, IdlePerHost: 4})
+}
+
+func get(id string) *Request {
+	return &Request{Method: "GET", Target: "/a/b?c=%2f", Host: "h.example", Header: http.Header{"Request-Id": {id}}, Echo: "Request-Id"}
+}
+
+// exchange sends r and reads the whole answer.
+func exchange(c *Client, e *endpoint, r *Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	res, err := c.Do(ctx, "e", e.Addr().String(), r)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	p, err := io.ReadAll(res.Body)
+	return string(p), err
+}
+
+func stage(err error) Stage {
+	var failure *Error
+	if !errors.As(err, &failure) {
+		return 255
+	}
+	return failure.Stage
+}
+
+func TestRequestIsUnchanged(t *testing.T) {
+	is := is.New(t)
+	got := make(chan *http.Request, 1)
+	e := listen(t, func(_ int, c *net.TCPConn) {
+		r, err := readRequest(bufio.NewReader(c))
+		if err == nil {
+			got <- r
+		}
+		_, _ = io.WriteString(c, okAnswer)
+	})
+	r := get("r1")
+	r.Method, r.Body = "POST", []byte("body")
+	r.Header["X-Twice"] = []string{"1", "2"}
+	answer, err := exchange(newClient(), e, r)
+	is.NoErr(err)
+	is.Equal(answer, "hi")
+	sent := <-got
+	is.Equal(sent.RequestURI, "/a/b?c=%2f")
+	is.Equal(sent.Host, "h.example")
+	is.Equal(sent.Header["X-Twice"], []string{"1", "2"})
+	is.Equal(sent.ContentLength, int64(4))
+}
+
+func TestKeptConnection(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer string
+		close  bool // the endpoint closes after its answer
+		conns  int32
+	}{
+		{"kept", okAnswer, false, 1},
+		{"closed while idle", okAnswer, true, 2},
+		{"announced close", strings.Replace(okAnswer, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), false, 2},
+		{"announced no idle time", strings.Replace(okAnswer, "\r\n\r\n", "\r\nKeep-Alive: timeout=0\r\n\r\n", 1), false, 2},
+		{"bytes after the answer", okAnswer + "HTTP/1.1 200 OK\r\n", false, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			e := listen(t, func(n int, c *net.TCPConn) {
+				br := bufio.NewReader(c)
+				for {
+					if _, err := readRequest(br); err != nil {
+						return
+					}
+					if n > 1 {
+						_, _ = io.WriteString(c, okAnswer)
+						continue
+					}
+					_, _ = io.WriteString(c, tc.answer)
+					if tc.close {
+						_ = c.Close()
+						close(closed)
+						return
+					}
+				}
+			})
+			client := newClient()
+			_, err := exchange(client, e, get("r1"))
+			is.NoErr(err)
+			if tc.close {
+				<-closed
+				waitClosed(t, client)
+			}
+			answer, err := exchange(client, e, get("r1"))
+			is.NoErr(err)
+			is.Equal(answer, "hi")
+			is.Equal(e.conns.Load(), tc.conns)
+		})
+	}
+}
+
+// waitClosed waits until the close of the kept connection has arrived.
+func waitClosed(t *testing.T, c *Client) {
+	t.Helper()
+	c.idle.mu.Lock()
+	kept := c.idle.conns["e"][0].Conn
+	c.idle.mu.Unlock()
+	_ = kept.SetReadDeadline(time.Now().Add(testTime))
+	if _, err := kept.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the kept connection was not closed: %v", err)
+	}
+	_ = kept.SetReadDeadline(time.Time{})
+}
+
+// TestResetIsNotSentAgain: a request whose connection breaks before an answer is
+// reported, never repeated by the client itself.
+func TestResetIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	e := listen(t, func(n int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for {
+			if _, err := readRequest(br); err != nil {
+				return
+			}
+			if requests.Add(1) == 2 {
+				_ = c.SetLinger(0)
+				_ = c.Close()
+				return
+			}
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	client := newClient()
+	_, err := exchange(client, e, get("r1"))
+	is.NoErr(err)
+	_, err = exchange(client, e, get("r1"))
+	is.Equal(stage(err), Sent)
+	is.Equal(requests.Load(), int32(2))
+	is.Equal(e.conns.Load(), int32(1))
+}
+
+func TestNotSent(t *testing.T) {
+	is := is.New(t)
+	e := listen(t, func(int, *net.TCPConn) {})
+	_ = e.Close()
+	_, err := exchange(newClient(), e, get("r1"))
+	is.Equal(stage(err), NotSent)
+}
+
+func TestSurplusAnswers(t *testing.T) {
+	other := strings.Replace(okAnswer, "r1", "other", 1)
+	cases := []struct {
+		name   string
+		answer string
+		want   string
+		fails  bool
+	}{
+		{"before the answer", other + okAnswer, "hi", false},
+		{"interim answer", "HTTP/1.1 103 Early Hints\r\n\r\n" + okAnswer, "hi", false},
+		{"without end", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\nhi", "", true},
+		{"no answer at all", "garbage\r\n\r\n", "", true},
+		{"too many", strings.Repeat(other, maxSurplus+1) + okAnswer, "", true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			e := listen(t, func(_ int, c *net.TCPConn) {
+				if _, err := readRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, tc.answer)
+				_ = c.Close()
+			})
+			answer, err := exchange(newClient(), e, get("r1"))
+			if tc.fails {
+				is.Equal(stage(err), Sent)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(answer, tc.want)
+		})
+	}
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer string
+		reset  bool
+		whole  bool
+	}{
+		{"length not reached", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\nhi", false, false},
+		{"chunk not ended", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", false, false},
+		{"unframed, closed", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nhi", false, true},
+		{"unframed, reset", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nhi", true, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			seen := make(chan struct{})
+			e := listen(t, func(_ int, c *net.TCPConn) {
+				if _, err := readRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, tc.answer)
+				<-seen // a reset may overtake bytes that were not read
+				if tc.reset {
+					_ = c.SetLinger(0)
+				}
+				_ = c.Close()
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testTime)
+			defer cancel()
+			res, err := newClient().Do(ctx, "e", e.Addr().String(), get("r1"))
+			is.NoErr(err)
+			two := make([]byte, 2)
+			_, err = io.ReadFull(res.Body, two)
+			is.NoErr(err)
+			close(seen)
+			_, err = res.Body.Read(make([]byte, 1))
+			is.Equal(err == io.EOF, tc.whole)
+		})
+	}
+}
+
+// TestEarlyAnswer: an answer that comes before the whole body was read is passed
+// on, and its connection carries no other request.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	e := listen(t, func(n int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		if n > 1 {
+			if _, err := readRequest(br); err == nil {
+				_, _ = io.WriteString(c, okAnswer)
+			}
+			return
+		}
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, okAnswer)
+		<-release
+	})
+	defer close(release)
+	client := newClient()
+	r := get("r1")
+	r.Method, r.Body = "POST", make([]byte, 64<<20) // more than all buffers on the way
+	answer, err := exchange(client, e, r)
+	is.NoErr(err)
+	is.Equal(answer, "hi")
+	_, err = exchange(client, e, get("r1"))
+	is.NoErr(err)
+	is.Equal(e.conns.Load(), int32(2))
+}
+
+// TestCancelReachesEndpoint: the end of the caller's context closes the
+// connection, before and after the head of the answer.
+func TestCancelReachesEndpoint(t *testing.T) {
+	for _, answer := range []string{"", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\nhi"} {
+		is := is.New(t)
+		arrived, closed := make(chan struct{}), make(chan struct{})
+		e := listen(t, func(_ int, c *net.TCPConn) {
+			br := bufio.NewReader(c)
+			_, _ = readRequest(br)
+			_, _ = io.WriteString(c, answer)
+			close(arrived)
+			_, _ = br.ReadByte()
+			close(closed)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			res, err := newClient().Do(ctx, "e", e.Addr().String(), get("r1"))
+			if err == nil {
+				_, err = io.ReadAll(res.Body)
+			}
+			done <- err
+		}()
+		<-arrived
+		cancel()
+		<-closed
+		is.True(<-done != nil)
+	}
+}
+
+// TestMaxIdle: a request that may run only once uses no connection that was idle
+// for long.
+func TestMaxIdle(t *testing.T) {
+	is := is.New(t)
+	e := listen(t, func(_ int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for {
+			if _, err := readRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	client := newClient()
+	_, err := exchange(client, e, get("r1"))
+	is.NoErr(err)
+	r := get("r1")
+	r.MaxIdle = time.Nanosecond
+	_, err = exchange(client, e, r)
+	is.NoErr(err)
+	is.Equal(e.conns.Load(), int32(2))
+}
