--- a/balance/choose.go
+++ b/balance/choose.go
@@ -18,6 +18,9 @@
 	// Slack is how much of its objective is left; a request that cannot be in
 	// time any more is not delayed for the sake of others.
 	Slack time.Duration
+	// Late is set for a prompt that has waited so long that it should be served
+	// late rather than never.
+	Late bool
 	// Avoid lists endpoints that the request was already sent to.
 	Avoid []string
 }
@@ -67,6 +70,8 @@
 	// largest part of the endpoints that may have read lately.
 	OversizeIdle int
 	OversizeBusy float64
+	// LateParts is the most endpoints that read such a prompt once it is late.
+	LateParts int
 	// PartMs is the longest reading time of a part of a long prompt, as long as
 	// there are endpoints and helpers enough.
 	PartMs float64
@@ -91,7 +96,7 @@
 // chose.
 func Default() Policy {
 	return Policy{
-		ShortMs: 60, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.7, PartMs: 250, BusyMs: 250,
+		ShortMs: 60, MaxHelpers: 15, OversizeIdle: 9, OversizeBusy: 0.7, PartMs: 250, BusyMs: 250,
 		PauseMs: 220, FirstMs: 170, PackSlots: 0.75, FirstShare: 0.5,
 	}
 }
@@ -310,35 +315,48 @@
 	return max(0, int(memoryShare*float64(e.MemoryTokens))-l.Tokens)
 }
 
+// memoryStep is the difference of free memory, in tokens, that counts.
+const memoryStep = 50000
+
 // oversize places a prompt that is larger than an endpoint's memory. It takes
 // much of all endpoints for the little that it brings, so it waits until enough
-// of them neither read nor have short requests, and sets memory aside at as few
-// of them as it needs.
+// of them neither read nor have short requests; one that has waited long is
+// read by few, and late, so that it is served at all.
 func (p Policy) oversize(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
 	var idle []int
 	for _, i := range usable {
-		if l := all[i].Load; l.Parts == 0 && l.Short == 0 {
+		if l := all[i].Load; l.Short == 0 && (w.Late || l.Parts == 0) {
 			idle = append(idle, i)
 		}
 	}
 	slices.SortStableFunc(idle, func(a, b int) int {
-		return cmp.Compare(freeTokens(e, all[b].Load), freeTokens(e, all[a].Load))
+		la, lb := all[a].Load, all[b].Load
+		return cmp.Or(cmp.Compare(freeTokens(e, lb)/memoryStep, freeTokens(e, la)/memoryStep), cmp.Compare(la.Parts, lb.Parts))
 	})
-	idle = idle[:min(len(idle), 1+p.MaxHelpers)]
-	need := w.InputTokens + w.OutputTokens
+	most, least := 1+p.MaxHelpers, p.OversizeIdle
+	if w.Late {
+		most, least = p.LateParts, 1
+	}
+	idle = idle[:min(len(idle), most)]
 	free := 0
 	for _, i := range idle {
 		free += freeTokens(e, all[i].Load)
 	}
-	if len(idle) < p.OversizeIdle || free < need || w.Busy > p.OversizeBusy {
+	if len(idle) < least || free < w.InputTokens+w.OutputTokens || w.Busy > p.OversizeBusy && !w.Late {
 		return Choice{Endpoint: -1, Wait: true}
 	}
-	part := read / float64(len(idle))
-	c := Choice{Endpoint: idle[0], Helpers: idle[1:]}
-	for n, i := range idle {
+	return p.spread(e, w, read, all, idle)
+}
+
+// spread reads a prompt on the chosen candidates, the first of which generates,
+// and fills their memory in turn.
+func (p Policy) spread(e *catalog.Engine, w Work, read float64, all []Candidate, chosen []int) Choice {
+	need := w.InputTokens + w.OutputTokens
+	c := Choice{Endpoint: chosen[0], Helpers: chosen[1:]}
+	for n, i := range chosen {
 		held := min(need, freeTokens(e, all[i].Load))
 		need -= held
-		l := Load{ReadMs: part, Tokens: held, Parts: 1}
+		l := Load{ReadMs: read / float64(len(chosen)), Tokens: held, Parts: 1}
 		if n == 0 {
 			l.Long = 1
 		} else if held > 0 {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -188,6 +188,7 @@
 	for {
 		now := time.Now()
 		work.Slack = x.route.Objective*waitShare/100 - now.Sub(x.started)
+		work.Late = now.Sub(x.started) > x.deadline.Sub(x.started)*lateShare/100
 		at, wait, ok := x.g.picker.pick(x.service, work, now)
 		if at != nil {
 			x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
@@ -223,6 +224,10 @@
 	// waitShare is the part of its objective, in percent, that a long prompt may
 	// wait for quiet endpoints.
 	waitShare = 35
+	// lateShare is the part of its deadline, in percent, after which a prompt
+	// that no single endpoint can hold is read by few endpoints: they need
+	// another third of it.
+	lateShare = 40
 	// oversizeShare is the part of its deadline, in percent, that a prompt may
 	// wait that no single endpoint can hold; late is worth more than never.
 	oversizeShare = 70
