Let two gateways read the store for all; keep a lapsed endpoint no longer than the store's return

Ruled out: a late read of the list (the log shows it 0.6 s after the leave, as missing, at all gateways). Change: words carry the sender's clock, echoed by its peers, so that a proof or list is dated by the receiver's own clock; two gateways, by rank of their names, read; whoever hears nothing for 1.6 s reads itself. A lapsed endpoint is gone two seconds after the last failed read, one second where most lapse at once; a peer's failed reads say nothing to others.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -32,6 +32,22 @@
 	Version  uint64                  `msgpack:"v"` // configuration in force there
 	Leaving  bool                    `msgpack:"x,omitempty"`
 	Loads    map[string]balance.Load `msgpack:"l,omitempty"` // by endpoint id
+
+	// Clock is the sender's monotonic time when it sent the word, in
+	// nanoseconds since an instant of its own. Heard gives it back: the newest
+	// Clock that the sender has heard of each peer. A peer can so date what the
+	// word says by its own clock, whatever the way took.
+	Clock int64            `msgpack:"c"`
+	Heard map[string]int64 `msgpack:"h,omitempty"`
+	// ProofAgeMs is how long ago the read was sent that proved Version to be the
+	// newest; negative: there is no proof.
+	ProofAgeMs int64 `msgpack:"a"`
+	// Endpoints identifies the list of endpoints that the sender read last, and
+	// EndpointsAgeMs how long ago; 0: none was read.
+	Endpoints      uint64 `msgpack:"e,omitempty"`
+	EndpointsAgeMs int64  `msgpack:"g,omitempty"`
+	// NoStore is set by a gateway that cannot reach the store.
+	NoStore bool `msgpack:"d,omitempty"`
 }
 
 // Mesh sends and receives words. Its methods may be called concurrently.
@@ -45,10 +61,15 @@
 	listed   []netip.AddrPort
 	heard    map[netip.AddrPort]time.Time
 	last     map[string]position
+	epoch    time.Time // of Word.Clock
 }
 
 // position is how far a sender's words were read.
-type position struct{ life, sequence uint64 }
+type position struct {
+	life, sequence uint64
+	clock          int64
+	at             time.Time
+}
 
 // Listen opens the mesh's socket.
 func Listen(name, address string) (*Mesh, error) {
@@ -62,7 +83,7 @@
 	}
 	return &Mesh{
 		socket: socket, name: name, life: rand.Uint64(),
-		heard: make(map[netip.AddrPort]time.Time), last: make(map[string]position),
+		heard: make(map[netip.AddrPort]time.Time), last: make(map[string]position), epoch: time.Now(),
 	}, nil
 }
 
@@ -112,6 +133,8 @@
 	m.mu.Lock()
 	m.sequence++
 	w.From, w.Life, w.Sequence = m.name, m.life, m.sequence
+	w.Clock = int64(now.Sub(m.epoch))
+	w.Heard = m.clocks(now)
 	to := m.members(now)
 	m.mu.Unlock()
 	p, err := msgpack.Marshal(&w)
@@ -127,10 +150,34 @@
 	return failed
 }
 
+// clocks returns the newest clock of each peer that was heard lately.
+func (m *Mesh) clocks(now time.Time) map[string]int64 {
+	out := make(map[string]int64, len(m.last))
+	for name, p := range m.last {
+		if now.Sub(p.at) > memberLife {
+			delete(m.last, name)
+			continue
+		}
+		out[name] = p.clock
+	}
+	return out
+}
+
+// SaidAfter returns a time of this process's clock that was before w was sent;
+// ok is false when the sender had not heard this process.
+func (m *Mesh) SaidAfter(w Word) (at time.Time, ok bool) {
+	clock, ok := w.Heard[m.name]
+	if !ok || clock < 0 {
+		return time.Time{}, false
+	}
+	at = m.epoch.Add(time.Duration(clock))
+	return at, !at.After(time.Now())
+}
+
 // Receive calls take for each word of another gateway, in the order of its
 // sending, until the mesh is closed. It returns how many datagrams could not be
 // read.
-func (m *Mesh) Receive(take func(Word)) (malformed int) {
+func (m *Mesh) Receive(take func(w Word, from netip.AddrPort)) (malformed int) {
 	buf := make([]byte, maxWord)
 	for {
 		n, from, err := m.socket.ReadFromUDPAddrPort(buf)
@@ -143,7 +190,7 @@
 			continue
 		}
 		if w.From != m.name && m.newer(w, from) {
-			take(w)
+			take(w, from)
 		}
 	}
 }
@@ -162,11 +209,12 @@
 	if last, ok := m.last[w.From]; ok && last.life == w.Life && last.sequence >= w.Sequence {
 		return false
 	}
-	m.last[w.From] = position{w.Life, w.Sequence}
+	now := time.Now()
+	m.last[w.From] = position{w.Life, w.Sequence, w.Clock, now}
 	if w.Leaving {
 		delete(m.heard, from)
 	} else {
-		m.heard[from] = time.Now()
+		m.heard[from] = now
 	}
 	return true
 }
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -34,17 +34,21 @@
 func (g *Gateway) followConfiguration() {
 	lost := false
 	for {
-		sent := time.Now()
-		err := g.readConfiguration(sent)
-		if (err != nil) != lost {
-			lost = err != nil
-			g.logDependency("configuration store", lost, err)
-		}
-		if err != nil {
-			g.askPeers()
-		}
 		wait := readEvery
-		if err != nil {
+		if g.mustRead(g.proofAge()) {
+			sent := time.Now()
+			err := g.readConfiguration(sent)
+			g.sharing.note(err, time.Now())
+			if (err != nil) != lost {
+				lost = err != nil
+				g.logDependency("configuration store", lost, err)
+			}
+			if err != nil {
+				g.askPeers()
+				wait = readAgain
+			}
+			g.picker.tellSoon()
+		} else {
 			wait = readAgain
 		}
 		if !g.pause(wait) {
@@ -53,6 +57,17 @@
 	}
 }
 
+// mustRead reports whether this gateway reads the store now, given the age of
+// what it knows.
+func (g *Gateway) mustRead(age time.Duration) bool {
+	return g.deps.Mesh == nil || age > takeOver || g.sharing.reads(g.config.Name, time.Now())
+}
+
+func (g *Gateway) proofAge() time.Duration {
+	age, _ := g.state.ProofAge(time.Now())
+	return age
+}
+
 func (g *Gateway) readConfiguration(sent time.Time) error {
 	ctx, cancel := context.WithTimeout(g.ctx, readTime)
 	defer cancel()
@@ -84,20 +99,11 @@
 
 // followEndpoints keeps the list of endpoints young.
 func (g *Gateway) followEndpoints() {
-	var failed time.Time
 	for {
-		wait := readEvery
-		ctx, cancel := context.WithTimeout(g.ctx, readTime)
-		list, err := g.deps.Source.Endpoints(ctx)
-		cancel()
-		now := time.Now()
-		if err != nil {
-			failed = now
-			wait = readAgain
-			g.meter.storeFailures.Inc()
-		} else {
-			for _, c := range g.state.Listed(list, now, failed) {
-				g.memberChanged(c)
+		wait := readAgain
+		if g.mustRead(g.sharing.endpointsAge(time.Now())) {
+			if g.readEndpoints() {
+				wait = readEvery
 			}
 		}
 		if !g.pause(wait) {
@@ -106,6 +112,23 @@
 	}
 }
 
+// readEndpoints reads the list from the store; it reports false on failure.
+func (g *Gateway) readEndpoints() bool {
+	ctx, cancel := context.WithTimeout(g.ctx, readTime)
+	defer cancel()
+	sent := time.Now()
+	list, err := g.deps.Source.Endpoints(ctx)
+	g.sharing.note(err, time.Now())
+	if err != nil {
+		g.meter.storeFailures.Inc()
+		g.deps.Log.Logger().Debug("The list of endpoints could not be read.", "err", err)
+		return false
+	}
+	g.sharing.read(list, sent)
+	g.applyEndpoints()
+	return true
+}
+
 func (g *Gateway) memberChanged(c MemberChange) {
 	e := c.Endpoint
 	g.deps.Log.Logger().Info("Endpoint changed.", "endpoint", e.ID, "change", c.Kind, "service", e.Service, "address", e.Address)
@@ -169,8 +192,10 @@
 		case <-g.picker.urgent:
 		}
 		loads, _ := g.picker.own()
-		w := peers.Word{Version: g.state.Version(), Leaving: g.leaving.Load(), Loads: loads}
-		if err := g.deps.Mesh.Send(w, time.Now()); err != nil {
+		now := time.Now()
+		w := peers.Word{Leaving: g.leaving.Load(), Loads: loads}
+		g.fill(&w, now)
+		if err := g.deps.Mesh.Send(w, now); err != nil {
 			g.meter.tellFailures.Inc()
 		}
 		if !g.pause(tellGap) {
@@ -184,8 +209,9 @@
 	if g.deps.Mesh == nil {
 		return
 	}
-	g.deps.Mesh.Receive(func(w peers.Word) {
+	g.deps.Mesh.Receive(func(w peers.Word, from netip.AddrPort) {
 		g.picker.peer(w.From, w.Loads, time.Now())
+		g.heardWord(w, from)
 	})
 }
 
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -56,6 +56,7 @@
 	leaving  atomic.Bool
 	stopAt   atomic.Pointer[time.Time] // when the stop signal came
 	peers    *peerClient
+	sharing  sharing
 	faces    *faces
 }
 
@@ -65,6 +66,7 @@
 	g.picker = newPicker(g.state, c.Policy, c.Retries)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.peers = newPeerClient(d.PeerPort)
+	g.sharing.heard = make(map[string]time.Time)
 	g.faces = newFaces(g)
 	return g
 }
--- a/relay/members.go
+++ b/relay/members.go
@@ -12,6 +12,9 @@
 	// returnTime is how long after the store's return an endpoint whose entry
 	// lapsed may still come back; the platform says about two seconds.
 	returnTime = 2 * time.Second
+	// massLapseTime is how long that suspicion keeps endpoints: half of the time
+	// within which one that left must get no more requests.
+	massLapseTime = time.Second
 	// massLapse is the part of a service's endpoints that has to be missing
 	// from one list for the store to be suspected instead of the endpoints.
 	massLapse = 0.5
@@ -57,19 +60,20 @@
 		}
 		m.known[e.ID] = e
 	}
-	tolerant := !storeFailed.IsZero() && now.Sub(storeFailed) < returnTime
 	lapsed := m.massLapsed(present)
 	for id, e := range m.known {
 		if present[id] {
 			continue
 		}
 		since, seen := m.missing[id]
-		if !seen && !e.Draining && (tolerant || lapsed[e.Service]) {
-			m.missing[id] = now
-			changes = append(changes, MemberChange{e, "missing"})
-			continue
+		if !seen {
+			since = now
 		}
-		if seen && now.Sub(since) < returnTime {
+		if !e.Draining && mayReturn(since, now, storeFailed, lapsed[e.Service]) {
+			if !seen {
+				m.missing[id] = now
+				changes = append(changes, MemberChange{e, "missing"})
+			}
 			continue
 		}
 		delete(m.known, id)
@@ -80,6 +84,15 @@
 	return changes
 }
 
+// mayReturn reports whether an endpoint that is missing since then may have
+// lapsed with the store and come back.
+func mayReturn(since, now, storeFailed time.Time, massLapsed bool) bool {
+	if !storeFailed.IsZero() && now.Sub(storeFailed) < returnTime {
+		return true
+	}
+	return massLapsed && now.Sub(since) < massLapseTime
+}
+
 // massLapsed returns the services of which most endpoints are missing at once.
 func (m *members) massLapsed(present map[string]bool) map[string]bool {
 	all, missing := make(map[string]int), make(map[string]int)
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -44,6 +44,7 @@
 		}
 		g.answerPeer(w, t.Configuration)
 	})
+	m.HandleFunc("GET "+pathEndpoints, g.serveEndpoints)
 	return m
 }
 
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// tellSoon makes the next word to the peers go out soon.
+func (p *picker) tellSoon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.told(true)
+}
+
 // await waits until load was taken off, or for a moment.
 func (p *picker) await(ctx context.Context, most time.Duration) {
 	p.mu.Lock()
--- /dev/null
+++ b/relay/share.go
@@ -0,0 +1,247 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/peers"
+)
+
+// The store is priced by the call, so not every gateway reads it. The readers,
+// a few gateways chosen by their names among those heard lately, read
+// configuration and endpoints; the others take both from their words, each
+// dated by the receiver's own clock. Whoever gets nothing young enough reads the
+// store itself, so that readers that freeze or are cut off cost calls only.
+
+const (
+	// readers is how many gateways read the store while all is well; two, so
+	// that one may die unnoticed.
+	readers = 2
+	// takeOver is the age of what the readers tell at which a gateway reads the
+	// store itself: two of their reads were missed.
+	takeOver = 2 * readEvery
+	// hearFor is how long a peer that was heard counts among those that read.
+	hearFor = time.Second
+
+	pathEndpoints = "/peer/endpoints"
+)
+
+// endpointList is a list as it was read from the store. That a peer could not
+// read the store is not told: it says nothing of the store itself.
+type endpointList struct {
+	Endpoints []catalog.Endpoint
+}
+
+// sharing is what this gateway knows of the other gateways' reads.
+type sharing struct {
+	mu      sync.Mutex
+	heard   map[string]time.Time // peers that can reach the store
+	list    endpointList
+	hash    uint64    // of list; 0: none
+	listed  time.Time // when the read of list was sent, or proved still right
+	failed  time.Time // when an own read failed last
+	noStore bool      // whether the newest read failed
+	taking  bool      // whether something is being taken from a peer
+}
+
+// reads reports whether this gateway is among the readers.
+func (s *sharing) reads(self string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := rank(self)
+	before := 0
+	for name, at := range s.heard {
+		if now.Sub(at) > hearFor {
+			delete(s.heard, name)
+			continue
+		}
+		if r := rank(name); r < own || r == own && name < self {
+			before++
+		}
+	}
+	return before < readers
+}
+
+// rank orders gateways in a way that does not follow their names, so that the
+// readers stand in different data centres.
+func rank(name string) uint64 { return xxhash.Sum64String(name) }
+
+// note takes in how a read of the store went.
+func (s *sharing) note(err error, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noStore = err != nil
+	if err != nil {
+		s.failed = now
+	}
+}
+
+// read takes in a list that was read from the store, by a read sent at that
+// time, or that a peer has read.
+func (s *sharing) read(list []catalog.Endpoint, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Endpoints, s.hash, s.listed = list, hashEndpoints(list), sent
+}
+
+// hashEndpoints identifies a list by what decides about its endpoints.
+func hashEndpoints(list []catalog.Endpoint) uint64 {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	h := xxhash.New()
+	for _, e := range sorted {
+		state := "|ready|"
+		if e.Draining {
+			state = "|draining|"
+		}
+		_, _ = h.WriteString(e.ID + "|" + e.Service + "|" + e.Address + state)
+		_ = binary.Write(h, binary.BigEndian, int64(e.Slots)) // a hash takes all that it is given
+	}
+	return max(1, h.Sum64())
+}
+
+// fill adds to a word what this gateway has read.
+func (g *Gateway) fill(w *peers.Word, now time.Time) {
+	age, _ := g.state.ProofAge(now)
+	w.Version, w.ProofAgeMs = g.state.Version(), age.Milliseconds()
+	if age < 0 || age > time.Hour {
+		w.ProofAgeMs = -1
+	}
+	s := &g.sharing
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.NoStore = s.noStore
+	if s.hash != 0 {
+		w.Endpoints, w.EndpointsAgeMs = s.hash, now.Sub(s.listed).Milliseconds()
+	}
+}
+
+// heardWord takes in what a peer says of its reads.
+func (g *Gateway) heardWord(w peers.Word, from netip.AddrPort) {
+	now := time.Now()
+	s := &g.sharing
+	s.mu.Lock()
+	if w.NoStore || w.Leaving {
+		delete(s.heard, w.From)
+	} else {
+		s.heard[w.From] = now
+	}
+	s.mu.Unlock()
+	said, ok := g.deps.Mesh.SaidAfter(w)
+	if !ok {
+		return
+	}
+	g.heardProof(w, said, from)
+	g.heardEndpoints(w, said, from)
+}
+
+// heardProof takes in the proof in a word that was said after that time.
+func (g *Gateway) heardProof(w peers.Word, said time.Time, from netip.AddrPort) {
+	if w.ProofAgeMs < 0 {
+		return
+	}
+	if w.Version > g.state.Version() {
+		g.take(func() { g.askPeer(from) })
+		return
+	}
+	g.state.Prove(w.Version, said.Add(-time.Duration(w.ProofAgeMs)*time.Millisecond))
+}
+
+// heardEndpoints takes in which list of endpoints the sender of a word has.
+func (g *Gateway) heardEndpoints(w peers.Word, said time.Time, from netip.AddrPort) {
+	if w.Endpoints == 0 {
+		return
+	}
+	sent := said.Add(-time.Duration(w.EndpointsAgeMs) * time.Millisecond)
+	s := &g.sharing
+	s.mu.Lock()
+	newer := sent.After(s.listed)
+	same := s.hash == w.Endpoints
+	if newer && same {
+		s.listed = sent
+	}
+	s.mu.Unlock()
+	if !newer {
+		return
+	}
+	if !same {
+		g.take(func() { g.takeEndpoints(from, sent) })
+		return
+	}
+	g.applyEndpoints()
+}
+
+// take runs one thing at a time that asks a peer.
+func (g *Gateway) take(ask func()) {
+	s := &g.sharing
+	s.mu.Lock()
+	busy := s.taking
+	s.taking = true
+	s.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		ask()
+		s.mu.Lock()
+		s.taking = false
+		s.mu.Unlock()
+	}()
+}
+
+// takeEndpoints reads a peer's list. The peer may have read the store again
+// since; then the list is younger than sent says.
+func (g *Gateway) takeEndpoints(from netip.AddrPort, sent time.Time) {
+	ctx, cancel := context.WithTimeout(g.ctx, 2*peerTime)
+	defer cancel()
+	var list endpointList
+	if err := g.peers.get(ctx, g.peerURL(from, pathEndpoints), &list); err != nil {
+		g.deps.Log.Logger().Warn("A peer's list of endpoints could not be read.", "peer", from, "err", err)
+		return
+	}
+	g.sharing.read(list.Endpoints, sent)
+	g.applyEndpoints()
+}
+
+// applyEndpoints decides about endpoints from the newest list.
+func (g *Gateway) applyEndpoints() {
+	s := &g.sharing
+	s.mu.Lock()
+	list, failed := s.list.Endpoints, s.failed
+	s.mu.Unlock()
+	for _, c := range g.state.Listed(list, time.Now(), failed) {
+		g.memberChanged(c)
+	}
+}
+
+// endpointsAge returns how old the newest list is.
+func (s *sharing) endpointsAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hash == 0 {
+		return 1<<63 - 1
+	}
+	return now.Sub(s.listed)
+}
+
+// serveEndpoints answers a peer that asks for the list.
+func (g *Gateway) serveEndpoints(w http.ResponseWriter, _ *http.Request) {
+	s := &g.sharing
+	s.mu.Lock()
+	list, known := s.list, s.hash != 0
+	s.mu.Unlock()
+	if !known {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	g.answerPeer(w, list)
+}
