--- a/balance/choose.go
+++ b/balance/choose.go
@@ -96,7 +96,7 @@
 // chose.
 func Default() Policy {
 	return Policy{
-		ShortMs: 60, MaxHelpers: 15, OversizeIdle: 9, OversizeBusy: 0.7, PartMs: 250, BusyMs: 250,
+		ShortMs: 60, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.4, LateParts: 4, PartMs: 250, BusyMs: 250,
 		PauseMs: 220, FirstMs: 170, PackSlots: 0.75, FirstShare: 0.5,
 	}
 }
@@ -325,13 +325,13 @@
 func (p Policy) oversize(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
 	var idle []int
 	for _, i := range usable {
-		if l := all[i].Load; l.Short == 0 && (w.Late || l.Parts == 0) {
+		if l := all[i].Load; w.Late || l.Short == 0 && l.Parts == 0 {
 			idle = append(idle, i)
 		}
 	}
 	slices.SortStableFunc(idle, func(a, b int) int {
 		la, lb := all[a].Load, all[b].Load
-		return cmp.Or(cmp.Compare(freeTokens(e, lb)/memoryStep, freeTokens(e, la)/memoryStep), cmp.Compare(la.Parts, lb.Parts))
+		return cmp.Or(cmp.Compare(la.Short, lb.Short), cmp.Compare(freeTokens(e, lb)/memoryStep, freeTokens(e, la)/memoryStep), cmp.Compare(la.Parts, lb.Parts))
 	})
 	most, least := 1+p.MaxHelpers, p.OversizeIdle
 	if w.Late {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -15,18 +15,17 @@
 
 // asked is one request as its client saw it.
 type asked struct {
-	id         string
-	kind       string // safe, once, stream, story
-	key        string
-	gateway    string
-	sent       time.Time
-	ended      time.Time
-	status     int // 0: no head came
-	seal       string
-	body       string
-	broken     error // why the answer did not end well; nil for a whole one
-	abandoned  bool  // the client left before the end
-	connection int   // of this client; connections are kept
+	id        string
+	kind      string // safe, once, stream, story
+	key       string
+	gateway   string
+	sent      time.Time
+	ended     time.Time
+	status    int // 0: no head came
+	seal      string
+	body      string
+	broken    error // why the answer did not end well; nil for a whole one
+	abandoned bool  // the client left before the end
 }
 
 // client sends requests one after the other over connections that it keeps
@@ -36,7 +35,6 @@
 	number int
 	random *rand.Rand
 	http   map[string]*http.Transport // by gateway
-	gone   bool
 }
 
 // kinds are the kinds of request and how often they are sent.
