--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -15,8 +15,9 @@
 
 type explainCommand struct {
 	app  *app
+	Logs []string `long:"log" value-name:"FILE" description:"read what relaying gateways logged instead of asking gateways; - is standard input; may stand more than once"`
 	Args struct {
-		Request string `positional-arg-name:"REQUEST" required:"true" description:"request id from the Rudder-Request-Id header"`
+		Request string `positional-arg-name:"REQUEST" required:"true" description:"request id, from the Rudder-Request-Id header or as the caller of a relaying gateway chose it"`
 	} `positional-args:"true"`
 }
 
@@ -28,6 +29,9 @@
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.explainLogs()
+	}
 	if len(c.app.Gateways) == 0 {
 		return usage("--gateway or RUDDER_GATEWAYS is needed")
 	}
