Late oversize prompts are read by a fifth of the endpoints; words 10 ms apart again; test the log

Cause: on the grown sites 17 of 180 grid digests ended at their deadline: four of 60 endpoints read them after 6 s of waiting.

--- a/balance/book.go
+++ b/balance/book.go
@@ -12,10 +12,6 @@
 	Short  int     // requests with short prompts
 	Long   int     // requests with long prompts
 	Tokens int     // memory that the requests need
-	// Waiting counts the requests sent to this endpoint whose first event has
-	// not come. An engine reads the parts that it helps with before its own
-	// prompts, so parts that come later hold these up.
-	Waiting int
 	// Parts counts the parts of long prompts that are still read here. An
 	// engine reads the newest part first, so a second one holds up the first.
 	Parts int
@@ -25,7 +21,7 @@
 func (l Load) plus(o Load) Load {
 	return Load{
 		ReadMs: l.ReadMs + o.ReadMs, Short: l.Short + o.Short, Long: l.Long + o.Long,
-		Tokens: l.Tokens + o.Tokens, Waiting: l.Waiting + o.Waiting, Parts: l.Parts + o.Parts,
+		Tokens: l.Tokens + o.Tokens, Parts: l.Parts + o.Parts,
 	}
 }
 
@@ -33,13 +29,13 @@
 func (l Load) minus(o Load) Load {
 	return Load{
 		ReadMs: l.ReadMs - o.ReadMs, Short: l.Short - o.Short, Long: l.Long - o.Long,
-		Tokens: l.Tokens - o.Tokens, Waiting: l.Waiting - o.Waiting, Parts: l.Parts - o.Parts,
+		Tokens: l.Tokens - o.Tokens, Parts: l.Parts - o.Parts,
 	}
 }
 
 // reading returns the part of the load that is over with the first event.
 func (l Load) reading() Load {
-	return Load{ReadMs: l.ReadMs, Waiting: l.Waiting, Parts: l.Parts}
+	return Load{ReadMs: l.ReadMs, Parts: l.Parts}
 }
 
 // peerLife is how long a peer's last word counts. A live peer speaks several
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -75,8 +76,9 @@
 	// largest part of the endpoints that may have read lately.
 	OversizeIdle int
 	OversizeBusy float64
-	// LateParts is the most endpoints that read such a prompt once it is late.
-	LateParts int
+	// LateShare is the part of the endpoints that read such a prompt once it is
+	// late.
+	LateShare float64
 	// PartMs is the longest reading time of a part of a long prompt, as long as
 	// there are endpoints and helpers enough.
 	PartMs float64
@@ -102,8 +104,8 @@
 // chose.
 func Default() Policy {
 	return Policy{
-		ShortMs: 60, G: 0, F: 0, H: 1e9, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.4, LateParts: 4, PartMs: 250, BusyMs: 250,
-		PauseMs: 180, FirstMs: 200, PackSlots: 0.75, FirstShare: 0.5,
+		ShortMs: 60, G: 0, F: 0, H: 1e9, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.5, LateShare: 0.2, PartMs: 250, BusyMs: 250,
+		PauseMs: 220, FirstMs: 170, PackSlots: 0.75, FirstShare: 0.5,
 	}
 }
 
@@ -354,7 +356,7 @@
 	})
 	most, least := 1+p.MaxHelpers, p.OversizeIdle
 	if w.Late {
-		most, least = p.LateParts, 1
+		most, least = min(most, int(math.Ceil(p.LateShare*float64(len(usable))))), 1
 	}
 	idle = idle[:min(len(idle), most)]
 	free := 0
--- /dev/null
+++ b/eventlog/eventlog_test.go
@@ -0,0 +1,78 @@
+package eventlog
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+)
+
+// lockedBuffer is a buffer that may be read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func options(perSecond float64) Options {
+	return Options{Prefix: "p", LinesPerSecond: perSecond, Level: log.InfoLevel, Format: log.LogfmtFormatter}
+}
+
+func TestLinesAreWritten(t *testing.T) {
+	is := is.New(t)
+	var out lockedBuffer
+	l := New(&out, options(10))
+	l.Request("Chosen.", "request", "r1")
+	l.Logger().Warn("Lost.", "dependency", "store")
+	l.Close(time.Minute)
+	is.True(strings.Contains(out.String(), `msg=Chosen. request=r1`))
+	is.True(strings.Contains(out.String(), `msg=Lost. dependency=store`))
+}
+
+// TestRateIsBounded: what is over the rate is left out, and the number is told.
+func TestRateIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out lockedBuffer
+		l := New(&out, options(5))
+		for range 20 {
+			l.Request("Chosen.")
+		}
+		is.Equal(l.LeftOut(), uint64(15))
+		time.Sleep(reportEvery + time.Millisecond)
+		synctest.Wait()
+		is.True(strings.Contains(out.String(), "lines=15"))
+		l.Close(time.Minute)
+		is.Equal(strings.Count(out.String(), "Chosen."), 5)
+	})
+}
+
+// TestStuckReaderCostsLines: a reader that does not read holds nobody up.
+func TestStuckReaderCostsLines(t *testing.T) {
+	is := is.New(t)
+	r, w := io.Pipe() // nobody reads: each write blocks
+	l := New(w, options(1e9))
+	for range 2 * queueLines {
+		l.Request("Chosen.")
+	}
+	is.True(l.LeftOut() >= queueLines-2)
+	_ = r.Close()
+	l.Close(time.Minute)
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -130,9 +130,8 @@
 	return out
 }
 
-// Send tells every member the word, whose sender fields are filled in, and
-// returns how many there are.
-func (m *Mesh) Send(w Word, now time.Time) (members int, err error) {
+// Send tells every member the word, whose sender fields are filled in.
+func (m *Mesh) Send(w Word, now time.Time) error {
 	m.mu.Lock()
 	m.sequence++
 	w.From, w.Life, w.Sequence = m.name, m.life, m.sequence
@@ -144,14 +143,14 @@
 	m.mu.Unlock()
 	p, err := msgpack.Marshal(&w)
 	if err != nil {
-		return len(to), trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	for _, a := range to {
 		if _, e := m.socket.WriteToUDPAddrPort(p, a); e != nil {
 			err = trace.Wrap(e)
 		}
 	}
-	return len(to), err
+	return err
 }
 
 // clocks returns the newest clock of each peer that was heard lately.
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -27,10 +27,9 @@
 	// tellEvery is the time between two words to the peers that tell of reads
 	// and clocks beside the load.
 	tellEvery = 250 * time.Millisecond
-	// tellGap is the least time between two words for each peer that they go
-	// to: at 26 peers a gateway with a seventh of a core spent most of it on
-	// words 10 ms apart.
-	tellGap = 2500 * time.Microsecond
+	// tellGap is the least time between two words: choices made within it go
+	// out together.
+	tellGap = 10 * time.Millisecond
 )
 
 // followConfiguration keeps the configuration and its proof young.
@@ -196,16 +195,15 @@
 			full = true
 		case <-g.picker.urgent:
 		}
-		peers := g.tellOnce(full, time.Now())
-		if !g.pause(time.Duration(peers) * tellGap) {
+		g.tellOnce(full, time.Now())
+		if !g.pause(tellGap) {
 			return
 		}
 	}
 }
 
-// tellOnce sends one word, with what this gateway has read if full is set, and
-// returns how many peers it went to.
-func (g *Gateway) tellOnce(full bool, now time.Time) (sent int) {
+// tellOnce sends one word, with what this gateway has read if full is set.
+func (g *Gateway) tellOnce(full bool, now time.Time) {
 	loads := g.picker.own()
 	w := peers.Word{Leaving: g.leaving.Load(), Loads: loads, ProofAgeMs: -1, Version: g.state.Version(), NoStore: g.sharing.storeLost()}
 	if full {
@@ -213,11 +211,9 @@
 		// Only those who read have proofs that others date by their clocks.
 		w.Echo = g.sharing.reads(g.config.Name, now)
 	}
-	sent, err := g.deps.Mesh.Send(w, now)
-	if err != nil {
+	if err := g.deps.Mesh.Send(w, now); err != nil {
 		g.meter.tellFailures.Inc()
 	}
-	return sent
 }
 
 // hear takes in what peers say.
