--- a/balance/book.go
+++ b/balance/book.go
@@ -4,10 +4,9 @@
 	"time"
 )
 
-// Load is what is under way at one endpoint.
+// Load is what is under way at one endpoint. Words carry its fields in this
+// order, so new ones come last.
 type Load struct {
-	_msgpack struct{} `msgpack:",as_array"` // half the size of a map
-
 	ReadMs float64 // time of prompts that are still to be read
 	Short  int     // requests with short prompts
 	Long   int     // requests with long prompts
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -84,8 +84,7 @@
 	PartMs float64
 	// BusyMs is the reading time that an endpoint should have before it at
 	// most; long prompts wait for it while they have time.
-	BusyMs  float64
-	G, F, H float64
+	BusyMs float64
 	// PauseMs is the longest pass that short requests bear without a late
 	// event.
 	PauseMs float64
@@ -104,7 +103,7 @@
 // chose.
 func Default() Policy {
 	return Policy{
-		ShortMs: 60, G: 0, F: 0, H: 1e9, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.5, LateShare: 0.2, PartMs: 250, BusyMs: 250,
+		ShortMs: 60, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.5, LateShare: 0.2, PartMs: 250, BusyMs: 250,
 		PauseMs: 220, FirstMs: 170, PackSlots: 0.75, FirstShare: 0.5,
 	}
 }
@@ -236,26 +235,9 @@
 			best = s
 		}
 	}
-	if (best.busiest > p.BusyMs || best.harm >= p.H) && w.Slack > 0 {
+	if best.busiest > p.BusyMs && w.Slack > 0 {
 		return Choice{Endpoint: -1, Wait: true}
 	}
-	if p.F > 0 {
-		tokens := w.InputTokens + w.OutputTokens
-		chosen := best.chosen
-		slices.SortStableFunc(chosen, func(a, b int) int { return cmp.Compare(freeTokens(e, all[b].Load), freeTokens(e, all[a].Load)) })
-		free := 0
-		for _, i := range chosen {
-			free += freeTokens(e, all[i].Load)
-		}
-		if freeTokens(e, all[chosen[0]].Load) < tokens {
-			if free >= tokens {
-				return p.spread(e, w, read, all, chosen)
-			}
-			if w.Slack > 0 {
-				return Choice{Endpoint: -1, Wait: true}
-			}
-		}
-	}
 	return p.placeLong(e, w, read, all, best.chosen)
 }
 
@@ -289,9 +271,6 @@
 		if l.Short > 0 && l.ReadMs+part+passMs(e, l.Short+l.Long, l.Tokens) > p.PauseMs {
 			o.harm = float64(l.Short)
 		}
-		if p.G > 0 {
-			o.wait += p.G * float64(l.Waiting)
-		}
 		options[n] = o
 	}
 	slices.SortFunc(options, func(a, b option) int {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -4,6 +4,7 @@
 package peers
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -24,32 +25,32 @@
 	memberLife = 10 * time.Second
 )
 
-// Word is one datagram.
+// Word is one datagram. Its fields are sent in this order: new ones come last.
 type Word struct {
-	From     string                  `msgpack:"f"` // name of the sender
-	Life     uint64                  `msgpack:"i"` // random number of the sender's process
-	Sequence uint64                  `msgpack:"n"` // rises within a life
-	Version  uint64                  `msgpack:"v"` // configuration in force there
-	Leaving  bool                    `msgpack:"x,omitempty"`
-	Loads    map[string]balance.Load `msgpack:"l,omitempty"` // by endpoint id
+	From     string // name of the sender
+	Life     uint64 // random number of the sender's process
+	Sequence uint64 // rises within a life
+	Version  uint64 // configuration in force there
+	Leaving  bool
+	Loads    map[string]balance.Load // by endpoint id
 
 	// Clock is the sender's monotonic time when it sent the word, in
 	// nanoseconds since an instant of its own. Heard gives it back: the newest
 	// Clock that the sender has heard of each peer. A peer can so date what the
 	// word says by its own clock, whatever the way took.
-	Clock int64            `msgpack:"c"`
-	Heard map[string]int64 `msgpack:"h,omitempty"`
+	Clock int64
+	Heard map[string]int64
 	// Echo asks Send to fill in Heard; it is not sent.
 	Echo bool `msgpack:"-"`
 	// ProofAgeMs is how long ago the read was sent that proved Version to be the
 	// newest; negative: there is no proof.
-	ProofAgeMs int64 `msgpack:"a"`
+	ProofAgeMs int64
 	// Endpoints identifies the list of endpoints that the sender read last, and
 	// EndpointsAgeMs how long ago; 0: none was read.
-	Endpoints      uint64 `msgpack:"e,omitempty"`
-	EndpointsAgeMs int64  `msgpack:"g,omitempty"`
+	Endpoints      uint64
+	EndpointsAgeMs int64
 	// NoStore is set by a gateway that cannot reach the store.
-	NoStore bool `msgpack:"d,omitempty"`
+	NoStore bool
 }
 
 // Mesh sends and receives words. Its methods may be called concurrently.
@@ -141,7 +142,7 @@
 	}
 	to := m.members(now)
 	m.mu.Unlock()
-	p, err := msgpack.Marshal(&w)
+	p, err := encode(&w)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -198,6 +199,16 @@
 	}
 }
 
+// encode writes one datagram. Structs are written as arrays, which halves the
+// size of the loads.
+func encode(w *Word) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	err := e.Encode(w)
+	return b.Bytes(), err
+}
+
 // decode reads one datagram.
 func decode(p []byte) (Word, error) {
 	var w Word
