--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -69,6 +69,7 @@
 	service   *catalog.Service
 	workspace *catalog.Workspace
 	body      []byte
+	held      int64 // what the body counts against Config.BodyMemory
 	started   time.Time
 	deadline  time.Time
 
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -28,6 +28,9 @@
 	// DrainTime is the time from the stop signal to the end of the process.
 	DrainTime time.Duration
 	Policy    balance.Policy
+	// BodyMemory bounds the bytes of all request bodies that are held at once;
+	// zero: no bound.
+	BodyMemory int64
 }
 
 // Deps are what a gateway works with.
@@ -53,6 +56,7 @@
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 	inFlight atomic.Int64
+	bodies   atomic.Int64 // bytes of the bodies that are held
 	leaving  atomic.Bool
 	stopAt   atomic.Pointer[time.Time] // when the stop signal came
 	peers    *peerClient
--- a/relay/gateway_test.go
+++ b/relay/gateway_test.go
@@ -203,6 +203,13 @@
 	}
 }
 
+// request returns the nth request that arrived, counted from 0.
+func (b *bench) request(n int) *http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen[n]
+}
+
 func (b *bench) arrivals() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -260,7 +267,7 @@
 	is.Equal(got.body, "body")
 	is.Equal(got.header["Twice"], []string{"1", "2"})
 	is.Equal(got.header.Get("Keep-Alive"), "")
-	sent := b.seen[0]
+	sent := b.request(0)
 	is.Equal(sent.RequestURI, "/safe/%2F/x?q=%20&q")
 	is.Equal(sent.Host, "h.example")
 	is.Equal(sent.Header["Twice"], []string{"1", "2"})
@@ -358,8 +365,8 @@
 	is.NoErr(got.err)
 	is.Equal(got.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	is.Equal(got.header.Get("Seal"), "1")
-	is.Equal(b.seen[1].Header.Get("After"), "1")
-	is.True(b.seen[0].Header.Get("Endpoint") != b.seen[1].Header.Get("Endpoint"))
+	is.Equal(b.request(1).Header.Get("After"), "1")
+	is.True(b.request(0).Header.Get("Endpoint") != b.request(1).Header.Get("Endpoint"))
 }
 
 // TestStreamNotResumedForever: a stream that breaks at each endpoint is cut for
@@ -464,7 +471,7 @@
 	b.know()
 	got := b.ask(t.Context(), "GET", "/safe/", "", http.Header{"Wait-Ms": {"200"}})
 	is.Equal(got.status, 504)
-	left, err := strconv.Atoi(b.seen[0].Header.Get("Left-Ms"))
+	left, err := strconv.Atoi(b.request(0).Header.Get("Left-Ms"))
 	is.NoErr(err)
 	is.True(left <= 200)
 	got = b.ask(t.Context(), "GET", "/safe/", "", http.Header{"Wait-Ms": {"1"}})
@@ -472,6 +479,43 @@
 	is.Equal(b.arrivals(), 1)
 }
 
+// TestCallerThatDoesNotRead: a caller that takes nothing of its answer holds its
+// request no longer than its time.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) {
+		_, _ = w.WriteString("HTTP/1.1 200 OK\r\nId: r1\r\n\r\n")
+		for {
+			if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	})
+	b.know()
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /story/ HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nKey: k\r\nWait-Ms: 200\r\n\r\n")
+	is.NoErr(err)
+	for b.arrivals() == 0 || b.gateway.inFlight.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestBodyMemory: bodies over the memory for them are refused as not run.
+func TestBodyMemory(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "") })
+	b.know()
+	b.gateway.config.BodyMemory = 10
+	is.Equal(b.ask(t.Context(), "POST", "/once/", "0123456789", nil).status, 200)
+	got := b.ask(t.Context(), "POST", "/once/", "0123456789a", nil)
+	is.Equal(got.status, 503)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(b.ask(t.Context(), "POST", "/once/", "0123456789", nil).status, 200)
+	is.Equal(b.arrivals(), 2)
+}
+
 // TestCallerGone: the end of the caller's connection reaches the endpoint.
 func TestCallerGone(t *testing.T) {
 	is := is.New(t)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -17,7 +17,10 @@
 	x := &exchange{g: g, w: w, r: r, started: time.Now()}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer x.releaseBody()
 	x.finish(x.serve())
+	// The connection may carry another request; if it is broken, that fails.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 }
 
 // finish logs and counts how a request ended.
@@ -157,8 +160,16 @@
 		limit = defaultDeadline
 	}
 	x.deadline = x.started.Add(limit)
+	// A caller that does not take its answer must not hold its request for ever.
+	if err := http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeSlack)); err != nil {
+		x.g.deps.Log.Request("No write deadline.", "request", x.call.ID, "err", err)
+	}
 }
 
+// writeSlack is how long after its deadline a request's last bytes may still be
+// on their way to the caller.
+const writeSlack = time.Second
+
 // defaultDeadline holds where neither caller nor route sets one.
 const defaultDeadline = 30 * time.Second
 
@@ -173,6 +184,10 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return "", true
 	}
+	if !x.holdBody() {
+		x.w.Header().Set("Connection", "close")
+		return x.refuse(http.StatusServiceUnavailable, retryAfterFull, refusedFull), false
+	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
 	body := x.r.Body
 	if limit > 0 {
@@ -196,6 +211,21 @@
 	}
 }
 
+// unknownBody is what a body of unknown length counts.
+const unknownBody = 256 << 10
+
+// holdBody counts the body against the memory for all bodies; it reports false
+// when that is used up.
+func (x *exchange) holdBody() bool {
+	x.held = x.r.ContentLength
+	if x.held < 0 {
+		x.held = unknownBody
+	}
+	return x.g.bodies.Add(x.held) <= x.g.config.BodyMemory || x.g.config.BodyMemory == 0
+}
+
+func (x *exchange) releaseBody() { x.g.bodies.Add(-x.held) }
+
 // readAll reads a body of the announced length, or of any where it is negative.
 func readAll(body io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
