Read nothing of an oversize prompt while most endpoints read

Change: the bound of how many endpoints may have read lately holds for late ones too; it is 0.55. TestHugeNeedsQuietEndpoints covers it.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -103,7 +103,7 @@
 // chose.
 func Default() Policy {
 	return Policy{
-		ShortMs: 60, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.5, LateShare: 0.2, PartMs: 250, BusyMs: 250,
+		ShortMs: 60, MaxHelpers: 15, OversizeIdle: 6, OversizeBusy: 0.55, LateShare: 0.2, PartMs: 250, BusyMs: 250,
 		PauseMs: 220, FirstMs: 170, PackSlots: 0.75, FirstShare: 0.5,
 	}
 }
@@ -321,7 +321,8 @@
 // oversize places a prompt that is larger than an endpoint's memory. It takes
 // much of all endpoints for the little that it brings, so it waits until enough
 // of them neither read nor have short requests; one that has waited long is
-// read by few, and late, so that it is served at all.
+// read by few, and late, so that it is served at all. Nothing of it is read
+// while most endpoints read: late, it would make several others late.
 func (p Policy) oversize(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
 	var idle []int
 	for _, i := range usable {
@@ -342,7 +343,7 @@
 	for _, i := range idle {
 		free += freeTokens(e, all[i].Load)
 	}
-	if len(idle) < least || free < w.InputTokens+w.OutputTokens || w.Busy > p.OversizeBusy && !w.Late {
+	if len(idle) < least || free < w.InputTokens+w.OutputTokens || w.Busy > p.OversizeBusy {
 		return Choice{Endpoint: -1, Wait: true}
 	}
 	return p.spread(e, w, read, all, idle)
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -140,9 +140,11 @@
 	late := huge
 	late.Late = true
 	is.True(!choose(model, late, busy).Wait)
-	lately := huge
-	lately.Busy = 1
-	is.True(choose(model, lately, idle(18)).Wait)
+	for _, late := range []bool{false, true} {
+		lately := huge
+		lately.Busy, lately.Late = 1, late
+		is.True(choose(model, lately, idle(18)).Wait)
+	}
 }
 
 // TestHugeFitsTogether: the memory of the endpoint that generates and what is
