Look again at key and route after a wait; avoid endpoints that refuse a reservation

Change: the look comes after the wait and the reservations, right before the send; endpoints that refuse a reservation are avoided for that request. Both tests were seen failing: TestKeyWithdrawnWhileWaiting (200 instead of 401), TestNoMemoryAtOneEndpoint (503 instead of 200).

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/micarudder/micarudder/balance"
@@ -73,11 +74,12 @@
 	started   time.Time
 	deadline  time.Time
 
-	attempts  int // sends that may have reached an endpoint
-	unsent    int // sends that did not
-	tried     []string
-	mayRun    bool // whether a send may have run or run later
-	granted   bool // whether the next send was already taken out of the budget
+	attempts  int      // sends that may have reached an endpoint
+	unsent    int      // sends that did not
+	tried     []string // endpoints that were sent to, or could not be reached
+	unfit     []string // endpoints that had not the memory
+	mayRun    bool     // whether a send may have run or run later
+	granted   bool     // whether the next send was already taken out of the budget
 	stream    *eventStream
 	firstAt   time.Time     // of the first part of the answer
 	lastAt    time.Time     // of the newest part
@@ -126,9 +128,6 @@
 	defer cancel()
 	x.g.picker.request(x.service.Name, x.started)
 	for {
-		if o, ok := x.mayProceed(); !ok {
-			return o
-		}
 		at, o := x.place(ctx)
 		if at == nil {
 			return o
@@ -147,7 +146,7 @@
 }
 
 // mayProceed looks again at everything that a wait or a freeze may have
-// changed, right before the request is placed.
+// changed, right before the request is sent.
 func (x *exchange) mayProceed() (outcome, bool) {
 	if time.Until(x.deadline) < leastRemaining {
 		return x.giveUp(outOfTime), false
@@ -185,7 +184,7 @@
 func (x *exchange) place(ctx context.Context) (*place, outcome) {
 	began := time.Now()
 	defer func() { x.g.meter.wait.UpdateDuration(began) }()
-	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: x.tried, ObjectiveMs: float64(x.route.Objective.Milliseconds())}
+	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: slices.Concat(x.tried, x.unfit), ObjectiveMs: float64(x.route.Objective.Milliseconds())}
 	for {
 		now := time.Now()
 		work.Slack = x.route.Objective*waitShare/100 - now.Sub(x.started)
@@ -238,27 +237,29 @@
 // when the request got no answer that could be passed on.
 func (x *exchange) attempt(ctx context.Context, at *place) (o outcome, again bool) {
 	defer at.release()
-	now := time.Now()
-	if _, ok := x.g.state.Endpoint(at.endpoint.ID); !ok {
-		x.unsent++
-		return "", true
-	}
 	var memory *reservations
 	if len(at.reserve) > 0 {
 		var err error
 		if memory, err = x.g.reserve(ctx, x.call.ID, at); err != nil {
-			x.lastError = err
-			x.unsent++
+			x.notReserved(err)
 			return "", true
 		}
 		defer memory.release()
-		now = time.Now()
 	}
+	if o, ok := x.mayProceed(); !ok {
+		return o, false
+	}
+	if _, ok := x.g.state.Endpoint(at.endpoint.ID); !ok {
+		x.unsent++
+		return "", true
+	}
+	now := time.Now()
 	req := x.request(at, memory, now)
 	x.g.meter.sends.Inc()
 	res, err := x.g.deps.Endpoints.Do(ctx, at.endpoint.ID, at.endpoint.Address, req)
 	if err != nil {
-		return "", x.failed(ctx, at, err)
+		x.failed(ctx, at, err)
+		return "", true
 	}
 	defer res.Body.Close()
 	x.attempts++
@@ -283,8 +284,19 @@
 	return x.relay(ctx, at, res)
 }
 
-// failed takes in a send without an answer and reports whether to go on.
-func (x *exchange) failed(ctx context.Context, at *place, err error) bool {
+// notReserved takes in that memory could not be set aside: the endpoints that
+// failed have less than the gateways believe.
+func (x *exchange) notReserved(err error) {
+	x.lastError = err
+	x.unsent++
+	var failure *noMemory
+	if errors.As(err, &failure) {
+		x.unfit = append(x.unfit, failure.endpoints...)
+	}
+}
+
+// failed takes in a send without an answer.
+func (x *exchange) failed(ctx context.Context, at *place, err error) {
 	x.lastError = err
 	var failure *upstream.Error
 	if errors.As(err, &failure) && failure.Stage == upstream.NotSent {
@@ -293,7 +305,7 @@
 			x.note(at, balance.Unreachable)
 			x.tried = append(x.tried, at.endpoint.ID)
 		}
-		return true
+		return
 	}
 	x.attempts++
 	x.tried = append(x.tried, at.endpoint.ID)
@@ -301,7 +313,6 @@
 	if ctx.Err() == nil {
 		x.note(at, balance.Bad)
 	}
-	return true
 }
 
 func (x *exchange) note(at *place, o balance.Outcome) {
--- a/relay/gateway_test.go
+++ b/relay/gateway_test.go
@@ -30,6 +30,13 @@
 
 func (testProtocol) Call(h http.Header) (Call, error) {
 	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("After")}
+	if text := h.Get("Tokens"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return c, err
+		}
+		c.Input = n
+	}
 	if text := h.Get("Wait-Ms"); text != "" {
 		ms, err := strconv.Atoi(text)
 		if err != nil {
@@ -107,6 +114,7 @@
 	gateway *Gateway
 	source  *testSource
 	url     string
+	play    script
 
 	mu   sync.Mutex
 	seen []*http.Request // at all endpoints, in the order of arrival
@@ -133,7 +141,7 @@
 // newBench starts a gateway before two endpoints that play the script.
 func newBench(t *testing.T, play script) *bench {
 	t.Helper()
-	b := &bench{t: t, source: &testSource{config: testConfig(1)}}
+	b := &bench{t: t, play: play, source: &testSource{config: testConfig(1)}}
 	for _, id := range []string{"a", "b"} {
 		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(play), Slots: 4})
 	}
@@ -463,6 +471,26 @@
 	is.Equal(b.arrivals(), 1)
 }
 
+// TestKeyWithdrawnWhileWaiting: a request that waited for an endpoint is not sent
+// for a key that was withdrawn meanwhile.
+func TestKeyWithdrawnWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "") })
+	is.NoErr(b.gateway.readConfiguration(time.Now())) // no endpoint is known yet
+	answers := make(chan reply, 1)
+	go func() { answers <- b.ask(t.Context(), "GET", "/safe/", "", nil) }()
+	for b.gateway.inFlight.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * queueStep) // it has looked for an endpoint
+	c := testConfig(2)
+	c.Workspaces = nil
+	b.source.set(c, nil)
+	b.know()
+	is.Equal((<-answers).status, 401)
+	is.Equal(b.arrivals(), 0)
+}
+
 func TestDeadline(t *testing.T) {
 	is := is.New(t)
 	hold := make(chan struct{})
@@ -479,6 +507,41 @@
 	is.Equal(b.arrivals(), 1)
 }
 
+// TestNoMemoryAtOneEndpoint: a prompt that needs memory at helpers is placed
+// without an endpoint that refused to set it aside.
+func TestNoMemoryAtOneEndpoint(t *testing.T) {
+	is := is.New(t)
+	var b *bench
+	var mu sync.Mutex
+	refused, reserved := "", 0
+	b = newBench(t, func(_ int, w *bufio.Writer, c *net.TCPConn, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch at := c.LocalAddr().String(); {
+		case !strings.HasPrefix(r.RequestURI, "/reserve/"):
+			answer(w, "200 OK", "", "")
+		case refused == "" || refused == at:
+			refused = at
+			answer(w, "409 Conflict", "", "")
+		default:
+			reserved++
+			answer(w, "200 OK", "", "")
+		}
+	})
+	config := testConfig(1)
+	config.Services[0].Engine = &catalog.Engine{Slots: 16, MemoryTokens: 1000, StepMs: 1, ReadPerMs: 10, Stride: 1}
+	b.source.set(config, nil)
+	for _, id := range []string{"c", "d", "e", "f", "g", "h"} {
+		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(b.play), Slots: 16})
+	}
+	b.know()
+	got := b.ask(t.Context(), "POST", "/once/", "", http.Header{"Tokens": {"1500"}})
+	is.Equal(got.status, 200)
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(reserved, 1)
+}
+
 // TestCallerThatDoesNotRead: a caller that takes nothing of its answer holds its
 // request no longer than its time.
 func TestCallerThatDoesNotRead(t *testing.T) {
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -40,29 +40,47 @@
 	done sync.WaitGroup
 }
 
-// reserve sets memory aside at every helper that the choice names. On failure
-// nothing stays set aside.
+// noMemory is a failure to set memory aside.
+type noMemory struct {
+	endpoints []string // that failed
+	err       error    // of one of them
+}
+
+// Error implements error.
+func (n *noMemory) Error() string { return n.err.Error() }
+
+// Unwrap returns the cause.
+func (n *noMemory) Unwrap() error { return n.err }
+
+// reserve sets memory aside at every helper that the choice names. On failure,
+// which is a *noMemory, nothing stays set aside.
 func (g *Gateway) reserve(ctx context.Context, request string, at *place) (*reservations, error) {
+	type ending struct {
+		endpoint string
+		err      error
+	}
 	r := &reservations{g: g}
-	failed := make(chan error, len(at.reserve))
+	endings := make(chan ending, len(at.reserve))
 	for _, want := range at.reserve {
 		one := &reservation{endpoint: want.endpoint, id: uuid.NewString(), tokens: want.tokens}
 		r.list = append(r.list, one)
 		go func() {
-			failed <- g.order(ctx, one, g.deps.Protocol.Reserve(one.endpoint.ID, one.id, one.tokens, holdTime))
+			err := g.order(ctx, one, g.deps.Protocol.Reserve(one.endpoint.ID, one.id, one.tokens, holdTime))
+			endings <- ending{one.endpoint.ID, err}
 		}()
 	}
-	var err error
+	var failed noMemory
 	for range r.list {
-		if e := <-failed; e != nil {
-			err = e
+		if e := <-endings; e.err != nil {
+			failed.endpoints = append(failed.endpoints, e.endpoint)
+			failed.err = e.err
 		}
 	}
-	g.deps.Log.Request("Memory set aside.", "request", request, "endpoints", len(r.list), "err", err)
-	if err != nil {
+	g.deps.Log.Request("Memory set aside.", "request", request, "endpoints", len(r.list), "failed", failed.endpoints, "err", failed.err)
+	if failed.err != nil {
 		g.meter.reserveFailures.Inc()
 		r.release()
-		return nil, err
+		return nil, &failed
 	}
 	renewing, stop := context.WithCancel(g.ctx)
 	r.stop = stop
