--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -82,8 +82,8 @@
 // another workspace than the key's.
 func checkKey(a *asked, f *facts) string {
 	for _, r := range f.ledger.Runs(a.id) {
-		if r.Tenant != f.owners[a.key] {
-			return fmt.Sprintf("ran for workspace %q, its key belongs to %q", r.Tenant, f.owners[a.key])
+		if r.Workspace != f.owners[a.key] {
+			return fmt.Sprintf("ran for workspace %q, its key belongs to %q", r.Workspace, f.owners[a.key])
 		}
 		at, gone := f.revoked[a.key]
 		if gone && a.sent.Sub(at) > revokeAfter {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -77,15 +77,13 @@
 		a.broken = err
 		return a
 	}
-	r.Host = "soak.example"
+	r.Host = soakHost
 	r.GetBody = nil // nothing is sent twice behind the soak's back
-	r.Header.Set("Request-Id", a.id)
-	r.Header.Set("Authorization", "Bearer "+a.key)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(requestTime.Milliseconds()))
+	usersplatform.Ask{ID: a.id, Key: a.key, Deadline: requestTime}.Write(r.Header)
 	a.sent = time.Now()
 	res, err := c.transport(gateway).RoundTrip(r)
 	if err == nil {
-		a.status, a.seal = res.StatusCode, res.Header.Get("Response-Seal")
+		a.status, a.seal = res.StatusCode, usersplatform.SealIn(res.Header)
 		var p []byte
 		p, err = io.ReadAll(res.Body)
 		a.body = string(p)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -180,7 +180,7 @@
 	old.worker.Crash()
 	old.proxy.close()
 	time.Sleep(length)
-	r.store.Delete("servers/" + old.worker.ID)
+	r.store.Withdraw(old.worker)
 }
 
 // leaveTime is how long a worker serves after it has stated that it leaves.
@@ -188,9 +188,9 @@
 
 func leaveWorker(r *run, random *rand.Rand, _ time.Duration) {
 	old := r.replace(random)
-	r.announce(old.worker, old.proxy, "draining")
+	r.store.Announce(old.worker, old.proxy.address(), usersplatform.Draining)
 	time.Sleep(leaveTime)
-	r.store.Delete("servers/" + old.worker.ID)
+	r.store.Withdraw(old.worker)
 	old.worker.Crash()
 	old.proxy.close()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -180,27 +180,29 @@
 // configure writes a new version of the configuration, with the keys in force.
 func (r *run) configure() {
 	r.version += 1 + r.version%3
-	route := func(name, kind, service string, resumable bool) map[string]any {
-		return map[string]any{"name": name, "host": "soak.example", "pathPrefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeoutMs": requestTime.Milliseconds(), "targetLatencyMs": 500, "maxAttempts": maxAttempts, "resumeStreams": resumable}
+	route := func(name, kind, service string, resumable bool) usersplatform.Route {
+		return usersplatform.Route{Name: name, Kind: kind, Service: service, Resumable: resumable,
+			Timeout: requestTime, Objective: objective, Attempts: maxAttempts}
 	}
-	tenants := make(map[string][]string)
+	workspaces := make(map[string][]string)
 	for _, key := range r.keys {
-		tenants[r.facts.owners[key]] = append(tenants[r.facts.owners[key]], key)
+		owner := r.facts.owners[key]
+		workspaces[owner] = append(workspaces[owner], key)
 	}
-	var list []map[string]any
-	for name, keys := range tenants {
-		list = append(list, map[string]any{"name": name, "apiKeys": keys})
-	}
-	r.store.Put("op/config", map[string]any{
-		"version": r.version,
-		"routes": []any{route("safe", "safe", "plain", false), route("once", "unsafe", "plain", false),
+	r.store.Configure(usersplatform.Configuration{
+		Version: r.version, Host: soakHost, Services: []string{"plain", "stream"}, Workspaces: workspaces,
+		Routes: []usersplatform.Route{route("safe", "safe", "plain", false), route("once", "unsafe", "plain", false),
 			route("stream", "streaming", "stream", true), route("story", "streaming", "stream", false)},
-		"services": []any{map[string]any{"name": "plain"}, map[string]any{"name": "stream"}},
-		"tenants":  list,
 	})
 }
 
+const (
+	// soakHost is the host that the clients ask for.
+	soakHost = "soak.example"
+	// objective is the latency objective of the routes; nothing is judged by it.
+	objective = 500 * time.Millisecond
+)
+
 // bear starts a worker behind a proxy and announces it.
 func (r *run) bear(kind string) error {
 	r.born++
@@ -214,14 +216,10 @@
 		return err
 	}
 	r.workers = append(r.workers, &pooled{w, p})
-	r.announce(w, p, "ready")
+	r.store.Announce(w, p.address(), usersplatform.Ready)
 	return nil
 }
 
-func (r *run) announce(w *usersplatform.Worker, p *proxy, state string) {
-	r.store.Put("servers/"+w.ID, map[string]any{"service": w.Service, "address": p.address(), "zone": "a", "slots": 8, "state": state})
-}
-
 // play lets clients and faults run.
 func (r *run) play(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -92,7 +92,7 @@
 
 // runOnce writes a run into the ledger as a worker does.
 func runOnce(f *facts, id, key string, at time.Time) {
-	f.ledger.Add(id, usersplatform.Run{Worker: "i", Tenant: f.owners[key], At: at})
+	f.ledger.Add(id, usersplatform.Run{Worker: "i", Workspace: f.owners[key], At: at})
 }
 
 // TestCheckSeesFaults: each check finds what it is there for.
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -15,10 +15,10 @@
 
 // Run is one execution of a request.
 type Run struct {
-	Worker string
-	Tenant string
-	After  string // the event that a stream went on after
-	At     time.Time
+	Worker    string
+	Workspace string
+	After     string // the event that a stream went on after
+	At        time.Time
 }
 
 // Ledger keeps what all workers ran, by request id.
