--- a/balance/choose.go
+++ b/balance/choose.go
@@ -28,10 +28,8 @@
 
 // Candidate is an endpoint that may be chosen.
 type Candidate struct {
-	ID         string
-	Address    string
-	DataCentre string
-	Load       Load
+	ID   string
+	Load Load
 	// Own is how many of Load.Short are this gateway's, and Rank orders the
 	// candidates for it: gateways that hear of each other's choices late must
 	// not all prefer the same endpoint.
@@ -109,7 +107,7 @@
 }
 
 // Choose picks endpoints of a service among the candidates.
-func (p Policy) Choose(s *catalog.Service, w Work, slots int, all []Candidate) Choice {
+func (p Policy) Choose(s *catalog.Service, w Work, all []Candidate) Choice {
 	usable := usable(w, all)
 	if len(usable) == 0 {
 		return Choice{Endpoint: -1}
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -31,7 +31,7 @@
 }
 
 func choose(s *catalog.Service, w Work, all []Candidate) Choice {
-	return Default().Choose(s, w, 16, all)
+	return Default().Choose(s, w, all)
 }
 
 var (
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -247,15 +246,16 @@
 	return path
 }
 
-// hopByHop reports whether a header field belongs to one connection only.
-func hopByHop(name string) bool {
-	switch textproto.CanonicalMIMEHeaderKey(name) {
-	case "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization":
-		return true
-	}
-	return false
+// hopByHop are the header fields that belong to one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true, "Te": true, "Trailer": true,
+	"Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 }
 
+// HopByHop reports whether a header field, in its canonical form, belongs to one
+// connection only.
+func HopByHop(name string) bool { return hopByHop[name] }
+
 // seconds writes a duration as Retry-After has it; fractions are allowed.
 func seconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
--- /dev/null
+++ b/relay/harness_test.go
@@ -0,0 +1,262 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/upstream"
+)
+
+// testProtocol is a protocol with header fields of its own.
+type testProtocol struct{}
+
+func (testProtocol) Call(h http.Header) (Call, error) {
+	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("After")}
+	if text := h.Get("Tokens"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return c, err
+		}
+		c.Input = n
+	}
+	if text := h.Get("Wait-Ms"); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil {
+			return c, err
+		}
+		c.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (testProtocol) Header(caller http.Header, _ Call, s Send) http.Header {
+	h := caller.Clone()
+	h.Del("Key")
+	h.Del("Content-Length")
+	h.Set("Endpoint", s.EndpointID)
+	h.Set("Workspace", s.Workspace)
+	h.Set("Left-Ms", strconv.FormatInt(s.Remaining.Milliseconds(), 10))
+	h.Set("After", s.LastEventID)
+	return h
+}
+
+func (testProtocol) Verdict(res *http.Response) Verdict {
+	switch {
+	case res.StatusCode == http.StatusMisdirectedRequest:
+		return WrongEndpoint
+	case res.Header.Get("Not-Run") != "":
+		return NotRun
+	case res.StatusCode >= 500:
+		return Failed
+	}
+	return Final
+}
+
+func (testProtocol) Reserve(_, id string, tokens int, _ time.Duration) *upstream.Request {
+	return &upstream.Request{Method: "POST", Target: "/reserve/" + id + "/" + strconv.Itoa(tokens)}
+}
+
+func (testProtocol) Release(_, id string) *upstream.Request {
+	return &upstream.Request{Method: "POST", Target: "/release/" + id}
+}
+
+func (testProtocol) Echo() string { return "Id" }
+
+// testSource is a store whose content a test sets.
+type testSource struct {
+	mu        sync.Mutex
+	config    *catalog.Configuration
+	endpoints []catalog.Endpoint
+	err       error
+}
+
+func (s *testSource) set(c *catalog.Configuration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config, s.err = c, err
+}
+
+func (s *testSource) Configuration(context.Context) (*catalog.Configuration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config, s.err
+}
+
+func (s *testSource) Endpoints(context.Context) ([]catalog.Endpoint, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints, s.err
+}
+
+func (s *testSource) Gateways(context.Context) ([]string, error) { return nil, nil }
+
+// bench is a gateway before scripted endpoints.
+type bench struct {
+	t       *testing.T
+	gateway *Gateway
+	source  *testSource
+	url     string
+	play    script
+
+	mu   sync.Mutex
+	seen []*http.Request // at all endpoints, in the order of arrival
+}
+
+// script answers one request of an endpoint; n counts the requests at all
+// endpoints from 1.
+type script func(n int, w *bufio.Writer, c *net.TCPConn, r *http.Request)
+
+func testConfig(version uint64) *catalog.Configuration {
+	route := func(name string, k catalog.Kind, resumable bool) catalog.Route {
+		return catalog.Route{Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Kind: k, Resumable: resumable, MaxAttempts: 2,
+			Timeout: 20 * time.Second, Objective: 10 * time.Second, Targets: []catalog.Target{{Service: "s", Weight: 1}}}
+	}
+	return &catalog.Configuration{
+		Version:      version,
+		Routes:       []catalog.Route{route("safe", catalog.Safe, false), route("once", catalog.Unsafe, false), route("stream", catalog.Streaming, true), route("story", catalog.Streaming, false)},
+		Services:     []catalog.Service{{Name: "s"}},
+		Workspaces:   []catalog.Workspace{{Name: "w", Keys: []string{"k"}}},
+		KeysRequired: true,
+	}
+}
+
+// newBench starts a gateway before two endpoints that play the script.
+func newBench(t *testing.T, play script) *bench {
+	t.Helper()
+	b := &bench{t: t, play: play, source: &testSource{config: testConfig(1)}}
+	for _, id := range []string{"a", "b"} {
+		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(play), Slots: 4})
+	}
+	events := eventlog.New(io.Discard, eventlog.Options{Level: log.InfoLevel, LinesPerSecond: 100})
+	b.gateway = New(Config{
+		Name: "g", RevokeAfter: time.Minute, DrainTime: time.Minute, Policy: balance.Default(),
+		Retries: limits.WindowConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	}, Deps{
+		Protocol: testProtocol{}, Source: b.source, Log: events, Metrics: metrics.NewSet(),
+		Endpoints: upstream.New(upstream.Options{DialTimeout: 5 * time.Second, MaxIdle: time.Minute, IdlePerHost: 4}),
+	})
+	front := httptest.NewServer(b.gateway)
+	b.url = front.URL
+	t.Cleanup(func() { front.Close(); b.gateway.Close(); events.Close(time.Second) })
+	return b
+}
+
+// know makes the gateway read its source once.
+func (b *bench) know() {
+	b.t.Helper()
+	if err := b.gateway.readConfiguration(time.Now()); err != nil {
+		b.t.Fatal(err)
+	}
+	list, _ := b.source.Endpoints(b.t.Context())
+	b.gateway.state.Listed(list, time.Now(), time.Time{})
+}
+
+func (b *bench) endpoint(play script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c.(*net.TCPConn), play)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (b *bench) serve(c *net.TCPConn, play script) {
+	defer c.Close()
+	br, bw := bufio.NewReader(c), bufio.NewWriter(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		b.mu.Lock()
+		b.seen = append(b.seen, r)
+		n := len(b.seen)
+		b.mu.Unlock()
+		play(n, bw, c, r)
+		if bw.Flush() != nil {
+			return
+		}
+	}
+}
+
+// request returns the nth request that arrived, counted from 0.
+func (b *bench) request(n int) *http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen[n]
+}
+
+func (b *bench) arrivals() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.seen)
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+// ask sends a request with a good key to the gateway.
+func (b *bench) ask(ctx context.Context, method, path, body string, header http.Header) reply {
+	b.t.Helper()
+	r, err := http.NewRequestWithContext(ctx, method, b.url+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header = http.Header{"Id": {"r1"}, "Key": {"k"}}
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer res.Body.Close()
+	p, err := io.ReadAll(res.Body)
+	return reply{res.StatusCode, res.Header, string(p), err}
+}
+
+// answer writes a whole answer.
+func answer(w *bufio.Writer, status, header, body string) {
+	_, _ = w.WriteString("HTTP/1.1 " + status + "\r\nId: r1\r\n" + header + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+}
+
+// reset breaks the connection without an answer.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
--- /dev/null
+++ b/relay/keys_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDenied(t *testing.T) {
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "") })
+	if got := b.ask(t.Context(), "GET", "/safe/", "", nil); got.status != 503 {
+		t.Fatalf("before a configuration: %d", got.status)
+	}
+	b.know()
+	cases := []struct {
+		path   string
+		header http.Header
+		status int
+	}{
+		{"/none/", nil, 404},
+		{"/safe/", http.Header{"Key": {"other"}}, 401},
+		{"/safe/", http.Header{"Key": nil}, 401},
+		{"/safe/", http.Header{"Wait-Ms": {"x"}}, 400},
+	}
+	for _, tc := range cases {
+		if got := b.ask(t.Context(), "GET", tc.path, "", tc.header); got.status != tc.status {
+			t.Errorf("%s %v: %d, want %d", tc.path, tc.header, got.status, tc.status)
+		}
+	}
+	if n := b.arrivals(); n != 0 {
+		t.Errorf("%d requests arrived", n)
+	}
+}
+
+// TestNoProof: without a young proof of the configuration nothing is sent for a
+// key, and unknown routes and keys are not called unknown.
+func TestNoProof(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "") })
+	b.gateway.state.Take(testConfig(1))
+	b.gateway.state.Prove(1, time.Now().Add(-time.Hour))
+	for _, path := range []string{"/safe/", "/none/"} {
+		got := b.ask(t.Context(), "GET", path, "", nil)
+		is.Equal(got.status, 503)
+		is.True(got.header.Get("Retry-After") != "")
+	}
+	is.Equal(b.arrivals(), 0)
+}
+
+// TestKeyWithdrawnBetweenSends: a second send is not made for a key that was
+// withdrawn after the first.
+func TestKeyWithdrawnBetweenSends(t *testing.T) {
+	is := is.New(t)
+	var b *bench
+	b = newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) {
+		c := testConfig(2)
+		c.Workspaces = nil
+		b.source.set(c, nil)
+		_ = b.gateway.readConfiguration(time.Now())
+		answer(w, "503 Full", "Not-Run: 1\r\n", "")
+	})
+	b.know()
+	got := b.ask(t.Context(), "GET", "/safe/", "", nil)
+	is.Equal(got.status, 401)
+	is.Equal(b.arrivals(), 1)
+}
+
+// TestKeyWithdrawnWhileWaiting: a request that waited for an endpoint is not sent
+// for a key that was withdrawn meanwhile.
+func TestKeyWithdrawnWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "") })
+	is.NoErr(b.gateway.readConfiguration(time.Now())) // no endpoint is known yet
+	answers := make(chan reply, 1)
+	go func() { answers <- b.ask(t.Context(), "GET", "/safe/", "", nil) }()
+	for b.gateway.inFlight.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * queueStep) // it has looked for an endpoint
+	c := testConfig(2)
+	c.Workspaces = nil
+	b.source.set(c, nil)
+	b.know()
+	is.Equal((<-answers).status, 401)
+	is.Equal(b.arrivals(), 0)
+}
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -23,9 +23,9 @@
 	mu      sync.Mutex
 	book    *balance.Book
 	health  *balance.Health
-	budgets map[string]*limits.Window // by service
-	busy    map[string]*balance.Average
-	changed chan struct{} // closed when load was taken off
+	budgets map[string]*limits.Window   // by service
+	busy    map[string]*balance.Average // by service: the part of its endpoints that read long prompts
+	changed chan struct{}               // closed when load was taken off
 }
 
 func newPicker(self string, state *State, policy balance.Policy, window limits.WindowConfig) *picker {
@@ -72,8 +72,7 @@
 	candidates := make([]balance.Candidate, len(endpoints))
 	for i, e := range endpoints {
 		candidates[i] = balance.Candidate{
-			ID: e.ID, Address: e.Address, DataCentre: e.DataCentre,
-			Load: p.book.Load(e.ID, now), Own: p.book.OwnAt(e.ID).Short, Rank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
+			ID: e.ID, Load: p.book.Load(e.ID, now), Own: p.book.OwnAt(e.ID).Short, Rank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
 		}
 	}
 	reading := 0
@@ -83,7 +82,7 @@
 		}
 	}
 	w.Busy = p.average(service.Name).Observe(float64(reading)/float64(len(candidates)), now)
-	c := p.policy.Choose(service, w, endpoints[0].Slots, candidates)
+	c := p.policy.Choose(service, w, candidates)
 	if c.Wait {
 		return nil, true, true
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -124,7 +124,7 @@
 func (x *exchange) writeHead(res *http.Response) {
 	h := x.w.Header()
 	for name, values := range res.Header {
-		if !hopByHop(name) {
+		if !HopByHop(name) {
 			h[name] = values
 		}
 	}
