Long prompts choose one after the other; parts count as read by time; oversize ones harm nobody

(2) A prompt's reading counted at all its engines until its first event, three to five times as long as it lasted, so that a third of the reading that engines can do looked like all of it. (3) Oversize prompts waited for six idle engines while short requests were spread over all, and late ones were then read in the middle of the load.

--- a/balance/book.go
+++ b/balance/book.go
@@ -14,6 +14,8 @@
 	// Parts counts the parts of long prompts that are still read here. An
 	// engine reads the newest part first, so a second one holds up the first.
 	Parts int
+	// Unread counts the short requests whose first event has not come.
+	Unread int
 }
 
 // plus returns the sum of both loads.
@@ -21,6 +23,7 @@
 	return Load{
 		ReadMs: l.ReadMs + o.ReadMs, Short: l.Short + o.Short, Long: l.Long + o.Long,
 		Tokens: l.Tokens + o.Tokens, Parts: l.Parts + o.Parts,
+		Unread: l.Unread + o.Unread,
 	}
 }
 
@@ -29,12 +32,13 @@
 	return Load{
 		ReadMs: l.ReadMs - o.ReadMs, Short: l.Short - o.Short, Long: l.Long - o.Long,
 		Tokens: l.Tokens - o.Tokens, Parts: l.Parts - o.Parts,
+		Unread: l.Unread - o.Unread,
 	}
 }
 
 // reading returns the part of the load that is over with the first event.
 func (l Load) reading() Load {
-	return Load{ReadMs: l.ReadMs, Parts: l.Parts}
+	return Load{ReadMs: l.ReadMs, Parts: l.Parts, Unread: l.Unread}
 }
 
 // peerLife is how long a peer's last word counts. A live peer speaks several
--- /dev/null
+++ b/balance/turns_test.go
@@ -0,0 +1,92 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// settled is a time at which a prompt that joined at start may have its turn.
+var settled = start.Add(settleTime)
+
+func TestTurnsByDueTime(t *testing.T) {
+	is := is.New(t)
+	turns := NewTurns()
+	later := turns.Join("s", InTime, start.Add(3*time.Second), start)
+	sooner := turns.Join("s", InTime, start.Add(time.Second), start)
+	other := turns.Join("t", InTime, start.Add(9*time.Second), start)
+	is.True(!turns.First(later, InTime, settled))
+	is.True(turns.First(sooner, InTime, settled))
+	is.True(turns.First(other, InTime, settled)) // of another service
+	turns.Leave(sooner)
+	is.True(turns.First(later, InTime, settled))
+	is.Equal(turns.Waiting(), 2)
+}
+
+// TestTurnsByRank: a prompt that can be in time goes before one that takes much
+// of many endpoints, and that one before a late one, whatever their due times.
+func TestTurnsByRank(t *testing.T) {
+	is := is.New(t)
+	turns := NewTurns()
+	late := turns.Join("s", Late, start.Add(-time.Second), start)
+	huge := turns.Join("s", Oversize, start.Add(time.Second), start)
+	inTime := turns.Join("s", InTime, start.Add(2*time.Second), start)
+	is.True(turns.First(inTime, InTime, settled))
+	is.True(!turns.First(huge, Oversize, settled))
+	turns.Leave(inTime)
+	is.True(turns.First(huge, Oversize, settled))
+	is.True(!turns.First(late, Late, settled))
+	// The huge one has become late as well; it is due later.
+	is.True(!turns.First(huge, Late, settled))
+	is.True(turns.First(late, Late, settled))
+}
+
+// TestTurnsOfPeers: two gateways with a prompt each never place them at once, as
+// long as each hears the other in time.
+func TestTurnsOfPeers(t *testing.T) {
+	is := is.New(t)
+	a, b := NewTurns(), NewTurns()
+	first := a.Join("s", InTime, start.Add(time.Second), start)
+	second := b.Join("s", InTime, start.Add(2*time.Second), start)
+	a.Peer("b", b.Own(start), start.Add(time.Millisecond))
+	b.Peer("a", a.Own(start), start.Add(time.Millisecond))
+	is.True(a.First(first, InTime, settled))
+	is.True(!b.First(second, InTime, settled))
+	a.Leave(first)
+	b.Peer("a", a.Own(settled), settled.Add(time.Millisecond))
+	is.True(b.First(second, InTime, settled.Add(time.Millisecond)))
+}
+
+// TestTurnsWaitForWords: a prompt that has just come waits until a choice that a
+// peer makes at the same time would have been heard.
+func TestTurnsWaitForWords(t *testing.T) {
+	is := is.New(t)
+	turns := NewTurns()
+	alone := turns.Join("s", InTime, start, start)
+	is.True(turns.First(alone, InTime, start)) // no peers
+	turns.Peer("p", nil, start)
+	is.True(!turns.First(alone, InTime, settled.Add(-time.Millisecond)))
+	is.True(turns.First(alone, InTime, settled))
+}
+
+// TestTurnsOfSilentPeers: a peer that says nothing any more holds up nobody.
+func TestTurnsOfSilentPeers(t *testing.T) {
+	is := is.New(t)
+	turns := NewTurns()
+	turn := turns.Join("s", InTime, start.Add(time.Second), start)
+	turns.Peer("p", map[string]Claim{"s": {Rank: InTime, LeftMs: 10}}, start)
+	is.True(!turns.First(turn, InTime, start.Add(claimLife)))
+	is.True(turns.First(turn, InTime, start.Add(claimLife+time.Millisecond)))
+	turns.Forget(start.Add(peerLife + time.Millisecond))
+	is.Equal(len(turns.peers), 0)
+}
+
+func TestOwnClaims(t *testing.T) {
+	is := is.New(t)
+	turns := NewTurns()
+	turns.Join("s", Late, start, start)
+	turns.Join("s", InTime, start.Add(2*time.Second), start)
+	turns.Join("s", InTime, start.Add(time.Second), start)
+	is.Equal(turns.Own(start), map[string]Claim{"s": {Rank: InTime, LeftMs: 1000}})
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -40,8 +40,11 @@
 	// GapObjective is the longest pause between two events of a stream that
 	// counts as in time; zero where the route has none.
 	GapObjective time.Duration
-	Priority     int // 0 is the most urgent
-	Targets      []Target
+	// Patience is how long callers wait for the first part of an answer before
+	// they give up; zero: until the deadline.
+	Patience time.Duration
+	Priority int // 0 is the most urgent
+	Targets  []Target
 	// MaxAttempts is the largest number of endpoints that one request may be
 	// sent to; at least 1.
 	MaxAttempts int
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -51,6 +51,9 @@
 	EndpointsAgeMs int64
 	// NoStore is set by a gateway that cannot reach the store.
 	NoStore bool
+	// Waiting tells of the first long prompt that waits for endpoints, by
+	// service; see balance.Turns.
+	Waiting map[string]balance.Claim
 }
 
 // Mesh sends and receives words. Its methods may be called concurrently.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -184,11 +184,22 @@
 func (x *exchange) place(ctx context.Context) (*place, outcome) {
 	began := time.Now()
 	defer func() { x.g.meter.wait.UpdateDuration(began) }()
-	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: slices.Concat(x.tried, x.unfit), ObjectiveMs: float64(x.route.Objective.Milliseconds())}
+	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: slices.Concat(x.tried, x.unfit)}
+	var turn *balance.Turn
+	if x.g.config.Policy.TakesTurns(x.service, work) {
+		turn = x.g.picker.join(x.service.Name, x.rank(work, began), x.started.Add(x.route.Objective), began)
+		defer x.g.picker.leave(turn)
+	}
 	for {
 		now := time.Now()
-		work.Slack = x.route.Objective*waitShare/100 - now.Sub(x.started)
-		work.Late = now.Sub(x.started) > x.deadline.Sub(x.started)*lateShare/100
+		x.times(&work, now)
+		if turn != nil && !work.Late && !x.g.picker.first(turn, x.rank(work, now), now) {
+			x.g.picker.await(ctx, queueStep)
+			if ctx.Err() != nil {
+				return nil, x.giveUp(outOfTime)
+			}
+			continue
+		}
 		at, wait, ok := x.g.picker.pick(x.service, work, now)
 		if at != nil {
 			x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
@@ -210,12 +221,43 @@
 	}
 }
 
+// times tells the choice how much time a request has left.
+func (x *exchange) times(w *balance.Work, now time.Time) {
+	waited := now.Sub(x.started)
+	patience := x.patience()
+	w.Slack = x.route.Objective*waitShare/100 - waited
+	w.Late = waited > patience*lateShare/100
+	w.LeftMs = float64((x.route.Objective - waited).Milliseconds())
+	w.DeadlineMs = float64((patience - waited).Milliseconds())
+}
+
+// patience returns how long the caller waits for the first part of the answer.
+func (x *exchange) patience() time.Duration {
+	limit := x.deadline.Sub(x.started)
+	if x.route.Patience > 0 {
+		limit = min(limit, x.route.Patience)
+	}
+	return limit
+}
+
+// rank returns the rank of a long prompt among those that wait.
+func (x *exchange) rank(w balance.Work, now time.Time) balance.Rank {
+	switch {
+	case now.Sub(x.started) > x.route.Objective:
+		return balance.Late
+	case x.g.config.Policy.Oversize(x.service, w):
+		return balance.Oversize
+	default:
+		return balance.InTime
+	}
+}
+
 // mayWait reports whether a request that was not placed goes on waiting: for
 // endpoints that are busy, or for any endpoint at all.
 func (x *exchange) mayWait(busy bool, now time.Time) bool {
 	waited := now.Sub(x.started)
 	if busy {
-		return waited < x.deadline.Sub(x.started)*oversizeShare/100
+		return waited < x.patience()*oversizeShare/100
 	}
 	return waited < x.route.Objective/4
 }
@@ -224,11 +266,10 @@
 	// waitShare is the part of its objective, in percent, that a long prompt may
 	// wait for quiet endpoints.
 	waitShare = 35
-	// lateShare is the part of its deadline, in percent, after which a prompt
-	// that no single endpoint can hold is read by few endpoints: they need
-	// another third of it.
+	// lateShare is the part of its caller's patience, in percent, after which a
+	// long prompt takes endpoints that still read for others.
 	lateShare = 40
-	// oversizeShare is the part of its deadline, in percent, that a prompt may
+	// oversizeShare is the part of its caller's patience, in percent, that a prompt may
 	// wait that no single endpoint can hold; late is worth more than never.
 	oversizeShare = 70
 )
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -22,17 +22,17 @@
 
 	mu      sync.Mutex
 	book    *balance.Book
+	turns   *balance.Turns
 	health  *balance.Health
-	budgets map[string]*limits.Window   // by service
-	busy    map[string]*balance.Average // by service: the part of its endpoints that read long prompts
-	changed chan struct{}               // closed when load was taken off
+	budgets map[string]*limits.Window // by service
+	changed chan struct{}             // closed when load was taken off
 }
 
 func newPicker(self string, state *State, policy balance.Policy, window limits.WindowConfig) *picker {
 	return &picker{
 		self: self, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
-		book: balance.NewBook(), health: balance.NewHealth(),
-		budgets: make(map[string]*limits.Window), busy: make(map[string]*balance.Average), changed: make(chan struct{}),
+		book: balance.NewBook(), turns: balance.NewTurns(), health: balance.NewHealth(),
+		budgets: make(map[string]*limits.Window), changed: make(chan struct{}),
 	}
 }
 
@@ -45,8 +45,7 @@
 	before   balance.Load // at the endpoint, before this request
 	// candidates is how many endpoints there were to choose among.
 	candidates int
-	loads      []placedLoad
-	readOver   bool
+	loads      []*placedLoad
 }
 
 // wantedMemory is memory that has to be set aside before a send.
@@ -58,6 +57,8 @@
 type placedLoad struct {
 	endpoint string
 	load     balance.Load
+	read     bool
+	timer    *time.Timer // ends the reading of a helper; may be nil
 }
 
 // pick chooses an endpoint of the service and counts the load. ok is false when
@@ -72,16 +73,9 @@
 	candidates := make([]balance.Candidate, len(endpoints))
 	for i, e := range endpoints {
 		candidates[i] = balance.Candidate{
-			ID: e.ID, Load: p.book.Load(e.ID, now), Own: p.book.OwnAt(e.ID).Short, Rank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
+			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
 		}
 	}
-	reading := 0
-	for _, c := range candidates {
-		if c.Load.Parts > 0 {
-			reading++
-		}
-	}
-	w.Busy = p.average(service.Name).Observe(float64(reading)/float64(len(candidates)), now)
 	c := p.policy.Choose(service, w, candidates)
 	if c.Wait {
 		return nil, true, true
@@ -98,8 +92,8 @@
 	}
 	for _, l := range c.Loads {
 		id := endpoints[l.Candidate].ID
-		chosen.loads = append(chosen.loads, placedLoad{id, l.Load})
 		p.book.Add(id, l.Load)
+		chosen.add(id, l)
 	}
 	p.callPeers()
 	return chosen, false, true
@@ -113,6 +107,31 @@
 	}
 }
 
+// join puts a prompt among those that wait for their turn to choose; leave takes
+// it out.
+func (p *picker) join(service string, rank balance.Rank, due, now time.Time) *balance.Turn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.turns.Forget(now)
+	p.callPeers()
+	return p.turns.Join(service, rank, due, now)
+}
+
+func (p *picker) leave(t *balance.Turn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.turns.Leave(t)
+	p.callPeers()
+	p.wake()
+}
+
+// first reports whether it is a prompt's turn to choose.
+func (p *picker) first(t *balance.Turn, rank balance.Rank, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.turns.First(t, rank, now)
+}
+
 // await waits until load was taken off, or for a moment.
 func (p *picker) await(ctx context.Context, most time.Duration) {
 	p.mu.Lock()
@@ -138,15 +157,46 @@
 	}
 }
 
-func (pl *place) takeOffReading() bool {
-	if pl.readOver {
+// add notes load that was counted at an endpoint. The caller holds the lock.
+func (pl *place) add(endpoint string, l balance.Placed) {
+	one := &placedLoad{endpoint: endpoint, load: l.Load}
+	pl.loads = append(pl.loads, one)
+	if l.ReadFor > 0 {
+		one.timer = time.AfterFunc(l.ReadFor, func() { pl.partRead(one) })
+	}
+}
+
+// partRead takes off the reading of a helper whose time is over.
+func (pl *place) partRead(one *placedLoad) {
+	p := pl.picker
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if one.end(p.book) {
+		p.wake()
+		p.callPeers()
+	}
+}
+
+// end takes off the reading; it reports whether that was still counted.
+func (l *placedLoad) end(book *balance.Book) bool {
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	if l.read {
 		return false
 	}
-	pl.readOver = true
+	l.read = true
+	book.Read(l.endpoint, l.load)
+	return true
+}
+
+// takeOffReading takes off all reading; it reports whether any was still counted.
+func (pl *place) takeOffReading() bool {
+	any := false
 	for _, l := range pl.loads {
-		pl.picker.book.Read(l.endpoint, l.load)
+		any = l.end(pl.picker.book) || any
 	}
-	return true
+	return any
 }
 
 // release takes off all load of the request.
@@ -194,15 +244,6 @@
 	return p.budget(service).Retry(now, p.book.Peers(now)+1)
 }
 
-func (p *picker) average(service string) *balance.Average {
-	a := p.busy[service]
-	if a == nil {
-		a = new(balance.Average)
-		p.busy[service] = a
-	}
-	return a
-}
-
 func (p *picker) budget(service string) *limits.Window {
 	b := p.budgets[service]
 	if b == nil {
@@ -212,18 +253,22 @@
 	return b
 }
 
-// peer takes in a peer's load.
-func (p *picker) peer(name string, loads map[string]balance.Load, now time.Time) {
+// peer takes in a peer's load and its waiting prompts.
+func (p *picker) peer(name string, loads map[string]balance.Load, waiting map[string]balance.Claim, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.book.Peer(name, loads, now)
+	p.turns.Peer(name, waiting, now)
+	if p.turns.Waiting() > 0 {
+		p.wake()
+	}
 }
 
-// own returns the load to tell the peers.
-func (p *picker) own() map[string]balance.Load {
+// own returns the load and the waiting prompts to tell the peers.
+func (p *picker) own(now time.Time) (loads map[string]balance.Load, waiting map[string]balance.Claim) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.book.Own()
+	return p.book.Own(), p.turns.Own(now)
 }
 
 // target picks one of the route's services by weight.
