Refuse short requests at once while all slots are taken, with a time to come back

Change: where every endpoint's slots are taken together and the request would be late, it is refused within milliseconds with Retry-After 3, unless it was sent before, waited, goes on with a stream or has less than 9 s left.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -22,6 +22,8 @@
 	// Late is set for a prompt that has waited so long that it should be served
 	// late rather than never.
 	Late bool
+	// MustTake is set for a request whose caller had not better come back later.
+	MustTake bool
 	// Avoid lists endpoints that the request was already sent to.
 	Avoid []string
 }
@@ -47,6 +49,9 @@
 	// Reserve is the memory to set aside at helpers before the request is sent,
 	// where the endpoint has not enough for the whole prompt.
 	Reserve []Reservation
+	// Refuse is set when all slots are taken and the request would be late: its
+	// caller had better come back when the others are done.
+	Refuse bool
 	// Wait is set when it is better to ask again soon.
 	Wait bool
 	// Loads is what the choice adds, by candidate.
@@ -105,6 +110,9 @@
 	// SlotWaitMs is the expected wait for a slot of an endpoint whose slots are
 	// taken, for each of those that wait.
 	SlotWaitMs float64
+	// FullSlots is the part of the slots of all endpoints from which on short
+	// requests that would be late are refused.
+	FullSlots float64
 	// PackSlots is the part of an endpoint's slots up to which short requests
 	// are put together.
 	PackSlots float64
@@ -114,7 +122,7 @@
 // chose.
 func Default() Policy {
 	return Policy{
-		ShortMs: 60, MaxHelpers: 15, PauseMs: 220, FirstMs: 170, SlotWaitMs: 150, PackSlots: 0.5,
+		ShortMs: 60, MaxHelpers: 15, PauseMs: 220, FirstMs: 170, SlotWaitMs: 150, FullSlots: 1, PackSlots: 0.5,
 		PartMs: 250, PartCost: 0.03, EarlyHarm: 0.5, CleanMs: 60, Headroom: 0.15, LateCost: 10,
 		LongPauseMs: 560, LongHarm: 8, HoldUp: 0.5, ReadMargin: 1.5,
 	}
@@ -204,11 +212,24 @@
 		}
 	}
 	if best < 0 {
+		if !w.MustTake && earliestFirst > w.LeftMs && p.full(e, all, usable) {
+			return Choice{Endpoint: -1, Refuse: true}
+		}
 		best = earliest
 	}
 	return Choice{Endpoint: best, Loads: []Placed{{Candidate: best, Load: Load{ReadMs: read, Short: 1, Tokens: tokens, Unread: 1}}}}
 }
 
+// full reports whether the requests under way need more than the slots that all
+// endpoints have together.
+func (p Policy) full(e *catalog.Engine, all []Candidate, usable []int) bool {
+	taken := 0
+	for _, i := range usable {
+		taken += all[i].Load.Short + all[i].Load.Long
+	}
+	return float64(taken) >= p.FullSlots*float64(len(usable)*e.Slots)
+}
+
 // shortSet returns on how many endpoints the short requests of all gateways
 // should be.
 func (p Policy) shortSet(e *catalog.Engine, all []Candidate, usable []int) int {
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -101,6 +101,29 @@
 	is.Equal(choose(model, short, all).Endpoint, 1)
 }
 
+// TestShortIsRefusedWhenAllSlotsAreTaken: only while the requests under way need
+// more than all slots, and only where it would be late and may come back.
+func TestShortIsRefusedWhenAllSlotsAreTaken(t *testing.T) {
+	is := is.New(t)
+	taken := func(short int) []Candidate {
+		all := idle(3)
+		for i := range all {
+			all[i].Load = Load{Short: short, Tokens: short * 6000, Unread: 2}
+		}
+		return all
+	}
+	c := choose(model, short, taken(18))
+	is.True(c.Refuse)
+	is.Equal(c.Endpoint, -1)
+	must := short
+	must.MustTake = true
+	is.True(choose(model, must, taken(18)).Endpoint >= 0)
+	patient := short
+	patient.LeftMs = 5000
+	is.True(choose(model, patient, taken(18)).Endpoint >= 0)
+	is.True(choose(model, short, taken(15)).Endpoint >= 0) // late perhaps, with slots free
+}
+
 func TestShortAvoidsReading(t *testing.T) {
 	is := is.New(t)
 	all := idle(3)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -19,6 +19,7 @@
 	answered    outcome = "answered"
 	brokenOff   outcome = "broken-off"   // the answer ended early
 	refusedFull outcome = "refused-full" // not run: no endpoint took it
+	refusedBusy outcome = "refused-busy" // not run: all slots are taken
 	refusedKey  outcome = "refused-key"  // not run: no proof that the key is still good
 	noRoute     outcome = "no-route"     // 404
 	noKey       outcome = "unknown-key"  // 401
@@ -35,6 +36,12 @@
 	// retryAfterFull is the time to come back that a refused caller is told:
 	// about one pass of a busy engine.
 	retryAfterFull = 200 * time.Millisecond
+	// retryAfterBusy is told while all slots of a service are taken: a little
+	// longer than a short request takes, so that those under way are done.
+	retryAfterBusy = 3 * time.Second
+	// callerHonours is the part of its time left, as a divisor, up to which a
+	// caller waits as it is told.
+	callerHonours = 3
 	// retryAfterStore is told while the gateway waits for the store or peers.
 	retryAfterStore = 500 * time.Millisecond
 	// retryAfterStop is told by a gateway that is about to end.
@@ -193,6 +200,7 @@
 	for {
 		now := time.Now()
 		x.times(&work, now)
+		work.MustTake = !x.mayComeBack(now)
 		if turn != nil && !work.Late && !x.g.picker.first(turn, x.rank(work, now), now) {
 			x.g.picker.await(ctx, queueStep)
 			if ctx.Err() != nil {
@@ -200,18 +208,21 @@
 			}
 			continue
 		}
-		at, wait, ok := x.g.picker.pick(x.service, work, now)
+		at, o := x.g.picker.pick(x.service, work, now)
 		if at != nil {
 			x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
 				"tokens", x.call.Input, "waited_ms", now.Sub(began).Milliseconds(),
 				"read_ms", int(at.before.ReadMs), "short", at.before.Short, "long", at.before.Long, "memory", at.before.Tokens, "candidates", at.candidates)
 			return at, ""
 		}
-		if !ok && len(work.Avoid) > 0 {
+		if o == pickFull {
+			return nil, x.refuse(http.StatusServiceUnavailable, retryAfterBusy, refusedBusy)
+		}
+		if o == pickNone && len(work.Avoid) > 0 {
 			work.Avoid = nil // better the same endpoint again than none
 			continue
 		}
-		if !x.mayWait(wait, now) {
+		if !x.mayWait(o == pickWait, now) {
 			return nil, x.giveUp(refusedFull)
 		}
 		x.g.picker.await(ctx, queueStep)
@@ -231,6 +242,14 @@
 	w.DeadlineMs = float64((patience - waited).Milliseconds())
 }
 
+// mayComeBack reports whether a request may be refused because all slots are
+// taken: it has not been sent, was not held, and its caller has the time to come
+// back.
+func (x *exchange) mayComeBack(now time.Time) bool {
+	return x.attempts == 0 && x.unsent == 0 && x.stream == nil && x.call.LastEventID == "" && now.Sub(x.started) < x.route.Objective/8 &&
+		x.deadline.Sub(now) > callerHonours*retryAfterBusy
+}
+
 // patience returns how long the caller waits for the first part of the answer.
 func (x *exchange) patience() time.Duration {
 	limit := x.deadline.Sub(x.started)
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -62,12 +62,21 @@
 	timer    *time.Timer // ends the reading of a helper; may be nil
 }
 
-// pick chooses an endpoint of the service and counts the load. ok is false when
-// there is none; wait is set when it is better to ask again soon.
-func (p *picker) pick(service *catalog.Service, w balance.Work, now time.Time) (chosen *place, wait, ok bool) {
+// pickOutcome is what came of a choice without an endpoint.
+type pickOutcome uint8
+
+const (
+	picked   pickOutcome = iota
+	pickNone             // there is no endpoint
+	pickWait             // it is better to ask again soon
+	pickFull             // the caller had better come back later
+)
+
+// pick chooses an endpoint of the service and counts the load.
+func (p *picker) pick(service *catalog.Service, w balance.Work, now time.Time) (chosen *place, o pickOutcome) {
 	endpoints := p.state.Endpoints(service.Name)
 	if len(endpoints) == 0 {
-		return nil, false, false
+		return nil, pickNone
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -78,11 +87,13 @@
 		}
 	}
 	c := p.policy.Choose(service, w, candidates)
-	if c.Wait {
-		return nil, true, true
-	}
-	if c.Endpoint < 0 {
-		return nil, false, false
+	switch {
+	case c.Wait:
+		return nil, pickWait
+	case c.Refuse:
+		return nil, pickFull
+	case c.Endpoint < 0:
+		return nil, pickNone
 	}
 	chosen = &place{picker: p, endpoint: endpoints[c.Endpoint], before: candidates[c.Endpoint].Load, candidates: len(candidates)}
 	for _, i := range c.Helpers {
@@ -97,7 +108,7 @@
 		chosen.add(id, l)
 	}
 	p.callPeers()
-	return chosen, false, true
+	return chosen, picked
 }
 
 // callPeers makes the next word to the peers go out soon.
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"bufio"
+	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +13,7 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/peers"
 )
 
 // enginePicker returns a picker before n engines.
@@ -34,9 +38,8 @@
 		is := is.New(t)
 		p, s := enginePicker(4)
 		work := balance.Work{InputTokens: 100000, OutputTokens: 500, LeftMs: 2500, DeadlineMs: 10000, Slack: time.Second}
-		at, wait, ok := p.pick(s, work, time.Now())
-		is.True(ok)
-		is.True(!wait)
+		at, o := p.pick(s, work, time.Now())
+		is.Equal(o, picked)
 		is.True(len(at.loads) > 1)
 		is.True(p.book.Load(at.endpoint.ID, time.Now()).ReadMs > 0)
 		time.Sleep(2 * time.Second)
@@ -60,10 +63,10 @@
 		is := is.New(t)
 		p, s := enginePicker(4)
 		work := balance.Work{InputTokens: 100000, OutputTokens: 500, LeftMs: 2500, DeadlineMs: 10000, Slack: time.Second}
-		first, _, _ := p.pick(s, work, time.Now())
+		first, _ := p.pick(s, work, time.Now())
 		first.release()
 		is.Equal(len(p.book.Own()), 0)
-		second, _, _ := p.pick(s, work, time.Now())
+		second, _ := p.pick(s, work, time.Now())
 		before := p.book.Own()
 		is.Equal(len(before), len(second.loads))
 		second.release()
@@ -72,3 +75,93 @@
 		is.Equal(len(p.book.Own()), 0)
 	})
 }
+
+// engineBench is a bench whose service is an engine with one slot an endpoint,
+// all of which are taken.
+func engineBench(t *testing.T) *bench {
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "x") })
+	c := testConfig(2)
+	c.Services[0].Engine = &catalog.Engine{Slots: 1, MemoryTokens: 232000, StepMs: 1, ReadPerMs: 206, PairsPerM: 0.138, ChunkTokens: 2048, Stride: 43}
+	for i := range c.Routes {
+		c.Routes[i].Objective = 300 * time.Millisecond
+	}
+	b.source.set(c, nil)
+	b.know()
+	b.gateway.picker.book.Add("a", balance.Load{Short: 5, Unread: 4})
+	b.gateway.picker.book.Add("b", balance.Load{Short: 5, Unread: 4})
+	return b
+}
+
+// TestBusyIsRefusedAtOnce: while all slots are taken, a short request that would
+// be late is refused with a time to come back, and reaches no endpoint.
+func TestBusyIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := engineBench(t)
+	got := b.ask(t.Context(), "POST", "/stream/x", "", http.Header{"Tokens": {"1000"}, "Wait-Ms": {"10000"}})
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get("Retry-After"), "3")
+	is.Equal(b.arrivals(), 0)
+}
+
+// TestBusyIsServedLate: a caller that cannot come back in its time, or that goes
+// on with a stream, is served late rather than refused.
+func TestBusyIsServedLate(t *testing.T) {
+	for name, header := range map[string]http.Header{
+		"short deadline": {"Tokens": {"1000"}, "Wait-Ms": {"8000"}},
+		"goes on":        {"Tokens": {"1000"}, "Wait-Ms": {"10000"}, "After": {"3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := engineBench(t)
+			got := b.ask(t.Context(), "POST", "/safe/x", "", header)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(b.arrivals(), 1)
+		})
+	}
+}
+
+// TestLongPromptsWaitForTheirTurn: a long prompt chooses no endpoint while a
+// peer's waits that is due before it, and does once that is placed.
+func TestLongPromptsWaitForTheirTurn(t *testing.T) {
+	is := is.New(t)
+	b := engineBench(t)
+	p := b.gateway.picker
+	p.book = balance.NewBook()
+	say := func(waiting map[string]balance.Claim) { p.peer(peers.Word{From: "p", Waiting: waiting}, time.Now()) }
+	stop := make(chan struct{})
+	silent := make(chan struct{})
+	go func() { // the peer says again and again that its prompt waits
+		defer close(silent)
+		for {
+			say(map[string]balance.Claim{"s": {Rank: balance.InTime, LeftMs: -60000}})
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	done := make(chan reply)
+	go func() {
+		done <- b.ask(t.Context(), "POST", "/safe/x", "", http.Header{"Tokens": {"50000"}, "Wait-Ms": {"60000"}})
+	}()
+	for !waits(p) {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(b.arrivals(), 0)
+	close(stop)
+	<-silent
+	say(nil)
+	is.Equal((<-done).status, http.StatusOK)
+	is.Equal(b.arrivals(), 1)
+}
+
+// waits reports whether a prompt has waited for longer than words need.
+func waits(p *picker) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	claim, ok := p.turns.Own(time.Now())["s"]
+	return ok && claim.LeftMs < 200
+}
