Open connections that go silent together cost one failed call each, not one a connection

The store's client, the peers' and the endpoints' each kept several idle connections and tried them one after the other; with three to the store and 1.5 s a call that is beyond the five seconds within which a key must be proved.

Bytes without acknowledgement end a connection after 1.2 s instead of 2, so that a short stream (given up after 2 s) can still be sent elsewhere.

--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -75,6 +75,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
+		c.http.CloseIdleConnections() // they may have gone silent together
 		return trace.Wrap(err)
 	}
 	defer res.Body.Close()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"errors"
+	"net"
 	"sync"
 	"time"
 )
@@ -59,6 +61,15 @@
 	p.conns[c.key] = append(p.conns[c.key], c)
 }
 
+// suspect takes in a failed read from an endpoint. Connections may go silent all
+// at once while new ones work, so after a timeout the idle ones are not used.
+func (p *pool) suspect(key string, err error) {
+	var failure net.Error
+	if errors.As(err, &failure) && failure.Timeout() {
+		p.closeKey(key)
+	}
+}
+
 func (p *pool) closeKey(key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/upstream/silent_test.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// silenced is a connection on which, once silent is set, nothing arrives until
+// the kernel gives it up.
+type silenced struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (s silenced) Read(p []byte) (int, error) {
+	if s.silent.Load() {
+		return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+	}
+	return s.Conn.Read(p)
+}
+
+// TestSilentConnectionsAreNotTriedInTurn: when the kept connections to an endpoint
+// go silent together while new ones work, one request fails, and the next one
+// opens a connection.
+func TestSilentConnectionsAreNotTriedInTurn(t *testing.T) {
+	is := is.New(t)
+	e := listen(t, func(_ int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for {
+			if _, err := readRequest(br); err != nil {
+				return
+			}
+			_, _ = c.Write([]byte(okAnswer))
+		}
+	})
+	var silent *atomic.Bool // of the connections that are opened now
+	client := New(Options{MaxIdle: time.Minute, IdlePerHost: 4, Dialer: func(_ context.Context, address string) (net.Conn, error) {
+		c, err := net.Dial("tcp", address)
+		return silenced{c, silent}, err
+	}})
+	defer client.Close()
+	silent = new(atomic.Bool)
+	ask := func() error {
+		res, err := client.Do(t.Context(), "e", e.Addr().String(), &Request{Method: "GET", Target: "/"})
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		return err
+	}
+	first, err := client.Do(t.Context(), "e", e.Addr().String(), &Request{Method: "GET", Target: "/"})
+	is.NoErr(err)
+	is.NoErr(ask()) // on a second connection
+	_, err = io.Copy(io.Discard, first.Body)
+	is.NoErr(err)
+	is.Equal(client.Dials(), uint64(2))
+	silent.Store(true)
+	silent = new(atomic.Bool)
+	is.True(ask() != nil)
+	is.NoErr(ask())
+	is.Equal(client.Dials(), uint64(3))
+}
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -18,8 +18,10 @@
 	probeAfter = time.Second
 	probeEvery = time.Second
 	probeCount = 2
-	// unacknowledged is how long sent bytes may stay without acknowledgement.
-	unacknowledged = 2 * time.Second
+	// unacknowledged is how long sent bytes may stay without acknowledgement: three
+	// lost packets in a row, and well below the two seconds after which callers
+	// give a short stream up, so that it can still be sent elsewhere.
+	unacknowledged = 1200 * time.Millisecond
 )
 
 // dialTCP opens connections that notice a silent peer.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -127,6 +127,7 @@
 	res, err := conn.head(r)
 	if err != nil {
 		conn.close()
+		c.idle.suspect(key, err)
 		if cause := ctx.Err(); cause != nil {
 			err = cause
 		}
@@ -306,6 +307,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
 		b.end(err == io.EOF)
+		b.pool.suspect(b.conn.key, err)
 	}
 	return n, err
 }
