Oversize prompts keep their turn; pauses come from the routes; endpoints that turn work away with room are blamed

Change: a late oversize prompt keeps its turn and takes no endpoint that reads; passes are held to the two shortest pauses that the routes of a service allow (catalog.Pauses), short requests to a share of their objective; a refusal below half of slots and memory counts against the endpoint.

--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -35,9 +35,11 @@
 }
 
 var (
-	short = Work{InputTokens: 5000, OutputTokens: 1400, LeftMs: 300, DeadlineMs: 2000}
-	long  = Work{InputTokens: 133000, OutputTokens: 700, LeftMs: 2500, DeadlineMs: 10000, Slack: time.Second}
-	huge  = Work{InputTokens: 400000, OutputTokens: 700, LeftMs: 2500, DeadlineMs: 10000, Slack: time.Second}
+	pauses = catalog.Pauses{Shortest: 250 * time.Millisecond, Next: 600 * time.Millisecond}
+
+	short = Work{InputTokens: 5000, OutputTokens: 1400, LeftMs: 300, DeadlineMs: 2000, Pauses: pauses}
+	long  = Work{InputTokens: 133000, OutputTokens: 700, LeftMs: 2500, DeadlineMs: 10000, Slack: time.Second, Pauses: pauses}
+	huge  = Work{InputTokens: 400000, OutputTokens: 700, LeftMs: 2500, DeadlineMs: 10000, Slack: time.Second, Pauses: pauses}
 )
 
 func TestModel(t *testing.T) {
@@ -303,7 +305,7 @@
 				Long: rapid.IntRange(0, 3).Draw(t, "long"), Tokens: rapid.IntRange(0, 300000).Draw(t, "tokens"), Parts: rapid.IntRange(0, 3).Draw(t, "parts")}
 			all[i].Suspect = rapid.Bool().Draw(t, "suspect")
 		}
-		w := Work{InputTokens: rapid.IntRange(0, 700000).Draw(t, "prompt"), OutputTokens: 700, LeftMs: 1500, DeadlineMs: 10000, Avoid: []string{"1"},
+		w := Work{InputTokens: rapid.IntRange(0, 700000).Draw(t, "prompt"), OutputTokens: 700, LeftMs: 1500, DeadlineMs: 10000, Pauses: pauses, Avoid: []string{"1"},
 			Slack: time.Duration(rapid.IntRange(-1, 1).Draw(t, "slack")), Late: rapid.Bool().Draw(t, "late")}
 		c := choose(model, w, all)
 		if c.Wait || c.Endpoint < 0 {
--- /dev/null
+++ b/balance/long.go
@@ -0,0 +1,221 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+// long splits the reading of a prompt over endpoints. It weighs what a split
+// costs others against the delay of the prompt itself; while the prompt has
+// time, it waits for a split that costs nobody anything.
+func (p Policy) long(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
+	var best split
+	most := min(1+p.MaxHelpers, len(usable))
+	if p.isOversize(e, w) {
+		most = min(most, p.room(all, usable))
+	}
+	for parts := 1; parts <= most; parts++ {
+		s, ok := p.split(e, w, read, parts, all, usable)
+		if s.busiest > p.CleanMs && !w.Late {
+			break // newer parts would put off the older ones
+		}
+		if ok && (best.chosen == nil || s.cost < best.cost-costMargin) {
+			best = s
+		}
+	}
+	if best.chosen == nil || p.shouldWait(e, w, best) {
+		return Choice{Endpoint: -1, Wait: true}
+	}
+	return p.spread(e, w, read, all, best.chosen)
+}
+
+// shouldWait reports whether a prompt waits rather than take the best split.
+func (p Policy) shouldWait(e *catalog.Engine, w Work, best split) bool {
+	if p.isOversize(e, w) {
+		return best.harm > p.EarlyHarm
+	}
+	return w.Slack > 0 && (best.harm > p.EarlyHarm || best.first > w.LeftMs)
+}
+
+// room returns how many endpoints a prompt may take that takes much of many for
+// the little that it brings: those that read nothing, less some for others.
+func (p Policy) room(all []Candidate, usable []int) int {
+	clean := 0
+	for _, i := range usable {
+		clean += 1 - p.busy(all[i].Load)
+	}
+	return clean - int(math.Ceil(p.Headroom*float64(len(usable))))
+}
+
+const (
+	// lateMs is the delay of a long prompt that weighs as much as one late
+	// short request.
+	lateMs = 100
+	// veryLateMs is the same for a prompt that is late anyway.
+	veryLateMs = 1000
+	// costMargin is how much better more parts must be to be taken.
+	costMargin = 0.05
+	// inTime is the part of the time left that the expected first event of a
+	// prompt may take; the rest is for what the estimate does not see.
+	inTime = 0.7
+)
+
+// split is a way to read a long prompt in parts.
+type split struct {
+	chosen []int   // candidates; the first one generates
+	harm   float64 // what it costs others, in late short requests
+	first  float64 // expected time to the first event, ms
+	// busiest is the most reading that a chosen candidate has before it, ms.
+	busiest float64
+	cost    float64
+}
+
+// site is what a part of a prompt meets at an endpoint.
+type site struct {
+	index  int
+	harm   float64
+	finish float64 // when the part is expected to be read, ms from now
+}
+
+// split returns the candidates on which so many parts do the least harm; ok is
+// false when they have not the memory.
+func (p Policy) split(e *catalog.Engine, w Work, read float64, parts int, all []Candidate, usable []int) (s split, ok bool) {
+	part := read / float64(parts)
+	sites := make([]site, len(usable))
+	for n, i := range usable {
+		sites[n] = p.site(e, w, i, all[i].Load, part)
+	}
+	slices.SortFunc(sites, func(a, b site) int {
+		return cmp.Or(cmp.Compare(p.busy(all[a.index].Load), p.busy(all[b.index].Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(int(a.finish/sameMs), int(b.finish/sameMs)), cmp.Compare(all[b.index].Rank, all[a.index].Rank))
+	})
+	free := 0
+	for _, o := range sites[:parts] {
+		s.chosen = append(s.chosen, o.index)
+		s.harm += o.harm
+		s.first = max(s.first, o.finish)
+		s.busiest = max(s.busiest, all[o.index].Load.ReadMs)
+		free += freeTokens(e, all[o.index].Load)
+	}
+	s.first += 1.5 * passMs(e, 1, w.InputTokens)
+	s.cost = s.harm + p.partCost(part)*float64(parts)
+	if s.first <= w.LeftMs {
+		s.cost += max(0, s.first-inTime*w.LeftMs) / lateMs
+	} else {
+		s.cost += p.LateCost + s.first/veryLateMs + max(0, s.first-inTime*w.DeadlineMs)/lateMs
+	}
+	p.generatorFirst(e, w, all, s.chosen)
+	return s, free >= w.InputTokens+w.OutputTokens
+}
+
+// busy returns 1 for an endpoint that has so much to read that a part would put
+// off others, else 0.
+func (p Policy) busy(l Load) int {
+	if l.ReadMs > p.CleanMs {
+		return 1
+	}
+	return 0
+}
+
+// partCost returns what a part of that length costs by itself: a little for
+// each one, and more for one that keeps an endpoint for long.
+func (p Policy) partCost(part float64) float64 {
+	return p.PartCost + max(0, part-p.PartMs)/p.PartMs
+}
+
+// site estimates what a part meets at an endpoint, and does there.
+func (p Policy) site(e *catalog.Engine, w Work, index int, l Load, part float64) site {
+	writers := l.Short + l.Long
+	s := site{index: index, finish: l.ReadMs + part}
+	if writers == 0 && l.Parts == 0 {
+		return s
+	}
+	pass := passMs(e, writers, l.Tokens)
+	s.finish += pass * passesToFirst
+	longest := l.ReadMs + part + pass
+	if longest > p.longestPass(w.Pauses.Shortest) {
+		s.harm += float64(l.Short)
+	}
+	if longest > p.longestPass(w.Pauses.Next) {
+		s.harm += float64(l.Long) * p.LongHarm
+	}
+	if l.Parts > 0 {
+		s.harm += part / lateMs * p.HoldUp
+	}
+	return s
+}
+
+// longestPass returns how long a pass may be, in milliseconds, for requests whose
+// route allows that pause.
+func (p Policy) longestPass(pause time.Duration) float64 {
+	if pause <= 0 {
+		return math.Inf(1)
+	}
+	return float64(pause.Milliseconds()) - p.PauseMargin
+}
+
+// readFor returns after what time a part counts as read. The first
+// event comes much later, when the slowest part is read and the endpoint that
+// generates has made a pass; the others are free again meanwhile.
+func (p Policy) readFor(s site) time.Duration {
+	return time.Duration((s.finish*p.ReadMargin + readSlackMs) * float64(time.Millisecond))
+}
+
+// readSlackMs is the way of a request to the helpers and back.
+const readSlackMs = 20
+
+// crowded returns 1 for an endpoint with few free slots, else 0. Helpers begin to
+// read only when the endpoint that generates lets the request in.
+func (p Policy) crowded(e *catalog.Engine, l Load) int {
+	if float64(l.Short+l.Long) >= fullSlots*float64(e.Slots) {
+		return 1
+	}
+	return 0
+}
+
+// generatorFirst puts the endpoint that generates first: one that has the memory
+// for the whole prompt if there is one, and among them the one with the fewest
+// short requests, else the one with the most memory.
+func (p Policy) generatorFirst(e *catalog.Engine, w Work, all []Candidate, chosen []int) {
+	need := w.InputTokens + w.OutputTokens
+	best := 0
+	for n := range chosen {
+		a, b := all[chosen[n]].Load, all[chosen[best]].Load
+		fa, fb := min(need, freeTokens(e, a)), min(need, freeTokens(e, b))
+		if cmp.Or(cmp.Compare(p.crowded(e, a), p.crowded(e, b)), cmp.Compare(fb, fa), cmp.Compare(a.Short+a.Long, b.Short+b.Long)) < 0 {
+			best = n
+		}
+	}
+	chosen[0], chosen[best] = chosen[best], chosen[0]
+}
+
+// memoryShare is the part of an endpoint's memory that is given to long
+// prompts; the rest is for short requests that gateways send at the same time.
+const memoryShare = 0.95
+
+// freeTokens returns the memory of an endpoint that a long prompt may take.
+func freeTokens(e *catalog.Engine, l Load) int {
+	return max(0, int(memoryShare*float64(e.MemoryTokens))-l.Tokens)
+}
+
+// spread reads a prompt on the chosen candidates, the first of which generates,
+// and fills their memory in turn.
+func (p Policy) spread(e *catalog.Engine, w Work, read float64, all []Candidate, chosen []int) Choice {
+	need := w.InputTokens + w.OutputTokens
+	c := Choice{Endpoint: chosen[0], Helpers: chosen[1:]}
+	for n, i := range chosen {
+		held := min(need, freeTokens(e, all[i].Load))
+		need -= held
+		l := Load{ReadMs: read / float64(len(chosen)), Tokens: held, Parts: 1}
+		if n == 0 {
+			l.Long = 1
+		} else if held > 0 {
+			c.Reserve = append(c.Reserve, Reservation{i, held})
+		}
+		c.Loads = append(c.Loads, Placed{Candidate: i, Load: l, ReadFor: p.readFor(p.site(e, w, i, all[i].Load, l.ReadMs))})
+	}
+	return c
+}
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strings"
+	"time"
 )
 
 // Table is a Configuration with the indexes that requests are looked up in. It
@@ -12,6 +13,14 @@
 	hosts    map[string]map[string]*Route // host, then prefix
 	services map[string]*Service
 	keys     map[string]*Workspace
+	pauses   map[string]Pauses // by service
+}
+
+// Pauses are the objectives of the routes of a service for the pause between two
+// events; zero: no route has one.
+type Pauses struct {
+	Shortest time.Duration
+	Next     time.Duration // the shortest above Shortest, or Shortest where it is the only one
 }
 
 // NewTable indexes a configuration, which must not change afterwards.
@@ -21,6 +30,7 @@
 		hosts:         make(map[string]map[string]*Route),
 		services:      make(map[string]*Service, len(c.Services)),
 		keys:          make(map[string]*Workspace),
+		pauses:        make(map[string]Pauses),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -29,6 +39,9 @@
 			t.hosts[host] = make(map[string]*Route)
 		}
 		t.hosts[host][r.PathPrefix] = r
+		for _, target := range r.Targets {
+			t.pauses[target.Service] = t.pauses[target.Service].with(r.GapObjective)
+		}
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -61,6 +74,24 @@
 	return nil
 }
 
+// with returns the pauses with one more objective.
+func (p Pauses) with(gap time.Duration) Pauses {
+	switch {
+	case gap <= 0 || gap == p.Shortest:
+		return p
+	case p.Shortest == 0:
+		return Pauses{gap, gap}
+	case gap < p.Shortest:
+		return Pauses{gap, p.Shortest}
+	case p.Next == p.Shortest || gap < p.Next:
+		return Pauses{p.Shortest, gap}
+	}
+	return p
+}
+
+// Pauses returns the pauses that the routes to a service allow.
+func (t *Table) Pauses(service string) Pauses { return t.pauses[service] }
+
 // Service returns the service of that name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/catalog/table_test.go
+++ b/catalog/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -50,3 +51,21 @@
 	is.True(!(&Route{Kind: Streaming}).Idempotent())
 	is.True(!(&Route{Kind: Unsafe, Resumable: true}).Idempotent())
 }
+
+// TestPauses: whatever the order of the routes, the two shortest pauses are found.
+func TestPauses(t *testing.T) {
+	is := is.New(t)
+	s := func(ms ...int) Pauses {
+		var c Configuration
+		for _, n := range ms {
+			c.Routes = append(c.Routes, Route{GapObjective: time.Duration(n) * time.Millisecond, Targets: []Target{{Service: "s", Weight: 1}}})
+		}
+		return NewTable(&c).Pauses("s")
+	}
+	both := Pauses{250 * time.Millisecond, 600 * time.Millisecond}
+	is.Equal(s(250, 600, 1000), both)
+	is.Equal(s(1000, 0, 600, 250, 250), both)
+	is.Equal(s(600, 1000, 250), both)
+	is.Equal(s(250, 250), Pauses{250 * time.Millisecond, 250 * time.Millisecond})
+	is.Equal(s(), Pauses{})
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -191,7 +191,7 @@
 func (x *exchange) place(ctx context.Context) (*place, outcome) {
 	began := time.Now()
 	defer func() { x.g.meter.wait.UpdateDuration(began) }()
-	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: slices.Concat(x.tried, x.unfit)}
+	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: slices.Concat(x.tried, x.unfit), Pauses: x.table.Pauses(x.service.Name)}
 	var turn *balance.Turn
 	if x.g.config.Policy.TakesTurns(x.service, work) {
 		turn = x.g.picker.join(x.service.Name, x.rank(work, began), x.started.Add(x.route.Objective), began)
@@ -201,24 +201,18 @@
 		now := time.Now()
 		x.times(&work, now)
 		work.MustTake = !x.mayComeBack(now)
-		if turn != nil && !work.Late && !x.g.picker.first(turn, x.rank(work, now), now) {
-			x.g.picker.await(ctx, queueStep)
-			if ctx.Err() != nil {
-				return nil, x.giveUp(outOfTime)
-			}
-			continue
+		var at *place
+		o := pickWait
+		if turn == nil || work.Late || x.g.picker.first(turn, x.rank(work, now), now) {
+			at, o = x.g.picker.pick(x.service, work, now)
 		}
-		at, o := x.g.picker.pick(x.service, work, now)
-		if at != nil {
-			x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
-				"tokens", x.call.Input, "waited_ms", now.Sub(began).Milliseconds(),
-				"read_ms", int(at.before.ReadMs), "short", at.before.Short, "long", at.before.Long, "memory", at.before.Tokens, "candidates", at.candidates)
+		switch {
+		case o == picked:
+			x.logChoice(at, now.Sub(began))
 			return at, ""
-		}
-		if o == pickFull {
+		case o == pickFull:
 			return nil, x.refuse(http.StatusServiceUnavailable, retryAfterBusy, refusedBusy)
-		}
-		if o == pickNone && len(work.Avoid) > 0 {
+		case o == pickNone && len(work.Avoid) > 0:
 			work.Avoid = nil // better the same endpoint again than none
 			continue
 		}
@@ -232,12 +226,20 @@
 	}
 }
 
+// logChoice logs where the request goes and what was believed of that endpoint.
+func (x *exchange) logChoice(at *place, waited time.Duration) {
+	x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
+		"tokens", x.call.Input, "waited_ms", waited.Milliseconds(),
+		"read_ms", int(at.before.ReadMs), "short", at.before.Short, "long", at.before.Long, "memory", at.before.Tokens, "candidates", at.candidates)
+}
+
 // times tells the choice how much time a request has left.
 func (x *exchange) times(w *balance.Work, now time.Time) {
 	waited := now.Sub(x.started)
 	patience := x.patience()
 	w.Slack = x.route.Objective*waitShare/100 - waited
-	w.Late = waited > patience*lateShare/100
+	// A late prompt that takes much of many endpoints goes on waiting.
+	w.Late = waited > patience*lateShare/100 && !x.g.config.Policy.Oversize(x.service, *w)
 	w.LeftMs = float64((x.route.Objective - waited).Milliseconds())
 	w.DeadlineMs = float64((patience - waited).Milliseconds())
 }
@@ -327,8 +329,11 @@
 	verdict := x.g.deps.Protocol.Verdict(res)
 	if verdict == NotRun || verdict == WrongEndpoint {
 		x.lastError = errors.New("the endpoint did not take the request: " + res.Status)
-		if verdict == WrongEndpoint {
+		switch {
+		case verdict == WrongEndpoint:
 			x.note(at, balance.Unreachable) // another incarnation has its address
+		case hasRoom(at, x.service, x.call.Input):
+			x.note(at, balance.Bad)
 		}
 		return "", true
 	}
@@ -344,6 +349,18 @@
 	return x.relay(ctx, at, res)
 }
 
+// hasRoom reports whether an endpoint should have taken a request, as far as the
+// gateways know: less than half of its slots and of its memory were taken.
+func hasRoom(at *place, s *catalog.Service, tokens int) bool {
+	if len(at.helpers) > 0 {
+		return false // a helper may have been at fault
+	}
+	if s.Engine != nil && 2*(at.before.Tokens+tokens) > s.Engine.MemoryTokens {
+		return false
+	}
+	return 2*(at.before.Short+at.before.Long) < at.endpoint.Slots
+}
+
 // notReserved takes in that memory could not be set aside: the endpoints that
 // failed have less than the gateways believe.
 func (x *exchange) notReserved(err error) {
