A stop answers the prompts that still wait for endpoints

A prompt over one endpoint's memory may wait for 70 % of its caller's patience, seven seconds here, and a stop ends after seven.

Ruled out: that the request was sent to an endpoint (the report names none).

Change: three seconds after the stop signal, when the balancer must have noticed, a request that was sent nowhere and waits is refused with 50 ms to come back; one that must go to another endpoint waits for no turn any more.

Test: TestStopAnswersThoseThatWait failed first (no answer within five seconds).

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -212,6 +212,9 @@
 			return at, ""
 		case o == pickFull:
 			return nil, x.refuse(http.StatusServiceUnavailable, retryAfterBusy, refusedBusy)
+		case x.attempts == 0 && x.g.ending():
+			// The process may end before an endpoint is free.
+			return nil, x.refuse(http.StatusServiceUnavailable, retryAfterStop, stopping)
 		case o == pickNone && len(work.Avoid) > 0:
 			work.Avoid = nil // better the same endpoint again than none
 			continue
@@ -238,8 +241,10 @@
 	waited := now.Sub(x.started)
 	patience := x.patience()
 	w.Slack = x.route.Objective*waitShare/100 - waited
-	// A late prompt that takes much of many endpoints goes on waiting.
-	w.Late = waited > patience*lateShare/100 && !x.g.config.Policy.Oversize(x.service, *w)
+	w.Late = waited > patience*lateShare/100 || x.g.ending()
+	if x.g.config.Policy.Oversize(x.service, *w) {
+		w.Late = false // it takes much of many endpoints, and goes on waiting
+	}
 	w.LeftMs = float64((x.route.Objective - waited).Milliseconds())
 	w.DeadlineMs = float64((patience - waited).Milliseconds())
 }
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -165,3 +166,30 @@
 	claim, ok := p.turns.Own(time.Now())["s"]
 	return ok && claim.LeftMs < 200
 }
+
+// TestStopAnswersThoseThatWait: a stop that is about to end refuses a prompt that
+// still waits for endpoints, rather than close its connection without an answer.
+func TestStopAnswersThoseThatWait(t *testing.T) {
+	is := is.New(t)
+	b := engineBench(t)
+	p := b.gateway.picker
+	reading := balance.Load{ReadMs: 900, Parts: 1}
+	p.book.Add("a", reading)
+	p.book.Add("b", reading)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	done := make(chan reply)
+	go func() {
+		done <- b.ask(ctx, "POST", "/stream/x", "", http.Header{"Tokens": {"50000"}, "Wait-Ms": {"60000"}})
+	}()
+	for !waits(p) {
+		time.Sleep(time.Millisecond)
+	}
+	longAgo := time.Now().Add(-noticeTime - time.Second)
+	b.gateway.stopAt.Store(&longAgo)
+	got := <-done
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get("Retry-After"), "0.05")
+	is.Equal(b.arrivals(), 0)
+}
