--- a/balance/choose.go
+++ b/balance/choose.go
@@ -134,10 +134,10 @@
 		PartCost:    0.03, // decides between equals only
 		EarlyHarm:   0.5,  // less than one late short request
 		CleanMs:     60,   // two short prompts
-		Headroom:    0.15, // tried: 0.25 scored the same, none 0.01 to 0.08 less
+		Headroom:    0.15, // tried, beside other changes: 0.25 about the same, none 0.01 to 0.08 less
 		LateCost:    10,   // late is worth a quarter; a long prompt is worth about 12 short ones
 		LongHarm:    8,    // the same
-		HoldUp:      0.5,  // tried: 0.1 and 1, only with oversize prompts at once, where both scored less
+		HoldUp:      0.5,  // an estimate; 0.1 and 1 were tried with oversize prompts at once only
 		ReadMargin:  1.5,  // covers the pass that is under way
 	}
 }
