Long prompts weigh what they cost others against their own value

Change: what a prompt may cost others is a part of its own value (0.3 at once, 0.4 more while it waits, 0.05 when it is late); no part goes on an endpoint that still reads, late or not.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -15,6 +15,8 @@
 	// Slack is how much of its objective is left; a request that cannot be in
 	// time any more is not delayed for the sake of others.
 	Slack time.Duration
+	// Waited is the part of the time that it may wait that has passed, 0 to 1.
+	Waited float64
 	// Pauses are what the routes to the service allow between two events.
 	Pauses catalog.Pauses
 	// LeftMs is how much of the objective is left, and DeadlineMs of the deadline.
@@ -82,17 +84,23 @@
 	// keeps the endpoint from others for long; PartCost is what each part costs.
 	PartMs   float64
 	PartCost float64
-	// EarlyHarm is the cost for others that a long prompt accepts while it has
-	// time, and CleanMs the reading that an endpoint may have before it. An
-	// engine reads the newest part first: parts that queue up put off the oldest
-	// one, and with it the prompt that it belongs to.
-	EarlyHarm float64
-	CleanMs   float64
+	// CleanMs is the reading that an endpoint may have before a part. An engine
+	// reads the newest part first: parts that queue up put off the oldest one,
+	// and with it the prompt that it belongs to.
+	CleanMs float64
+	// EarlyHarm is the cost for others that every long prompt accepts. One that
+	// can be in time accepts a part of its own value besides: HarmAtOnce when it
+	// arrives, HarmWaited more when its time to wait is over. One that is late
+	// accepts LateHarm of its value.
+	EarlyHarm  float64
+	HarmAtOnce float64
+	HarmWaited float64
+	LateHarm   float64
 	// Headroom is the part of the endpoints that a prompt larger than the memory
 	// of one leaves free of reading beside it.
 	Headroom float64
-	// LateCost is what a prompt loses that is served late.
-	LateCost float64
+	// LateLoss is the part of its value that a prompt loses that is served late.
+	LateLoss float64
 	// LongHarm is what a long request costs that gets a late event, and HoldUp
 	// what the delay of a part of another prompt costs against that of a prompt.
 	LongHarm float64
@@ -133,10 +141,13 @@
 		PartMs:      250,  // the shortest pause of the sites; tried: 400 scored the same
 		PartCost:    0.03, // decides between equals only
 		EarlyHarm:   0.5,  // less than one late short request
+		HarmAtOnce:  0.3,  // 0.1: worth of the long prompts 0.70, not 0.76 (24 days of 18 engines)
+		HarmWaited:  0.4,  // an estimate; with HarmAtOnce a little under LateLoss
+		LateHarm:    0.05, // 0.125: within the noise; any harm: short requests 0.78 in time, not 0.87
+		LateLoss:    0.75, // a late answer is worth a quarter of one in time
 		CleanMs:     60,   // two short prompts
 		Headroom:    0.15, // tried, beside other changes: 0.25 about the same, none 0.01 to 0.08 less
-		LateCost:    10,   // late is worth a quarter; a long prompt is worth about 12 short ones
-		LongHarm:    8,    // the same
+		LongHarm:    8,    // an estimate
 		HoldUp:      0.5,  // an estimate; 0.1 and 1 were tried with oversize prompts at once only
 		ReadMargin:  1.5,  // covers the pass that is under way
 	}
--- a/balance/long.go
+++ b/balance/long.go
@@ -20,7 +20,7 @@
 	}
 	for parts := 1; parts <= most; parts++ {
 		s, ok := p.split(e, w, read, parts, all, usable)
-		if s.busiest > p.CleanMs && !w.Late {
+		if s.busiest > p.CleanMs {
 			break // newer parts would put off the older ones
 		}
 		if ok && (best.chosen == nil || s.cost < best.cost-costMargin) {
@@ -33,12 +33,18 @@
 	return p.spread(e, w, read, all, best.chosen)
 }
 
-// shouldWait reports whether a prompt waits rather than take the best split.
+// shouldWait reports whether a prompt waits rather than take the best split. What
+// it may cost others is a part of what it would bring itself: the longer it has
+// waited the more, and hardly anything once it is late.
 func (p Policy) shouldWait(e *catalog.Engine, w Work, best split) bool {
-	if p.isOversize(e, w) {
+	switch {
+	case p.isOversize(e, w):
 		return best.harm > p.EarlyHarm
+	case best.first <= w.LeftMs && !w.Late:
+		return best.harm > p.EarlyHarm+w.value()*(p.HarmAtOnce+p.HarmWaited*w.Waited)
+	default:
+		return w.Slack > 0 || best.harm > w.value()*p.LateHarm
 	}
-	return w.Slack > 0 && (best.harm > p.EarlyHarm || best.first > w.LeftMs)
 }
 
 // room returns how many endpoints a prompt may take that takes much of many for
@@ -106,7 +112,7 @@
 	if s.first <= w.LeftMs {
 		s.cost += max(0, s.first-inTime*w.LeftMs) / lateMs
 	} else {
-		s.cost += p.LateCost + s.first/veryLateMs + max(0, s.first-inTime*w.DeadlineMs)/lateMs
+		s.cost += p.LateLoss*w.value() + s.first/veryLateMs + max(0, s.first-inTime*w.DeadlineMs)/lateMs
 	}
 	p.generatorFirst(e, w, all, s.chosen)
 	return s, free >= w.InputTokens+w.OutputTokens
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -240,7 +240,9 @@
 func (x *exchange) times(w *balance.Work, now time.Time) {
 	waited := now.Sub(x.started)
 	patience := x.patience()
-	w.Slack = x.route.Objective*waitShare/100 - waited
+	mayWait := x.route.Objective * waitShare / 100
+	w.Slack = mayWait - waited
+	w.Waited = min(1, float64(waited)/float64(max(1, mayWait)))
 	w.Late = waited > patience*lateShare/100 || x.g.ending()
 	if x.g.config.Policy.Oversize(x.service, *w) {
 		w.Late = false // it takes much of many endpoints, and goes on waiting
