Tell pauses of long requests apart

Change: the load of an endpoint tells how many of its long requests allow the service's longest pauses, and these count only when a pass gets longer than that. What a late event costs: 2 for middle ones, 13 for patient ones.

--- a/balance/book.go
+++ b/balance/book.go
@@ -17,6 +17,9 @@
 	Parts int
 	// Unread counts the short requests whose first event has not come.
 	Unread int
+	// Patient counts those of Long whose route allows the longest pauses of the
+	// service.
+	Patient int
 }
 
 // plus returns the sum of both loads.
@@ -24,7 +27,7 @@
 	return Load{
 		ReadMs: l.ReadMs + o.ReadMs, Short: l.Short + o.Short, Long: l.Long + o.Long,
 		Tokens: l.Tokens + o.Tokens, Parts: l.Parts + o.Parts,
-		Unread: l.Unread + o.Unread,
+		Unread: l.Unread + o.Unread, Patient: l.Patient + o.Patient,
 	}
 }
 
@@ -33,7 +36,7 @@
 	return Load{
 		ReadMs: l.ReadMs - o.ReadMs, Short: l.Short - o.Short, Long: l.Long - o.Long,
 		Tokens: l.Tokens - o.Tokens, Parts: l.Parts - o.Parts,
-		Unread: l.Unread - o.Unread,
+		Unread: l.Unread - o.Unread, Patient: l.Patient - o.Patient,
 	}
 }
 
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -17,8 +17,10 @@
 	Slack time.Duration
 	// Waited is the part of the time that it may wait that has passed, 0 to 1.
 	Waited float64
-	// Pauses are what the routes to the service allow between two events.
+	// Pauses are what the routes to the service allow between two events, and
+	// Pause what the request's own route allows.
 	Pauses catalog.Pauses
+	Pause  time.Duration
 	// LeftMs is how much of the objective is left, and DeadlineMs of the deadline.
 	LeftMs     float64
 	DeadlineMs float64
@@ -101,16 +103,18 @@
 	Headroom float64
 	// LateLoss is the part of its value that a prompt loses that is served late.
 	LateLoss float64
-	// LongHarm is what a long request costs that gets a late event, and HoldUp
-	// what the delay of a part of another prompt costs against that of a prompt.
-	LongHarm float64
-	HoldUp   float64
+	// LongHarm is what a long request costs that gets a late event, PatientHarm
+	// one whose route allows the longest pauses, and HoldUp what the delay of a
+	// part of another prompt costs against that of a prompt.
+	LongHarm    float64
+	PatientHarm float64
+	HoldUp      float64
 	// ReadMargin is by how much the reading of a part may take longer than the
 	// estimate.
 	ReadMargin float64
 	// PauseMargin is by how much a pass should be shorter than the pause that the
-	// routes allow: short requests are held to the shortest one, long ones to the
-	// next.
+	// routes allow: short requests are held to the shortest one, patient ones to
+	// the longest, other long ones to the one after the shortest.
 	PauseMargin float64
 	// FirstShare is the part of the time left within which the first event of a
 	// short request should be expected.
@@ -147,7 +151,8 @@
 		LateLoss:    0.75, // a late answer is worth a quarter of one in time
 		CleanMs:     60,   // two short prompts
 		Headroom:    0.15, // tried, beside other changes: 0.25 about the same, none 0.01 to 0.08 less
-		LongHarm:    8,    // an estimate
+		LongHarm:    2,    // three quarters of a middle prompt's value; 3.4: worth 0.01 lower
+		PatientHarm: 13,   // the same of a long one's; 6: worth 0.008 lower (24 days of 18 engines)
 		HoldUp:      0.5,  // an estimate; 0.1 and 1 were tried with oversize prompts at once only
 		ReadMargin:  1.5,  // covers the pass that is under way
 	}
--- a/balance/long.go
+++ b/balance/long.go
@@ -147,7 +147,10 @@
 		s.harm += float64(l.Short)
 	}
 	if longest > p.longestPass(w.Pauses.Next) {
-		s.harm += float64(l.Long) * p.LongHarm
+		s.harm += float64(l.Long-l.Patient) * p.LongHarm
+	}
+	if longest > p.longestPass(w.Pauses.Longest) {
+		s.harm += float64(l.Patient) * p.PatientHarm
 	}
 	if l.Parts > 0 {
 		s.harm += part / lateMs * p.HoldUp
@@ -219,6 +222,7 @@
 		l := Load{ReadMs: read / float64(len(chosen)), Tokens: held, Parts: 1}
 		if n == 0 {
 			l.Long = 1
+			l.Patient = w.patient()
 		} else if held > 0 {
 			c.Reserve = append(c.Reserve, Reservation{i, held})
 		}
--- a/balance/value.go
+++ b/balance/value.go
@@ -9,3 +9,12 @@
 // value returns what a long prompt is worth that is served in time, in short
 // requests.
 func (w Work) value() float64 { return float64(w.InputTokens) / valueTokens }
+
+// patient returns 1 for a request whose route allows longer pauses than the next
+// ones after the shortest, else 0.
+func (w Work) patient() int {
+	if w.Pause > w.Pauses.Next {
+		return 1
+	}
+	return 0
+}
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -21,6 +21,7 @@
 type Pauses struct {
 	Shortest time.Duration
 	Next     time.Duration // the shortest above Shortest, or Shortest where it is the only one
+	Longest  time.Duration
 }
 
 // NewTable indexes a configuration, which must not change afterwards.
@@ -76,15 +77,17 @@
 
 // with returns the pauses with one more objective.
 func (p Pauses) with(gap time.Duration) Pauses {
-	switch {
-	case gap <= 0 || gap == p.Shortest:
+	if gap <= 0 {
 		return p
+	}
+	p.Longest = max(p.Longest, gap)
+	switch {
 	case p.Shortest == 0:
-		return Pauses{gap, gap}
+		p.Shortest, p.Next = gap, gap
 	case gap < p.Shortest:
-		return Pauses{gap, p.Shortest}
-	case p.Next == p.Shortest || gap < p.Next:
-		return Pauses{p.Shortest, gap}
+		p.Shortest, p.Next = gap, p.Shortest
+	case gap > p.Shortest && (p.Next == p.Shortest || gap < p.Next):
+		p.Next = gap
 	}
 	return p
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -205,7 +205,10 @@
 func (x *exchange) place(ctx context.Context) (*place, outcome) {
 	began := time.Now()
 	defer func() { x.g.meter.wait.UpdateDuration(began) }()
-	work := balance.Work{InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: slices.Concat(x.tried, x.unfit), Pauses: x.table.Pauses(x.service.Name)}
+	work := balance.Work{
+		InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: slices.Concat(x.tried, x.unfit),
+		Pauses: x.table.Pauses(x.service.Name), Pause: x.route.GapObjective,
+	}
 	var turn *balance.Turn
 	if x.g.config.Policy.TakesTurns(x.service, work) {
 		turn = x.g.picker.join(x.service.Name, x.rank(work, began), x.started.Add(x.route.Objective), began)
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -170,7 +170,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	claim, ok := p.turns.Own(time.Now())["s"]
-	return ok && claim.LeftMs < (longObjective - 100*time.Millisecond).Milliseconds()
+	return ok && claim.LeftMs < (longObjective-100*time.Millisecond).Milliseconds()
 }
 
 // TestStopAnswersThoseThatWait: a stop that is about to end refuses a prompt that
