Split the exchange by job; what decides how long a request waits is pure

Cause: relay/exchange.go held 494 lines: the request, its placing, its sends, and the decisions to wait, refuse and repeat between them, testable only over the network.

Change: patience.go decides (time comes in), place.go places, attempt.go sends, exchange.go keeps the order of it all. No behaviour is meant to change.

--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/upstream"
+)
+
+// attempt sends the request to one endpoint and relays the answer. again is set
+// when the request got no answer that could be passed on.
+func (x *exchange) attempt(ctx context.Context, at *place) (o outcome, again bool) {
+	defer at.release()
+	var memory *reservations
+	if len(at.reserve) > 0 {
+		var err error
+		if memory, err = x.g.reserve(ctx, x.call.ID, at); err != nil {
+			x.notReserved(err)
+			return "", true
+		}
+		defer memory.release()
+	}
+	if o, ok := x.mayProceed(); !ok {
+		return o, false
+	}
+	if _, ok := x.g.state.Endpoint(at.endpoint.ID); !ok {
+		x.unsent++
+		return "", true
+	}
+	now := time.Now()
+	req := x.request(at, memory, now)
+	x.g.meter.sends.Inc()
+	res, err := x.g.deps.Endpoints.Do(ctx, at.endpoint.ID, at.endpoint.Address, req)
+	if err != nil {
+		x.failed(ctx, at, err)
+		return "", true
+	}
+	defer res.Body.Close()
+	x.attempts++
+	x.tried = append(x.tried, at.endpoint.ID)
+	verdict := x.g.deps.Protocol.Verdict(res)
+	if verdict == NotRun || verdict == WrongEndpoint {
+		x.lastError = errors.New("the endpoint did not take the request: " + res.Status)
+		switch {
+		case verdict == WrongEndpoint:
+			x.note(at, balance.Unreachable) // another incarnation has its address
+		case hasRoom(at, x.service, x.call.Input):
+			x.note(at, balance.Bad)
+		}
+		return "", true
+	}
+	x.mayRun = true
+	if verdict == Failed && x.route.Kind == catalog.Streaming {
+		x.note(at, balance.Bad) // plain services also fail by the request itself
+	}
+	if verdict == Failed && x.mayRepeat() {
+		x.lastError = errors.New("the endpoint failed: " + res.Status)
+		x.granted = true
+		return "", true
+	}
+	return x.relay(ctx, at, res)
+}
+
+// hasRoom reports whether an endpoint should have taken a request, as far as the
+// gateways know: less than half of its slots and of its memory were taken.
+func hasRoom(at *place, s *catalog.Service, tokens int) bool {
+	if len(at.helpers) > 0 {
+		return false // a helper may have been at fault
+	}
+	if s.Engine != nil && 2*(at.before.Tokens+tokens) > s.Engine.MemoryTokens {
+		return false
+	}
+	return 2*(at.before.Short+at.before.Long) < at.endpoint.Slots
+}
+
+// notReserved takes in that memory could not be set aside: the endpoints that
+// failed have less than the gateways believe.
+func (x *exchange) notReserved(err error) {
+	x.lastError = err
+	x.unsent++
+	var failure *noMemory
+	if errors.As(err, &failure) {
+		x.unfit = append(x.unfit, failure.endpoints...)
+	}
+}
+
+// failed takes in a send without an answer.
+func (x *exchange) failed(ctx context.Context, at *place, err error) {
+	x.lastError = err
+	var failure *upstream.Error
+	if errors.As(err, &failure) && failure.Stage == upstream.NotSent {
+		x.unsent++
+		if ctx.Err() == nil {
+			x.note(at, balance.Unreachable)
+			x.tried = append(x.tried, at.endpoint.ID)
+		}
+		return
+	}
+	x.attempts++
+	x.tried = append(x.tried, at.endpoint.ID)
+	x.mayRun = true
+	if ctx.Err() == nil {
+		x.note(at, balance.Bad)
+	}
+}
+
+func (x *exchange) note(at *place, o balance.Outcome) {
+	if x.g.picker.note(at.endpoint.ID, o, time.Now()) {
+		x.g.deps.Log.Logger().Warn("Endpoint suspect.", "endpoint", at.endpoint.ID, "request", x.call.ID, "err", x.lastError)
+	}
+}
+
+// request builds what is sent to the endpoint.
+func (x *exchange) request(at *place, memory *reservations, now time.Time) *upstream.Request {
+	s := Send{
+		EndpointID:  at.endpoint.ID,
+		Remaining:   x.deadline.Sub(now),
+		LastEventID: x.call.LastEventID,
+		Priority:    DefaultPriority,
+	}
+	if x.stream != nil && x.stream.lastID != "" {
+		s.LastEventID = x.stream.lastID
+	}
+	if x.workspace != nil {
+		s.Workspace = x.workspace.Name
+	}
+	s.Helpers = memory.helpers(at)
+	req := &upstream.Request{
+		Method: x.r.Method,
+		Target: x.r.RequestURI,
+		Host:   x.r.Host,
+		Header: x.g.deps.Protocol.Header(x.r.Header, x.call, s),
+		Body:   x.body,
+		Echo:   x.g.deps.Protocol.Echo(),
+	}
+	if !x.route.Idempotent() {
+		req.MaxIdle = unsafeIdle
+	}
+	return req
+}
+
+// DefaultPriority is the rank of a request that endpoints take as usual.
+const DefaultPriority = 5
--- /dev/null
+++ b/relay/place.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
+)
+
+// queueStep is the longest pause between two looks at the load.
+const queueStep = 20 * time.Millisecond
+
+// patience returns what decides how long the request waits, as it stands now.
+func (x *exchange) patience() patience {
+	return patience{
+		started: x.started, deadline: x.deadline, objective: x.route.Objective, first: x.route.Patience,
+		sends: x.attempts, unsent: x.unsent, resumed: x.stream != nil || x.call.LastEventID != "",
+	}
+}
+
+// place finds an endpoint, waiting for one where that is better.
+func (x *exchange) place(ctx context.Context) (*place, outcome) {
+	began := time.Now()
+	defer func() { x.g.meter.wait.UpdateDuration(began) }()
+	work := balance.Work{
+		InputTokens: x.call.Input, OutputTokens: x.call.Output, Avoid: slices.Concat(x.tried, x.unfit),
+		Pauses: x.table.Pauses(x.service.Name), Pause: x.route.GapObjective,
+	}
+	oversize := x.g.config.Policy.Oversize(x.service, work)
+	var turn *balance.Turn
+	if x.g.config.Policy.TakesTurns(x.service, work) {
+		turn = x.g.picker.join(x.service.Name, x.patience().rank(oversize, began), x.started.Add(x.route.Objective), began)
+		defer x.g.picker.leave(turn)
+	}
+	var expected balance.Expected // at the newest look at the load
+	for {
+		now := time.Now()
+		x.patience().tell(&work, x.g.ending(), now)
+		if oversize {
+			work.Late = false // it takes much of many endpoints: it keeps its turn
+		}
+		var at *place
+		o := pickWait
+		if turn == nil || work.Late || x.g.picker.first(turn, x.patience().rank(oversize, now), now) {
+			at, expected, o = x.g.picker.pick(x.service, work, now)
+		}
+		switch {
+		case o == picked:
+			x.logChoice(at, now.Sub(began))
+			return at, ""
+		case o == pickFull:
+			x.logNoPlace(reasonToRefuse(o), expected, now.Sub(began))
+			return nil, x.refuse(http.StatusServiceUnavailable, retryAfterBusy, refusedBusy)
+		case x.attempts == 0 && x.g.ending():
+			// The process may end before an endpoint is free.
+			return nil, x.refuse(http.StatusServiceUnavailable, retryAfterStop, stopping)
+		case o == pickNone && len(work.Avoid) > 0:
+			work.Avoid = nil // better the same endpoint again than none
+			continue
+		}
+		if !x.patience().mayWait(o == pickWait, now) {
+			x.logNoPlace(reasonToRefuse(o), expected, now.Sub(began))
+			return nil, x.giveUpWaiting(o == pickWait)
+		}
+		x.g.picker.await(ctx, queueStep)
+		if ctx.Err() != nil {
+			return nil, x.giveUp(outOfTime)
+		}
+	}
+}
+
+// logChoice logs where the request goes and what was believed of that endpoint.
+func (x *exchange) logChoice(at *place, waited time.Duration) {
+	x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
+		"tokens", x.call.Input, "waited_ms", waited.Milliseconds(),
+		"expected_ms", int(at.expected.FirstMs), "harm", int(at.expected.Harm), "idle", at.expected.Idle,
+		"read_ms", int(at.before.ReadMs), "short", at.before.Short, "long", at.before.Long, "memory", at.before.Tokens, "candidates", at.candidates)
+}
+
+// reasonToRefuse says for the log why a choice that ended so means a refusal.
+func reasonToRefuse(o pickOutcome) string {
+	switch o {
+	case pickFull:
+		return "all slots are taken"
+	case pickWait:
+		return "its time to wait for endpoints is over"
+	default:
+		return "no endpoint is known"
+	}
+}
+
+// logNoPlace logs why a request that was not sent is refused. expected is what the
+// best endpoints would have brought, without parts where it never was its turn.
+func (x *exchange) logNoPlace(why string, expected balance.Expected, waited time.Duration) {
+	x.g.deps.Log.Request("No endpoint chosen.", "request", x.call.ID, "why", why, "tokens", x.call.Input, "waited_ms", waited.Milliseconds(),
+		"expected_ms", int(expected.FirstMs), "harm", int(expected.Harm), "parts", expected.Parts, "idle", expected.Idle)
+}
+
+// giveUpWaiting ends a request that no endpoint takes. queued is set when there are
+// endpoints, and others are in the way.
+func (x *exchange) giveUpWaiting(queued bool) outcome {
+	if queued && !x.mayRun && x.r.Context().Err() == nil {
+		return x.refuse(http.StatusServiceUnavailable, x.patience().comeBackAfter(time.Now()), refusedFull)
+	}
+	return x.giveUp(refusedFull)
+}
+
+// ids returns the names of endpoints, for the log.
+func ids(list []catalog.Endpoint) []string {
+	out := make([]string, len(list))
+	for i, e := range list {
+		out[i] = e.ID
+	}
+	return out
+}
