--- a/balance/policy.go
+++ b/balance/policy.go
@@ -54,7 +54,7 @@
 
 // Default returns the policy that runs. A figure's comment says what it guards
 // against or what it gains: "worth" is the part of what the requests of a day were
-// worth that callers got, measured without processor time on days of 34 s with
+// worth that callers got, without what processors cost, on days of 34 s with
 // faults before 18 engines, 24 or 48 days for each figure, with the same arrivals
 // for both values; standard errors are 0.003 to 0.009. Differences below two of them
 // are called none. An estimate was not varied.
@@ -70,15 +70,15 @@
 		PartMs:      250,  // ms, the shortest pause that routes allow; 450: none
 		PartCost:    0.03, // decides between equals; 0.15: none
 		EarlyHarm:   0.5,  // less than one late short request
-		HarmAtOnce:  0.3,  // 0.1: worth 0.012 lower, of long prompts 0.70 instead of 0.76; 0.15: 0.005; 0.5: none
+		HarmAtOnce:  0.3,  // 0.1: worth 0.012 lower, of long prompts 0.70 instead of 0.76; 0.15 and 0.5: none
 		HarmWaited:  0.4,  // an estimate: with HarmAtOnce a little under LateLoss
 		LateHarm:    0.05, // 0.125: none; without a limit worth of short requests 0.78 instead of 0.86
 		CleanMs:     60,   // ms, two short prompts; 120, 200 and 400: none
 		Headroom:    0.15, // none: worth 0.01 to 0.08 lower, measured beside other changes on six days
 		LateLoss:    0.75, // a late answer is worth a quarter of one in time
-		LongHarm:    2,    // half of what a middle prompt loses; 3.4: worth 0.010 lower; 1: none
-		PatientHarm: 13,   // what a long one loses; 6: worth 0.008 lower
+		LongHarm:    2,    // half of what a middle prompt loses; 3.4: worth about 0.01 lower; 1: none
+		PatientHarm: 13,   // what a long one loses; 6: none
 		HoldUp:      0.2,  // an estimate; 0.5: none
-		ReadMargin:  1.2,  // covers the pass that is under way; 1.5: worth 0.008 lower; 1: none
+		ReadMargin:  1.2,  // covers the pass that is under way; 1 and 1.5: none
 	}
 }
