--- a/balance/choose.go
+++ b/balance/choose.go
@@ -12,8 +12,7 @@
 type Work struct {
 	InputTokens  int
 	OutputTokens int
-	// Slack is how much of its objective is left; a request that cannot be in
-	// time any more is not delayed for the sake of others.
+	// Slack is how much is left of the time that a long prompt may wait.
 	Slack time.Duration
 	// Waited is the part of the time that it may wait that has passed, 0 to 1.
 	Waited float64
@@ -24,8 +23,8 @@
 	// LeftMs is how much of the objective is left, and DeadlineMs of the deadline.
 	LeftMs     float64
 	DeadlineMs float64
-	// Late is set for a prompt that has waited so long that it should be served
-	// late rather than never.
+	// Late is set for a prompt that counts as late whatever its objective leaves:
+	// it has waited for much of its caller's patience, or its process is ending.
 	Late bool
 	// MustTake is set for a request whose caller had not better come back later.
 	MustTake bool
--- a/balance/long.go
+++ b/balance/long.go
@@ -9,9 +9,9 @@
 	"github.com/micarudder/micarudder/catalog"
 )
 
-// long splits the reading of a prompt over endpoints. It weighs what a split
-// costs others against the delay of the prompt itself; while the prompt has
-// time, it waits for a split that costs nobody anything.
+// long splits the reading of a prompt over endpoints that read nothing. It weighs
+// what a split costs others against the delay of the prompt itself, and waits while
+// the best one costs more than the prompt may.
 func (p Policy) long(e *catalog.Engine, w Work, read float64, all []Candidate, usable []int) Choice {
 	var best split
 	most := min(1+p.MaxHelpers, len(usable))
