--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -13,7 +13,7 @@
 	is := is.New(t)
 	b := NewBook()
 	b.Add("e", Load{ReadMs: 100, Short: 1, Tokens: 10})
-	b.Peer("p", map[string]Load{"e": {ReadMs: 50, Long: 2, Tokens: 5, Parts: 1}}, start)
+	b.Peer("p", "", map[string]Load{"e": {ReadMs: 50, Long: 2, Tokens: 5, Parts: 1}}, start)
 	is.Equal(b.Load("e", start), Load{ReadMs: 150, Short: 1, Long: 2, Tokens: 15, Parts: 1})
 	is.Equal(b.Peers(start), 1)
 }
@@ -21,7 +21,7 @@
 func TestBookForgetsSilentPeers(t *testing.T) {
 	is := is.New(t)
 	b := NewBook()
-	b.Peer("p", map[string]Load{"e": {Short: 3}}, start)
+	b.Peer("p", "", map[string]Load{"e": {Short: 3}}, start)
 	later := start.Add(peerLife + time.Millisecond)
 	is.Equal(b.Load("e", later), Load{})
 	is.Equal(b.Peers(later), 0)
@@ -89,14 +89,14 @@
 	kept, ended := Load{Short: 1, ReadMs: 20, Tokens: 5, Unread: 1}, Load{Long: 1, Parts: 1, Tokens: 9}
 	a.Add("e", kept)
 	a.Add("f", ended)
-	b.Peer("a", a.Own(), start)
+	b.Peer("a", "", a.Own(), start)
 	is.Equal(len(a.Changed()), 0)
 	a.Read("f", ended)
 	a.Remove("f", ended)
 	a.Add("g", kept)
 	changes := a.Changed()
 	is.Equal(changes, map[string]Load{"f": {}, "g": kept})
-	b.PeerChanged("a", changes, start.Add(time.Millisecond))
+	b.PeerChanged("a", "", changes, start.Add(time.Millisecond))
 	for _, id := range []string{"e", "f", "g"} {
 		is.Equal(b.Load(id, start.Add(time.Millisecond)), a.Load(id, start))
 	}
@@ -111,9 +111,9 @@
 func TestBookForgetsOldLoadOfReturningPeer(t *testing.T) {
 	is := is.New(t)
 	b := NewBook()
-	b.Peer("a", map[string]Load{"e": {Short: 3}}, start)
+	b.Peer("a", "", map[string]Load{"e": {Short: 3}}, start)
 	later := start.Add(peerLife + time.Millisecond)
-	b.PeerChanged("a", map[string]Load{"f": {Short: 1}}, later)
+	b.PeerChanged("a", "", map[string]Load{"f": {Short: 1}}, later)
 	is.Equal(b.Load("e", later), Load{})
 	is.Equal(b.Load("f", later), Load{Short: 1})
 }
--- a/balance/book.go
+++ b/balance/book.go
@@ -57,23 +57,37 @@
 }
 
 type peer struct {
-	at    time.Time
-	loads map[string]Load
+	at         time.Time
+	dataCentre string
+	loads      map[string]Load
+}
+
+// digestLife is how long a digest counts after it was made. The gateways that pass
+// digests on do so twice a second, each over one gateway of either cell; one that is lost
+// is made good.
+const digestLife = 2 * time.Second
+
+// Digest is the load in another cell: that of the endpoints which it offers to
+// others.
+type Digest struct {
+	Made  time.Time
+	Loads map[string]Load // without what this gateway's own cell has there
 }
 
 // Book keeps the load by endpoint. A prompt's reading counts whole until its
 // first event: counting it down by the model's time lets more prompts in than
 // engines read while they are busy. Book is not safe for concurrent use.
 type Book struct {
-	own   map[string]*account
-	peers map[string]peer
+	own     map[string]*account
+	peers   map[string]peer
+	digests map[string]Digest // by cell
 	// changed holds the endpoints whose own load changed since Own was called.
 	changed map[string]struct{}
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{own: make(map[string]*account), peers: make(map[string]peer), changed: make(map[string]struct{})}
+	return &Book{own: make(map[string]*account), peers: make(map[string]peer), digests: make(map[string]Digest), changed: make(map[string]struct{})}
 }
 
 // Add counts load that an endpoint is given for one request.
@@ -144,19 +158,19 @@
 	return Load{}
 }
 
-// Peer takes in a peer's whole load.
-func (b *Book) Peer(name string, loads map[string]Load, now time.Time) {
-	b.peers[name] = peer{at: now, loads: loads}
+// Peer takes in the whole load of a peer in that data centre.
+func (b *Book) Peer(name, dataCentre string, loads map[string]Load, now time.Time) {
+	b.peers[name] = peer{at: now, dataCentre: dataCentre, loads: loads}
 }
 
 // PeerChanged takes in a peer's load at some endpoints. A word that was lost is
 // made good by the next whole one.
-func (b *Book) PeerChanged(name string, loads map[string]Load, now time.Time) {
+func (b *Book) PeerChanged(name, dataCentre string, loads map[string]Load, now time.Time) {
 	p := b.peers[name]
 	if p.loads == nil || now.Sub(p.at) > peerLife {
 		p.loads = make(map[string]Load, len(loads))
 	}
-	p.at = now
+	p.at, p.dataCentre = now, dataCentre
 	maps.Copy(p.loads, loads)
 	b.peers[name] = p
 }
@@ -171,13 +185,43 @@
 	return len(b.peers)
 }
 
-// Load returns what all gateways together have at an endpoint.
+// Load returns what the gateways that this one hears have at an endpoint, and what the
+// newest digest of its cell tells of the others.
 func (b *Book) Load(endpoint string, now time.Time) Load {
+	sum := b.LoadWithout(endpoint, nil, now)
+	for _, d := range b.digests {
+		if now.Sub(d.Made) <= digestLife {
+			sum = sum.plus(d.Loads[endpoint])
+		}
+	}
+	return sum
+}
+
+// LoadWithout returns what this gateway and its peers have at an endpoint, without
+// peers in data centres that are left out; nil: none is.
+func (b *Book) LoadWithout(endpoint string, leftOut func(dataCentre string) bool, now time.Time) Load {
 	sum := b.ownAt(endpoint)
 	for _, p := range b.peers {
-		if now.Sub(p.at) <= peerLife {
+		if now.Sub(p.at) <= peerLife && (leftOut == nil || !leftOut(p.dataCentre)) {
 			sum = sum.plus(p.loads[endpoint])
 		}
 	}
 	return sum
 }
+
+// TakeDigest takes in the digest of another cell unless a younger one is known.
+func (b *Book) TakeDigest(cell string, d Digest) {
+	if d.Made.After(b.digests[cell].Made) {
+		b.digests[cell] = d
+	}
+}
+
+// Digests returns the digests that count, by cell.
+func (b *Book) Digests(now time.Time) map[string]Digest {
+	for cell, d := range b.digests {
+		if now.Sub(d.Made) > digestLife {
+			delete(b.digests, cell)
+		}
+	}
+	return b.digests
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -28,6 +28,10 @@
 	Late bool
 	// MustTake is set for a request whose caller had not better come back later.
 	MustTake bool
+	// Guest is set where the candidates are those of another cell: what is known of
+	// them is older, so the request takes an endpoint there only if it is in time
+	// and costs nobody else a late event.
+	Guest bool
 	// Avoid lists endpoints that the request was already sent to.
 	Avoid []string
 }
@@ -58,6 +62,8 @@
 	Refuse bool
 	// Wait is set when it is better to ask again soon.
 	Wait bool
+	// Late is set when the request goes to an endpoint, but is expected to be late.
+	Late bool
 	// Loads is what the choice adds, by candidate.
 	Loads []Placed
 	// Expected is what the choice was made on, also one to wait or refuse.
@@ -103,6 +109,18 @@
 	return p.long(s.Engine, w, read, all, usable)
 }
 
+// Elsewhere reports whether another cell may do better than the choice in the own one.
+func (c Choice) Elsewhere() bool { return c.Wait || c.Refuse || c.Late || c.Endpoint < 0 }
+
+// Offered reports whether an endpoint with that load is offered to other cells: it
+// reads nothing that a part of a prompt would put off, and has free slots.
+func (p Policy) Offered(e *catalog.Engine, slots int, l Load) bool {
+	if e != nil {
+		slots = e.Slots
+	}
+	return p.busy(l) == 0 && float64(l.Short+l.Long) < p.PackSlots*float64(slots)
+}
+
 // TakesTurns reports whether a request waits for its turn to choose among the
 // endpoints: long prompts do.
 func (p Policy) TakesTurns(s *catalog.Service, w Work) bool {
--- a/balance/long.go
+++ b/balance/long.go
@@ -32,7 +32,7 @@
 		return Choice{Endpoint: -1, Wait: true, Expected: expected}
 	}
 	c := p.spread(e, w, read, all, best.chosen)
-	c.Expected = expected
+	c.Expected, c.Late = expected, best.first > w.LeftMs
 	return c
 }
 
@@ -45,6 +45,8 @@
 	switch {
 	case best.first > w.DeadlineMs:
 		return true // its caller would be gone
+	case w.Guest:
+		return best.first > w.LeftMs || best.harm > p.EarlyHarm
 	case best.first <= w.LeftMs && !w.Late:
 		return best.harm > p.EarlyHarm+w.value()*(p.HarmAtOnce+p.HarmWaited*w.Waited)
 	case w.Slack > 0 && !w.Late && soonest <= w.LeftMs:
--- a/balance/short.go
+++ b/balance/short.go
@@ -20,6 +20,7 @@
 	tokens := w.InputTokens + w.OutputTokens
 	set := p.shortSet(e, all, usable)
 	best, earliest := -1, -1
+	late := false
 	var bestFirst, earliestFirst float64 // ms
 	for n, i := range usable {
 		if n >= set && best >= 0 {
@@ -40,10 +41,13 @@
 		if !w.MustTake && earliestFirst > w.LeftMs && p.full(e, all, usable) {
 			return Choice{Endpoint: -1, Refuse: true, Expected: Expected{FirstMs: earliestFirst}}
 		}
-		best, bestFirst = earliest, earliestFirst
+		if w.Guest {
+			return Choice{Endpoint: -1, Wait: true, Expected: Expected{FirstMs: earliestFirst}}
+		}
+		best, bestFirst, late = earliest, earliestFirst, true
 	}
 	load := Load{ReadMs: read, Short: 1, Tokens: tokens, Unread: 1}
-	return Choice{Endpoint: best, Loads: []Placed{{Candidate: best, Load: load}}, Expected: Expected{FirstMs: bestFirst, Parts: 1}}
+	return Choice{Endpoint: best, Late: late, Loads: []Placed{{Candidate: best, Load: load}}, Expected: Expected{FirstMs: bestFirst, Parts: 1}}
 }
 
 // full reports whether the requests under way need more than the slots that all
--- /dev/null
+++ b/cell/cell.go
@@ -0,0 +1,60 @@
+// Package cell groups data centres into cells. Gateways of a cell tell each other
+// every choice at once and take turns; of other cells they know digests. Grouping is
+// pure: gateways with the same list of endpoints come to the same cells without a
+// message about it.
+package cell
+
+import (
+	"maps"
+	"slices"
+)
+
+// minEndpoints is how many endpoints a cell has at least, if the fleet has them: the
+// longest prompts are read on 16 at once, and as many again are left for the others. With
+// 18 endpoints in three data centres a cell each has 6 and most long prompts are late.
+const minEndpoints = 24
+
+// Map says to which cell a data centre belongs. A cell has the name of its first data
+// centre. The zero Map has one cell, without a name, that holds everything.
+type Map struct {
+	starts []string // the first data centre of each cell, in order
+}
+
+// Group returns the cells of data centres that have so many endpoints each. Data centres
+// are taken in the order of their names, and a cell is full once it has minEndpoints; those
+// left over join the last full one.
+func Group(endpoints map[string]int) Map {
+	var m Map
+	size := 0
+	for _, name := range slices.Sorted(maps.Keys(endpoints)) {
+		if endpoints[name] == 0 {
+			continue
+		}
+		if size == 0 {
+			m.starts = append(m.starts, name)
+		}
+		size += endpoints[name]
+		if size >= minEndpoints {
+			size = 0
+		}
+	}
+	if size > 0 && len(m.starts) > 1 {
+		m.starts = m.starts[:len(m.starts)-1]
+	}
+	return m
+}
+
+// Of returns the cell of a data centre, also of one without endpoints.
+func (m Map) Of(dataCentre string) string {
+	if len(m.starts) == 0 {
+		return ""
+	}
+	n, found := slices.BinarySearch(m.starts, dataCentre)
+	if found {
+		return m.starts[n]
+	}
+	return m.starts[max(0, n-1)]
+}
+
+// Cells returns the names of all cells in order.
+func (m Map) Cells() []string { return m.starts }
--- /dev/null
+++ b/cell/cell_test.go
@@ -0,0 +1,112 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestGroup(t *testing.T) {
+	for name, c := range map[string]struct {
+		endpoints map[string]int
+		want      map[string]string
+	}{
+		"no endpoints are one cell": {nil, map[string]string{"a": "", "b": ""}},
+		"small data centres are one cell": {
+			map[string]int{"a": 6, "b": 6, "c": 6}, map[string]string{"a": "a", "b": "a", "c": "a"}},
+		"large ones are a cell each": {
+			map[string]int{"a": 30, "b": 30, "c": 24}, map[string]string{"a": "a", "b": "b", "c": "c"}},
+		"small ones go together": {
+			map[string]int{"a": 15, "b": 15, "c": 15, "d": 15}, map[string]string{"a": "a", "b": "a", "c": "c", "d": "c"}},
+		"a rest joins the last one": {
+			map[string]int{"a": 20, "b": 20, "c": 20}, map[string]string{"a": "a", "b": "a", "c": "a"}},
+		"one that lost its endpoints joins a neighbour": {
+			map[string]int{"a": 30, "b": 3, "c": 30}, map[string]string{"a": "a", "b": "b", "c": "b"}},
+		"one without endpoints belongs to the one before it": {
+			map[string]int{"b": 30, "d": 30}, map[string]string{"a": "b", "b": "b", "c": "b", "d": "d", "e": "d"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := Group(c.endpoints)
+			for dataCentre, want := range c.want {
+				is.Equal(m.Of(dataCentre), want) // the cell of a data centre
+			}
+		})
+	}
+}
+
+// FuzzGroup: whatever data centres there are, each belongs to one cell, a cell has
+// enough endpoints if the fleet has, and the loss of one endpoint moves no data centre
+// but its own with its last one, and where a cell was just large enough.
+func FuzzGroup(f *testing.F) {
+	for seed := range uint64(20) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		fleet := make(map[string]int)
+		total := 0
+		for n := range r.IntN(20) {
+			fleet[fmt.Sprint("dc", n)] = r.IntN(60)
+		}
+		for _, n := range fleet {
+			total += n
+		}
+		m := Group(fleet)
+		sizes := make(map[string]int)
+		for dataCentre, n := range fleet {
+			sizes[m.Of(dataCentre)] += n
+		}
+		for c, n := range sizes {
+			if n < minEndpoints && total >= minEndpoints {
+				t.Fatalf("cell %s of %v has %d endpoints", c, fleet, n)
+			}
+			if !slices.Contains(m.Cells(), c) && len(fleet) > 0 {
+				t.Fatalf("%s is no cell of %v", c, fleet)
+			}
+		}
+		if prefixJustFull(fleet) {
+			return
+		}
+		for dataCentre, n := range fleet {
+			if n <= 1 {
+				continue // one that has none left goes to the cell before it
+			}
+			fewer := maps.Clone(fleet)
+			fewer[dataCentre]--
+			checkSamePairs(t, fleet, m, Group(fewer))
+		}
+	})
+}
+
+// checkSamePairs checks that the same data centres are together in both.
+func checkSamePairs(t *testing.T, fleet map[string]int, before, after Map) {
+	t.Helper()
+	for a := range fleet {
+		for b := range fleet {
+			if (before.Of(a) == before.Of(b)) != (after.Of(a) == after.Of(b)) {
+				t.Fatalf("%v without one endpoint parts or joins %s and %s", fleet, a, b)
+			}
+		}
+	}
+}
+
+// prefixJustFull reports whether a cell is full to the endpoint, so that one fewer
+// makes it go on.
+func prefixJustFull(fleet map[string]int) bool {
+	size := 0
+	for _, name := range slices.Sorted(maps.Keys(fleet)) {
+		size += fleet[name]
+		if size == minEndpoints {
+			return true
+		}
+		if size > minEndpoints {
+			size = 0
+		}
+	}
+	return false
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -1,7 +1,7 @@
 // Package peers carries what gateways tell each other: datagrams with the load
 // that each has in flight. A word holds its sender's load at the endpoints where it
 // changed lately, and several times a second the whole of it, so that
-// a lost or repeated datagram does no harm.
+// a lost or repeated datagram does no harm. Who is told what is the sender's business.
 package peers
 
 import (
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,8 +34,9 @@
 	Sequence uint64 // rises within a life
 	Version  uint64 // configuration in force there
 	Leaving  bool
-	// Loads is the sender's load by endpoint id: the whole of it, or only what
-	// changed since the last whole one where Partial is set.
+	// Loads is the sender's load by endpoint id, at all endpoints that are the
+	// receiver's business: the whole of it, or only what changed since the last
+	// whole one where Partial is set.
 	Loads map[string]balance.Load
 
 	// Clock is the sender's monotonic time when it sent the word, in
@@ -58,6 +60,33 @@
 	// service; see balance.Turns.
 	Waiting map[string]balance.Claim
 	Partial bool // see Loads
+	// DataCentre is where the sender stands.
+	DataCentre string
+	// Digests tell of the load in other cells than the receiver's.
+	Digests []Digest
+}
+
+// Digest is the load of the endpoints that one cell offers to others.
+type Digest struct {
+	DataCentre string // where the gateway stands that made it
+	AgeMs      int64  // since it was made
+	Gateways   int    // that the cell has
+	// Loads holds the load of the endpoints that the cell offers to others, without
+	// what the receiver's cell has there itself.
+	Loads map[string]balance.Load
+}
+
+// Member is a gateway that words may be sent to.
+type Member struct {
+	Address    netip.AddrPort
+	Name       string // empty: not known yet
+	DataCentre string // empty: not known yet
+}
+
+// heardMember is a member that sent a word, and when.
+type heardMember struct {
+	Member
+	at time.Time
 }
 
 // Mesh sends and receives words. Its methods may be called concurrently.
@@ -68,8 +97,8 @@
 
 	mu       sync.Mutex
 	sequence uint64
-	listed   []netip.AddrPort
-	heard    map[netip.AddrPort]time.Time
+	listed   []Member
+	heard    map[netip.AddrPort]heardMember
 	last     map[string]position
 	epoch    time.Time // of Word.Clock
 }
@@ -79,6 +108,7 @@
 	life, sequence uint64
 	clock          int64
 	at             time.Time
+	from           netip.AddrPort
 }
 
 // Listen opens the mesh's socket.
@@ -93,61 +123,50 @@
 	}
 	return &Mesh{
 		socket: socket, name: name, life: rand.Uint64(),
-		heard: make(map[netip.AddrPort]time.Time), last: make(map[string]position), epoch: time.Now(),
+		heard: make(map[netip.AddrPort]heardMember), last: make(map[string]position), epoch: time.Now(),
 	}, nil
 }
 
 // Close ends the mesh; Receive returns.
 func (m *Mesh) Close() error { return m.socket.Close() }
 
-// SetMembers replaces the listed addresses, which are sent to besides those
-// that were heard lately.
-func (m *Mesh) SetMembers(addresses []netip.AddrPort) {
+// SetMembers replaces the listed members; those that were heard lately count besides.
+func (m *Mesh) SetMembers(members []Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.listed = addresses
+	m.listed = members
 }
 
-// Members returns where words are sent to.
-func (m *Mesh) Members(now time.Time) []netip.AddrPort {
+// Members returns the other gateways that are listed or were heard lately.
+func (m *Mesh) Members(now time.Time) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.members(now)
-}
-
-func (m *Mesh) members(now time.Time) []netip.AddrPort {
 	self, _ := netip.ParseAddrPort(m.socket.LocalAddr().String())
-	out := make([]netip.AddrPort, 0, len(m.listed)+len(m.heard))
-	seen := map[netip.AddrPort]bool{self: true}
-	add := func(a netip.AddrPort) {
-		if !seen[a] {
-			seen[a] = true
-			out = append(out, a)
-		}
-	}
-	for _, a := range m.listed {
-		add(a)
-	}
-	for a, at := range m.heard {
-		if now.Sub(at) > memberLife {
+	out := make([]Member, 0, len(m.listed)+len(m.heard))
+	for a, h := range m.heard {
+		if now.Sub(h.at) > memberLife {
 			delete(m.heard, a)
 			continue
 		}
-		add(a)
+		out = append(out, h.Member)
+	}
+	for _, l := range m.listed {
+		if _, heard := m.heard[l.Address]; !heard && l.Address != self {
+			out = append(out, l)
+		}
 	}
 	return out
 }
 
-// Send tells every member the word, whose sender fields are filled in.
-func (m *Mesh) Send(w Word, now time.Time) error {
+// Send sends the word, whose sender fields are filled in, to each of the addresses.
+func (m *Mesh) Send(w Word, to []netip.AddrPort, now time.Time) error {
 	m.mu.Lock()
 	m.sequence++
 	w.From, w.Life, w.Sequence = m.name, m.life, m.sequence
 	w.Clock = int64(now.Sub(m.epoch))
 	if w.Echo {
-		w.Heard = m.clocks(now)
+		w.Heard = m.clocks(to, now)
 	}
-	to := m.members(now)
 	m.mu.Unlock()
 	p, err := encode(&w)
 	if err != nil {
@@ -161,15 +180,17 @@
 	return err
 }
 
-// clocks returns the newest clock of each peer that was heard lately.
-func (m *Mesh) clocks(now time.Time) map[string]int64 {
-	out := make(map[string]int64, len(m.last))
+// clocks returns the newest clock of each receiver that was heard lately.
+func (m *Mesh) clocks(to []netip.AddrPort, now time.Time) map[string]int64 {
+	out := make(map[string]int64, len(to))
 	for name, p := range m.last {
 		if now.Sub(p.at) > memberLife {
 			delete(m.last, name)
 			continue
 		}
-		out[name] = p.clock
+		if slices.Contains(to, p.from) {
+			out[name] = p.clock
+		}
 	}
 	return out
 }
@@ -231,11 +252,11 @@
 		return false
 	}
 	now := time.Now()
-	m.last[w.From] = position{w.Life, w.Sequence, w.Clock, now}
+	m.last[w.From] = position{w.Life, w.Sequence, w.Clock, now, from}
 	if w.Leaving {
 		delete(m.heard, from)
 	} else {
-		m.heard[from] = now
+		m.heard[from] = heardMember{Member{from, w.From, w.DataCentre}, now}
 	}
 	return true
 }
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,21 +25,37 @@
 	is := is.New(t)
 	a, _ := listen(t, "a")
 	b, at := listen(t, "b")
-	a.SetMembers([]netip.AddrPort{at})
 	words := make(chan Word, 1)
 	go b.Receive(func(w Word, _ netip.AddrPort) { words <- w })
 	is.NoErr(a.Send(Word{Version: 7, Loads: map[string]balance.Load{"e": {ReadMs: 1.5, Short: 2}},
-		Waiting: map[string]balance.Claim{"s": {Rank: balance.Oversize, LeftMs: -5}}}, time.Now()))
+		Waiting: map[string]balance.Claim{"s": {Rank: balance.Oversize, LeftMs: -5}}, DataCentre: "dc"}, []netip.AddrPort{at}, time.Now()))
 	w := <-words
 	is.Equal(w.From, "a")
 	is.Equal(w.Version, uint64(7))
 	is.Equal(w.Loads["e"], balance.Load{ReadMs: 1.5, Short: 2})
 	is.Equal(w.Waiting, map[string]balance.Claim{"s": {Rank: balance.Oversize, LeftMs: -5}})
 	// A gateway that was heard is answered although no list names it.
-	is.Equal(len(b.Members(time.Now())), 1)
+	members := b.Members(time.Now())
+	is.Equal(len(members), 1)
+	is.Equal(members[0].Name, "a")
+	is.Equal(members[0].DataCentre, "dc")
 	is.Equal(len(b.Members(time.Now().Add(memberLife+time.Second))), 0)
 }
 
+// TestMembers: what a gateway says of itself counts before what a list says of it, and
+// nobody is its own member.
+func TestMembers(t *testing.T) {
+	is := is.New(t)
+	m, self := listen(t, "a")
+	other := netip.MustParseAddrPort("127.0.0.1:1")
+	m.SetMembers([]Member{{Address: self, Name: "a"}, {Address: other}, {Address: netip.MustParseAddrPort("127.0.0.1:2"), Name: "c"}})
+	is.Equal(len(m.Members(time.Now())), 2)
+	is.True(m.newer(Word{From: "b", Life: 1, Sequence: 1, DataCentre: "dc"}, other))
+	members := m.Members(time.Now())
+	is.Equal(len(members), 2)
+	is.True(slices.Contains(members, Member{Address: other, Name: "b", DataCentre: "dc"}))
+}
+
 func TestOvertakenWords(t *testing.T) {
 	is := is.New(t)
 	m, at := listen(t, "a")
--- /dev/null
+++ b/relay/fleet_test.go
@@ -0,0 +1,271 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/peers"
+)
+
+const (
+	nearDelay = time.Millisecond     // of a word inside a data centre
+	farDelay  = 3 * time.Millisecond // of a word between two
+)
+
+// testFleet is gateways in several data centres before engines, in one process under
+// virtual time. Its network loses nothing unless lose says so.
+type testFleet struct {
+	gateways []*Gateway
+	members  []peers.Member
+	table    *catalog.Table
+	lose     func(from, to int) bool
+
+	mu    sync.Mutex
+	sent  []int                // words, by gateway
+	loads []int                // loads of endpoints in them
+	reads map[string]time.Time // until when an engine reads what it was given
+	met   int                  // parts that met another one that was still read
+}
+
+// newFleet starts gateways whose engines stand in as many data centres.
+func newFleet(t *testing.T, dataCentres, gateways, engines int) *testFleet {
+	t.Helper()
+	c := &catalog.Configuration{
+		Version: 1,
+		Routes: []catalog.Route{{Name: "long", Host: "h", PathPrefix: "/", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2, Timeout: 15 * time.Second,
+			Objective: 3 * time.Second, GapObjective: time.Second, Targets: []catalog.Target{{Service: "s", Weight: 1}}}},
+		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 10, MemoryTokens: 232000, StepMs: 1, ReadPerMs: 206, PairsPerM: 0.138, ChunkTokens: 2048, Stride: 68}}},
+	}
+	f := &testFleet{table: catalog.NewTable(c), sent: make([]int, gateways), loads: make([]int, gateways), reads: make(map[string]time.Time)}
+	var list []catalog.Endpoint
+	for i := range engines {
+		list = append(list, catalog.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: "127.0.0.1:1", DataCentre: fmt.Sprint("dc", i%dataCentres), Slots: 10})
+	}
+	events := eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel, LinesPerSecond: 1})
+	t.Cleanup(func() { events.Close(time.Second) })
+	for i := range gateways {
+		dc := fmt.Sprint("dc", i%dataCentres)
+		g := New(Config{Name: fmt.Sprint("g", i), DataCentre: dc, DrainTime: time.Minute, Policy: balance.Default()}, Deps{Log: events, Metrics: metrics.NewSet()})
+		g.state.Take(c)
+		g.state.Listed(list, time.Now(), time.Time{})
+		f.gateways = append(f.gateways, g)
+		f.members = append(f.members, peers.Member{Name: g.config.Name, DataCentre: dc, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1))})
+	}
+	var telling sync.WaitGroup
+	t.Cleanup(telling.Wait) // the context ends before
+	for i := range f.gateways {
+		telling.Go(func() { f.tell(t.Context(), i) })
+	}
+	return f
+}
+
+// tell plays the words of one gateway until ctx ends.
+func (f *testFleet) tell(ctx context.Context, i int) {
+	g := f.gateways[i]
+	time.Sleep(time.Duration(i) * 7 * time.Millisecond) // gateways are not in step
+	heartbeat := time.NewTicker(tellEvery)
+	defer heartbeat.Stop()
+	for beat := 0; ctx.Err() == nil; {
+		why := changed
+		select {
+		case <-ctx.Done():
+			return
+		case <-heartbeat.C:
+			why = due
+			if beat++; beat%digestEvery == 0 {
+				why = dueDigests
+			}
+		case <-g.picker.urgent:
+		}
+		now := time.Now()
+		others := slices.Delete(slices.Clone(f.members), i, i+1)
+		a := newAudience(g.config.Name, g.config.DataCentre, g.state.Cells(), others, g.sharing.peers(now))
+		for _, l := range g.letters(a, why, now) {
+			f.deliver(i, l, now)
+		}
+		time.Sleep(tellGap)
+	}
+}
+
+func (f *testFleet) deliver(from int, l letter, said time.Time) {
+	w := l.word
+	w.From = f.gateways[from].config.Name
+	f.mu.Lock()
+	f.sent[from] += len(l.to)
+	f.loads[from] += len(l.to) * len(w.Loads)
+	f.mu.Unlock()
+	for _, to := range l.to {
+		n := int(to.Port()) - 1
+		if f.lose != nil && f.lose(from, n) {
+			continue
+		}
+		delay := nearDelay
+		if f.members[n].DataCentre != f.members[from].DataCentre {
+			delay = farDelay
+		}
+		w := w
+		w.Loads = maps.Clone(w.Loads) // receivers change what they keep
+		time.AfterFunc(delay, func() {
+			now := time.Now()
+			g := f.gateways[n]
+			g.picker.peer(w, now)
+			g.sharing.mu.Lock()
+			g.sharing.heardStore(w, now)
+			g.sharing.mu.Unlock()
+			g.picker.digests(w, said)
+		})
+	}
+}
+
+// ask lets a gateway place a prompt and plays what the engines do with it. It returns
+// how long the prompt waited for endpoints, and whether it got any.
+func (f *testFleet) ask(ctx context.Context, gateway, tokens int) (waited time.Duration, placed, guest bool) {
+	began := time.Now()
+	x := &exchange{
+		g: f.gateways[gateway], w: httptest.NewRecorder(), r: httptest.NewRequestWithContext(ctx, "POST", "/", nil), call: Call{ID: "r", Input: tokens, Output: 300},
+		table: f.table, route: &f.table.Configuration.Routes[0], service: &f.table.Configuration.Services[0], started: began, deadline: began.Add(15 * time.Second),
+	}
+	at, _ := x.place(ctx)
+	waited = time.Since(began)
+	if at == nil {
+		return waited, false, false
+	}
+	first := f.read(at)
+	time.Sleep(first)
+	at.read()
+	time.Sleep(time.Second)
+	at.release()
+	return waited, true, at.guest
+}
+
+// read counts the reading of a prompt at its engines and returns how long the slowest
+// part takes.
+func (f *testFleet) read(at *place) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var last time.Duration
+	for _, l := range at.loads {
+		if f.reads[l.endpoint].After(now) {
+			f.met++
+		} else {
+			f.reads[l.endpoint] = now
+		}
+		f.reads[l.endpoint] = f.reads[l.endpoint].Add(time.Duration(l.load.ReadMs * float64(time.Millisecond)))
+		last = max(last, f.reads[l.endpoint].Sub(now))
+	}
+	return last + 100*time.Millisecond
+}
+
+// result is what callers got.
+type result struct {
+	asked, placed, guests, quick int
+	inTime                       int // whose first event came within the objective
+}
+
+// burst asks at gateways in turn, so many times a second, for two seconds.
+func (f *testFleet) burst(t *testing.T, perSecond, tokens int, at func(n int) int) result {
+	var r result
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for n := range 2 * perSecond {
+		r.asked++
+		all.Go(func() {
+			began := time.Now()
+			waited, placed, guest := f.ask(t.Context(), at(n), tokens)
+			mu.Lock()
+			defer mu.Unlock()
+			if !placed {
+				return
+			}
+			r.placed++
+			if guest {
+				r.guests++
+			}
+			if waited < 200*time.Millisecond {
+				r.quick++
+			}
+			if time.Since(began)-time.Second <= 3*time.Second {
+				r.inTime++
+			}
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	all.Wait()
+	return r
+}
+
+// TestBurstOverCells: forty long prompts a second choose among 150 engines of five data
+// centres within a moment, and no two on the same engine. While all gateways were one
+// cell, their turns let through 30 a second.
+func TestBurstOverCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5, 20, 150)
+		time.Sleep(3 * time.Second)
+		r := f.burst(t, 40, 120_000, func(n int) int { return n % 20 })
+		t.Logf("%+v, %d parts met another", r, f.met)
+		is.True(r.placed >= r.asked*95/100)
+		is.True(r.quick >= r.asked*80/100)
+		is.True(r.inTime >= r.asked*90/100)
+	})
+}
+
+// TestFullCellSpillsOver: callers of one data centre alone ask for more than its engines
+// can read; the others' engines help, without two cells meeting on the same ones.
+func TestFullCellSpillsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5, 20, 150)
+		time.Sleep(3 * time.Second)
+		r := f.burst(t, 24, 190_000, func(n int) int { return n % 4 * 5 }) // all in the first data centre
+		t.Logf("%+v, %d parts met another", r, f.met)
+		is.True(r.placed >= r.asked*90/100)
+		is.True(r.guests > 0)
+		is.True(f.met*100 <= r.placed*20)
+	})
+}
+
+// TestWordsDoNotGrowWithTheFleet: what a gateway of the same cell sends in a quiet
+// second is the same whether there is one cell or five, for those that do not speak to
+// other cells; those that do send a few words more for each cell.
+func TestWordsDoNotGrowWithTheFleet(t *testing.T) {
+	quiet := func(dataCentres int) (words []int) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, dataCentres, 6*dataCentres, 30*dataCentres)
+			time.Sleep(3 * time.Second)
+			f.mu.Lock()
+			before := slices.Clone(f.sent)
+			f.mu.Unlock()
+			time.Sleep(time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for i, n := range f.sent {
+				words = append(words, n-before[i])
+			}
+		})
+		slices.Sort(words)
+		return words
+	}
+	is := is.New(t)
+	one, five := quiet(1), quiet(5)
+	is.Equal(one[len(one)/2], 20) // four words a second to five others
+	is.Equal(five[len(five)/2], one[len(one)/2])
+	is.True(five[len(five)-1] <= one[len(one)-1]+2*4*(acrossReceivers+readers))
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -6,8 +6,6 @@
 	"net/netip"
 	"strconv"
 	"time"
-
-	"github.com/micarudder/micarudder/peers"
 )
 
 const (
@@ -28,12 +26,6 @@
 	// gatewaysEvery is how often the list of gateways is read and the own
 	// entry renewed.
 	gatewaysEvery = 3 * time.Second
-	// tellEvery is the time between two words to the peers that tell of reads
-	// and clocks beside the load.
-	tellEvery = 250 * time.Millisecond
-	// tellGap is the least time between two words: choices made within it go
-	// out together.
-	tellGap = 10 * time.Millisecond
 )
 
 // followConfiguration keeps the configuration and its proof young.
@@ -53,7 +45,7 @@
 				g.askPeers()
 				wait = g.sharing.pauseAfterFailure(g.config.Name, time.Now())
 			}
-			g.picker.callPeers()
+			g.tellNews()
 		} else {
 			wait = readAgain
 		}
@@ -134,6 +126,7 @@
 	}
 	g.sharing.read(list, sent)
 	g.applyEndpoints()
+	g.tellNews()
 	return true
 }
 
@@ -161,7 +154,8 @@
 			g.logDependency("gateway list", lost, err)
 		}
 		if len(list) > 0 {
-			g.deps.Mesh.SetMembers(g.addresses(list))
+			g.deps.Mesh.SetMembers(list)
+			g.listedGateways.Store(int64(len(list)))
 		}
 		if !g.pause(gatewaysEvery) {
 			return
@@ -169,71 +163,6 @@
 	}
 }
 
-// addresses parses peer addresses; one that cannot be parsed is logged and left
-// out.
-func (g *Gateway) addresses(list []string) []netip.AddrPort {
-	out := make([]netip.AddrPort, 0, len(list))
-	for _, text := range list {
-		a, err := netip.ParseAddrPort(text)
-		if err != nil {
-			g.deps.Log.Logger().Warn("A gateway's address cannot be read.", "address", text, "err", err)
-			continue
-		}
-		out = append(out, a)
-	}
-	return out
-}
-
-// tell sends this gateway's load to its peers: soon after it changed, and now
-// and then while it does not.
-func (g *Gateway) tell() {
-	if g.deps.Mesh == nil {
-		return
-	}
-	heartbeat := time.NewTicker(tellEvery)
-	defer heartbeat.Stop()
-	for {
-		full := false
-		select {
-		case <-g.ctx.Done():
-			return
-		case <-heartbeat.C:
-			full = true
-		case <-g.picker.urgent:
-		}
-		g.tellOnce(full, time.Now())
-		if !g.pause(tellGap) {
-			return
-		}
-	}
-}
-
-// tellOnce sends one word: if full is set, with its whole load and what this
-// gateway has read.
-func (g *Gateway) tellOnce(full bool, now time.Time) {
-	loads, waiting := g.picker.own(full, now)
-	w := peers.Word{Leaving: g.leaving.Load(), Loads: loads, Partial: !full, Waiting: waiting, ProofAgeMs: -1, Version: g.state.Version(), NoStore: g.sharing.storeLost()}
-	if full {
-		g.fill(&w, now)
-		// Only those who read have proofs that others date by their clocks.
-		w.Echo = g.sharing.reads(g.config.Name, now)
-	}
-	if err := g.deps.Mesh.Send(w, now); err != nil {
-		g.meter.tellFailures.Inc()
-	}
-}
-
-// hear takes in what peers say.
-func (g *Gateway) hear() {
-	if g.deps.Mesh == nil {
-		return
-	}
-	g.deps.Mesh.Receive(func(w peers.Word, from netip.AddrPort) {
-		g.picker.peer(w, time.Now())
-		g.heardWord(w, from)
-	})
-}
-
 // peerURL returns where another gateway answers.
 func (g *Gateway) peerURL(a netip.AddrPort, path string) string {
 	return "http://" + net.JoinHostPort(a.Addr().String(), strconv.Itoa(g.deps.PeerPort)) + path
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -60,17 +60,21 @@
 	leaving  atomic.Bool
 	stopAt   atomic.Pointer[time.Time] // when the stop signal came
 	peers    *peerClient
-	sharing  sharing
+	sharing  *sharing
 	faces    *faces
+	// news asks for a whole word to the peers soon.
+	news chan struct{}
+	// listedGateways is how many the store's newest list named.
+	listedGateways atomic.Int64
 }
 
 // New returns a gateway whose background work runs until Close.
 func New(c Config, d Deps) *Gateway {
-	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics)}
-	g.picker = newPicker(c.Name, g.state, c.Policy, c.Retries)
+	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), news: make(chan struct{}, 1)}
+	g.picker = newPicker(c.Name, c.DataCentre, g.state, c.Policy, c.Retries)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.peers = newPeerClient(d.PeerPort)
-	g.sharing.heard, g.sharing.cut = make(map[string]time.Time), make(map[string]time.Time)
+	g.sharing = newSharing()
 	g.faces = newFaces(g)
 	return g
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -104,7 +105,7 @@
 	return s.endpoints, s.err
 }
 
-func (s *testSource) Gateways(context.Context) ([]string, error) { return nil, nil }
+func (s *testSource) Gateways(context.Context) ([]peers.Member, error) { return nil, nil }
 
 // bench is a gateway before scripted endpoints.
 type bench struct {
--- a/relay/members.go
+++ b/relay/members.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/cell"
 )
 
 const (
@@ -32,6 +34,8 @@
 	known   map[string]catalog.Endpoint
 	missing map[string]time.Time // entries that lapsed, and when that was seen
 	order   map[string][]catalog.Endpoint
+	cells   cell.Map
+	inCell  map[string]map[string][]catalog.Endpoint // by service and cell
 }
 
 func newMembers() *members {
@@ -120,6 +124,31 @@
 	for _, list := range m.order {
 		slices.SortFunc(list, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	m.group()
+}
+
+// group sets the cells by the data centres of the service that has the most endpoints.
+func (m *members) group() {
+	var most []catalog.Endpoint
+	for _, service := range slices.Sorted(maps.Keys(m.order)) {
+		if len(m.order[service]) > len(most) {
+			most = m.order[service]
+		}
+	}
+	count := make(map[string]int)
+	for _, e := range most {
+		count[e.DataCentre]++
+	}
+	m.cells = cell.Group(count)
+	m.inCell = make(map[string]map[string][]catalog.Endpoint, len(m.order))
+	for service, list := range m.order {
+		cells := make(map[string][]catalog.Endpoint)
+		for _, e := range list {
+			name := m.cells.Of(e.DataCentre)
+			cells[name] = append(cells[name], e)
+		}
+		m.inCell[service] = cells
+	}
 }
 
 func (m *members) usable(service string) []catalog.Endpoint { return m.order[service] }
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -102,7 +102,7 @@
 	asked := members[:min(peersAsked, len(members))]
 	for _, m := range asked {
 		go func() {
-			g.askPeer(m)
+			g.askPeer(m.Address)
 			done <- struct{}{}
 		}()
 	}
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -15,11 +15,12 @@
 // picker holds what the choice of an endpoint is made on. Its methods may be
 // called concurrently.
 type picker struct {
-	self   string // name of this gateway
-	state  *State
-	policy balance.Policy
-	window limits.WindowConfig
-	urgent chan struct{} // asks for a word to the peers soon
+	self       string // name of this gateway
+	dataCentre string // that it stands in
+	state      *State
+	policy     balance.Policy
+	window     limits.WindowConfig
+	urgent     chan struct{} // asks for a word to the peers soon
 
 	mu      sync.Mutex
 	book    *balance.Book
@@ -27,13 +28,18 @@
 	health  *balance.Health
 	budgets map[string]*limits.Window // by service
 	changed chan struct{}             // closed when load was taken off
+	// fleet is how many gateways there are, as far as this one knows.
+	fleet    int
+	gateways map[string]int    // by other cell
+	centres  map[string]string // by other cell: where its digest was made
 }
 
-func newPicker(self string, state *State, policy balance.Policy, window limits.WindowConfig) *picker {
+func newPicker(self, dataCentre string, state *State, policy balance.Policy, window limits.WindowConfig) *picker {
 	return &picker{
-		self: self, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
+		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
 		book: balance.NewBook(), turns: balance.NewTurns(), health: balance.NewHealth(),
 		budgets: make(map[string]*limits.Window), changed: make(chan struct{}),
+		gateways: make(map[string]int), centres: make(map[string]string),
 	}
 }
 
@@ -46,6 +52,7 @@
 	before   balance.Load // at the endpoint, before this request
 	// candidates is how many endpoints there were to choose among.
 	candidates int
+	guest      bool // in another cell than the gateway's
 	expected   balance.Expected
 	loads      []*placedLoad
 }
@@ -73,21 +80,23 @@
 	pickFull             // the caller had better come back later
 )
 
-// pick chooses an endpoint of the service and counts the load.
+// pick chooses an endpoint of the service and counts the load: in the own cell if that
+// will do, else in another one.
 func (p *picker) pick(service *catalog.Service, w balance.Work, now time.Time) (chosen *place, expected balance.Expected, o pickOutcome) {
-	endpoints := p.state.Endpoints(service.Name)
-	if len(endpoints) == 0 {
+	cells := p.state.EndpointsByCell(service.Name)
+	if len(cells) == 0 {
 		return nil, expected, pickNone
 	}
+	home := p.state.Cells().Of(p.dataCentre)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := make([]balance.Candidate, len(endpoints))
-	for i, e := range endpoints {
-		candidates[i] = balance.Candidate{
-			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
+	at := p.look(service, w, cells[home], now)
+	if at.choice.Elsewhere() && len(cells) > 1 {
+		if other, ok := p.elsewhere(service, w, cells, home, now); ok {
+			at = other
 		}
 	}
-	c := p.policy.Choose(service, w, candidates)
+	c := at.choice
 	switch {
 	case c.Wait:
 		return nil, c.Expected, pickWait
@@ -96,20 +105,92 @@
 	case c.Endpoint < 0:
 		return nil, c.Expected, pickNone
 	}
-	chosen = &place{picker: p, endpoint: endpoints[c.Endpoint], before: candidates[c.Endpoint].Load, candidates: len(candidates), expected: c.Expected}
+	return p.put(at), c.Expected, picked
+}
+
+// look is a choice and what it was made among.
+type look struct {
+	endpoints  []catalog.Endpoint
+	candidates []balance.Candidate
+	choice     balance.Choice
+	guest      bool // in another cell
+}
+
+// look chooses among endpoints of the own cell. The caller holds the lock.
+func (p *picker) look(service *catalog.Service, w balance.Work, endpoints []catalog.Endpoint, now time.Time) look {
+	at := look{endpoints: endpoints, candidates: make([]balance.Candidate, len(endpoints))}
+	for i, e := range endpoints {
+		at.candidates[i] = balance.Candidate{
+			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
+		}
+	}
+	at.choice = p.policy.Choose(service, w, at.candidates)
+	return at
+}
+
+// cellsAsked is how many other cells are looked at when the own one will not do.
+const cellsAsked = 2
+
+// elsewhere chooses in other cells, in an order of chance, so that cells that are short
+// of room at the same moment do not all go to the same one. The caller holds the lock.
+func (p *picker) elsewhere(service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, now time.Time) (at look, ok bool) {
+	digests := p.book.Digests(now)
+	w.Guest = len(cells[home]) > 0 // without endpoints of its own, a cell is no guest
+	asked := 0
+	for c, endpoints := range cells { // in no order
+		if c == home {
+			continue
+		}
+		offered := offeredOf(endpoints, digests[c].Loads)
+		if !w.Guest {
+			offered = endpoints
+		}
+		if len(offered) == 0 {
+			continue
+		}
+		at = p.look(service, w, offered, now)
+		if asked++; at.choice.Endpoint >= 0 {
+			at.guest = true
+			return at, true
+		}
+		if asked == cellsAsked {
+			break
+		}
+	}
+	return look{}, false
+}
+
+// offeredOf returns the endpoints that a digest offers.
+func offeredOf(endpoints []catalog.Endpoint, offered map[string]balance.Load) []catalog.Endpoint {
+	var out []catalog.Endpoint
+	for _, e := range endpoints {
+		if _, ok := offered[e.ID]; ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// put counts the load of a choice. The caller holds the lock.
+func (p *picker) put(at look) *place {
+	c := at.choice
+	chosen := &place{
+		picker: p, endpoint: at.endpoints[c.Endpoint], before: at.candidates[c.Endpoint].Load,
+		candidates: len(at.candidates), expected: c.Expected, guest: at.guest,
+	}
 	for _, i := range c.Helpers {
-		chosen.helpers = append(chosen.helpers, endpoints[i])
+		chosen.helpers = append(chosen.helpers, at.endpoints[i])
 	}
 	for _, r := range c.Reserve {
-		chosen.reserve = append(chosen.reserve, wantedMemory{endpoints[r.Candidate], r.Tokens})
+		chosen.reserve = append(chosen.reserve, wantedMemory{at.endpoints[r.Candidate], r.Tokens})
 	}
 	for _, l := range c.Loads {
-		id := endpoints[l.Candidate].ID
+		id := at.endpoints[l.Candidate].ID
 		p.book.Add(id, l.Load)
 		chosen.add(id, l)
 	}
 	p.callPeers()
-	return chosen, c.Expected, picked
+	return chosen
 }
 
 // callPeers makes the next word to the peers go out soon.
@@ -254,7 +335,7 @@
 func (p *picker) retry(service string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget(service).Retry(now, p.book.Peers(now)+1)
+	return p.budget(service).Retry(now, max(p.fleet, p.book.Peers(now)+1))
 }
 
 func (p *picker) budget(service string) *limits.Window {
@@ -271,9 +352,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w.Partial {
-		p.book.PeerChanged(w.From, w.Loads, now)
+		p.book.PeerChanged(w.From, w.DataCentre, w.Loads, now)
 	} else {
-		p.book.Peer(w.From, w.Loads, now)
+		p.book.Peer(w.From, w.DataCentre, w.Loads, now)
 	}
 	p.turns.Peer(w.From, w.Waiting, now)
 	if p.turns.Waiting() > 0 {
@@ -281,15 +362,46 @@
 	}
 }
 
-// own returns the load and the waiting prompts to tell the peers: the whole load,
-// or what changed since that was told last.
-func (p *picker) own(whole bool, now time.Time) (loads map[string]balance.Load, waiting map[string]balance.Claim) {
+// tellings is the load and the waiting prompts to tell the peers.
+type tellings struct {
+	all     map[string]balance.Load
+	by      map[string]map[string]balance.Load // of all, that at the endpoints of each cell
+	waiting map[string]balance.Claim
+}
+
+// tellings returns the whole load, or what changed since that was told last.
+func (p *picker) tellings(whole bool, now time.Time) tellings {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	t := tellings{waiting: p.turns.Own(now), by: make(map[string]map[string]balance.Load)}
 	if whole {
-		return p.book.Own(), p.turns.Own(now)
+		t.all = p.book.Own()
+	} else {
+		t.all = p.book.Changed()
+	}
+	for id, l := range t.all {
+		c, ok := p.state.CellOf(id)
+		if !ok {
+			continue // it is gone: only the own cell counts what is left there
+		}
+		if t.by[c] == nil {
+			t.by[c] = make(map[string]balance.Load)
+		}
+		t.by[c][id] = l
+	}
+	return t
+}
+
+// setFleet takes in how many gateways the own cell has, and how many the store's list
+// names.
+func (p *picker) setFleet(own, listed int) {
+	cells := p.state.Cells().Cells()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range cells {
+		own += p.gateways[c]
 	}
-	return p.book.Changed(), p.turns.Own(now)
+	p.fleet = max(own, listed)
 }
 
 // target picks one of the route's services by weight.
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -29,7 +29,7 @@
 		list = append(list, catalog.Endpoint{ID: string(rune('a' + i)), Service: s.Name, Address: "127.0.0.1:1"})
 	}
 	state.Listed(list, time.Now(), time.Time{})
-	return newPicker("g", state, balance.Default(), limits.WindowConfig{}), s
+	return newPicker("g", "dc", state, balance.Default(), limits.WindowConfig{}), s
 }
 
 // TestPartsAreFreeAgainBeforeTheFirstEvent: the parts of a long prompt count as
--- a/relay/process.go
+++ b/relay/process.go
@@ -64,14 +64,14 @@
 }
 
 // seeds returns the peer addresses of the hosts that the settings name.
-func seeds(s *Settings, port uint16) []netip.AddrPort {
-	var out []netip.AddrPort
+func seeds(s *Settings, port uint16) []peers.Member {
+	var out []peers.Member
 	for _, text := range s.Relay.Seeds {
 		a, err := netip.ParseAddrPort(string(text))
 		if err != nil {
 			continue // checked when the settings were read
 		}
-		out = append(out, netip.AddrPortFrom(a.Addr(), port))
+		out = append(out, peers.Member{Address: netip.AddrPortFrom(a.Addr(), port)})
 	}
 	return out
 }
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -86,5 +87,5 @@
 	// Endpoints returns every endpoint that is known to exist.
 	Endpoints(ctx context.Context) ([]catalog.Endpoint, error)
 	// Gateways announces this gateway and returns the peer addresses of all.
-	Gateways(ctx context.Context) ([]string, error)
+	Gateways(ctx context.Context) ([]peers.Member, error)
 }
--- a/relay/share.go
+++ b/relay/share.go
@@ -31,6 +31,9 @@
 	takeOver = 2 * readEvery
 	// hearFor is how long a peer that was heard counts among those that read.
 	hearFor = time.Second
+	// acrossFor is how long a peer of another cell that told a digest is told ours:
+	// four digests may be lost.
+	acrossFor = 4 * digestEvery * tellEvery
 
 	pathEndpoints = "/peer/endpoints"
 )
@@ -46,6 +49,7 @@
 	mu      sync.Mutex
 	heard   map[string]time.Time // peers that can reach the store
 	cut     map[string]time.Time // peers that cannot
+	across  map[string]time.Time // peers of other cells that tell digests
 	list    endpointList
 	hash    uint64    // of list; 0: none
 	listed  time.Time // when the read of list was sent, or proved still right
@@ -54,6 +58,40 @@
 	taking  bool      // whether something is being taken from a peer
 }
 
+func newSharing() *sharing {
+	return &sharing{heard: make(map[string]time.Time), cut: make(map[string]time.Time), across: make(map[string]time.Time)}
+}
+
+// peers returns who was heard lately.
+func (s *sharing) peers(now time.Time) heardPeers {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := heardPeers{lately: make(map[string]bool), withStore: make(map[string]bool), across: make(map[string]bool)}
+	for name, at := range s.heard {
+		if now.Sub(at) <= hearFor {
+			h.lately[name], h.withStore[name] = true, true
+		}
+	}
+	for name, at := range s.cut {
+		if now.Sub(at) <= hearFor {
+			h.lately[name] = true
+		}
+	}
+	for name, at := range s.across {
+		if now.Sub(at) > acrossFor {
+			delete(s.across, name)
+			continue
+		}
+		h.across[name] = true
+	}
+	return h
+}
+
+// audience returns whom this gateway tells what.
+func (g *Gateway) audience(now time.Time) audience {
+	return newAudience(g.config.Name, g.config.DataCentre, g.state.Cells(), g.deps.Mesh.Members(now), g.sharing.peers(now))
+}
+
 // reads reports whether this gateway is among the readers.
 func (s *sharing) reads(self string, now time.Time) bool {
 	s.mu.Lock()
@@ -72,14 +110,13 @@
 // amongFirst reports whether a gateway is one of the first readers among itself and
 // the peers that were heard lately; it forgets the others.
 func amongFirst(self string, peers map[string]time.Time, now time.Time) bool {
-	own := rank(self)
 	before := 0
 	for name, at := range peers {
 		if now.Sub(at) > hearFor {
 			delete(peers, name)
 			continue
 		}
-		if r := rank(name); r < own || r == own && name < self {
+		if precedes(name, self) {
 			before++
 		}
 	}
@@ -141,7 +178,7 @@
 	if age < 0 || age > time.Hour {
 		w.ProofAgeMs = -1
 	}
-	s := &g.sharing
+	s := g.sharing
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.hash != 0 {
@@ -156,6 +193,9 @@
 func (s *sharing) heardStore(w peers.Word, now time.Time) {
 	delete(s.heard, w.From)
 	delete(s.cut, w.From)
+	if len(w.Digests) > 0 {
+		s.across[w.From] = now
+	}
 	switch {
 	case w.Leaving:
 	case w.NoStore:
@@ -189,7 +229,7 @@
 // heardWord takes in what a peer says of its reads.
 func (g *Gateway) heardWord(w peers.Word, from netip.AddrPort) {
 	now := time.Now()
-	s := &g.sharing
+	s := g.sharing
 	s.mu.Lock()
 	s.heardStore(w, now)
 	s.mu.Unlock()
@@ -197,6 +237,7 @@
 	if !ok {
 		return
 	}
+	g.picker.digests(w, said)
 	g.heardProof(w, said, from)
 	g.heardEndpoints(w, said, from)
 }
@@ -210,7 +251,15 @@
 		g.take(func() { g.askPeer(from) })
 		return
 	}
-	g.state.Prove(w.Version, said.Add(-time.Duration(w.ProofAgeMs)*time.Millisecond))
+	if g.state.Prove(w.Version, said.Add(-time.Duration(w.ProofAgeMs)*time.Millisecond)) && g.fromAfar(w) {
+		g.tellNews() // the own cell hears of it from this gateway
+	}
+}
+
+// fromAfar reports whether a word came from another cell.
+func (g *Gateway) fromAfar(w peers.Word) bool {
+	cells := g.state.Cells()
+	return w.DataCentre != "" && cells.Of(w.DataCentre) != cells.Of(g.config.DataCentre)
 }
 
 // heardEndpoints takes in which list of endpoints the sender of a word has.
@@ -219,7 +268,7 @@
 		return
 	}
 	sent := said.Add(-time.Duration(w.EndpointsAgeMs) * time.Millisecond)
-	s := &g.sharing
+	s := g.sharing
 	s.mu.Lock()
 	newer := sent.After(s.listed)
 	same := s.hash == w.Endpoints
@@ -239,7 +288,7 @@
 
 // take runs one thing at a time that asks a peer.
 func (g *Gateway) take(ask func()) {
-	s := &g.sharing
+	s := g.sharing
 	s.mu.Lock()
 	busy := s.taking
 	s.taking = true
@@ -271,7 +320,7 @@
 
 // applyEndpoints decides about endpoints from the newest list.
 func (g *Gateway) applyEndpoints() {
-	s := &g.sharing
+	s := g.sharing
 	s.mu.Lock()
 	list, failed := s.list.Endpoints, s.failed
 	s.mu.Unlock()
@@ -292,7 +341,7 @@
 
 // serveEndpoints answers a peer that asks for the list.
 func (g *Gateway) serveEndpoints(w http.ResponseWriter, _ *http.Request) {
-	s := &g.sharing
+	s := g.sharing
 	s.mu.Lock()
 	list, known := s.list, s.hash != 0
 	s.mu.Unlock()
--- a/relay/share_test.go
+++ b/relay/share_test.go
@@ -10,10 +10,6 @@
 	"github.com/micarudder/micarudder/peers"
 )
 
-func newSharing() *sharing {
-	return &sharing{heard: make(map[string]time.Time), cut: make(map[string]time.Time)}
-}
-
 // TestFewAskALostStore: of many gateways that hear of each other that none reaches
 // the store, two go on asking often, whoever of them asks; one that hears nobody
 // does as well, and so does one whose peers fell silent.
--- a/relay/state.go
+++ b/relay/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/cell"
 )
 
 // State is what the gateway believes of configuration and endpoints, with the
@@ -49,16 +50,18 @@
 }
 
 // Prove notes that a read sent at that time found no newer configuration than
-// version. A proof for another version than the one in force proves nothing.
-func (s *State) Prove(version uint64, sent time.Time) {
+// version, and reports whether that is younger than what was known. A proof for
+// another version than the one in force proves nothing.
+func (s *State) Prove(version uint64, sent time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t := s.table.Load(); t == nil || t.Version != version || !sent.After(s.proof) {
-		return
+		return false
 	}
 	s.proof = sent
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return true
 }
 
 // ProofAge returns how old the newest proof is, and a channel that is closed at
@@ -103,6 +106,37 @@
 	return s.members.usable(service)
 }
 
+// Services returns the services of the configuration in force.
+func (s *State) Services() []catalog.Service {
+	t := s.table.Load()
+	if t == nil {
+		return nil
+	}
+	return t.Configuration.Services
+}
+
+// EndpointsByCell returns the same by cell. The caller must not change it.
+func (s *State) EndpointsByCell(service string) map[string][]catalog.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.inCell[service]
+}
+
+// Cells returns which cell each data centre belongs to.
+func (s *State) Cells() cell.Map {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.cells
+}
+
+// CellOf returns the cell of an endpoint; ok is false for one that is not known.
+func (s *State) CellOf(id string) (name string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.members.known[id]
+	return s.members.cells.Of(e.DataCentre), ok
+}
+
 // Endpoint returns an endpoint and whether it takes new requests.
 func (s *State) Endpoint(id string) (catalog.Endpoint, bool) {
 	s.mu.Lock()
--- /dev/null
+++ b/relay/tell.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/peers"
+)
+
+const (
+	// tellEvery is the time between two words to the peers that tell of reads
+	// and clocks beside the load.
+	tellEvery = 250 * time.Millisecond
+	// tellGap is the least time between two words: choices made within it go
+	// out together.
+	tellGap = 10 * time.Millisecond
+	// digestEvery is how many words that are due pass between two with digests.
+	digestEvery = 2
+)
+
+// occasion is why a word is sent.
+type occasion uint8
+
+const (
+	changed    occasion = iota // load has changed
+	proved                     // something was read that others wait for
+	due                        // it is time
+	dueDigests                 // it is time, also for digests
+)
+
+// letter is a word and who gets it.
+type letter struct {
+	word peers.Word
+	to   []netip.AddrPort
+}
+
+// tell sends this gateway's load to its peers: soon after it changed, and now
+// and then while it does not.
+func (g *Gateway) tell() {
+	if g.deps.Mesh == nil {
+		return
+	}
+	heartbeat := time.NewTicker(tellEvery)
+	defer heartbeat.Stop()
+	beats := 0
+	for {
+		why := changed
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-heartbeat.C:
+			why = due
+			if beats++; beats%digestEvery == 0 {
+				why = dueDigests
+			}
+		case <-g.news:
+			why = proved
+		case <-g.picker.urgent:
+		}
+		now := time.Now()
+		g.send(g.letters(g.audience(now), why, now))
+		if !g.pause(tellGap) {
+			return
+		}
+	}
+}
+
+// tellNews makes a whole word go out soon, since others wait for what was read.
+func (g *Gateway) tellNews() {
+	select {
+	case g.news <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gateway) send(letters []letter) {
+	now := time.Now()
+	for _, l := range letters {
+		if err := g.deps.Mesh.Send(l.word, l.to, now); err != nil {
+			g.meter.tellFailures.Inc()
+		}
+	}
+}
+
+// letters returns what is to be told to the audience on an occasion.
+func (g *Gateway) letters(a audience, why occasion, now time.Time) []letter {
+	g.picker.setFleet(a.gateways, int(g.listedGateways.Load()))
+	told := g.picker.tellings(why != changed, now)
+	base := peers.Word{
+		Leaving: g.leaving.Load(), DataCentre: g.config.DataCentre, Partial: why == changed,
+		ProofAgeMs: -1, Version: g.state.Version(), NoStore: g.sharing.storeLost(),
+	}
+	if why != changed {
+		g.fill(&base, now)
+		base.Echo = a.speaks
+	}
+	out := []letter{g.near(base, a, why, told, now)}
+	for c := range a.far {
+		if l, ok := g.far(base, a, c, why, told.by[c], now); ok {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// near returns the word for the own cell: it tells of all load, wherever it is.
+func (g *Gateway) near(w peers.Word, a audience, why occasion, told tellings, now time.Time) letter {
+	w.Loads, w.Waiting = told.all, told.waiting
+	if a.speaks && why == dueDigests {
+		w.Digests = g.picker.passOn(now)
+	}
+	return letter{w, a.near}
+}
+
+// far returns the word for another cell, if there is anything to tell it: load at its
+// endpoints, and what those who speak across cells tell each other.
+func (g *Gateway) far(w peers.Word, a audience, c string, why occasion, loads map[string]balance.Load, now time.Time) (letter, bool) {
+	w.Loads = loads
+	speaks := a.speaks && (why == dueDigests || why == proved)
+	if speaks && why == dueDigests {
+		w.Digests = []peers.Digest{g.picker.offer(c, g.config.DataCentre, a.gateways, now)}
+	}
+	switch {
+	case len(loads) > 0:
+		return letter{w, a.far[c]}, true
+	case speaks:
+		return letter{w, a.across[c]}, true
+	default:
+		return letter{}, false
+	}
+}
+
+// hear takes in what peers say.
+func (g *Gateway) hear() {
+	if g.deps.Mesh == nil {
+		return
+	}
+	g.deps.Mesh.Receive(func(w peers.Word, from netip.AddrPort) {
+		g.picker.peer(w, time.Now())
+		g.heardWord(w, from)
+	})
+}
