Starting gateways learn from named ones; one reader and one that stands by

Change: a starting gateway asks those that its settings name; one gateway reads and one stands by; gateways are listed each ten seconds under a lease of 30.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -130,6 +130,12 @@
 // Close ends the mesh; Receive returns.
 func (m *Mesh) Close() error { return m.socket.Close() }
 
+// Address returns where this gateway's mesh listens.
+func (m *Mesh) Address() netip.AddrPort {
+	a, _ := netip.ParseAddrPort(m.socket.LocalAddr().String())
+	return a
+}
+
 // SetMembers replaces the listed members; those that were heard lately count besides.
 func (m *Mesh) SetMembers(members []Member) {
 	m.mu.Lock()
@@ -141,7 +147,7 @@
 func (m *Mesh) Members(now time.Time) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	self, _ := netip.ParseAddrPort(m.socket.LocalAddr().String())
+	self := m.Address()
 	out := make([]Member, 0, len(m.listed)+len(m.heard))
 	for a, h := range m.heard {
 		if now.Sub(h.at) > memberLife {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -23,9 +23,12 @@
 	// askPeersAfter is the age of the own proof at which peers are asked for
 	// theirs.
 	askPeersAfter = 1600 * time.Millisecond
-	// gatewaysEvery is how often the list of gateways is read and the own
-	// entry renewed.
-	gatewaysEvery = 3 * time.Second
+	// gatewaysEvery is how often the list of gateways is read and the own entry
+	// renewed, a third of its lease; gatewaysSoon is the first time, when gateways that
+	// started together have entries. Between reads gateways know each other by
+	// what they hear.
+	gatewaysEvery = 10 * time.Second
+	gatewaysSoon  = 3 * time.Second
 )
 
 // followConfiguration keeps the configuration and its proof young.
@@ -58,7 +61,7 @@
 // mustRead reports whether this gateway reads the store now, given the age of
 // what it knows.
 func (g *Gateway) mustRead(age time.Duration) bool {
-	return g.deps.Mesh == nil || age > takeOver || g.sharing.reads(g.config.Name, time.Now())
+	return g.deps.Mesh == nil || g.sharing.reads(g.config.Name, age, time.Now())
 }
 
 func (g *Gateway) proofAge() time.Duration {
@@ -145,7 +148,7 @@
 		return
 	}
 	lost := false
-	for {
+	for wait := gatewaysSoon; ; wait = gatewaysEvery {
 		ctx, cancel := context.WithTimeout(g.ctx, readTime)
 		list, err := g.deps.Source.Gateways(ctx)
 		cancel()
@@ -157,7 +160,10 @@
 			g.deps.Mesh.SetMembers(list)
 			g.listedGateways.Store(int64(len(list)))
 		}
-		if !g.pause(gatewaysEvery) {
+		if err != nil {
+			wait = gatewaysSoon
+		}
+		if !g.pause(wait) {
 			return
 		}
 	}
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	// DrainTime is the time from the stop signal to the end of the process.
 	DrainTime time.Duration
 	Policy    balance.Policy
+	// Seeds are the peer addresses of some gateways, which a starting one asks first.
+	Seeds []netip.AddrPort
 	// BodyMemory bounds the bytes of all request bodies that are held at once;
 	// zero: no bound.
 	BodyMemory int64
@@ -81,9 +84,14 @@
 
 // Start begins the background work.
 func (g *Gateway) Start() {
-	for _, task := range []func(){g.followConfiguration, g.followEndpoints, g.followGateways, g.tell, g.hear} {
+	for _, task := range []func(){g.followGateways, g.tell, g.hear} {
 		g.tasks.Go(task)
 	}
+	g.tasks.Go(func() {
+		g.learn()
+		g.tasks.Go(g.followEndpoints)
+		g.followConfiguration()
+	})
 }
 
 // Close ends the background work.
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,9 @@
 	pathConfiguration = "/peer/configuration"
 )
 
+// errNotKnown is a peer's answer that it does not know yet what it was asked for.
+var errNotKnown = errors.New("the peer does not know it yet")
+
 // proofAnswer is what a gateway says of its newest proof.
 type proofAnswer struct {
 	Version uint64
@@ -79,7 +83,11 @@
 		return trace.Wrap(err)
 	}
 	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
+	switch res.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		return trace.Wrap(errNotKnown)
+	default:
 		return trace.Errorf("%s: %s", url, res.Status)
 	}
 	return trace.Wrap(json.NewDecoder(res.Body).Decode(into))
@@ -102,7 +110,7 @@
 	asked := members[:min(peersAsked, len(members))]
 	for _, m := range asked {
 		go func() {
-			g.askPeer(m.Address)
+			g.askPeerLogged(m.Address)
 			done <- struct{}{}
 		}()
 	}
@@ -111,24 +119,31 @@
 	}
 }
 
-func (g *Gateway) askPeer(m netip.AddrPort) {
+// askPeer takes a peer's proof and, if that is newer, its configuration.
+func (g *Gateway) askPeer(m netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(g.ctx, 2*peerTime)
 	defer cancel()
 	sent := time.Now()
 	var proof proofAnswer
 	if err := g.peers.get(ctx, g.peerURL(m, pathProof), &proof); err != nil {
-		g.deps.Log.Logger().Debug("A peer could not be asked.", "peer", m, "err", err)
-		return
+		return err
 	}
 	if proof.Version > g.state.Version() {
 		c := new(catalog.Configuration)
 		if err := g.peers.get(ctx, g.peerURL(m, pathConfiguration), c); err != nil {
-			g.deps.Log.Logger().Warn("A peer's configuration could not be read.", "peer", m, "err", err)
-			return
+			return err
 		}
 		if g.state.Take(c) {
 			g.deps.Log.Logger().Info("Configuration in force.", "version", c.Version, "from", "peer", "peer", m, "proof_age_ms", proof.AgeMs)
 		}
 	}
 	g.state.Prove(proof.Version, sent.Add(-time.Duration(proof.AgeMs)*time.Millisecond))
+	return nil
+}
+
+// askPeerLogged is askPeer for callers that go on without an answer.
+func (g *Gateway) askPeerLogged(m netip.AddrPort) {
+	if err := g.askPeer(m); err != nil {
+		g.deps.Log.Logger().Warn("A peer's configuration could not be read.", "peer", m, "err", err)
+	}
 }
--- a/relay/process.go
+++ b/relay/process.go
@@ -45,8 +45,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	mesh.SetMembers(seeds(s, peerAddress.Port()))
 	c := s.config()
+	c.Seeds = seeds(s, peerAddress)
+	mesh.SetMembers(unnamed(c.Seeds))
 	c.Policy = balance.Default()
 	g := New(c, Deps{
 		Protocol: protocol, Source: source, Mesh: mesh, PeerPort: int(peerAddress.Port()), Log: events, Metrics: env.Metrics,
@@ -63,15 +64,25 @@
 	return p, nil
 }
 
-// seeds returns the peer addresses of the hosts that the settings name.
-func seeds(s *Settings, port uint16) []peers.Member {
-	var out []peers.Member
+// seeds returns the peer addresses of the hosts that the settings name; this host is among
+// them if it is named.
+func seeds(s *Settings, self netip.AddrPort) []netip.AddrPort {
+	var out []netip.AddrPort
 	for _, text := range s.Relay.Seeds {
 		a, err := netip.ParseAddrPort(string(text))
 		if err != nil {
 			continue // checked when the settings were read
 		}
-		out = append(out, peers.Member{Address: netip.AddrPortFrom(a.Addr(), port)})
+		out = append(out, netip.AddrPortFrom(a.Addr(), self.Port()))
+	}
+	return out
+}
+
+// unnamed returns members of which only the addresses are known.
+func unnamed(addresses []netip.AddrPort) []peers.Member {
+	out := make([]peers.Member, len(addresses))
+	for i, a := range addresses {
+		out[i].Address = a
 	}
 	return out
 }
--- a/relay/share.go
+++ b/relay/share.go
@@ -23,11 +23,13 @@
 // store itself, so that readers that freeze or are cut off cost calls only.
 
 const (
-	// readers is how many gateways read the store while all is well; two, so
-	// that one may die unnoticed.
+	// readers is how many gateways see to it that the store is read: one reads, and one
+	// stands by in case that it dies.
 	readers = 2
-	// takeOver is the age of what the readers tell at which a gateway reads the
-	// store itself: two of their reads were missed.
+	// standBy is the age of what the first reader tells at which the second reads: one
+	// read was missed, and the word about it.
+	standBy = readEvery + readEvery/2
+	// takeOver is the same for all others: two reads were missed.
 	takeOver = 2 * readEvery
 	// hearFor is how long a peer that was heard counts among those that read.
 	hearFor = time.Second
@@ -42,6 +44,7 @@
 // read the store is not told: it says nothing of the store itself.
 type endpointList struct {
 	Endpoints []catalog.Endpoint
+	AgeMs     int64 // since the read was sent that it came from
 }
 
 // sharing is what this gateway knows of the other gateways' reads.
@@ -92,11 +95,19 @@
 	return newAudience(g.config.Name, g.config.DataCentre, g.state.Cells(), g.deps.Mesh.Members(now), g.sharing.peers(now))
 }
 
-// reads reports whether this gateway is among the readers.
-func (s *sharing) reads(self string, now time.Time) bool {
+// reads reports whether this gateway reads the store again whose newest read is so old:
+// the first reader does in any case, the others stand by.
+func (s *sharing) reads(self string, age time.Duration, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return amongFirst(self, s.heard, now)
+	switch before := countBefore(self, s.heard, now); {
+	case before == 0:
+		return true
+	case before < readers:
+		return age > standBy
+	default:
+		return age > takeOver
+	}
 }
 
 // probes reports whether this gateway is among those that go on asking a store that
@@ -104,12 +115,12 @@
 func (s *sharing) probes(self string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return amongFirst(self, s.cut, now)
+	return countBefore(self, s.cut, now) < readers
 }
 
-// amongFirst reports whether a gateway is one of the first readers among itself and
-// the peers that were heard lately; it forgets the others.
-func amongFirst(self string, peers map[string]time.Time, now time.Time) bool {
+// countBefore returns how many of the peers that were heard lately precede a gateway; it
+// forgets the others.
+func countBefore(self string, peers map[string]time.Time, now time.Time) int {
 	before := 0
 	for name, at := range peers {
 		if now.Sub(at) > hearFor {
@@ -120,7 +131,7 @@
 			before++
 		}
 	}
-	return before < readers
+	return before
 }
 
 // pauseAfterFailure returns how long to wait after a read of the store failed. While
@@ -248,7 +259,7 @@
 		return
 	}
 	if w.Version > g.state.Version() {
-		g.take(func() { g.askPeer(from) })
+		g.take(func() { g.askPeerLogged(from) })
 		return
 	}
 	if g.state.Prove(w.Version, said.Add(-time.Duration(w.ProofAgeMs)*time.Millisecond)) && g.fromAfar(w) {
@@ -280,7 +291,7 @@
 		return
 	}
 	if !same {
-		g.take(func() { g.takeEndpoints(from, sent) })
+		g.take(func() { g.takeEndpoints(from) })
 		return
 	}
 	g.applyEndpoints()
@@ -304,18 +315,26 @@
 	}()
 }
 
-// takeEndpoints reads a peer's list. The peer may have read the store again
-// since; then the list is younger than sent says.
-func (g *Gateway) takeEndpoints(from netip.AddrPort, sent time.Time) {
+// takeEndpoints reads a peer's list for a gateway that has one.
+func (g *Gateway) takeEndpoints(from netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(g.ctx, 2*peerTime)
 	defer cancel()
+	if err := g.askEndpoints(ctx, from); err != nil {
+		g.deps.Log.Logger().Warn("A peer's list of endpoints could not be read.", "peer", from, "err", err)
+	}
+}
+
+// askEndpoints takes a peer's list of endpoints. Its age counts from when the peer was
+// asked, so that the way never makes it younger.
+func (g *Gateway) askEndpoints(ctx context.Context, from netip.AddrPort) error {
+	sent := time.Now()
 	var list endpointList
 	if err := g.peers.get(ctx, g.peerURL(from, pathEndpoints), &list); err != nil {
-		g.deps.Log.Logger().Warn("A peer's list of endpoints could not be read.", "peer", from, "err", err)
-		return
+		return err
 	}
-	g.sharing.read(list.Endpoints, sent)
+	g.sharing.read(list.Endpoints, sent.Add(-time.Duration(list.AgeMs)*time.Millisecond))
 	g.applyEndpoints()
+	return nil
 }
 
 // applyEndpoints decides about endpoints from the newest list.
@@ -344,6 +363,7 @@
 	s := g.sharing
 	s.mu.Lock()
 	list, known := s.list, s.hash != 0
+	list.AgeMs = time.Since(s.listed).Milliseconds()
 	s.mu.Unlock()
 	if !known {
 		w.WriteHeader(http.StatusServiceUnavailable)
