A lost store is left to few; compressed documents for peers; one short question at start

Change: a starting gateway asks all named ones at once, for 60 ms, and reads the store if none knows; only on the first start of the installation it goes on asking. A store that peers do not reach is left to two of them for four seconds; a read without an answer for 600 ms counts as lost. Peers get documents compressed, made once.

Tests: who reads, who asks a lost store, when it is thought to be back.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"strconv"
@@ -14,10 +15,13 @@
 	readEvery = 800 * time.Millisecond
 	// readAgain is the pause after a failed read.
 	readAgain = 300 * time.Millisecond
-	// readCut is the same for a gateway whose peers go on asking for it: a little
-	// less than the two seconds within which endpoints are back after an outage, in
-	// case that their words do not come.
-	readCut = 1800 * time.Millisecond
+	// readCut is how long a gateway leaves a store to peers that ask for it and do not
+	// reach it: a little less than a key may be used without a proof on the strictest
+	// installations, in case that only they do not reach it.
+	readCut = 4 * time.Second
+	// silentAfter is how long the store may take for one answer until peers are told that
+	// it is away: twice what a slow one takes.
+	silentAfter = 600 * time.Millisecond
 	// readTime bounds one read; a slow store answers within a quarter of it.
 	readTime = 1500 * time.Millisecond
 	// askPeersAfter is the age of the own proof at which peers are asked for
@@ -46,7 +50,7 @@
 			}
 			if err != nil {
 				g.askPeers()
-				wait = g.sharing.pauseAfterFailure(g.config.Name, time.Now())
+				wait = readAgain
 			}
 			g.tellNews()
 		} else {
@@ -72,6 +76,12 @@
 func (g *Gateway) readConfiguration(sent time.Time) error {
 	ctx, cancel := context.WithTimeout(g.ctx, readTime)
 	defer cancel()
+	g.sharing.asks(sent)
+	silent := time.AfterFunc(silentAfter, func() {
+		g.sharing.note(errSilent, time.Now())
+		g.tellNews()
+	})
+	defer silent.Stop()
 	c, err := g.deps.Source.Configuration(ctx)
 	if err != nil {
 		g.meter.storeFailures.Inc()
@@ -105,8 +115,6 @@
 		if g.mustRead(g.sharing.endpointsAge(time.Now())) {
 			if g.readEndpoints() {
 				wait = readEvery
-			} else {
-				wait = g.sharing.pauseAfterFailure(g.config.Name, time.Now())
 			}
 		}
 		if !g.pause(wait) {
@@ -115,11 +123,15 @@
 	}
 }
 
+// errSilent is how a read counts that has had no answer for silentAfter.
+var errSilent = errors.New("no answer so far")
+
 // readEndpoints reads the list from the store; it reports false on failure.
 func (g *Gateway) readEndpoints() bool {
 	ctx, cancel := context.WithTimeout(g.ctx, readTime)
 	defer cancel()
 	sent := time.Now()
+	g.sharing.asks(sent)
 	list, err := g.deps.Source.Endpoints(ctx)
 	g.sharing.note(err, time.Now())
 	if err != nil {
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -31,6 +31,8 @@
 	Policy    balance.Policy
 	// Seeds are the peer addresses of some gateways, which a starting one asks first.
 	Seeds []netip.AddrPort
+	// FirstStart is set when the whole installation starts for the first time.
+	FirstStart bool
 	// BodyMemory bounds the bytes of all request bodies that are held at once;
 	// zero: no bound.
 	BodyMemory int64
@@ -65,6 +67,8 @@
 	peers    *peerClient
 	sharing  *sharing
 	faces    *faces
+	// configurationDocument and endpointsDocument are what peers ask for.
+	configurationDocument, endpointsDocument document
 	// news asks for a whole word to the peers soon.
 	news chan struct{}
 	// listedGateways is how many the store's newest list named.
--- a/relay/learn.go
+++ b/relay/learn.go
@@ -2,40 +2,40 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 )
 
 const (
-	// learnTime is how long a starting gateway asks the gateways that its settings name
-	// before it reads the store. They read it at once, and know all within some ten
-	// milliseconds even if all start together. 103 gateways that each read the store made
-	// 1,200 calls when they started; that is half of the calls of a day of 34 s.
-	learnTime = time.Second
+	// seedTime bounds one question to the gateways that the settings name: some round
+	// trips between data centres, and a moment of a busy process. A starting gateway
+	// serves nobody meanwhile.
+	seedTime = 60 * time.Millisecond
+	// firstStartTime is how long a gateway of an installation that starts for the first
+	// time leaves reading the store to the named ones. 103 gateways that each read it made
+	// 1,000 calls until they knew the first configuration.
+	firstStartTime = 10 * time.Second
 	// learnAgain is the pause between two questions.
-	learnAgain = 150 * time.Millisecond
+	learnAgain = 200 * time.Millisecond
 )
 
 // learn takes configuration and endpoints from one of the gateways that the settings
-// name. It returns when that is done, when none of them answers, or when there was time
-// enough: then this gateway reads the store itself.
+// name, so that the store is not read by each gateway that is restarted. If none of them
+// knows, this gateway reads the store itself; on the first start of all, where there is
+// nothing to serve before there is a configuration, it asks again first, as long as one
+// answers.
 func (g *Gateway) learn() {
 	began := time.Now()
-	asked := g.others(g.config.Seeds)
-	for len(asked) > 0 && time.Since(began) < learnTime {
-		n := rand.IntN(len(asked))
-		done, err := g.learnFrom(asked[n])
-		switch {
-		case done:
-			g.deps.Log.Logger().Info("Learned from a peer.", "peer", asked[n], "version", g.state.Version(), "ms", time.Since(began).Milliseconds())
+	seeds := g.seeds()
+	for len(seeds) > 0 {
+		from, heard := g.askSeeds(seeds)
+		if from.IsValid() && g.learnFrom(from) {
+			g.deps.Log.Logger().Info("Learned from a peer.", "peer", from, "version", g.state.Version(), "ms", time.Since(began).Milliseconds())
+			return
+		}
+		if !heard || !g.config.FirstStart || time.Since(began) > firstStartTime {
 			return
-		case err != nil && !errors.Is(err, errNotKnown):
-			g.deps.Log.Logger().Info("A peer could not be asked.", "peer", asked[n], "err", err)
-			asked = slices.Delete(asked, n, n+1)
-			continue
 		}
 		if !g.pause(learnAgain) {
 			return
@@ -43,27 +43,63 @@
 	}
 }
 
-// others returns the addresses without this gateway's own; none if it is among them, since
-// the named gateways are those that read.
-func (g *Gateway) others(seeds []netip.AddrPort) []netip.AddrPort {
-	if g.deps.Mesh == nil || slices.Contains(seeds, g.deps.Mesh.Address()) {
+// seeds returns the addresses of the other named gateways; none if this one is among
+// them, since those are the ones that read.
+func (g *Gateway) seeds() []netip.AddrPort {
+	if g.deps.Mesh == nil || slices.Contains(g.config.Seeds, g.deps.Mesh.Address()) {
 		return nil
 	}
-	return slices.Clone(seeds)
+	return g.config.Seeds
 }
 
-// learnFrom takes what a peer knows; done is false when that is not all, or too old.
-func (g *Gateway) learnFrom(peer netip.AddrPort) (done bool, err error) {
-	if err := g.askPeer(peer); err != nil {
-		return false, err
+// askSeeds asks all for their proofs at once. It returns the first that has a young one,
+// and whether any answered.
+func (g *Gateway) askSeeds(seeds []netip.AddrPort) (from netip.AddrPort, heard bool) {
+	ctx, cancel := context.WithTimeout(g.ctx, seedTime)
+	defer cancel()
+	type answer struct {
+		from  netip.AddrPort
+		proof proofAnswer
+		err   error
 	}
-	if g.proofAge() > takeOver {
-		return false, nil
+	answers := make(chan answer, len(seeds))
+	for _, seed := range seeds {
+		go func() {
+			a := answer{from: seed}
+			a.err = g.peers.get(ctx, g.peerURL(seed, pathProof), &a.proof)
+			answers <- a
+		}()
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, 2*peerTime)
-	defer cancel()
-	if err := g.askEndpoints(ctx, peer); err != nil {
-		return false, err
+	for range seeds {
+		a := <-answers
+		if a.err != nil {
+			g.deps.Log.Logger().Info("A named gateway does not answer.", "peer", a.from, "err", a.err)
+			continue
+		}
+		heard = true
+		if a.proof.young() {
+			return a.from, true
+		}
+	}
+	return netip.AddrPort{}, heard
+}
+
+// young reports whether a gateway that takes over what this one knows need not read the
+// store at once.
+func (p proofAnswer) young() bool {
+	most := takeOver.Milliseconds()
+	return p.Version > 0 && p.AgeMs < most && p.EndpointsAgeMs >= 0 && p.EndpointsAgeMs < most
+}
+
+// learnFrom takes what a peer knows; it reports whether that is all.
+func (g *Gateway) learnFrom(peer netip.AddrPort) bool {
+	asked := time.Now()
+	proof, err := g.askPeer(peer)
+	if err == nil {
+		err = g.takeEndpoints(peer, asked.Add(-time.Duration(proof.EndpointsAgeMs)*time.Millisecond))
+	}
+	if err != nil {
+		g.deps.Log.Logger().Warn("A named gateway's knowledge could not be taken.", "peer", peer, "err", err)
 	}
-	return g.sharing.endpointsAge(time.Now()) < takeOver, nil
+	return err == nil && proof.young()
 }
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -24,21 +27,26 @@
 	pathConfiguration = "/peer/configuration"
 )
 
-// errNotKnown is a peer's answer that it does not know yet what it was asked for.
-var errNotKnown = errors.New("the peer does not know it yet")
-
 // proofAnswer is what a gateway says of its newest proof.
 type proofAnswer struct {
 	Version uint64
 	AgeMs   int64 // since the read was sent that proved Version
+	// EndpointsAgeMs is the time since the read of its list of endpoints was sent;
+	// negative: it has none.
+	EndpointsAgeMs int64
 }
 
 // PeerHandler answers other gateways that cannot reach the store.
 func (g *Gateway) PeerHandler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+pathProof, func(w http.ResponseWriter, _ *http.Request) {
-		age, _ := g.state.ProofAge(time.Now())
-		g.answerPeer(w, proofAnswer{g.state.Version(), age.Milliseconds()})
+		now := time.Now()
+		age, _ := g.state.ProofAge(now)
+		a := proofAnswer{Version: g.state.Version(), AgeMs: age.Milliseconds(), EndpointsAgeMs: -1}
+		if listed := g.sharing.endpointsAge(now); listed < time.Hour {
+			a.EndpointsAgeMs = listed.Milliseconds()
+		}
+		g.answerPeer(w, a)
 	})
 	m.HandleFunc("GET "+pathConfiguration, func(w http.ResponseWriter, _ *http.Request) {
 		t := g.state.Table()
@@ -46,7 +54,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		g.answerPeer(w, t.Configuration)
+		g.answerDocument(w, &g.configurationDocument, t.Version, t.Configuration)
 	})
 	m.HandleFunc("GET "+pathEndpoints, g.serveEndpoints)
 	return m
@@ -59,6 +67,46 @@
 	}
 }
 
+// document is the compressed form of something that many peers ask for. Twenty gateways
+// of a cell asked for a configuration of 200 KB within a moment: over a link of 20 Mbit/s
+// that takes longer than peerTime, and they all turned to the store.
+type document struct {
+	mu   sync.Mutex
+	key  uint64 // identifies what body was made of; 0: nothing
+	body []byte
+}
+
+// get returns the compressed form of v, which key identifies.
+func (d *document) get(key uint64, v any) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.key == key {
+		return d.body, nil
+	}
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if err := errors.Join(json.NewEncoder(z).Encode(v), z.Close()); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	d.key, d.body = key, b.Bytes()
+	return d.body, nil
+}
+
+// answerDocument answers with v, compressed; every peer takes that.
+func (g *Gateway) answerDocument(w http.ResponseWriter, d *document, key uint64, v any) {
+	p, err := d.get(key, v)
+	if err != nil {
+		g.deps.Log.Logger().Error("A document for peers could not be written.", "err", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	if _, err := w.Write(p); err != nil {
+		g.deps.Log.Logger().Debug("A peer did not take its answer.", "err", err)
+	}
+}
+
 // peerClient asks other gateways.
 type peerClient struct {
 	http *http.Client
@@ -83,11 +131,7 @@
 		return trace.Wrap(err)
 	}
 	defer res.Body.Close()
-	switch res.StatusCode {
-	case http.StatusOK:
-	case http.StatusServiceUnavailable:
-		return trace.Wrap(errNotKnown)
-	default:
+	if res.StatusCode != http.StatusOK {
 		return trace.Errorf("%s: %s", url, res.Status)
 	}
 	return trace.Wrap(json.NewDecoder(res.Body).Decode(into))
@@ -120,30 +164,29 @@
 }
 
 // askPeer takes a peer's proof and, if that is newer, its configuration.
-func (g *Gateway) askPeer(m netip.AddrPort) error {
+func (g *Gateway) askPeer(m netip.AddrPort) (proof proofAnswer, err error) {
 	ctx, cancel := context.WithTimeout(g.ctx, 2*peerTime)
 	defer cancel()
 	sent := time.Now()
-	var proof proofAnswer
 	if err := g.peers.get(ctx, g.peerURL(m, pathProof), &proof); err != nil {
-		return err
+		return proof, err
 	}
 	if proof.Version > g.state.Version() {
 		c := new(catalog.Configuration)
 		if err := g.peers.get(ctx, g.peerURL(m, pathConfiguration), c); err != nil {
-			return err
+			return proof, err
 		}
 		if g.state.Take(c) {
 			g.deps.Log.Logger().Info("Configuration in force.", "version", c.Version, "from", "peer", "peer", m, "proof_age_ms", proof.AgeMs)
 		}
 	}
 	g.state.Prove(proof.Version, sent.Add(-time.Duration(proof.AgeMs)*time.Millisecond))
-	return nil
+	return proof, nil
 }
 
 // askPeerLogged is askPeer for callers that go on without an answer.
 func (g *Gateway) askPeerLogged(m netip.AddrPort) {
-	if err := g.askPeer(m); err != nil {
+	if _, err := g.askPeer(m); err != nil {
 		g.deps.Log.Logger().Warn("A peer's configuration could not be read.", "peer", m, "err", err)
 	}
 }
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -17,6 +17,7 @@
 		ReadyListen settings.Address   `key:"ready_listen" required:"true" help:"address that the balancer asks whether this gateway is ready"`
 		PeerListen  settings.Address   `key:"peer_listen" required:"true" help:"address for other gateways, TCP and UDP; all gateways use the same port"`
 		Seeds       []settings.Address `key:"seeds" help:"addresses of some gateways' hosts, used while the store cannot tell them; only the IP numbers count"`
+		FirstStart  bool               `key:"first_start" default:"false" help:"whether the whole installation starts for the first time; then the gateways that seeds names read the store for the others"`
 		BodyMemory  settings.Size      `key:"body_memory" default:"64MiB" help:"most memory of request bodies that are held at once; more are refused with a time to come back"`
 	} `section:"relay"`
 	Store struct {
@@ -55,6 +56,7 @@
 func (s *Settings) config() Config {
 	return Config{
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
+		FirstStart: s.Relay.FirstStart,
 		BodyMemory: int64(s.Relay.BodyMemory),
 		Retries:    limits.WindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
--- a/relay/share.go
+++ b/relay/share.go
@@ -29,8 +29,8 @@
 	// standBy is the age of what the first reader tells at which the second reads: one
 	// read was missed, and the word about it.
 	standBy = readEvery + readEvery/2
-	// takeOver is the same for all others: two reads were missed.
-	takeOver = 2 * readEvery
+	// takeOver is the same for all others: the standby missed one, too.
+	takeOver = 2*readEvery + readEvery/2
 	// hearFor is how long a peer that was heard counts among those that read.
 	hearFor = time.Second
 	// acrossFor is how long a peer of another cell that told a digest is told ours:
@@ -44,21 +44,24 @@
 // read the store is not told: it says nothing of the store itself.
 type endpointList struct {
 	Endpoints []catalog.Endpoint
-	AgeMs     int64 // since the read was sent that it came from
 }
 
 // sharing is what this gateway knows of the other gateways' reads.
 type sharing struct {
-	mu      sync.Mutex
-	heard   map[string]time.Time // peers that can reach the store
-	cut     map[string]time.Time // peers that cannot
-	across  map[string]time.Time // peers of other cells that tell digests
-	list    endpointList
-	hash    uint64    // of list; 0: none
-	listed  time.Time // when the read of list was sent, or proved still right
-	failed  time.Time // when an own read failed last
-	noStore bool      // whether the newest read failed
-	taking  bool      // whether something is being taken from a peer
+	mu     sync.Mutex
+	heard  map[string]time.Time // peers that can reach the store
+	cut    map[string]time.Time // peers that cannot
+	across map[string]time.Time // peers of other cells that tell digests
+	list   endpointList
+	hash   uint64    // of list; 0: none
+	listed time.Time // when the read of list was sent, or proved still right
+	failed time.Time // when an own read failed last
+	asked  time.Time // when this gateway asked the store last
+	// lostSince is since when peers before this one do not reach the store; zero: they
+	// do.
+	lostSince time.Time
+	noStore   bool // whether the newest read failed, or has had no answer for long
+	taking    bool // whether something is being taken from a peer
 }
 
 func newSharing() *sharing {
@@ -95,29 +98,36 @@
 	return newAudience(g.config.Name, g.config.DataCentre, g.state.Cells(), g.deps.Mesh.Members(now), g.sharing.peers(now))
 }
 
-// reads reports whether this gateway reads the store again whose newest read is so old:
-// the first reader does in any case, the others stand by.
+// reads reports whether this gateway reads the store again whose newest read is so old.
+// Of those that reach it the first does in any case, the next stands by, and the others
+// read when both must have failed. A store that others do not reach either is left to them
+// for a while: of 103 gateways, each made a call a second while it was away.
 func (s *sharing) reads(self string, age time.Duration, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch before := countBefore(self, s.heard, now); {
-	case before == 0:
+	before := countBefore(self, s.heard, now)
+	asking := countBefore(self, s.cut, now)
+	if asking == 0 {
+		s.lostSince = time.Time{}
+	} else if s.lostSince.IsZero() {
+		s.lostSince = now
+	}
+	switch {
+	case s.noStore && asking < readers:
+		return true
+	case !s.noStore && before == 0:
+		return true
+	case !s.noStore && before < readers && age > standBy:
 		return true
-	case before < readers:
-		return age > standBy
+	case age <= takeOver:
+		return false
+	case asking > 0:
+		return now.Sub(s.lostSince) > readCut && now.Sub(s.asked) > readCut
 	default:
-		return age > takeOver
+		return true
 	}
 }
 
-// probes reports whether this gateway is among those that go on asking a store that
-// none of them reaches.
-func (s *sharing) probes(self string, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return countBefore(self, s.cut, now) < readers
-}
-
 // countBefore returns how many of the peers that were heard lately precede a gateway; it
 // forgets the others.
 func countBefore(self string, peers map[string]time.Time, now time.Time) int {
@@ -134,20 +144,17 @@
 	return before
 }
 
-// pauseAfterFailure returns how long to wait after a read of the store failed. While
-// gateways hear of each other that none reaches it, the first few ask for all: 27
-// gateways made 3,284 calls on a day with two outages when each went on asking.
-func (s *sharing) pauseAfterFailure(self string, now time.Time) time.Duration {
-	if s.probes(self, now) {
-		return readAgain
-	}
-	return readCut
-}
-
 // rank orders gateways in a way that does not follow their names, so that the
 // readers stand in different data centres.
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
 
+// asks notes that this gateway asks the store.
+func (s *sharing) asks(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = now
+}
+
 // note takes in how a read of the store went.
 func (s *sharing) note(err error, now time.Time) {
 	s.mu.Lock()
@@ -230,6 +237,16 @@
 	return false
 }
 
+// proved takes in a proof of others, which a read brought that was sent at that time: a
+// store that this gateway did not reach long before is thought to be back.
+func (s *sharing) proved(sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.noStore && sent.Sub(s.failed) > readCut {
+		s.noStore = false
+	}
+}
+
 // storeLost reports whether the newest own read of the store failed.
 func (s *sharing) storeLost() bool {
 	s.mu.Lock()
@@ -262,7 +279,12 @@
 		g.take(func() { g.askPeerLogged(from) })
 		return
 	}
-	if g.state.Prove(w.Version, said.Add(-time.Duration(w.ProofAgeMs)*time.Millisecond)) && g.fromAfar(w) {
+	sent := said.Add(-time.Duration(w.ProofAgeMs) * time.Millisecond)
+	if !g.state.Prove(w.Version, sent) {
+		return
+	}
+	g.sharing.proved(sent)
+	if g.fromAfar(w) {
 		g.tellNews() // the own cell hears of it from this gateway
 	}
 }
@@ -291,7 +313,7 @@
 		return
 	}
 	if !same {
-		g.take(func() { g.takeEndpoints(from) })
+		g.take(func() { g.takeEndpointsLogged(from, sent) })
 		return
 	}
 	g.applyEndpoints()
@@ -315,28 +337,27 @@
 	}()
 }
 
-// takeEndpoints reads a peer's list for a gateway that has one.
-func (g *Gateway) takeEndpoints(from netip.AddrPort) {
+// takeEndpoints reads a peer's list. The peer may have read the store again
+// since; then the list is younger than sent says.
+func (g *Gateway) takeEndpoints(from netip.AddrPort, sent time.Time) error {
 	ctx, cancel := context.WithTimeout(g.ctx, 2*peerTime)
 	defer cancel()
-	if err := g.askEndpoints(ctx, from); err != nil {
-		g.deps.Log.Logger().Warn("A peer's list of endpoints could not be read.", "peer", from, "err", err)
-	}
-}
-
-// askEndpoints takes a peer's list of endpoints. Its age counts from when the peer was
-// asked, so that the way never makes it younger.
-func (g *Gateway) askEndpoints(ctx context.Context, from netip.AddrPort) error {
-	sent := time.Now()
 	var list endpointList
 	if err := g.peers.get(ctx, g.peerURL(from, pathEndpoints), &list); err != nil {
 		return err
 	}
-	g.sharing.read(list.Endpoints, sent.Add(-time.Duration(list.AgeMs)*time.Millisecond))
+	g.sharing.read(list.Endpoints, sent)
 	g.applyEndpoints()
 	return nil
 }
 
+// takeEndpointsLogged is takeEndpoints for callers that go on with what they have.
+func (g *Gateway) takeEndpointsLogged(from netip.AddrPort, sent time.Time) {
+	if err := g.takeEndpoints(from, sent); err != nil {
+		g.deps.Log.Logger().Warn("A peer's list of endpoints could not be read.", "peer", from, "err", err)
+	}
+}
+
 // applyEndpoints decides about endpoints from the newest list.
 func (g *Gateway) applyEndpoints() {
 	s := g.sharing
@@ -362,12 +383,11 @@
 func (g *Gateway) serveEndpoints(w http.ResponseWriter, _ *http.Request) {
 	s := g.sharing
 	s.mu.Lock()
-	list, known := s.list, s.hash != 0
-	list.AgeMs = time.Since(s.listed).Milliseconds()
+	list, hash := s.list, s.hash
 	s.mu.Unlock()
-	if !known {
+	if hash == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	g.answerPeer(w, list)
+	g.answerDocument(w, &g.endpointsDocument, hash, list)
 }
--- a/relay/share_test.go
+++ b/relay/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,32 +11,89 @@
 	"github.com/micarudder/micarudder/peers"
 )
 
+// lost is older than any age at which the store is left to others.
+const lost = time.Minute
+
 // TestFewAskALostStore: of many gateways that hear of each other that none reaches
-// the store, two go on asking often, whoever of them asks; one that hears nobody
-// does as well, and so does one whose peers fell silent.
+// the store, two go on asking, whoever of them asks; one that hears nobody
+// does as well, and so does one whose peers fell silent. The others ask now and then, in
+// case that only their peers do not reach it.
 func TestFewAskALostStore(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	const gateways = 27
-	often := 0
+	asking := 0
 	var last *sharing
 	for i := range gateways {
 		s := newSharing()
+		s.asks(now)
 		s.note(fmt.Errorf("no answer"), now)
 		for j := range gateways {
 			if j != i {
 				s.heardStore(peers.Word{From: fmt.Sprint(j), NoStore: true}, now)
 			}
 		}
-		if s.pauseAfterFailure(fmt.Sprint(i), now) == readAgain {
-			often++
+		if s.reads(fmt.Sprint(i), lost, now) {
+			asking++
 		} else {
 			last = s
 		}
 	}
-	is.Equal(often, readers)
-	is.Equal(newSharing().pauseAfterFailure("0", now), readAgain)
-	is.Equal(last.pauseAfterFailure("0", now.Add(hearFor+time.Millisecond)), readAgain)
+	is.Equal(asking, readers)
+	is.True(newSharing().reads("0", lost, now))
+	is.True(last.reads("0", lost, now.Add(hearFor+time.Millisecond)))
+	later := now.Add(readCut + time.Millisecond)
+	for j := range gateways {
+		last.heardStore(peers.Word{From: fmt.Sprint(j), NoStore: true}, later)
+	}
+	is.True(last.reads("g", lost, later))
+}
+
+// TestWhoReads: of gateways that all reach the store one reads, and one more when that
+// one's reads stay out; a gateway that does not reach it is passed over.
+func TestWhoReads(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	const gateways = 9
+	reading := func(age time.Duration, cut string) (out []string) {
+		for i := range gateways {
+			s, self := newSharing(), fmt.Sprint(i)
+			if self == cut {
+				s.note(fmt.Errorf("no answer"), now)
+			}
+			for j := range gateways {
+				if j != i {
+					s.heardStore(peers.Word{From: fmt.Sprint(j), NoStore: fmt.Sprint(j) == cut}, now)
+				}
+			}
+			if s.reads(self, age, now) {
+				out = append(out, self)
+			}
+		}
+		return out
+	}
+	first := reading(readEvery, "")
+	is.Equal(len(first), 1)
+	both := reading(standBy+time.Millisecond, "")
+	is.Equal(len(both), 2)
+	is.True(slices.Contains(both, first[0]))
+	is.Equal(len(reading(takeOver+time.Millisecond, "")), gateways)
+	without := reading(readEvery, first[0])
+	is.Equal(len(without), 2) // the one that is cut off goes on asking, and the next one reads
+	is.True(slices.Contains(without, first[0]))
+}
+
+// TestStoreIsThoughtToBeBack: a gateway that did not reach the store some time ago takes
+// a younger proof of others for its return, but not one of the next moment.
+func TestStoreIsThoughtToBeBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := newSharing()
+	s.note(fmt.Errorf("no answer"), now)
+	s.proved(now.Add(time.Second))
+	is.True(s.storeLost())
+	s.proved(now.Add(readCut + time.Millisecond))
+	is.True(!s.storeLost())
 }
 
 // TestPeersFailedReadsKeepEndpoints: a gateway that leaves asking to its peers still
