Long prompts take parts in other cells

Change: a prompt whose choice is poor is looked at again with up to 16 endpoints that other cells offer, as candidates among its own.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -28,9 +28,8 @@
 	Late bool
 	// MustTake is set for a request whose caller had not better come back later.
 	MustTake bool
-	// Guest is set where the candidates are those of another cell: what is known of
-	// them is older, so the request takes an endpoint there only if it is in time
-	// and costs nobody else a late event.
+	// Guest is set for a short request whose candidates are those of another cell: it
+	// takes an endpoint there only if it is in time.
 	Guest bool
 	// Avoid lists endpoints that the request was already sent to.
 	Avoid []string
@@ -45,6 +44,9 @@
 	// gateway's own.
 	Rank    uint64
 	OwnRank uint64
+	// Guest is set for an endpoint of another cell, of which less is known: a part of a
+	// prompt goes there only where it costs nobody else anything.
+	Guest bool
 	// Suspect is set for an endpoint that failed lately; it is chosen only
 	// when nothing else is left.
 	Suspect bool
@@ -62,8 +64,9 @@
 	Refuse bool
 	// Wait is set when it is better to ask again soon.
 	Wait bool
-	// Late is set when the request goes to an endpoint, but is expected to be late.
-	Late bool
+	// Poor is set when the request goes to an endpoint, but is expected to be late or
+	// costs others more than what is due to all.
+	Poor bool
 	// Loads is what the choice adds, by candidate.
 	Loads []Placed
 	// Expected is what the choice was made on, also one to wait or refuse.
@@ -110,7 +113,7 @@
 }
 
 // Elsewhere reports whether another cell may do better than the choice in the own one.
-func (c Choice) Elsewhere() bool { return c.Wait || c.Refuse || c.Late || c.Endpoint < 0 }
+func (c Choice) Elsewhere() bool { return c.Wait || c.Refuse || c.Poor || c.Endpoint < 0 }
 
 // Offered reports whether an endpoint with that load is offered to other cells: it
 // reads nothing that a part of a prompt would put off, and has free slots.
--- a/balance/long.go
+++ b/balance/long.go
@@ -32,7 +32,7 @@
 		return Choice{Endpoint: -1, Wait: true, Expected: expected}
 	}
 	c := p.spread(e, w, read, all, best.chosen)
-	c.Expected, c.Late = expected, best.first > w.LeftMs
+	c.Expected, c.Poor = expected, best.first > inTime*w.LeftMs || best.harm > p.EarlyHarm
 	return c
 }
 
@@ -45,8 +45,6 @@
 	switch {
 	case best.first > w.DeadlineMs:
 		return true // its caller would be gone
-	case w.Guest:
-		return best.first > w.LeftMs || best.harm > p.EarlyHarm
 	case best.first <= w.LeftMs && !w.Late:
 		return best.harm > p.EarlyHarm+w.value()*(p.HarmAtOnce+p.HarmWaited*w.Waited)
 	case w.Slack > 0 && !w.Late && soonest <= w.LeftMs:
@@ -112,12 +110,21 @@
 // false when they have not the memory.
 func (p Policy) split(e *catalog.Engine, w Work, read float64, parts int, all []Candidate, usable []int) (s split, ok bool) {
 	part := read / float64(parts)
-	sites := make([]site, len(usable))
-	for n, i := range usable {
-		sites[n] = p.site(e, w, i, all[i].Load, part)
+	sites := make([]site, 0, len(usable))
+	for _, i := range usable {
+		at := p.site(e, w, i, all[i].Load, part)
+		if all[i].Guest && (at.harm > 0 || p.busy(all[i].Load) > 0) {
+			continue
+		}
+		sites = append(sites, at)
+	}
+	if len(sites) < parts {
+		return s, false
 	}
 	slices.SortFunc(sites, func(a, b site) int {
-		return cmp.Or(cmp.Compare(p.busy(all[a.index].Load), p.busy(all[b.index].Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(int(a.finish/sameMs), int(b.finish/sameMs)), cmp.Compare(all[b.index].Rank, all[a.index].Rank))
+		x, y := all[a.index], all[b.index]
+		return cmp.Or(cmp.Compare(p.busy(x.Load), p.busy(y.Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(guest(x), guest(y)),
+			cmp.Compare(int(a.finish/sameMs), int(b.finish/sameMs)), cmp.Compare(y.Rank, x.Rank))
 	})
 	if w.patient() == 0 {
 		p.besideShorts(e, all, sites)
@@ -143,6 +150,14 @@
 	return s, free >= w.InputTokens+w.OutputTokens
 }
 
+// guest returns 1 for an endpoint of another cell, else 0.
+func guest(c Candidate) int {
+	if c.Guest {
+		return 1
+	}
+	return 0
+}
+
 // busy returns 1 for an endpoint that has so much to read that a part would put
 // off others, else 0.
 func (p Policy) busy(l Load) int {
@@ -220,7 +235,7 @@
 	for n := range chosen {
 		a, b := all[chosen[n]].Load, all[chosen[best]].Load
 		fa, fb := min(need, freeTokens(e, a)), min(need, freeTokens(e, b))
-		if cmp.Or(cmp.Compare(p.crowded(e, a), p.crowded(e, b)), cmp.Compare(fb, fa), cmp.Compare(a.Short+a.Long, b.Short+b.Long)) < 0 {
+		if cmp.Or(cmp.Compare(p.crowded(e, a), p.crowded(e, b)), cmp.Compare(guest(all[chosen[n]]), guest(all[chosen[best]])), cmp.Compare(fb, fa), cmp.Compare(a.Short+a.Long, b.Short+b.Long)) < 0 {
 			best = n
 		}
 	}
@@ -263,7 +278,7 @@
 	best := -1
 	for n, o := range sites {
 		l := all[o.index].Load
-		if p.busy(l) > 0 || o.harm > 0 || p.crowded(e, l) > 0 {
+		if p.busy(l) > 0 || o.harm > 0 || p.crowded(e, l) > 0 || all[o.index].Guest {
 			continue
 		}
 		if best < 0 || all[o.index].Rank < all[sites[best].index].Rank {
--- a/balance/short.go
+++ b/balance/short.go
@@ -47,7 +47,7 @@
 		best, bestFirst, late = earliest, earliestFirst, true
 	}
 	load := Load{ReadMs: read, Short: 1, Tokens: tokens, Unread: 1}
-	return Choice{Endpoint: best, Late: late, Loads: []Placed{{Candidate: best, Load: load}}, Expected: Expected{FirstMs: bestFirst, Parts: 1}}
+	return Choice{Endpoint: best, Poor: late, Loads: []Placed{{Candidate: best, Load: load}}, Expected: Expected{FirstMs: bestFirst, Parts: 1}}
 }
 
 // full reports whether the requests under way need more than the slots that all
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -151,7 +151,7 @@
 	at.read()
 	time.Sleep(time.Second)
 	at.release()
-	return waited, true, at.guest
+	return waited, true, at.guests > 0
 }
 
 // read counts the reading of a prompt at its engines and returns how long the slowest
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +53,7 @@
 	before   balance.Load // at the endpoint, before this request
 	// candidates is how many endpoints there were to choose among.
 	candidates int
-	guest      bool // in another cell than the gateway's
+	guests     int // endpoints of other cells that work on the request
 	expected   balance.Expected
 	loads      []*placedLoad
 }
@@ -90,11 +91,9 @@
 	home := p.state.Cells().Of(p.dataCentre)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at := p.look(service, w, cells[home], now)
+	at := p.look(service, w, cells[home], nil, now)
 	if at.choice.Elsewhere() && len(cells) > 1 {
-		if other, ok := p.elsewhere(service, w, cells, home, now); ok {
-			at = other
-		}
+		at = p.elsewhere(at, service, w, cells, home, now)
 	}
 	c := at.choice
 	switch {
@@ -113,51 +112,88 @@
 	endpoints  []catalog.Endpoint
 	candidates []balance.Candidate
 	choice     balance.Choice
-	guest      bool // in another cell
 }
 
-// look chooses among endpoints of the own cell. The caller holds the lock.
-func (p *picker) look(service *catalog.Service, w balance.Work, endpoints []catalog.Endpoint, now time.Time) look {
-	at := look{endpoints: endpoints, candidates: make([]balance.Candidate, len(endpoints))}
-	for i, e := range endpoints {
+// look chooses among endpoints and guests, which are endpoints of other cells. The caller
+// holds the lock.
+func (p *picker) look(service *catalog.Service, w balance.Work, endpoints, guests []catalog.Endpoint, now time.Time) look {
+	at := look{endpoints: slices.Concat(endpoints, guests)}
+	at.candidates = make([]balance.Candidate, len(at.endpoints))
+	for i, e := range at.endpoints {
 		at.candidates[i] = balance.Candidate{
 			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
+			Guest: i >= len(endpoints),
+		}
+		if at.candidates[i].Guest {
+			at.candidates[i].Rank = rank(p.dataCentre + e.ID) // another order in each data centre
 		}
 	}
 	at.choice = p.policy.Choose(service, w, at.candidates)
 	return at
 }
 
-// cellsAsked is how many other cells are looked at when the own one will not do.
-const cellsAsked = 2
+const (
+	// mostGuests is how many endpoints of other cells are looked at for a long prompt:
+	// as many as it can use.
+	mostGuests = 16
+	// cellsAsked is how many other cells are looked at for a short request.
+	cellsAsked = 2
+)
 
-// elsewhere chooses in other cells, in an order of chance, so that cells that are short
-// of room at the same moment do not all go to the same one. The caller holds the lock.
-func (p *picker) elsewhere(service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, now time.Time) (at look, ok bool) {
+// elsewhere chooses again with the help of other cells, taken in an order of chance, so
+// that cells that are short of room at the same moment do not all turn to the same one. The
+// caller holds the lock.
+func (p *picker) elsewhere(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, now time.Time) look {
+	if len(cells[home]) == 0 {
+		return p.stranger(at, service, w, cells, now)
+	}
+	if p.policy.TakesTurns(service, w) {
+		return p.withGuests(service, w, cells, home, now)
+	}
 	digests := p.book.Digests(now)
-	w.Guest = len(cells[home]) > 0 // without endpoints of its own, a cell is no guest
 	asked := 0
 	for c, endpoints := range cells { // in no order
-		if c == home {
+		offered := offeredOf(endpoints, digests[c].Loads)
+		if c == home || len(offered) == 0 {
 			continue
 		}
-		offered := offeredOf(endpoints, digests[c].Loads)
-		if !w.Guest {
-			offered = endpoints
+		w.Guest = true
+		if other := p.look(service, w, offered, nil, now); other.choice.Endpoint >= 0 {
+			other.candidates[other.choice.Endpoint].Guest = true
+			return other
 		}
-		if len(offered) == 0 {
-			continue
+		if asked++; asked == cellsAsked {
+			break
+		}
+	}
+	return at
+}
+
+// stranger chooses for a cell that has no endpoints of its own: in any other one.
+func (p *picker) stranger(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, now time.Time) look {
+	for _, endpoints := range cells { // in no order
+		if at = p.look(service, w, endpoints, nil, now); at.choice.Endpoint >= 0 {
+			break
 		}
-		at = p.look(service, w, offered, now)
-		if asked++; at.choice.Endpoint >= 0 {
-			at.guest = true
-			return at, true
+	}
+	return at
+}
+
+// withGuests chooses for a long prompt among the own cell's endpoints and some that other
+// cells offer.
+func (p *picker) withGuests(service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, now time.Time) look {
+	digests := p.book.Digests(now)
+	var guests []catalog.Endpoint
+	for c, endpoints := range cells { // in no order
+		if c == home {
+			continue
 		}
-		if asked == cellsAsked {
+		guests = append(guests, offeredOf(endpoints, digests[c].Loads)...)
+		if len(guests) >= mostGuests {
 			break
 		}
 	}
-	return look{}, false
+	return p.look(service, w, cells[home], guests[:min(mostGuests, len(guests))], now)
 }
 
 // offeredOf returns the endpoints that a digest offers.
@@ -176,7 +212,7 @@
 	c := at.choice
 	chosen := &place{
 		picker: p, endpoint: at.endpoints[c.Endpoint], before: at.candidates[c.Endpoint].Load,
-		candidates: len(at.candidates), expected: c.Expected, guest: at.guest,
+		candidates: len(at.candidates), expected: c.Expected,
 	}
 	for _, i := range c.Helpers {
 		chosen.helpers = append(chosen.helpers, at.endpoints[i])
@@ -185,6 +221,9 @@
 		chosen.reserve = append(chosen.reserve, wantedMemory{at.endpoints[r.Candidate], r.Tokens})
 	}
 	for _, l := range c.Loads {
+		if at.candidates[l.Candidate].Guest {
+			chosen.guests++
+		}
 		id := at.endpoints[l.Candidate].ID
 		p.book.Add(id, l.Load)
 		chosen.add(id, l)
