Endpoints are lent to one other cell each

Change: half of a cell's endpoints, by a hash of their names, may be used by one other cell each, which everybody knows without a message; their own cell takes them last. A cell offers them while a third of its endpoints are spare.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -47,6 +47,9 @@
 	// Guest is set for an endpoint of another cell, of which less is known: a part of a
 	// prompt goes there only where it costs nobody else anything.
 	Guest bool
+	// Lent is set for an endpoint that another cell may use as well; the own cell takes
+	// it after others.
+	Lent bool
 	// Suspect is set for an endpoint that failed lately; it is chosen only
 	// when nothing else is left.
 	Suspect bool
@@ -115,9 +118,9 @@
 // Elsewhere reports whether another cell may do better than the choice in the own one.
 func (c Choice) Elsewhere() bool { return c.Wait || c.Refuse || c.Poor || c.Endpoint < 0 }
 
-// Offered reports whether an endpoint with that load is offered to other cells: it
-// reads nothing that a part of a prompt would put off, and has free slots.
-func (p Policy) Offered(e *catalog.Engine, slots int, l Load) bool {
+// Spare reports whether an endpoint with that load has something to offer to other cells:
+// it reads nothing that a part of a prompt would put off, and has free slots.
+func (p Policy) Spare(e *catalog.Engine, slots int, l Load) bool {
 	if e != nil {
 		slots = e.Slots
 	}
--- a/balance/long.go
+++ b/balance/long.go
@@ -123,7 +123,7 @@
 	}
 	slices.SortFunc(sites, func(a, b site) int {
 		x, y := all[a.index], all[b.index]
-		return cmp.Or(cmp.Compare(p.busy(x.Load), p.busy(y.Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(guest(x), guest(y)),
+		return cmp.Or(cmp.Compare(p.busy(x.Load), p.busy(y.Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(guest(x), guest(y)), cmp.Compare(lent(x), lent(y)),
 			cmp.Compare(int(a.finish/sameMs), int(b.finish/sameMs)), cmp.Compare(y.Rank, x.Rank))
 	})
 	if w.patient() == 0 {
@@ -158,6 +158,14 @@
 	return 0
 }
 
+// lent returns 1 for an endpoint that another cell may use, else 0.
+func lent(c Candidate) int {
+	if c.Lent {
+		return 1
+	}
+	return 0
+}
+
 // busy returns 1 for an endpoint that has so much to read that a part would put
 // off others, else 0.
 func (p Policy) busy(l Load) int {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -7,6 +7,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // minEndpoints is how many endpoints a cell has at least, if the fleet has them: the
@@ -58,3 +60,23 @@
 
 // Cells returns the names of all cells in order.
 func (m Map) Cells() []string { return m.starts }
+
+// lentShare is which part of a cell's endpoints other cells may use, as a divisor. The
+// other part is left to the cell, whose gateways take it first.
+const lentShare = 2
+
+// Borrower returns the cell that may use an endpoint of another cell: each one is lent
+// to one cell at most, so that cells which know little of each other never meet on one. ok
+// is false where it is lent to none.
+func (m Map) Borrower(endpoint, home string) (borrower string, ok bool) {
+	others := len(m.starts) - 1
+	h := xxhash.Sum64String(endpoint)
+	if others < 1 || h%lentShare != 0 {
+		return "", false
+	}
+	n := int(h / lentShare % uint64(others))
+	if at, _ := slices.BinarySearch(m.starts, home); n >= at {
+		n++ // past the cell itself
+	}
+	return m.starts[n], true
+}
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -110,3 +110,21 @@
 	}
 	return false
 }
+
+// TestBorrower: about half of the endpoints of a cell are lent, to each other cell about
+// as many, and never to their own.
+func TestBorrower(t *testing.T) {
+	is := is.New(t)
+	m := Group(map[string]int{"a": 30, "b": 30, "c": 30})
+	lent := make(map[string]int)
+	for i := range 1000 {
+		if borrower, ok := m.Borrower(fmt.Sprint("e", i), "b"); ok {
+			lent[borrower]++
+		}
+	}
+	is.Equal(len(lent), 2)
+	is.True(lent["a"] > 200 && lent["c"] > 200)
+	is.True(lent["a"]+lent["c"] < 600)
+	_, ok := Group(map[string]int{"a": 30}).Borrower("e", "a")
+	is.True(!ok)
+}
--- a/relay/digest.go
+++ b/relay/digest.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/micarudder/micarudder/balance"
@@ -10,9 +8,9 @@
 	"github.com/micarudder/micarudder/peers"
 )
 
-// mostOffered is how many endpoints of a service a cell offers to another at most, so that
-// a digest is under a kilobyte however large a cell is: a prompt is read on 16 at most.
-const mostOffered = 16
+// spareShare is the part of a service's endpoints in a cell, as a divisor, that has to be
+// spare for the cell to offer any.
+const spareShare = 3
 
 // offer returns what this gateway's cell offers to the gateways of another one.
 func (p *picker) offer(to, dataCentre string, gateways int, now time.Time) peers.Digest {
@@ -23,29 +21,28 @@
 	defer p.mu.Unlock()
 	theirs := func(peer string) bool { return cells.Of(peer) == to }
 	for _, s := range p.state.Services() {
-		for _, e := range p.offered(&s, p.state.EndpointsByCell(s.Name)[home], now) {
-			d.Loads[e.ID] = p.book.LoadWithout(e.ID, theirs, now)
+		for _, e := range p.spare(&s, p.state.EndpointsByCell(s.Name)[home], now) {
+			if borrower, ok := cells.Borrower(e.ID, home); ok && borrower == to {
+				d.Loads[e.ID] = p.book.LoadWithout(e.ID, theirs, now)
+			}
 		}
 	}
 	return d
 }
 
-// offered returns the endpoints of a service that are offered, those with the fewest
-// requests first. The caller holds the lock.
-func (p *picker) offered(s *catalog.Service, endpoints []catalog.Endpoint, now time.Time) []catalog.Endpoint {
-	loads := make(map[string]balance.Load, len(endpoints))
+// spare returns the endpoints of a service that have something to offer, none if they are
+// few. The caller holds the lock.
+func (p *picker) spare(s *catalog.Service, endpoints []catalog.Endpoint, now time.Time) []catalog.Endpoint {
 	var out []catalog.Endpoint
 	for _, e := range endpoints {
-		l := p.book.Load(e.ID, now)
-		if p.policy.Offered(s.Engine, e.Slots, l) && !p.health.Suspect(e.ID, now) {
-			loads[e.ID] = l
+		if p.policy.Spare(s.Engine, e.Slots, p.book.Load(e.ID, now)) && !p.health.Suspect(e.ID, now) {
 			out = append(out, e)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b catalog.Endpoint) int {
-		return cmp.Compare(loads[a.ID].Short+loads[a.ID].Long, loads[b.ID].Short+loads[b.ID].Long)
-	})
-	return out[:min(mostOffered, len(out))]
+	if len(out)*spareShare < len(endpoints) {
+		return nil
+	}
+	return out
 }
 
 // digests takes in the digests in a word that was said after that time.
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -119,14 +119,13 @@
 func (p *picker) look(service *catalog.Service, w balance.Work, endpoints, guests []catalog.Endpoint, now time.Time) look {
 	at := look{endpoints: slices.Concat(endpoints, guests)}
 	at.candidates = make([]balance.Candidate, len(at.endpoints))
+	cells := p.state.Cells()
 	for i, e := range at.endpoints {
 		at.candidates[i] = balance.Candidate{
 			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
 			Guest: i >= len(endpoints),
 		}
-		if at.candidates[i].Guest {
-			at.candidates[i].Rank = rank(p.dataCentre + e.ID) // another order in each data centre
-		}
+		_, at.candidates[i].Lent = cells.Borrower(e.ID, cells.Of(e.DataCentre))
 	}
 	at.choice = p.policy.Choose(service, w, at.candidates)
 	return at
