Cells that are short are lent all that others lend

Cause: the test of a data centre that alone asks for more than it has got 70 of 100 prompts placed, since each cell may use an eighth of the others' endpoints.

Change: a digest says whether its cell has nothing to spare; lenders then lend to such cells only.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -65,18 +65,30 @@
 // other part is left to the cell, whose gateways take it first.
 const lentShare = 2
 
+// Lent reports whether other cells may use an endpoint.
+func (m Map) Lent(endpoint string) bool {
+	return len(m.starts) > 1 && xxhash.Sum64String(endpoint)%lentShare == 0
+}
+
 // Borrower returns the cell that may use an endpoint of another cell: each one is lent
-// to one cell at most, so that cells which know little of each other never meet on one. ok
-// is false where it is lent to none.
-func (m Map) Borrower(endpoint, home string) (borrower string, ok bool) {
-	others := len(m.starts) - 1
-	h := xxhash.Sum64String(endpoint)
-	if others < 1 || h%lentShare != 0 {
+// to one cell at most, so that cells which know little of each other do not meet on one.
+// Those that are short are served before others. ok is false where it is lent to none.
+func (m Map) Borrower(endpoint, home string, short map[string]bool) (borrower string, ok bool) {
+	if !m.Lent(endpoint) {
 		return "", false
 	}
-	n := int(h / lentShare % uint64(others))
-	if at, _ := slices.BinarySearch(m.starts, home); n >= at {
-		n++ // past the cell itself
+	var others, first []string
+	for _, c := range m.starts {
+		if c == home {
+			continue
+		}
+		others = append(others, c)
+		if short[c] {
+			first = append(first, c)
+		}
+	}
+	if len(first) > 0 {
+		others = first
 	}
-	return m.starts[n], true
+	return others[xxhash.Sum64String(endpoint)/lentShare%uint64(len(others))], true
 }
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -112,19 +112,24 @@
 }
 
 // TestBorrower: about half of the endpoints of a cell are lent, to each other cell about
-// as many, and never to their own.
+// as many, and never to their own; while one is short, all that are lent go there.
 func TestBorrower(t *testing.T) {
 	is := is.New(t)
 	m := Group(map[string]int{"a": 30, "b": 30, "c": 30})
-	lent := make(map[string]int)
-	for i := range 1000 {
-		if borrower, ok := m.Borrower(fmt.Sprint("e", i), "b"); ok {
-			lent[borrower]++
+	count := func(short map[string]bool) map[string]int {
+		lent := make(map[string]int)
+		for i := range 1000 {
+			if borrower, ok := m.Borrower(fmt.Sprint("e", i), "b", short); ok {
+				lent[borrower]++
+			}
 		}
+		return lent
 	}
-	is.Equal(len(lent), 2)
-	is.True(lent["a"] > 200 && lent["c"] > 200)
-	is.True(lent["a"]+lent["c"] < 600)
-	_, ok := Group(map[string]int{"a": 30}).Borrower("e", "a")
+	even := count(nil)
+	is.Equal(len(even), 2)
+	is.True(even["a"] > 200 && even["c"] > 200)
+	is.True(even["a"]+even["c"] < 600)
+	is.Equal(count(map[string]bool{"c": true, "b": true}), map[string]int{"c": even["a"] + even["c"]})
+	_, ok := Group(map[string]int{"a": 30}).Borrower("e", "a", nil)
 	is.True(!ok)
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -74,6 +74,8 @@
 	// Loads holds the load of the endpoints that the cell offers to others, without
 	// what the receiver's cell has there itself.
 	Loads map[string]balance.Load
+	// Short is set when the cell has no endpoints to spare.
+	Short bool
 }
 
 // Member is a gateway that words may be sent to.
--- a/relay/digest.go
+++ b/relay/digest.go
@@ -20,9 +20,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	theirs := func(peer string) bool { return cells.Of(peer) == to }
+	short := p.shortCells(now)
 	for _, s := range p.state.Services() {
-		for _, e := range p.spare(&s, p.state.EndpointsByCell(s.Name)[home], now) {
-			if borrower, ok := cells.Borrower(e.ID, home); ok && borrower == to {
+		spare := p.spare(&s, p.state.EndpointsByCell(s.Name)[home], now)
+		d.Short = d.Short || s.Engine != nil && len(spare) == 0
+		for _, e := range spare {
+			if borrower, ok := cells.Borrower(e.ID, home, short); ok && borrower == to {
 				d.Loads[e.ID] = p.book.LoadWithout(e.ID, theirs, now)
 			}
 		}
@@ -30,6 +33,16 @@
 	return d
 }
 
+// shortCells returns the other cells that have said lately that they have no endpoints to
+// spare. The caller holds the lock.
+func (p *picker) shortCells(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for c := range p.book.Digests(now) {
+		out[c] = p.short[c]
+	}
+	return out
+}
+
 // spare returns the endpoints of a service that have something to offer, none if they are
 // few. The caller holds the lock.
 func (p *picker) spare(s *catalog.Service, endpoints []catalog.Endpoint, now time.Time) []catalog.Endpoint {
@@ -58,6 +71,7 @@
 		}
 		p.gateways[c] = d.Gateways
 		p.centres[c] = d.DataCentre
+		p.short[c] = d.Short
 		p.book.TakeDigest(c, balance.Digest{Made: said.Add(-time.Duration(d.AgeMs) * time.Millisecond), Loads: d.Loads})
 	}
 }
@@ -68,7 +82,7 @@
 	defer p.mu.Unlock()
 	var out []peers.Digest
 	for c, d := range p.book.Digests(now) {
-		out = append(out, peers.Digest{DataCentre: p.centres[c], Gateways: p.gateways[c], AgeMs: now.Sub(d.Made).Milliseconds(), Loads: d.Loads})
+		out = append(out, peers.Digest{DataCentre: p.centres[c], Gateways: p.gateways[c], Short: p.short[c], AgeMs: now.Sub(d.Made).Milliseconds(), Loads: d.Loads})
 	}
 	return out
 }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -33,6 +33,7 @@
 	fleet    int
 	gateways map[string]int    // by other cell
 	centres  map[string]string // by other cell: where its digest was made
+	short    map[string]bool   // by other cell: whether it has no endpoints to spare
 }
 
 func newPicker(self, dataCentre string, state *State, policy balance.Policy, window limits.WindowConfig) *picker {
@@ -40,7 +41,7 @@
 		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
 		book: balance.NewBook(), turns: balance.NewTurns(), health: balance.NewHealth(),
 		budgets: make(map[string]*limits.Window), changed: make(chan struct{}),
-		gateways: make(map[string]int), centres: make(map[string]string),
+		gateways: make(map[string]int), centres: make(map[string]string), short: make(map[string]bool),
 	}
 }
 
@@ -125,7 +126,7 @@
 			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
 			Guest: i >= len(endpoints),
 		}
-		_, at.candidates[i].Lent = cells.Borrower(e.ID, cells.Of(e.DataCentre))
+		at.candidates[i].Lent = cells.Lent(e.ID)
 	}
 	at.choice = p.policy.Choose(service, w, at.candidates)
 	return at
