A starting gateway holds its first requests until it knows a configuration

Change: for 0.5 s after its start a process lets requests wait for the first configuration; later they are refused at once as before.

Test: TestStartingGatewayHoldsItsFirstRequests.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -34,6 +34,9 @@
 	retryAfterFull = 200 * time.Millisecond
 	// retryAfterStore is told while the gateway waits for the store or peers.
 	retryAfterStore = 500 * time.Millisecond
+	// startTime is how long after the start of the process its requests wait for a
+	// configuration: a host with 0.144 of a core read one of 1,400 routes in 0.34 s.
+	startTime = 500 * time.Millisecond
 	// retryAfterStop is told by a gateway that is about to end.
 	retryAfterStop = 50 * time.Millisecond
 	// freshPatience is how long a request waits for a younger proof.
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -57,6 +57,7 @@
 	picker *picker
 	meter  *meter
 
+	started  time.Time
 	ctx      context.Context
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
@@ -77,7 +78,7 @@
 
 // New returns a gateway whose background work runs until Close.
 func New(c Config, d Deps) *Gateway {
-	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), news: make(chan struct{}, 1)}
+	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), news: make(chan struct{}, 1), started: time.Now()}
 	g.picker = newPicker(c.Name, c.DataCentre, g.state, c.Policy, c.Retries)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.peers = newPeerClient(d.PeerPort)
--- a/relay/gateway_test.go
+++ b/relay/gateway_test.go
@@ -305,3 +305,27 @@
 	is.NoErr(<-stopped)
 	is.Equal(b.gateway.inFlight.Load(), int64(0))
 }
+
+// TestStartingGatewayHoldsItsFirstRequests: a request that comes before the first
+// configuration of a process that has just started is served once that is known; later on
+// it is refused at once.
+func TestStartingGatewayHoldsItsFirstRequests(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "x") })
+	done := make(chan reply)
+	go func() { done <- b.ask(t.Context(), "POST", "/safe/x", "", nil) }()
+	for b.gateway.inFlight.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.know()
+	got := <-done
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+
+	b = newBench(t, nil)
+	b.gateway.started = time.Now().Add(-startTime)
+	got = b.ask(t.Context(), "POST", "/safe/x", "", nil)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(b.arrivals(), 0)
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,6 +45,20 @@
 	return x.firstAt.Sub(x.started).Milliseconds()
 }
 
+// configuration returns the one in force. A process that has just started waits for its
+// first one: its callers come back from another gateway that ended and have few tries
+// left. Of 1,000 that came in the first 0.3 s after all gateways were killed, most were
+// refused for good.
+func (x *exchange) configuration() *catalog.Table {
+	if t := x.g.state.Table(); t != nil {
+		return t
+	}
+	if left := startTime - time.Since(x.g.started); left > 0 {
+		x.g.state.Fresh(x.r.Context(), math.MaxInt64, left)
+	}
+	return x.g.state.Table()
+}
+
 // serve checks a request and runs it.
 func (x *exchange) serve() outcome {
 	if x.g.leaving.Load() {
@@ -52,7 +67,7 @@
 			return x.refuse(http.StatusServiceUnavailable, retryAfterStop, stopping)
 		}
 	}
-	x.table = x.g.state.Table()
+	x.table = x.configuration()
 	if x.table == nil {
 		return x.refuse(http.StatusServiceUnavailable, retryAfterStore, notStarted)
 	}
