Open connections first among equal endpoints

Plain services were chosen in the order of their names by all gateways alike.

Change: of endpoints that are equal a request takes one to which this gateway has an open connection that may carry it, then its own order.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -44,6 +44,8 @@
 	// gateway's own.
 	Rank    uint64
 	OwnRank uint64
+	// Warm is set for an endpoint to which a connection is open that is not in use.
+	Warm bool
 	// Guest is set for an endpoint of another cell, of which less is known: a part of a
 	// prompt goes there only where it costs nobody else anything.
 	Guest bool
@@ -161,8 +163,24 @@
 	return rest
 }
 
+// compareOwn orders endpoints that are equal but for what this gateway alone knows or
+// prefers: an open connection saves a round trip, and the endpoint the work for a new one.
+func compareOwn(a, b Candidate) int {
+	return cmp.Or(cmp.Compare(cold(a), cold(b)), cmp.Compare(a.OwnRank, b.OwnRank))
+}
+
+// cold returns 1 for an endpoint to which a connection has to be opened, else 0.
+func cold(c Candidate) int {
+	if c.Warm {
+		return 0
+	}
+	return 1
+}
+
 // plain picks the endpoint with the fewest requests.
 func (p Policy) plain(all []Candidate, usable []int) Choice {
-	best := slices.MinFunc(usable, func(a, b int) int { return cmp.Compare(all[a].Load.Short, all[b].Load.Short) })
+	best := slices.MinFunc(usable, func(a, b int) int {
+		return cmp.Or(cmp.Compare(all[a].Load.Short, all[b].Load.Short), compareOwn(all[a], all[b]))
+	})
 	return Choice{Endpoint: best, Loads: []Placed{{Candidate: best, Load: Load{Short: 1}}}}
 }
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -411,3 +411,17 @@
 		}
 	})
 }
+
+// TestOpenConnectionsFirst: of endpoints that are equal a request takes the one to which a
+// connection is open, but not one that answers later.
+func TestOpenConnectionsFirst(t *testing.T) {
+	is := is.New(t)
+	p := Default()
+	plain := &catalog.Service{Name: "s"}
+	all := []Candidate{{ID: "a", OwnRank: 1}, {ID: "b", OwnRank: 2, Warm: true}, {ID: "c", OwnRank: 3, Warm: true}}
+	is.Equal(p.Choose(plain, Work{}, all).Endpoint, 1)
+	all[1].Load.Short = 1
+	is.Equal(p.Choose(plain, Work{}, all).Endpoint, 2)
+	all[2].Load.Short = 2
+	is.Equal(p.Choose(plain, Work{}, all).Endpoint, 0)
+}
--- a/balance/short.go
+++ b/balance/short.go
@@ -33,7 +33,7 @@
 		if first > p.FirstShare*w.LeftMs {
 			continue
 		}
-		if best < 0 || sooner(first, all[i].OwnRank, bestFirst, all[best].OwnRank) {
+		if best < 0 || sooner(first, all[i], bestFirst, all[best]) {
 			best, bestFirst = i, first
 		}
 	}
@@ -76,8 +76,8 @@
 
 // sooner compares two endpoints for a short request by their expected first
 // events, and by the gateway's own order where these are about the same.
-func sooner(firstA float64, ownA uint64, firstB float64, ownB uint64) bool {
-	return cmp.Or(cmp.Compare(int(firstA/sameMs), int(firstB/sameMs)), cmp.Compare(ownA, ownB)) < 0
+func sooner(firstA float64, a Candidate, firstB float64, b Candidate) bool {
+	return cmp.Or(cmp.Compare(int(firstA/sameMs), int(firstB/sameMs)), compareOwn(a, b)) < 0
 }
 
 // firstEvent estimates how long a short request waits for its first event:
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -129,15 +129,13 @@
 	}
 	s.Helpers = memory.helpers(at)
 	req := &upstream.Request{
-		Method: x.r.Method,
-		Target: x.r.RequestURI,
-		Host:   x.r.Host,
-		Header: x.g.deps.Protocol.Header(x.r.Header, x.call, s),
-		Body:   x.body,
-		Echo:   x.g.deps.Protocol.Echo(),
-	}
-	if !x.route.Idempotent() {
-		req.MaxIdle = unsafeIdle
+		Method:  x.r.Method,
+		Target:  x.r.RequestURI,
+		Host:    x.r.Host,
+		Header:  x.g.deps.Protocol.Header(x.r.Header, x.call, s),
+		Body:    x.body,
+		Echo:    x.g.deps.Protocol.Echo(),
+		MaxIdle: x.maxIdle(),
 	}
 	return req
 }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -36,6 +36,9 @@
 	short    map[string]bool   // by other cell: whether it has no endpoints to spare
 }
 
+// warmth tells whether a connection to an endpoint is open that a request may use.
+type warmth func(endpoint string) bool
+
 func newPicker(self, dataCentre string, state *State, policy balance.Policy, window limits.WindowConfig) *picker {
 	return &picker{
 		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
@@ -84,7 +87,7 @@
 
 // pick chooses an endpoint of the service and counts the load: in the own cell if that
 // will do, else in another one.
-func (p *picker) pick(service *catalog.Service, w balance.Work, now time.Time) (chosen *place, expected balance.Expected, o pickOutcome) {
+func (p *picker) pick(service *catalog.Service, w balance.Work, warm warmth, now time.Time) (chosen *place, expected balance.Expected, o pickOutcome) {
 	cells := p.state.EndpointsByCell(service.Name)
 	if len(cells) == 0 {
 		return nil, expected, pickNone
@@ -92,9 +95,9 @@
 	home := p.state.Cells().Of(p.dataCentre)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at := p.look(service, w, cells[home], nil, now)
+	at := p.look(service, w, cells[home], nil, warm, now)
 	if at.choice.Elsewhere() && len(cells) > 1 {
-		at = p.elsewhere(at, service, w, cells, home, now)
+		at = p.elsewhere(at, service, w, cells, home, warm, now)
 	}
 	c := at.choice
 	switch {
@@ -117,14 +120,14 @@
 
 // look chooses among endpoints and guests, which are endpoints of other cells. The caller
 // holds the lock.
-func (p *picker) look(service *catalog.Service, w balance.Work, endpoints, guests []catalog.Endpoint, now time.Time) look {
+func (p *picker) look(service *catalog.Service, w balance.Work, endpoints, guests []catalog.Endpoint, warm warmth, now time.Time) look {
 	at := look{endpoints: slices.Concat(endpoints, guests)}
 	at.candidates = make([]balance.Candidate, len(at.endpoints))
 	cells := p.state.Cells()
 	for i, e := range at.endpoints {
 		at.candidates[i] = balance.Candidate{
 			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
-			Guest: i >= len(endpoints),
+			Guest: i >= len(endpoints), Warm: warm(e.ID),
 		}
 		at.candidates[i].Lent = cells.Lent(e.ID)
 	}
@@ -143,12 +146,12 @@
 // elsewhere chooses again with the help of other cells, taken in an order of chance, so
 // that cells that are short of room at the same moment do not all turn to the same one. The
 // caller holds the lock.
-func (p *picker) elsewhere(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, now time.Time) look {
+func (p *picker) elsewhere(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, warm warmth, now time.Time) look {
 	if len(cells[home]) == 0 {
-		return p.stranger(at, service, w, cells, now)
+		return p.stranger(at, service, w, cells, warm, now)
 	}
 	if p.policy.TakesTurns(service, w) {
-		return p.withGuests(service, w, cells, home, now)
+		return p.withGuests(service, w, cells, home, warm, now)
 	}
 	digests := p.book.Digests(now)
 	asked := 0
@@ -158,7 +161,7 @@
 			continue
 		}
 		w.Guest = true
-		if other := p.look(service, w, offered, nil, now); other.choice.Endpoint >= 0 {
+		if other := p.look(service, w, offered, nil, warm, now); other.choice.Endpoint >= 0 {
 			other.candidates[other.choice.Endpoint].Guest = true
 			return other
 		}
@@ -170,9 +173,9 @@
 }
 
 // stranger chooses for a cell that has no endpoints of its own: in any other one.
-func (p *picker) stranger(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, now time.Time) look {
+func (p *picker) stranger(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, warm warmth, now time.Time) look {
 	for _, endpoints := range cells { // in no order
-		if at = p.look(service, w, endpoints, nil, now); at.choice.Endpoint >= 0 {
+		if at = p.look(service, w, endpoints, nil, warm, now); at.choice.Endpoint >= 0 {
 			break
 		}
 	}
@@ -181,7 +184,7 @@
 
 // withGuests chooses for a long prompt among the own cell's endpoints and some that other
 // cells offer.
-func (p *picker) withGuests(service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, now time.Time) look {
+func (p *picker) withGuests(service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, warm warmth, now time.Time) look {
 	digests := p.book.Digests(now)
 	var guests []catalog.Endpoint
 	for c, endpoints := range cells { // in no order
@@ -193,7 +196,7 @@
 			break
 		}
 	}
-	return p.look(service, w, cells[home], guests[:min(mostGuests, len(guests))], now)
+	return p.look(service, w, cells[home], guests[:min(mostGuests, len(guests))], warm, now)
 }
 
 // offeredOf returns the endpoints that a digest offers.
--- a/relay/place.go
+++ b/relay/place.go
@@ -21,6 +21,20 @@
 	}
 }
 
+// warm tells whether a kept connection to an endpoint may carry the request.
+func (x *exchange) warm(endpoint string) bool {
+	return x.g.deps.Endpoints.Kept(endpoint, x.maxIdle())
+}
+
+// maxIdle returns how long a kept connection may have been idle to carry the request;
+// zero: as long as it is kept.
+func (x *exchange) maxIdle() time.Duration {
+	if x.route.Idempotent() {
+		return 0
+	}
+	return unsafeIdle
+}
+
 // place finds an endpoint, waiting for one where that is better.
 func (x *exchange) place(ctx context.Context) (*place, outcome) {
 	began := time.Now()
@@ -45,7 +59,7 @@
 		var at *place
 		o := pickWait
 		if turn == nil || work.Late || x.g.picker.first(turn, x.patience().rank(oversize, now), now) {
-			at, expected, o = x.g.picker.pick(x.service, work, now)
+			at, expected, o = x.g.picker.pick(x.service, work, x.warm, now)
 		}
 		switch {
 		case o == picked:
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -41,6 +41,14 @@
 	return c
 }
 
+// has reports whether there is a connection that was idle for at most maxIdle.
+func (p *pool) has(key string, maxIdle time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.conns[key]
+	return len(list) > 0 && list[len(list)-1].fresh(maxIdle, time.Now())
+}
+
 // fresh reports whether the connection was used lately enough.
 func (c *conn) fresh(maxIdle time.Duration, now time.Time) bool {
 	if c.idleLimit > 0 {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -138,12 +138,22 @@
 	return res, nil
 }
 
+// Kept reports whether a request to the endpoint that allows connections to be idle for so
+// long would use a kept one; zero: any. It may prove closed when it is taken.
+func (c *Client) Kept(key string, maxIdle time.Duration) bool {
+	return c.idle.has(key, c.maxIdle(maxIdle))
+}
+
+func (c *Client) maxIdle(wanted time.Duration) time.Duration {
+	if wanted == 0 {
+		return c.options.MaxIdle
+	}
+	return min(wanted, c.options.MaxIdle)
+}
+
 // conn takes a kept connection that is still sound or opens one.
 func (c *Client) conn(ctx context.Context, key, address string, maxIdle time.Duration) (*conn, error) {
-	if maxIdle == 0 || maxIdle > c.options.MaxIdle {
-		maxIdle = c.options.MaxIdle
-	}
-	if kept := c.idle.take(key, address, maxIdle); kept != nil {
+	if kept := c.idle.take(key, address, c.maxIdle(maxIdle)); kept != nil {
 		return kept, nil
 	}
 	nc, err := c.options.Dialer(ctx, address)
