--- a/relay/digest.go
+++ b/relay/digest.go
@@ -38,7 +38,7 @@
 func (p *picker) shortCells(now time.Time) map[string]bool {
 	out := make(map[string]bool)
 	for c := range p.book.Digests(now) {
-		out[c] = p.short[c]
+		out[c] = p.others[c].short
 	}
 	return out
 }
@@ -69,9 +69,7 @@
 		if c == home {
 			continue
 		}
-		p.gateways[c] = d.Gateways
-		p.centres[c] = d.DataCentre
-		p.short[c] = d.Short
+		p.others[c] = otherCell{d.DataCentre, d.Gateways, d.Short}
 		p.book.TakeDigest(c, balance.Digest{Made: said.Add(-time.Duration(d.AgeMs) * time.Millisecond), Loads: d.Loads})
 	}
 }
@@ -82,7 +80,11 @@
 	defer p.mu.Unlock()
 	var out []peers.Digest
 	for c, d := range p.book.Digests(now) {
-		out = append(out, peers.Digest{DataCentre: p.centres[c], Gateways: p.gateways[c], Short: p.short[c], AgeMs: now.Sub(d.Made).Milliseconds(), Loads: d.Loads})
+		other := p.others[c]
+		out = append(out, peers.Digest{
+			DataCentre: other.dataCentre, Gateways: other.gateways, Short: other.short,
+			AgeMs: now.Sub(d.Made).Milliseconds(), Loads: d.Loads,
+		})
 	}
 	return out
 }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -30,10 +30,15 @@
 	budgets map[string]*limits.Window // by service
 	changed chan struct{}             // closed when load was taken off
 	// fleet is how many gateways there are, as far as this one knows.
-	fleet    int
-	gateways map[string]int    // by other cell
-	centres  map[string]string // by other cell: where its digest was made
-	short    map[string]bool   // by other cell: whether it has no endpoints to spare
+	fleet  int
+	others map[string]otherCell // by name
+}
+
+// otherCell is what the newest digest of another cell says beside its load.
+type otherCell struct {
+	dataCentre string // where it was made
+	gateways   int    // that the cell has
+	short      bool   // whether the cell has no endpoints to spare
 }
 
 // warmth tells whether a connection to an endpoint is open that a request may use.
@@ -44,7 +49,7 @@
 		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
 		book: balance.NewBook(), turns: balance.NewTurns(), health: balance.NewHealth(),
 		budgets: make(map[string]*limits.Window), changed: make(chan struct{}),
-		gateways: make(map[string]int), centres: make(map[string]string), short: make(map[string]bool),
+		others: make(map[string]otherCell),
 	}
 }
 
@@ -457,7 +462,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range cells {
-		own += p.gateways[c]
+		own += p.others[c].gateways
 	}
 	p.fleet = max(own, listed)
 }
