--- a/balance/book.go
+++ b/balance/book.go
@@ -20,9 +20,6 @@
 	// Patient counts those of Long whose route allows the longest pauses of the
 	// service.
 	Patient int
-	// Pending counts the long prompts with a part here whose first event has not come,
-	// also after the time in which the part should have been read.
-	Pending int
 }
 
 // plus returns the sum of both loads.
@@ -30,7 +27,7 @@
 	return Load{
 		ReadMs: l.ReadMs + o.ReadMs, Short: l.Short + o.Short, Long: l.Long + o.Long,
 		Tokens: l.Tokens + o.Tokens, Parts: l.Parts + o.Parts,
-		Unread: l.Unread + o.Unread, Patient: l.Patient + o.Patient, Pending: l.Pending + o.Pending,
+		Unread: l.Unread + o.Unread, Patient: l.Patient + o.Patient,
 	}
 }
 
@@ -39,11 +36,11 @@
 	return Load{
 		ReadMs: l.ReadMs - o.ReadMs, Short: l.Short - o.Short, Long: l.Long - o.Long,
 		Tokens: l.Tokens - o.Tokens, Parts: l.Parts - o.Parts,
-		Unread: l.Unread - o.Unread, Patient: l.Patient - o.Patient, Pending: l.Pending - o.Pending,
+		Unread: l.Unread - o.Unread, Patient: l.Patient - o.Patient,
 	}
 }
 
-// reading returns the part of the load that is over when the prompt has been read.
+// reading returns the part of the load that is over with the first event.
 func (l Load) reading() Load {
 	return Load{ReadMs: l.ReadMs, Parts: l.Parts, Unread: l.Unread}
 }
@@ -120,24 +117,14 @@
 	}
 }
 
-// Begin notes that the first event of a request has come, whose load was added.
-func (b *Book) Begin(endpoint string, l Load) {
-	a := b.own[endpoint]
-	if a == nil || l.Pending == 0 {
-		return
-	}
-	b.changed[endpoint] = struct{}{}
-	a.load.Pending -= l.Pending
-}
-
-// Remove takes a load off that was added, read and begun.
+// Remove takes a load off that was added, and read.
 func (b *Book) Remove(endpoint string, l Load) {
 	a := b.own[endpoint]
 	if a == nil {
 		return
 	}
 	b.changed[endpoint] = struct{}{}
-	a.load = a.load.minus(l).plus(l.reading()).plus(Load{Pending: l.Pending})
+	a.load = a.load.minus(l).plus(l.reading())
 	a.requests--
 	if a.requests == 0 {
 		delete(b.own, endpoint)
--- a/balance/long.go
+++ b/balance/long.go
@@ -123,7 +123,7 @@
 	}
 	slices.SortFunc(sites, func(a, b site) int {
 		x, y := all[a.index], all[b.index]
-		return cmp.Or(cmp.Compare(p.busy(x.Load), p.busy(y.Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(min(1, x.Load.Pending), min(1, y.Load.Pending)), cmp.Compare(guest(x), guest(y)), cmp.Compare(lent(x), lent(y)),
+		return cmp.Or(cmp.Compare(p.busy(x.Load), p.busy(y.Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(guest(x), guest(y)), cmp.Compare(lent(x), lent(y)),
 			cmp.Compare(int(a.finish/sameMs), int(b.finish/sameMs)), cmp.Compare(y.Rank, x.Rank))
 	})
 	if w.patient() == 0 {
@@ -267,7 +267,7 @@
 	for n, i := range chosen {
 		held := min(need, freeTokens(e, all[i].Load))
 		need -= held
-		l := Load{ReadMs: read / float64(len(chosen)), Tokens: held, Parts: 1, Pending: 1}
+		l := Load{ReadMs: read / float64(len(chosen)), Tokens: held, Parts: 1}
 		if n == 0 {
 			l.Long = 1
 			l.Patient = w.patient()
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -65,7 +65,6 @@
 	guests     int // endpoints of other cells that work on the request
 	expected   balance.Expected
 	loads      []*placedLoad
-	begun      bool // whether the first event has come
 }
 
 // wantedMemory is memory that has to be set aside before a send.
@@ -294,25 +293,11 @@
 	p := pl.picker
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	counted := pl.takeOffReading()
-	if pl.begin() || counted {
+	if pl.takeOffReading() {
 		p.wake()
 	}
 }
 
-// begin notes that the first event has come; it reports whether that is news. The caller
-// holds the lock.
-func (pl *place) begin() bool {
-	if pl.begun {
-		return false
-	}
-	pl.begun = true
-	for _, l := range pl.loads {
-		pl.picker.book.Begin(l.endpoint, l.load)
-	}
-	return true
-}
-
 // add notes load that was counted at an endpoint. The caller holds the lock.
 func (pl *place) add(endpoint string, l balance.Placed) {
 	one := &placedLoad{endpoint: endpoint, load: l.Load}
@@ -361,7 +346,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pl.takeOffReading()
-	pl.begin()
 	for _, l := range pl.loads {
 		p.book.Remove(l.endpoint, l.load)
 	}
