--- a/balance/choose.go
+++ b/balance/choose.go
@@ -28,9 +28,9 @@
 	Late bool
 	// MustTake is set for a request whose caller had not better come back later.
 	MustTake bool
-	// Guest is set for a short request whose candidates are those of another cell: it
+	// Remote is set for a short request whose candidates are those of another cell: it
 	// takes an endpoint there only if it is in time.
-	Guest bool
+	Remote bool
 	// Avoid lists endpoints that the request was already sent to.
 	Avoid []string
 }
@@ -46,12 +46,12 @@
 	OwnRank uint64
 	// Warm is set for an endpoint to which a connection is open that is not in use.
 	Warm bool
-	// Guest is set for an endpoint of another cell, of which less is known: a part of a
+	// Remote is set for an endpoint of another cell, of which less is known: a part of a
 	// prompt goes there only where it costs nobody else anything.
-	Guest bool
-	// Lent is set for an endpoint that another cell may use as well; the own cell takes
+	Remote bool
+	// Shared is set for an endpoint that another cell may use as well; the own cell takes
 	// it after others.
-	Lent bool
+	Shared bool
 	// Suspect is set for an endpoint that failed lately; it is chosen only
 	// when nothing else is left.
 	Suspect bool
--- a/balance/long.go
+++ b/balance/long.go
@@ -113,7 +113,7 @@
 	sites := make([]site, 0, len(usable))
 	for _, i := range usable {
 		at := p.site(e, w, i, all[i].Load, part)
-		if all[i].Guest && (at.harm > 0 || p.busy(all[i].Load) > 0) {
+		if all[i].Remote && (at.harm > 0 || p.busy(all[i].Load) > 0) {
 			continue
 		}
 		sites = append(sites, at)
@@ -123,7 +123,7 @@
 	}
 	slices.SortFunc(sites, func(a, b site) int {
 		x, y := all[a.index], all[b.index]
-		return cmp.Or(cmp.Compare(p.busy(x.Load), p.busy(y.Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(guest(x), guest(y)), cmp.Compare(lent(x), lent(y)),
+		return cmp.Or(cmp.Compare(p.busy(x.Load), p.busy(y.Load)), cmp.Compare(a.harm, b.harm), cmp.Compare(remote(x), remote(y)), cmp.Compare(shared(x), shared(y)),
 			cmp.Compare(int(a.finish/sameMs), int(b.finish/sameMs)), cmp.Compare(y.Rank, x.Rank))
 	})
 	if w.patient() == 0 {
@@ -150,17 +150,17 @@
 	return s, free >= w.InputTokens+w.OutputTokens
 }
 
-// guest returns 1 for an endpoint of another cell, else 0.
-func guest(c Candidate) int {
-	if c.Guest {
+// remote returns 1 for an endpoint of another cell, else 0.
+func remote(c Candidate) int {
+	if c.Remote {
 		return 1
 	}
 	return 0
 }
 
-// lent returns 1 for an endpoint that another cell may use, else 0.
-func lent(c Candidate) int {
-	if c.Lent {
+// shared returns 1 for an endpoint that another cell may use, else 0.
+func shared(c Candidate) int {
+	if c.Shared {
 		return 1
 	}
 	return 0
@@ -243,7 +243,7 @@
 	for n := range chosen {
 		a, b := all[chosen[n]].Load, all[chosen[best]].Load
 		fa, fb := min(need, freeTokens(e, a)), min(need, freeTokens(e, b))
-		if cmp.Or(cmp.Compare(p.crowded(e, a), p.crowded(e, b)), cmp.Compare(guest(all[chosen[n]]), guest(all[chosen[best]])), cmp.Compare(fb, fa), cmp.Compare(a.Short+a.Long, b.Short+b.Long)) < 0 {
+		if cmp.Or(cmp.Compare(p.crowded(e, a), p.crowded(e, b)), cmp.Compare(remote(all[chosen[n]]), remote(all[chosen[best]])), cmp.Compare(fb, fa), cmp.Compare(a.Short+a.Long, b.Short+b.Long)) < 0 {
 			best = n
 		}
 	}
@@ -286,7 +286,7 @@
 	best := -1
 	for n, o := range sites {
 		l := all[o.index].Load
-		if p.busy(l) > 0 || o.harm > 0 || p.crowded(e, l) > 0 || all[o.index].Guest {
+		if p.busy(l) > 0 || o.harm > 0 || p.crowded(e, l) > 0 || all[o.index].Remote {
 			continue
 		}
 		if best < 0 || all[o.index].Rank < all[sites[best].index].Rank {
--- a/balance/short.go
+++ b/balance/short.go
@@ -41,7 +41,7 @@
 		if !w.MustTake && earliestFirst > w.LeftMs && p.full(e, all, usable) {
 			return Choice{Endpoint: -1, Refuse: true, Expected: Expected{FirstMs: earliestFirst}}
 		}
-		if w.Guest {
+		if w.Remote {
 			return Choice{Endpoint: -1, Wait: true, Expected: Expected{FirstMs: earliestFirst}}
 		}
 		best, bestFirst, late = earliest, earliestFirst, true
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -61,20 +61,20 @@
 // Cells returns the names of all cells in order.
 func (m Map) Cells() []string { return m.starts }
 
-// lentShare is which part of a cell's endpoints other cells may use, as a divisor. The
+// sharedPart is which part of a cell's endpoints other cells may use, as a divisor. The
 // other part is left to the cell, whose gateways take it first.
-const lentShare = 2
+const sharedPart = 2
 
-// Lent reports whether other cells may use an endpoint.
-func (m Map) Lent(endpoint string) bool {
-	return len(m.starts) > 1 && xxhash.Sum64String(endpoint)%lentShare == 0
+// Shared reports whether other cells may use an endpoint.
+func (m Map) Shared(endpoint string) bool {
+	return len(m.starts) > 1 && xxhash.Sum64String(endpoint)%sharedPart == 0
 }
 
-// Borrower returns the cell that may use an endpoint of another cell: each one is lent
-// to one cell at most, so that cells which know little of each other do not meet on one.
-// Those that are short are served before others. ok is false where it is lent to none.
-func (m Map) Borrower(endpoint, home string, short map[string]bool) (borrower string, ok bool) {
-	if !m.Lent(endpoint) {
+// SharedWith returns the cell that may use an endpoint of another cell: each one is shared
+// with one cell at most, so that cells which know little of each other do not meet on one.
+// Those that are short are served before others. ok is false where it is shared with none.
+func (m Map) SharedWith(endpoint, home string, short map[string]bool) (other string, ok bool) {
+	if !m.Shared(endpoint) {
 		return "", false
 	}
 	var others, first []string
@@ -90,5 +90,5 @@
 	if len(first) > 0 {
 		others = first
 	}
-	return others[xxhash.Sum64String(endpoint)/lentShare%uint64(len(others))], true
+	return others[xxhash.Sum64String(endpoint)/sharedPart%uint64(len(others))], true
 }
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -111,25 +111,25 @@
 	return false
 }
 
-// TestBorrower: about half of the endpoints of a cell are lent, to each other cell about
-// as many, and never to their own; while one is short, all that are lent go there.
-func TestBorrower(t *testing.T) {
+// TestSharedWith: about half of the endpoints of a cell are shared, with each other cell about
+// as many, and never to their own; while one is short, all of them are shared with it.
+func TestSharedWith(t *testing.T) {
 	is := is.New(t)
 	m := Group(map[string]int{"a": 30, "b": 30, "c": 30})
 	count := func(short map[string]bool) map[string]int {
-		lent := make(map[string]int)
+		count := make(map[string]int)
 		for i := range 1000 {
-			if borrower, ok := m.Borrower(fmt.Sprint("e", i), "b", short); ok {
-				lent[borrower]++
+			if other, ok := m.SharedWith(fmt.Sprint("e", i), "b", short); ok {
+				count[other]++
 			}
 		}
-		return lent
+		return count
 	}
 	even := count(nil)
 	is.Equal(len(even), 2)
 	is.True(even["a"] > 200 && even["c"] > 200)
 	is.True(even["a"]+even["c"] < 600)
 	is.Equal(count(map[string]bool{"c": true, "b": true}), map[string]int{"c": even["a"] + even["c"]})
-	_, ok := Group(map[string]int{"a": 30}).Borrower("e", "a", nil)
+	_, ok := Group(map[string]int{"a": 30}).SharedWith("e", "a", nil)
 	is.True(!ok)
 }
--- a/relay/digest.go
+++ b/relay/digest.go
@@ -25,7 +25,7 @@
 		spare := p.spare(&s, p.state.EndpointsByCell(s.Name)[home], now)
 		d.Short = d.Short || s.Engine != nil && len(spare) == 0
 		for _, e := range spare {
-			if borrower, ok := cells.Borrower(e.ID, home, short); ok && borrower == to {
+			if other, ok := cells.SharedWith(e.ID, home, short); ok && other == to {
 				d.Loads[e.ID] = p.book.LoadWithout(e.ID, theirs, now)
 			}
 		}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -97,14 +97,14 @@
 		now := time.Now()
 		others := slices.Delete(slices.Clone(f.members), i, i+1)
 		a := newAudience(g.config.Name, g.config.DataCentre, g.state.Cells(), others, g.sharing.peers(now))
-		for _, l := range g.letters(a, why, now) {
+		for _, l := range g.outgoing(a, why, now) {
 			f.deliver(i, l, now)
 		}
 		time.Sleep(tellGap)
 	}
 }
 
-func (f *testFleet) deliver(from int, l letter, said time.Time) {
+func (f *testFleet) deliver(from int, l message, said time.Time) {
 	w := l.word
 	w.From = f.gateways[from].config.Name
 	f.mu.Lock()
@@ -143,7 +143,7 @@
 
 // ask lets a gateway place a prompt and plays what the engines do with it. It returns
 // how long the prompt waited for endpoints, and whether it got any.
-func (f *testFleet) ask(ctx context.Context, gateway, tokens int) (waited time.Duration, placed, guest bool) {
+func (f *testFleet) ask(ctx context.Context, gateway, tokens int) (waited time.Duration, placed, remote bool) {
 	began := time.Now()
 	x := &exchange{
 		g: f.gateways[gateway], w: httptest.NewRecorder(), r: httptest.NewRequestWithContext(ctx, "POST", "/", nil), call: Call{ID: "r", Input: tokens, Output: 300},
@@ -159,7 +159,7 @@
 	at.read()
 	time.Sleep(time.Second)
 	at.release()
-	return waited, true, at.guests > 0
+	return waited, true, at.remote > 0
 }
 
 // read counts the reading of a prompt at its engines and returns how long the slowest
@@ -183,7 +183,7 @@
 
 // result is what callers got.
 type result struct {
-	asked, placed, guests, quick int
+	asked, placed, remote, quick int
 	inTime                       int // whose first event came within the objective
 }
 
@@ -196,15 +196,15 @@
 		r.asked++
 		all.Go(func() {
 			began := time.Now()
-			waited, placed, guest := f.ask(t.Context(), at(n), tokens)
+			waited, placed, remote := f.ask(t.Context(), at(n), tokens)
 			mu.Lock()
 			defer mu.Unlock()
 			if !placed {
 				return
 			}
 			r.placed++
-			if guest {
-				r.guests++
+			if remote {
+				r.remote++
 			}
 			if waited < 200*time.Millisecond {
 				r.quick++
@@ -245,7 +245,7 @@
 		r := f.burst(t, 24, 190_000, func(n int) int { return n % 4 * 5 }) // all in the first data centre
 		t.Logf("%+v, %d parts met another", r, f.met)
 		is.True(r.placed >= r.asked*90/100)
-		is.True(r.guests > 0)
+		is.True(r.remote > 0)
 		is.True(f.met*100 <= r.placed*20)
 	})
 }
@@ -310,7 +310,7 @@
 				r := f.burst(t, 24, 190_000, func(n int) int { return asking[n%len(asking)] })
 				t.Logf("%+v, %d parts met another", r, f.met)
 				is.True(r.placed >= r.asked*c.least/100)
-				is.True(r.guests > 0)
+				is.True(r.remote > 0)
 			})
 		})
 	}
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -62,7 +62,7 @@
 	before   balance.Load // at the endpoint, before this request
 	// candidates is how many endpoints there were to choose among.
 	candidates int
-	guests     int // endpoints of other cells that work on the request
+	remote     int // endpoints of other cells that work on the request
 	expected   balance.Expected
 	loads      []*placedLoad
 }
@@ -123,27 +123,27 @@
 	choice     balance.Choice
 }
 
-// look chooses among endpoints and guests, which are endpoints of other cells. The caller
+// look chooses among endpoints and remote, which are endpoints of other cells. The caller
 // holds the lock.
-func (p *picker) look(service *catalog.Service, w balance.Work, endpoints, guests []catalog.Endpoint, warm warmth, now time.Time) look {
-	at := look{endpoints: slices.Concat(endpoints, guests)}
+func (p *picker) look(service *catalog.Service, w balance.Work, endpoints, remote []catalog.Endpoint, warm warmth, now time.Time) look {
+	at := look{endpoints: slices.Concat(endpoints, remote)}
 	at.candidates = make([]balance.Candidate, len(at.endpoints))
 	cells := p.state.Cells()
 	for i, e := range at.endpoints {
 		at.candidates[i] = balance.Candidate{
 			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
-			Guest: i >= len(endpoints), Warm: warm(e.ID),
+			Remote: i >= len(endpoints), Warm: warm(e.ID),
 		}
-		at.candidates[i].Lent = cells.Lent(e.ID)
+		at.candidates[i].Shared = cells.Shared(e.ID)
 	}
 	at.choice = p.policy.Choose(service, w, at.candidates)
 	return at
 }
 
 const (
-	// mostGuests is how many endpoints of other cells are looked at for a long prompt:
+	// mostRemote is how many endpoints of other cells are looked at for a long prompt:
 	// as many as it can use.
-	mostGuests = 16
+	mostRemote = 16
 	// cellsAsked is how many other cells are looked at for a short request.
 	cellsAsked = 2
 )
@@ -153,10 +153,10 @@
 // caller holds the lock.
 func (p *picker) elsewhere(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, warm warmth, now time.Time) look {
 	if len(cells[home]) == 0 {
-		return p.stranger(at, service, w, cells, warm, now)
+		return p.anyCell(at, service, w, cells, warm, now)
 	}
 	if p.policy.TakesTurns(service, w) {
-		return p.withGuests(service, w, cells, home, warm, now)
+		return p.withRemote(service, w, cells, home, warm, now)
 	}
 	digests := p.book.Digests(now)
 	asked := 0
@@ -165,9 +165,9 @@
 		if c == home || len(offered) == 0 {
 			continue
 		}
-		w.Guest = true
+		w.Remote = true
 		if other := p.look(service, w, offered, nil, warm, now); other.choice.Endpoint >= 0 {
-			other.candidates[other.choice.Endpoint].Guest = true
+			other.candidates[other.choice.Endpoint].Remote = true
 			return other
 		}
 		if asked++; asked == cellsAsked {
@@ -177,8 +177,8 @@
 	return at
 }
 
-// stranger chooses for a cell that has no endpoints of its own: in any other one.
-func (p *picker) stranger(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, warm warmth, now time.Time) look {
+// anyCell chooses for a cell that has no endpoints of its own: in any other one.
+func (p *picker) anyCell(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, warm warmth, now time.Time) look {
 	for _, endpoints := range cells { // in no order
 		if at = p.look(service, w, endpoints, nil, warm, now); at.choice.Endpoint >= 0 {
 			break
@@ -187,21 +187,21 @@
 	return at
 }
 
-// withGuests chooses for a long prompt among the own cell's endpoints and some that other
+// withRemote chooses for a long prompt among the own cell's endpoints and some that other
 // cells offer.
-func (p *picker) withGuests(service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, warm warmth, now time.Time) look {
+func (p *picker) withRemote(service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, warm warmth, now time.Time) look {
 	digests := p.book.Digests(now)
-	var guests []catalog.Endpoint
+	var remote []catalog.Endpoint
 	for c, endpoints := range cells { // in no order
 		if c == home {
 			continue
 		}
-		guests = append(guests, offeredOf(endpoints, digests[c].Loads)...)
-		if len(guests) >= mostGuests {
+		remote = append(remote, offeredOf(endpoints, digests[c].Loads)...)
+		if len(remote) >= mostRemote {
 			break
 		}
 	}
-	return p.look(service, w, cells[home], guests[:min(mostGuests, len(guests))], warm, now)
+	return p.look(service, w, cells[home], remote[:min(mostRemote, len(remote))], warm, now)
 }
 
 // offeredOf returns the endpoints that a digest offers.
@@ -229,8 +229,8 @@
 		chosen.reserve = append(chosen.reserve, wantedMemory{at.endpoints[r.Candidate], r.Tokens})
 	}
 	for _, l := range c.Loads {
-		if at.candidates[l.Candidate].Guest {
-			chosen.guests++
+		if at.candidates[l.Candidate].Remote {
+			chosen.remote++
 		}
 		id := at.endpoints[l.Candidate].ID
 		p.book.Add(id, l.Load)
@@ -409,18 +409,18 @@
 	}
 }
 
-// tellings is the load and the waiting prompts to tell the peers.
-type tellings struct {
+// ownLoad is the load and the waiting prompts to tell the peers.
+type ownLoad struct {
 	all     map[string]balance.Load
 	by      map[string]map[string]balance.Load // of all, that at the endpoints of each cell
 	waiting map[string]balance.Claim
 }
 
-// tellings returns the whole load, or what changed since that was told last.
-func (p *picker) tellings(whole bool, now time.Time) tellings {
+// ownLoad returns the whole load, or what changed since that was told last.
+func (p *picker) ownLoad(whole bool, now time.Time) ownLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := tellings{waiting: p.turns.Own(now), by: make(map[string]map[string]balance.Load)}
+	t := ownLoad{waiting: p.turns.Own(now), by: make(map[string]map[string]balance.Load)}
 	if whole {
 		t.all = p.book.Own()
 	} else {
--- a/relay/share.go
+++ b/relay/share.go
@@ -16,10 +16,10 @@
 	"github.com/micarudder/micarudder/peers"
 )
 
-// The store is priced by the call, so not every gateway reads it. The readers,
-// a few gateways chosen by their names among those heard lately, read
-// configuration and endpoints; the others take both from their words, each
-// dated by the receiver's own clock. Whoever gets nothing young enough reads the
+// The store is priced by the call, so not every gateway reads it. One gateway, chosen by
+// its name among those heard lately, reads configuration and endpoints, and another stands
+// by; the others take both from their words, in other cells over those that speak there,
+// each dated by the receiver's own clock. Whoever gets nothing young enough reads the
 // store itself, so that readers that freeze or are cut off cost calls only.
 
 const (
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -29,8 +29,8 @@
 	dueDigests                 // it is time, also for digests
 )
 
-// letter is a word and who gets it.
-type letter struct {
+// message is a word and who gets it.
+type message struct {
 	word peers.Word
 	to   []netip.AddrPort
 }
@@ -59,7 +59,7 @@
 		case <-g.picker.urgent:
 		}
 		now := time.Now()
-		g.send(g.letters(g.audience(now), why, now))
+		g.send(g.outgoing(g.audience(now), why, now))
 		if !g.pause(tellGap) {
 			return
 		}
@@ -74,19 +74,19 @@
 	}
 }
 
-func (g *Gateway) send(letters []letter) {
+func (g *Gateway) send(outgoing []message) {
 	now := time.Now()
-	for _, l := range letters {
+	for _, l := range outgoing {
 		if err := g.deps.Mesh.Send(l.word, l.to, now); err != nil {
 			g.meter.tellFailures.Inc()
 		}
 	}
 }
 
-// letters returns what is to be told to the audience on an occasion.
-func (g *Gateway) letters(a audience, why occasion, now time.Time) []letter {
+// outgoing returns what is to be told to the audience on an occasion.
+func (g *Gateway) outgoing(a audience, why occasion, now time.Time) []message {
 	g.picker.setFleet(a.gateways, int(g.listedGateways.Load()))
-	told := g.picker.tellings(why != changed, now)
+	told := g.picker.ownLoad(why != changed, now)
 	base := peers.Word{
 		Leaving: g.leaving.Load(), DataCentre: g.config.DataCentre, Partial: why == changed,
 		ProofAgeMs: -1, Version: g.state.Version(), NoStore: g.sharing.storeLost(),
@@ -95,7 +95,7 @@
 		g.fill(&base, now)
 		base.Echo = a.speaks
 	}
-	out := []letter{g.near(base, a, why, told, now)}
+	out := []message{g.near(base, a, why, told, now)}
 	for c := range a.far {
 		if l, ok := g.far(base, a, c, why, told.by[c], now); ok {
 			out = append(out, l)
@@ -105,17 +105,17 @@
 }
 
 // near returns the word for the own cell: it tells of all load, wherever it is.
-func (g *Gateway) near(w peers.Word, a audience, why occasion, told tellings, now time.Time) letter {
+func (g *Gateway) near(w peers.Word, a audience, why occasion, told ownLoad, now time.Time) message {
 	w.Loads, w.Waiting = told.all, told.waiting
 	if a.speaks && why == dueDigests {
 		w.Digests = g.picker.passOn(now)
 	}
-	return letter{w, a.near}
+	return message{w, a.near}
 }
 
 // far returns the word for another cell, if there is anything to tell it: load at its
 // endpoints, and what those who speak across cells tell each other.
-func (g *Gateway) far(w peers.Word, a audience, c string, why occasion, loads map[string]balance.Load, now time.Time) (letter, bool) {
+func (g *Gateway) far(w peers.Word, a audience, c string, why occasion, loads map[string]balance.Load, now time.Time) (message, bool) {
 	w.Loads = loads
 	speaks := a.speaks && (why == dueDigests || why == proved)
 	if speaks && why == dueDigests {
@@ -123,11 +123,11 @@
 	}
 	switch {
 	case len(loads) > 0:
-		return letter{w, a.far[c]}, true
+		return message{w, a.far[c]}, true
 	case speaks:
-		return letter{w, a.across[c]}, true
+		return message{w, a.across[c]}, true
 	default:
-		return letter{}, false
+		return message{}, false
 	}
 }
 
