--- a/relay/picker.go
+++ b/relay/picker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -41,9 +40,6 @@
 	short      bool   // whether the cell has no endpoints to spare
 }
 
-// warmth tells whether a connection to an endpoint is open that a request may use.
-type warmth func(endpoint string) bool
-
 func newPicker(self, dataCentre string, state *State, policy balance.Policy, window limits.WindowConfig) *picker {
 	return &picker{
 		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
@@ -90,133 +86,8 @@
 	pickFull             // the caller had better come back later
 )
 
-// pick chooses an endpoint of the service and counts the load: in the own cell if that
-// will do, else in another one.
-func (p *picker) pick(service *catalog.Service, w balance.Work, warm warmth, now time.Time) (chosen *place, expected balance.Expected, o pickOutcome) {
-	cells := p.state.EndpointsByCell(service.Name)
-	if len(cells) == 0 {
-		return nil, expected, pickNone
-	}
-	home := p.state.Cells().Of(p.dataCentre)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at := p.look(service, w, cells[home], nil, warm, now)
-	if at.choice.Elsewhere() && len(cells) > 1 {
-		at = p.elsewhere(at, service, w, cells, home, warm, now)
-	}
-	c := at.choice
-	switch {
-	case c.Wait:
-		return nil, c.Expected, pickWait
-	case c.Refuse:
-		return nil, c.Expected, pickFull
-	case c.Endpoint < 0:
-		return nil, c.Expected, pickNone
-	}
-	return p.put(at), c.Expected, picked
-}
-
-// look is a choice and what it was made among.
-type look struct {
-	endpoints  []catalog.Endpoint
-	candidates []balance.Candidate
-	choice     balance.Choice
-}
-
-// look chooses among endpoints and remote, which are endpoints of other cells. The caller
-// holds the lock.
-func (p *picker) look(service *catalog.Service, w balance.Work, endpoints, remote []catalog.Endpoint, warm warmth, now time.Time) look {
-	at := look{endpoints: slices.Concat(endpoints, remote)}
-	at.candidates = make([]balance.Candidate, len(at.endpoints))
-	cells := p.state.Cells()
-	for i, e := range at.endpoints {
-		at.candidates[i] = balance.Candidate{
-			ID: e.ID, Load: p.book.Load(e.ID, now), Rank: rank(e.ID), OwnRank: rank(p.self + e.ID), Suspect: p.health.Suspect(e.ID, now),
-			Remote: i >= len(endpoints), Warm: warm(e.ID),
-		}
-		at.candidates[i].Shared = cells.Shared(e.ID)
-	}
-	at.choice = p.policy.Choose(service, w, at.candidates)
-	return at
-}
-
-const (
-	// mostRemote is how many endpoints of other cells are looked at for a long prompt:
-	// as many as it can use.
-	mostRemote = 16
-	// cellsAsked is how many other cells are looked at for a short request.
-	cellsAsked = 2
-)
-
-// elsewhere chooses again with the help of other cells, taken in an order of chance, so
-// that cells that are short of room at the same moment do not all turn to the same one. The
-// caller holds the lock.
-func (p *picker) elsewhere(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, warm warmth, now time.Time) look {
-	if len(cells[home]) == 0 {
-		return p.anyCell(at, service, w, cells, warm, now)
-	}
-	if p.policy.TakesTurns(service, w) {
-		return p.withRemote(service, w, cells, home, warm, now)
-	}
-	digests := p.book.Digests(now)
-	asked := 0
-	for c, endpoints := range cells { // in no order
-		offered := offeredOf(endpoints, digests[c].Loads)
-		if c == home || len(offered) == 0 {
-			continue
-		}
-		w.Remote = true
-		if other := p.look(service, w, offered, nil, warm, now); other.choice.Endpoint >= 0 {
-			other.candidates[other.choice.Endpoint].Remote = true
-			return other
-		}
-		if asked++; asked == cellsAsked {
-			break
-		}
-	}
-	return at
-}
-
-// anyCell chooses for a cell that has no endpoints of its own: in any other one.
-func (p *picker) anyCell(at look, service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, warm warmth, now time.Time) look {
-	for _, endpoints := range cells { // in no order
-		if at = p.look(service, w, endpoints, nil, warm, now); at.choice.Endpoint >= 0 {
-			break
-		}
-	}
-	return at
-}
-
-// withRemote chooses for a long prompt among the own cell's endpoints and some that other
-// cells offer.
-func (p *picker) withRemote(service *catalog.Service, w balance.Work, cells map[string][]catalog.Endpoint, home string, warm warmth, now time.Time) look {
-	digests := p.book.Digests(now)
-	var remote []catalog.Endpoint
-	for c, endpoints := range cells { // in no order
-		if c == home {
-			continue
-		}
-		remote = append(remote, offeredOf(endpoints, digests[c].Loads)...)
-		if len(remote) >= mostRemote {
-			break
-		}
-	}
-	return p.look(service, w, cells[home], remote[:min(mostRemote, len(remote))], warm, now)
-}
-
-// offeredOf returns the endpoints that a digest offers.
-func offeredOf(endpoints []catalog.Endpoint, offered map[string]balance.Load) []catalog.Endpoint {
-	var out []catalog.Endpoint
-	for _, e := range endpoints {
-		if _, ok := offered[e.ID]; ok {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
 // put counts the load of a choice. The caller holds the lock.
-func (p *picker) put(at look) *place {
+func (p *picker) put(at found) *place {
 	c := at.choice
 	chosen := &place{
 		picker: p, endpoint: at.endpoints[c.Endpoint], before: at.candidates[c.Endpoint].Load,
