--- a/relay/follow.go
+++ b/relay/follow.go
@@ -24,6 +24,9 @@
 	silentAfter = 600 * time.Millisecond
 	// readTime bounds one read; a slow store answers within a quarter of it.
 	readTime = 1500 * time.Millisecond
+	// listTime bounds the read of a whole list, which comes in pages: 3,000 endpoints are
+	// 61 pages, which a host with 0.144 of a core does not read within readTime.
+	listTime = 8 * time.Second
 	// askPeersAfter is the age of the own proof at which peers are asked for
 	// theirs.
 	askPeersAfter = 1600 * time.Millisecond
@@ -128,11 +131,15 @@
 
 // readEndpoints reads the list from the store; it reports false on failure.
 func (g *Gateway) readEndpoints() bool {
-	ctx, cancel := context.WithTimeout(g.ctx, readTime)
+	ctx, cancel := context.WithTimeout(g.ctx, listTime)
 	defer cancel()
 	sent := time.Now()
 	g.sharing.asks(sent)
+	g.sharing.stopAtList(cancel) // a peer may have it sooner
 	list, err := g.deps.Source.Endpoints(ctx)
+	if err != nil && g.sharing.endpointsAge(time.Now()) < takeOver {
+		return true
+	}
 	g.sharing.note(err, time.Now())
 	if err != nil {
 		g.meter.storeFailures.Inc()
--- a/relay/share.go
+++ b/relay/share.go
@@ -48,15 +48,16 @@
 
 // sharing is what this gateway knows of the other gateways' reads.
 type sharing struct {
-	mu     sync.Mutex
-	heard  map[string]time.Time // peers that can reach the store
-	cut    map[string]time.Time // peers that cannot
-	across map[string]time.Time // peers of other cells that tell digests
-	list   endpointList
-	hash   uint64    // of list; 0: none
-	listed time.Time // when the read of list was sent, or proved still right
-	failed time.Time // when an own read failed last
-	asked  time.Time // when this gateway asked the store last
+	mu      sync.Mutex
+	heard   map[string]time.Time // peers that can reach the store
+	cut     map[string]time.Time // peers that cannot
+	across  map[string]time.Time // peers of other cells that tell digests
+	list    endpointList
+	hash    uint64    // of list; 0: none
+	listed  time.Time // when the read of list was sent, or proved still right
+	reading []func()  // end own reads of the list that are under way
+	failed  time.Time // when an own read failed last
+	asked   time.Time // when this gateway asked the store last
 	// lostSince is since when peers before this one do not reach the store; zero: they
 	// do.
 	lostSince time.Time
@@ -171,6 +172,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list.Endpoints, s.hash, s.listed = list, hashEndpoints(list), sent
+	for _, stop := range s.reading {
+		stop()
+	}
+	s.reading = nil
+}
+
+// stopAtList calls stop when a list is taken in.
+func (s *sharing) stopAtList(stop func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reading = append(s.reading, stop)
 }
 
 // hashEndpoints identifies a list by what decides about its endpoints.
