--- a/relay/share_test.go
+++ b/relay/share_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/peers"
 )
 
@@ -116,3 +118,30 @@
 	s.heardStore(peers.Word{From: "p", NoStore: true}, again)
 	is.Equal(s.failed, later)
 }
+
+// blockedSource is a store whose list of endpoints does not come to its end.
+type blockedSource struct {
+	testSource
+	asked chan struct{}
+}
+
+func (s *blockedSource) Endpoints(ctx context.Context) ([]catalog.Endpoint, error) {
+	close(s.asked)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestListOfAPeerEndsTheOwnRead: a gateway that still reads the list when a peer's comes
+// goes on with that, and the store does not count as lost.
+func TestListOfAPeerEndsTheOwnRead(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, nil)
+	source := &blockedSource{asked: make(chan struct{})}
+	b.gateway.deps.Source = source
+	done := make(chan bool)
+	go func() { done <- b.gateway.readEndpoints() }()
+	<-source.asked
+	b.gateway.sharing.read(endpoints("a"), time.Now())
+	is.True(<-done)
+	is.True(!b.gateway.sharing.storeLost())
+}
