--- a/cell/cell.go
+++ b/cell/cell.go
@@ -12,8 +12,8 @@
 )
 
 // minEndpoints is how many endpoints a cell has at least, if the fleet has them: the
-// longest prompts are read on 16 at once, and as many again are left for the others. With
-// 18 endpoints in three data centres a cell each has 6 and most long prompts are late.
+// longest prompts are read on 16 at once, and half as many are left for the others. An
+// estimate; other sizes were not tried.
 const minEndpoints = 24
 
 // Map says to which cell a data centre belongs. A cell has the name of its first data
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -25,7 +25,7 @@
 	// readTime bounds one read; a slow store answers within a quarter of it.
 	readTime = 1500 * time.Millisecond
 	// listTime bounds the read of a whole list, which comes in pages: 3,000 endpoints are
-	// 61 pages, which a host with 0.144 of a core does not read within readTime.
+	// 61 pages, by reckoning too many for readTime on a host with 0.144 of a core.
 	listTime = 8 * time.Second
 	// askPeersAfter is the age of the own proof at which peers are asked for
 	// theirs.
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -47,8 +47,8 @@
 
 // configuration returns the one in force. A process that has just started waits for its
 // first one: its callers come back from another gateway that ended and have few tries
-// left. Of 1,000 that came in the first 0.3 s after all gateways were killed, most were
-// refused for good.
+// left. 520 that came in the first 0.3 s after all gateways were killed were refused; over
+// that day of 34 s 3.3 % of all requests were never served for a refusal, and 0.3 % since.
 func (x *exchange) configuration() *catalog.Table {
 	if t := x.g.state.Table(); t != nil {
 		return t
--- a/relay/learn.go
+++ b/relay/learn.go
@@ -14,7 +14,8 @@
 	seedTime = 60 * time.Millisecond
 	// firstStartTime is how long a gateway of an installation that starts for the first
 	// time leaves reading the store to the named ones. 103 gateways that each read it made
-	// 1,000 calls until they knew the first configuration.
+	// 1,218 calls in the first three seconds, 987 since: most hear no named one within
+	// seedTime, as all start together.
 	firstStartTime = 10 * time.Second
 	// learnAgain is the pause between two questions.
 	learnAgain = 200 * time.Millisecond
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// document is the compressed form of something that many peers ask for. Twenty gateways
-// of a cell asked for a configuration of 200 KB within a moment: over a link of 20 Mbit/s
-// that takes longer than peerTime, and they all turned to the store.
+// document is the compressed form of something that many peers ask for. When a
+// large configuration came, 103 gateways made 200 calls to the store within 8 s: by
+// reckoning twenty answers do not fit through a link of 20 Mbit/s within peerTime.
 type document struct {
 	mu   sync.Mutex
 	key  uint64 // identifies what body was made of; 0: nothing
--- a/relay/share.go
+++ b/relay/share.go
@@ -102,7 +102,7 @@
 // reads reports whether this gateway reads the store again whose newest read is so old.
 // Of those that reach it the first does in any case, the next stands by, and the others
 // read when both must have failed. A store that others do not reach either is left to them
-// for a while: of 103 gateways, each made a call a second while it was away.
+// for a while: 103 gateways made 560 calls in the 7 s for which it was away.
 func (s *sharing) reads(self string, age time.Duration, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
