Endpoints that start again, and entries of other writers

Cause: an endpoint may start again under its id and then holds nothing of before, and an entry may come from another writer. The adapter took {"state":"ready"} without address, service or slots, and read every unknown state as draining; nothing noticed a new start. Ruled out: requiring the start time, since entries of today's installations lack it (read raw on six sites); cutting requests that are under way when a new start is heard of, since some may already run in the new life; refusing entries by the configuration's services in the adapter, since a service may be added after its endpoints. A new start closes kept connections, forgets health, and ends the renewal of memory set aside before. Services that are not configured do not move cells.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -112,4 +112,12 @@
 	DataCentre string
 	Slots      int // requests it works on at once
 	Draining   bool
+	// Born is when its process started, in Unix milliseconds of its own clock; zero: it
+	// does not say. One that starts again may keep its ID and holds nothing of before.
+	Born int64
+}
+
+// RestartedAs reports whether now is a later life of the endpoint under the same ID.
+func (e Endpoint) RestartedAs(now Endpoint) bool {
+	return e.Born != 0 && now.Born != 0 && e.Born != now.Born
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +36,8 @@
 	{"worker connections reset", false, resetWorker},
 	{"worker crashes, another comes", false, crashWorker},
 	{"worker leaves", true, leaveWorker},
+	{"worker starts again under its name", false, restartWorker},
+	{"entries of another writer", true, foreignEntries},
 	{"workers lose answers", false, spoilWorkers(usersplatform.Faults{LoseRun: 0.2})},
 	{"workers break off answers", false, spoilWorkers(usersplatform.Faults{CutShort: 0.2})},
 	{"workers send other answers", false, spoilWorkers(usersplatform.Faults{Surplus: 0.3})},
@@ -183,6 +186,33 @@
 	r.store.Withdraw(old.worker)
 }
 
+// restartWorker ends a worker and starts it again under its name at once: only its entry
+// tells, and not before the length of the fault has passed.
+func restartWorker(r *run, random *rand.Rand, length time.Duration) {
+	old := r.worker(random)
+	old.worker.Crash()
+	next, err := usersplatform.NewWorker(old.worker.ID, old.worker.Service, old.worker.Kind, old.worker.Address(), r.ledger, r.c.Seed)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.faults = append(r.faults, "not started again: "+err.Error())
+		return
+	}
+	announced := slices.ContainsFunc(r.workers, func(p *pooled) bool { return p == old })
+	old.worker = next
+	if !announced {
+		return // it was leaving
+	}
+	time.AfterFunc(length/4, func() { r.store.Announce(next, old.proxy.address(), usersplatform.Ready) })
+}
+
+// foreignEntries lets somebody else write entries beside those of the workers.
+func foreignEntries(r *run, _ *rand.Rand, length time.Duration) {
+	remove := r.store.PutForeign()
+	time.Sleep(length)
+	remove()
+}
+
 // leaveTime is how long a worker serves after it has stated that it leaves.
 const leaveTime = 2*time.Second + requestTime
 
--- a/internal/standin/usersplatform/speech.go
+++ b/internal/standin/usersplatform/speech.go
@@ -1,9 +1,12 @@
 package usersplatform
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // Ask is the head of a client's request, beside method and path.
@@ -71,7 +74,32 @@
 // Announce writes the worker's entry as the worker does, with the address at
 // which it is reached.
 func (s *Store) Announce(w *Worker, address, state string) {
-	s.Put("servers/"+w.ID, map[string]any{"service": w.Service, "address": address, "zone": "a", "slots": 8, "state": state})
+	s.Put("servers/"+w.ID, map[string]any{
+		"service": w.Service, "address": address, "zone": "a", "version": "v1", "slots": 8, "state": state,
+		"coldRemainingMs": 0, "sequence": 1, "born": w.Born,
+	})
+}
+
+// foreign are values that no worker writes of itself.
+var foreign = []any{
+	"ready", nil, 7, []string{"ready"}, map[string]any{}, map[string]any{"state": "ready"},
+	map[string]any{"state": "resting", "service": "safe", "address": "127.0.0.1:1", "slots": 8},
+	map[string]any{"service": "safe", "address": "127.0.0.1:1", "zone": "a", "version": "v1", "slots": -1, "state": "ready", "coldRemainingMs": 0, "sequence": 1},
+	map[string]any{"service": "safe", "address": "127.0.0.1:1", "zone": "a", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": "now"},
+}
+
+// PutForeign writes entries of another writer beside those of the workers; remove takes
+// them away.
+func (s *Store) PutForeign() (remove func()) {
+	writer := uuid.NewString()
+	for n, value := range foreign {
+		s.Put(fmt.Sprintf("servers/x-%d-%s", n, writer), value)
+	}
+	return func() {
+		for n := range foreign {
+			s.Delete(fmt.Sprintf("servers/x-%d-%s", n, writer))
+		}
+	}
 }
 
 // Withdraw removes the worker's entry.
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -55,6 +55,7 @@
 // Worker is one incarnation of a back end.
 type Worker struct {
 	ID, Service, Kind string // Kind: plain or stream
+	Born              int64  // Unix milliseconds of its start
 	ledger            *Ledger
 	listener          net.Listener
 
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{ID: id, Service: service, Kind: kind, ledger: ledger, listener: l, conns: make(map[net.Conn]bool), random: rand.New(rand.NewPCG(seed, 1))}
+	w := &Worker{ID: id, Service: service, Kind: kind, Born: time.Now().UnixMilli(), ledger: ledger, listener: l, conns: make(map[net.Conn]bool), random: rand.New(rand.NewPCG(seed, 1))}
 	go w.accept()
 	return w, nil
 }
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -154,8 +154,8 @@
 
 func (g *Gateway) memberChanged(c MemberChange) {
 	e := c.Endpoint
-	g.deps.Log.Logger().Info("Endpoint changed.", "endpoint", e.ID, "change", c.Kind, "service", e.Service, "address", e.Address)
-	if c.Kind == "gone" {
+	g.deps.Log.Logger().Info("Endpoint changed.", "endpoint", e.ID, "change", string(c.Kind), "born", e.Born, "service", e.Service, "address", e.Address)
+	if c.Kind == changeGone || c.Kind == changeRestarted {
 		g.deps.Endpoints.Forget(e.ID)
 		g.picker.forget(e.ID)
 	}
--- a/relay/members.go
+++ b/relay/members.go
@@ -25,17 +25,31 @@
 // MemberChange is a change of what is believed of an endpoint.
 type MemberChange struct {
 	Endpoint catalog.Endpoint
-	Kind     string // "new", "draining", "missing" or "gone"
+	Kind     ChangeKind
 }
 
+// ChangeKind says what changed, as it stands in logs.
+type ChangeKind string
+
+// The changes.
+const (
+	changeNew       ChangeKind = "new"
+	changeDraining  ChangeKind = "draining"
+	changeMissing   ChangeKind = "missing"   // its entry lapsed, perhaps with the store
+	changeGone      ChangeKind = "gone"      // it gets no more requests
+	changeRestarted ChangeKind = "restarted" // under the same ID; it holds nothing of before
+)
+
 // members decides from the store's list which endpoints take new requests. It
 // is pure: times are arguments.
 type members struct {
 	known   map[string]catalog.Endpoint
 	missing map[string]time.Time // entries that lapsed, and when that was seen
 	order   map[string][]catalog.Endpoint
-	cells   cell.Map
-	inCell  map[string]map[string][]catalog.Endpoint // by service and cell
+	// services are those of the configuration in force; empty before one is known.
+	services []string
+	cells    cell.Map
+	inCell   map[string]map[string][]catalog.Endpoint // by service and cell
 }
 
 func newMembers() *members {
@@ -48,7 +62,9 @@
 
 // listed takes in a list that was read at now. An entry that disappeared while
 // the store could be read means that the endpoint has left; one that lapsed
-// with the store may come back within returnTime.
+// with the store may come back within returnTime. An entry that turned unreadable
+// is not in the list and counts as one that disappeared: it names nothing to send to.
+// The endpoint keeps what it works on and comes back with the entry that it writes next.
 func (m *members) listed(list []catalog.Endpoint, now, storeFailed time.Time) []MemberChange {
 	var changes []MemberChange
 	present := make(map[string]bool, len(list))
@@ -58,9 +74,11 @@
 		old, ok := m.known[e.ID]
 		switch {
 		case !ok:
-			changes = append(changes, MemberChange{e, "new"})
+			changes = append(changes, MemberChange{e, changeNew})
+		case old.RestartedAs(e):
+			changes = append(changes, MemberChange{e, changeRestarted})
 		case e.Draining && !old.Draining:
-			changes = append(changes, MemberChange{e, "draining"})
+			changes = append(changes, MemberChange{e, changeDraining})
 		}
 		m.known[e.ID] = e
 	}
@@ -76,13 +94,13 @@
 		if !e.Draining && mayReturn(since, now, storeFailed, lapsed[e.Service]) {
 			if !seen {
 				m.missing[id] = now
-				changes = append(changes, MemberChange{e, "missing"})
+				changes = append(changes, MemberChange{e, changeMissing})
 			}
 			continue
 		}
 		delete(m.known, id)
 		delete(m.missing, id)
-		changes = append(changes, MemberChange{e, "gone"})
+		changes = append(changes, MemberChange{e, changeGone})
 	}
 	m.sort()
 	return changes
@@ -127,10 +145,16 @@
 	m.group()
 }
 
-// group sets the cells by the data centres of the service that has the most endpoints.
+// group sets the cells by the data centres of the service that has the most endpoints, of
+// those that are configured where any is: whoever writes entries of other services must not
+// move the cells.
 func (m *members) group() {
 	var most []catalog.Endpoint
+	known := slices.ContainsFunc(m.services, func(name string) bool { return len(m.order[name]) > 0 })
 	for _, service := range slices.Sorted(maps.Keys(m.order)) {
+		if known && !slices.Contains(m.services, service) {
+			continue
+		}
 		if len(m.order[service]) > len(most) {
 			most = m.order[service]
 		}
--- a/relay/members_test.go
+++ b/relay/members_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,6 +87,54 @@
 	}
 }
 
+// TestRestartUnderTheSameName: an endpoint whose process started again is told apart from
+// before although nothing else of its entry changed, also by what peers are told, and
+// reservations at its earlier life are void.
+func TestRestartUnderTheSameName(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	list := func(born int64) []catalog.Endpoint {
+		out := endpoints("a", "b")
+		out[0].Born = born
+		return out
+	}
+	is.Equal(len(s.Listed(list(0), at(0), time.Time{})), 2)
+	is.Equal(len(s.Listed(list(5000), at(10), time.Time{})), 0) // it begins to tell
+	first, _ := s.Endpoint("a")
+	is.True(s.SameLife(first))
+	changes := s.Listed(list(7000), at(20), time.Time{})
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Kind, changeRestarted)
+	is.Equal(changes[0].Endpoint.ID, "a")
+	is.True(!s.SameLife(first))
+	is.Equal(len(s.Listed(list(7000), at(30), time.Time{})), 0)
+	is.Equal(len(s.Listed(list(6000), at(40), time.Time{})), 1) // its clock may have been set back
+	is.True(hashEndpoints(list(6000)) != hashEndpoints(list(7000)))
+}
+
+// TestForeignServicesDoNotMoveCells: many entries of a service that is not configured
+// leave the cells as the configured ones make them.
+func TestForeignServicesDoNotMoveCells(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	s.Take(&catalog.Configuration{Version: 1, Services: []catalog.Service{{Name: "s"}}})
+	var list []catalog.Endpoint
+	add := func(service, dataCentre string, n int) {
+		for i := range n {
+			list = append(list, catalog.Endpoint{ID: fmt.Sprint(service, dataCentre, i), Service: service, DataCentre: dataCentre})
+		}
+	}
+	for _, dc := range []string{"d1", "d2", "d3", "d4"} {
+		add("s", dc, 30)
+	}
+	s.Listed(list, at(0), time.Time{})
+	before := s.Cells().Cells()
+	is.Equal(len(before), 4)
+	add("x", "d9", 500)
+	s.Listed(list, at(10), time.Time{})
+	is.Equal(s.Cells().Cells(), before)
+}
+
 func TestStateNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	s := NewState()
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -116,6 +116,9 @@
 		case <-tick.C:
 		}
 		for _, one := range r.list {
+			if !r.g.state.SameLife(one.endpoint) {
+				continue // it holds nothing of this, and must not set it aside anew
+			}
 			r.done.Go(func() {
 				if err := r.g.order(ctx, one, r.g.deps.Protocol.Reserve(one.endpoint.ID, one.id, one.tokens, holdTime)); err != nil && ctx.Err() == nil {
 					r.g.deps.Log.Request("Memory was not renewed.", "endpoint", one.endpoint.ID, "reservation", one.id, "err", err)
--- a/relay/share.go
+++ b/relay/share.go
@@ -196,7 +196,7 @@
 			state = "|draining|"
 		}
 		_, _ = h.WriteString(e.ID + "|" + e.Service + "|" + e.Address + state)
-		_ = binary.Write(h, binary.BigEndian, int64(e.Slots)) // a hash takes all that it is given
+		_ = binary.Write(h, binary.BigEndian, [2]int64{int64(e.Slots), e.Born}) // a hash takes all that it is given
 	}
 	return max(1, h.Sum64())
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -149,5 +149,17 @@
 func (s *State) Listed(list []catalog.Endpoint, now, storeFailed time.Time) []MemberChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.members.services = s.members.services[:0]
+	for _, service := range s.Services() {
+		s.members.services = append(s.members.services, service.Name)
+	}
 	return s.members.listed(list, now, storeFailed)
 }
+
+// SameLife reports whether an endpoint still lives the life that e tells of, as far as is
+// known.
+func (s *State) SameLife(e catalog.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !e.RestartedAs(s.members.known[e.ID])
+}
