Endpoints that an answer names at fault are avoided, those that told of them are not

Ruled out: counting the failure against the endpoint that answered (it is sound). Change: the endpoint named at fault is suspect and left out of the request's next choice, the one that answered may be chosen again. TestHelperAtFault fails on the code before with 503.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -43,44 +43,6 @@
 	is.Equal(len(b.Own()), 0)
 }
 
-// TestHealth: an endpoint that fails part of its requests is left alone after a
-// few, tried again after a rest, and left alone longer if it fails again.
-func TestHealth(t *testing.T) {
-	is := is.New(t)
-	h := NewHealth()
-	now := start
-	is.True(!h.Note("e", Bad, now))
-	is.True(!h.Suspect("e", now))
-	h.Note("e", Bad, now)
-	is.True(h.Suspect("e", now))
-	now = now.Add(firstRest + time.Millisecond)
-	is.True(!h.Suspect("e", now))
-	h.Note("e", Bad, now)
-	is.True(h.Suspect("e", now.Add(firstRest)))
-	is.True(!h.Suspect("e", now.Add(2*firstRest)))
-	h.Forget("e")
-	is.True(!h.Suspect("e", now))
-}
-
-func TestHealthUnreachableAtOnce(t *testing.T) {
-	is := is.New(t)
-	h := NewHealth()
-	is.True(h.Note("e", Unreachable, start))
-	is.True(h.Suspect("e", start))
-}
-
-func TestHealthForgives(t *testing.T) {
-	is := is.New(t)
-	h := NewHealth()
-	for range 20 {
-		h.Note("e", Bad, start)
-		for range 4 {
-			h.Note("e", Good, start)
-		}
-	}
-	is.True(!h.Suspect("e", start))
-}
-
 // TestBookTellsChanges: what a gateway tells of its changes, taken in by a peer
 // that has its whole load of before, gives that peer the load of now.
 func TestBookTellsChanges(t *testing.T) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
-	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -40,21 +41,15 @@
 	}
 	defer res.Body.Close()
 	x.attempts++
-	x.tried = append(x.tried, at.endpoint.ID)
 	verdict := x.g.deps.Protocol.Verdict(res)
 	if verdict == NotRun || verdict == WrongEndpoint {
-		x.lastError = errors.New("the endpoint did not take the request: " + res.Status)
-		switch {
-		case verdict == WrongEndpoint:
-			x.note(at, balance.Unreachable) // another incarnation has its address
-		case hasRoom(at, x.service, x.call.Input):
-			x.note(at, balance.Bad)
-		}
+		x.notTaken(at, res, verdict)
 		return "", true
 	}
+	x.tried = append(x.tried, at.endpoint.ID)
 	x.mayRun = true
 	if verdict == Failed && x.route.Kind == catalog.Streaming {
-		x.note(at, balance.Bad) // plain services also fail by the request itself
+		x.note(at, health.Bad) // plain services also fail by the request itself
 	}
 	if verdict == Failed && x.mayRepeat() {
 		x.lastError = errors.New("the endpoint failed: " + res.Status)
@@ -64,6 +59,29 @@
 	return x.relay(ctx, at, res)
 }
 
+// notTaken takes in an answer that says that the request did not run. Where it names
+// another endpoint, a helper, that one is avoided from now on and the one that told of it
+// may be chosen again: otherwise the next send has the same helper, and long prompts whose
+// helpers included a dead engine were given up after two sends.
+func (x *exchange) notTaken(at *place, res *http.Response, verdict Verdict) {
+	x.lastError = errors.New("the endpoint did not take the request: " + res.Status)
+	address := x.g.deps.Protocol.AtFault(res)
+	if address != "" && address != at.endpoint.Address {
+		if id, ok := x.g.state.AtAddress(address); ok {
+			x.noteAt(id, health.Unreachable)
+			x.unfit = append(x.unfit, id)
+			return
+		}
+	}
+	x.tried = append(x.tried, at.endpoint.ID)
+	switch {
+	case verdict == WrongEndpoint:
+		x.note(at, health.Unreachable) // another incarnation has its address
+	case hasRoom(at, x.service, x.call.Input):
+		x.note(at, health.Bad)
+	}
+}
+
 // hasRoom reports whether an endpoint should have taken a request, as far as the
 // gateways know: less than half of its slots and of its memory were taken.
 func hasRoom(at *place, s *catalog.Service, tokens int) bool {
@@ -94,7 +112,7 @@
 	if errors.As(err, &failure) && failure.Stage == upstream.NotSent {
 		x.unsent++
 		if ctx.Err() == nil {
-			x.note(at, balance.Unreachable)
+			x.note(at, health.Unreachable)
 			x.tried = append(x.tried, at.endpoint.ID)
 		}
 		return
@@ -103,13 +121,16 @@
 	x.tried = append(x.tried, at.endpoint.ID)
 	x.mayRun = true
 	if ctx.Err() == nil {
-		x.note(at, balance.Bad)
+		x.note(at, health.Bad)
 	}
 }
 
-func (x *exchange) note(at *place, o balance.Outcome) {
-	if x.g.picker.note(at.endpoint.ID, o, time.Now()) {
-		x.g.deps.Log.Logger().Warn("Endpoint suspect.", "endpoint", at.endpoint.ID, "request", x.call.ID, "err", x.lastError)
+// note takes in what a send showed of the endpoint that it went to.
+func (x *exchange) note(at *place, o health.Outcome) { x.noteAt(at.endpoint.ID, o) }
+
+func (x *exchange) noteAt(endpoint string, o health.Outcome) {
+	if x.g.picker.note(endpoint, o, time.Now()) {
+		x.g.deps.Log.Logger().Warn("Endpoint suspect.", "endpoint", endpoint, "request", x.call.ID, "err", x.lastError)
 	}
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -72,7 +72,7 @@
 	attempts  int      // sends that may have reached an endpoint
 	unsent    int      // sends that did not
 	tried     []string // endpoints that were sent to, or could not be reached
-	unfit     []string // endpoints that had not the memory
+	unfit     []string // endpoints that had not the memory, or were named at fault
 	mayRun    bool     // whether a send may have run or run later
 	granted   bool     // whether the next send was already taken out of the budget
 	stream    *eventStream
--- a/relay/gateway_test.go
+++ b/relay/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -222,6 +223,46 @@
 	is.Equal(reserved, 1)
 }
 
+// TestHelperAtFault: a prompt whose helper is dead is sent again without it, and the
+// endpoint that told of it gets requests as before.
+func TestHelperAtFault(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	dead := ""
+	b := newBench(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		helpers := r.Header["Helper"]
+		if dead == "" && len(helpers) > 0 {
+			dead = helpers[0]
+		}
+		if slices.Contains(helpers, dead) {
+			answer(w, "503 Service Unavailable", "Not-Run: 1\r\nFault: "+dead+"\r\n", "")
+			return
+		}
+		answer(w, "200 OK", "", "")
+	})
+	config := testConfig(1)
+	config.Services[0].Engine = &catalog.Engine{Slots: 16, MemoryTokens: 100000, StepMs: 1, ReadPerMs: 10, Stride: 1}
+	b.source.set(config, nil)
+	for _, id := range []string{"c", "d"} {
+		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(b.play), Slots: 16})
+	}
+	b.know()
+	got := b.ask(t.Context(), "POST", "/once/", "", http.Header{"Tokens": {"9000"}})
+	is.Equal(got.status, 200)
+	is.True(dead != "") // the first send had a helper
+	is.Equal(b.arrivals(), 2)
+	suspects := 0
+	for _, e := range b.source.endpoints {
+		if b.gateway.picker.health.Suspect(e.ID, time.Now()) {
+			suspects++
+			is.Equal(e.Address, dead)
+		}
+	}
+	is.Equal(suspects, 1)
+}
+
 // TestCallerThatDoesNotRead: a caller that takes nothing of its answer holds its
 // request no longer than its time.
 func TestCallerThatDoesNotRead(t *testing.T) {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -54,6 +54,9 @@
 	h.Set("Workspace", s.Workspace)
 	h.Set("Left-Ms", strconv.FormatInt(s.Remaining.Milliseconds(), 10))
 	h.Set("After", s.LastEventID)
+	for _, helper := range s.Helpers {
+		h.Add("Helper", helper.Address)
+	}
 	return h
 }
 
@@ -69,6 +72,8 @@
 	return Final
 }
 
+func (testProtocol) AtFault(res *http.Response) string { return res.Header.Get("Fault") }
+
 func (testProtocol) Reserve(_, id string, tokens int, _ time.Duration) *upstream.Request {
 	return &upstream.Request{Method: "POST", Target: "/reserve/" + id + "/" + strconv.Itoa(tokens)}
 }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -8,6 +8,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
 )
@@ -25,7 +26,7 @@
 	mu      sync.Mutex
 	book    *balance.Book
 	turns   *balance.Turns
-	health  *balance.Health
+	health  *health.Table
 	budgets map[string]*limits.Window // by service
 	changed chan struct{}             // closed when load was taken off
 	// fleet is how many gateways there are, as far as this one knows.
@@ -43,7 +44,7 @@
 func newPicker(self, dataCentre string, state *State, policy balance.Policy, window limits.WindowConfig) *picker {
 	return &picker{
 		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
-		book: balance.NewBook(), turns: balance.NewTurns(), health: balance.NewHealth(),
+		book: balance.NewBook(), turns: balance.NewTurns(), health: health.NewTable(),
 		budgets: make(map[string]*limits.Window), changed: make(chan struct{}),
 		others: make(map[string]otherCell),
 	}
@@ -231,7 +232,7 @@
 
 // note takes in how an exchange ended; it reports whether the endpoint has just
 // become suspect.
-func (p *picker) note(endpoint string, o balance.Outcome, now time.Time) bool {
+func (p *picker) note(endpoint string, o health.Outcome, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.health.Note(endpoint, o, now)
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -68,6 +68,9 @@
 	Header(caller http.Header, c Call, s Send) http.Header
 	// Verdict reads an endpoint's answer.
 	Verdict(res *http.Response) Verdict
+	// AtFault returns the address of the endpoint for which an answer says that the
+	// request was not run; empty: it does not say.
+	AtFault(res *http.Response) string
 	// Reserve returns the order to set memory for so many tokens aside under an
 	// id, or to renew it, for the time hold from its arrival. A 200 says that it
 	// is set aside.
--- a/relay/state.go
+++ b/relay/state.go
@@ -144,6 +144,18 @@
 	return s.members.endpoint(id)
 }
 
+// AtAddress returns the endpoint whose entry names an address.
+func (s *State) AtAddress(address string) (id string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.members.known {
+		if e.Address == address {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // Listed takes in a list of endpoints that was read at now, and returns what it
 // changed. storeFailed is when a read of the list failed last; zero: never.
 func (s *State) Listed(list []catalog.Endpoint, now, storeFailed time.Time) []MemberChange {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/health"
 )
 
 const (
@@ -95,7 +95,7 @@
 	if err != nil {
 		x.lastError = err
 		if ctx.Err() == nil {
-			x.note(at, balance.Bad)
+			x.note(at, health.Bad)
 		}
 		return "", true
 	}
@@ -215,7 +215,7 @@
 	}
 	x.lastError = err
 	if ctx.Err() == nil {
-		x.note(at, balance.Bad)
+		x.note(at, health.Bad)
 		x.g.meter.resumes.Inc()
 	}
 	return "", true
@@ -237,7 +237,7 @@
 // answerEnded judges how the relaying of an answer ended.
 func (x *exchange) answerEnded(at *place, err error) outcome {
 	if err == nil {
-		x.note(at, balance.Good)
+		x.note(at, health.Good)
 		return answered
 	}
 	x.lastError = err
@@ -245,7 +245,7 @@
 		return callerGone
 	}
 	if time.Until(x.deadline) > 0 {
-		x.note(at, balance.Bad)
+		x.note(at, health.Bad)
 	}
 	return x.abort()
 }
