Gateways tell each other of dead and slow endpoints

Cause: each of 25 gateways found the same dead engine by itself, with a request; engines at a third of their pace got their full share (38 of 43 late answers of one window came from eight of them), since health counts errors only. Change: a gateway that does not reach an endpoint tells the others, two witnesses are enough, one that fails at a third of all is none. Streams that are late make the gateway that watches the endpoint ask it for its pace, which the choice takes as a factor.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -55,8 +55,13 @@
 	// Suspect is set for an endpoint that failed lately; it is chosen only
 	// when nothing else is left.
 	Suspect bool
+	// Pace is how many times as long as usual the endpoint takes for all that it does.
+	Pace float64
 }
 
+// pace returns how many times as long as usual the endpoint takes; at least 1.
+func (c Candidate) pace() float64 { return max(1, c.Pace) }
+
 // Choice is where a request goes.
 type Choice struct {
 	Endpoint int   // index of the candidate; -1: none
@@ -86,6 +91,20 @@
 	Idle    int     // endpoints that read nothing, of those that may be used
 }
 
+const (
+	// oddFactor and oddMs say how much later than expected a first event is odd.
+	oddFactor = 2
+	oddMs     = 50
+)
+
+// LatestFirst returns after what time a first event is odd; zero: none was expected.
+func (e Expected) LatestFirst() time.Duration {
+	if e.FirstMs <= 0 {
+		return 0
+	}
+	return time.Duration((oddFactor*e.FirstMs + oddMs) * float64(time.Millisecond))
+}
+
 // Reservation is memory of a candidate that is set aside for a request.
 type Reservation struct {
 	Candidate int
--- a/balance/long.go
+++ b/balance/long.go
@@ -112,7 +112,7 @@
 	part := read / float64(parts)
 	sites := make([]site, 0, len(usable))
 	for _, i := range usable {
-		at := p.site(e, w, i, all[i].Load, part)
+		at := p.site(e, w, i, all[i], part)
 		if all[i].Remote && (at.harm > 0 || p.busy(all[i].Load) > 0) {
 			continue
 		}
@@ -127,7 +127,7 @@
 			cmp.Compare(int(a.finish/sameMs), int(b.finish/sameMs)), cmp.Compare(y.Rank, x.Rank))
 	})
 	if w.patient() == 0 {
-		p.besideShorts(e, all, sites)
+		p.besideShorts(e, w, all, sites)
 	}
 	free := 0
 	for _, o := range sites[:parts] {
@@ -182,15 +182,17 @@
 }
 
 // site estimates what a part meets at an endpoint, and does there.
-func (p Policy) site(e *catalog.Engine, w Work, index int, l Load, part float64) site {
+func (p Policy) site(e *catalog.Engine, w Work, index int, c Candidate, part float64) site {
+	l := c.Load
 	writers := l.Short + l.Long
-	s := site{index: index, finish: l.ReadMs + part}
+	reading := (l.ReadMs + part) * c.pace()
+	s := site{index: index, finish: reading}
 	if writers == 0 && l.Parts == 0 {
 		return s
 	}
-	pass := passMs(e, writers, l.Tokens)
+	pass := passMs(e, writers, l.Tokens) * c.pace()
 	s.finish += pass * passesToFirst
-	longest := l.ReadMs + part + pass
+	longest := reading + pass
 	if longest > p.longestPass(w.Pauses.Shortest) {
 		s.harm += float64(l.Short)
 	}
@@ -234,6 +236,15 @@
 	return 0
 }
 
+// pauses returns 1 for an endpoint so slow that each pause between the prompt's events
+// would be too long there, else 0.
+func (p Policy) pauses(e *catalog.Engine, w Work, c Candidate) int {
+	if passMs(e, 1+c.Load.Short+c.Load.Long, c.Load.Tokens)*c.pace() > p.longestPass(w.Pause) {
+		return 1
+	}
+	return 0
+}
+
 // generatorFirst puts the endpoint that generates first: one that has the memory
 // for the whole prompt if there is one, and among them the one with the fewest
 // short requests, else the one with the most memory.
@@ -243,7 +254,7 @@
 	for n := range chosen {
 		a, b := all[chosen[n]].Load, all[chosen[best]].Load
 		fa, fb := min(need, freeTokens(e, a)), min(need, freeTokens(e, b))
-		if cmp.Or(cmp.Compare(p.crowded(e, a), p.crowded(e, b)), cmp.Compare(remote(all[chosen[n]]), remote(all[chosen[best]])), cmp.Compare(fb, fa), cmp.Compare(a.Short+a.Long, b.Short+b.Long)) < 0 {
+		if cmp.Or(cmp.Compare(p.pauses(e, w, all[chosen[n]]), p.pauses(e, w, all[chosen[best]])), cmp.Compare(p.crowded(e, a), p.crowded(e, b)), cmp.Compare(remote(all[chosen[n]]), remote(all[chosen[best]])), cmp.Compare(fb, fa), cmp.Compare(a.Short+a.Long, b.Short+b.Long)) < 0 {
 			best = n
 		}
 	}
@@ -274,7 +285,7 @@
 		} else if held > 0 {
 			c.Reserve = append(c.Reserve, Reservation{i, held})
 		}
-		c.Loads = append(c.Loads, Placed{Candidate: i, Load: l, ReadFor: p.readFor(p.site(e, w, i, all[i].Load, l.ReadMs))})
+		c.Loads = append(c.Loads, Placed{Candidate: i, Load: l, ReadFor: p.readFor(p.site(e, w, i, all[i], l.ReadMs))})
 	}
 	return c
 }
@@ -282,11 +293,11 @@
 // besideShorts puts first, to generate, the endpoint that comes first in the order
 // of the short requests, of those that the prompt harms nobody at. So endpoints that
 // read for longer prompts have no requests whose pauses must be short.
-func (p Policy) besideShorts(e *catalog.Engine, all []Candidate, sites []site) {
+func (p Policy) besideShorts(e *catalog.Engine, w Work, all []Candidate, sites []site) {
 	best := -1
 	for n, o := range sites {
 		l := all[o.index].Load
-		if p.busy(l) > 0 || o.harm > 0 || p.crowded(e, l) > 0 || all[o.index].Remote {
+		if p.busy(l) > 0 || o.harm > 0 || p.crowded(e, l) > 0 || p.pauses(e, w, all[o.index]) > 0 || all[o.index].Remote {
 			continue
 		}
 		if best < 0 || all[o.index].Rank < all[sites[best].index].Rank {
--- a/balance/short.go
+++ b/balance/short.go
@@ -26,7 +26,7 @@
 		if n >= set && best >= 0 {
 			break
 		}
-		first := p.firstEvent(e, all[i].Load, tokens) + read
+		first := p.firstEvent(e, w, all[i], tokens) + read*all[i].pace()
 		if earliest < 0 || first < earliestFirst {
 			earliest, earliestFirst = i, first
 		}
@@ -83,9 +83,14 @@
 // firstEvent estimates how long a short request waits for its first event:
 // what is still to be read, and the pass of those that generate. An endpoint
 // that is nearly full or out of memory counts as far away.
-func (p Policy) firstEvent(e *catalog.Engine, l Load, tokens int) float64 {
+func (p Policy) firstEvent(e *catalog.Engine, w Work, c Candidate, tokens int) float64 {
+	l := c.Load
 	writers := l.Short + l.Long
-	ms := l.ReadMs + passMs(e, writers, l.Tokens)*passesToFirst
+	pass := passMs(e, writers, l.Tokens) * c.pace()
+	ms := l.ReadMs*c.pace() + pass*passesToFirst
+	if pass > p.longestPass(w.Pause) {
+		ms += pausesMs
+	}
 	full := float64(e.Slots) * fullSlots
 	if over := float64(writers) - full; over >= 0 {
 		ms += (over + 1) * crowdedMs
@@ -111,4 +116,7 @@
 	// memoryWaitMs keeps requests away from endpoints whose memory is full,
 	// where another request would be put off and read again.
 	memoryWaitMs = 1000
+	// pausesMs keeps requests away from slow endpoints, where each pause between events
+	// would be too long.
+	pausesMs = 1000
 )
--- a/health/health.go
+++ b/health/health.go
@@ -1,5 +1,7 @@
-// Package health decides which endpoints a gateway had better leave alone. It goes by how the
-// gateway's exchanges ended. It is pure: events and times come in, beliefs come out.
+// Package health decides what a gateway believes of the endpoints' health: which of them
+// are better left alone, and how much slower than usual they work. It goes by how the
+// gateway's own exchanges ended, by what it read from the endpoints, and by what other
+// gateways tell of theirs. It is pure: events and times come in, beliefs come out.
 package health
 
 import "time"
@@ -32,14 +34,25 @@
 	failures float64 // moving average, 0 to 1
 	rest     time.Duration
 	until    time.Time
+
+	good     time.Time // of the newest good outcome
+	reached  time.Time // when it last said something of itself
+	failed   time.Time // of the newest outcome that was not good
+	failedAs Outcome
+	odd      time.Time // when a stream there paused or began later than expected
+	pace     float64   // that the endpoint told; 0: none
+	paceAt   time.Time
 }
 
 // Table holds what is believed of each endpoint. It is not safe for concurrent use.
-type Table struct{ own map[string]*record }
+type Table struct {
+	own   map[string]*record
+	peers map[string]word // by gateway
+}
 
 // NewTable returns a table that knows nothing.
 func NewTable() *Table {
-	return &Table{own: make(map[string]*record)}
+	return &Table{own: make(map[string]*record), peers: make(map[string]word)}
 }
 
 func (t *Table) record(endpoint string) *record {
@@ -57,6 +70,7 @@
 	r := t.record(endpoint)
 	switch o {
 	case Good:
+		r.good = now
 		r.failures *= 1 - outcomeWeight
 		if now.After(r.until) && r.failures <= suspectAbove {
 			r.rest = 0
@@ -67,6 +81,7 @@
 	case Unreachable, Replaced:
 		r.failures = max(r.failures, suspectAbove) + outcomeWeight*(1-max(r.failures, suspectAbove))
 	}
+	r.failed, r.failedAs = now, o
 	if r.failures <= suspectAbove || now.Before(r.until) {
 		return false
 	}
@@ -80,10 +95,35 @@
 // Suspect reports whether an endpoint should be left alone now.
 func (t *Table) Suspect(endpoint string, now time.Time) bool {
 	r := t.own[endpoint]
-	return r != nil && now.Before(r.until)
+	if r != nil && now.Before(r.until) {
+		return true
+	}
+	return t.accused(endpoint, now)
+}
+
+// Reached takes in that an endpoint answered a question about itself: it is there again, if
+// it was not. That says nothing of how it answers requests.
+func (t *Table) Reached(endpoint string, now time.Time) {
+	r := t.record(endpoint)
+	r.reached = now
+	if r.failedAs != Bad {
+		r.until, r.rest = time.Time{}, 0
+	}
+}
+
+// soundSince returns until when this gateway knows that an endpoint did not fail in that
+// way. What it says of itself proves nothing of how it answers requests.
+func (r *record) soundSince(o Outcome) time.Time {
+	if o != Bad && r.reached.After(r.good) {
+		return r.reached
+	}
+	return r.good
 }
 
 // Forget drops what is known of an endpoint that is gone or has started again.
 func (t *Table) Forget(endpoint string) {
 	delete(t.own, endpoint)
+	for _, w := range t.peers {
+		delete(w.signs, endpoint)
+	}
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/health"
 )
 
 const (
@@ -64,6 +65,9 @@
 	DataCentre string
 	// Digests tell of the load in other cells than the receiver's.
 	Digests []Digest
+	// Signs is all that the sender has to tell of endpoints' health, in each word for its
+	// own cell.
+	Signs map[string]health.Sign
 }
 
 // Digest is the load of the endpoints that one cell offers to others.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -76,7 +76,7 @@
 	x.tried = append(x.tried, at.endpoint.ID)
 	switch {
 	case verdict == WrongEndpoint:
-		x.note(at, health.Unreachable) // another incarnation has its address
+		x.note(at, health.Replaced)
 	case hasRoom(at, x.service, x.call.Input):
 		x.note(at, health.Bad)
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -1,14 +1,18 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"maps"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +24,7 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/upstream"
 )
@@ -42,6 +47,51 @@
 	loads []int                // loads of endpoints in them
 	reads map[string]time.Time // until when an engine reads what it was given
 	met   int                  // parts that met another one that was still read
+	paces map[string]float64   // of slow engines, by address
+	dead  map[string]bool      // engines that take no connection, by address
+	// cutOff gateways reach no engine.
+	cutOff map[int]bool
+	dials  int // connections that were tried to dead engines
+}
+
+// dial connects a gateway to an engine that tells its pace and nothing else.
+func (f *testFleet) dial(gateway int, address string) (net.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dead[address] || f.cutOff[gateway] {
+		f.dials++
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		br := bufio.NewReader(far)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			f.mu.Lock()
+			pace := max(1, f.paces[address])
+			f.mu.Unlock()
+			if _, err := fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nPace: %g\r\nContent-Length: 0\r\n\r\n", pace); err != nil {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+// watch plays how a gateway watches endpoints until ctx ends.
+func (f *testFleet) watch(ctx context.Context, i int) {
+	g := f.gateways[i]
+	others := slices.Delete(slices.Clone(f.members), i, i+1)
+	var list map[string]*watched
+	for ; ctx.Err() == nil; time.Sleep(watchTick) {
+		now := time.Now()
+		list = g.watchedNow(list, others, now)
+		g.askDue(list, now)
+	}
+	g.Close()
 }
 
 // newFleet starts gateways whose engines stand in as many data centres.
@@ -56,13 +106,16 @@
 	f := &testFleet{table: catalog.NewTable(c), sent: make([]int, gateways), loads: make([]int, gateways), reads: make(map[string]time.Time)}
 	var list []catalog.Endpoint
 	for i := range engines {
-		list = append(list, catalog.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: "127.0.0.1:1", DataCentre: fmt.Sprint("dc", i%dataCentres), Slots: 10})
+		list = append(list, catalog.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: addressOf(i), DataCentre: fmt.Sprint("dc", i%dataCentres), Slots: 10})
 	}
 	events := eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel, LinesPerSecond: 1})
 	t.Cleanup(func() { events.Close(time.Second) })
 	for i := range gateways {
 		dc := fmt.Sprint("dc", i%dataCentres)
-		g := New(Config{Name: fmt.Sprint("g", i), DataCentre: dc, DrainTime: time.Minute, Policy: balance.Default()}, Deps{Log: events, Metrics: metrics.NewSet(), Endpoints: upstream.New(upstream.Options{})})
+		g := New(Config{Name: fmt.Sprint("g", i), DataCentre: dc, DrainTime: time.Minute, Policy: balance.Default()}, Deps{Protocol: testProtocol{}, Log: events, Metrics: metrics.NewSet(), Endpoints: upstream.New(upstream.Options{
+			MaxIdle: time.Minute, IdlePerHost: 1,
+			Dialer: func(_ context.Context, address string) (net.Conn, error) { return f.dial(i, address) },
+		})})
 		g.state.Take(c)
 		g.state.Listed(list, time.Now(), time.Time{})
 		f.gateways = append(f.gateways, g)
@@ -72,10 +125,14 @@
 	t.Cleanup(telling.Wait) // the context ends before
 	for i := range f.gateways {
 		telling.Go(func() { f.tell(t.Context(), i) })
+		telling.Go(func() { f.watch(t.Context(), i) })
 	}
 	return f
 }
 
+// addressOf returns the address of an engine.
+func addressOf(engine int) string { return fmt.Sprint("127.0.0.1:", 1000+engine) }
+
 // tell plays the words of one gateway until ctx ends.
 func (f *testFleet) tell(ctx context.Context, i int) {
 	g := f.gateways[i]
@@ -156,12 +213,18 @@
 	}
 	first := f.read(at)
 	time.Sleep(first)
-	at.read()
+	x.part(at)
 	time.Sleep(time.Second)
 	at.release()
 	return waited, true, at.remote > 0
 }
 
+// address returns an engine's address.
+func (f *testFleet) address(endpoint string) string {
+	e, _ := f.gateways[0].state.Endpoint(endpoint)
+	return e.Address
+}
+
 // read counts the reading of a prompt at its engines and returns how long the slowest
 // part takes.
 func (f *testFleet) read(at *place) time.Duration {
@@ -175,7 +238,8 @@
 		} else {
 			f.reads[l.endpoint] = now
 		}
-		f.reads[l.endpoint] = f.reads[l.endpoint].Add(time.Duration(l.load.ReadMs * float64(time.Millisecond)))
+		reading := l.load.ReadMs * max(1, f.paces[f.address(l.endpoint)])
+		f.reads[l.endpoint] = f.reads[l.endpoint].Add(time.Duration(reading * float64(time.Millisecond)))
 		last = max(last, f.reads[l.endpoint].Sub(now))
 	}
 	return last + 100*time.Millisecond
@@ -340,3 +404,95 @@
 	}
 	return out
 }
+
+// TestSlowEngines: ten of sixty engines turn five times slower in a burst of long prompts.
+// Once a few of them were late all gateways know, and parts go there only where they are
+// read in time: all 24 prompts of the two seconds after are in time, and 8 of them were
+// while the choice took all engines as equally fast.
+func TestSlowEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 20, 60)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		f.paces = make(map[string]float64)
+		for i := range 10 {
+			f.paces[addressOf(6*i)] = 5
+		}
+		f.mu.Unlock()
+		turn := func(n int) int { return n % 20 }
+		f.burst(t, 12, 190000, turn)
+		r := f.burst(t, 12, 190000, turn)
+		t.Logf("%+v", r)
+		if 100*r.inTime < 95*r.asked {
+			t.Errorf("%d of %d in time", r.inTime, r.asked)
+		}
+	})
+}
+
+// TestDeadEngines: when three of sixty engines die, all gateways leave them alone within
+// half a second after the first of them has failed there, without failing themselves.
+func TestDeadEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 20, 60)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		f.dead = map[string]bool{addressOf(3): true, addressOf(4): true, addressOf(5): true}
+		f.mu.Unlock()
+		for n, id := range []string{"e3", "e4", "e5"} {
+			f.gateways[n].picker.note(id, health.Unreachable, time.Now())
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, g := range f.gateways {
+			for _, id := range []string{"e3", "e4", "e5"} {
+				if !f.suspects(g, id) {
+					t.Errorf("%s does not leave %s alone", g.config.Name, id)
+				}
+			}
+		}
+		f.mu.Lock()
+		tried := f.dials
+		f.dead = nil
+		f.mu.Unlock()
+		if tried > 20 {
+			t.Errorf("%d connections were tried", tried)
+		}
+		time.Sleep(3 * time.Second)
+		for _, g := range f.gateways {
+			if f.suspects(g, "e3") {
+				t.Errorf("%s leaves a live engine alone", g.config.Name)
+			}
+		}
+	})
+}
+
+// TestGatewayThatIsCutOff: one that reaches no engine and says so takes none from the
+// others, although it watches some and is the first to fail there.
+func TestGatewayThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 20, 60)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		f.cutOff = map[int]bool{0: true}
+		f.mu.Unlock()
+		for range 10 {
+			for i := range 60 {
+				f.gateways[0].picker.note(fmt.Sprint("e", i), health.Unreachable, time.Now())
+			}
+			time.Sleep(200 * time.Millisecond)
+			for _, g := range f.gateways[1:] {
+				for i := range 60 {
+					if f.suspects(g, fmt.Sprint("e", i)) {
+						t.Fatalf("%s leaves e%d alone", g.config.Name, i)
+					}
+				}
+			}
+		}
+	})
+}
+
+// suspects reports whether a gateway leaves an engine alone.
+func (f *testFleet) suspects(g *Gateway, id string) bool {
+	g.picker.mu.Lock()
+	defer g.picker.mu.Unlock()
+	return g.picker.health.Suspect(id, time.Now())
+}
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -95,6 +95,7 @@
 	g.tasks.Go(func() {
 		g.learn()
 		g.tasks.Go(g.followEndpoints)
+		g.tasks.Go(g.watchEndpoints)
 		g.followConfiguration()
 	})
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -74,6 +74,15 @@
 
 func (testProtocol) AtFault(res *http.Response) string { return res.Header.Get("Fault") }
 
+func (testProtocol) Report(id string) *upstream.Request {
+	return &upstream.Request{Method: "GET", Target: "/report", Header: http.Header{"Endpoint": {id}}}
+}
+
+func (testProtocol) ReadReport(res *http.Response) (r EndpointReport, ok bool, err error) {
+	r.Pace, err = strconv.ParseFloat(res.Header.Get("Pace"), 64)
+	return r, err == nil, err
+}
+
 func (testProtocol) Reserve(_, id string, tokens int, _ time.Duration) *upstream.Request {
 	return &upstream.Request{Method: "POST", Target: "/reserve/" + id + "/" + strconv.Itoa(tokens)}
 }
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -16,6 +16,7 @@
 	resumes         *metrics.Counter
 	orders          *metrics.Counter
 	reserveFailures *metrics.Counter
+	reports         *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -30,6 +31,7 @@
 		retries:         set.NewCounter("relay_retries_total"),
 		orders:          set.NewCounter("relay_orders_total"),
 		reserveFailures: set.NewCounter("relay_reserve_failures_total"),
+		reports:         set.NewCounter("relay_reports_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -57,6 +57,7 @@
 	helpers  []catalog.Endpoint
 	reserve  []wantedMemory
 	before   balance.Load // at the endpoint, before this request
+	chosen   time.Time
 	// candidates is how many endpoints there were to choose among.
 	candidates int
 	remote     int // endpoints of other cells that work on the request
@@ -92,7 +93,7 @@
 	c := at.choice
 	chosen := &place{
 		picker: p, endpoint: at.endpoints[c.Endpoint], before: at.candidates[c.Endpoint].Load,
-		candidates: len(at.candidates), expected: c.Expected,
+		candidates: len(at.candidates), expected: c.Expected, chosen: time.Now(),
 	}
 	for _, i := range c.Helpers {
 		chosen.helpers = append(chosen.helpers, at.endpoints[i])
@@ -235,7 +236,65 @@
 func (p *picker) note(endpoint string, o health.Outcome, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.health.Note(endpoint, o, now)
+	suspect := p.health.Note(endpoint, o, now)
+	if suspect {
+		p.callPeers() // others need not fail there as well
+	}
+	return suspect
+}
+
+// reported takes in what an endpoint said of itself; it reports whether its pace has
+// changed much.
+func (p *picker) reported(endpoint string, r EndpointReport, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.health.Pace(endpoint, now)
+	p.health.Reached(endpoint, now)
+	p.health.SetPace(endpoint, r.Pace, now)
+	after := p.health.Pace(endpoint, now)
+	changed := after > tellPaceChange*before || before > tellPaceChange*after
+	if changed {
+		p.callPeers()
+	}
+	return changed
+}
+
+// tellPaceChange is the ratio of an endpoint's new pace to its old one, or of the old one
+// to the new one, above which the others hear of it at once.
+const tellPaceChange = 1.2
+
+// odd takes in that a stream began or paused much later than expected.
+func (p *picker) odd(endpoint string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.health.SetOdd(endpoint, now) {
+		p.callPeers() // whoever watches the endpoint asks it
+	}
+}
+
+// accused returns the endpoints of the own cell that are left alone because several gateways
+// failed there, and how many did.
+func (p *picker) accused(now time.Time) map[string]int {
+	home := p.state.Cells().Of(p.dataCentre)
+	out := make(map[string]int)
+	for _, s := range p.state.Services() {
+		endpoints := p.state.EndpointsByCell(s.Name)[home]
+		p.mu.Lock()
+		for _, e := range endpoints {
+			if n := p.health.Witnesses(e.ID, now); n > 0 {
+				out[e.ID] = n
+			}
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// doubt returns why an endpoint should be asked about itself.
+func (p *picker) doubt(endpoint string, now time.Time) health.Doubt {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.health.Doubt(endpoint, now)
 }
 
 func (p *picker) forget(endpoint string) {
@@ -276,6 +335,7 @@
 		p.book.Peer(w.From, w.DataCentre, w.Loads, now)
 	}
 	p.turns.Peer(w.From, w.Waiting, now)
+	p.health.Peer(w.From, w.Signs, p.state.EndpointCount(), now)
 	if p.turns.Waiting() > 0 {
 		p.wake()
 	}
@@ -286,13 +346,14 @@
 	all     map[string]balance.Load
 	by      map[string]map[string]balance.Load // of all, that at the endpoints of each cell
 	waiting map[string]balance.Claim
+	signs   map[string]health.Sign // of endpoints' health
 }
 
 // ownLoad returns the whole load, or what changed since that was told last.
 func (p *picker) ownLoad(whole bool, now time.Time) ownLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := ownLoad{waiting: p.turns.Own(now), by: make(map[string]map[string]balance.Load)}
+	t := ownLoad{waiting: p.turns.Own(now), signs: p.health.Own(now), by: make(map[string]map[string]balance.Load)}
 	if whole {
 		t.all = p.book.Own()
 	} else {
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -58,6 +58,12 @@
 	Failed
 )
 
+// EndpointReport is what an endpoint with an engine says of itself.
+type EndpointReport struct {
+	// Pace is how many times as long as usual it takes for all that it does.
+	Pace float64
+}
+
 // Protocol translates between the heads of requests and answers and the
 // product's types.
 type Protocol interface {
@@ -71,6 +77,11 @@
 	// AtFault returns the address of the endpoint for which an answer says that the
 	// request was not run; empty: it does not say.
 	AtFault(res *http.Response) string
+	// Report returns the question to an endpoint about itself.
+	Report(endpointID string) *upstream.Request
+	// ReadReport reads its answer. Endpoints without an engine have nothing to say; then
+	// ok is false.
+	ReadReport(res *http.Response) (report EndpointReport, ok bool, err error)
 	// Reserve returns the order to set memory for so many tokens aside under an
 	// id, or to renew it, for the time hold from its arrival. A 200 says that it
 	// is set aside.
--- a/relay/search.go
+++ b/relay/search.go
@@ -74,7 +74,7 @@
 	for i, e := range at.endpoints {
 		at.candidates[i] = balance.Candidate{
 			ID: e.ID, Load: s.book.Load(e.ID, s.now), Rank: rank(e.ID), OwnRank: rank(s.self + e.ID),
-			Suspect: s.health.Suspect(e.ID, s.now), Remote: i >= len(endpoints), Shared: cells.Shared(e.ID), Warm: s.warm(e.ID),
+			Suspect: s.health.Suspect(e.ID, s.now), Pace: s.health.Pace(e.ID, s.now), Remote: i >= len(endpoints), Shared: cells.Shared(e.ID), Warm: s.warm(e.ID),
 		}
 	}
 	at.choice = s.policy.Choose(s.service, s.work, at.candidates)
--- a/relay/state.go
+++ b/relay/state.go
@@ -144,6 +144,13 @@
 	return s.members.endpoint(id)
 }
 
+// EndpointCount returns how many endpoints are known.
+func (s *State) EndpointCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members.known)
+}
+
 // AtAddress returns the endpoint whose entry names an address.
 func (s *State) AtAddress(address string) (id string, ok bool) {
 	s.mu.Lock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -227,13 +227,26 @@
 	if x.firstAt.IsZero() {
 		x.firstAt = now
 		x.g.meter.firstByte.UpdateDuration(x.started)
+		x.judge(at.endpoint.ID, now.Sub(at.chosen), at.expected.LatestFirst())
+		for _, helper := range at.helpers { // it may be for one of them
+			x.judge(helper.ID, now.Sub(at.chosen), at.expected.LatestFirst())
+		}
 	} else {
-		x.maxGap = max(x.maxGap, now.Sub(x.lastAt))
+		gap := now.Sub(x.lastAt)
+		x.maxGap = max(x.maxGap, gap)
+		x.judge(at.endpoint.ID, gap, x.route.GapObjective)
 	}
 	x.lastAt = now
 	at.read()
 }
 
+// judge notes an endpoint that a part of a stream waited for much longer than it should.
+func (x *exchange) judge(endpoint string, took, most time.Duration) {
+	if most > 0 && took > most && x.route.Kind == catalog.Streaming {
+		x.g.picker.odd(endpoint, time.Now())
+	}
+}
+
 // answerEnded judges how the relaying of an answer ended.
 func (x *exchange) answerEnded(at *place, err error) outcome {
 	if err == nil {
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -106,7 +106,7 @@
 
 // near returns the word for the own cell: it tells of all load, wherever it is.
 func (g *Gateway) near(w peers.Word, a audience, why occasion, told ownLoad, now time.Time) message {
-	w.Loads, w.Waiting = told.all, told.waiting
+	w.Loads, w.Waiting, w.Signs = told.all, told.waiting, told.signs
 	if a.speaks && why == dueDigests {
 		w.Digests = g.picker.passOn(now)
 	}
--- /dev/null
+++ b/relay/watch.go
@@ -0,0 +1,180 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/health"
+	"github.com/micarudder/micarudder/peers"
+)
+
+const (
+	// watchTick is how often this gateway looks which endpoints it has to ask.
+	watchTick = 100 * time.Millisecond
+	// companyEvery is the time between two questions to an endpoint while another one is
+	// slow.
+	companyEvery = time.Second
+	// slowEvery is the time between two questions to an endpoint that is or may be slow,
+	// failingEvery to one at which somebody failed.
+	slowEvery    = 600 * time.Millisecond
+	failingEvery = 300 * time.Millisecond
+	// reportTime bounds a question; it takes one round trip.
+	reportTime = 400 * time.Millisecond
+	// regroupEvery is how often this gateway works out which endpoints it watches.
+	regroupEvery = time.Second
+)
+
+// watched is an endpoint that this gateway asks about itself.
+type watched struct {
+	catalog.Endpoint
+	first  bool // else it looks only when somebody failed there
+	engine bool
+	asked  time.Time
+}
+
+// watchEndpoints asks the endpoints of the own cell which this gateway watches how they
+// are, and tells the others through its words. On days of 34 s with a third of 60 engines
+// four times slower for 14 s, worth was 0.714 with it and 0.595 without (3 pairs), on days
+// with fewer slow or dead engines 0.797 and 0.789 (6 pairs).
+func (g *Gateway) watchEndpoints() {
+	if g.deps.Mesh == nil {
+		return
+	}
+	var list map[string]*watched
+	var grouped time.Time
+	accused := make(map[string]bool)
+	for g.pause(watchTick) {
+		now := time.Now()
+		if now.Sub(grouped) >= regroupEvery {
+			list, grouped = g.watchedNow(list, g.deps.Mesh.Members(now), now), now
+			accused = g.logAccused(accused, now)
+		}
+		g.askDue(list, now)
+	}
+}
+
+// logAccused logs which endpoints of the own cell are left alone because several gateways
+// failed there, and which no longer are; before is what it returned last.
+func (g *Gateway) logAccused(before map[string]bool, now time.Time) map[string]bool {
+	accused := g.picker.accused(now)
+	for id, witnesses := range accused {
+		if !before[id] {
+			g.deps.Log.Logger().Warn("Endpoint left alone.", "endpoint", id, "gateways", witnesses)
+		}
+	}
+	after := make(map[string]bool, len(accused))
+	for id := range accused {
+		after[id] = true
+	}
+	for id := range before {
+		if !after[id] {
+			g.deps.Log.Logger().Info("Endpoint no longer left alone.", "endpoint", id)
+		}
+	}
+	return after
+}
+
+// askDue asks those endpoints whose time has come.
+func (g *Gateway) askDue(list map[string]*watched, now time.Time) {
+	for _, e := range list {
+		if g.mustAsk(e, now) {
+			e.asked = now
+			g.tasks.Go(func() { g.askEndpoint(e.Endpoint) })
+		}
+	}
+}
+
+// watchedNow returns the endpoints that this gateway watches among those of the members
+// that it hears; before is what it returned last.
+func (g *Gateway) watchedNow(before map[string]*watched, members []peers.Member, now time.Time) map[string]*watched {
+	cells := g.state.Cells()
+	home := cells.Of(g.config.DataCentre)
+	names := []string{g.config.Name}
+	lately := g.sharing.peers(now).lately
+	for _, m := range members {
+		if lately[m.Name] && cells.Of(m.DataCentre) == home {
+			names = append(names, m.Name)
+		}
+	}
+	watchers := health.NewWatchers(names)
+	out := make(map[string]*watched)
+	for _, s := range g.state.Services() {
+		for _, e := range g.state.EndpointsByCell(s.Name)[home] {
+			first, second := watchers.Of(e.ID)
+			if first != g.config.Name && second != g.config.Name {
+				continue
+			}
+			w := &watched{Endpoint: e, first: first == g.config.Name, engine: s.Engine != nil}
+			if old := before[e.ID]; old != nil {
+				w.asked = old.asked
+			}
+			out[e.ID] = w
+		}
+	}
+	return out
+}
+
+// mustAsk reports whether it is time to ask an endpoint. One of which nothing odd is known
+// is left alone while none is slow: each question has its price. Asking all of 60 endpoints
+// every second cost 0.0026 of worth on days without slow ones, and gained the same on
+// days with them.
+func (g *Gateway) mustAsk(e *watched, now time.Time) bool {
+	since := now.Sub(e.asked)
+	if since < failingEvery {
+		return false
+	}
+	switch g.picker.doubt(e.ID, now) {
+	case health.Failing:
+		return true
+	case health.Slow:
+		return e.first && e.engine && since >= slowEvery
+	case health.Company:
+		return e.first && e.engine && since >= companyEvery
+	default:
+		return false
+	}
+}
+
+// askEndpoint asks an endpoint about itself and takes the answer, or that there is none, as
+// a sign of its health.
+func (g *Gateway) askEndpoint(e catalog.Endpoint) {
+	ctx, cancel := context.WithTimeout(g.ctx, reportTime)
+	defer cancel()
+	g.meter.reports.Inc()
+	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, g.deps.Protocol.Report(e.ID))
+	if err != nil {
+		g.notReached(e, health.Unreachable, err)
+		return
+	}
+	defer res.Body.Close()
+	if g.deps.Protocol.Verdict(res) == WrongEndpoint {
+		g.notReached(e, health.Replaced, nil)
+		return
+	}
+	report, ok, err := g.deps.Protocol.ReadReport(res)
+	if err != nil {
+		g.deps.Log.Logger().Warn("An endpoint's report cannot be read.", "endpoint", e.ID, "err", err)
+		return
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return // the connection is closed then; the report was read whole
+	}
+	if !ok {
+		report.Pace = 1
+	}
+	if g.picker.reported(e.ID, report, time.Now()) {
+		g.deps.Log.Logger().Info("Endpoint's pace changed.", "endpoint", e.ID, "pace", report.Pace)
+	}
+}
+
+// notReached takes in that an endpoint gave no answer about itself.
+func (g *Gateway) notReached(e catalog.Endpoint, o health.Outcome, err error) {
+	if g.ctx.Err() != nil {
+		return
+	}
+	if g.picker.note(e.ID, o, time.Now()) {
+		g.deps.Log.Logger().Warn("Endpoint suspect.", "endpoint", e.ID, "request", "", "err", err)
+	}
+}
