--- a/relay/handler.go
+++ b/relay/handler.go
@@ -32,7 +32,7 @@
 		route = *x.route
 	}
 	x.g.deps.Log.Request("Request ended.", "request", x.call.ID, "outcome", string(o), "route", route.Name, "version", x.g.state.Version(),
-		"tokens", x.call.Input, "objective_ms", route.Objective.Milliseconds(), "pause_ms", route.GapObjective.Milliseconds(),
+		"tokens", x.call.Input, "deadline_ms", x.call.Deadline.Milliseconds(), "objective_ms", route.Objective.Milliseconds(), "pause_ms", route.GapObjective.Milliseconds(),
 		"proof_age_ms", age.Milliseconds(), "attempts", x.attempts, "unsent", x.unsent, "tried", x.tried,
 		"first_ms", x.firstMs(), "gap_ms", x.maxGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "err", x.lastError)
 }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -58,6 +58,7 @@
 	reserve  []wantedMemory
 	before   balance.Load // at the endpoint, before this request
 	chosen   time.Time
+	pace     float64 // of the slowest of the endpoints, as it was known then
 	// candidates is how many endpoints there were to choose among.
 	candidates int
 	remote     int // endpoints of other cells that work on the request
@@ -105,6 +106,7 @@
 		if at.candidates[l.Candidate].Remote {
 			chosen.remote++
 		}
+		chosen.pace = max(chosen.pace, at.candidates[l.Candidate].Pace)
 		id := at.endpoints[l.Candidate].ID
 		p.book.Add(id, l.Load)
 		chosen.add(id, l)
