What a long prompt is worth follows its kind

Change: a part that every prompt of a kind has and a part by its length; kinds are told apart by the pauses of their routes, and by length alone where there are only two. A test's long prompt now names its route's pause, since that is what makes it the kind that it stands for.

--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -204,6 +204,8 @@
 func TestLongAcceptsHarmByItsValue(t *testing.T) {
 	is := is.New(t)
 	all := idle(4)
+	long := long
+	long.Pause = pauses.Longest // the kind that is worth so much
 	for i := range all {
 		all[i].Load.Short = 1
 	}
@@ -340,6 +342,34 @@
 	is.True(!choose(model, w, idle(2)).Wait)
 }
 
+// TestValue: what prompts of the sheets are worth in short requests, within a third, by
+// their kind or, where no kind is more patient than another, by their length.
+func TestValue(t *testing.T) {
+	two := catalog.Pauses{Shortest: 250 * time.Millisecond, Next: 600 * time.Millisecond, Longest: 600 * time.Millisecond}
+	cases := []struct {
+		name   string
+		tokens int
+		pauses catalog.Pauses
+		pause  time.Duration
+		want   float64
+	}{
+		{"middle", 45000, pauses, pauses.Next, 2.4},
+		{"a long one of the middle kind", 110000, pauses, pauses.Next, 4.4},
+		{"a short one of the longest kind", 60000, pauses, pauses.Longest, 8},
+		{"the longest kind, small", 133000, pauses, pauses.Longest, 11.5},
+		{"the longest kind, middle", 190000, pauses, pauses.Longest, 15.4},
+		{"the longest kind", 300000, pauses, pauses.Longest, 21.4},
+		{"the largest", 1000000, pauses, pauses.Longest, 56},
+		{"two kinds only", 133000, two, two.Longest, 13.3},
+	}
+	for _, tc := range cases {
+		w := Work{InputTokens: tc.tokens, Pauses: tc.pauses, Pause: tc.pause}
+		if got := w.value(); got < 0.67*tc.want || got > 1.5*tc.want {
+			t.Errorf("%s: worth %.1f, want about %.1f", tc.name, got, tc.want)
+		}
+	}
+}
+
 func TestTakesTurns(t *testing.T) {
 	is := is.New(t)
 	p := Default()
