--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
@@ -40,7 +41,7 @@
 		return "", true
 	}
 	defer res.Body.Close()
-	x.attempts++
+	x.reached(at)
 	verdict := x.g.deps.Protocol.Verdict(res)
 	if verdict == NotRun || verdict == WrongEndpoint {
 		x.notTaken(at, res, verdict)
@@ -70,6 +71,7 @@
 		if id, ok := x.g.state.AtAddress(address); ok {
 			x.noteAt(id, health.Unreachable)
 			x.unfit = append(x.unfit, id)
+			x.helperless++
 			return
 		}
 	}
@@ -82,6 +84,14 @@
 	}
 }
 
+// reached counts a send that may have reached an endpoint.
+func (x *exchange) reached(at *place) {
+	x.attempts++
+	if !slices.Contains(x.sentTo, at.endpoint.ID) {
+		x.sentTo = append(x.sentTo, at.endpoint.ID)
+	}
+}
+
 // hasRoom reports whether an endpoint should have taken a request, as far as the
 // gateways know: less than half of its slots and of its memory were taken.
 func hasRoom(at *place, s *catalog.Service, tokens int) bool {
@@ -117,7 +127,7 @@
 		}
 		return
 	}
-	x.attempts++
+	x.reached(at)
 	x.tried = append(x.tried, at.endpoint.ID)
 	x.mayRun = true
 	if ctx.Err() == nil {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
@@ -69,17 +70,21 @@
 	started   time.Time
 	deadline  time.Time
 
-	attempts  int      // sends that may have reached an endpoint
-	unsent    int      // sends that did not
-	tried     []string // endpoints that were sent to, or could not be reached
-	unfit     []string // endpoints that had not the memory, or were named at fault
-	mayRun    bool     // whether a send may have run or run later
-	granted   bool     // whether the next send was already taken out of the budget
-	stream    *eventStream
-	firstAt   time.Time     // of the first part of the answer
-	lastAt    time.Time     // of the newest part
-	maxGap    time.Duration // longest pause between two parts
-	lastError error
+	attempts int // sends that may have reached an endpoint
+	unsent   int // sends that did not
+	// helperless counts those of the attempts that did not run because of a helper, and
+	// sentTo lists the endpoints that any attempt went to.
+	helperless int
+	sentTo     []string
+	tried      []string // endpoints that were sent to, or could not be reached
+	unfit      []string // endpoints that had not the memory, or were named at fault
+	mayRun     bool     // whether a send may have run or run later
+	granted    bool     // whether the next send was already taken out of the budget
+	stream     *eventStream
+	firstAt    time.Time     // of the first part of the answer
+	lastAt     time.Time     // of the newest part
+	maxGap     time.Duration // longest pause between two parts
+	lastError  error
 }
 
 // refuse answers a request that has not run with a status that says so, or
@@ -127,6 +132,10 @@
 		if at == nil {
 			return o
 		}
+		if !x.maySendTo(at.endpoint.ID) {
+			at.release()
+			return x.giveUp(refusedFull)
+		}
 		o, again := x.attempt(ctx, at)
 		if !again {
 			return o
@@ -140,6 +149,13 @@
 	}
 }
 
+// maySendTo reports whether the request may go to an endpoint: to one that it was sent to
+// already, which a helper kept from running it, or to another one while there are not as
+// many as the route allows.
+func (x *exchange) maySendTo(endpoint string) bool {
+	return slices.Contains(x.sentTo, endpoint) || len(x.sentTo) < x.route.MaxAttempts
+}
+
 // mayProceed looks again at everything that a wait or a freeze may have
 // changed, right before the request is sent.
 func (x *exchange) mayProceed() (outcome, bool) {
--- a/relay/gateway_test.go
+++ b/relay/gateway_test.go
@@ -263,6 +263,43 @@
 	is.Equal(suspects, 1)
 }
 
+// TestHelpersLeaveAtOnce: a prompt meets another dead helper in each of its first three
+// sends. It is served in the end, by one of no more endpoints than its route allows.
+func TestHelpersLeaveAtOnce(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	var dead []string
+	asked := make(map[string]bool)
+	b := newBench(t, func(_ int, w *bufio.Writer, c *net.TCPConn, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		asked[c.LocalAddr().String()] = true
+		helpers := r.Header["Helper"]
+		if len(dead) < 3 && len(helpers) > 0 {
+			dead = append(dead, helpers[0])
+		}
+		for _, helper := range helpers {
+			if slices.Contains(dead, helper) {
+				answer(w, "503 Service Unavailable", "Not-Run: 1\r\nFault: "+helper+"\r\n", "")
+				return
+			}
+		}
+		answer(w, "200 OK", "", "")
+	})
+	config := testConfig(1)
+	config.Services[0].Engine = &catalog.Engine{Slots: 16, MemoryTokens: 100000, StepMs: 1, ReadPerMs: 10, Stride: 1}
+	b.source.set(config, nil)
+	for _, id := range []string{"c", "d", "e", "f", "g", "h"} {
+		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(b.play), Slots: 16})
+	}
+	b.know()
+	got := b.ask(t.Context(), "POST", "/once/", "", http.Header{"Tokens": {"9000"}})
+	is.Equal(got.status, 200)
+	is.Equal(len(dead), 3)
+	is.Equal(b.arrivals(), 4)
+	is.True(len(asked) <= 2)
+}
+
 // TestCallerThatDoesNotRead: a caller that takes nothing of its answer holds its
 // request no longer than its time.
 func TestCallerThatDoesNotRead(t *testing.T) {
