Plain services are asked by their health path

Cause: a gateway that did not reach a plain service asked it for a report, which only model engines know; a plain service might take that path for a request. Change: services without an engine are asked by their health path, as themselves; any answer shows that they are there.

--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -78,6 +78,10 @@
 	return &upstream.Request{Method: "GET", Target: "/report", Header: http.Header{"Endpoint": {id}}}
 }
 
+func (testProtocol) HealthCheck(id, path string) *upstream.Request {
+	return &upstream.Request{Method: "GET", Target: path, Header: http.Header{"Endpoint": {id}}}
+}
+
 func (testProtocol) ReadReport(res *http.Response) (r EndpointReport, ok bool, err error) {
 	r.Pace, err = strconv.ParseFloat(res.Header.Get("Pace"), 64)
 	return r, err == nil, err
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -77,11 +77,12 @@
 	// AtFault returns the address of the endpoint for which an answer says that the
 	// request was not run; empty: it does not say.
 	AtFault(res *http.Response) string
-	// Report returns the question to an endpoint about itself.
+	// Report returns the question to an endpoint with an engine about itself.
 	Report(endpointID string) *upstream.Request
-	// ReadReport reads its answer. Endpoints without an engine have nothing to say; then
-	// ok is false.
+	// ReadReport reads its answer; ok is false when it says nothing.
 	ReadReport(res *http.Response) (report EndpointReport, ok bool, err error)
+	// HealthCheck returns the question whether an endpoint is there, at its service's path.
+	HealthCheck(endpointID, path string) *upstream.Request
 	// Reserve returns the order to set memory for so many tokens aside under an
 	// id, or to renew it, for the time hold from its arrival. A 200 says that it
 	// is set aside.
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -8,6 +8,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/upstream"
 )
 
 const (
@@ -29,9 +30,11 @@
 // watched is an endpoint that this gateway asks about itself.
 type watched struct {
 	catalog.Endpoint
-	first  bool // else it looks only when somebody failed there
-	engine bool
-	asked  time.Time
+	first bool // else it looks only when somebody failed there
+	// service is the endpoint's. Plain services do not tell of themselves: they are asked
+	// whether they are there.
+	service catalog.Service
+	asked   time.Time
 }
 
 // watchEndpoints asks the endpoints of the own cell which this gateway watches how they
@@ -81,7 +84,7 @@
 	for _, e := range list {
 		if g.mustAsk(e, now) {
 			e.asked = now
-			g.tasks.Go(func() { g.askEndpoint(e.Endpoint) })
+			g.tasks.Go(func() { g.askEndpoint(e) })
 		}
 	}
 }
@@ -106,7 +109,7 @@
 			if first != g.config.Name && second != g.config.Name {
 				continue
 			}
-			w := &watched{Endpoint: e, first: first == g.config.Name, engine: s.Engine != nil}
+			w := &watched{Endpoint: e, first: first == g.config.Name, service: s}
 			if old := before[e.ID]; old != nil {
 				w.asked = old.asked
 			}
@@ -129,44 +132,65 @@
 	case health.Failing:
 		return true
 	case health.Slow:
-		return e.first && e.engine && since >= slowEvery
+		return e.first && e.service.Engine != nil && since >= slowEvery
 	case health.Company:
-		return e.first && e.engine && since >= companyEvery
+		return e.first && e.service.Engine != nil && since >= companyEvery
 	default:
 		return false
 	}
 }
 
 // askEndpoint asks an endpoint about itself and takes the answer, or that there is none, as
-// a sign of its health.
-func (g *Gateway) askEndpoint(e catalog.Endpoint) {
+// a sign of its health. Any answer of its own shows that it is there: health checks may be
+// false either way.
+func (g *Gateway) askEndpoint(e *watched) {
+	question := g.question(e)
+	if question == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(g.ctx, reportTime)
 	defer cancel()
 	g.meter.reports.Inc()
-	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, g.deps.Protocol.Report(e.ID))
+	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, question)
 	if err != nil {
-		g.notReached(e, health.Unreachable, err)
+		g.notReached(e.Endpoint, health.Unreachable, err)
 		return
 	}
 	defer res.Body.Close()
 	if g.deps.Protocol.Verdict(res) == WrongEndpoint {
-		g.notReached(e, health.Replaced, nil)
+		g.notReached(e.Endpoint, health.Replaced, nil)
 		return
 	}
-	report, ok, err := g.deps.Protocol.ReadReport(res)
-	if err != nil {
-		g.deps.Log.Logger().Warn("An endpoint's report cannot be read.", "endpoint", e.ID, "err", err)
-		return
-	}
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		return // the connection is closed then; the report was read whole
-	}
-	if !ok {
-		report.Pace = 1
+	report := EndpointReport{Pace: 1}
+	if e.service.Engine != nil {
+		if told, ok, err := g.deps.Protocol.ReadReport(res); err != nil {
+			g.deps.Log.Logger().Warn("An endpoint's report cannot be read.", "endpoint", e.ID, "err", err)
+		} else if ok {
+			report = told
+		}
 	}
 	if g.picker.reported(e.ID, report, time.Now()) {
 		g.deps.Log.Logger().Info("Endpoint's pace changed.", "endpoint", e.ID, "pace", report.Pace)
 	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxReportRest)); err != nil {
+		return // the connection is closed then, which is all that the rest was read for
+	}
+}
+
+// maxReportRest bounds what is read of an answer beyond what it says, to keep the
+// connection.
+const maxReportRest = 64 << 10
+
+// question returns what to ask an endpoint; nil: there is nothing that it would answer.
+func (g *Gateway) question(e *watched) *upstream.Request {
+	switch {
+	case e.service.Engine != nil:
+		return g.deps.Protocol.Report(e.ID)
+	case e.service.HealthPath != "":
+		return g.deps.Protocol.HealthCheck(e.ID, e.service.HealthPath)
+	default:
+		return nil
+	}
 }
 
 // notReached takes in that an endpoint gave no answer about itself.
