--- a/balance/choose.go
+++ b/balance/choose.go
@@ -92,17 +92,17 @@
 }
 
 const (
-	// oddFactor and oddMs say how much later than expected a first event is odd.
-	oddFactor = 2
-	oddMs     = 50
+	// lateFactor and lateAfterMs say how much later than expected a first event is remarkable.
+	lateFactor  = 2
+	lateAfterMs = 50
 )
 
-// LatestFirst returns after what time a first event is odd; zero: none was expected.
+// LatestFirst returns after what time a first event is remarkable; zero: none was expected.
 func (e Expected) LatestFirst() time.Duration {
 	if e.FirstMs <= 0 {
 		return 0
 	}
-	return time.Duration((oddFactor*e.FirstMs + oddMs) * float64(time.Millisecond))
+	return time.Duration((lateFactor*e.FirstMs + lateAfterMs) * float64(time.Millisecond))
 }
 
 // Reservation is memory of a candidate that is set aside for a request.
--- a/health/health.go
+++ b/health/health.go
@@ -39,7 +39,7 @@
 	reached  time.Time // when it last said something of itself
 	failed   time.Time // of the newest outcome that was not good
 	failedAs Outcome
-	odd      time.Time // when a stream there paused or began later than expected
+	late     time.Time // when a stream there paused or began later than expected
 	pace     float64   // that the endpoint told; 0: none
 	paceAt   time.Time
 }
@@ -98,7 +98,7 @@
 	if r != nil && now.Before(r.until) {
 		return true
 	}
-	return t.accused(endpoint, now)
+	return t.avoided(endpoint, now)
 }
 
 // Reached takes in that an endpoint answered a question about itself: it is there again, if
--- a/health/shared.go
+++ b/health/shared.go
@@ -15,14 +15,14 @@
 	// ago; 0: it was not asked.
 	Pace   float64
 	PaceMs int64
-	// Odd is set when a stream there lately began or paused much later than expected.
-	Odd bool
+	// Late is set when a stream there lately began or paused much later than expected.
+	Late bool
 }
 
 const (
 	// signLife is how long a failed exchange counts among gateways, and what an endpoint
-	// said of its pace. Those that watch an endpoint ask it every second, so that a
-	// lasting failure is told anew before.
+	// said of its pace. Those that watch an endpoint ask it several times meanwhile, so
+	// that a lasting failure is told anew before.
 	signLife = 2 * time.Second
 	// witnesses is how many gateways must have failed at an endpoint for all to leave it
 	// alone: one that is cut off from it alone must not take it from the others.
@@ -64,8 +64,14 @@
 	t.peers[gateway] = word{at: now, signs: signs, endpoints: endpoints}
 }
 
-// Own returns what this gateway has to tell others.
+// Own returns what this gateway has to tell others. What gateways told that are silent by
+// now is dropped.
 func (t *Table) Own(now time.Time) map[string]Sign {
+	for name, w := range t.peers {
+		if now.Sub(w.at) > signLife {
+			delete(t.peers, name)
+		}
+	}
 	out := make(map[string]Sign)
 	for id, r := range t.own {
 		var s Sign
@@ -75,7 +81,7 @@
 		if r.slow(now) {
 			s.Pace, s.PaceMs = r.pace, now.Sub(r.paceAt).Milliseconds()
 		}
-		s.Odd = r.isOdd(now)
+		s.Late = r.isLate(now)
 		if s != (Sign{}) {
 			out[id] = s
 		}
@@ -88,10 +94,10 @@
 	return r.failed.After(r.soundSince(r.failedAs)) && now.Sub(r.failed) <= signLife
 }
 
-// accused reports whether other gateways failed at an endpoint, enough of them and after
+// avoided reports whether other gateways failed at an endpoint, enough of them and after
 // it last served this one. One that found another endpoint at its address is enough: that
 // is said by who answered there.
-func (t *Table) accused(endpoint string, now time.Time) bool {
+func (t *Table) avoided(endpoint string, now time.Time) bool {
 	return t.count(endpoint, now) >= witnesses
 }
 
@@ -133,23 +139,23 @@
 
 // The doubts.
 const (
-	NoDoubt Doubt = iota
-	Company       // another endpoint is slow: they seldom come alone
-	Slow          // it is or may be slow
-	Failing       // some gateway failed there lately
+	NoDoubt    Doubt = iota
+	OthersSlow       // another endpoint is slow: they seldom come alone
+	Slow             // it is or may be slow
+	Failing          // some gateway failed there lately
 )
 
 // Doubt returns why whoever watches an endpoint should ask it now.
 func (t *Table) Doubt(endpoint string, now time.Time) Doubt {
 	doubt := NoDoubt
 	if t.anySlow(now) {
-		doubt = Company
+		doubt = OthersSlow
 	}
 	if r := t.own[endpoint]; r != nil {
 		if r.failing(now) {
 			return Failing
 		}
-		if r.isOdd(now) || r.slow(now) {
+		if r.isLate(now) || r.slow(now) {
 			doubt = Slow
 		}
 	}
@@ -159,7 +165,7 @@
 		case !ok || now.Sub(w.at) > signLife:
 		case s.Failed != Good:
 			return Failing
-		case s.Odd || s.Pace > usualPace:
+		case s.Late || s.Pace > usualPace:
 			doubt = Slow
 		}
 	}
@@ -191,19 +197,19 @@
 	return false
 }
 
-// SetOdd takes in that a stream began or paused much later than expected. It reports
+// SetLate takes in that a stream began or paused much later than expected. It reports
 // whether that is news.
-func (t *Table) SetOdd(endpoint string, now time.Time) bool {
+func (t *Table) SetLate(endpoint string, now time.Time) bool {
 	r := t.record(endpoint)
-	news := !r.isOdd(now)
-	r.odd = now
+	news := !r.isLate(now)
+	r.late = now
 	return news
 }
 
-// isOdd reports whether a stream was late not long ago, and the endpoint has said nothing
+// isLate reports whether a stream was late not long ago, and the endpoint has said nothing
 // of its pace since.
-func (r *record) isOdd(now time.Time) bool {
-	return r.odd.After(r.paceAt) && now.Sub(r.odd) <= signLife
+func (r *record) isLate(now time.Time) bool {
+	return r.late.After(r.paceAt) && now.Sub(r.late) <= signLife
 }
 
 // SetPace takes in how many times as long as usual an endpoint says that it takes.
--- a/health/shared_test.go
+++ b/health/shared_test.go
@@ -131,14 +131,14 @@
 	h.Note("away", Unreachable, start)
 	h.SetPace("slow", 3, start)
 	h.SetPace("usual", 1, start)
-	is.True(h.SetOdd("odd", start))
-	is.True(!h.SetOdd("odd", start)) // no news
+	is.True(h.SetLate("late", start))
+	is.True(!h.SetLate("late", start)) // no news
 	later := start.Add(50 * time.Millisecond)
 	is.Equal(h.Own(later), map[string]Sign{
-		"away": {Failed: Unreachable, FailedMs: 50}, "slow": {Pace: 3, PaceMs: 50}, "odd": {Odd: true},
+		"away": {Failed: Unreachable, FailedMs: 50}, "slow": {Pace: 3, PaceMs: 50}, "late": {Late: true},
 	})
 	h.Note("away", Good, later)
-	h.SetPace("odd", 1, later) // it was asked
+	h.SetPace("late", 1, later) // it was asked
 	is.Equal(len(h.Own(later)), 1)
 	is.Equal(len(h.Own(start.Add(signLife+time.Second))), 0)
 }
@@ -148,12 +148,12 @@
 	is := is.New(t)
 	h := NewTable()
 	is.Equal(h.Doubt("e", start), NoDoubt)
-	h.Peer("a", map[string]Sign{"e": {Odd: true}}, 9, start)
+	h.Peer("a", map[string]Sign{"e": {Late: true}}, 9, start)
 	is.Equal(h.Doubt("e", start), Slow)
 	is.Equal(h.Doubt("f", start), NoDoubt)
 	h.Peer("a", map[string]Sign{"e": {Pace: 3}}, 9, start)
 	is.Equal(h.Doubt("e", start), Slow)
-	is.Equal(h.Doubt("f", start), Company)
+	is.Equal(h.Doubt("f", start), OthersSlow)
 	h.Peer("b", map[string]Sign{"f": {Failed: Unreachable}}, 9, start)
 	is.Equal(h.Doubt("f", start), Failing)
 	is.Equal(h.Doubt("e", start.Add(signLife+time.Millisecond)), NoDoubt)
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -265,18 +265,18 @@
 // to the new one, above which the others hear of it at once.
 const tellPaceChange = 1.2
 
-// odd takes in that a stream began or paused much later than expected.
-func (p *picker) odd(endpoint string, now time.Time) {
+// noteLate takes in that a stream began or paused much later than expected.
+func (p *picker) noteLate(endpoint string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.health.SetOdd(endpoint, now) {
+	if p.health.SetLate(endpoint, now) {
 		p.callPeers() // whoever watches the endpoint asks it
 	}
 }
 
-// accused returns the endpoints of the own cell that are left alone because several gateways
+// avoided returns the endpoints of the own cell that are left alone because several gateways
 // failed there, and how many did.
-func (p *picker) accused(now time.Time) map[string]int {
+func (p *picker) avoided(now time.Time) map[string]int {
 	home := p.state.Cells().Of(p.dataCentre)
 	out := make(map[string]int)
 	for _, s := range p.state.Services() {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -243,7 +243,7 @@
 // judge notes an endpoint that a part of a stream waited for much longer than it should.
 func (x *exchange) judge(endpoint string, took, most time.Duration) {
 	if most > 0 && took > most && x.route.Kind == catalog.Streaming {
-		x.g.picker.odd(endpoint, time.Now())
+		x.g.picker.noteLate(endpoint, time.Now())
 	}
 }
 
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -14,9 +14,9 @@
 const (
 	// watchTick is how often this gateway looks which endpoints it has to ask.
 	watchTick = 100 * time.Millisecond
-	// companyEvery is the time between two questions to an endpoint while another one is
+	// othersSlowEvery is the time between two questions to an endpoint while another one is
 	// slow.
-	companyEvery = time.Second
+	othersSlowEvery = time.Second
 	// slowEvery is the time between two questions to an endpoint that is or may be slow,
 	// failingEvery to one at which somebody failed.
 	slowEvery    = 600 * time.Millisecond
@@ -47,28 +47,28 @@
 	}
 	var list map[string]*watched
 	var grouped time.Time
-	accused := make(map[string]bool)
+	avoided := make(map[string]bool)
 	for g.pause(watchTick) {
 		now := time.Now()
 		if now.Sub(grouped) >= regroupEvery {
 			list, grouped = g.watchedNow(list, g.deps.Mesh.Members(now), now), now
-			accused = g.logAccused(accused, now)
+			avoided = g.logAvoided(avoided, now)
 		}
 		g.askDue(list, now)
 	}
 }
 
-// logAccused logs which endpoints of the own cell are left alone because several gateways
+// logAvoided logs which endpoints of the own cell are left alone because several gateways
 // failed there, and which no longer are; before is what it returned last.
-func (g *Gateway) logAccused(before map[string]bool, now time.Time) map[string]bool {
-	accused := g.picker.accused(now)
-	for id, witnesses := range accused {
+func (g *Gateway) logAvoided(before map[string]bool, now time.Time) map[string]bool {
+	avoided := g.picker.avoided(now)
+	for id, witnesses := range avoided {
 		if !before[id] {
 			g.deps.Log.Logger().Warn("Endpoint left alone.", "endpoint", id, "gateways", witnesses)
 		}
 	}
-	after := make(map[string]bool, len(accused))
-	for id := range accused {
+	after := make(map[string]bool, len(avoided))
+	for id := range avoided {
 		after[id] = true
 	}
 	for id := range before {
@@ -119,7 +119,7 @@
 	return out
 }
 
-// mustAsk reports whether it is time to ask an endpoint. One of which nothing odd is known
+// mustAsk reports whether it is time to ask an endpoint. One where no stream was late
 // is left alone while none is slow: each question has its price. Asking all of 60 endpoints
 // every second cost 0.0026 of worth on days without slow ones, and gained the same on
 // days with them.
@@ -133,8 +133,8 @@
 		return true
 	case health.Slow:
 		return e.first && e.service.Engine != nil && since >= slowEvery
-	case health.Company:
-		return e.first && e.service.Engine != nil && since >= companyEvery
+	case health.OthersSlow:
+		return e.first && e.service.Engine != nil && since >= othersSlowEvery
 	default:
 		return false
 	}
