--- a/relay/gateway_test.go
+++ b/relay/gateway_test.go
@@ -15,8 +15,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/micarudder/micarudder/catalog"
 )
 
 func TestRelayIsUnchanged(t *testing.T) {
@@ -209,13 +207,7 @@
 			answer(w, "200 OK", "", "")
 		}
 	})
-	config := testConfig(1)
-	config.Services[0].Engine = &catalog.Engine{Slots: 16, MemoryTokens: 1000, StepMs: 1, ReadPerMs: 10, Stride: 1}
-	b.source.set(config, nil)
-	for _, id := range []string{"c", "d", "e", "f", "g", "h"} {
-		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(b.play), Slots: 16})
-	}
-	b.know()
+	b.knowEngines(1000, "c", "d", "e", "f", "g", "h")
 	got := b.ask(t.Context(), "POST", "/once/", "", http.Header{"Tokens": {"1500"}})
 	is.Equal(got.status, 200)
 	mu.Lock()
@@ -242,13 +234,7 @@
 		}
 		answer(w, "200 OK", "", "")
 	})
-	config := testConfig(1)
-	config.Services[0].Engine = &catalog.Engine{Slots: 16, MemoryTokens: 100000, StepMs: 1, ReadPerMs: 10, Stride: 1}
-	b.source.set(config, nil)
-	for _, id := range []string{"c", "d"} {
-		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(b.play), Slots: 16})
-	}
-	b.know()
+	b.knowEngines(100000, "c", "d")
 	got := b.ask(t.Context(), "POST", "/once/", "", http.Header{"Tokens": {"9000"}})
 	is.Equal(got.status, 200)
 	is.True(dead != "") // the first send had a helper
@@ -286,13 +272,7 @@
 		}
 		answer(w, "200 OK", "", "")
 	})
-	config := testConfig(1)
-	config.Services[0].Engine = &catalog.Engine{Slots: 16, MemoryTokens: 100000, StepMs: 1, ReadPerMs: 10, Stride: 1}
-	b.source.set(config, nil)
-	for _, id := range []string{"c", "d", "e", "f", "g", "h"} {
-		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(b.play), Slots: 16})
-	}
-	b.know()
+	b.knowEngines(100000, "c", "d", "e", "f", "g", "h")
 	got := b.ask(t.Context(), "POST", "/once/", "", http.Header{"Tokens": {"9000"}})
 	is.Equal(got.status, 200)
 	is.Equal(len(dead), 3)
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -186,6 +186,19 @@
 	b.gateway.state.Listed(list, time.Now(), time.Time{})
 }
 
+// knowEngines makes the service one of engines with so much memory, adds endpoints to it,
+// and makes the gateway read its source once.
+func (b *bench) knowEngines(memoryTokens int, ids ...string) {
+	b.t.Helper()
+	config := testConfig(1)
+	config.Services[0].Engine = &catalog.Engine{Slots: 16, MemoryTokens: memoryTokens, StepMs: 1, ReadPerMs: 10, Stride: 1}
+	b.source.set(config, nil)
+	for _, id := range ids {
+		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(b.play), Slots: 16})
+	}
+	b.know()
+}
+
 func (b *bench) endpoint(play script) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
