Broken exchanges say which request it was and whether the endpoint crashed

Cause: of an endpoint that ended, the logs said only that exchanges failed, and of two requests nobody could say whether they were the same work; so the incident's first two hypotheses could not be told apart. Change: a fingerprint of workspace, method, host, path and body; after a break one connection is tried to the endpoint, which is refused where it crashed; a line and counters for each. No decision changes; a resend waits for the answer, a round trip.

--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,37 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestIdentify: what makes a request the same work decides, and nothing else may be
+// mistaken for it.
+func TestIdentify(t *testing.T) {
+	base := Request{Workspace: "w", Method: "POST", Host: "h", Target: "/a/b", Body: []byte("text")}
+	others := map[string]func(r *Request){
+		"workspace":               func(r *Request) { r.Workspace = "v" },
+		"method":                  func(r *Request) { r.Method = "PUT" },
+		"host":                    func(r *Request) { r.Host = "i" },
+		"path":                    func(r *Request) { r.Target = "/a/c" },
+		"query":                   func(r *Request) { r.Target += "?x" },
+		"body":                    func(r *Request) { r.Body = []byte("texts") },
+		"no body":                 func(r *Request) { r.Body = nil },
+		"another split of parts":  func(r *Request) { r.Target, r.Body = "/a/bt", []byte("ext") },
+		"empty parts in between":  func(r *Request) { r.Host, r.Target = "", "h/a/b" },
+		"workspace in the method": func(r *Request) { r.Workspace, r.Method = "", "wPOST" },
+	}
+	for name, change := range others {
+		t.Run(name, func(t *testing.T) {
+			other := base
+			change(&other)
+			is.New(t).True(Identify(other) != Identify(base))
+		})
+	}
+	is := is.New(t)
+	same := base
+	same.Body = []byte("text")
+	is.Equal(Identify(same), Identify(base))
+	is.Equal(len(Identify(base).String()), 16)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -35,6 +35,7 @@
 	now := time.Now()
 	req := x.request(at, memory, now)
 	x.g.meter.sends.Inc()
+	x.begun = false
 	res, err := x.g.deps.Endpoints.Do(ctx, at.endpoint.ID, at.endpoint.Address, req)
 	if err != nil {
 		x.failed(ctx, at, err)
@@ -132,6 +133,7 @@
 	x.mayRun = true
 	if ctx.Err() == nil {
 		x.note(at, health.Bad)
+		x.broke(at)
 	}
 }
 
--- /dev/null
+++ b/relay/crash_test.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestCrashIsSeen: an exchange that breaks because its endpoint ended is told from one that
+// the endpoint, which still runs, broke off. Without it nobody could say from logs or
+// metrics whether requests end endpoints or endpoints fail requests.
+func TestCrashIsSeen(t *testing.T) {
+	cases := []struct {
+		name    string
+		path    string
+		fail    func(b *bench, c *net.TCPConn)
+		begun   bool // whether an event comes before
+		crashes uint64
+	}{
+		{"crash before the answer", "/stream/x", (*bench).crash, false, 1},
+		{"crash inside the answer", "/stream/x", (*bench).crash, true, 1},
+		{"crash inside an answer that cannot go on", "/story/x", (*bench).crash, true, 1},
+		{"crash of a plain service", "/safe/x", (*bench).crash, false, 1},
+		{"answer broken off", "/stream/x", func(_ *bench, c *net.TCPConn) { reset(c) }, true, 0},
+		{"no answer", "/safe/x", func(_ *bench, c *net.TCPConn) { reset(c) }, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var b *bench
+			b = newBench(t, func(n int, w *bufio.Writer, c *net.TCPConn, _ *http.Request) {
+				if n > 1 {
+					answer(w, "200 OK", "", "id: 2\n\n")
+					return
+				}
+				if tc.begun {
+					_, _ = w.WriteString("HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n")
+					is.NoErr(w.Flush())
+				}
+				tc.fail(b, c)
+			})
+			b.know()
+			b.ask(t.Context(), "POST", tc.path, "text", nil)
+			is.Equal(b.gateway.meter.broken.Get(), uint64(1))
+			is.Equal(b.gateway.meter.crashes.Get(), tc.crashes)
+		})
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/quarantine"
 )
 
 // outcome is how a request ended, as it stands in logs and metrics.
@@ -85,6 +86,8 @@
 	lastAt         time.Time     // of the newest part
 	maxGap         time.Duration // longest pause between two parts
 	lastError      error
+	begun          bool                    // whether the newest send brought a part of the answer
+	fingerprint    *quarantine.Fingerprint // see identity; nil: not worked out yet
 }
 
 // refuse answers a request that has not run with a status that says so, or
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -57,17 +57,18 @@
 	picker *picker
 	meter  *meter
 
-	started  time.Time
-	ctx      context.Context
-	cancel   context.CancelFunc
-	tasks    sync.WaitGroup
-	inFlight atomic.Int64
-	bodies   atomic.Int64 // bytes of the bodies that are held
-	leaving  atomic.Bool
-	stopAt   atomic.Pointer[time.Time] // when the stop signal came
-	peers    *peerClient
-	sharing  *sharing
-	faces    *faces
+	started     time.Time
+	ctx         context.Context
+	cancel      context.CancelFunc
+	tasks       sync.WaitGroup
+	inFlight    atomic.Int64
+	bodies      atomic.Int64 // bytes of the bodies that are held
+	leaving     atomic.Bool
+	stopAt      atomic.Pointer[time.Time] // when the stop signal came
+	peers       *peerClient
+	sharing     *sharing
+	faces       *faces
+	crashProbes *crashProbes
 	// configurationDocument and endpointsDocument are what peers ask for.
 	configurationDocument, endpointsDocument document
 	// news asks for a whole word to the peers soon.
@@ -84,6 +85,7 @@
 	g.peers = newPeerClient(d.PeerPort)
 	g.sharing = newSharing()
 	g.faces = newFaces(g)
+	g.crashProbes = newCrashProbes()
 	return g
 }
 
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -133,8 +133,9 @@
 	url     string
 	play    script
 
-	mu   sync.Mutex
-	seen []*http.Request // at all endpoints, in the order of arrival
+	mu        sync.Mutex
+	seen      []*http.Request // at all endpoints, in the order of arrival
+	listeners map[string]net.Listener
 }
 
 // script answers one request of an endpoint; n counts the requests at all
@@ -158,7 +159,7 @@
 // newBench starts a gateway before two endpoints that play the script.
 func newBench(t *testing.T, play script) *bench {
 	t.Helper()
-	b := &bench{t: t, play: play, source: &testSource{config: testConfig(1)}}
+	b := &bench{t: t, play: play, source: &testSource{config: testConfig(1)}, listeners: make(map[string]net.Listener)}
 	for _, id := range []string{"a", "b"} {
 		b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: id, Service: "s", Address: b.endpoint(play), Slots: 4})
 	}
@@ -205,6 +206,9 @@
 		b.t.Fatal(err)
 	}
 	b.t.Cleanup(func() { _ = l.Close() })
+	b.mu.Lock()
+	b.listeners[l.Addr().String()] = l
+	b.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -241,6 +245,14 @@
 	}
 }
 
+// crash ends the endpoint whose connection c is: nothing listens there any more.
+func (b *bench) crash(c *net.TCPConn) {
+	b.mu.Lock()
+	_ = b.listeners[c.LocalAddr().String()].Close()
+	b.mu.Unlock()
+	reset(c)
+}
+
 // request returns the nth request that arrived, counted from 0.
 func (b *bench) request(n int) *http.Request {
 	b.mu.Lock()
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -17,6 +17,9 @@
 	orders          *metrics.Counter
 	reserveFailures *metrics.Counter
 	reports         *metrics.Counter
+	broken          *metrics.Counter
+	probes          *metrics.Counter
+	crashes         *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -32,6 +35,9 @@
 		orders:          set.NewCounter("relay_orders_total"),
 		reserveFailures: set.NewCounter("relay_reserve_failures_total"),
 		reports:         set.NewCounter("relay_reports_total"),
+		broken:          set.NewCounter("relay_broken_exchanges_total"),
+		probes:          set.NewCounter("relay_crash_probes_total"),
+		crashes:         set.NewCounter("relay_endpoint_crashes_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -96,6 +96,7 @@
 		x.lastError = err
 		if ctx.Err() == nil {
 			x.note(at, health.Bad)
+			x.broke(at)
 		}
 		return "", true
 	}
@@ -217,6 +218,7 @@
 	if ctx.Err() == nil {
 		x.note(at, health.Bad)
 		x.g.meter.resumes.Inc()
+		x.broke(at)
 	}
 	return "", true
 }
@@ -224,6 +226,7 @@
 // part notes that a part of the answer has come.
 func (x *exchange) part(at *place) {
 	now := time.Now()
+	x.begun = true
 	if x.firstAt.IsZero() {
 		x.firstAt = now
 		x.g.meter.firstByte.UpdateDuration(x.started)
@@ -259,6 +262,7 @@
 	}
 	if time.Until(x.deadline) > 0 {
 		x.note(at, health.Bad)
+		x.broke(at)
 	}
 	return x.abort()
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -161,7 +161,7 @@
 		return nil, err
 	}
 	c.dials.Add(1)
-	return &conn{Conn: nc, key: key, address: address, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return newConn(nc, key, address), nil
 }
 
 // reusable reports whether the answer allows another request on its connection.
@@ -197,6 +197,10 @@
 	idleLimit time.Duration // announced by the endpoint; 0: none
 }
 
+func newConn(nc net.Conn, key, address string) *conn {
+	return &conn{Conn: nc, key: key, address: address, br: bufio.NewReaderSize(nc, readBuffer)}
+}
+
 func (c *conn) close() {
 	c.unwatch()
 	_ = c.Conn.Close()
