Requests under which endpoints crash are not sent any more, by any gateway

Cause: each copy of a request was new to the gateway that it came to. Nothing remembered what was on an endpoint when it crashed, and each copy was sent on to a second endpoint. Class: retries of a deterministic failure without memory. Ruled out: engines that end by overload or soon after their start. Change: package quarantine decides by crashes of different endpoints, cleared by a copy that ends well; gateways tell each other at once and repeat what is in force; the store keeps it beyond the life of all of them; callers hear 503 with a time. A race in an old test (the load read without its lock) is mended.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -18,6 +18,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/health"
+	"github.com/micarudder/micarudder/quarantine"
 )
 
 const (
@@ -68,6 +69,8 @@
 	// Signs is all that the sender has to tell of endpoints' health, in each word for its
 	// own cell.
 	Signs map[string]health.Sign
+	// Crashes tells of requests that were on endpoints that crashed.
+	Crashes []quarantine.Report
 }
 
 // Digest is the load of the endpoints that one cell offers to others.
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -6,17 +6,33 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"fmt"
+	"encoding/hex"
 	"hash"
+
+	"github.com/gravitational/trace"
 )
 
 // Fingerprint identifies requests that are the same work for an endpoint, whichever caller's
-// attempt they are. It is the beginning of a SHA-256, so that no caller can write a request
-// that is taken for one of another workspace.
-type Fingerprint uint64
+// attempt they are. Both parts begin a SHA-256, so that no caller can write a request that is
+// taken for one of another workspace.
+type Fingerprint struct {
+	Head uint64 // of all but the body's bytes
+	Body uint64
+}
+
+// String returns the fingerprint as it stands in logs and in the store.
+func (f Fingerprint) String() string {
+	return hex.EncodeToString(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, f.Head), f.Body))
+}
 
-// String returns the fingerprint as it stands in logs.
-func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+// ParseFingerprint reads what String wrote.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	p, err := hex.DecodeString(text)
+	if err != nil || len(p) != 16 {
+		return Fingerprint{}, trace.BadParameter("%q is no fingerprint", text)
+	}
+	return Fingerprint{binary.BigEndian.Uint64(p), binary.BigEndian.Uint64(p[8:])}, nil
+}
 
 // Request is what makes a request the same work as another one. Fields of the head do not
 // count: a caller that asks again changes some of them.
@@ -28,20 +44,28 @@
 	Body      []byte
 }
 
-// Identify returns the request's fingerprint.
-func Identify(r Request) Fingerprint {
+// Head returns the first part of the request's fingerprint. It is worked out without
+// reading the body, which may have megabytes: a request whose head nobody knows needs no
+// more.
+func (r *Request) Head() uint64 {
 	h := sha256.New()
 	for _, part := range []string{r.Workspace, r.Method, r.Host, r.Target} {
-		write(h, []byte(part))
+		writeLength(h, len(part))
+		h.Write([]byte(part)) // a hash takes all that it is given
 	}
-	write(h, r.Body)
-	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
+	writeLength(h, len(r.Body))
+	return binary.BigEndian.Uint64(h.Sum(nil))
+}
+
+// Fingerprint returns the whole of it.
+func (r *Request) Fingerprint() Fingerprint {
+	sum := sha256.Sum256(r.Body)
+	return Fingerprint{Head: r.Head(), Body: binary.BigEndian.Uint64(sum[:])}
 }
 
-// write adds a part and its length, so that no two lists of parts read the same.
-func write(h hash.Hash, part []byte) {
+// writeLength adds a part's length before it, so that no two lists of parts read the same.
+func writeLength(h hash.Hash, n int) {
 	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+	binary.BigEndian.PutUint64(length[:], uint64(n))
 	h.Write(length[:])
-	h.Write(part)
 }
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -6,9 +6,9 @@
 	"github.com/matryer/is"
 )
 
-// TestIdentify: what makes a request the same work decides, and nothing else may be
+// TestFingerprint: what makes a request the same work decides, and nothing else may be
 // mistaken for it.
-func TestIdentify(t *testing.T) {
+func TestFingerprint(t *testing.T) {
 	base := Request{Workspace: "w", Method: "POST", Host: "h", Target: "/a/b", Body: []byte("text")}
 	others := map[string]func(r *Request){
 		"workspace":               func(r *Request) { r.Workspace = "v" },
@@ -16,7 +16,8 @@
 		"host":                    func(r *Request) { r.Host = "i" },
 		"path":                    func(r *Request) { r.Target = "/a/c" },
 		"query":                   func(r *Request) { r.Target += "?x" },
-		"body":                    func(r *Request) { r.Body = []byte("texts") },
+		"body":                    func(r *Request) { r.Body = []byte("tex2") },
+		"longer body":             func(r *Request) { r.Body = []byte("texts") },
 		"no body":                 func(r *Request) { r.Body = nil },
 		"another split of parts":  func(r *Request) { r.Target, r.Body = "/a/bt", []byte("ext") },
 		"empty parts in between":  func(r *Request) { r.Host, r.Target = "", "h/a/b" },
@@ -26,12 +27,19 @@
 		t.Run(name, func(t *testing.T) {
 			other := base
 			change(&other)
-			is.New(t).True(Identify(other) != Identify(base))
+			is.New(t).True(other.Fingerprint() != base.Fingerprint())
 		})
 	}
 	is := is.New(t)
 	same := base
 	same.Body = []byte("text")
-	is.Equal(Identify(same), Identify(base))
-	is.Equal(len(Identify(base).String()), 16)
+	is.Equal(same.Fingerprint(), base.Fingerprint())
+	is.Equal(same.Head(), base.Fingerprint().Head)
+	read, err := ParseFingerprint(base.Fingerprint().String())
+	is.NoErr(err)
+	is.Equal(read, base.Fingerprint())
+	for _, text := range []string{"", "0123", "x" + base.Fingerprint().String()[1:], base.Fingerprint().String() + "00"} {
+		_, err := ParseFingerprint(text)
+		is.True(err != nil)
+	}
 }
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,264 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// crashesBefore is how many endpoints must have crashed under a request that had not
+	// answered anything there for it to be quarantined. Each of the up to sixteen requests
+	// that shared the endpoint has the same sign against it, so one crash says little, and
+	// two happen to requests that are sent again together. After three the users allow
+	// three sends more, for those that are on their way.
+	crashesBefore = 3
+	// crashesInAll is the same where it had begun to answer: most that crash an endpoint do
+	// so at their beginning, and streams under way are those that share it.
+	crashesInAll = 5
+	// firstRest is how long after its newest crash a request stays quarantined. It doubles
+	// with each crash beyond those that were needed, up to longestRest: one that is sent
+	// once more by then and crashes another endpoint has to wait longer each time.
+	firstRest   = 10 * time.Minute
+	longestRest = 24 * time.Hour
+	// suspectLife is how long a crash counts against a request that was not sent since, or
+	// comes seldom. One that ends well is cleared by that.
+	suspectLife = time.Hour
+	// sameTime is how far apart two gateways may date the same event: each dates it by when
+	// it heard of it.
+	sameTime = 500 * time.Millisecond
+	// mostCrashes is how many crashes are remembered of one request.
+	mostCrashes = 12
+	// MostRequests bounds the requests that are remembered, 0.5 KB each; each crash brings
+	// up to sixteen. The one whose newest crash is the oldest is forgotten first.
+	MostRequests = 4096
+)
+
+// Incarnation identifies one life of an endpoint.
+type Incarnation uint64
+
+// IncarnationOf returns the identity of an endpoint's life that began at born, which is
+// zero where it does not tell.
+func IncarnationOf(endpoint string, born int64) Incarnation {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(born >> (8 * i))
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(endpoint) // a hash takes all that it is given
+	_, _ = d.Write(b[:])
+	return Incarnation(d.Sum64())
+}
+
+// Crash is one endpoint that crashed while a request was on it.
+type Crash struct {
+	Endpoint Incarnation
+	Begun    bool // whether a part of the answer had come from there
+	At       time.Time
+}
+
+// Verdict is what is believed of a request.
+type Verdict struct {
+	// Before and Within are how many endpoints crashed before and after it had begun to
+	// answer there.
+	Before, Within int
+	// Until is when it may be sent again; zero: it is not quarantined.
+	Until time.Time
+}
+
+// Quarantined reports whether the request must not be sent.
+func (v Verdict) Quarantined() bool { return !v.Until.IsZero() }
+
+// origin is how a gateway learned something, which decides whom it tells.
+type origin uint8
+
+const (
+	own  origin = iota // it saw that itself
+	near               // a gateway of its own cell told it
+	far                // a gateway of another cell, or the store
+)
+
+// record is what is known of one request.
+type record struct {
+	crashes []Crash   // by time, one for each endpoint
+	served  time.Time // when one of its copies last ended well
+	news    []news    // what others may not have heard yet
+}
+
+// Table holds what is known of requests that were on endpoints that crashed. It is not safe
+// for concurrent use.
+type Table struct {
+	records map[Fingerprint]*record
+	heads   map[uint64]int // how many records have a head
+	// repeated is where the turn of the quarantined ones to be told again stands.
+	repeated int
+}
+
+// NewTable returns a table that knows nothing.
+func NewTable() *Table {
+	return &Table{records: make(map[Fingerprint]*record), heads: make(map[uint64]int)}
+}
+
+// Len returns how many requests are remembered.
+func (t *Table) Len() int { return len(t.records) }
+
+// MayKnow reports whether there may be something to say of a request with that head.
+func (t *Table) MayKnow(head uint64) bool { return t.heads[head] > 0 }
+
+// Crashed takes in that an endpoint crashed while a request of this gateway was on it.
+func (t *Table) Crashed(f Fingerprint, c Crash, now time.Time) { t.add(f, c, own, now) }
+
+// Served takes in that a request of this gateway ended well, which a request that crashes
+// endpoints never does. It reports whether anything stood against it.
+func (t *Table) Served(f Fingerprint, now time.Time) bool { return t.clear(f, now, own, now) }
+
+// add takes in a crash; it reports whether it is new.
+func (t *Table) add(f Fingerprint, c Crash, from origin, now time.Time) bool {
+	r := t.records[f]
+	if r != nil && (!c.At.After(r.served) || r.knows(c.Endpoint)) || now.Sub(c.At) > longestRest {
+		return false
+	}
+	if r == nil {
+		r = t.remember(f, now)
+	}
+	r.crashes = append(r.crashes, c)
+	slices.SortStableFunc(r.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	if len(r.crashes) > mostCrashes {
+		r.crashes = slices.Delete(r.crashes, 0, 1)
+	}
+	r.news = append(r.news, news{Report: Report{Fingerprint: f, Endpoint: c.Endpoint, Begun: c.Begun}, at: c.At, learned: now, from: from})
+	return true
+}
+
+// clear takes in that a request ended well at that time; it reports whether anything was
+// known against it.
+func (t *Table) clear(f Fingerprint, at time.Time, from origin, now time.Time) bool {
+	r := t.records[f]
+	if r == nil || at.Sub(r.served) < sameTime {
+		return false
+	}
+	r.served = at
+	before := len(r.crashes)
+	r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return !c.At.After(at) })
+	if from == own && len(r.crashes) == before {
+		return false // it concerns nobody
+	}
+	r.news = append(r.news, news{Report: Report{Fingerprint: f, Served: true}, at: at, learned: now, from: from})
+	return true
+}
+
+func (r *record) knows(e Incarnation) bool {
+	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.Endpoint == e })
+}
+
+// remember makes a record, if need be in place of the one that was of use least lately.
+func (t *Table) remember(f Fingerprint, now time.Time) *record {
+	t.forgetOld(now)
+	if len(t.records) >= MostRequests {
+		t.forget(t.oldest())
+	}
+	r := &record{}
+	t.records[f] = r
+	t.heads[f.Head]++
+	return r
+}
+
+// oldest returns the request whose newest crash is the oldest, of those that are not
+// quarantined if there are any.
+func (t *Table) oldest() Fingerprint {
+	var out Fingerprint
+	var found *record
+	for f, r := range t.records {
+		if found == nil || cmp.Or(compareBool(r.condemned(), found.condemned()), r.newest().Compare(found.newest())) < 0 {
+			out, found = f, r
+		}
+	}
+	return out
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (t *Table) forget(f Fingerprint) {
+	delete(t.records, f)
+	if t.heads[f.Head]--; t.heads[f.Head] <= 0 {
+		delete(t.heads, f.Head)
+	}
+}
+
+// forgetOld drops records that decide nothing any more.
+func (t *Table) forgetOld(now time.Time) {
+	for f, r := range t.records {
+		if now.Sub(r.newest()) > max(suspectLife, 2*r.rest()) && len(r.news) == 0 {
+			t.forget(f)
+		}
+	}
+}
+
+// newest returns when something was last learned of the request.
+func (r *record) newest() time.Time {
+	if n := len(r.crashes); n > 0 && r.crashes[n-1].At.After(r.served) {
+		return r.crashes[n-1].At
+	}
+	return r.served
+}
+
+// Verdict returns what is believed of a request.
+func (t *Table) Verdict(f Fingerprint, now time.Time) Verdict {
+	r := t.records[f]
+	if r == nil {
+		return Verdict{}
+	}
+	return r.verdict(now)
+}
+
+func (r *record) verdict(now time.Time) Verdict {
+	var v Verdict
+	for _, c := range r.crashes {
+		if c.Begun {
+			v.Within++
+		} else {
+			v.Before++
+		}
+	}
+	if !r.condemned() {
+		return v
+	}
+	if until := r.newest().Add(r.rest()); until.After(now) {
+		v.Until = until
+	}
+	return v
+}
+
+// condemned reports whether as many endpoints crashed as a quarantine takes.
+func (r *record) condemned() bool {
+	before := 0
+	for _, c := range r.crashes {
+		if !c.Begun {
+			before++
+		}
+	}
+	return before >= crashesBefore || len(r.crashes) >= crashesInAll
+}
+
+// rest returns how long after its newest crash the request may not be sent; zero: it may.
+func (r *record) rest() time.Duration {
+	if !r.condemned() {
+		return 0
+	}
+	rest := firstRest
+	for range len(r.crashes) - crashesBefore {
+		rest = min(longestRest, 2*rest)
+	}
+	return rest
+}
--- /dev/null
+++ b/quarantine/tell.go
@@ -0,0 +1,179 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// newsLife is how long something new is told: eight regular messages, so that a third
+	// of them may be lost.
+	newsLife = 2 * time.Second
+	// urgentTellings is how often it is told in messages that go out beside the regular
+	// ones.
+	urgentTellings = 3
+	// MostReports bounds what one message tells, some 40 bytes each. A crash brings sixteen
+	// reports at the most, of all gateways together.
+	MostReports = 64
+)
+
+// Report is what one gateway tells another of a request. Its fields are sent in this order:
+// new ones come last.
+type Report struct {
+	Fingerprint Fingerprint
+	// Endpoint crashed AgeMs ago while the request was on it; Begun: after it had begun to
+	// answer there.
+	Endpoint Incarnation
+	Begun    bool
+	AgeMs    int64
+	// Served is set instead if a copy of the request ended well AgeMs ago.
+	Served bool
+}
+
+// news is a report that others may not have heard.
+type news struct {
+	Report
+	at       time.Time // when it happened
+	learned  time.Time
+	from     origin
+	tellings int
+}
+
+// Audience is whom a message is for.
+type Audience uint8
+
+// The audiences.
+const (
+	OwnCell Audience = iota
+	OtherCells
+)
+
+// concerns reports whether a gateway that speaks for its cell, or does not, tells a piece
+// of news to an audience. What a gateway saw itself it tells its own cell; those that speak
+// for a cell tell the others what was seen in theirs, and theirs what comes from others, so
+// that everything arrives everywhere and nothing goes round.
+func (n *news) concerns(a Audience, speaks bool) bool {
+	if a == OwnCell {
+		return n.from == own || speaks && n.from == far
+	}
+	return speaks && n.from != far
+}
+
+// Tell returns what is new for an audience; urgent is set for a message beside the regular
+// ones.
+func (t *Table) Tell(a Audience, speaks, urgent bool, now time.Time) []Report {
+	var out []Report
+	for _, r := range t.records {
+		r.news = slices.DeleteFunc(r.news, func(n news) bool { return now.Sub(n.learned) > newsLife })
+		for i := range r.news {
+			n := &r.news[i]
+			if len(out) >= MostReports || !n.concerns(a, speaks) || urgent && n.tellings >= urgentTellings {
+				continue
+			}
+			if urgent {
+				n.tellings++
+			}
+			out = append(out, n.aged(now))
+		}
+	}
+	return out
+}
+
+func (n *news) aged(now time.Time) Report {
+	r := n.Report
+	r.AgeMs = now.Sub(n.at).Milliseconds()
+	return r
+}
+
+// Repeat returns all that stands against the quarantined requests, a part of them in turn
+// where they are many: gateways that were out of touch, or have started since, hear of them.
+func (t *Table) Repeat(now time.Time) []Report {
+	var all []Fingerprint
+	for f, r := range t.records {
+		if r.verdict(now).Quarantined() {
+			all = append(all, f)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b Fingerprint) int { return cmp.Or(cmp.Compare(a.Head, b.Head), cmp.Compare(a.Body, b.Body)) })
+	var out []Report
+	for range all {
+		f := all[t.repeated%len(all)]
+		next := t.records[f].reports(f, now)
+		if len(out)+len(next) > MostReports {
+			return out
+		}
+		out = append(out, next...)
+		t.repeated++
+	}
+	return out
+}
+
+// reports returns the crashes of one request.
+func (r *record) reports(f Fingerprint, now time.Time) []Report {
+	out := make([]Report, len(r.crashes))
+	for i, c := range r.crashes {
+		out[i] = Report{Fingerprint: f, Endpoint: c.Endpoint, Begun: c.Begun, AgeMs: now.Sub(c.At).Milliseconds()}
+	}
+	return out
+}
+
+// Hear takes in what a gateway of this cell or of another one tells. It returns the requests
+// that are quarantined by it, and how many reports were new.
+func (t *Table) Hear(reports []Report, fromAfar bool, now time.Time) (quarantined []Fingerprint, fresh int) {
+	from := near
+	if fromAfar {
+		from = far
+	}
+	for _, r := range reports[:min(len(reports), MostReports)] {
+		before := t.Verdict(r.Fingerprint, now).Quarantined()
+		if !t.hear(r, from, now) {
+			continue
+		}
+		fresh++
+		if !before && t.Verdict(r.Fingerprint, now).Quarantined() {
+			quarantined = append(quarantined, r.Fingerprint)
+		}
+	}
+	return quarantined, fresh
+}
+
+func (t *Table) hear(r Report, from origin, now time.Time) bool {
+	at := now.Add(-time.Duration(max(0, r.AgeMs)) * time.Millisecond)
+	if r.Served {
+		if t.records[r.Fingerprint] == nil {
+			t.remember(r.Fingerprint, now) // the crashes that it clears may be heard of later
+		}
+		return t.clear(r.Fingerprint, at, from, now)
+	}
+	return t.add(r.Fingerprint, Crash{r.Endpoint, r.Begun, at}, from, now)
+}
+
+// Entry is all that stands against one request, as it is kept beyond the life of all
+// gateways.
+type Entry struct {
+	Fingerprint Fingerprint
+	Crashes     []Crash
+}
+
+// Entry returns what to keep of a request.
+func (t *Table) Entry(f Fingerprint) Entry {
+	e := Entry{Fingerprint: f}
+	if r := t.records[f]; r != nil {
+		e.Crashes = slices.Clone(r.crashes)
+	}
+	return e
+}
+
+// Recall takes in what was kept. Other gateways recall it too, so it is no news to them.
+func (t *Table) Recall(e Entry, now time.Time) {
+	for _, c := range e.Crashes[:min(len(e.Crashes), mostCrashes)] {
+		t.add(e.Fingerprint, c, far, now)
+	}
+	if r := t.records[e.Fingerprint]; r != nil {
+		r.news = nil
+	}
+}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
-	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -37,32 +36,40 @@
 
 func newCrashProbes() *crashProbes { return &crashProbes{newest: make(map[string]*crashProbe)} }
 
-// probe tells whether the endpoint's process runs. One question at a time is under way to
-// each endpoint.
-func (g *Gateway) probe(e catalog.Endpoint) upstream.Listens {
-	c := g.crashProbes
-	c.mu.Lock()
-	p := c.newest[e.ID]
-	if p != nil && p.holds(time.Now()) {
-		c.mu.Unlock()
+// hasCrashed tells whether an endpoint whose exchange broke has crashed. One question at a
+// time is under way to each endpoint.
+func (g *Gateway) hasCrashed(e catalog.Endpoint) bool {
+	p, asks := g.crashProbes.join(e.ID, time.Now())
+	if !asks {
 		<-p.done
-		return p.listens
+		return p.listens == upstream.NotRunning
 	}
-	p = &crashProbe{done: make(chan struct{})}
-	c.newest[e.ID] = p
-	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(g.ctx, probeTime)
 	defer cancel()
 	p.listens = g.deps.Endpoints.Probe(ctx, e.ID, e.Address)
 	p.ended = time.Now()
 	close(p.done)
 	g.meter.probes.Inc()
-	if p.listens == upstream.NotRunning {
-		g.meter.crashes.Inc()
-		g.deps.Log.Logger().Warn("Endpoint crashed.", "endpoint", e.ID, "born", e.Born, "address", e.Address)
+	g.crashProbes.forgetOld(p.ended)
+	if p.listens != upstream.NotRunning {
+		return false
 	}
-	c.forgetOld(p.ended)
-	return p.listens
+	g.meter.crashes.Inc()
+	g.deps.Log.Logger().Warn("Endpoint crashed.", "endpoint", e.ID, "born", e.Born, "address", e.Address)
+	return true
+}
+
+// join returns the newest question to an endpoint if its answer holds, or a new one, which
+// the caller has to ask.
+func (c *crashProbes) join(endpoint string, now time.Time) (p *crashProbe, asks bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.newest[endpoint]; p != nil && p.holds(now) {
+		return p, false
+	}
+	p = &crashProbe{done: make(chan struct{})}
+	c.newest[endpoint] = p
+	return p, true
 }
 
 // holds reports whether the question is under way or was answered not long ago.
@@ -89,22 +96,12 @@
 // broke takes in that the exchange with an endpoint broke before its answer was whole, and
 // nobody on this side ended it.
 func (x *exchange) broke(at *place) {
-	listens := x.g.probe(at.endpoint)
+	crashed := x.g.hasCrashed(at.endpoint)
 	x.g.meter.broken.Inc()
 	x.g.deps.Log.Request("Exchange broke.", "request", x.call.ID, "fingerprint", x.identity(), "endpoint", at.endpoint.ID,
-		"begun", x.begun, "crashed", listens == upstream.NotRunning, "in_flight_ms", time.Since(at.chosen).Milliseconds(), "err", x.lastError)
-}
-
-// identity returns the request's fingerprint. It is worked out only where it is needed: a
-// prompt of a million tokens has megabytes.
-func (x *exchange) identity() quarantine.Fingerprint {
-	if x.fingerprint == nil {
-		r := quarantine.Request{Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body}
-		if x.workspace != nil {
-			r.Workspace = x.workspace.Name
-		}
-		f := quarantine.Identify(r)
-		x.fingerprint = &f
+		"begun", x.begun, "crashed", crashed, "in_flight_ms", time.Since(at.chosen).Milliseconds(), "err", x.lastError)
+	// An endpoint that was leaving ended as it said, whatever was still on it.
+	if _, inUse := x.g.state.Endpoint(at.endpoint.ID); crashed && inUse {
+		x.crashed(at)
 	}
-	return *x.fingerprint
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -70,8 +70,8 @@
 		c := newCrashFleet(t, 1, 5, 18)
 		time.Sleep(time.Second)
 		r := c.play(load{length: 15 * time.Second, soundEvery: 25 * time.Millisecond, crashEvery: 400 * time.Millisecond})
-		t.Logf("%+v; %d sends of the crashing request, %d after the third crash, %d engines ended, %d sound streams on them", r, len(c.sends), c.sentAfterThird(), len(c.crashes), c.broken)
-		is.True(len(c.crashes) >= 3)
+		t.Logf("%+v; %d sends of the crashing request, %d after the third crash, %d engines ended, %d sound streams on them", r, c.sendCount(), c.sentAfterThird(), c.crashCount(), c.broken)
+		is.True(c.crashCount() >= 3)
 		is.True(c.sentAfterThird() <= mostAfterThird)
 	})
 }
--- a/relay/crashfleet_test.go
+++ b/relay/crashfleet_test.go
@@ -16,7 +16,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/quarantine"
 )
 
 const (
@@ -45,6 +48,8 @@
 	sends   []time.Time                // of the crashing request, at any engine
 	crashes []time.Time                // of engines that began it
 	broken  int                        // sound requests that were on these
+
+	refusedCrashing int // tries of the crashing request that were refused
 }
 
 // scriptedEngine is one engine; each start has a new name.
@@ -177,12 +182,7 @@
 func (c *crashFleet) change(do func()) {
 	c.mu.Lock()
 	do()
-	var list []catalog.Endpoint
-	for _, e := range c.engines {
-		if e.listed {
-			list = append(list, e.Endpoint)
-		}
-	}
+	list := c.list()
 	gateways := slices.Clone(c.gateways)
 	c.mu.Unlock()
 	for _, g := range gateways {
@@ -200,8 +200,13 @@
 	retryAfter time.Duration
 }
 
-// try sends one request to a gateway.
-func (c *crashFleet) try(gateway int, path string, after int) (out got) {
+// try sends one request to one of the fleet's gateways.
+func (c *crashFleet) try(gateway int, path string, after int) got {
+	return c.tryAt(c.gateways[gateway], path, after)
+}
+
+// tryAt sends one request to a gateway.
+func (c *crashFleet) tryAt(g *Gateway, path string, after int) (out got) {
 	w := httptest.NewRecorder()
 	defer func() {
 		if p := recover(); p != nil && p != http.ErrAbortHandler {
@@ -218,10 +223,66 @@
 	if after > 0 {
 		r.Header.Set("After", strconv.Itoa(after))
 	}
-	c.gateways[gateway].ServeHTTP(w, r)
+	g.ServeHTTP(w, r)
+	if path == crashPath && w.Code == http.StatusServiceUnavailable {
+		c.mu.Lock()
+		c.refusedCrashing++
+		c.mu.Unlock()
+	}
 	return got{whole: true}
 }
 
+// fingerprint returns the identity of the requests that try sends to a path.
+func (c *crashFleet) fingerprint(path string) quarantine.Fingerprint {
+	r := quarantine.Request{Method: "POST", Host: "h", Target: path, Body: []byte("text of " + path)}
+	return r.Fingerprint()
+}
+
+// crashBusy ends that many engines on which requests are.
+func (c *crashFleet) crashBusy(most int) {
+	for _, e := range c.engines {
+		c.mu.Lock()
+		busy, id := false, e.ID
+		for _, sound := range e.conns {
+			busy = busy || sound
+		}
+		c.mu.Unlock()
+		if busy && most > 0 {
+			most--
+			c.crash(e, id)
+		}
+	}
+}
+
+// freshGateways returns as many gateways as there are, which know nothing of before and hear
+// nobody.
+func (c *crashFleet) freshGateways() []*Gateway {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*Gateway
+	for _, old := range c.gateways {
+		deps := old.deps
+		deps.Metrics = metrics.NewSet()
+		g := New(old.config, deps)
+		g.state.Take(c.table.Configuration)
+		g.state.Listed(c.list(), time.Now(), time.Time{})
+		c.t.Cleanup(g.Close)
+		out = append(out, g)
+	}
+	return out
+}
+
+// list returns the endpoints that have entries. The caller holds the lock.
+func (c *crashFleet) list() []catalog.Endpoint {
+	var out []catalog.Endpoint
+	for _, e := range c.engines {
+		if e.listed {
+			out = append(out, e.Endpoint)
+		}
+	}
+	return out
+}
+
 // call sends a request as a caller does, which tries once more at another gateway after a
 // failure. It reports whether the answer came whole, in one or two parts.
 func (c *crashFleet) call(gateway int, path string) bool {
@@ -272,6 +333,20 @@
 	return out
 }
 
+// sendCount returns how often the crashing request reached an engine, crashCount how many
+// engines ended.
+func (c *crashFleet) sendCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sends)
+}
+
+func (c *crashFleet) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes)
+}
+
 // contactTime is how long a gateway may be without word of the others until it counts as
 // out of touch.
 const contactTime = 3 * time.Second
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -28,6 +28,8 @@
 	notStarted  outcome = "not-started"  // 503: no configuration is known yet
 	stopping    outcome = "stopping"     // 503: the process is about to end
 	tooLarge    outcome = "body-too-large"
+	// quarantinedEnd is 503, or 502 where it was sent before: endpoints crash under it.
+	quarantinedEnd outcome = "quarantined"
 )
 
 const (
@@ -146,6 +148,9 @@
 		if ctx.Err() != nil {
 			return x.giveUp(outOfTime)
 		}
+		if o, ok := x.admissible(); !ok {
+			return o
+		}
 		if !x.mayRepeat() {
 			return x.giveUp(refusedFull)
 		}
@@ -160,11 +165,15 @@
 }
 
 // mayProceed looks again at everything that a wait or a freeze may have
-// changed, right before the request is sent.
+// changed, right before the request is sent. What others tell of crashes comes in while it
+// waits for an endpoint.
 func (x *exchange) mayProceed() (outcome, bool) {
 	if time.Until(x.deadline) < leastRemaining {
 		return x.giveUp(outOfTime), false
 	}
+	if o, ok := x.admissible(); !ok {
+		return o, false
+	}
 	return x.authorize()
 }
 
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -157,6 +157,8 @@
 			if beat++; beat%digestEvery == 0 {
 				why = dueDigests
 			}
+		case <-g.news:
+			why = proved
 		case <-g.picker.urgent:
 		}
 		now := time.Now()
@@ -191,6 +193,7 @@
 			now := time.Now()
 			g := f.gateways[n]
 			g.picker.peer(w, now)
+			g.heardCrashes(w)
 			g.sharing.mu.Lock()
 			g.sharing.heardStore(w, now)
 			g.sharing.mu.Unlock()
@@ -199,6 +202,13 @@
 	}
 }
 
+// setLose sets which words do not arrive from now on.
+func (f *testFleet) setLose(lose func(from, to int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose = lose
+}
+
 // loses reports whether a word does not arrive.
 func (f *testFleet) loses(from, to int) bool {
 	f.mu.Lock()
@@ -375,9 +385,7 @@
 				time.Sleep(3 * time.Second)
 				lose := c.lost(f)
 				asking := f.firstCell() // before others speak
-				f.mu.Lock()
-				f.lose = lose
-				f.mu.Unlock()
+				f.setLose(lose)
 				time.Sleep(2 * time.Second)
 				r := f.burst(t, 24, 190_000, func(n int) int { return asking[n%len(asking)] })
 				t.Logf("%+v, %d parts met another", r, f.met)
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -72,6 +72,7 @@
 	sharing     *sharing
 	faces       *faces
 	crashProbes *crashProbes
+	quarantined *quarantined
 	// configurationDocument and endpointsDocument are what peers ask for.
 	configurationDocument, endpointsDocument document
 	// news asks for a whole word to the peers soon.
@@ -89,14 +90,18 @@
 	g.sharing = newSharing()
 	g.faces = newFaces(g)
 	g.crashProbes = newCrashProbes()
+	g.quarantined = newQuarantined()
 	return g
 }
 
 // Start begins the background work.
 func (g *Gateway) Start() {
-	for _, task := range []func(){g.followGateways, g.tell, g.hear} {
+	for _, task := range []func(){g.followGateways, g.tell, g.hear, g.keepQuarantined} {
 		g.tasks.Go(task)
 	}
+	if !g.config.FirstStart {
+		g.tasks.Go(g.recallQuarantined)
+	}
 	g.tasks.Go(func() {
 		g.learn()
 		g.tasks.Go(g.followEndpoints)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -34,7 +34,7 @@
 	x.g.deps.Log.Request("Request ended.", "request", x.call.ID, "outcome", string(o), "route", route.Name, "version", x.g.state.Version(),
 		"tokens", x.call.Input, "deadline_ms", x.call.Deadline.Milliseconds(), "objective_ms", route.Objective.Milliseconds(), "pause_ms", route.GapObjective.Milliseconds(),
 		"proof_age_ms", age.Milliseconds(), "attempts", x.attempts, "unsent", x.unsent, "tried", x.tried,
-		"first_ms", x.firstMs(), "gap_ms", x.maxGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "err", x.lastError)
+		"first_ms", x.firstMs(), "gap_ms", x.maxGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "fingerprint", x.knownFingerprint(), "err", x.lastError)
 }
 
 // firstMs returns how long the first part of the answer took, -1 before it.
@@ -90,6 +90,9 @@
 	if x.service == nil {
 		return x.refuse(http.StatusServiceUnavailable, retryAfterFull, refusedFull)
 	}
+	if o, ok := x.admissible(); !ok {
+		return o
+	}
 	return x.run()
 }
 
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +24,7 @@
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -104,6 +107,7 @@
 	config    *catalog.Configuration
 	endpoints []catalog.Endpoint
 	err       error
+	kept      map[quarantine.Fingerprint]quarantine.Entry
 }
 
 func (s *testSource) set(c *catalog.Configuration, err error) {
@@ -124,6 +128,35 @@
 	return s.endpoints, s.err
 }
 
+func (s *testSource) Quarantined(context.Context) ([]quarantine.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.kept)), s.err
+}
+
+func (s *testSource) KeepQuarantined(_ context.Context, e quarantine.Entry, _ time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.kept == nil {
+		s.kept = make(map[quarantine.Fingerprint]quarantine.Entry)
+	}
+	s.kept[e.Fingerprint] = e
+	return s.err
+}
+
+func (s *testSource) keptCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.kept)
+}
+
+func (s *testSource) DropQuarantined(_ context.Context, f quarantine.Fingerprint) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.kept, f)
+	return s.err
+}
+
 func (s *testSource) Gateways(context.Context) ([]peers.Member, error) { return nil, nil }
 
 // bench is a gateway before scripted endpoints.
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -20,6 +20,7 @@
 	broken          *metrics.Counter
 	probes          *metrics.Counter
 	crashes         *metrics.Counter
+	quarantines     *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -38,6 +39,7 @@
 		broken:          set.NewCounter("relay_broken_exchanges_total"),
 		probes:          set.NewCounter("relay_crash_probes_total"),
 		crashes:         set.NewCounter("relay_endpoint_crashes_total"),
+		quarantines:     set.NewCounter("relay_quarantines_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -32,6 +32,13 @@
 	return newPicker("g", "dc", state, balance.Default(), limits.WindowConfig{}), s
 }
 
+// loadAt returns the load of an endpoint; timers take some off at any moment.
+func loadAt(p *picker, endpoint string) balance.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Load(endpoint, time.Now())
+}
+
 // allCold is for gateways without open connections.
 func allCold(string) bool { return false }
 
@@ -46,15 +53,15 @@
 		at, _, o := p.pick(s, work, allCold, time.Now())
 		is.Equal(o, picked)
 		is.True(len(at.loads) > 1)
-		is.True(p.book.Load(at.endpoint.ID, time.Now()).ReadMs > 0)
+		is.True(loadAt(p, at.endpoint.ID).ReadMs > 0)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
 		for _, l := range at.loads {
-			load := p.book.Load(l.endpoint, time.Now())
+			load := loadAt(p, l.endpoint)
 			is.Equal(load.ReadMs, 0.0)
 			is.Equal(load.Parts, 0)
 		}
-		is.Equal(p.book.Load(at.endpoint.ID, time.Now()).Long, 1)
+		is.Equal(loadAt(p, at.endpoint.ID).Long, 1)
 		at.read()
 		at.release()
 		is.Equal(len(p.book.Own()), 0)
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -94,7 +94,7 @@
 }
 
 // Source gives the gateway what the operators declared and which endpoints
-// exist. Its methods return when they have an answer or ctx ends.
+// exist, and keeps what gateways found out. Its methods return when they have an answer or ctx ends.
 type Source interface {
 	// Configuration returns the newest configuration, or nil when it is still
 	// the one of that version that was returned last.
@@ -103,4 +103,5 @@
 	Endpoints(ctx context.Context) ([]catalog.Endpoint, error)
 	// Gateways announces this gateway and returns the peer addresses of all.
 	Gateways(ctx context.Context) ([]peers.Member, error)
+	QuarantineStore
 }
--- /dev/null
+++ b/relay/quarantine_test.go
@@ -0,0 +1,234 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/quarantine"
+)
+
+// usualLoad is what the fleet's callers ask for while one request crashes engines.
+var usualLoad = load{length: 15 * time.Second, soundEvery: 25 * time.Millisecond, crashEvery: 400 * time.Millisecond}
+
+// TestCrashingRequestEverywhere: gateways of all cells hear in time of a request that crashes
+// engines, also where words get lost, and it ends few engines.
+func TestCrashingRequestEverywhere(t *testing.T) {
+	cases := []struct {
+		name                           string
+		dataCentres, gateways, engines int
+		lose                           func(from, to int) bool
+		most                           int // engines that may end
+	}{
+		{"one cell", 1, 5, 18, nil, 6},
+		{"three cells", 3, 12, 90, nil, 6},
+		{"a third of all words lost", 3, 12, 90, everyThird(), 8},
+		{"one gateway", 1, 1, 6, nil, 5},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCrashFleet(t, tc.dataCentres, tc.gateways, tc.engines)
+				c.setLose(tc.lose)
+				time.Sleep(3 * time.Second)
+				r := c.play(usualLoad)
+				t.Logf("%+v; %d sends of the crashing request, %d engines ended, %d sound streams on them", r, c.sendCount(), c.crashCount(), c.broken)
+				is.True(c.sentAfterThird() <= mostAfterThird)
+				is.True(c.crashCount() <= tc.most)
+				is.True(r.served >= r.asked*97/100)
+				is.Equal(c.refusedSound(), 0)
+			})
+		})
+	}
+}
+
+func everyThird() func(from, to int) bool {
+	n := 0
+	return func(_, _ int) bool {
+		n++
+		return n%3 == 0
+	}
+}
+
+// refusedSound returns how many sound requests were refused as crashing ones.
+func (c *crashFleet) refusedSound() int {
+	n := 0
+	for _, g := range c.gateways {
+		n += int(g.meter.set.GetOrCreateCounter(`relay_requests_total{outcome="` + string(quarantinedEnd) + `"}`).Get())
+	}
+	return n - c.refusedCrashing
+}
+
+// TestGatewayOutOfTouch: a gateway that hears nobody while the others find a request out
+// goes by what it sees itself, and by what the others know as soon as it hears them again.
+func TestGatewayOutOfTouch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCrashFleet(t, 1, 4, 18)
+		c.setLose(func(from, to int) bool { return from == 0 || to == 0 })
+		time.Sleep(time.Second)
+		for range 4 { // the others find it out
+			c.call(1, crashPath)
+		}
+		found := c.sendCount()
+		is.True(found >= 3)
+		c.call(0, crashPath) // it knows nothing
+		is.True(c.sendCount() > found)
+		c.setLose(nil)
+		time.Sleep(time.Second)
+		known := c.sendCount()
+		for range 4 {
+			c.try(0, crashPath, 0)
+		}
+		is.Equal(c.sendCount(), known)
+	})
+}
+
+// TestAllGatewaysStartAgain: what gateways found out of a request is kept in the store, and
+// processes that start know it, if need be as soon as the store is back.
+func TestAllGatewaysStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &testSource{}
+		c := newCrashFleet(t, 1, 3, 18)
+		for _, g := range c.gateways {
+			g.deps.Source = source
+			g.tasks.Go(g.keepQuarantined)
+		}
+		time.Sleep(time.Second)
+		for range 3 {
+			c.call(0, crashPath)
+		}
+		time.Sleep(time.Second)
+		is.Equal(source.keptCount(), 1)
+		known := c.sendCount()
+
+		source.set(nil, errors.New("the store is away"))
+		fresh := c.freshGateways()
+		for _, g := range fresh {
+			g.tasks.Go(g.recallQuarantined)
+		}
+		time.Sleep(time.Second)
+		source.set(nil, nil)
+		for _, g := range fresh {
+			g.state.Prove(1, time.Now()) // somebody reads the store again
+		}
+		time.Sleep(2 * time.Second)
+		for _, g := range fresh {
+			is.Equal(c.tryAt(g, crashPath, 0).status, 503)
+		}
+		is.Equal(c.sendCount(), known)
+	})
+}
+
+// TestSoundRequestOfManyCallers: the same work, asked for many times at once, is on each of
+// three engines that end together, as a request would that crashes them. A copy that ends well
+// elsewhere clears it, everywhere.
+func TestSoundRequestOfManyCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		source := &testSource{}
+		c := newCrashFleet(t, 1, 3, 18)
+		for _, g := range c.gateways {
+			g.deps.Source = source
+			g.tasks.Go(g.keepQuarantined)
+		}
+		time.Sleep(time.Second)
+		const path = "/sound/popular"
+		var all sync.WaitGroup
+		for n := range 60 {
+			all.Go(func() { c.call(n%3, path) })
+		}
+		time.Sleep(beginTime / 2)
+		c.crashBusy(4)
+		time.Sleep(50 * time.Millisecond)
+		v := c.gateways[0].quarantined.verdict(c.fingerprint(path), time.Now())
+		is.True(v.Quarantined()) // nothing tells it from a crashing one yet
+		all.Wait()
+		time.Sleep(time.Second)
+		for i, g := range c.gateways {
+			is.True(!g.quarantined.verdict(c.fingerprint(path), time.Now()).Quarantined())
+			is.True(c.call(i, path))
+		}
+		is.Equal(source.keptCount(), 0)
+	})
+}
+
+// TestPlannedEnds: endpoints that end after they said that they leave, with long streams still
+// on them, say nothing against these.
+func TestPlannedEnds(t *testing.T) {
+	is := is.New(t)
+	var b *bench
+	b = newBench(t, func(_ int, _ *bufio.Writer, c *net.TCPConn, _ *http.Request) {
+		list, _ := b.source.Endpoints(t.Context())
+		for i := range list {
+			list[i].Draining = true
+		}
+		b.gateway.state.Listed(list, time.Now(), time.Time{})
+		b.crash(c)
+	})
+	b.know()
+	is.Equal(b.ask(t.Context(), "POST", "/once/", "text", nil).status, 502)
+	is.Equal(b.gateway.meter.crashes.Get(), uint64(1))
+	is.Equal(b.gateway.quarantined.known.Load(), int64(0))
+}
+
+// TestWhatTheCallerHears: a caller whose request crashed endpoints hears that it may have run
+// as long as it was sent, and once it is quarantined, at once, that it was not, and when to come
+// back.
+func TestWhatTheCallerHears(t *testing.T) {
+	for _, path := range []string{"/safe/", "/once/", "/stream/", "/story/"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			var b *bench
+			b = newBench(t, func(_ int, _ *bufio.Writer, c *net.TCPConn, _ *http.Request) { b.crash(c) })
+			b.know()
+			for id := range 4 {
+				b.source.endpoints = append(b.source.endpoints, catalog.Endpoint{ID: strconv.Itoa(id), Service: "s", Address: b.endpoint(b.play), Slots: 4})
+			}
+			b.know()
+			for b.arrivals() < 3 {
+				is.Equal(b.ask(t.Context(), "POST", path, "text", nil).status, 502)
+			}
+			sent := b.arrivals()
+			got := b.ask(t.Context(), "POST", path, "text", nil)
+			is.Equal(got.status, 503)
+			seconds, err := strconv.Atoi(got.header.Get("Retry-After"))
+			is.NoErr(err)
+			is.True(seconds > 0 && seconds <= 1200)
+			is.Equal(b.arrivals(), sent)
+			// Another request of the same caller is none of that.
+			is.Equal(b.ask(t.Context(), "POST", path, "another text", nil).status, 502)
+			is.Equal(b.arrivals() > sent, true)
+		})
+	}
+}
+
+// TestRequestsCostNothingWhileNoneIsKnown: the body of a request is not read for a
+// fingerprint unless one with the same head crashed an endpoint.
+func TestRequestsCostNothingWhileNoneIsKnown(t *testing.T) {
+	is := is.New(t)
+	x := &exchange{g: &Gateway{quarantined: newQuarantined()}, r: &http.Request{Method: "POST", Host: "h", RequestURI: "/a"}, body: []byte("text")}
+	x.admissible()
+	is.True(x.fingerprint == nil)
+	x.g.quarantined.change(func(t *quarantine.Table) {
+		t.Crashed(quarantine.Fingerprint{Head: 1, Body: 1}, quarantine.Crash{At: time.Now()}, time.Now())
+	})
+	x.admissible()
+	is.True(x.fingerprint == nil)
+	x.g.quarantined.change(func(t *quarantine.Table) {
+		t.Crashed(x.work().Fingerprint(), quarantine.Crash{At: time.Now()}, time.Now())
+	})
+	x.admissible()
+	is.True(x.fingerprint != nil)
+}
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -6,6 +6,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/quarantine"
 )
 
 const (
@@ -85,6 +86,7 @@
 
 // outgoing returns what is to be told to the audience on an occasion.
 func (g *Gateway) outgoing(a audience, why occasion, now time.Time) []message {
+	g.quarantined.speaks.Store(a.speaks)
 	g.picker.setFleet(a.gateways, int(g.listedGateways.Load()))
 	told := g.picker.ownLoad(why != changed, now)
 	base := peers.Word{
@@ -110,6 +112,7 @@
 	if a.speaks && why == dueDigests {
 		w.Digests = g.picker.passOn(now)
 	}
+	w.Crashes = g.crashReports(quarantine.OwnCell, a.speaks, why, now)
 	return message{w, a.near}
 }
 
@@ -121,6 +124,9 @@
 	if speaks && why == dueDigests {
 		w.Digests = []peers.Digest{g.picker.offer(c, g.config.DataCentre, a.gateways, now)}
 	}
+	if speaks {
+		w.Crashes = g.crashReports(quarantine.OtherCells, true, why, now)
+	}
 	switch {
 	case len(loads) > 0:
 		return message{w, a.far[c]}, true
@@ -131,6 +137,22 @@
 	}
 }
 
+// crashReports returns what is to be told of requests that were on endpoints that crashed.
+// Those who speak repeat now and then what stands against the quarantined ones.
+func (g *Gateway) crashReports(to quarantine.Audience, speaks bool, why occasion, now time.Time) []quarantine.Report {
+	if g.quarantined.known.Load() == 0 {
+		return nil
+	}
+	var out []quarantine.Report
+	g.quarantined.change(func(t *quarantine.Table) {
+		out = t.Tell(to, speaks, why == changed, now)
+		if speaks && why == dueDigests {
+			out = append(out, t.Repeat(now)...)
+		}
+	})
+	return out
+}
+
 // hear takes in what peers say.
 func (g *Gateway) hear() {
 	if g.deps.Mesh == nil {
@@ -138,6 +160,7 @@
 	}
 	g.deps.Mesh.Receive(func(w peers.Word, from netip.AddrPort) {
 		g.picker.peer(w, time.Now())
+		g.heardCrashes(w)
 		g.heardWord(w, from)
 	})
 }
