A host that was suspended trusts nothing of before

Cause: ages, deadlines and idle times are differences of monotonic times, which stand still while a host is suspended. A gateway that wakes would run requests for keys withdrawn meanwhile. Ruled out: the time of day as the second clock (it may be set back); another type for each age (docs/design/suspensions.md). Change: hostclock compares the boot-time clock with the monotonic one; at a new suspension proofs, the list's age, words from before and idle connections are dropped, deadlines and stops come sooner, and what is needed is read at once. The leases of the store's client take the shorter of two clocks already; the agents' were read and left.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -89,6 +89,7 @@
 	maxGap         time.Duration // longest pause between two parts
 	lastError      error
 	begun          bool                    // whether the newest send brought a part of the answer
+	suspended      time.Duration           // how long the host was suspended until then, as far as started and deadline count it
 	fingerprint    *quarantine.Fingerprint // see identity; nil: not worked out yet
 }
 
@@ -168,6 +169,7 @@
 // changed, right before the request is sent. What others tell of crashes comes in while it
 // waits for an endpoint.
 func (x *exchange) mayProceed() (outcome, bool) {
+	x.countSuspension()
 	if time.Until(x.deadline) < leastRemaining {
 		return x.giveUp(outOfTime), false
 	}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -59,7 +59,7 @@
 		} else {
 			wait = readAgain
 		}
-		if !g.pause(wait) {
+		if !g.pauseAwake(wait) {
 			return
 		}
 	}
@@ -79,6 +79,10 @@
 func (g *Gateway) readConfiguration(sent time.Time) error {
 	ctx, cancel := context.WithTimeout(g.ctx, readTime)
 	defer cancel()
+	g.suspendedTime()
+	if !g.suspension.after(sent) {
+		sent = time.Now() // the host was suspended just before
+	}
 	g.sharing.asks(sent)
 	silent := time.AfterFunc(silentAfter, func() {
 		g.sharing.note(errSilent, time.Now())
@@ -120,7 +124,7 @@
 				wait = readEvery
 			}
 		}
-		if !g.pause(wait) {
+		if !g.pauseAwake(wait) {
 			return
 		}
 	}
@@ -133,6 +137,7 @@
 func (g *Gateway) readEndpoints() bool {
 	ctx, cancel := context.WithTimeout(g.ctx, listTime)
 	defer cancel()
+	g.suspendedTime()
 	sent := time.Now()
 	g.sharing.asks(sent)
 	g.sharing.stopAtList(cancel) // a peer may have it sooner
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -73,6 +73,7 @@
 	faces       *faces
 	crashProbes *crashProbes
 	quarantined *quarantined
+	suspension  *suspension
 	// configurationDocument and endpointsDocument are what peers ask for.
 	configurationDocument, endpointsDocument document
 	// news asks for a whole word to the peers soon.
@@ -91,12 +92,13 @@
 	g.faces = newFaces(g)
 	g.crashProbes = newCrashProbes()
 	g.quarantined = newQuarantined()
+	g.suspension = newSuspension(d.Suspended)
 	return g
 }
 
 // Start begins the background work.
 func (g *Gateway) Start() {
-	for _, task := range []func(){g.followGateways, g.tell, g.hear, g.keepQuarantined} {
+	for _, task := range []func(){g.followGateways, g.tell, g.hear, g.keepQuarantined, g.noticeSuspensions} {
 		g.tasks.Go(task)
 	}
 	if !g.config.FirstStart {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -14,7 +14,7 @@
 
 // ServeHTTP relays one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{g: g, w: w, r: r, started: time.Now()}
+	x := &exchange{g: g, w: w, r: r, started: time.Now(), suspended: g.suspendedTime()}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer x.releaseBody()
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -21,6 +21,7 @@
 	probes          *metrics.Counter
 	crashes         *metrics.Counter
 	quarantines     *metrics.Counter
+	suspensions     *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -40,6 +41,7 @@
 		probes:          set.NewCounter("relay_crash_probes_total"),
 		crashes:         set.NewCounter("relay_endpoint_crashes_total"),
 		quarantines:     set.NewCounter("relay_quarantines_total"),
+		suspensions:     set.NewCounter("relay_suspensions_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/place.go
+++ b/relay/place.go
@@ -51,6 +51,7 @@
 	}
 	var expected balance.Expected // at the newest look at the load
 	for {
+		x.countSuspension()
 		now := time.Now()
 		x.patience().tell(&work, x.g.ending(), now)
 		if oversize {
--- a/relay/process.go
+++ b/relay/process.go
@@ -14,6 +14,7 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/daemon"
 	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/hostclock"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/upstream"
 )
@@ -49,8 +50,15 @@
 	c.Seeds = seeds(s, peerAddress)
 	mesh.SetMembers(unnamed(c.Seeds))
 	c.Policy = balance.Default()
+	var suspended func() time.Duration
+	if clock, err := hostclock.New(); err == nil {
+		suspended = clock.Suspended
+	} else {
+		events.Logger().Warn("Suspensions of this host will not be noticed.", "err", err)
+	}
 	g := New(c, Deps{
-		Protocol: protocol, Source: source, Mesh: mesh, PeerPort: int(peerAddress.Port()), Log: events, Metrics: env.Metrics,
+		Suspended: suspended,
+		Protocol:  protocol, Source: source, Mesh: mesh, PeerPort: int(peerAddress.Port()), Log: events, Metrics: env.Metrics,
 		Endpoints: upstream.New(upstream.Options{
 			DialTimeout: s.Endpoints.DialTimeout, MaxIdle: s.Endpoints.MaxIdle, IdlePerHost: s.Endpoints.IdlePerHost,
 		}),
--- a/relay/share.go
+++ b/relay/share.go
@@ -54,7 +54,8 @@
 	across  map[string]time.Time // peers of other cells that tell digests
 	list    endpointList
 	hash    uint64    // of list; 0: none
-	listed  time.Time // when the read of list was sent, or proved still right
+	listed  time.Time // when the read of list was sent, or proved still right; zero: long ago
+	since   time.Time // when the host's newest suspension was noticed
 	reading []func()  // end own reads of the list that are under way
 	failed  time.Time // when an own read failed last
 	asked   time.Time // when this gateway asked the store last
@@ -171,7 +172,8 @@
 func (s *sharing) read(list []catalog.Endpoint, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list.Endpoints, s.hash, s.listed = list, hashEndpoints(list), sent
+	s.list.Endpoints, s.hash = list, hashEndpoints(list)
+	s.date(sent)
 	for _, stop := range s.reading {
 		stop()
 	}
@@ -211,7 +213,7 @@
 	s := g.sharing
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.hash != 0 {
+	if s.hash != 0 && !s.listed.IsZero() {
 		w.Endpoints, w.EndpointsAgeMs = s.hash, now.Sub(s.listed).Milliseconds()
 	}
 }
@@ -277,6 +279,9 @@
 	if !ok {
 		return
 	}
+	if !g.suspension.after(said) {
+		return // it answers what was said before the host was suspended
+	}
 	g.picker.digests(w, said)
 	g.heardProof(w, said, from)
 	g.heardEndpoints(w, said, from)
@@ -318,7 +323,7 @@
 	newer := sent.After(s.listed)
 	same := s.hash == w.Endpoints
 	if newer && same {
-		s.listed = sent
+		s.date(sent)
 	}
 	s.mu.Unlock()
 	if !newer {
@@ -381,11 +386,27 @@
 	}
 }
 
+// outdate makes the newest list count as very old, since the host was suspended.
+func (s *sharing) outdate(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed, s.since = time.Time{}, now
+}
+
+// date notes when the read of the newest list was sent. One from before the host's newest
+// suspension is as old as that, which this clock does not tell. The caller holds the lock.
+func (s *sharing) date(sent time.Time) {
+	s.listed = sent
+	if sent.Before(s.since) {
+		s.listed = time.Time{}
+	}
+}
+
 // endpointsAge returns how old the newest list is.
 func (s *sharing) endpointsAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.hash == 0 {
+	if s.hash == 0 || s.listed.IsZero() {
 		return 1<<63 - 1
 	}
 	return now.Sub(s.listed)
--- a/relay/state.go
+++ b/relay/state.go
@@ -19,6 +19,9 @@
 	mu      sync.Mutex
 	proof   time.Time     // when the last read was sent that proved the configuration
 	changed chan struct{} // closed at the next proof
+	// since is when the host's newest suspension was noticed: a read that was sent before
+	// proves nothing, however short the time that the clock counts since.
+	since   time.Time
 	members *members
 }
 
@@ -55,7 +58,7 @@
 func (s *State) Prove(version uint64, sent time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.table.Load(); t == nil || t.Version != version || !sent.After(s.proof) {
+	if t := s.table.Load(); t == nil || t.Version != version || !sent.After(s.proof) || sent.Before(s.since) {
 		return false
 	}
 	s.proof = sent
@@ -64,6 +67,13 @@
 	return true
 }
 
+// Outdate drops the proof: the host was suspended, which was noticed now.
+func (s *State) Outdate(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proof, s.since = time.Time{}, now
+}
+
 // ProofAge returns how old the newest proof is, and a channel that is closed at
 // the next one. Before the first proof the age is the largest there is.
 func (s *State) ProofAge(now time.Time) (time.Duration, <-chan struct{}) {
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -26,21 +26,23 @@
 	g.leaving.Store(true)
 	g.deps.Log.Logger().Info("Stop begun.", "in_flight", g.inFlight.Load(), "drain_ms", g.config.DrainTime.Milliseconds())
 	g.faces.closeIdle()
-	end := time.After(g.config.DrainTime - endMargin)
+	slept := g.suspendedTime()
 	tick := time.NewTicker(drainStep)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-end:
-			g.deps.Log.Logger().Warn("Stop ends with requests in flight.", "in_flight", g.inFlight.Load())
-			return nil
 		case <-tick.C:
 			if g.ending() && g.inFlight.Load() == 0 {
 				g.deps.Log.Logger().Info("Nothing is in flight any more.")
 				return nil
 			}
+			// The platform counts the time for which the host was suspended.
+			if time.Since(now)+g.suspendedTime()-slept > g.config.DrainTime-endMargin {
+				g.deps.Log.Logger().Warn("Stop ends with requests in flight.", "in_flight", g.inFlight.Load())
+				return nil
+			}
 		}
 	}
 }
--- a/relay/suspend_test.go
+++ b/relay/suspend_test.go
@@ -3,15 +3,23 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/upstream"
 )
 
 func answerOK(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "") }
@@ -79,6 +87,83 @@
 		is.Equal(b.arrivals(), 0)
 	})
 
+	t.Run("only what is left of its time is told", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, answerOK)
+		is.NoErr(b.gateway.readConfiguration(time.Now())) // no endpoint is known yet
+		answers := make(chan reply, 1)
+		go func() { answers <- b.ask(t.Context(), "POST", "/safe/", "", http.Header{"Wait-Ms": {"10000"}}) }()
+		for b.gateway.inFlight.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(2 * queueStep) // it has looked for an endpoint
+		b.suspend(2 * time.Second)
+		b.know()
+		is.Equal((<-answers).status, 200)
+		left, err := strconv.Atoi(b.request(0).Header.Get("Left-Ms"))
+		is.NoErr(err)
+		is.True(left <= 8000)
+	})
+
+	t.Run("no list that was read before", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, answerOK)
+		b.know()
+		is.True(b.gateway.readEndpoints())
+		is.True(b.gateway.sharing.endpointsAge(time.Now()) < time.Minute)
+		sent := time.Now()
+		b.suspend(long)
+		b.gateway.suspendedTime()
+		is.True(b.gateway.sharing.endpointsAge(time.Now()) > time.Hour)
+		b.gateway.sharing.read(b.source.endpoints, sent) // its answer was in the socket all the while
+		is.True(b.gateway.sharing.endpointsAge(time.Now()) > time.Hour)
+		is.True(b.gateway.readEndpoints())
+		is.True(b.gateway.sharing.endpointsAge(time.Now()) < time.Minute)
+	})
+
+	t.Run("what is needed is read at once", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var suspended atomic.Int64
+			g := New(Config{Name: "g", DrainTime: time.Minute}, Deps{
+				Protocol: testProtocol{}, Source: &testSource{config: testConfig(1)}, Metrics: metrics.NewSet(),
+				Log:       eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel}),
+				Endpoints: upstream.New(upstream.Options{}),
+				Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+			})
+			defer g.deps.Log.Close(time.Second)
+			defer g.Close()
+			g.Start()
+			time.Sleep(readEvery / 2)
+			is.True(g.proofAge() <= readEvery/2)
+			suspended.Add(int64(long))
+			time.Sleep(wakeTick + time.Millisecond)
+			// Without it the newest read is older than half of readEvery.
+			is.True(g.proofAge() <= wakeTick+time.Millisecond)
+			is.True(g.sharing.endpointsAge(time.Now()) <= wakeTick+time.Millisecond)
+			is.Equal(g.meter.suspensions.Get(), uint64(1))
+		})
+	})
+
+	t.Run("a stop keeps to its time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var suspended atomic.Int64
+			g := New(Config{Name: "g", DrainTime: 8 * time.Second}, Deps{
+				Protocol: testProtocol{}, Metrics: metrics.NewSet(), Log: eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel}),
+				Endpoints: upstream.New(upstream.Options{}),
+				Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+			})
+			defer g.deps.Log.Close(time.Second)
+			defer g.Close()
+			g.inFlight.Add(1)
+			time.AfterFunc(time.Second, func() { suspended.Add(int64(4 * time.Second)) })
+			began := time.Now()
+			is.NoErr(g.Shutdown(t.Context()))
+			is.True(time.Since(began) <= 3*time.Second+2*drainStep)
+		})
+	})
+
 	t.Run("no old connection", func(t *testing.T) {
 		is := is.New(t)
 		b := newBench(t, answerOK)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -87,14 +87,20 @@
 	delete(p.conns, key)
 }
 
-func (p *pool) closeAll() {
+func (p *pool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = true
 	for _, list := range p.conns {
 		for _, c := range list {
 			_ = c.Conn.Close()
 		}
 	}
-	p.conns = nil
+	clear(p.conns)
+}
+
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.closeIdle()
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -106,6 +106,9 @@
 // Close closes every idle connection.
 func (c *Client) Close() { c.idle.closeAll() }
 
+// CloseIdle closes all idle connections; the client goes on.
+func (c *Client) CloseIdle() { c.idle.closeIdle() }
+
 // Forget closes the idle connections to an endpoint that is gone.
 func (c *Client) Forget(key string) { c.idle.closeKey(key) }
 
