The same cause elsewhere: endpoints ended together, operators, the story of copies

Cause: read again for what else lets a request end endpoints unseen, or takes a sound one for it. (1) Work that many callers ask for is on all endpoints that somebody stops together: three signs at one moment that are one event. (2) A wrong quarantine could be ended only by removing a key and restarting. (3) explain showed one request, while what decides about it are the other copies. Cancelling copies under way when a request is quarantined: it would cut the copies that clear a sound one. Figures: endpoints ended one after the other by the recorded request 80 ms and more apart.

--- a/ctl/explainlog.go
+++ b/ctl/explainlog.go
@@ -23,8 +23,13 @@
 var beliefs = map[string]bool{
 	"Configuration in force.": true, "Dependency lost.": true, "Dependency regained.": true, "Endpoint changed.": true, "Endpoint suspect.": true,
 	"Started.": true, "Stop begun.": true, "Stopped.": true, "Settings read again.": true, "Lines were left out of this log.": true,
+	"Endpoint crashed.": true, "Host was suspended.": true,
 }
 
+// copies are the messages about other copies of the same work that are shown too: whether
+// it is sent depends on them.
+var copies = map[string]bool{"Exchange broke.": true, "Request quarantined.": true, "Request cleared.": true}
+
 // explainLogs shows what the logs say of a request.
 func (c *explainCommand) explainLogs() error {
 	var lines []eventlog.Line
@@ -67,6 +72,7 @@
 	type stretch struct{ from, to time.Time }
 	had := make(map[string]stretch) // by log
 	endpoints := make(map[string]bool)
+	fingerprints := make(map[string]bool)
 	for _, l := range lines {
 		if l.Fields["request"] != request {
 			continue
@@ -82,16 +88,19 @@
 			s.to = l.At
 		}
 		had[l.Source] = s
+		fingerprints[l.Fields["fingerprint"]] = true
 		for _, id := range strings.Fields(strings.Trim(l.Fields["tried"], "[]") + " " + l.Fields["endpoint"]) {
 			endpoints[id] = true
 		}
 	}
+	delete(fingerprints, "") // most requests need none
 	var out []eventlog.Line
 	for _, l := range lines {
 		s, ok := had[l.Source]
 		near := ok && !l.At.Before(s.from.Add(-beliefTime)) && !l.At.After(s.to)
 		about := l.Fields["endpoint"]
-		if l.Fields["request"] == request || near && beliefs[l.Fields["msg"]] && (about == "" || endpoints[about]) {
+		if l.Fields["request"] == request || near && beliefs[l.Fields["msg"]] && (about == "" || endpoints[about]) ||
+			copies[l.Fields["msg"]] && fingerprints[l.Fields["fingerprint"]] {
 			out = append(out, l)
 		}
 	}
--- a/ctl/explainlog_test.go
+++ b/ctl/explainlog_test.go
@@ -41,6 +41,27 @@
 	is.Equal(len(tellRequest(a, "unknown")), 0)
 }
 
+// TestTellCopies: of a request under which an endpoint crashed, the other copies of the same
+// work are shown too, wherever they came.
+func TestTellCopies(t *testing.T) {
+	is := is.New(t)
+	a, err := eventlog.Read("a", strings.NewReader(`time=2026-12-02T10:00:05Z level=info msg="Not sent: quarantined." request=r1 fingerprint=f1
+time=2026-12-02T10:00:01Z level=info msg="Exchange broke." request=r3 fingerprint=f2 endpoint=i-9
+`))
+	is.NoErr(err)
+	b, err := eventlog.Read("b", strings.NewReader(`time=2026-12-02T09:00:01Z level=info msg="Exchange broke." request=r2 fingerprint=f1 endpoint=i-1
+time=2026-12-02T09:00:02Z level=warn msg="Request quarantined." request=r2 fingerprint=f1
+time=2026-12-02T09:00:03Z level=info msg="Not sent: quarantined." request=r4 fingerprint=f1
+time=2026-12-02T09:00:04Z level=info msg="Request ended." request=r5 fingerprint=""
+`))
+	is.NoErr(err)
+	var got []string
+	for _, l := range tellRequest(append(a, b...), "r1") {
+		got = append(got, l.Fields["msg"]+l.Fields["request"])
+	}
+	is.Equal(got, []string{"Exchange broke.r2", "Request quarantined.r2", "Not sent: quarantined.r1"})
+}
+
 func FuzzParseLog(f *testing.F) {
 	f.Add(logA)
 	f.Fuzz(func(t *testing.T, text string) {
--- /dev/null
+++ b/ctl/quarantine.go
@@ -0,0 +1,97 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/micarudder/micarudder/quarantine"
+	"github.com/micarudder/micarudder/relay"
+	"github.com/micarudder/micarudder/result"
+)
+
+// quarantineCommand lists what relaying gateways hold against requests, or clears one.
+type quarantineCommand struct {
+	app   *app
+	Relay []string `long:"relay" value-name:"IP:PORT" description:"peer address of a relaying gateway; may be repeated, and the first one that answers is asked"`
+	Clear string   `long:"clear" value-name:"FINGERPRINT" description:"let this request be sent again, at all gateways"`
+}
+
+// Execute implements flags.Commander.
+func (c *quarantineCommand) Execute([]string) error {
+	if len(c.Relay) == 0 {
+		return usage("--relay is needed")
+	}
+	if c.Clear != "" {
+		if _, err := quarantine.ParseFingerprint(c.Clear); err != nil {
+			return usage(err.Error())
+		}
+		_, err := c.ask(http.MethodDelete, relay.PathQuarantine+"/"+c.Clear)
+		return err
+	}
+	body, err := c.ask(http.MethodGet, relay.PathQuarantine)
+	if err != nil {
+		return err
+	}
+	var list []quarantine.Listing
+	if err := json.Unmarshal(body, &list); err != nil {
+		return trace.Wrap(err)
+	}
+	if c.app.JSON {
+		return c.app.writeJSON(list)
+	}
+	for _, l := range list {
+		state := "is sent"
+		if l.ForMs > 0 {
+			state = "not sent for " + (time.Duration(l.ForMs) * time.Millisecond).Round(time.Second).String()
+		}
+		c.app.printf("%s  crashed before answering %d, while answering %d  %s\n", l.Fingerprint, l.CrashedBefore, l.CrashedWithin, state)
+	}
+	return nil
+}
+
+// ask asks the gateways in turn until one answers.
+func (c *quarantineCommand) ask(method, path string) ([]byte, error) {
+	var last error
+	for _, address := range c.Relay {
+		body, status, err := c.call(method, "http://"+address+path)
+		switch {
+		case err != nil:
+			last = err
+		case status == http.StatusNotFound:
+			return nil, result.New(result.UnknownRun, "nothing stands against the request")
+		case status != http.StatusOK:
+			last = fmt.Errorf("%s answered %d", address, status)
+		default:
+			return body, nil
+		}
+	}
+	return nil, result.New(result.PlatformAway, "no relaying gateway answered: "+last.Error())
+}
+
+// relayTime bounds the question to one gateway, so that the next one can be asked.
+const relayTime = 2 * time.Second
+
+// mostListed bounds the answer of a gateway: 4,096 requests, some 120 bytes each.
+const mostListed = 1 << 20
+
+func (c *quarantineCommand) call(method, url string) (body []byte, status int, err error) {
+	ctx, cancel := context.WithTimeout(c.app.ctx, relayTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return nil, 0, trace.Wrap(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, 0, trace.Wrap(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err = io.ReadAll(io.LimitReader(res.Body, mostListed))
+	return body, res.StatusCode, trace.Wrap(err)
+}
--- a/ctl/registry.go
+++ b/ctl/registry.go
@@ -20,6 +20,7 @@
 		{"restore", "Repair the platform", "Writes the gateways' highest configuration back into a platform that fell behind.", &restoreCommand{app: a}},
 		{"load", "Generate load", "Sends a load mix to the gateways and judges every answer.", &loadCommand{app: a}},
 		{"burn", "Report service-level burn", "Samples the gateways' metrics and reports how fast error budgets burn.", &burnCommand{app: a}},
+		{"quarantine", "Requests under which endpoints crash", "Lists what relaying gateways hold against requests, or clears one.", &quarantineCommand{app: a}},
 		{"completion", "Write shell completion", "Writes the completion script for bash.", &completionCommand{app: a}},
 	}
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -15,6 +15,11 @@
 	// two happen to requests that are sent again together. After three the users allow
 	// three sends more, for those that are on their way.
 	crashesBefore = 3
+	// sameMoment is how soon after one crash another counts as the same event: whoever ends
+	// many endpoints at once ends them within milliseconds, and work that many callers ask
+	// for is on all of them. Endpoints that crashed under one request that came again and
+	// again ended 80 ms to some seconds apart.
+	sameMoment = 50 * time.Millisecond
 	// crashesInAll is the same where it had begun to answer: most that crash an endpoint do
 	// so at their beginning, and streams under way are those that share it.
 	crashesInAll = 5
@@ -61,8 +66,8 @@
 
 // Verdict is what is believed of a request.
 type Verdict struct {
-	// Before and Within are how many endpoints crashed before and after it had begun to
-	// answer there.
+	// Before and Within are how many times endpoints crashed before and after it had begun
+	// to answer there.
 	Before, Within int
 	// Until is when it may be sent again; zero: it is not quarantined.
 	Until time.Time
@@ -224,31 +229,34 @@
 
 func (r *record) verdict(now time.Time) Verdict {
 	var v Verdict
-	for _, c := range r.crashes {
-		if c.Begun {
-			v.Within++
-		} else {
-			v.Before++
-		}
-	}
-	if !r.condemned() {
-		return v
-	}
-	if until := r.newest().Add(r.rest()); until.After(now) {
-		v.Until = until
+	v.Before, v.Within = r.count()
+	if rest := r.rest(); rest > 0 && r.newest().Add(rest).After(now) {
+		v.Until = r.newest().Add(rest)
 	}
 	return v
 }
 
-// condemned reports whether as many endpoints crashed as a quarantine takes.
-func (r *record) condemned() bool {
-	before := 0
-	for _, c := range r.crashes {
-		if !c.Begun {
+// count returns how many times endpoints crashed before and after the request had begun to
+// answer there; several at the same moment count once, as the worse of them.
+func (r *record) count() (before, within int) {
+	for i := 0; i < len(r.crashes); {
+		first, begun := r.crashes[i], true
+		for ; i < len(r.crashes) && r.crashes[i].At.Sub(first.At) < sameMoment; i++ {
+			begun = begun && r.crashes[i].Begun
+		}
+		if begun {
+			within++
+		} else {
 			before++
 		}
 	}
-	return before >= crashesBefore || len(r.crashes) >= crashesInAll
+	return before, within
+}
+
+// condemned reports whether endpoints crashed as often as a quarantine takes.
+func (r *record) condemned() bool {
+	before, within := r.count()
+	return before >= crashesBefore || before+within >= crashesInAll
 }
 
 // rest returns how long after its newest crash the request may not be sent; zero: it may.
@@ -256,8 +264,9 @@
 	if !r.condemned() {
 		return 0
 	}
+	before, within := r.count()
 	rest := firstRest
-	for range len(r.crashes) - crashesBefore {
+	for range before + within - crashesBefore {
 		rest = min(longestRest, 2*rest)
 	}
 	return rest
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -177,3 +177,32 @@
 		r.news = nil
 	}
 }
+
+// Listing is a request against which something stands, as operators are shown it.
+type Listing struct {
+	Fingerprint   string `json:"fingerprint"`
+	CrashedBefore int    `json:"crashed_before"` // see Verdict
+	CrashedWithin int    `json:"crashed_within"`
+	ForMs         int64  `json:"for_ms"` // until it may be sent again; 0: it may
+}
+
+// List returns all requests against which something stands, those that stay quarantined for
+// the longest time first.
+func (t *Table) List(now time.Time) []Listing {
+	out := []Listing{}
+	for f, r := range t.records {
+		if len(r.crashes) == 0 {
+			continue
+		}
+		v := r.verdict(now)
+		l := Listing{Fingerprint: f.String(), CrashedBefore: v.Before, CrashedWithin: v.Within}
+		if v.Quarantined() {
+			l.ForMs = v.Until.Sub(now).Milliseconds()
+		}
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b Listing) int {
+		return cmp.Or(cmp.Compare(b.ForMs, a.ForMs), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return out
+}
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -36,7 +36,7 @@
 	EndpointsAgeMs int64
 }
 
-// PeerHandler answers other gateways that cannot reach the store.
+// PeerHandler answers other gateways that cannot reach the store, and operators.
 func (g *Gateway) PeerHandler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+pathProof, func(w http.ResponseWriter, _ *http.Request) {
@@ -57,6 +57,8 @@
 		g.answerDocument(w, &g.configurationDocument, t.Version, t.Configuration)
 	})
 	m.HandleFunc("GET "+pathEndpoints, g.serveEndpoints)
+	m.HandleFunc("GET "+PathQuarantine, g.serveQuarantine)
+	m.HandleFunc("DELETE "+PathQuarantine+"/{fingerprint}", g.serveClear)
 	return m
 }
 
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -118,10 +118,7 @@
 		t.Crashed(f, quarantine.Crash{Endpoint: quarantine.IncarnationOf(at.endpoint.ID, at.endpoint.Born), Begun: x.begun, At: now}, now)
 		after = t.Verdict(f, now)
 	})
-	g.picker.callPeers()
-	if g.quarantined.speaks.Load() {
-		g.tellNews()
-	}
+	g.tellOfCrashes()
 	if !after.Quarantined() {
 		return
 	}
@@ -135,24 +132,8 @@
 
 // served takes in that the request ended well.
 func (x *exchange) served() {
-	g := x.g
-	if !g.quarantined.mayKnow(x.work()) {
-		return
-	}
-	f, now := x.identity(), time.Now()
-	var before quarantine.Verdict
-	cleared := false
-	g.quarantined.change(func(t *quarantine.Table) {
-		before = t.Verdict(f, now)
-		cleared = t.Served(f, now)
-	})
-	if !cleared {
-		return
-	}
-	g.deps.Log.Logger().Info("Request cleared.", "fingerprint", f, "request", x.call.ID, "crashed_before", before.Before, "crashed_within", before.Within)
-	g.picker.callPeers()
-	if before.Quarantined() {
-		g.keep(f)
+	if x.g.quarantined.mayKnow(x.work()) {
+		x.g.clearRequest(x.identity(), "a good end", x.call.ID)
 	}
 }
 
@@ -277,3 +258,56 @@
 	})
 	g.deps.Log.Logger().Info("Quarantined requests recalled.", "requests", len(entries))
 }
+
+// PathQuarantine is where a gateway's peer address tells operators what stands against
+// requests; a DELETE of a fingerprint below it clears that request everywhere.
+const PathQuarantine = "/peer/quarantine"
+
+// serveQuarantine lists what stands against requests.
+func (g *Gateway) serveQuarantine(w http.ResponseWriter, _ *http.Request) {
+	var list []quarantine.Listing
+	g.quarantined.change(func(t *quarantine.Table) { list = t.List(time.Now()) })
+	g.answerPeer(w, list)
+}
+
+// serveClear clears a request on an operator's word, which counts like a copy that ended
+// well.
+func (g *Gateway) serveClear(w http.ResponseWriter, r *http.Request) {
+	f, err := quarantine.ParseFingerprint(r.PathValue("fingerprint"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !g.clearRequest(f, "operator", "") {
+		http.Error(w, "nothing stands against it", http.StatusNotFound)
+	}
+}
+
+// clearRequest clears a request, here and at the others; it reports whether anything stood
+// against it. id is the request that ended well, if any.
+func (g *Gateway) clearRequest(f quarantine.Fingerprint, by, id string) bool {
+	now := time.Now()
+	var before quarantine.Verdict
+	cleared := false
+	g.quarantined.change(func(t *quarantine.Table) {
+		before = t.Verdict(f, now)
+		cleared = t.Served(f, now)
+	})
+	if !cleared {
+		return false
+	}
+	g.deps.Log.Logger().Info("Request cleared.", "fingerprint", f, "by", by, "request", id, "crashed_before", before.Before, "crashed_within", before.Within)
+	g.tellOfCrashes()
+	if before.Quarantined() {
+		g.keep(f)
+	}
+	return true
+}
+
+// tellOfCrashes makes the next words to the peers go out soon.
+func (g *Gateway) tellOfCrashes() {
+	g.picker.callPeers()
+	if g.quarantined.speaks.Load() {
+		g.tellNews()
+	}
+}
