The fault soak brings a request about that ends each worker

Ruled out: showing it by clients' answers, which look like any break. Change: a client whose request ends each worker that begins it, at any gateway, while all other faults go on; a check that gateways in touch stop sending it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,7 +21,9 @@
 	// unplanned are the stretches in which something failed that was not asked
 	// for, with the time that its effects may last.
 	unplanned []span
-	stops     []span // from SIGTERM to the process's end
+	stops     []span            // from SIGTERM to the process's end
+	crashes   []time.Time       // of workers, under the request that ends them
+	troubled  map[string][]span // by gateway: it was killed, stopped or frozen
 }
 
 // violations returns what broke a promise, one line each.
@@ -37,6 +39,9 @@
 			}
 		}
 	}
+	if problem := checkCrashes(all, f); problem != "" {
+		out = append(out, problem)
+	}
 	return out
 }
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -26,6 +26,7 @@
 	body      string
 	broken    error // why the answer did not end well; nil for a whole one
 	abandoned bool  // the client left before the end
+	crashing  bool  // it ends each worker that begins it
 }
 
 // client sends requests one after the other over connections that it keeps
@@ -64,15 +65,20 @@
 		id: fmt.Sprintf("c%d-%d", c.number, n), kind: kinds[c.random.IntN(len(kinds))],
 		key: c.run.pickKey(c.random), gateway: gateway,
 	}
-	ctx, cancel := context.WithTimeout(ctx, requestTime)
-	defer cancel()
 	if c.random.IntN(25) == 0 {
 		a.abandoned = true
 		var leave context.CancelFunc
 		ctx, leave = context.WithTimeout(ctx, time.Duration(c.random.Int64N(int64(100*time.Millisecond))))
 		defer leave()
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateway+"/"+a.kind+"/x", strings.NewReader(a.id))
+	return c.send(ctx, a, a.id)
+}
+
+// send sends the request and reads the answer.
+func (c *client) send(ctx context.Context, a asked, body string) asked {
+	ctx, cancel := context.WithTimeout(ctx, requestTime)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.gateway+"/"+a.kind+"/x", strings.NewReader(body))
 	if err != nil {
 		a.broken = err
 		return a
@@ -81,7 +87,7 @@
 	r.GetBody = nil // nothing is sent twice behind the soak's back
 	usersplatform.Ask{ID: a.id, Key: a.key, Deadline: requestTime}.Write(r.Header)
 	a.sent = time.Now()
-	res, err := c.transport(gateway).RoundTrip(r)
+	res, err := c.transport(a.gateway).RoundTrip(r)
 	if err == nil {
 		a.status, a.seal = res.StatusCode, usersplatform.SealIn(res.Header)
 		var p []byte
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -98,17 +98,22 @@
 	if p == nil || p.Ended() || p.Kill() != nil {
 		return
 	}
+	began := time.Now()
 	time.Sleep(length / 4)
 	r.again(i)
+	r.troubled(i, began)
 }
 
 func freezeGateway(r *run, random *rand.Rand, length time.Duration) {
-	p := r.group.Get(fmt.Sprintf("gateway-%d", r.gateway(random)))
+	i := r.gateway(random)
+	p := r.group.Get(fmt.Sprintf("gateway-%d", i))
+	began := time.Now()
 	if p == nil || p.Ended() || p.Freeze() != nil {
 		return
 	}
 	time.Sleep(length)
 	_ = p.Thaw() // it may have been killed meanwhile
+	r.troubled(i, began)
 }
 
 func stopGateway(r *run, random *rand.Rand, _ time.Duration) {
@@ -128,6 +133,7 @@
 	}
 	r.mu.Unlock()
 	r.again(i)
+	r.troubled(i, began)
 }
 
 func reloadGateway(r *run, random *rand.Rand, _ time.Duration) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -81,7 +81,7 @@
 // Play runs one seed. The error is a failure of the soak itself.
 func Play(ctx context.Context, c Config) (*Report, error) {
 	r := &run{c: c, store: usersplatform.NewStore(), ledger: usersplatform.NewLedger(), group: procs.NewGroup(c.Dir)}
-	r.facts = facts{ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string)}
+	r.facts = facts{ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), troubled: make(map[string][]span)}
 	if err := r.open(); err != nil {
 		return nil, err
 	}
@@ -215,7 +215,9 @@
 	if err != nil {
 		return err
 	}
-	r.workers = append(r.workers, &pooled{w, p})
+	one := &pooled{w, p}
+	w.CrashOn(crashBody, func() { r.crashed(one) })
+	r.workers = append(r.workers, one)
 	r.store.Announce(w, p.address(), usersplatform.Ready)
 	return nil
 }
@@ -229,6 +231,7 @@
 		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(r.c.Seed, uint64(i))), http: make(map[string]*http.Transport)}
 		tasks.Go(func() { c.loop(ctx) })
 	}
+	tasks.Go(func() { r.crashWorkers(ctx) })
 	r.injectAll(ctx)
 	time.Sleep(effectTime)
 	stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,7 +88,7 @@
 }
 
 func newFacts() *facts {
-	return &facts{ledger: usersplatform.NewLedger(), revoked: make(map[string]time.Time), owners: map[string]string{"k": "w", "other": "x"}}
+	return &facts{ledger: usersplatform.NewLedger(), revoked: make(map[string]time.Time), owners: map[string]string{"k": "w", "other": "x"}, troubled: make(map[string][]span)}
 }
 
 // runOnce writes a run into the ledger as a worker does.
@@ -146,3 +147,41 @@
 		})
 	}
 }
+
+// TestCheckSeesCrashes: sends of a request that ends workers count when they come too late,
+// from gateways that were in touch.
+func TestCheckSeesCrashes(t *testing.T) {
+	now := time.Now()
+	late := now.Add(contactTime + time.Millisecond)
+	cases := []struct {
+		name    string
+		crashes int
+		sends   int
+		at      time.Time
+		trouble []span
+		want    bool
+	}{
+		{"too many", 3, sendsAllowed + 1, late, nil, true},
+		{"as many as are allowed", 3, sendsAllowed, late, nil, false},
+		{"soon after the third", 3, 10, late.Add(-2 * time.Millisecond), nil, false},
+		{"before there were three", 2, 10, late, nil, false},
+		{"by a gateway that was killed", 3, 10, late, []span{{now, now.Add(time.Millisecond)}}, false},
+		{"by a gateway that was killed long before", 3, 10, late, []span{{now.Add(-time.Hour), now.Add(-time.Second)}}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFacts()
+			f.crashes = slices.Repeat([]time.Time{now}, tc.crashes)
+			f.troubled["g"] = tc.trouble
+			var all []asked
+			for n := range tc.sends {
+				a := asked{id: fmt.Sprint(n), kind: "stream", key: "k", gateway: "g", status: 502, crashing: true}
+				runOnce(f, a.id, "k", tc.at)
+				all = append(all, a)
+			}
+			if got := violations(all, f); (len(got) == 1) != tc.want || len(got) > 1 {
+				t.Errorf("violations %q, want one: %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -61,13 +61,20 @@
 
 	mu     sync.Mutex
 	faults Faults
-	conns  map[net.Conn]bool
-	random *rand.Rand
+	// crashOn is the body of requests that end the worker when it begins them; ended is
+	// called then.
+	crashOn string
+	ended   func()
+	conns   map[net.Conn]bool
+	random  *rand.Rand
 }
 
 // StreamEvents is how many events a stream has.
 const StreamEvents = 6
 
+// crashTime is how long a worker runs a request that ends it.
+const crashTime = 60 * time.Millisecond
+
 // eventPause is the time between two events.
 const eventPause = 20 * time.Millisecond
 
@@ -92,6 +99,32 @@
 	w.faults = f
 }
 
+// CrashOn makes each request with this body end the worker; ended is called once.
+func (w *Worker) CrashOn(body string, ended func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashOn, w.ended = body, ended
+}
+
+// crashesOn reports whether a body ends the worker.
+func (w *Worker) crashesOn(body []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashOn != "" && string(body) == w.crashOn
+}
+
+// crash ends the worker as the request that it began makes it.
+func (w *Worker) crash() {
+	w.mu.Lock()
+	ended := w.ended
+	w.ended = nil
+	w.mu.Unlock()
+	w.Crash()
+	if ended != nil {
+		ended()
+	}
+}
+
 // Crash ends the worker and resets its connections.
 func (w *Worker) Crash() {
 	_ = w.listener.Close()
@@ -128,17 +161,18 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
-		if !w.answer(c, r) {
+		if !w.answer(c, r, body) {
 			return
 		}
 	}
 }
 
 // answer answers one request; it reports false when the connection is over.
-func (w *Worker) answer(c net.Conn, r *http.Request) bool {
+func (w *Worker) answer(c net.Conn, r *http.Request, body []byte) bool {
 	id := r.Header.Get("Request-Id")
 	if r.Header.Get("Expect-Instance") != w.ID {
 		return whole(c, id, "421 Misdirected Request", "Not-Executed: 1\r\n", "")
@@ -148,6 +182,11 @@
 		return whole(c, id, "503 Service Unavailable", "Not-Executed: 1\r\n", "")
 	}
 	w.ledger.Add(id, Run{w.ID, r.Header.Get("Tenant"), r.Header.Get("Last-Event-Id"), time.Now()})
+	if w.crashesOn(body) {
+		time.Sleep(crashTime)
+		w.crash()
+		return false
+	}
 	if chance[1] < f.LoseRun {
 		reset(c)
 		return false
@@ -158,12 +197,12 @@
 	if w.Kind == "stream" {
 		return w.stream(c, r, id, chance[3] < f.CutShort)
 	}
-	body := Body(id)
+	text := Body(id)
 	if chance[3] < f.CutShort {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, Seal(id), len(body), body[:len(body)/2])
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, Seal(id), len(text), text[:len(text)/2])
 		return false
 	}
-	return whole(c, id, "200 OK", "Response-Seal: "+Seal(id)+"\r\n", body)
+	return whole(c, id, "200 OK", "Response-Seal: "+Seal(id)+"\r\n", text)
 }
 
 // draw returns the faults and one chance for each.
