--- a/relay/crash.go
+++ b/relay/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -93,10 +95,18 @@
 	}
 }
 
+// mayHaveCrashed reports whether an exchange that broke in this way may have lost its
+// endpoint's process. A host that gives no sign of itself does not answer the question either:
+// its streams would go on probeTime later for nothing.
+func mayHaveCrashed(err error) bool {
+	var failure net.Error
+	return !errors.As(err, &failure) || !failure.Timeout()
+}
+
 // broke takes in that the exchange with an endpoint broke before its answer was whole, and
 // nobody on this side ended it.
 func (x *exchange) broke(at *place) {
-	crashed := x.g.hasCrashed(at.endpoint)
+	crashed := mayHaveCrashed(x.lastError) && x.g.hasCrashed(at.endpoint)
 	x.g.meter.broken.Inc()
 	x.g.deps.Log.Request("Exchange broke.", "request", x.call.ID, "fingerprint", x.identity(), "endpoint", at.endpoint.ID,
 		"begun", x.begun, "crashed", crashed, "in_flight_ms", time.Since(at.chosen).Milliseconds(), "err", x.lastError)
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/upstream"
 )
 
 // TestCrashIsSeen: an exchange that breaks because its endpoint ended is told from one that
@@ -95,3 +100,17 @@
 		})
 	}
 }
+
+// TestSilentHosts: nobody asks a host that has gone silent whether its process crashed.
+func TestSilentHosts(t *testing.T) {
+	is := is.New(t)
+	read := func(err error) error {
+		return &upstream.Error{Stage: upstream.Sent, Err: &net.OpError{Op: "read", Err: err}}
+	}
+	for _, err := range []error{io.ErrUnexpectedEOF, read(syscall.ECONNRESET), read(io.EOF)} {
+		is.True(mayHaveCrashed(err))
+	}
+	for _, err := range []error{os.ErrDeadlineExceeded, read(syscall.ETIMEDOUT), read(os.ErrDeadlineExceeded)} {
+		is.True(!mayHaveCrashed(err))
+	}
+}
