What is told of quarantined requests does not grow with the number of cells

Cause: each cell repeated what it knows to all others twice a second, and a new record in a full table looked through all of them. Ruled out: repeating to the own cell only: a cell that was cut off would not hear. Change: one other cell in turn, each cell another one; a full table drops an eighth at once, quarantined ones last.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,8 +38,10 @@
 	// mostCrashes is how many crashes are remembered of one request, and how many endpoints
 	// that ended it well.
 	mostCrashes = 12
-	// MostRequests bounds the requests that are remembered, 0.5 KB each; each crash brings
-	// up to sixteen. The one whose newest crash is the oldest is forgotten first.
+	// sweepEvery is how often old records are looked for.
+	sweepEvery = time.Minute
+	// MostRequests bounds the requests that are remembered, at most 0.9 KB each; each crash brings
+	// up to sixteen.
 	MostRequests = 4096
 )
 
@@ -104,6 +107,7 @@
 type Table struct {
 	records map[Fingerprint]*record
 	heads   map[uint64]int // how many records have a head
+	swept   time.Time      // when old records were forgotten last
 	// repeated is where the turn of the quarantined ones to be told again stands.
 	repeated int
 }
@@ -187,11 +191,13 @@
 	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.Endpoint == e })
 }
 
-// remember makes a record, if need be in place of the one that was of use least lately.
+// remember makes a record, if need be in place of old ones.
 func (t *Table) remember(f Fingerprint, now time.Time) *record {
-	t.forgetOld(now)
+	if now.Sub(t.swept) >= sweepEvery {
+		t.forgetOld(now)
+	}
 	if len(t.records) >= MostRequests {
-		t.forget(t.oldest())
+		t.makeRoom()
 	}
 	r := &record{made: now}
 	t.records[f] = r
@@ -199,17 +205,17 @@
 	return r
 }
 
-// oldest returns the request whose newest crash is the oldest, of those that are not
-// quarantined if there are any.
-func (t *Table) oldest() Fingerprint {
-	var out Fingerprint
-	var found *record
-	for f, r := range t.records {
-		if found == nil || cmp.Or(compareBool(r.condemned(), found.condemned()), r.newest().Compare(found.newest())) < 0 {
-			out, found = f, r
-		}
+// makeRoom forgets an eighth of all requests, so that it is seldom needed: those whose
+// newest crash is the oldest, and quarantined ones last.
+func (t *Table) makeRoom() {
+	all := slices.Collect(maps.Keys(t.records))
+	slices.SortFunc(all, func(a, b Fingerprint) int {
+		x, y := t.records[a], t.records[b]
+		return cmp.Or(compareBool(x.condemned(), y.condemned()), x.newest().Compare(y.newest()))
+	})
+	for _, f := range all[:len(all)/8] {
+		t.forget(f)
 	}
-	return out
 }
 
 func compareBool(a, b bool) int {
@@ -232,6 +238,7 @@
 
 // forgetOld drops records that decide nothing any more.
 func (t *Table) forgetOld(now time.Time) {
+	t.swept = now
 	for f, r := range t.records {
 		if now.Sub(r.newest()) > max(suspectLife, 2*r.rest()) && len(r.news) == 0 {
 			t.forget(f)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -46,6 +46,7 @@
 	mu    sync.Mutex
 	sent  []int                // words, by gateway
 	loads []int                // loads of endpoints in them
+	heard []int                // reports of crashes that reached a gateway
 	reads map[string]time.Time // until when an engine reads what it was given
 	met   int                  // parts that met another one that was still read
 	paces map[string]float64   // of slow engines, by address
@@ -106,7 +107,7 @@
 			Objective: 3 * time.Second, GapObjective: time.Second, Targets: []catalog.Target{{Service: "s", Weight: 1}}}},
 		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 10, MemoryTokens: 232000, StepMs: 1, ReadPerMs: 206, PairsPerM: 0.138, ChunkTokens: 2048, Stride: 68}}},
 	}
-	f := &testFleet{table: catalog.NewTable(c), sent: make([]int, gateways), loads: make([]int, gateways), reads: make(map[string]time.Time)}
+	f := &testFleet{table: catalog.NewTable(c), sent: make([]int, gateways), loads: make([]int, gateways), heard: make([]int, gateways), reads: make(map[string]time.Time)}
 	var list []catalog.Endpoint
 	for i := range engines {
 		list = append(list, catalog.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: addressOf(i), DataCentre: fmt.Sprint("dc", i%dataCentres), Slots: 10})
@@ -183,6 +184,9 @@
 		if f.loses(from, n) {
 			continue
 		}
+		f.mu.Lock()
+		f.heard[n] += len(w.Crashes)
+		f.mu.Unlock()
 		delay := nearDelay
 		if f.members[n].DataCentre != f.members[from].DataCentre {
 			delay = farDelay
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -39,6 +39,9 @@
 	known atomic.Int64
 	// speaks is set while this gateway tells other cells what its own knows.
 	speaks atomic.Bool
+	// turn says which other cell is told next what stands against quarantined requests; it
+	// belongs to whoever tells.
+	turn int
 	// toKeep are requests whose entry in the store is out of date.
 	toKeep chan quarantine.Fingerprint
 
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -284,3 +285,40 @@
 		is.Equal(source.keptCount(), 0)
 	})
 }
+
+// TestReportsDoNotGrowWithTheFleet: what a gateway hears of one quarantined request, once it is
+// known everywhere, does not grow with the number of cells, and is nothing where there is
+// none. It grew with it while each cell told all others twice a second: 80 reports in five cells.
+func TestReportsDoNotGrowWithTheFleet(t *testing.T) {
+	quiet := func(dataCentres, crashes int) (most int) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCrashFleet(t, dataCentres, 6*dataCentres, 30*dataCentres)
+			time.Sleep(3 * time.Second)
+			for range crashes {
+				c.call(0, crashPath)
+			}
+			time.Sleep(5 * time.Second)
+			for _, g := range c.gateways {
+				is.Equal(g.quarantined.verdict(c.fingerprint(crashPath), time.Now()).Quarantined(), crashes > 0)
+			}
+			c.testFleet.mu.Lock()
+			before := slices.Clone(c.heard)
+			c.testFleet.mu.Unlock()
+			time.Sleep(time.Second)
+			c.testFleet.mu.Lock()
+			defer c.testFleet.mu.Unlock()
+			for i := range before {
+				most = max(most, c.heard[i]-before[i])
+			}
+		})
+		return most
+	}
+	is := is.New(t)
+	is.Equal(quiet(5, 0), 0)
+	one, five, ten := quiet(1, 2), quiet(5, 2), quiet(10, 2)
+	t.Logf("reports heard in a second by the gateway that hears most: %d in one cell, %d in five, %d in ten", one, five, ten)
+	is.True(one > 0)
+	is.True(five <= 4*one) // those that speak hear the other cells' speakers, too
+	is.True(ten <= five+five/4)
+}
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/micarudder/micarudder/balance"
@@ -98,11 +100,19 @@
 		base.Echo = a.speaks
 	}
 	out := []message{g.near(base, a, why, told, now)}
-	for c := range a.far {
-		if l, ok := g.far(base, a, c, why, told.by[c], now); ok {
+	cells := slices.Sorted(maps.Keys(a.far))
+	// One cell in turn is told again of quarantined requests, each by another one: so each
+	// hears as much whatever their number.
+	home, _ := slices.BinarySearch(cells, a.home)
+	for n, c := range cells {
+		repeat := why == dueDigests && n == (home+g.quarantined.turn)%len(cells)
+		if l, ok := g.far(base, a, c, why, told.by[c], repeat, now); ok {
 			out = append(out, l)
 		}
 	}
+	if why == dueDigests {
+		g.quarantined.turn++
+	}
 	return out
 }
 
@@ -112,20 +122,20 @@
 	if a.speaks && why == dueDigests {
 		w.Digests = g.picker.passOn(now)
 	}
-	w.Crashes = g.crashReports(quarantine.OwnCell, a.speaks, why, now)
+	w.Crashes = g.crashReports(quarantine.OwnCell, a.speaks, why == changed, a.speaks && why == dueDigests, now)
 	return message{w, a.near}
 }
 
 // far returns the word for another cell, if there is anything to tell it: load at its
 // endpoints, and what those who speak across cells tell each other.
-func (g *Gateway) far(w peers.Word, a audience, c string, why occasion, loads map[string]balance.Load, now time.Time) (message, bool) {
+func (g *Gateway) far(w peers.Word, a audience, c string, why occasion, loads map[string]balance.Load, repeat bool, now time.Time) (message, bool) {
 	w.Loads = loads
 	speaks := a.speaks && (why == dueDigests || why == proved)
 	if speaks && why == dueDigests {
 		w.Digests = []peers.Digest{g.picker.offer(c, g.config.DataCentre, a.gateways, now)}
 	}
 	if speaks {
-		w.Crashes = g.crashReports(quarantine.OtherCells, true, why, now)
+		w.Crashes = g.crashReports(quarantine.OtherCells, true, false, repeat, now)
 	}
 	switch {
 	case len(loads) > 0:
@@ -137,16 +147,16 @@
 	}
 }
 
-// crashReports returns what is to be told of requests that were on endpoints that crashed.
-// Those who speak repeat now and then what stands against the quarantined ones.
-func (g *Gateway) crashReports(to quarantine.Audience, speaks bool, why occasion, now time.Time) []quarantine.Report {
+// crashReports returns what is to be told of requests that were on endpoints that crashed;
+// repeat adds what stands against the quarantined ones.
+func (g *Gateway) crashReports(to quarantine.Audience, speaks, urgent, repeat bool, now time.Time) []quarantine.Report {
 	if g.quarantined.known.Load() == 0 {
 		return nil
 	}
 	var out []quarantine.Report
 	g.quarantined.change(func(t *quarantine.Table) {
-		out = t.Tell(to, speaks, why == changed, now)
-		if speaks && why == dueDigests {
+		out = t.Tell(to, speaks, urgent, now)
+		if repeat {
 			out = append(out, t.Repeat(now)...)
 		}
 	})
