Good ends grow old; words about crashes cost what is new, not what is known

Cause: read again as a newcomer. (1) Up to twelve good ends, however old, spoke for a request, so one that a new release cannot bear would never be quarantined. (2) Each word, up to a hundred a second, looked through all 4,096 records for news. (3) A kind of report of a later release counted as a crash. Ruled out: resetting good ends at each crash, which would take them from popular work. Change: good ends count from a minute before the newest crash on; the table knows which records have news; unknown kinds are left, ages bounded.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -38,6 +38,9 @@
 	// mostCrashes is how many crashes are remembered of one request, and how many endpoints
 	// that ended it well.
 	mostCrashes = 12
+	// goodLife is how long before its newest crash a good end speaks for a request: the
+	// engines may have been replaced since.
+	goodLife = time.Minute
 	// sweepEvery is how often old records are looked for.
 	sweepEvery = time.Minute
 	// MostRequests bounds the requests that are remembered, at most 0.9 KB each; each crash brings
@@ -73,7 +76,7 @@
 	// Before and Within are how many times endpoints crashed before and after it had begun
 	// to answer there.
 	Before, Within int
-	// Good is how many endpoints ended it well. As many as crashed speak for it: work that
+	// Good is how many endpoints ended it well, not long before the newest crash or since. As many as crashed speak for it: work that
 	// many callers ask for is on every endpoint that fails, and ends well on all others. One
 	// endpoint alone does not: it may be of another kind.
 	Good int
@@ -93,13 +96,19 @@
 	far                // a gateway of another cell, or the store
 )
 
+// goodEnd is an endpoint that ended a request well, and when it did so last.
+type goodEnd struct {
+	endpoint Incarnation
+	at       time.Time
+}
+
 // record is what is known of one request.
 type record struct {
 	made    time.Time
-	crashes []Crash       // by time, one for each endpoint
-	good    []Incarnation // that ended it well since it is known
-	cleared time.Time     // when an operator cleared it of all before
-	news    []news        // what others may not have heard yet
+	crashes []Crash   // by time, one for each endpoint
+	good    []goodEnd // by time, one for each endpoint, since it is known
+	cleared time.Time // when an operator cleared it of all before
+	news    []news    // what others may not have heard yet
 }
 
 // Table holds what is known of requests that were on endpoints that crashed. It is not safe
@@ -107,14 +116,16 @@
 type Table struct {
 	records map[Fingerprint]*record
 	heads   map[uint64]int // how many records have a head
-	swept   time.Time      // when old records were forgotten last
+	// fresh are the requests of which there is news.
+	fresh map[Fingerprint]struct{}
+	swept time.Time // when old records were forgotten last
 	// repeated is where the turn of the quarantined ones to be told again stands.
 	repeated int
 }
 
 // NewTable returns a table that knows nothing.
 func NewTable() *Table {
-	return &Table{records: make(map[Fingerprint]*record), heads: make(map[uint64]int)}
+	return &Table{records: make(map[Fingerprint]*record), heads: make(map[uint64]int), fresh: make(map[Fingerprint]struct{})}
 }
 
 // Len returns how many requests are remembered.
@@ -129,7 +140,7 @@
 // Served takes in that an endpoint ended a request of this gateway well. It reports whether
 // that is of interest, since something stands against the request.
 func (t *Table) Served(f Fingerprint, endpoint Incarnation, now time.Time) bool {
-	return t.records[f] != nil && t.serve(f, endpoint, own, now)
+	return t.records[f] != nil && t.serve(f, goodEnd{endpoint, now}, own, now)
 }
 
 // Clear takes in that an operator clears a request; it reports whether anything stood
@@ -153,24 +164,48 @@
 	if len(r.crashes) > mostCrashes {
 		r.crashes = slices.Delete(r.crashes, 0, 1)
 	}
-	r.news = append(r.news, news{Report: Report{Kind: Crashed, Fingerprint: f, Endpoint: c.Endpoint, Begun: c.Begun}, at: c.At, learned: now, from: from})
+	t.note(r, news{Report: Report{Kind: Crashed, Fingerprint: f, Endpoint: c.Endpoint, Begun: c.Begun}, at: c.At, learned: now, from: from})
 	return true
 }
 
-// serve takes in that an endpoint ended a request well; it reports whether that is new.
-func (t *Table) serve(f Fingerprint, endpoint Incarnation, from origin, now time.Time) bool {
+// note keeps a piece of news for others.
+func (t *Table) note(r *record, n news) {
+	r.news = append(r.news, n)
+	t.fresh[n.Fingerprint] = struct{}{}
+}
+
+// serve takes in that an endpoint ended a request well; it reports whether that is new. The
+// same endpoint's next good end is, when the first is about to count no more.
+func (t *Table) serve(f Fingerprint, g goodEnd, from origin, now time.Time) bool {
 	r := t.records[f]
 	if r == nil {
 		r = t.remember(f, now) // the crashes may be heard of later
 	}
-	if slices.Contains(r.good, endpoint) || len(r.good) >= mostCrashes {
-		return false
+	i := slices.IndexFunc(r.good, func(known goodEnd) bool { return known.endpoint == g.endpoint })
+	if i < 0 {
+		r.good = append(r.good, g)
+	} else {
+		before := r.good[i].at
+		r.good[i].at = maxTime(before, g.at)
+		if g.at.Sub(before) < goodLife/2 {
+			return false
+		}
+	}
+	slices.SortStableFunc(r.good, func(a, b goodEnd) int { return a.at.Compare(b.at) })
+	if len(r.good) > mostCrashes {
+		r.good = slices.Delete(r.good, 0, 1)
 	}
-	r.good = append(r.good, endpoint)
-	r.news = append(r.news, news{Report: Report{Kind: Served, Fingerprint: f, Endpoint: endpoint}, at: now, learned: now, from: from})
+	t.note(r, news{Report: Report{Kind: Served, Fingerprint: f, Endpoint: g.endpoint}, at: g.at, learned: now, from: from})
 	return true
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // clear takes in that an operator cleared a request at that time; it reports whether that is
 // new.
 func (t *Table) clear(f Fingerprint, at time.Time, from origin, now time.Time) bool {
@@ -183,7 +218,7 @@
 	}
 	r.cleared = at
 	r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return !c.At.After(at) })
-	r.news = append(r.news, news{Report: Report{Kind: Cleared, Fingerprint: f}, at: at, learned: now, from: from})
+	t.note(r, news{Report: Report{Kind: Cleared, Fingerprint: f}, at: at, learned: now, from: from})
 	return true
 }
 
@@ -231,6 +266,7 @@
 
 func (t *Table) forget(f Fingerprint) {
 	delete(t.records, f)
+	delete(t.fresh, f)
 	if t.heads[f.Head]--; t.heads[f.Head] <= 0 {
 		delete(t.heads, f.Head)
 	}
@@ -266,7 +302,7 @@
 func (r *record) verdict(now time.Time) Verdict {
 	var v Verdict
 	v.Before, v.Within = r.count()
-	v.Good = len(r.good)
+	v.Good = r.goodEnds()
 	if rest := r.rest(); rest > 0 && r.newest().Add(rest).After(now) {
 		v.Until = r.newest().Add(rest)
 	}
@@ -294,7 +330,19 @@
 // than others ended the request well.
 func (r *record) condemned() bool {
 	before, within := r.count()
-	return (before >= crashesBefore || before+within >= crashesInAll) && before+within > len(r.good)
+	return (before >= crashesBefore || before+within >= crashesInAll) && before+within > r.goodEnds()
+}
+
+// goodEnds returns how many endpoints ended the request well, not long before its newest
+// crash or since.
+func (r *record) goodEnds() int {
+	n := 0
+	for _, g := range r.good {
+		if g.at.After(r.newest().Add(-goodLife)) {
+			n++
+		}
+	}
+	return n
 }
 
 // rest returns how long after its newest crash the request may not be sent; zero: it may.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -122,6 +122,38 @@
 	is.True(table.Verdict(one, now).Quarantined())
 }
 
+// TestGoodEndsGrowOld: what ended well before the engines were replaced does not speak for a
+// request under which the new ones crash.
+func TestGoodEndsGrowOld(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Crashed(one, crash(0, false, 0), start)
+	for n := range mostCrashes + 3 {
+		is.True(table.Served(one, Incarnation(100+n), start))
+	}
+	is.Equal(table.Verdict(one, start).Good, mostCrashes)
+	now := start.Add(2 * goodLife)
+	is.True(table.Served(one, 200, now.Add(-2*time.Second)))
+	is.True(!table.Served(one, 200, now.Add(-time.Second))) // as good as before
+	for n := range 3 {
+		table.Crashed(one, crash(10+n, false, int((2*goodLife).Seconds())+n), now)
+	}
+	is.Equal(table.Verdict(one, now).Good, 1)
+	is.True(table.Verdict(one, now.Add(3*time.Second)).Quarantined())
+}
+
+// TestStrangeReports: reports of a later release, and ages of any kind, do no harm.
+func TestStrangeReports(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	_, fresh := table.Hear([]Report{{Kind: 99, Fingerprint: one, Endpoint: 1}}, false, start)
+	is.Equal(fresh, 0)
+	for n, age := range []int64{-5, 1<<63 - 1, -1 << 63} {
+		table.Hear([]Report{{Kind: Crashed, Fingerprint: one, Endpoint: Incarnation(n + 1), AgeMs: age}}, false, start)
+		is.True(!table.records[one].newest().After(start))
+	}
+}
+
 // TestClear: an operator's word ends a quarantine, also against crashes from before that are
 // heard of late; what comes later counts.
 func TestClear(t *testing.T) {
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -71,8 +71,12 @@
 // ones.
 func (t *Table) Tell(a Audience, speaks, urgent bool, now time.Time) []Report {
 	var out []Report
-	for _, r := range t.records {
+	for f := range t.fresh {
+		r := t.records[f]
 		r.news = slices.DeleteFunc(r.news, func(n news) bool { return now.Sub(n.learned) > newsLife })
+		if len(r.news) == 0 {
+			delete(t.fresh, f)
+		}
 		for i := range r.news {
 			n := &r.news[i]
 			if len(out) >= MostReports || !n.concerns(a, speaks) || urgent && n.tellings >= urgentTellings {
@@ -125,8 +129,8 @@
 	for _, c := range r.crashes {
 		out = append(out, Report{Kind: Crashed, Fingerprint: f, Endpoint: c.Endpoint, Begun: c.Begun, AgeMs: now.Sub(c.At).Milliseconds()})
 	}
-	for _, e := range r.good {
-		out = append(out, Report{Kind: Served, Fingerprint: f, Endpoint: e})
+	for _, g := range r.good {
+		out = append(out, Report{Kind: Served, Fingerprint: f, Endpoint: g.endpoint, AgeMs: now.Sub(g.at).Milliseconds()})
 	}
 	return out
 }
@@ -157,14 +161,17 @@
 }
 
 func (t *Table) hear(r Report, from origin, now time.Time) bool {
-	at := now.Add(-time.Duration(max(0, r.AgeMs)) * time.Millisecond)
+	age := min(max(0, r.AgeMs), longestRest.Milliseconds())
+	at := now.Add(-time.Duration(age) * time.Millisecond)
 	switch r.Kind {
+	case Crashed:
+		return t.add(r.Fingerprint, Crash{r.Endpoint, r.Begun, at}, from, now)
 	case Served:
-		return t.serve(r.Fingerprint, r.Endpoint, from, now)
+		return t.serve(r.Fingerprint, goodEnd{r.Endpoint, at}, from, now)
 	case Cleared:
 		return t.clear(r.Fingerprint, at, from, now)
 	default:
-		return t.add(r.Fingerprint, Crash{r.Endpoint, r.Begun, at}, from, now)
+		return false // of a later release
 	}
 }
 
@@ -191,6 +198,7 @@
 	}
 	if r := t.records[e.Fingerprint]; r != nil {
 		r.news = nil
+		delete(t.fresh, e.Fingerprint)
 	}
 }
 
