Gateways of two releases hear each other

Cause: words are arrays of fields, and the library takes only arrays of just the number that it knows: since each new field changed that, gateways of two releases that ran side by side heard nothing of each other. The new field for crashes would have done so again. Ruled out: a second kind of datagram, which doubles what is sent at a crash. Change: words are read field by field, as far as they go; a new field is left off while it is empty.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -5,7 +5,6 @@
 package peers
 
 import (
-	"bytes"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -14,7 +13,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/health"
@@ -242,23 +240,6 @@
 	}
 }
 
-// encode writes one datagram. Structs are written as arrays, which halves the
-// size of the loads.
-func encode(w *Word) ([]byte, error) {
-	var b bytes.Buffer
-	e := msgpack.NewEncoder(&b)
-	e.UseArrayEncodedStructs(true)
-	err := e.Encode(w)
-	return b.Bytes(), err
-}
-
-// decode reads one datagram.
-func decode(p []byte) (Word, error) {
-	var w Word
-	err := msgpack.Unmarshal(p, &w)
-	return w, err
-}
-
 // newer notes a word and reports whether it was not overtaken by a later one.
 func (m *Mesh) newer(w Word, from netip.AddrPort) bool {
 	m.mu.Lock()
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/quarantine"
 )
 
 func listen(t *testing.T, name string) (*Mesh, netip.AddrPort) {
@@ -65,6 +67,36 @@
 	is.True(m.newer(Word{From: "b", Life: 2, Sequence: 1}, at)) // a new process
 }
 
+// TestAdjacentReleases: a word of the release before, which tells of no crashes, and one of a
+// later release with a field more are read as far as they go; reports are told whole.
+func TestAdjacentReleases(t *testing.T) {
+	is := is.New(t)
+	reports := []quarantine.Report{{Kind: quarantine.Crashed, Fingerprint: quarantine.Fingerprint{Head: 1<<64 - 1, Body: 2}, Endpoint: 3, Begun: true, AgeMs: 4}}
+	p, err := encode(&Word{From: "a", DataCentre: "dc", Crashes: reports})
+	is.NoErr(err)
+	w, err := decode(p)
+	is.NoErr(err)
+	is.Equal(w.Crashes, reports)
+	var fields []msgpack.RawMessage
+	is.NoErr(msgpack.Unmarshal(p, &fields))
+	extra, err := msgpack.Marshal([]int{1, 2})
+	is.NoErr(err)
+	for _, list := range [][]msgpack.RawMessage{fields[:len(fields)-1], append(slices.Clone(fields), extra)} {
+		p, err := msgpack.Marshal(list)
+		is.NoErr(err)
+		w, err := decode(p)
+		is.NoErr(err)
+		is.Equal(w.From, "a")
+		is.Equal(w.DataCentre, "dc")
+		is.Equal(len(w.Crashes) > 0, len(list) >= len(fields))
+	}
+	// Words without reports are as the release before writes them.
+	p, err = encode(&Word{From: "a"})
+	is.NoErr(err)
+	is.NoErr(msgpack.Unmarshal(p, &fields))
+	is.Equal(len(fields), firstFields)
+}
+
 func FuzzDecode(f *testing.F) {
 	p, err := encode(&Word{From: "a", Loads: map[string]balance.Load{"e": {Short: 1}}})
 	if err != nil {
