--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -97,18 +97,24 @@
 	})
 }
 
+// newKeepingFleet is a small fleet that keeps what it finds out in a store.
+func newKeepingFleet(t *testing.T) (*crashFleet, *testSource) {
+	source := &testSource{}
+	c := newCrashFleet(t, 1, 3, 18)
+	for _, g := range c.gateways {
+		g.deps.Source = source
+		g.tasks.Go(g.keepQuarantined)
+	}
+	time.Sleep(time.Second) // they hear each other
+	return c, source
+}
+
 // TestAllGatewaysStartAgain: what gateways found out of a request is kept in the store, and
 // processes that start know it, if need be as soon as the store is back.
 func TestAllGatewaysStartAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		source := &testSource{}
-		c := newCrashFleet(t, 1, 3, 18)
-		for _, g := range c.gateways {
-			g.deps.Source = source
-			g.tasks.Go(g.keepQuarantined)
-		}
-		time.Sleep(time.Second)
+		c, source := newKeepingFleet(t)
 		for range 3 {
 			c.call(0, crashPath)
 		}
@@ -141,13 +147,7 @@
 func TestSoundRequestOfManyCallers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		source := &testSource{}
-		c := newCrashFleet(t, 1, 3, 18)
-		for _, g := range c.gateways {
-			g.deps.Source = source
-			g.tasks.Go(g.keepQuarantined)
-		}
-		time.Sleep(time.Second)
+		c, source := newKeepingFleet(t)
 		c.begin = 10 * beginTime // it waits for its turn at the engines
 		const path = "/sound/popular"
 		var all sync.WaitGroup
@@ -253,13 +253,7 @@
 func TestOperatorClears(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		source := &testSource{}
-		c := newCrashFleet(t, 1, 3, 18)
-		for _, g := range c.gateways {
-			g.deps.Source = source
-			g.tasks.Go(g.keepQuarantined)
-		}
-		time.Sleep(time.Second)
+		c, source := newKeepingFleet(t)
 		for range 3 {
 			c.call(0, crashPath)
 		}
--- a/relay/suspend_test.go
+++ b/relay/suspend_test.go
@@ -24,6 +24,22 @@
 
 func answerOK(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { answer(w, "200 OK", "", "") }
 
+// askWaiting sends a request that has ten seconds and waits for an endpoint, since none is
+// known.
+func (b *bench) askWaiting() <-chan reply {
+	b.t.Helper()
+	if err := b.gateway.readConfiguration(time.Now()); err != nil {
+		b.t.Fatal(err)
+	}
+	answers := make(chan reply, 1)
+	go func() { answers <- b.ask(b.t.Context(), "POST", "/safe/", "", http.Header{"Wait-Ms": {"10000"}}) }()
+	for b.gateway.inFlight.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * queueStep) // it has looked for an endpoint
+	return answers
+}
+
 // TestSuspendedHost: a host may be suspended for seconds, which its monotonic clock does not
 // count. A gateway that wakes would take all that it knew for young: it would run requests
 // for keys that were withdrawn meanwhile, send requests that nobody waits for any more with
@@ -74,13 +90,7 @@
 	t.Run("nothing is sent after its deadline", func(t *testing.T) {
 		is := is.New(t)
 		b := newBench(t, answerOK)
-		is.NoErr(b.gateway.readConfiguration(time.Now())) // no endpoint is known yet
-		answers := make(chan reply, 1)
-		go func() { answers <- b.ask(t.Context(), "POST", "/safe/", "", http.Header{"Wait-Ms": {"10000"}}) }()
-		for b.gateway.inFlight.Load() == 0 {
-			time.Sleep(time.Millisecond)
-		}
-		time.Sleep(2 * queueStep) // it has looked for an endpoint
+		answers := b.askWaiting()
 		b.suspend(long)
 		b.know()
 		is.Equal((<-answers).status, 503)
@@ -90,13 +100,7 @@
 	t.Run("only what is left of its time is told", func(t *testing.T) {
 		is := is.New(t)
 		b := newBench(t, answerOK)
-		is.NoErr(b.gateway.readConfiguration(time.Now())) // no endpoint is known yet
-		answers := make(chan reply, 1)
-		go func() { answers <- b.ask(t.Context(), "POST", "/safe/", "", http.Header{"Wait-Ms": {"10000"}}) }()
-		for b.gateway.inFlight.Load() == 0 {
-			time.Sleep(time.Millisecond)
-		}
-		time.Sleep(2 * queueStep) // it has looked for an endpoint
+		answers := b.askWaiting()
 		b.suspend(2 * time.Second)
 		b.know()
 		is.Equal((<-answers).status, 200)
