--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -14,7 +14,7 @@
 // QuarantineStore keeps what stands against requests that crash endpoints beyond the life
 // of all gateways.
 type QuarantineStore interface {
-	// Quarantined returns all that is kept, perhaps as it was some seconds ago.
+	// Quarantined returns all that is kept.
 	Quarantined(ctx context.Context) ([]quarantine.Entry, error)
 	// KeepQuarantined keeps an entry, in place of an older one, for so long.
 	KeepQuarantined(ctx context.Context, e quarantine.Entry, life time.Duration) error
@@ -26,9 +26,6 @@
 	// keptFor is how long an entry is kept after the newest crash: the longest that a
 	// lease of the store lasts. It is needed only if all gateways start again.
 	keptFor = 10 * time.Minute
-	// recallAgain is how long after its start a gateway recalls once more: what it reads may
-	// be some seconds old.
-	recallAgain = 6 * time.Second
 	// keepAgain is the pause after an entry could not be kept, or recalled.
 	keepAgain = time.Second
 	// mostToKeep bounds the requests whose entries wait to be kept.
@@ -256,18 +253,9 @@
 	return g.deps.Source.KeepQuarantined(ctx, e, keptFor)
 }
 
-// recallQuarantined takes in what the store keeps, at the start and once more: a process that
-// starts knows nothing, and perhaps no other one does.
+// recallQuarantined takes in what the store keeps; a process that starts knows nothing, and
+// perhaps no other one does. Where the store is away it waits until somebody reads it again.
 func (g *Gateway) recallQuarantined() {
-	g.recallOnce()
-	if g.pause(recallAgain) {
-		g.recallOnce()
-	}
-}
-
-// recallOnce takes in what the store keeps. Where the store is away it waits until somebody
-// reads it again.
-func (g *Gateway) recallOnce() {
 	for {
 		ctx, cancel := context.WithTimeout(g.ctx, readTime)
 		entries, err := g.deps.Source.Quarantined(ctx)
