Constants in the order in which their comments refer to each other

Cause: read as a newcomer: 'the same where it had begun to answer' stood behind another constant than the one that it means. Ruled out: nothing; the pairs of places that remain are imports and set-ups of a few lines.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -16,14 +16,14 @@
 	// two happen to requests that are sent again together. After three the users allow
 	// three sends more, for those that are on their way.
 	crashesBefore = 3
+	// crashesInAll is the same where it had begun to answer: most that crash an endpoint do
+	// so at their beginning, and streams under way are those that share it.
+	crashesInAll = 5
 	// sameMoment is how soon after one crash another counts as the same event: whoever ends
 	// many endpoints at once ends them within milliseconds, and work that many callers ask
 	// for is on all of them. Endpoints that crashed under one request that came again and
 	// again ended 80 ms to some seconds apart.
 	sameMoment = 50 * time.Millisecond
-	// crashesInAll is the same where it had begun to answer: most that crash an endpoint do
-	// so at their beginning, and streams under way are those that share it.
-	crashesInAll = 5
 	// firstRest is how long after its newest crash a request stays quarantined. It doubles
 	// with each crash beyond those that were needed, up to longestRest: one that is sent
 	// once more by then and crashes another endpoint has to wait longer each time.
