--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -61,6 +61,9 @@
 	h.Set("After", s.LastEventID)
 	for _, helper := range s.Helpers {
 		h.Add("Helper", helper.Address)
+		if helper.Reservation != "" {
+			h.Add("Reservation", helper.Reservation)
+		}
 	}
 	return h
 }
