Memory set aside is renewed only while it is used

Cause: the gateway took its wait for an answer for use of the memory that it had set aside at other endpoints. Class: a resource held on another's behalf, renewed by a sign of life of the one that waits instead of one of the work. Change: memory counts as used when a part of the answer comes or when an endpoint that holds it says so, asked once a second while nothing comes. After 3 s never used, 2 s after use, 6 s without an answer the gateway ends the send and releases it; the prompt goes elsewhere if it may, else its caller hears 502. A process that stood still sets nothing aside anew. A setting takes the users' bound.

--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -22,7 +22,7 @@
 	"listen.front": "10.1.0.40:8227", "listen.ready": "10.1.0.40:8220", "listen.control": "10.1.0.40:8229",
 	"internalPorts.0": "7340", "provider.address": "10.200.1.7:8223",
 	"bounds.strictRevoke": "true", "bounds.revokeMs": "5000", "bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "104.0",
-	"bounds.budgetWindowS": "10", "bounds.graceS": "8",
+	"bounds.budgetWindowS": "10", "bounds.graceS": "8", "bounds.idleMaxMs": "7000",
 }
 
 var (
@@ -70,6 +70,14 @@
 	is.Equal(fmt.Sprint(s.Relay.Seeds), "[10.1.0.40:8229 10.2.0.29:8229]")
 	is.Equal(s.Bounds.RevokeAfter.String(), "5s")
 	is.Equal(s.Process.DrainTime.String(), "8s")
+	is.Equal(s.Bounds.UnusedMemory.String(), "7s")
+}
+
+func TestTemplateWithoutABoundOfUnusedMemory(t *testing.T) {
+	is := is.New(t)
+	s, err := load(t, map[string]string{"bounds.idleMaxMs": ""})
+	is.NoErr(err)
+	is.Equal(s.Bounds.UnusedMemory.String(), "9s")
 }
 
 func TestTemplateWithoutProofs(t *testing.T) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -23,8 +23,8 @@
 			x.notReserved(err)
 			return "", true
 		}
-		defer memory.release()
-		at.memory = memory
+		defer memory.end()
+		at.memory, ctx = memory, memory.send
 	}
 	if o, ok := x.mayProceed(); !ok {
 		return o, false
@@ -120,7 +120,7 @@
 
 // failed takes in a send without an answer.
 func (x *exchange) failed(ctx context.Context, at *place, err error) {
-	x.lastError = err
+	x.brokenBy(at, err)
 	var failure *upstream.Error
 	if errors.As(err, &failure) && failure.Stage == upstream.NotSent {
 		x.unsent++
@@ -139,6 +139,14 @@
 	}
 }
 
+// brokenBy notes why an exchange has ended without a whole answer.
+func (x *exchange) brokenBy(at *place, err error) {
+	x.lastError = err
+	if at.memory.unused() {
+		x.lastError = errMemoryUnused
+	}
+}
+
 // note takes in what a send showed of the endpoint that it went to.
 func (x *exchange) note(at *place, o health.Outcome) { x.noteAt(at.endpoint.ID, o) }
 
--- a/relay/engines_memory_test.go
+++ b/relay/engines_memory_test.go
@@ -163,6 +163,12 @@
 	return e.reserved, e.released
 }
 
+// longest returns how long any memory stayed set aside without use.
+func (e *testEngines) longest() time.Duration {
+	longest, _ := e.memory()
+	return longest
+}
+
 // memory returns how long any memory stayed set aside without use, and how many reservations
 // there are now.
 func (e *testEngines) memory() (longestIdle time.Duration, setAside int) {
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -26,6 +26,8 @@
 	// refuses requests with keys. Zero: no proof is needed.
 	RevokeAfter time.Duration
 	Retries     limits.WindowConfig
+	// UnusedMemory is the longest that memory may stay set aside at an endpoint without use.
+	UnusedMemory time.Duration
 	// DrainTime is the time from the stop signal to the end of the process.
 	DrainTime time.Duration
 	Policy    balance.Policy
--- a/relay/memoryuse.go
+++ b/relay/memoryuse.go
@@ -1,38 +1,99 @@
 package relay
 
 import (
-	"context"
-	"io"
 	"sync"
 	"time"
+)
 
-	"github.com/gravitational/trace"
-
-	"github.com/micarudder/micarudder/catalog"
+const (
+	// askUseAfter is how long an answer may bring nothing before an endpoint is asked whether the
+	// memory set aside there is used. Events come every 100 to 500 ms, so that streams cause no
+	// questions; the reading of a prompt, one to four seconds, causes one each second.
+	askUseAfter = renewEvery
+	// tickSlack is by how much the ticks of the renewals may come early. Proofs are dated at one
+	// tick and judged at a later one: without it every second judgement came a tick late.
+	tickSlack = renewEvery / 4
+	// unusedAtEnd is how long memory that was used may be unused before it is given back: its
+	// request is over then, and the answer lost. A request that an engine put off and reads
+	// anew uses it again within a pass or two, well below a second. With a question a second
+	// the memory is back in three at most; the users allow four.
+	unusedAtEnd = 2 * time.Second
 )
 
-// askUseAfter is how long an answer may bring nothing before an endpoint is asked whether the
-// memory set aside there is used. Events come every 100 to 500 ms; only while a prompt is read,
-// which takes one to four seconds, is there a question.
-const askUseAfter = 1500 * time.Millisecond
+// useLimits say how long memory may stay set aside without a proof that it is used.
+type useLimits struct {
+	// idle holds where an endpoint says that it was never used, silent where none answers.
+	idle, silent time.Duration
+}
+
+// newUseLimits returns the limits below which no memory is unused for longer than most. What
+// remains of most is for a release that is lost: the memory lapses a holdTime after the last
+// renewal. An endpoint that says "not used" is believed after half of the rest: in the queue of
+// an engine that works, prompts waited for at most two seconds in days of bursts and faults.
+func newUseLimits(most time.Duration) useLimits {
+	silent := max(most-holdTime, 2*askUseAfter) // two questions at least
+	return useLimits{idle: silent / 2, silent: silent}
+}
+
+// useStep is what to do about memory set aside.
+type useStep uint8
+
+const (
+	keepMemory useStep = iota // renew it
+	askUse                    // renew it, and ask whether it is used
+	giveBack                  // it is not used: end the send and release it
+)
 
-// memoryUse is what a gateway knows of whether the memory set aside for one send is used. Its
-// methods may be called concurrently.
+// memoryUse is what a gateway knows of whether the memory set aside for one send is used. Time
+// comes in as an argument. Its methods may be called concurrently.
 type memoryUse struct {
+	limits useLimits
+
 	mu     sync.Mutex
 	proved time.Time // the newest proof of use; without one, when the memory was set aside
+	used   bool      // whether there was one
+	idle   bool      // whether an endpoint has said since then that it is not used
 	asked  int       // how often an endpoint was asked
 }
 
-// begin notes that the memory has just been set aside.
-func (u *memoryUse) begin(now time.Time) { u.prove(now) }
+func newMemoryUse(l useLimits, now time.Time) *memoryUse { return &memoryUse{limits: l, proved: now} }
 
-// prove notes that the memory was used then: a part of the answer came, or its endpoint said so.
+// prove notes that the memory was used then: a part of the answer came, or an endpoint said so.
 func (u *memoryUse) prove(at time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if at.After(u.proved) {
-		u.proved = at
+		u.proved, u.used, u.idle = at, true, false
+	}
+}
+
+// unused notes that an endpoint said, to a question asked then, that no request uses its memory.
+func (u *memoryUse) unused(asked time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if asked.After(u.proved) {
+		u.idle = true
+	}
+}
+
+// next returns what to do now.
+func (u *memoryUse) next(now time.Time) useStep {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	limit := u.limits.silent
+	switch {
+	case u.idle && u.used:
+		limit = min(limit, unusedAtEnd)
+	case u.idle:
+		limit = u.limits.idle
+	}
+	switch unproved := now.Sub(u.proved) + tickSlack; {
+	case unproved >= limit:
+		return giveBack
+	case unproved >= askUseAfter:
+		return askUse
+	default:
+		return keepMemory
 	}
 }
 
@@ -50,61 +111,3 @@
 	u.asked++
 	return (u.asked - 1) % n
 }
-
-// askUse asks one of the endpoints that have memory set aside whether it is used, when the
-// answer has brought nothing for a while. All of it is used by the same request, so that one
-// question a renewal is enough, however many endpoints have some.
-func (r *reservations) askUse(ctx context.Context) {
-	if r.use.unproved(time.Now()) < askUseAfter {
-		return
-	}
-	one := r.list[r.use.question(len(r.list))]
-	r.done.Go(func() {
-		asked := time.Now()
-		report, err := r.g.report(ctx, one.endpoint)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			r.g.deps.Log.Request("It is not known whether memory is used.", "request", r.request, "endpoint", one.endpoint.ID, "reservation", one.id,
-				"unproved_ms", r.use.unproved(asked).Milliseconds(), "err", err)
-			return
-		}
-		state := report.Reservations[one.id]
-		if state == ReservationUsed {
-			r.use.prove(asked)
-			return
-		}
-		r.logUnused(ctx, one, state, r.use.unproved(asked))
-	})
-}
-
-// logUnused logs that memory is not used, and what the endpoint that the request went to says
-// of its queue: whether others are in the way there, or nothing is.
-func (r *reservations) logUnused(ctx context.Context, one *reservation, state ReservationState, unproved time.Duration) {
-	at, err := r.g.report(ctx, r.generating)
-	r.g.deps.Log.Request("Memory is not used.", "request", r.request, "endpoint", one.endpoint.ID, "reservation", one.id, "tokens", one.tokens, "state", state.String(),
-		"unproved_ms", unproved.Milliseconds(), "generating", r.generating.ID, "waiting", at.Waiting, "running", at.Running,
-		"memory_used", at.MemoryUsed, "memory_total", at.MemoryTotal, "reservations_there", len(at.Reservations), "err", err)
-}
-
-// report asks an endpoint with an engine about itself.
-func (g *Gateway) report(ctx context.Context, e catalog.Endpoint) (r EndpointReport, err error) {
-	ctx, cancel := context.WithTimeout(ctx, reportTime)
-	defer cancel()
-	g.meter.reports.Inc()
-	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, g.deps.Protocol.Report(e.ID))
-	if err != nil {
-		return r, err
-	}
-	defer res.Body.Close()
-	r, ok, err := g.deps.Protocol.ReadReport(res)
-	if err != nil {
-		return r, err
-	}
-	if !ok {
-		return r, trace.Errorf("endpoint %s answered %s", e.ID, res.Status)
-	}
-	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxReportRest)) // to keep the connection
-	return r, trace.Wrap(err)
-}
--- a/relay/memoryuse_test.go
+++ b/relay/memoryuse_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,8 +32,9 @@
 // memoryBench is a gateway before four engines under virtual time; a prompt of hugePrompt
 // tokens needs the memory of two of them.
 type memoryBench struct {
-	gateway *Gateway
-	engines *testEngines
+	gateway   *Gateway
+	engines   *testEngines
+	suspended atomic.Int64 // how long the gateway's host was suspended, in nanoseconds
 }
 
 const (
@@ -46,10 +48,11 @@
 	b := &memoryBench{engines: newTestEngines(play)}
 	events := eventlog.New(io.Discard, eventlog.Options{Level: log.InfoLevel, LinesPerSecond: 100})
 	b.gateway = New(Config{
-		Name: "g", DrainTime: time.Minute, Policy: balance.Default(),
+		Name: "g", UnusedMemory: mostUnused, DrainTime: time.Minute, Policy: balance.Default(),
 		Retries: limits.WindowConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}, Deps{
 		Protocol: testProtocol{}, Log: events, Metrics: metrics.NewSet(),
+		Suspended: func() time.Duration { return time.Duration(b.suspended.Load()) },
 		Endpoints: upstream.New(upstream.Options{MaxIdle: time.Minute, IdlePerHost: 1, Dialer: b.engines.dial}),
 	})
 	t.Cleanup(func() { b.gateway.Close(); events.Close(time.Second) })
@@ -70,19 +73,22 @@
 // ask sends a huge prompt on a route and returns the answer and how long it took.
 func (b *memoryBench) ask(t *testing.T, route string) (*httptest.ResponseRecorder, time.Duration) {
 	began := time.Now()
+	w := httptest.NewRecorder()
+	b.askInto(t, route, w)
+	return w, time.Since(began)
+}
+
+// askInto does so with a caller of the test's own.
+func (b *memoryBench) askInto(t *testing.T, route string, w http.ResponseWriter) {
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/"+route+"/1", strings.NewReader("x"))
 	r.Host = "h.example"
 	r.Header = http.Header{"Id": {"r1"}, "Key": {"k"}, "Tokens": {strconv.Itoa(hugePrompt)}, "Wait-Ms": {"15000"}}
-	w := httptest.NewRecorder()
-	func() {
-		defer func() {
-			if e := recover(); e != nil && e != http.ErrAbortHandler {
-				panic(e)
-			}
-		}()
-		b.gateway.ServeHTTP(w, r)
+	defer func() {
+		if e := recover(); e != nil && e != http.ErrAbortHandler {
+			panic(e)
+		}
 	}()
-	return w, time.Since(began)
+	b.gateway.ServeHTTP(w, r)
 }
 
 // wholeAnswer is what a caller of the scripts here gets.
@@ -143,7 +149,7 @@
 				is := is.New(t)
 				b := newMemoryBench(t, tc.play)
 				w, took := b.ask(t, "stream")
-				t.Logf("status %d after %v, %d sends", w.Code, took, b.engines.sends())
+				t.Logf("status %d after %v, %d sends, unused for %v", w.Code, took, b.engines.sends(), b.engines.longest())
 				time.Sleep(mostAfterUse)
 				idle, left := b.engines.memory()
 				is.True(idle <= tc.most) // memory stayed set aside unused for too long
@@ -180,3 +186,196 @@
 		is.Equal(left, 0)
 	})
 }
+
+// TestUnusedMemoryWithoutReports: where no endpoint answers whether its memory is used, a prompt
+// that brings nothing does not keep it for longer than the users allow either.
+func TestUnusedMemoryWithoutReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newMemoryBench(t, func(n int, r *engineRun) {
+			if n == 1 {
+				r.hang()
+				return
+			}
+			serveWhole(r)
+		})
+		b.engines.noReports = true
+		w, _ := b.ask(t, "stream")
+		time.Sleep(mostAfterUse)
+		idle, left := b.engines.memory()
+		is.True(idle <= mostUnused)
+		is.Equal(left, 0)
+		is.Equal(w.Code, http.StatusOK)
+		is.Equal(w.Body.String(), wholeAnswer)
+	})
+}
+
+// TestStreamKeepsItsMemoryWithoutReports: the events of a stream prove that its memory is used,
+// whether or not endpoints answer.
+func TestStreamKeepsItsMemoryWithoutReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const events = 13
+		b := newMemoryBench(t, func(_ int, r *engineRun) {
+			r.use(true)
+			r.head()
+			for id := range events {
+				r.event(id + 1)
+				time.Sleep(time.Second)
+			}
+			r.end()
+		})
+		b.engines.noReports = true
+		w, _ := b.ask(t, "stream")
+		is.Equal(strings.Count(w.Body.String(), "data: "), events)
+		is.Equal(b.engines.sends(), 1)
+	})
+}
+
+// TestUnusedMemoryOfAPromptThatMayRunOnce: the caller of a prompt that must not be sent again
+// hears when its endpoint does not use the memory that it may have run, and does not wait for the end of its time.
+func TestUnusedMemoryOfAPromptThatMayRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newMemoryBench(t, func(_ int, r *engineRun) { r.hang() })
+		w, took := b.ask(t, "story")
+		is.Equal(w.Code, http.StatusBadGateway)
+		is.True(took <= mostUnused)
+		is.Equal(b.engines.sends(), 1)
+		time.Sleep(time.Second)
+		idle, left := b.engines.memory()
+		is.True(idle <= mostUnused)
+		is.Equal(left, 0)
+	})
+}
+
+// slowCaller is a caller that does not read for a while after the first event.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+// Write implements io.Writer.
+func (c *slowCaller) Write(p []byte) (int, error) {
+	n, err := c.ResponseRecorder.Write(p)
+	time.Sleep(c.pause)
+	c.pause = 0
+	return n, err
+}
+
+// TestAnswerThatWaitsForItsCaller: the run is over and its memory unused while its caller does
+// not read. The memory goes back; the rest of the answer, which is ready, still goes out.
+func TestAnswerThatWaitsForItsCaller(t *testing.T) {
+	for _, route := range []string{"stream", "story"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newMemoryBench(t, func(_ int, r *engineRun) {
+				r.use(true)
+				r.head()
+				r.event(1)
+				r.use(false) // the rest lies ready in the connection
+				r.event(2)
+				r.end()
+			})
+			w := &slowCaller{httptest.NewRecorder(), 8 * time.Second}
+			b.askInto(t, route, w)
+			is.Equal(w.Body.String(), wholeAnswer)
+			is.Equal(b.engines.sends(), 1)
+			idle, left := b.engines.memory()
+			is.True(idle <= mostAfterUse)
+			is.Equal(left, 0)
+		})
+	}
+}
+
+// TestSuspendedGatewayDoesNotSetMemoryAsideAnew: a gateway whose host stood still for longer than
+// its memory is held does not renew it: the endpoint has ended the request with it, and a
+// renewal would set it aside for nobody.
+func TestSuspendedGatewayDoesNotSetMemoryAsideAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newMemoryBench(t, nil)
+		b.engines.used = true
+		first, _ := b.gateway.state.Endpoint("a")
+		memory, err := b.gateway.reserve(t.Context(), "r", &place{reserve: []wantedMemory{{first, 100}}})
+		is.NoErr(err)
+		time.Sleep(renewEvery + renewEvery/2)
+		reserved, _ := b.engines.orders()
+		is.Equal(reserved, 2)
+		b.suspended.Add(int64(holdTime))
+		time.Sleep(2 * renewEvery)
+		reserved, released := b.engines.orders()
+		is.Equal(reserved, 2)
+		is.Equal(released, 1)
+		is.True(memory.unused())
+		memory.end()
+	})
+}
+
+// TestMemoryUse holds when memory counts as used, and what follows. Times are seconds after
+// it was set aside.
+func TestMemoryUse(t *testing.T) {
+	limits := newUseLimits(mostUnused)
+	at := func(seconds float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+	cases := []struct {
+		name   string
+		used   []float64 // proofs of use
+		unused []float64 // answers that it is not
+		now    float64
+		want   useStep
+	}{
+		{"young", nil, nil, 0.7, keepMemory},
+		{"no event yet", nil, nil, 1, askUse},
+		{"nobody answers", nil, nil, 5.7, askUse},
+		{"nobody answers for long", nil, nil, 6, giveBack},
+		{"in the queue", nil, []float64{1, 2}, 2.7, askUse},
+		{"in the queue for long", nil, []float64{1, 2}, 3, giveBack},
+		{"begun", []float64{2.5}, []float64{1, 2}, 3.2, keepMemory},
+		{"read for long", []float64{2, 4, 6, 8, 10}, []float64{1}, 10.7, keepMemory},
+		{"a pause of its stream", []float64{5}, nil, 6, askUse},
+		{"over, and the answer lost", []float64{5}, []float64{6}, 6.5, askUse},
+		{"over for long", []float64{5}, []float64{6}, 7, giveBack},
+		{"put off and read anew", []float64{5, 6.5}, []float64{6}, 7.2, keepMemory},
+		{"an answer that was overtaken by an event", []float64{6.5}, []float64{6}, 9, askUse},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newMemoryUse(limits, at(0))
+			for _, s := range tc.unused {
+				u.unused(at(s))
+			}
+			for _, s := range tc.used {
+				u.prove(at(s))
+				for _, n := range tc.unused {
+					if n > s {
+						u.unused(at(n))
+					}
+				}
+			}
+			if got := u.next(at(tc.now)); got != tc.want {
+				t.Errorf("step %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestUseLimits: with what a lost release leaves, memory is unused no longer than is allowed.
+func TestUseLimits(t *testing.T) {
+	for most := 5 * time.Second; most < time.Minute; most += time.Second {
+		l := newUseLimits(most)
+		if l.silent+holdTime > most || l.idle >= l.silent {
+			t.Errorf("%v: %+v", most, l)
+		}
+	}
+}
+
+// TestQuestionsGoRound: an endpoint that does not answer hides nothing for long.
+func TestQuestionsGoRound(t *testing.T) {
+	is := is.New(t)
+	u := newMemoryUse(newUseLimits(mostUnused), time.Now())
+	for _, want := range []int{0, 1, 2, 0} {
+		is.Equal(u.question(3), want)
+	}
+}
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -16,6 +16,7 @@
 	resumes         *metrics.Counter
 	orders          *metrics.Counter
 	reserveFailures *metrics.Counter
+	memoryUnused    *metrics.Counter
 	reports         *metrics.Counter
 	broken          *metrics.Counter
 	probes          *metrics.Counter
@@ -36,6 +37,7 @@
 		retries:         set.NewCounter("relay_retries_total"),
 		orders:          set.NewCounter("relay_orders_total"),
 		reserveFailures: set.NewCounter("relay_reserve_failures_total"),
+		memoryUnused:    set.NewCounter("relay_memory_unused_total"),
 		reports:         set.NewCounter("relay_reports_total"),
 		broken:          set.NewCounter("relay_broken_exchanges_total"),
 		probes:          set.NewCounter("relay_crash_probes_total"),
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,18 +34,30 @@
 	tokens   int
 }
 
-// reservations is the memory set aside for one send.
+// reservations is the memory set aside for one send. It is renewed only while there is proof
+// that the request uses it (memoryUse): a send that waits for an answer is none, since its
+// endpoint may have hung or lost the answer, and nobody else can have the memory meanwhile.
 type reservations struct {
 	g       *Gateway
 	request string
 	// generating is the endpoint that the request goes to.
 	generating catalog.Endpoint
 	list       []*reservation
-	use        memoryUse
-	stop       context.CancelFunc // of the renewals
-	done       sync.WaitGroup
+	use        *memoryUse
+	// send is what the request is sent under; it ends with memory that is given back unused.
+	send    context.Context
+	endSend context.CancelCauseFunc
+	// writing is set while the answer waits for its caller: it is then not the endpoint that
+	// brings nothing, and what is still to be read of the answer is not thrown away.
+	writing atomic.Bool
+	stop    context.CancelFunc // of the renewals
+	done    sync.WaitGroup
+	freed   sync.Once // the release
 }
 
+// errMemoryUnused ends a send whose memory nobody used.
+var errMemoryUnused = errors.New("no request used the memory that was set aside for this one")
+
 // noMemory is a failure to set memory aside.
 type noMemory struct {
 	endpoints []string // that failed
@@ -56,8 +70,8 @@
 // Unwrap returns the cause.
 func (n *noMemory) Unwrap() error { return n.err }
 
-// reserve sets memory aside at every helper that the choice names. On failure,
-// which is a *noMemory, nothing stays set aside.
+// reserve sets memory aside at every helper that the choice names, for a send under ctx. On
+// failure, which is a *noMemory, nothing stays set aside.
 func (g *Gateway) reserve(ctx context.Context, request string, at *place) (*reservations, error) {
 	type ending struct {
 		endpoint string
@@ -87,7 +101,8 @@
 		r.release()
 		return nil, &failed
 	}
-	r.use.begin(time.Now())
+	r.use = newMemoryUse(newUseLimits(g.config.UnusedMemory), time.Now())
+	r.send, r.endSend = context.WithCancelCause(ctx)
 	renewing, stop := context.WithCancel(g.ctx)
 	r.stop = stop
 	r.done.Go(func() { r.renew(renewing) })
@@ -128,36 +143,111 @@
 	return out
 }
 
-// renew keeps the memory set aside until ctx ends.
+// renew keeps the memory set aside until ctx ends, or until it is not used.
 func (r *reservations) renew(ctx context.Context) {
 	tick := time.NewTicker(renewEvery)
 	defer tick.Stop()
+	last, suspended := time.Now(), r.g.suspendedTime()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		r.askUse(ctx)
-		for _, one := range r.list {
-			if !r.g.state.SameLife(one.endpoint) {
-				continue // it holds nothing of this, and must not set it aside anew
-			}
-			r.done.Go(func() {
-				if err := r.g.order(ctx, one, r.g.deps.Protocol.Reserve(one.endpoint.ID, one.id, one.tokens, holdTime)); err != nil && ctx.Err() == nil {
-					r.g.deps.Log.Request("Memory was not renewed.", "endpoint", one.endpoint.ID, "reservation", one.id, "err", err)
-				}
-			})
+		now, total := time.Now(), r.g.suspendedTime()
+		if now.Sub(last)+total-suspended >= holdTime {
+			// This process stood still and the memory lapsed: a renewal would set it aside
+			// anew, for a request that was cut with it.
+			r.giveBack("lapsed", now)
+			return
 		}
+		last, suspended = now, total
+		switch r.use.next(now) {
+		case giveBack:
+			r.giveBack("not used", now)
+			return
+		case askUse:
+			r.done.Go(func() { r.askUse(ctx) })
+		}
+		r.renewAll(ctx)
 	}
 }
 
-// release gives the memory back in the background. An order that gets no answer
-// is not repeated: the memory lapses by itself.
-func (r *reservations) release() {
+// renewAll renews the memory at every endpoint, without waiting for the answers.
+func (r *reservations) renewAll(ctx context.Context) {
+	for _, one := range r.list {
+		if !r.g.state.SameLife(one.endpoint) {
+			continue // it holds nothing of this, and must not set it aside anew
+		}
+		r.done.Go(func() {
+			if err := r.g.order(ctx, one, r.g.deps.Protocol.Reserve(one.endpoint.ID, one.id, one.tokens, holdTime)); err != nil && ctx.Err() == nil {
+				r.g.deps.Log.Request("Memory was not renewed.", "endpoint", one.endpoint.ID, "reservation", one.id, "err", err)
+			}
+		})
+	}
+}
+
+// askUse asks one of the endpoints that have memory set aside whether it is used. All of it is
+// used by the same request, so that one question is enough, however many endpoints have some.
+func (r *reservations) askUse(ctx context.Context) {
+	one := r.list[r.use.question(len(r.list))]
+	asked := time.Now()
+	report, err := r.g.report(ctx, one.endpoint)
+	switch state := report.Reservations[one.id]; {
+	case ctx.Err() != nil:
+		return
+	case err != nil:
+		r.g.deps.Log.Request("It is not known whether memory is used.", "request", r.request, "endpoint", one.endpoint.ID, "reservation", one.id,
+			"unproved_ms", r.use.unproved(asked).Milliseconds(), "err", err)
+	case state == ReservationUsed:
+		r.use.prove(asked)
+	default:
+		r.use.unused(asked)
+		r.logUnused(ctx, one, state, asked)
+	}
+}
+
+// logUnused logs that memory is not used, and what the endpoint that the request went to says
+// of its queue: whether others are in the way there, or nothing is.
+func (r *reservations) logUnused(ctx context.Context, one *reservation, state ReservationState, asked time.Time) {
+	at, err := r.g.report(ctx, r.generating)
+	r.g.deps.Log.Request("Memory is not used.", "request", r.request, "endpoint", one.endpoint.ID, "reservation", one.id, "tokens", one.tokens, "state", state.String(),
+		"unproved_ms", r.use.unproved(asked).Milliseconds(), "generating", r.generating.ID, "waiting", at.Waiting, "running", at.Running,
+		"memory_used", at.MemoryUsed, "memory_total", at.MemoryTotal, "reservations_there", len(at.Reservations), "err", err)
+}
+
+// giveBack ends a send whose memory nobody uses, and releases the memory: the request may use
+// other endpoints, and others this memory.
+func (r *reservations) giveBack(why string, now time.Time) {
+	writing := r.writing.Load()
+	r.g.meter.memoryUnused.Inc()
+	r.g.deps.Log.Request("Memory given back.", "request", r.request, "why", why, "generating", r.generating.ID, "endpoints", r.endpoints(), "reservations", r.ids(),
+		"unproved_ms", r.use.unproved(now).Milliseconds(), "answer_waits_for_caller", writing)
+	if !writing {
+		r.endSend(errMemoryUnused)
+	}
+	r.release()
+}
+
+// unused reports whether the send was ended because nobody used its memory; r may be nil.
+func (r *reservations) unused() bool {
+	return r != nil && errors.Is(context.Cause(r.send), errMemoryUnused)
+}
+
+// end ends the send and gives the memory back; r may be nil.
+func (r *reservations) end() {
 	if r == nil {
 		return
 	}
+	r.endSend(nil)
+	r.release()
+}
+
+// release gives the memory back in the background, once. An order that gets no answer
+// is not repeated: the memory lapses by itself.
+func (r *reservations) release() { r.freed.Do(r.releaseAll) }
+
+func (r *reservations) releaseAll() {
 	if r.stop != nil {
 		r.stop()
 	}
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -25,7 +25,7 @@
 		orders.used = true
 		events := eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel, LinesPerSecond: 1})
 		defer events.Close(time.Second)
-		g := New(Config{Name: "g", DrainTime: time.Minute}, Deps{
+		g := New(Config{Name: "g", UnusedMemory: mostUnused, DrainTime: time.Minute}, Deps{
 			Protocol: testProtocol{}, Log: events, Metrics: metrics.NewSet(),
 			Endpoints: upstream.New(upstream.Options{MaxIdle: time.Minute, IdlePerHost: 1, Dialer: orders.dial}),
 		})
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -29,10 +29,11 @@
 		IdlePerHost int           `key:"idle_per_host" default:"24" min:"1" help:"most connections kept without use to one endpoint"`
 	} `section:"endpoints"`
 	Bounds struct {
-		RevokeAfter time.Duration `key:"revoke_after" default:"0s" help:"how long after its removal a key may still be used; 0s: no proof of the configuration's age is needed"`
-		RetryRatio  float64       `key:"retry_ratio" default:"0.2" min:"0" help:"second sends for each first one, all gateways together"`
-		RetrySlack  float64       `key:"retry_slack" default:"100" min:"0" help:"second sends in a window beyond the ratio, all gateways together"`
-		RetryWindow time.Duration `key:"retry_window" default:"10s" min:"1s" help:"window of the two"`
+		RevokeAfter  time.Duration `key:"revoke_after" default:"0s" help:"how long after its removal a key may still be used; 0s: no proof of the configuration's age is needed"`
+		RetryRatio   float64       `key:"retry_ratio" default:"0.2" min:"0" help:"second sends for each first one, all gateways together"`
+		RetrySlack   float64       `key:"retry_slack" default:"100" min:"0" help:"second sends in a window beyond the ratio, all gateways together"`
+		RetryWindow  time.Duration `key:"retry_window" default:"10s" min:"1s" help:"window of the two"`
+		UnusedMemory time.Duration `key:"unused_memory" default:"9s" min:"1s" help:"longest that memory may stay set aside at an endpoint without use; below 5s a release that is lost may keep it longer"`
 	} `section:"bounds"`
 	Log struct {
 		LinesPerSecond float64 `key:"lines_per_second" default:"300" min:"0" help:"request lines a second; more are counted and left out"`
@@ -56,7 +57,7 @@
 func (s *Settings) config() Config {
 	return Config{
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
-		FirstStart: s.Relay.FirstStart,
+		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
 		BodyMemory: int64(s.Relay.BodyMemory),
 		Retries:    limits.WindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -93,7 +93,7 @@
 func (x *exchange) relayWhole(ctx context.Context, at *place, res *http.Response) (o outcome, again bool) {
 	held, err := io.ReadAll(io.LimitReader(res.Body, holdBack))
 	if err != nil {
-		x.lastError = err
+		x.brokenBy(at, err)
 		if ctx.Err() == nil {
 			x.note(at, health.Bad)
 			x.broke(at)
@@ -102,7 +102,7 @@
 	}
 	x.part(at)
 	x.writeHead(res)
-	if _, err := x.w.Write(held); err != nil {
+	if x.toCaller(at, held, false) != nil {
 		return callerGone, false
 	}
 	if len(held) < holdBack {
@@ -137,20 +137,14 @@
 
 // copyBody passes on a body, each part at once if flushed is set.
 func (x *exchange) copyBody(at *place, body io.Reader, flushed bool) error {
-	flush := http.NewResponseController(x.w)
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
 			x.part(at)
-			if _, e := x.w.Write(buf[:n]); e != nil {
+			if e := x.toCaller(at, buf[:n], flushed); e != nil {
 				return &callerError{e}
 			}
-			if flushed {
-				if e := flush.Flush(); e != nil {
-					return &callerError{e}
-				}
-			}
 		}
 		if err == io.EOF {
 			return nil
@@ -169,7 +163,6 @@
 	}
 	s := x.stream
 	s.partial = s.partial[:0]
-	flush := http.NewResponseController(x.w)
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := res.Body.Read(buf)
@@ -177,7 +170,7 @@
 			s.partial = append(s.partial, buf[:n]...)
 			whole, rest := s.cut(s.partial)
 			if len(whole) > 0 {
-				if e := x.writeEvents(at, res, whole, flush); e != nil {
+				if e := x.writeEvents(at, res, whole); e != nil {
 					return callerGone, false
 				}
 				s.partial = append(s.partial[:0], rest...)
@@ -197,16 +190,29 @@
 }
 
 // writeEvents passes on whole events, after the head of the first answer.
-func (x *exchange) writeEvents(at *place, res *http.Response, events []byte, flush *http.ResponseController) error {
+func (x *exchange) writeEvents(at *place, res *http.Response, events []byte) error {
 	x.part(at)
 	if !x.stream.headSent {
 		x.stream.headSent = true
 		x.writeHead(res)
 	}
-	if _, err := x.w.Write(events); err != nil {
+	return x.toCaller(at, events, true)
+}
+
+// toCaller writes a part of the answer to the caller, at once if flushed is set. It may wait
+// for a caller that does not read.
+func (x *exchange) toCaller(at *place, part []byte, flushed bool) error {
+	if at.memory != nil {
+		at.memory.writing.Store(true)
+		defer at.memory.writing.Store(false)
+	}
+	if _, err := x.w.Write(part); err != nil {
 		return err
 	}
-	return flush.Flush()
+	if !flushed {
+		return nil
+	}
+	return http.NewResponseController(x.w).Flush()
 }
 
 // streamBroke decides what becomes of a stream that ended early.
@@ -214,7 +220,7 @@
 	if x.r.Context().Err() != nil {
 		return callerGone, false
 	}
-	x.lastError = err
+	x.brokenBy(at, err)
 	if ctx.Err() == nil {
 		x.note(at, health.Bad)
 		x.g.meter.resumes.Inc()
@@ -260,11 +266,11 @@
 		x.served(at)
 		return answered
 	}
-	x.lastError = err
+	x.brokenBy(at, err)
 	if _, ok := err.(*callerError); ok || x.r.Context().Err() != nil {
 		return callerGone
 	}
-	if time.Until(x.deadline) > 0 {
+	if time.Until(x.deadline) > 0 && !at.memory.unused() {
 		x.note(at, health.Bad)
 		x.broke(at)
 	}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/peers"
@@ -177,6 +179,27 @@
 	}
 }
 
+// report asks an endpoint with an engine about itself.
+func (g *Gateway) report(ctx context.Context, e catalog.Endpoint) (r EndpointReport, err error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	g.meter.reports.Inc()
+	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, g.deps.Protocol.Report(e.ID))
+	if err != nil {
+		return r, err
+	}
+	defer res.Body.Close()
+	r, ok, err := g.deps.Protocol.ReadReport(res)
+	if err != nil {
+		return r, err
+	}
+	if !ok {
+		return r, trace.Errorf("endpoint %s answered %s", e.ID, res.Status)
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxReportRest)) // to keep the connection
+	return r, trace.Wrap(err)
+}
+
 // maxReportRest bounds what is read of an answer beyond what it says, to keep the
 // connection.
 const maxReportRest = 64 << 10
