Failing test: leases over memory are renewed for a prefill that never begins

Cause: the same as with memory set aside: the gateway renews the leases over the other members' memory for as long as it waits for one member's span, and the agent there waits for its engine's answer without asking whether it works on it. Ruled out: leases that outlive their gateway (they lapse after 4 s, tested before).

--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -28,6 +28,8 @@
 	// LoseOrderAnswer carries orders and span calls out and breaks the
 	// connection instead of answering.
 	LoseOrderAnswer bool `json:"lose_order_answer,omitempty"`
+	// LosePrefill takes prefills, never begins them and never answers.
+	LosePrefill bool `json:"lose_prefill,omitempty"`
 	// FailOrders makes orders fail after their work.
 	FailOrders bool `json:"fail_orders,omitempty"`
 	// FalseLoad is reported in place of the engine's load.
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -110,6 +110,10 @@
 		refused.write(w)
 		return
 	}
+	if s.Faults().LosePrefill {
+		<-r.Context().Done()
+		abort()
+	}
 	rn, refused := s.admitSpan(j)
 	if refused != nil {
 		refused.write(w)
