--- a/engine/engine.go
+++ b/engine/engine.go
@@ -128,7 +128,7 @@
 	Models      []Model  `json:"models"`
 	Role        string   `json:"role"`
 	Fence       uint64   `json:"fence"`
-	Running     []string `json:"running"` // run ids
+	Running     []string `json:"running"` // run ids, and those of spans that are computed or wait for it
 	Held        []Held   `json:"held"`
 	Load        Load     `json:"load"`
 	OrderID     string   `json:"order_id,omitempty"` // last order finished
