What is known of the store holds in one era of it

Cause: a store that comes back from an older copy gives revisions and leases out again, and lacks what was written last. A gateway took another configuration with the revision that it had read for the one it had read, renewed another process's lease, took 'unchanged' for a proof of the version in force, and would have sent to endpoints that had left. Ruled out: a watch or condition on a revision (none is used). TestAdjacentReleases held that reports are the last field of a word; it now holds the same of the era, and that reports stay readable.

--- a/internal/standin/usersplatform/store.go
+++ b/internal/standin/usersplatform/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -35,6 +36,14 @@
 	leases   map[uint64]time.Time
 	trouble  Trouble
 	calls    int
+	era      uint64 // rises when the store comes back from an older copy
+}
+
+// Copy is what a store held at some moment.
+type Copy struct {
+	revision uint64
+	items    map[string]item
+	leases   map[uint64]time.Time
 }
 
 type item struct {
@@ -47,7 +56,23 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: make(map[string]item), leases: make(map[uint64]time.Time)}
+	return &Store{items: make(map[string]item), leases: make(map[uint64]time.Time), era: 1}
+}
+
+// Copy returns what the store holds now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, maps.Clone(s.items), maps.Clone(s.leases)}
+}
+
+// Restore makes the store go on from an older copy: what was written since is gone, leases
+// too, and revisions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.items, s.leases = c.revision, maps.Clone(c.items), maps.Clone(c.leases)
+	s.era++
 }
 
 // SetTrouble sets what is wrong with the store from now on.
@@ -113,6 +138,7 @@
 	s.expire(time.Now())
 	status, answer := s.call(r)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(answer)
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -69,6 +69,9 @@
 	Signs map[string]health.Sign
 	// Crashes tells of requests that were on endpoints that crashed.
 	Crashes []quarantine.Report
+	// StoreEra is the newest era of the store that the sender knows; 0: none. A higher one than
+	// before means that the store came back from an older copy.
+	StoreEra uint64
 }
 
 // Digest is the load of the endpoints that one cell offers to others.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -72,11 +72,12 @@
 func TestAdjacentReleases(t *testing.T) {
 	is := is.New(t)
 	reports := []quarantine.Report{{Kind: quarantine.Crashed, Fingerprint: quarantine.Fingerprint{Head: 1<<64 - 1, Body: 2}, Endpoint: 3, Begun: true, AgeMs: 4}}
-	p, err := encode(&Word{From: "a", DataCentre: "dc", Crashes: reports})
+	p, err := encode(&Word{From: "a", DataCentre: "dc", Crashes: reports, StoreEra: 5})
 	is.NoErr(err)
 	w, err := decode(p)
 	is.NoErr(err)
 	is.Equal(w.Crashes, reports)
+	is.Equal(w.StoreEra, uint64(5))
 	var fields []msgpack.RawMessage
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
@@ -88,9 +89,10 @@
 		is.NoErr(err)
 		is.Equal(w.From, "a")
 		is.Equal(w.DataCentre, "dc")
-		is.Equal(len(w.Crashes) > 0, len(list) >= len(fields))
+		is.Equal(w.Crashes, reports)
+		is.Equal(w.StoreEra > 0, len(list) >= len(fields))
 	}
-	// Words without reports are as the release before writes them.
+	// Words without reports and eras are as the release before writes them.
 	p, err = encode(&Word{From: "a"})
 	is.NoErr(err)
 	is.NoErr(msgpack.Unmarshal(p, &fields))
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -231,3 +231,14 @@
 	})
 	return out
 }
+
+// Quarantined returns the requests that are quarantined now.
+func (t *Table) Quarantined(now time.Time) []Fingerprint {
+	var out []Fingerprint
+	for f := range t.records {
+		if t.Verdict(f, now).Quarantined() {
+			out = append(out, f)
+		}
+	}
+	return out
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -90,14 +90,17 @@
 	})
 	defer silent.Stop()
 	c, err := g.deps.Source.Configuration(ctx)
+	g.sawStore()
 	if err != nil {
 		g.meter.storeFailures.Inc()
 		return err
 	}
 	if c == nil {
-		g.state.Prove(g.state.Version(), sent)
+		// Peers may know a newer one, which an older copy of the store does not hold.
+		g.state.Prove(g.lastRead.Load(), sent)
 		return nil
 	}
+	g.lastRead.Store(c.Version)
 	if g.state.Take(c) {
 		g.deps.Log.Logger().Info("Configuration in force.", "version", c.Version, "from", "store", "read_ms", time.Since(sent).Milliseconds())
 	}
@@ -142,6 +145,7 @@
 	g.sharing.asks(sent)
 	g.sharing.stopAtList(cancel) // a peer may have it sooner
 	list, err := g.deps.Source.Endpoints(ctx)
+	g.sawStore()
 	if err != nil && g.sharing.endpointsAge(time.Now()) < takeOver {
 		return true
 	}
@@ -176,6 +180,7 @@
 		ctx, cancel := context.WithTimeout(g.ctx, readTime)
 		list, err := g.deps.Source.Gateways(ctx)
 		cancel()
+		g.sawStore()
 		if (err != nil) != lost {
 			lost = err != nil
 			g.logDependency("gateway list", lost, err)
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -80,6 +80,8 @@
 	configurationDocument, endpointsDocument document
 	// news asks for a whole word to the peers soon.
 	news chan struct{}
+	// lastRead is the version that the last own read of the configuration brought.
+	lastRead atomic.Uint64
 	// listedGateways is how many the store's newest list named.
 	listedGateways atomic.Int64
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -118,6 +118,8 @@
 	config    *catalog.Configuration
 	endpoints []catalog.Endpoint
 	err       error
+	era       uint64
+	unchanged bool // whether the configuration is the one that was returned last
 	kept      map[quarantine.Fingerprint]quarantine.Entry
 }
 
@@ -130,6 +132,9 @@
 func (s *testSource) Configuration(context.Context) (*catalog.Configuration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unchanged {
+		return nil, s.err
+	}
 	return s.config, s.err
 }
 
@@ -168,6 +173,20 @@
 	return s.err
 }
 
+func (s *testSource) StoreEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// restore sets what the store holds in its next era.
+func (s *testSource) restore(c *catalog.Configuration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config, s.kept = c, nil
+	s.era++
+}
+
 func (s *testSource) Gateways(context.Context) ([]peers.Member, error) { return nil, nil }
 
 // bench is a gateway before scripted endpoints.
--- a/relay/members.go
+++ b/relay/members.go
@@ -20,6 +20,11 @@
 	// massLapse is the part of a service's endpoints that has to be missing
 	// from one list for the store to be suspected instead of the endpoints.
 	massLapse = 0.5
+	// staleEntryTime is how long after the store came back from an older copy an entry in it may
+	// be of an endpoint that had gone: until three heartbeats of 1.2 s were missed, and some.
+	staleEntryTime = 6 * time.Second
+	// departedFor is how long an endpoint that left is remembered. Copies are seconds old.
+	departedFor = 10 * time.Minute
 )
 
 // MemberChange is a change of what is believed of an endpoint.
@@ -45,18 +50,30 @@
 type members struct {
 	known   map[string]catalog.Endpoint
 	missing map[string]time.Time // entries that lapsed, and when that was seen
-	order   map[string][]catalog.Endpoint
+	// departed are endpoints that were known and are gone. An older copy of the store may name
+	// them again.
+	departed map[string]departure
+	// restored is when the store was seen to have come back from an older copy; zero: never.
+	restored time.Time
+	order    map[string][]catalog.Endpoint
 	// services are those of the configuration in force; empty before one is known.
 	services []string
 	cells    cell.Map
 	inCell   map[string]map[string][]catalog.Endpoint // by service and cell
 }
 
+// departure is how an endpoint left.
+type departure struct {
+	endpoint catalog.Endpoint
+	at       time.Time
+}
+
 func newMembers() *members {
 	return &members{
-		known:   make(map[string]catalog.Endpoint),
-		missing: make(map[string]time.Time),
-		order:   make(map[string][]catalog.Endpoint),
+		known:    make(map[string]catalog.Endpoint),
+		missing:  make(map[string]time.Time),
+		departed: make(map[string]departure),
+		order:    make(map[string][]catalog.Endpoint),
 	}
 }
 
@@ -69,9 +86,15 @@
 	var changes []MemberChange
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
+		if m.isStale(e, now) {
+			continue
+		}
 		present[e.ID] = true
 		delete(m.missing, e.ID)
 		old, ok := m.known[e.ID]
+		if old.Draining && !old.RestartedAs(e) {
+			e.Draining = true // who leaves does not stay: an older copy of the store says so
+		}
 		switch {
 		case !ok:
 			changes = append(changes, MemberChange{e, changeNew})
@@ -82,6 +105,7 @@
 		}
 		m.known[e.ID] = e
 	}
+	m.forgetDeparted(now)
 	lapsed := m.massLapsed(present)
 	for id, e := range m.known {
 		if present[id] {
@@ -91,7 +115,7 @@
 		if !seen {
 			since = now
 		}
-		if !e.Draining && mayReturn(since, now, storeFailed, lapsed[e.Service]) {
+		if !e.Draining && m.mayReturn(since, now, storeFailed, lapsed[e.Service]) {
 			if !seen {
 				m.missing[id] = now
 				changes = append(changes, MemberChange{e, changeMissing})
@@ -100,21 +124,55 @@
 		}
 		delete(m.known, id)
 		delete(m.missing, id)
+		m.departed[id] = departure{e, now}
 		changes = append(changes, MemberChange{e, changeGone})
 	}
 	m.sort()
 	return changes
 }
 
-// mayReturn reports whether an endpoint that is missing since then may have
-// lapsed with the store and come back.
-func mayReturn(since, now, storeFailed time.Time, massLapsed bool) bool {
-	if !storeFailed.IsZero() && now.Sub(storeFailed) < returnTime {
+// isStale reports whether an entry is that of an endpoint which has left, in a store that came
+// back from an older copy. One that had said so never comes back in the same life. One whose entry had
+// only disappeared may: it counts again when its entry outlives the heartbeats that it misses.
+func (m *members) isStale(e catalog.Endpoint, now time.Time) bool {
+	left, ok := m.departed[e.ID]
+	if !ok {
+		return false
+	}
+	if left.endpoint.RestartedAs(e) || now.Sub(left.at) > departedFor {
+		delete(m.departed, e.ID)
+		return false
+	}
+	if left.endpoint.Draining {
+		return true
+	}
+	if left.at.Before(m.restored) && now.Sub(m.restored) < staleEntryTime {
 		return true
 	}
+	delete(m.departed, e.ID)
+	return false
+}
+
+// mayReturn reports whether an endpoint that is missing since then may have
+// lapsed with the store, or be missing in an older copy of it, and come back.
+func (m *members) mayReturn(since, now, storeFailed time.Time, massLapsed bool) bool {
+	for _, away := range []time.Time{storeFailed, m.restored} {
+		if !away.IsZero() && now.Sub(away) < returnTime {
+			return true
+		}
+	}
 	return massLapsed && now.Sub(since) < massLapseTime
 }
 
+// forgetDeparted drops endpoints that left so long ago that no copy names them.
+func (m *members) forgetDeparted(now time.Time) {
+	for id, left := range m.departed {
+		if now.Sub(left.at) > departedFor {
+			delete(m.departed, id)
+		}
+	}
+}
+
 // massLapsed returns the services of which most endpoints are missing at once.
 func (m *members) massLapsed(present map[string]bool) map[string]bool {
 	all, missing := make(map[string]int), make(map[string]int)
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -23,6 +23,7 @@
 	crashes         *metrics.Counter
 	quarantines     *metrics.Counter
 	suspensions     *metrics.Counter
+	restores        *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -44,6 +45,7 @@
 		crashes:         set.NewCounter("relay_endpoint_crashes_total"),
 		quarantines:     set.NewCounter("relay_quarantines_total"),
 		suspensions:     set.NewCounter("relay_suspensions_total"),
+		restores:        set.NewCounter("relay_store_restores_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -129,5 +129,9 @@
 	Endpoints(ctx context.Context) ([]catalog.Endpoint, error)
 	// Gateways announces this gateway and returns the peer addresses of all.
 	Gateways(ctx context.Context) ([]peers.Member, error)
+	// StoreEra returns the era that the store's newest answer named, 0 before one did. It rises
+	// each time that the store comes back from an older copy of itself, in which what was written
+	// last is missing.
+	StoreEra() uint64
 	QuarantineStore
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -85,6 +85,16 @@
 	return q.table.Entry(f), q.table.Verdict(f, now).Quarantined()
 }
 
+// fingerprints returns the quarantined requests.
+func (q *quarantined) fingerprints(now time.Time) []quarantine.Fingerprint {
+	if q.known.Load() == 0 {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Quarantined(now)
+}
+
 // work returns what makes this request the same work as another one.
 func (x *exchange) work() *quarantine.Request {
 	r := &quarantine.Request{Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body}
--- a/relay/share.go
+++ b/relay/share.go
@@ -282,6 +282,7 @@
 	if !g.suspension.after(said) {
 		return // it answers what was said before the host was suspended
 	}
+	g.sawEra(w.StoreEra, w.From)
 	g.picker.digests(w, said)
 	g.heardProof(w, said, from)
 	g.heardEndpoints(w, said, from)
--- a/relay/state.go
+++ b/relay/state.go
@@ -21,8 +21,10 @@
 	changed chan struct{} // closed at the next proof
 	// since is when the host's newest suspension was noticed: a read that was sent before
 	// proves nothing, however short the time that the clock counts since.
-	since   time.Time
-	members *members
+	since time.Time
+	// storeEra is the newest era of the store that is known; 0: none is.
+	storeEra uint64
+	members  *members
 }
 
 // NewState returns a state that knows nothing.
@@ -54,11 +56,13 @@
 
 // Prove notes that a read sent at that time found no newer configuration than
 // version, and reports whether that is younger than what was known. A proof for
-// another version than the one in force proves nothing.
+// another version than the one in force proves nothing, nor does a read soon after the store came
+// back from an older copy: what the operators wrote last may be missing there, and keys that
+// they withdrew be good.
 func (s *State) Prove(version uint64, sent time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.table.Load(); t == nil || t.Version != version || !sent.After(s.proof) || sent.Before(s.since) {
+	if t := s.table.Load(); t == nil || t.Version != version || !sent.After(s.proof) || sent.Before(s.since) || s.missesWrites(sent) {
 		return false
 	}
 	s.proof = sent
@@ -67,6 +71,36 @@
 	return true
 }
 
+// missesWrites reports whether what was written last may have been missing in the store at that
+// time. The caller holds the lock.
+func (s *State) missesWrites(at time.Time) bool {
+	return !s.members.restored.IsZero() && at.Before(s.members.restored.Add(returnTime))
+}
+
+// SawEra takes in an era of the store that was named now; it reports whether the store has come back
+// from an older copy since the last one.
+func (s *State) SawEra(era uint64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.storeEra
+	if era <= before {
+		return false
+	}
+	s.storeEra = era
+	if before == 0 {
+		return false // the first that is known
+	}
+	s.members.restored = now
+	return true
+}
+
+// StoreEra returns the newest era of the store that is known, 0 for none.
+func (s *State) StoreEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeEra
+}
+
 // Outdate drops the proof: the host was suspended, which was noticed now.
 func (s *State) Outdate(now time.Time) {
 	s.mu.Lock()
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -93,7 +93,7 @@
 	told := g.picker.ownLoad(why != changed, now)
 	base := peers.Word{
 		Leaving: g.leaving.Load(), DataCentre: g.config.DataCentre, Partial: why == changed,
-		ProofAgeMs: -1, Version: g.state.Version(), NoStore: g.sharing.storeLost(),
+		ProofAgeMs: -1, Version: g.state.Version(), NoStore: g.sharing.storeLost(), StoreEra: g.state.StoreEra(),
 	}
 	if why != changed {
 		g.fill(&base, now)
