The fault soak has workers with memory, and a store that comes back from an older copy

Change: workers of kind engine, long prompts that need two of them, engines that hang, lose answers, are cut off, reset or crash; the check that memory is unused for 5 s at most, as the gateways are told; the older copy, with what was written since written again. Conclusion: the promise is checked from now on.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -68,7 +68,7 @@
 // checkRuns: what may run only once does, and what was refused did not run.
 func checkRuns(a *asked, f *facts) string {
 	runs := f.ledger.Runs(a.id)
-	idempotent := a.kind == "safe" || a.kind == "stream"
+	idempotent := a.kind == "safe" || a.kind == "stream" || a.kind == "long"
 	switch {
 	case !idempotent && len(runs) > 1:
 		return fmt.Sprintf("ran %d times", len(runs))
@@ -109,6 +109,9 @@
 	if len(f.ledger.Runs(a.id)) == 0 && a.status == 0 {
 		return "" // its connection was closed before it was read
 	}
+	if f.ledger.Hung(a.id) {
+		return "" // its worker never answered
+	}
 	return "cut off by a planned stop: " + a.broken.Error()
 }
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -24,9 +24,11 @@
 	status    int // 0: no head came
 	seal      string
 	body      string
-	broken    error // why the answer did not end well; nil for a whole one
-	abandoned bool  // the client left before the end
-	crashing  bool  // it ends each worker that begins it
+	broken    error         // why the answer did not end well; nil for a whole one
+	abandoned bool          // the client left before the end
+	crashing  bool          // it ends each worker that begins it
+	patience  time.Duration // how long the client waits; 0: requestTime
+	tokens    int           // of a long prompt
 }
 
 // client sends requests one after the other over connections that it keeps
@@ -76,7 +78,10 @@
 
 // send sends the request and reads the answer.
 func (c *client) send(ctx context.Context, a asked, body string) asked {
-	ctx, cancel := context.WithTimeout(ctx, requestTime)
+	if a.patience == 0 {
+		a.patience = requestTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.patience)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.gateway+"/"+a.kind+"/x", strings.NewReader(body))
 	if err != nil {
@@ -85,7 +90,7 @@
 	}
 	r.Host = soakHost
 	r.GetBody = nil // nothing is sent twice behind the soak's back
-	usersplatform.Ask{ID: a.id, Key: a.key, Deadline: requestTime}.Write(r.Header)
+	usersplatform.Ask{ID: a.id, Key: a.key, Deadline: a.patience, Tokens: a.tokens}.Write(r.Header)
 	a.sent = time.Now()
 	res, err := c.transport(a.gateway).RoundTrip(r)
 	if err == nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -56,13 +56,14 @@
 	longest = 3 * time.Second
 )
 
-// injectAll plays the seed's faults and waits until all have ended.
-func (r *run) injectAll(ctx context.Context) {
-	random := rand.New(rand.NewPCG(r.c.Seed, 0xfa017))
+// inject plays the seed's faults of some kinds and waits until all have ended. stream tells their draws
+// from those of other kinds.
+func (r *run) inject(ctx context.Context, kinds []fault, stream uint64) {
+	random := rand.New(rand.NewPCG(r.c.Seed, stream))
 	end := time.Now().Add(r.c.Length)
 	var running sync.WaitGroup
 	for time.Now().Before(end) && ctx.Err() == nil {
-		f := faults[random.IntN(len(faults))]
+		f := kinds[random.IntN(len(kinds))]
 		length := 200*time.Millisecond + time.Duration(random.Int64N(int64(longest)))
 		own := rand.New(rand.NewPCG(random.Uint64(), 1))
 		began := time.Now()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,12 +30,15 @@
 	Workers  int // of each of the two services
 	Clients  int
 	Length   time.Duration // of the faults
+	Engines  int           // workers with memory; 0: no long prompts are sent
+	Restores bool          // whether the store comes back from an older copy once
 }
 
 // Report is what a run showed.
 type Report struct {
 	Asked, Answered, Refused, Broken int
 	Crashes                          int      // of workers, under the request that ends them
+	Prompts, Used                    int      // long ones, and how often they used memory set aside
 	Faults                           []string // in the order of their times
 	Violations                       []string
 }
@@ -69,7 +72,11 @@
 	ready   []string
 	workers []*pooled
 	born    int
-	faults  []string
+	engines []*pooled
+	memory  *usersplatform.Memory // of the engines
+	// bornEngines counts the engines that were started.
+	bornEngines int
+	faults      []string
 
 	suspended map[int]time.Duration // by gateway: how long its host was suspended in all
 }
@@ -82,7 +89,7 @@
 
 // Play runs one seed. The error is a failure of the soak itself.
 func Play(ctx context.Context, c Config) (*Report, error) {
-	r := &run{c: c, store: usersplatform.NewStore(), ledger: usersplatform.NewLedger(), group: procs.NewGroup(c.Dir), suspended: make(map[int]time.Duration)}
+	r := &run{c: c, store: usersplatform.NewStore(), ledger: usersplatform.NewLedger(), memory: usersplatform.NewMemory(), group: procs.NewGroup(c.Dir), suspended: make(map[int]time.Duration)}
 	r.facts = facts{ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), troubled: make(map[string][]span)}
 	if err := r.open(); err != nil {
 		return nil, err
@@ -136,13 +143,18 @@
 			}
 		}
 	}
+	for range r.c.Engines {
+		if err := r.bearEngine(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
 func (r *run) close() {
 	_ = r.server.Close()
 	r.proxy.close()
-	for _, w := range r.workers {
+	for _, w := range append(r.workers, r.engines...) {
 		w.worker.Crash()
 		w.proxy.close()
 	}
@@ -169,10 +181,11 @@
 [bounds]
 revoke_after = %s
 retry_slack = 1000
+unused_memory = %s
 [process]
 admin_listen = %s:%d
 drain_time = %s
-`, i, host, frontPort, host, readyPort, host, peerPort, r.host(0), r.proxy.address(), revokeAfter, host, adminPort, drainTime)
+`, i, host, frontPort, host, readyPort, host, peerPort, r.host(0), r.proxy.address(), revokeAfter, unusedAllowed, host, adminPort, drainTime)
 	return procs.Spec{
 		Name: fmt.Sprintf("gateway-%d", i), Binary: r.c.Binary, Args: []string{"--config", procs.DirVar + "/relay.ini"},
 		Env:   []string{"SUSPENDED_FILE=" + r.suspendedFile(i)},
@@ -192,11 +205,17 @@
 		owner := r.facts.owners[key]
 		workspaces[owner] = append(workspaces[owner], key)
 	}
-	r.store.Configure(usersplatform.Configuration{
+	c := usersplatform.Configuration{
 		Version: r.version, Host: soakHost, Services: []string{"plain", "stream"}, Workspaces: workspaces,
 		Routes: []usersplatform.Route{route("safe", "safe", "plain", false), route("once", "unsafe", "plain", false),
 			route("stream", "streaming", "stream", true), route("story", "streaming", "stream", false)},
-	})
+	}
+	if r.c.Engines > 0 {
+		long := route("long", "streaming", engineService, true)
+		long.Timeout, long.Objective = promptTime, promptObjective
+		c.Engines, c.Routes = engineService, append(c.Routes, long)
+	}
+	r.store.Configure(c)
 }
 
 const (
@@ -204,6 +223,8 @@
 	soakHost = "soak.example"
 	// objective is the latency objective of the routes; nothing is judged by it.
 	objective = 500 * time.Millisecond
+	// promptObjective is that of long prompts, a third of which they wait for workers at most.
+	promptObjective = 3 * time.Second
 )
 
 // bear starts a worker behind a proxy and announces it.
@@ -235,7 +256,16 @@
 		tasks.Go(func() { c.loop(ctx) })
 	}
 	tasks.Go(func() { r.crashWorkers(ctx) })
-	r.injectAll(ctx)
+	if r.c.Engines > 0 {
+		for i := range promptClients {
+			tasks.Go(func() { r.prompts(ctx, i) })
+		}
+		tasks.Go(func() { r.inject(ctx, engineFaults, 0xe9fa) })
+	}
+	if r.c.Restores {
+		tasks.Go(func() { r.restoreStore(ctx) })
+	}
+	r.inject(ctx, faults, 0xfa017)
 	time.Sleep(effectTime)
 	stop()
 	tasks.Wait()
@@ -289,8 +319,12 @@
 func (r *run) report() *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &Report{Asked: len(r.all), Crashes: len(r.facts.crashes), Faults: r.faults, Violations: violations(r.all, &r.facts)}
+	out := &Report{Asked: len(r.all), Crashes: len(r.facts.crashes), Faults: r.faults, Violations: violations(r.all, &r.facts), Used: r.memory.Used()}
+	out.Violations = append(out.Violations, checkMemory(r.memory)...)
 	for _, a := range r.all {
+		if a.kind == "long" {
+			out.Prompts++
+		}
 		switch {
 		case a.broken != nil:
 			out.Broken++
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 	gateways = flag.Int("gateways", 4, "number of gateways of a seed played by hand")
 	workers  = flag.Int("workers", 4, "number of workers of each service")
 	clients  = flag.Int("clients", 16, "number of clients")
+	engines  = flag.Int("engines", 4, "number of workers with memory")
 	keep     = flag.String("keep", "", "folder that takes the logs of seeds that failed")
 )
 
@@ -37,6 +38,10 @@
 	{8031, "the same"},
 }
 
+// memorySeed is played in CI with workers that have memory and hang, and with a store that comes
+// back from an older copy. Without a proof that it is used, memory stayed unused for 9.9 s in it, of 5 allowed.
+const memorySeed = 100
+
 func build(t *testing.T) string {
 	t.Helper()
 	bin := filepath.Join(t.TempDir(), "rudder-relay")
@@ -61,7 +66,8 @@
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
 	}
-	t.Logf("seed %d: %d asked, %d answered, %d refused, %d broken, %d workers ended by one request, %d faults", seed, report.Asked, report.Answered, report.Refused, report.Broken, report.Crashes, len(report.Faults))
+	t.Logf("seed %d: %d asked, %d answered, %d refused, %d broken, %d workers ended by one request, %d faults, %d long prompts, memory used %d times", seed, report.Asked, report.Answered,
+		report.Refused, report.Broken, report.Crashes, len(report.Faults), report.Prompts, report.Used)
 	if len(report.Violations) == 0 {
 		return
 	}
@@ -91,11 +97,17 @@
 			play(t, bin, r.seed, i, usual())
 		})
 	}
+	t.Run("memory", func(t *testing.T) {
+		t.Parallel()
+		c := usual()
+		c.Length, c.Engines, c.Restores = 8*time.Second, 4, true
+		play(t, bin, memorySeed, len(regressions), c)
+	})
 	for i := range *seeds {
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, bin, seed, len(regressions)+i, Config{Gateways: *gateways, Workers: *workers, Clients: *clients, Length: *length})
+			play(t, bin, seed, len(regressions)+1+i, Config{Gateways: *gateways, Workers: *workers, Clients: *clients, Length: *length, Engines: *engines, Restores: true})
 		})
 	}
 }
@@ -198,3 +210,30 @@
 		})
 	}
 }
+
+// TestCheckSeesUnusedMemory: memory that is set aside and used by nobody is found when it lapses, also
+// while it goes on; what is used, or given back in time, is not.
+func TestCheckSeesUnusedMemory(t *testing.T) {
+	long := time.Now().Add(-unusedAllowed - 2*unusedSlack)
+	soon := time.Now().Add(-time.Second)
+	cases := []struct {
+		name string
+		play func(m *usersplatform.Memory)
+		want int
+	}{
+		{"unused for long", func(m *usersplatform.Memory) { m.SetAside("a", long) }, 1},
+		{"unused and given back", func(m *usersplatform.Memory) { m.SetAside("a", long); m.Release("a") }, 1},
+		{"unused and used at last", func(m *usersplatform.Memory) { m.SetAside("a", long); m.Use([]string{"a"}, true) }, 1},
+		{"used for long", func(m *usersplatform.Memory) { m.SetAside("a", soon); m.Use([]string{"a"}, true) }, 0},
+		{"unused for a moment", func(m *usersplatform.Memory) { m.SetAside("a", soon); m.Release("a") }, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			m := usersplatform.NewMemory()
+			tc.play(m)
+			if got := checkMemory(m); len(got) != tc.want {
+				t.Errorf("violations %q, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/standin/usersplatform/speech.go
+++ b/internal/standin/usersplatform/speech.go
@@ -14,6 +14,7 @@
 	ID       string
 	Key      string
 	Deadline time.Duration
+	Tokens   int // of the prompt; 0: it does not say
 }
 
 // Write puts the head into h.
@@ -21,6 +22,9 @@
 	h.Set("Request-Id", a.ID)
 	h.Set("Authorization", "Bearer "+a.Key)
 	h.Set("Deadline-Ms", strconv.FormatInt(a.Deadline.Milliseconds(), 10))
+	if a.Tokens > 0 {
+		h.Set("Token-Usage", fmt.Sprintf("%d,%d", a.Tokens, StreamEvents))
+	}
 }
 
 // SealIn returns the signature that an answer carries, empty for none.
@@ -43,6 +47,7 @@
 	Host       string
 	Routes     []Route
 	Services   []string
+	Engines    string              // the service of workers of kind engine
 	Workspaces map[string][]string // keys by workspace
 }
 
@@ -59,6 +64,9 @@
 	for _, name := range c.Services {
 		services = append(services, map[string]any{"name": name})
 	}
+	if c.Engines != "" {
+		services = append(services, map[string]any{"name": c.Engines, "engine": engineOf()})
+	}
 	for name, keys := range c.Workspaces {
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys})
 	}
--- a/internal/standin/usersplatform/store.go
+++ b/internal/standin/usersplatform/store.go
@@ -37,6 +37,14 @@
 	trouble  Trouble
 	calls    int
 	era      uint64 // rises when the store comes back from an older copy
+	// writes are what the operator and the workers wrote, the newest last.
+	writes []write
+}
+
+// write is one key that was written or removed.
+type write struct {
+	key   string
+	value []byte // nil: removed
 }
 
 // Copy is what a store held at some moment.
@@ -44,6 +52,7 @@
 	revision uint64
 	items    map[string]item
 	leases   map[uint64]time.Time
+	writes   int // how many had been made
 }
 
 type item struct {
@@ -63,7 +72,7 @@
 func (s *Store) Copy() Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Copy{s.revision, maps.Clone(s.items), maps.Clone(s.leases)}
+	return Copy{s.revision, maps.Clone(s.items), maps.Clone(s.leases), len(s.writes)}
 }
 
 // Restore makes the store go on from an older copy: what was written since is gone, leases
@@ -75,6 +84,26 @@
 	s.era++
 }
 
+// WriteAgain writes what the operator and the workers wrote since the copy was made, or removes
+// what they removed.
+func (s *Store) WriteAgain(since Copy, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := make(map[string][]byte)
+	for _, w := range s.writes[since.writes:] {
+		newest[w.key] = w.value
+	}
+	for key, value := range newest {
+		switch {
+		case value != nil && !removed:
+			s.put(key, value, 0)
+		case value == nil && removed:
+			s.revision++
+			delete(s.items, key)
+		}
+	}
+}
+
 // SetTrouble sets what is wrong with the store from now on.
 func (s *Store) SetTrouble(t Trouble) {
 	s.mu.Lock()
@@ -97,6 +126,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writes = append(s.writes, write{key, p})
 	s.put(key, p, 0)
 }
 
@@ -104,6 +134,7 @@
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writes = append(s.writes, write{key: key})
 	s.revision++
 	delete(s.items, key)
 }
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -25,10 +25,11 @@
 type Ledger struct {
 	mu   sync.Mutex
 	runs map[string][]Run
+	hung map[string]bool // requests that a worker of kind engine left without an answer
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{runs: make(map[string][]Run)} }
+func NewLedger() *Ledger { return &Ledger{runs: make(map[string][]Run), hung: make(map[string]bool)} }
 
 // Runs returns the executions of a request.
 func (l *Ledger) Runs(id string) []Run {
@@ -50,14 +51,18 @@
 	LoseRun  float64 // runs, then resets
 	CutShort float64 // breaks off inside the answer
 	Surplus  float64 // sends an answer to another request first
+	// Of workers of kind engine:
+	Hang       float64 // never begins and never answers
+	LoseAnswer float64 // reads the prompt and never answers
 }
 
 // Worker is one incarnation of a back end.
 type Worker struct {
-	ID, Service, Kind string // Kind: plain or stream
+	ID, Service, Kind string // Kind: plain, stream or engine
 	Born              int64  // Unix milliseconds of its start
 	ledger            *Ledger
 	listener          net.Listener
+	memory            *Memory // of kind engine
 
 	mu     sync.Mutex
 	faults Faults
@@ -89,6 +94,18 @@
 	return w, nil
 }
 
+// NewEngine starts a worker of kind engine with its part of the memory.
+func NewEngine(id, service, address string, ledger *Ledger, memory *Memory, seed uint64) (*Worker, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{ID: id, Service: service, Kind: "engine", Born: time.Now().UnixMilli(), ledger: ledger, listener: l, memory: memory,
+		conns: make(map[net.Conn]bool), random: rand.New(rand.NewPCG(seed, 1))}
+	go w.accept()
+	return w, nil
+}
+
 // Address returns where the worker listens.
 func (w *Worker) Address() string { return w.listener.Addr().String() }
 
@@ -133,6 +150,9 @@
 	for c := range w.conns {
 		reset(c)
 	}
+	if w.memory != nil {
+		w.memory.drop(w.ID)
+	}
 }
 
 func (w *Worker) accept() {
@@ -165,18 +185,23 @@
 		if err != nil {
 			return
 		}
-		if !w.answer(c, r, body) {
+		if !w.answer(c, br, r, body) {
 			return
 		}
 	}
 }
 
 // answer answers one request; it reports false when the connection is over.
-func (w *Worker) answer(c net.Conn, r *http.Request, body []byte) bool {
+func (w *Worker) answer(c net.Conn, br *bufio.Reader, r *http.Request, body []byte) bool {
 	id := r.Header.Get("Request-Id")
 	if r.Header.Get("Expect-Instance") != w.ID {
 		return whole(c, id, "421 Misdirected Request", "Not-Executed: 1\r\n", "")
 	}
+	if w.memory != nil {
+		if goOn, ok := w.aboutMemory(c, r, body); ok {
+			return goOn
+		}
+	}
 	f, chance := w.draw()
 	if chance[0] < f.Refuse {
 		return whole(c, id, "503 Service Unavailable", "Not-Executed: 1\r\n", "")
@@ -194,6 +219,9 @@
 	if chance[2] < f.Surplus && !whole(c, "another", "200 OK", "", "not yours") {
 		return false
 	}
+	if w.memory != nil {
+		return w.prompt(c, br, r, id, f, chance[3])
+	}
 	if w.Kind == "stream" {
 		return w.stream(c, r, id, chance[3] < f.CutShort)
 	}
