A prompt in a queue that moves keeps its memory longer than one that is lost

Cause: the first form of the mend gave memory back that was not begun after 3 s. Ruled out: a longer time for all (a lost request is seen in three seconds, and its caller waits). Change: where the engine that is to generate says that something waits, or does not answer, the prompt has all of the time that the users' bound leaves, 6 s; a lost one still 3 s, counted from when nothing waited. Decisions are made on an answer, not on the one before it.

--- a/relay/memoryuse.go
+++ b/relay/memoryuse.go
@@ -22,20 +22,22 @@
 
 // useLimits say how long memory may stay set aside without a proof that it is used.
 type useLimits struct {
-	// idle holds where an endpoint says that it was never used, silent where none answers.
-	idle, silent time.Duration
+	// lost holds where it was never used, and nothing waits at the endpoint that is to use it;
+	// queued where something does, or where nobody answers.
+	lost, queued time.Duration
 }
 
 // newUseLimits returns the limits below which no memory is unused for longer than most. What
 // remains of most is for a release that is lost: the memory lapses a holdTime after the last
-// renewal. An endpoint that says "not used" is believed after half of the rest: in the queue of
-// an engine that works, prompts waited for at most two seconds in days of bursts and faults.
+// renewal. Where nothing waits, half of that is enough to know that the request is lost. In the queue of an
+// engine that works for others a prompt may well be begun: one that was begun after three seconds was
+// served, while its engine still worked for a gateway that had been killed.
 func newUseLimits(most time.Duration) useLimits {
-	silent := max(most-holdTime, 2*askUseAfter) // two questions at least
-	return useLimits{idle: silent / 2, silent: silent}
+	queued := max(most-holdTime, 2*askUseAfter) // two questions at least
+	return useLimits{lost: queued / 2, queued: queued}
 }
 
-// useStep is what to do about memory set aside.
+// useStep is what to do about memory set aside at a tick of its renewals.
 type useStep uint8
 
 const (
@@ -52,43 +54,30 @@
 	mu     sync.Mutex
 	proved time.Time // the newest proof of use; without one, when the memory was set aside
 	used   bool      // whether there was one
-	idle   bool      // whether an endpoint has said since then that it is not used
+	queued time.Time // when something waited last where it is to be used, as far as is known
 	asked  int       // how often an endpoint was asked
 }
 
-func newMemoryUse(l useLimits, now time.Time) *memoryUse { return &memoryUse{limits: l, proved: now} }
+func newMemoryUse(l useLimits, now time.Time) *memoryUse {
+	return &memoryUse{limits: l, proved: now, queued: now}
+}
 
 // prove notes that the memory was used then: a part of the answer came, or an endpoint said so.
 func (u *memoryUse) prove(at time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if at.After(u.proved) {
-		u.proved, u.used, u.idle = at, true, false
+		u.proved, u.used = at, true
 	}
 }
 
-// unused notes that an endpoint said, to a question asked then, that no request uses its memory.
-func (u *memoryUse) unused(asked time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if asked.After(u.proved) {
-		u.idle = true
-	}
-}
-
-// next returns what to do now.
+// next returns what to do now, whatever endpoints said: no memory is kept without a proof for
+// longer than they may have it in a queue.
 func (u *memoryUse) next(now time.Time) useStep {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	limit := u.limits.silent
-	switch {
-	case u.idle && u.used:
-		limit = min(limit, unusedAtEnd)
-	case u.idle:
-		limit = u.limits.idle
-	}
 	switch unproved := now.Sub(u.proved) + tickSlack; {
-	case unproved >= limit:
+	case unproved >= u.limits.queued:
 		return giveBack
 	case unproved >= askUseAfter:
 		return askUse
@@ -97,6 +86,24 @@
 	}
 }
 
+// unused takes in that an endpoint said, to a question asked then, that no request uses its
+// memory; queued is set when something waits at the endpoint that is to use it, or when that
+// does not answer. It reports whether the memory is to be given back.
+func (u *memoryUse) unused(asked time.Time, queued bool) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !asked.After(u.proved) {
+		return false
+	}
+	if queued {
+		u.queued = asked
+	}
+	if u.used {
+		return asked.Sub(u.proved)+tickSlack >= min(unusedAtEnd, u.limits.queued)
+	}
+	return asked.Sub(u.queued)+tickSlack >= u.limits.lost
+}
+
 // unproved returns for how long there has been no proof of use.
 func (u *memoryUse) unproved(now time.Time) time.Duration {
 	u.mu.Lock()
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -164,7 +164,7 @@
 		last, suspended = now, total
 		switch r.use.next(now) {
 		case giveBack:
-			r.giveBack("not used", now)
+			r.giveBack("not known to be used", now)
 			return
 		case askUse:
 			r.done.Go(func() { r.askUse(ctx) })
@@ -202,18 +202,20 @@
 	case state == ReservationUsed:
 		r.use.prove(asked)
 	default:
-		r.use.unused(asked)
-		r.logUnused(ctx, one, state, asked)
+		r.notUsed(ctx, one, state, asked)
 	}
 }
 
-// logUnused logs that memory is not used, and what the endpoint that the request went to says
-// of its queue: whether others are in the way there, or nothing is.
-func (r *reservations) logUnused(ctx context.Context, one *reservation, state ReservationState, asked time.Time) {
+// notUsed takes in that memory is not used, and asks the endpoint that the request went to whether
+// others are in the way there.
+func (r *reservations) notUsed(ctx context.Context, one *reservation, state ReservationState, asked time.Time) {
 	at, err := r.g.report(ctx, r.generating)
 	r.g.deps.Log.Request("Memory is not used.", "request", r.request, "endpoint", one.endpoint.ID, "reservation", one.id, "tokens", one.tokens, "state", state.String(),
 		"unproved_ms", r.use.unproved(asked).Milliseconds(), "generating", r.generating.ID, "waiting", at.Waiting, "running", at.Running,
 		"memory_used", at.MemoryUsed, "memory_total", at.MemoryTotal, "reservations_there", len(at.Reservations), "err", err)
+	if ctx.Err() == nil && r.use.unused(asked, err != nil || at.Waiting > 0) {
+		r.giveBack("not used", asked)
+	}
 }
 
 // giveBack ends a send whose memory nobody uses, and releases the memory: the request may use
