One pause that a context ends, where five packages had their own

Ruled out: metastore's and two experiments' own, which return an error. Change: internal/sleep; the stand-in worker's two constructors share their start. Conclusion: behaviour as before.

--- a/agent/span.go
+++ b/agent/span.go
@@ -11,6 +11,7 @@
 
 	"github.com/micarudder/micarudder/admission"
 	"github.com/micarudder/micarudder/engine"
+	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -289,7 +290,7 @@
 // watchPrefill asks the engine whether it works on a prefill until ctx ends, and ends the
 // prefill when it does not.
 func (a *Agent) watchPrefill(ctx context.Context, j *spanJob, end context.CancelCauseFunc) {
-	for misses := 0; sleep(ctx, watchPause); {
+	for misses := 0; sleep.For(ctx, watchPause); {
 		st, err := a.askState()
 		if err == nil && holdsOrRuns(st, j.id) {
 			misses = 0
@@ -333,15 +334,3 @@
 		j.stop(why)
 	}
 }
-
-// sleep waits for d; it reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/ctl/burn.go
+++ b/ctl/burn.go
@@ -1,12 +1,12 @@
 package ctl
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/micarudder/micarudder/burn"
+	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/slo"
 )
@@ -82,7 +82,7 @@
 	}
 	s := burn.Sampler{Client: http.DefaultClient, URLs: urls(c.Admin, "/metrics"), Goals: conf.Goals()}
 	for i := range c.Samples {
-		if i > 0 && !pause(c.app.ctx, c.Every) {
+		if i > 0 && !sleep.For(c.app.ctx, c.Every) {
 			break
 		}
 		one, err := c.sample(&s)
@@ -112,13 +112,3 @@
 	fmt.Fprintln(c.app.Stderr, "rudderctl:", err)
 	return one, nil
 }
-
-// pause waits and tells whether ctx still lives.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"sync/atomic"
 	"time"
@@ -115,15 +114,3 @@
 	}
 	return g.learn(&rudderv1.OfferRequest{Document: doc}, from)
 }
-
-// pause waits for d; it reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
@@ -75,7 +76,7 @@
 	l.mu.Lock()
 	rank := l.report.GetOfferRank()
 	l.mu.Unlock()
-	if rank > 0 && !pause(ctx, time.Duration(min(rank, maxStagger))*offerStagger+rand.N(offerStagger/4)) {
+	if rank > 0 && !sleep.For(ctx, time.Duration(min(rank, maxStagger))*offerStagger+rand.N(offerStagger/4)) {
 		return false
 	}
 	if has, connected := l.generation(); !connected || has >= l.g.deps.Keeper.Generation() {
@@ -83,7 +84,7 @@
 	}
 	if err := l.offer(ctx); err != nil {
 		l.g.deps.Log.Warn("Offer failed.", "endpoint", l.declared.Name, "err", err)
-		return pause(ctx, offerRetry)
+		return sleep.For(ctx, offerRetry)
 	}
 	return true
 }
@@ -102,7 +103,7 @@
 	}
 	if err := l.ask(ctx); err != nil {
 		l.g.deps.Log.Warn("No newer configuration from the agent.", "endpoint", l.declared.Name, "err", err)
-		return pause(ctx, offerRetry)
+		return sleep.For(ctx, offerRetry)
 	}
 	return true
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/micarudder/micarudder/inner"
+	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/membership"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/rudderv1/rudderv1connect"
@@ -114,7 +115,7 @@
 			wait.Reset()
 			continue
 		}
-		pause(p.g.ctx, wait.NextBackOff())
+		sleep.For(p.g.ctx, wait.NextBackOff())
 	}
 }
 
@@ -187,7 +188,7 @@
 	}
 	select {
 	case <-changed:
-		if !pause(ctx, fetchGrace+rand.N(fetchGrace)) {
+		if !sleep.For(ctx, fetchGrace+rand.N(fetchGrace)) {
 			return nil, ctx.Err()
 		}
 	case <-timer.C:
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -85,23 +85,21 @@
 
 // NewWorker starts a worker on a loopback address.
 func NewWorker(id, service, kind, address string, ledger *Ledger, seed uint64) (*Worker, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	w := &Worker{ID: id, Service: service, Kind: kind, Born: time.Now().UnixMilli(), ledger: ledger, listener: l, conns: make(map[net.Conn]bool), random: rand.New(rand.NewPCG(seed, 1))}
-	go w.accept()
-	return w, nil
+	return start(&Worker{ID: id, Service: service, Kind: kind, ledger: ledger}, address, seed)
 }
 
 // NewEngine starts a worker of kind engine with its part of the memory.
 func NewEngine(id, service, address string, ledger *Ledger, memory *Memory, seed uint64) (*Worker, error) {
+	return start(&Worker{ID: id, Service: service, Kind: "engine", ledger: ledger, memory: memory}, address, seed)
+}
+
+func start(w *Worker, address string, seed uint64) (*Worker, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{ID: id, Service: service, Kind: "engine", Born: time.Now().UnixMilli(), ledger: ledger, listener: l, memory: memory,
-		conns: make(map[net.Conn]bool), random: rand.New(rand.NewPCG(seed, 1))}
+	w.listener, w.Born = l, time.Now().UnixMilli()
+	w.conns, w.random = make(map[net.Conn]bool), rand.New(rand.NewPCG(seed, 1))
 	go w.accept()
 	return w, nil
 }
--- a/load/caller.go
+++ b/load/caller.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/result"
 )
 
@@ -56,7 +57,7 @@
 			break
 		}
 		attach = next == reattach
-		if !sleep(ctx, wait) {
+		if !sleep.For(ctx, wait) {
 			break
 		}
 	}
@@ -231,15 +232,3 @@
 	}
 	return c.asm.broken()
 }
-
-// sleep waits and tells whether ctx still lives.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/load/run.go
+++ b/load/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/micarudder/micarudder/internal/sleep"
 )
 
 const (
@@ -122,7 +124,7 @@
 	var wg sync.WaitGroup
 	g.start = time.Now()
 	for i, a := range arrivals {
-		if !sleep(ctx, a.At-g.now()) {
+		if !sleep.For(ctx, a.At-g.now()) {
 			g.unsent(i, "the run was stopped")
 			continue
 		}
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/upstream"
@@ -155,13 +156,4 @@
 }
 
 // pause waits for d; it reports false when the gateway was closed first.
-func (g *Gateway) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-g.ctx.Done():
-		return false
-	}
-}
+func (g *Gateway) pause(d time.Duration) bool { return sleep.For(g.ctx, d) }
