Failing test: an agent waits for a run that its engine never begins

Cause: the same as with memory set aside: the wait for an answer stands for work. Ruled out: nothing yet.

--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -143,6 +143,10 @@
 		refused.write(w)
 		return
 	}
+	if s.Faults().LoseCompletion {
+		<-r.Context().Done()
+		abort()
+	}
 	rn, refused := s.admit(j)
 	if refused != nil {
 		refused.write(w)
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -30,6 +30,8 @@
 	LoseOrderAnswer bool `json:"lose_order_answer,omitempty"`
 	// LosePrefill takes prefills, never begins them and never answers.
 	LosePrefill bool `json:"lose_prefill,omitempty"`
+	// LoseCompletion does the same with completions.
+	LoseCompletion bool `json:"lose_completion,omitempty"`
 	// FailOrders makes orders fail after their work.
 	FailOrders bool `json:"fail_orders,omitempty"`
 	// FalseLoad is reported in place of the engine's load.
