An agent asks its engine about a run of which nothing comes

Cause: as with prefills: the wait for an engine's answer stood for work, and held the run's slot, memory and caller until the deadline. Ruled out: ending runs at an engine that does not answer questions either (it may go on with them after a while, and the request would run twice); a time limit (prompts are read for minutes).

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/micarudder/micarudder/admission"
@@ -116,7 +117,13 @@
 func (a *Agent) complete(r *run) {
 	begun := time.Now()
 	c := r.req.Completion
-	stream, err := a.deps.Engine.Start(r.ctx, engine.Request{
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	var events atomic.Int64
+	a.workers.Go(func() {
+		a.watchWork(ctx, cancel, work{id: attemptID(r.req), silent: func() bool { return events.Swap(0) == 0 }})
+	})
+	stream, err := a.deps.Engine.Start(ctx, engine.Request{
 		ID:         attemptID(r.req),
 		Path:       c.Path,
 		Body:       r.req.Body,
@@ -125,16 +132,21 @@
 		Import:     spanIDs(c.Spans),
 		MaxTokens:  c.MaxTokens,
 	})
+	if err == nil {
+		defer func() { _ = stream.Close() }()
+		err = a.readStream(r, stream, &events, begun)
+	}
+	if err != nil && errors.Is(context.Cause(ctx), errNotWorkedOn) {
+		err = errNotWorkedOn
+	}
 	if err != nil {
 		a.fail(r, err)
-		return
 	}
-	defer func() { _ = stream.Close() }()
-	a.readStream(r, stream, begun)
 }
 
-// readStream copies the engine's stream into the buffer.
-func (a *Agent) readStream(r *run, stream engine.Stream, begun time.Time) {
+// readStream copies the engine's stream into the buffer, and counts its events. It returns why the
+// stream broke, nil where it did not.
+func (a *Agent) readStream(r *run, stream engine.Stream, events *atomic.Int64, begun time.Time) error {
 	var first time.Time
 	var usage engine.Usage
 	var finish string
@@ -142,12 +154,12 @@
 		ev, err := stream.Recv()
 		if errors.Is(err, io.EOF) && finish != "" {
 			a.finishCompletion(r, finish, usage, begun, first)
-			return
+			return nil
 		}
 		if err != nil {
-			a.fail(r, err)
-			return
+			return err
 		}
+		events.Add(1)
 		if len(ev.Text) > 0 {
 			if first.IsZero() {
 				first = time.Now()
@@ -155,7 +167,7 @@
 				r.apply(lifecycle.Event{Kind: lifecycle.EvAnswer}, "")
 			}
 			if !a.take(r, ev.Text) {
-				return
+				return nil
 			}
 		}
 		if ev.Finish != "" {
--- a/agent/span.go
+++ b/agent/span.go
@@ -11,7 +11,6 @@
 
 	"github.com/micarudder/micarudder/admission"
 	"github.com/micarudder/micarudder/engine"
-	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -256,59 +255,24 @@
 	return err
 }
 
-const (
-	// watchPause is the time between two questions to the engine whether it works on a prefill.
-	watchPause = 2 * time.Second
-	// watchMisses is how many answers in a row without the prefill, or questions without an
-	// answer, mean that it was lost. The other members' memory is reserved and unused meanwhile:
-	// with probeTime for each question that is eight seconds at most, and users allow nine.
-	watchMisses = 2
-)
-
-// errNotBegun ends a prefill that the engine neither works on nor holds.
-var errNotBegun = fmt.Errorf("%w: the prefill was ordered and never begun", engine.ErrLost)
-
-// watchedPrefill orders the prefill and ends it when the engine does not work on it. The wait
-// for an answer is no sign that it does, and the coordinator keeps the memory of all the
-// group's members reserved for as long.
+// watchedPrefill orders the prefill and ends it when the engine does not work on it: the
+// coordinator keeps the memory of all the group's members reserved for as long.
 func (a *Agent) watchedPrefill(j *spanJob) error {
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	defer cancel(nil)
-	watching, stop := context.WithCancel(ctx)
-	defer stop()
-	a.workers.Go(func() { a.watchPrefill(watching, j, cancel) })
+	a.workers.Go(func() {
+		a.watchWork(ctx, cancel, work{id: j.id, silent: func() bool { return true }, mustAnswer: true})
+	})
 	err := a.deps.Engine.Prefill(ctx, engine.Span{
 		ID: j.id, Owner: j.req.Reservation, Path: j.req.Path, Body: j.req.Body,
 		Start: j.req.StartToken, Tokens: j.req.Tokens, Import: spanIDs(j.req.Before), Priority: admission.EnginePriority(j.item),
 	})
-	if err != nil && errors.Is(context.Cause(ctx), errNotBegun) {
-		return errNotBegun
+	if err != nil && errors.Is(context.Cause(ctx), errNotWorkedOn) {
+		return errNotWorkedOn
 	}
 	return err
 }
 
-// watchPrefill asks the engine whether it works on a prefill until ctx ends, and ends the
-// prefill when it does not.
-func (a *Agent) watchPrefill(ctx context.Context, j *spanJob, end context.CancelCauseFunc) {
-	for misses := 0; sleep.For(ctx, watchPause); {
-		st, err := a.askState()
-		if err == nil && holdsOrRuns(st, j.id) {
-			misses = 0
-			continue
-		}
-		if misses++; misses == watchMisses && ctx.Err() == nil {
-			a.deps.Log.Warn("Prefill given up.", "span", j.id, "running", len(st.Running), "err", err)
-			end(errNotBegun)
-			return
-		}
-	}
-}
-
-// holdsOrRuns reports whether the engine works on a span or has computed it.
-func holdsOrRuns(st engine.State, id string) bool {
-	return slices.Contains(st.Running, id) || slices.ContainsFunc(st.Held, func(h engine.Held) bool { return h.ID == id })
-}
-
 // spanFailure is the code for an engine's error.
 func (a *Agent) spanFailure(j *spanJob, err error) *result.Err {
 	switch {
