The soak's balancer asks all gateways at once, and a run that asks nothing fails

Cause: with 200 gateways the stand-in of the balancer, which asked one after the other, found none ready for a whole run: no client asked anything, and the run passed. Earlier runs of that size may have checked nothing either. Ruled out: the gateways (each said that it was ready when it was asked). Change: all are asked at once; a run in which nothing was asked or answered is a failure.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -274,18 +274,21 @@
 // balanceEvery is how often the balancer asks whether gateways are ready.
 const balanceEvery = 250 * time.Millisecond
 
-// balance keeps the list of ready gateways as the platform's balancer does.
+// balance keeps the list of ready gateways as the platform's balancer does. All are asked at once:
+// one after the other, 200 gateways of which some are busy were not asked once in a whole run, and no
+// client found any.
 func (r *run) balance(ctx context.Context) {
 	probe := &http.Client{Timeout: balanceEvery}
 	for ctx.Err() == nil {
+		answers := make([]bool, r.c.Gateways)
+		var asking sync.WaitGroup
+		for i := range answers {
+			asking.Go(func() { answers[i] = isReady(probe, r.spec(i).Ready) })
+		}
+		asking.Wait()
 		var ready []string
-		for i := range r.c.Gateways {
-			res, err := probe.Get(r.spec(i).Ready)
-			if err != nil {
-				continue
-			}
-			_ = res.Body.Close()
-			if res.StatusCode == http.StatusOK {
+		for i, ok := range answers {
+			if ok {
 				ready = append(ready, r.front(i))
 			}
 		}
@@ -296,6 +299,16 @@
 	}
 }
 
+// isReady reports whether a gateway says that it is.
+func isReady(probe *http.Client, url string) bool {
+	res, err := probe.Get(url)
+	if err != nil {
+		return false // it may just have been killed
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
 func (r *run) pickGateway(random *rand.Rand) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,6 +68,9 @@
 	}
 	t.Logf("seed %d: %d asked, %d answered, %d refused, %d broken, %d workers ended by one request, %d faults, %d long prompts, memory used %d times", seed, report.Asked, report.Answered,
 		report.Refused, report.Broken, report.Crashes, len(report.Faults), report.Prompts, report.Used)
+	if report.Asked == 0 || report.Answered == 0 {
+		t.Errorf("seed %d: nothing was asked, or nothing answered, so that nothing was checked", seed)
+	}
 	if len(report.Violations) == 0 {
 		return
 	}
