Gateways read what endpoints say of the requests a second that they take, and log it

Callers see no difference. Cause of the change: the logs could not date when a gateway could have known of a limit, so that they did not tell a limit that nobody reads from one that each gateway keeps alone.

Nothing is decided by it.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,7 +37,7 @@
 	req := x.request(at, memory, now)
 	x.g.meter.sends.Inc()
 	x.begun = false
-	res, err := x.g.deps.Endpoints.Do(ctx, at.endpoint.ID, at.endpoint.Address, req)
+	res, err := x.g.do(ctx, at.endpoint, req, callersRequest, x.call.ID)
 	if err != nil {
 		x.failed(ctx, at, err)
 		return "", true
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -167,6 +167,7 @@
 	if c.Kind == changeGone || c.Kind == changeRestarted {
 		g.deps.Endpoints.Forget(e.ID)
 		g.picker.forget(e.ID)
+		g.limits.forget(e.ID)
 	}
 }
 
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -77,6 +77,7 @@
 	crashProbes *crashProbes
 	quarantined *quarantined
 	suspension  *suspension
+	limits      *endpointLimits
 	// configurationDocument and endpointsDocument are what peers ask for.
 	configurationDocument, endpointsDocument document
 	// news asks for a whole word to the peers soon.
@@ -98,6 +99,7 @@
 	g.crashProbes = newCrashProbes()
 	g.quarantined = newQuarantined()
 	g.suspension = newSuspension(d.Suspended)
+	g.limits = newEndpointLimits()
 	return g
 }
 
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/quarantine"
+	"github.com/micarudder/micarudder/ratelimit"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -82,6 +83,14 @@
 
 func (testProtocol) AtFault(res *http.Response) string { return res.Header.Get("Fault") }
 
+func (testProtocol) Limit(res *http.Response) (n ratelimit.Named, err error) {
+	if text := res.Header.Get("Limit"); text != "" {
+		n.Is = true
+		n.PerSecond, err = strconv.ParseFloat(text, 64)
+	}
+	return n, err
+}
+
 func (testProtocol) Report(id string) *upstream.Request {
 	return &upstream.Request{Method: "GET", Target: "/report", Header: http.Header{"Endpoint": {id}}}
 }
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -24,6 +24,8 @@
 	quarantines     *metrics.Counter
 	suspensions     *metrics.Counter
 	restores        *metrics.Counter
+	limitsNamed     *metrics.Counter
+	limitsEnded     *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -46,6 +48,8 @@
 		quarantines:     set.NewCounter("relay_quarantines_total"),
 		suspensions:     set.NewCounter("relay_suspensions_total"),
 		restores:        set.NewCounter("relay_store_restores_total"),
+		limitsNamed:     set.NewCounter("relay_endpoint_limits_named_total"),
+		limitsEnded:     set.NewCounter("relay_endpoint_limits_ended_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/place.go
+++ b/relay/place.go
@@ -92,7 +92,7 @@
 	x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
 		"tokens", x.call.Input, "waited_ms", waited.Milliseconds(),
 		"expected_ms", int(at.expected.FirstMs), "harm", int(at.expected.Harm), "idle", at.expected.Idle,
-		"read_ms", int(at.before.ReadMs), "short", at.before.Short, "long", at.before.Long, "memory", at.before.Tokens, "pace", at.pace, "candidates", at.candidates, "remote", at.remote)
+		"read_ms", int(at.before.ReadMs), "short", at.before.Short, "long", at.before.Long, "memory", at.before.Tokens, "pace", at.pace, "candidates", at.candidates, "remote", at.remote, "limit", x.g.limits.logged(at.endpoint.ID))
 }
 
 // reasonToRefuse says for the log why a choice that ended so means a refusal.
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -13,6 +13,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/ratelimit"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -103,6 +104,9 @@
 	// AtFault returns the address of the endpoint for which an answer says that the
 	// request was not run; empty: it does not say.
 	AtFault(res *http.Response) string
+	// Limit reads what an answer says of how many requests a second the endpoint takes. The
+	// error tells of a value that cannot be read, which neither sets nor ends a limit.
+	Limit(res *http.Response) (ratelimit.Named, error)
 	// Report returns the question to an endpoint with an engine about itself.
 	Report(endpointID string) *upstream.Request
 	// ReadReport reads its answer; ok is false when it says nothing.
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -268,7 +268,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	g.meter.orders.Inc()
-	res, err := g.deps.Endpoints.Do(ctx, r.endpoint.ID, r.endpoint.Address, o)
+	res, err := g.do(ctx, r.endpoint, o, ownQuestion, "")
 	if err != nil {
 		return err
 	}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -153,7 +153,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, reportTime)
 	defer cancel()
 	g.meter.reports.Inc()
-	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, question)
+	res, err := g.do(ctx, e.Endpoint, question, ownQuestion, "")
 	if err != nil {
 		g.notReached(e.Endpoint, health.Unreachable, err)
 		return
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
 	g.meter.reports.Inc()
-	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, g.deps.Protocol.Report(e.ID))
+	res, err := g.do(ctx, e, g.deps.Protocol.Report(e.ID), ownQuestion, "")
 	if err != nil {
 		return r, err
 	}
