Failing test: endpoints get more requests than they say that they take

Symptom: with six gateways one endpoint of six that names two requests a second gets 6.2 times what is tolerated in its worst four seconds and 6.75 times what it named in all; with 24 gateways and all endpoints limited 9.3 and 18 times. Real processes, workers of the stand-in that name limits and count what reaches them.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -20,6 +21,7 @@
 	key       string
 	gateway   string
 	sent      time.Time
+	headAt    time.Time // when the head of the answer came; zero: it did not
 	ended     time.Time
 	status    int // 0: no head came
 	seal      string
@@ -38,6 +40,9 @@
 	number int
 	random *rand.Rand
 	http   map[string]*http.Transport // by gateway
+	// gateway is the only one that it asks; empty: any that is ready.
+	gateway string
+	pause   time.Duration // longest between two requests; zero: clientPause
 }
 
 // kinds are the kinds of request and how often they are sent.
@@ -48,13 +53,16 @@
 
 func (c *client) loop(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		gateway := c.run.pickGateway(c.random)
+		gateway := c.gateway
+		if gateway == "" {
+			gateway = c.run.pickGateway(c.random)
+		}
 		if gateway == "" {
 			time.Sleep(clientPause)
 			continue
 		}
 		c.run.record(c.ask(ctx, gateway, n))
-		time.Sleep(time.Duration(c.random.Int64N(int64(clientPause))))
+		time.Sleep(time.Duration(c.random.Int64N(int64(cmp.Or(c.pause, clientPause)))))
 	}
 	for _, t := range c.http {
 		t.CloseIdleConnections()
@@ -94,6 +102,7 @@
 	a.sent = time.Now()
 	res, err := c.transport(a.gateway).RoundTrip(r)
 	if err == nil {
+		a.headAt = time.Now()
 		a.status, a.seal = res.StatusCode, usersplatform.SealIn(res.Header)
 		var p []byte
 		p, err = io.ReadAll(res.Body)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -89,25 +89,37 @@
 
 // Play runs one seed. The error is a failure of the soak itself.
 func Play(ctx context.Context, c Config) (*Report, error) {
+	r, err := begin(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	r.play(ctx)
+	r.end()
+	return r.report(), nil
+}
+
+// begin starts the platform's stand-ins and the gateways, and waits until these are ready. The caller closes the run.
+func begin(ctx context.Context, c Config) (*run, error) {
 	r := &run{c: c, store: usersplatform.NewStore(), ledger: usersplatform.NewLedger(), memory: usersplatform.NewMemory(), group: procs.NewGroup(c.Dir), suspended: make(map[int]time.Duration)}
 	r.facts = facts{ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), troubled: make(map[string][]span)}
 	if err := r.open(); err != nil {
 		return nil, err
 	}
-	defer r.close()
 	for i := range c.Gateways {
 		if _, err := r.group.Start(r.spec(i)); err != nil {
+			r.close()
 			return nil, err
 		}
 	}
 	starting, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
 	if err := r.group.WaitReady(starting); err != nil {
+		r.end()
+		r.close()
 		return nil, err
 	}
-	r.play(ctx)
-	r.end()
-	return r.report(), nil
+	return r, nil
 }
 
 // end kills the gateways; what a stop does is checked while clients ask.
--- a/internal/standin/usersplatform/memory.go
+++ b/internal/standin/usersplatform/memory.go
@@ -236,7 +236,7 @@
 		_, _ = br.ReadByte()
 		return false
 	}
-	return w.stream(c, r, id, false)
+	return w.stream(c, r, id, w.Limit(), false)
 }
 
 // hung notes that a request got no answer.
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -21,11 +21,22 @@
 	At        time.Time
 }
 
-// Ledger keeps what all workers ran, by request id.
+// Arrival is one request that reached a worker and was meant for it, whether that ran it or not.
+type Arrival struct {
+	Worker string
+	Born   int64  // of the worker
+	ID     string // of the request; empty: a gateway's own question or order
+	At     time.Time
+	// Limit is what the answer named, as text; empty: nothing.
+	Limit string
+}
+
+// Ledger keeps what all workers ran, by request id, and what reached them.
 type Ledger struct {
-	mu   sync.Mutex
-	runs map[string][]Run
-	hung map[string]bool // requests that a worker of kind engine left without an answer
+	mu       sync.Mutex
+	arrivals []Arrival
+	runs     map[string][]Run
+	hung     map[string]bool // requests that a worker of kind engine left without an answer
 }
 
 // NewLedger returns an empty ledger.
@@ -38,6 +49,20 @@
 	return append([]Run(nil), l.runs[id]...)
 }
 
+// Arrivals returns what reached workers, in the order of time.
+func (l *Ledger) Arrivals() []Arrival {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Arrival(nil), l.arrivals...)
+}
+
+// Arrive writes down that a request reached a worker.
+func (l *Ledger) Arrive(a Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, a)
+}
+
 // Add writes an execution down.
 func (l *Ledger) Add(id string, r Run) {
 	l.mu.Lock()
@@ -66,6 +91,7 @@
 
 	mu     sync.Mutex
 	faults Faults
+	limit  string // that its answers name; empty: none
 	// crashOn is the body of requests that end the worker when it begins them; ended is
 	// called then.
 	crashOn string
@@ -114,6 +140,29 @@
 	w.faults = f
 }
 
+// SetLimit sets what the worker's answers name as the requests a second that it takes from all gateways
+// together; empty: nothing. It answers whatever comes.
+func (w *Worker) SetLimit(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = text
+}
+
+// Limit returns what the worker's answers name.
+func (w *Worker) Limit() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limit
+}
+
+// limitLine returns the line for the head of an answer that names this limit.
+func limitLine(limit string) string {
+	if limit == "" {
+		return ""
+	}
+	return "Server-Limit: " + limit + "\r\n"
+}
+
 // CrashOn makes each request with this body end the worker; ended is called once.
 func (w *Worker) CrashOn(body string, ended func()) {
 	w.mu.Lock()
@@ -195,6 +244,8 @@
 	if r.Header.Get("Expect-Instance") != w.ID {
 		return whole(c, id, "421 Misdirected Request", "Not-Executed: 1\r\n", "")
 	}
+	limit := w.Limit()
+	w.ledger.Arrive(Arrival{w.ID, w.Born, id, time.Now(), limit})
 	if w.memory != nil {
 		if goOn, ok := w.aboutMemory(c, r, body); ok {
 			return goOn
@@ -202,7 +253,7 @@
 	}
 	f, chance := w.draw()
 	if chance[0] < f.Refuse {
-		return whole(c, id, "503 Service Unavailable", "Not-Executed: 1\r\n", "")
+		return whole(c, id, "503 Service Unavailable", limitLine(limit)+"Not-Executed: 1\r\n", "")
 	}
 	w.ledger.Add(id, Run{w.ID, r.Header.Get("Tenant"), r.Header.Get("Last-Event-Id"), time.Now()})
 	if w.crashesOn(body) {
@@ -221,14 +272,14 @@
 		return w.prompt(c, br, r, id, f, chance[3])
 	}
 	if w.Kind == "stream" {
-		return w.stream(c, r, id, chance[3] < f.CutShort)
+		return w.stream(c, r, id, limit, chance[3] < f.CutShort)
 	}
 	text := Body(id)
 	if chance[3] < f.CutShort {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, Seal(id), len(text), text[:len(text)/2])
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, Seal(id), limitLine(limit), len(text), text[:len(text)/2])
 		return false
 	}
-	return whole(c, id, "200 OK", "Response-Seal: "+Seal(id)+"\r\n", text)
+	return whole(c, id, "200 OK", limitLine(limit)+"Response-Seal: "+Seal(id)+"\r\n", text)
 }
 
 // draw returns the faults and one chance for each.
@@ -243,9 +294,9 @@
 }
 
 // stream sends the events after the one that the request names.
-func (w *Worker) stream(c net.Conn, r *http.Request, id string, cut bool) bool {
+func (w *Worker) stream(c net.Conn, r *http.Request, id, limit string, cut bool) bool {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, Seal(id)); err != nil {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, Seal(id), limitLine(limit)); err != nil {
 		return false
 	}
 	for n := after + 1; n <= StreamEvents; n++ {
