One gateway grants the sends to endpoints that limit how many they take

Callers saw nothing; endpoints in need got several times what they said that they take.

Cause: a limit that holds over all gateways, each of which sends alone. Nobody read it; read and kept by each alone it would be exceeded by as many times as there are gateways.

Ruled out: an even part, a part by recent use, counting what others tell, owners that alone send, slots of time.

Change: ratelimit (who coordinates, by votes told in words; who is granted next), relay/grant.go (the question), relay/limited.go (endpoints with limits are left out of the choice and asked for when nothing else is free; a request a second finds out whether the need is over). Right before a send everything is looked at again. TestAdjacentReleases now cuts the two new fields of a word and still compares all others.

Why it holds: each gateway has one vote, a coordinator grants as much of a limit as it has votes of the cell's gateways; grants lapse after 150 ms. A request that was held by a frozen coordinator asked twice, since its wait was judged by a time from before the question (found by the new test; 0.5 s, now 0.33 s).

--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -21,7 +21,11 @@
 	pause             time.Duration // longest between two requests of a client; zero: clientPause
 	// oneGateway makes all clients ask the same gateway.
 	oneGateway bool
-	length     time.Duration
+	// oneEach makes each client ask a gateway of its own.
+	oneEach bool
+	length  time.Duration
+	// served is the least part of the requests that is served, where they are fewer than the limits allow.
+	served float64
 	// meanwhile is played beside the clients; nil: nothing.
 	meanwhile func(r *run)
 }
@@ -58,6 +62,9 @@
 		if p.oneGateway {
 			c.gateway = r.front(0)
 		}
+		if p.oneEach {
+			c.gateway = r.front(i)
+		}
 		tasks.Go(func() { c.loop(ctx) })
 	}
 	time.Sleep(time.Second)
@@ -112,34 +119,110 @@
 			f.broken++
 		case a.status == http.StatusServiceUnavailable:
 			f.refused++
-			f.slowest = max(f.slowest, a.ended.Sub(a.sent))
+			if !overlapsAny(r.facts.troubled[a.gateway], &a) {
+				f.slowest = max(f.slowest, a.ended.Sub(a.sent))
+			}
 		}
 	}
 	return f
 }
 
+// refusedWithin is how soon a request that is refused hears of it: the part of the objective that it may wait,
+// and a busy machine. One whose coordinator has gone waits no longer either.
+const refusedWithin = objective
+
 // TestEndpointGetsWhatItNamed: an endpoint in need named two requests a second for all gateways together and
-// got as many as before, several times what it tolerates.
+// got as many as before, several times what it tolerates. The answers that named it passed through every gateway within a second and
+// a half; none read them, and sends a second did not change. Cause: each gateway decided alone what it sends, as if an endpoint's limit were
+// not shared. Evidence: with the header read and each gateway keeping the whole limit alone, 24 gateways may send 24 times as much; with
+// single sends granted by one of them, the worst four seconds stay at half of what is tolerated, and all of it is used.
 func TestEndpointGetsWhatItNamed(t *testing.T) {
 	bin := build(t)
+	const (
+		nearlyAll = 0.9
+		// withTrouble is what is left of it where the coordinator ends twice in twelve seconds and two seconds
+		// pass each time until another one grants.
+		withTrouble = nearlyAll * (1 - 4.0/12)
+	)
 	cases := []struct {
-		name string
-		play limitPlay
+		name     string
+		used     float64 // least part of the limits; 0: others have room
+		refusals bool
+		play     limitPlay
 	}{
-		{"one of six", limitPlay{gateways: 6, workers: 6, limited: 1, perSecond: 2, clients: 24, length: 6 * time.Second}},
-		{"all, 24 gateways", limitPlay{gateways: 24, workers: 4, limited: 4, perSecond: 2, clients: 24, length: 6 * time.Second}},
+		{"one of six", 0, false, limitPlay{gateways: 6, workers: 6, limited: 1, perSecond: 2, clients: 24, length: 6 * time.Second}},
+		{"all, 6 gateways", nearlyAll, true, limitPlay{gateways: 6, workers: 6, limited: 6, perSecond: 1.9, clients: 24, length: 8 * time.Second}},
+		{"all, 24 gateways", nearlyAll, true, limitPlay{gateways: 24, workers: 4, limited: 4, perSecond: 2, clients: 24, length: 8 * time.Second}},
+		{"all, 24 gateways, one asked", nearlyAll, true, limitPlay{gateways: 24, workers: 4, limited: 4, perSecond: 2, clients: 24, oneGateway: true, length: 8 * time.Second}},
+		{"all, a request every few seconds at each of 24", 0, true, limitPlay{gateways: 24, workers: 4, limited: 4, perSecond: 2, clients: 24, oneEach: true, pause: 6 * time.Second, length: 12 * time.Second, served: nearlyAll}},
+		{"all, gateways killed", withTrouble, true, limitPlay{gateways: 6, workers: 4, limited: 4, perSecond: 2, clients: 24, length: 9 * time.Second, meanwhile: killInTurn}},
+		{"all, gateways frozen", withTrouble, true, limitPlay{gateways: 6, workers: 4, limited: 4, perSecond: 2, clients: 24, length: 9 * time.Second, meanwhile: freezeInTurn}},
+		{"limits change", 0, true, limitPlay{gateways: 6, workers: 4, limited: 4, perSecond: 2, clients: 24, length: 10 * time.Second, meanwhile: changeLimits}},
 	}
 	for i, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
 			f := playLimits(t, bin, i, tc.play)
 			t.Log(f)
 			if f.worst > 1 {
 				t.Errorf("an endpoint got more than it named: %v", f)
 			}
+			if f.used < tc.used {
+				t.Errorf("less than %.2f of the limits were used: %v", tc.used, f)
+			}
+			if f.slowest > refusedWithin {
+				t.Errorf("a refusal took longer than %v: %v", refusedWithin, f)
+			}
+			if float64(f.refused) > (1-tc.play.served)*float64(f.asked) {
+				t.Errorf("less than %.2f of what the limits allow was served: %v", tc.play.served, f)
+			}
+			if !tc.refusals && f.refused > 0 {
+				t.Errorf("requests were refused that others could serve: %v", f)
+			}
 		})
 	}
 }
 
+// killInTurn kills one gateway after the other and starts each again: the one that coordinates is among them.
+func killInTurn(r *run) {
+	for i := range r.c.Gateways {
+		began := time.Now()
+		if p := r.group.Get(fmt.Sprintf("gateway-%d", i)); p != nil && p.Kill() == nil {
+			time.Sleep(500 * time.Millisecond)
+			r.again(i)
+		}
+		r.troubled(i, began)
+		time.Sleep(time.Second)
+	}
+}
+
+// freezeInTurn freezes one gateway after the other.
+func freezeInTurn(r *run) {
+	for i := range r.c.Gateways {
+		began := time.Now()
+		if p := r.group.Get(fmt.Sprintf("gateway-%d", i)); p != nil && p.Freeze() == nil {
+			time.Sleep(700 * time.Millisecond)
+			if err := p.Thaw(); err != nil {
+				continue
+			}
+		}
+		r.troubled(i, began)
+		time.Sleep(800 * time.Millisecond)
+	}
+}
+
+// changeLimits ends the limits, names them again, lowers them, and starts the workers that name them anew.
+func changeLimits(r *run) {
+	for _, text := range []string{"", "3", "0.5", "not a number", "", "1"} {
+		time.Sleep(1500 * time.Millisecond)
+		r.nameLimits(r.c.Workers, text)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for range 2 {
+		restartWorker(r, rand.New(rand.NewPCG(1, 1)), 0)
+	}
+}
+
 func arrival(id string, at time.Time) usersplatform.Arrival {
 	return usersplatform.Arrival{Worker: "i", ID: id, At: at, Limit: "2"}
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/quarantine"
+	"github.com/micarudder/micarudder/ratelimit"
 )
 
 const (
@@ -72,6 +73,11 @@
 	// StoreEra is the newest era of the store that the sender knows; 0: none. A higher one than
 	// before means that the store came back from an older copy.
 	StoreEra uint64
+	// Limits tells how many requests a second endpoints of the sender's cell take.
+	Limits map[string]ratelimit.Notice
+	// Coordinator identifies the gateway that grants sends to these, see ratelimit.Votes; 0: the sender
+	// knows of no limit, or cannot do it itself.
+	Coordinator uint64
 }
 
 // Digest is the load of the endpoints that one cell offers to others.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/quarantine"
+	"github.com/micarudder/micarudder/ratelimit"
 )
 
 func listen(t *testing.T, name string) (*Mesh, netip.AddrPort) {
@@ -67,22 +68,26 @@
 	is.True(m.newer(Word{From: "b", Life: 2, Sequence: 1}, at)) // a new process
 }
 
-// TestAdjacentReleases: a word of the release before, which tells of no crashes, and one of a
-// later release with a field more are read as far as they go; reports are told whole.
+// TestAdjacentReleases: a word of the release before, which tells of no limits of endpoints, and one of a
+// later release with a field more are read as far as they go; reports and limits are told whole.
 func TestAdjacentReleases(t *testing.T) {
 	is := is.New(t)
 	reports := []quarantine.Report{{Kind: quarantine.Crashed, Fingerprint: quarantine.Fingerprint{Head: 1<<64 - 1, Body: 2}, Endpoint: 3, Begun: true, AgeMs: 4}}
-	p, err := encode(&Word{From: "a", DataCentre: "dc", Crashes: reports, StoreEra: 5})
+	limits := map[string]ratelimit.Notice{"e": {Version: 3, Named: ratelimit.Named{Is: true, PerSecond: 1.9}, Born: 4}}
+	p, err := encode(&Word{From: "a", DataCentre: "dc", Crashes: reports, StoreEra: 5, Limits: limits, Coordinator: 6})
 	is.NoErr(err)
 	w, err := decode(p)
 	is.NoErr(err)
 	is.Equal(w.Crashes, reports)
 	is.Equal(w.StoreEra, uint64(5))
+	is.Equal(w.Limits, limits)
+	is.Equal(w.Coordinator, uint64(6))
 	var fields []msgpack.RawMessage
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
 	is.NoErr(err)
-	for _, list := range [][]msgpack.RawMessage{fields[:len(fields)-1], append(slices.Clone(fields), extra)} {
+	before := len(fields) - 2 // what the release before has
+	for _, list := range [][]msgpack.RawMessage{fields[:before], append(slices.Clone(fields), extra)} {
 		p, err := msgpack.Marshal(list)
 		is.NoErr(err)
 		w, err := decode(p)
@@ -90,9 +95,11 @@
 		is.Equal(w.From, "a")
 		is.Equal(w.DataCentre, "dc")
 		is.Equal(w.Crashes, reports)
-		is.Equal(w.StoreEra > 0, len(list) >= len(fields))
+		is.Equal(w.StoreEra, uint64(5))
+		is.Equal(len(w.Limits) > 0, len(list) >= len(fields))
+		is.Equal(w.Coordinator > 0, len(list) >= len(fields))
 	}
-	// Words without reports and eras are as the release before writes them.
+	// Words without reports, eras and limits are as the release before writes them.
 	p, err = encode(&Word{From: "a"})
 	is.NoErr(err)
 	is.NoErr(msgpack.Unmarshal(p, &fields))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -34,6 +34,10 @@
 		return "", true
 	}
 	now := time.Now()
+	if !x.withinLimits(at, now) {
+		x.granted = true // this send was not made: the next one is no more of the budget
+		return "", true
+	}
 	req := x.request(at, memory, now)
 	x.g.meter.sends.Inc()
 	x.begun = false
--- a/relay/digest.go
+++ b/relay/digest.go
@@ -48,6 +48,9 @@
 func (p *picker) spare(s *catalog.Service, endpoints []catalog.Endpoint, now time.Time) []catalog.Endpoint {
 	var out []catalog.Endpoint
 	for _, e := range endpoints {
+		if _, limited := p.limits.limit(e.ID); limited {
+			continue // its own cell needs what it takes
+		}
 		if p.policy.Spare(s.Engine, e.Slots, p.book.Load(e.ID, now)) && !p.health.Suspect(e.ID, now) {
 			out = append(out, e)
 		}
--- a/relay/endpointlimits.go
+++ b/relay/endpointlimits.go
@@ -7,19 +7,31 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/ratelimit"
 	"github.com/micarudder/micarudder/upstream"
 )
 
-// endpointLimits is what this gateway knows of how many requests a second endpoints take. Its methods may
-// be called concurrently.
+// endpointLimits is what this gateway knows of how many requests a second endpoints take, and who
+// grants sends to these. Its methods may be called concurrently.
 type endpointLimits struct {
-	mu    sync.Mutex
-	known *ratelimit.Known
+	mu          sync.Mutex
+	known       *ratelimit.Known
+	votes       *ratelimit.Votes
+	coordinator *ratelimit.Coordinator
+	// chosen is who coordinates by the newest look.
+	chosen string
+	// gateways is how many the own cell has, this one included, as far as any list or word tells.
+	gateways int
+	// probed is when the newest probe was offered that was not taken, by service.
+	probed map[string]time.Time
 }
 
-func newEndpointLimits() *endpointLimits {
-	return &endpointLimits{known: ratelimit.NewKnown()}
+func newEndpointLimits(self string) *endpointLimits {
+	return &endpointLimits{
+		known: ratelimit.NewKnown(), votes: ratelimit.NewVotes(self), coordinator: ratelimit.NewCoordinator(),
+		gateways: 1, probed: make(map[string]time.Time),
+	}
 }
 
 // limit returns the limit that an endpoint has named; ok is false where it has none.
@@ -29,6 +41,13 @@
 	return l.known.Limit(endpoint)
 }
 
+// any reports whether an endpoint has a limit.
+func (l *endpointLimits) any() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known.Any()
+}
+
 // logged returns an endpoint's limit as it stands in logs: -1 where it has none.
 func (l *endpointLimits) logged(endpoint string) float64 {
 	if perSecond, ok := l.limit(endpoint); ok {
@@ -53,6 +72,114 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.known.Forget(endpoint)
+	l.coordinator.Forget(endpoint)
+}
+
+// outdate forgets whom others follow: the host was suspended.
+func (l *endpointLimits) outdate() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.votes.Clear()
+}
+
+// choose returns who coordinates, and whether that has changed since the last look; empty: nobody has to.
+func (l *endpointLimits) choose(leaving bool, now time.Time) (coordinator string, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known.Any() {
+		coordinator = l.votes.Choose(leaving, now)
+	}
+	changed = coordinator != l.chosen
+	if changed {
+		l.coordinator.Reset()
+	}
+	l.chosen = coordinator
+	return coordinator, changed
+}
+
+// coordinatorName returns who coordinates by the newest look.
+func (l *endpointLimits) coordinatorName() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chosen
+}
+
+// fill adds to a word for the own cell what this gateway knows of limits.
+func (l *endpointLimits) fill(w *peers.Word, everything, leaving bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.Limits = l.known.Tell(everything, now)
+	if l.chosen != "" && !leaving {
+		w.Coordinator = l.votes.Own(now)
+	}
+}
+
+// heard takes in what a gateway of the own cell tells; it returns what that changes.
+func (l *endpointLimits) heard(w peers.Word, now time.Time) (news map[string]ratelimit.Named) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	vote := w.Coordinator
+	if w.Leaving {
+		vote = 0
+	}
+	l.votes.Heard(w.From, vote, now)
+	for id, n := range w.Limits {
+		if !l.known.Heard(id, n, now) {
+			continue
+		}
+		if news == nil {
+			news = make(map[string]ratelimit.Named)
+		}
+		news[id] = n.Named
+	}
+	return news
+}
+
+// keep drops limits of other cells' endpoints that were not named lately, and notes how many gateways the own cell has.
+func (l *endpointLimits) keep(gateways int, own func(endpoint string) bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gateways = gateways
+	l.known.Expire(own, now)
+}
+
+// try decides about a request that waits at this gateway; ok is false when this one does not coordinate.
+func (l *endpointLimits) try(a *ratelimit.Ask, now time.Time) (answer ratelimit.Answer, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	share := l.votes.Share(l.gateways, now)
+	if share == 0 {
+		return answer, false
+	}
+	return l.coordinator.Try(a, func(id string) (float64, bool) {
+		perSecond, limited := l.known.Limit(id)
+		return share * perSecond, limited
+	}, now), true
+}
+
+func (l *endpointLimits) leave(a *ratelimit.Ask) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.coordinator.Leave(a)
+}
+
+// mayProbe reports whether a request may be offered to a service's endpoints with limits although others have
+// room. Others may not meanwhile.
+func (l *endpointLimits) mayProbe(service string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.probed[service]) < ratelimit.ProbeEvery {
+		return false
+	}
+	l.probed[service] = now
+	return true
+}
+
+// probeTaken lets the next probe follow at once: there may be more endpoints from which nothing was heard.
+func (l *endpointLimits) probeTaken(service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.probed, service)
 }
 
 // sending is what is sent to an endpoint, as far as its limit is concerned.
@@ -78,7 +205,7 @@
 	return res, nil
 }
 
-// noteLimit takes in what an answer says of its endpoint's limit.
+// noteLimit takes in what an answer says of its endpoint's limit, and tells the other gateways at once.
 func (g *Gateway) noteLimit(e catalog.Endpoint, sent uint64, res *http.Response, kind sending, request string) {
 	named, err := g.deps.Protocol.Limit(res)
 	if err != nil {
@@ -90,10 +217,51 @@
 	if !named.Is && kind == ownQuestion {
 		return
 	}
-	if !g.limits.answered(e, sent, named, time.Now()) {
+	now := time.Now()
+	if !g.limits.answered(e, sent, named, now) {
 		return
 	}
 	g.logLimit(e.ID, named, "answer", request)
+	g.chooseCoordinator(now)
+	g.picker.callPeers()
+}
+
+// heardLimits takes in what a peer tells of limits. Of other cells' endpoints those learn by themselves that send there.
+func (g *Gateway) heardLimits(w peers.Word) {
+	if g.fromAfar(w) {
+		return
+	}
+	now := time.Now()
+	news := g.limits.heard(w, now)
+	for id, named := range news {
+		g.logLimit(id, named, w.From, "")
+	}
+	if changed := g.chooseCoordinator(now); changed || len(news) > 0 {
+		g.picker.callPeers()
+	}
+}
+
+// chooseCoordinator looks who grants sends to endpoints with limits; it reports whether that has changed.
+func (g *Gateway) chooseCoordinator(now time.Time) bool {
+	name, changed := g.limits.choose(g.leaving.Load(), now)
+	if changed {
+		g.deps.Log.Logger().Info("Coordinator of endpoints' limits changed.", "coordinator", name)
+	}
+	return changed
+}
+
+// coordinates reports whether this gateway grants sends to endpoints with limits.
+func (g *Gateway) coordinates() bool { return g.limits.coordinatorName() == g.config.Name }
+
+// keepLimits is called before each word: it lets old beliefs lapse.
+func (g *Gateway) keepLimits(a audience, now time.Time) {
+	g.limits.keep(len(a.near)+1, func(id string) bool {
+		c, ok := g.state.CellOf(id)
+		return ok && c == a.home
+	}, now)
+	if g.chooseCoordinator(now) {
+		g.picker.callPeers()
+	}
 }
 
 // logLimit logs what is believed of an endpoint's limit from now on. source is an answer or the name of a gateway.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -18,16 +18,18 @@
 	brokenOff   outcome = "broken-off"   // the answer ended early
 	refusedFull outcome = "refused-full" // not run: no endpoint took it
 	refusedBusy outcome = "refused-busy" // not run: all slots are taken
-	refusedKey  outcome = "refused-key"  // not run: no proof that the key is still good
-	noRoute     outcome = "no-route"     // 404
-	noKey       outcome = "unknown-key"  // 401
-	badRequest  outcome = "bad-request"  // 4xx
-	unknownEnd  outcome = "may-have-run" // 502: sent, no answer, must not be sent again
-	outOfTime   outcome = "out-of-time"  // deadline
-	callerGone  outcome = "caller-gone"  // the caller closed its connection
-	notStarted  outcome = "not-started"  // 503: no configuration is known yet
-	stopping    outcome = "stopping"     // 503: the process is about to end
-	tooLarge    outcome = "body-too-large"
+	// refusedLimit: not run: endpoints limit their requests, and none can take it in its time.
+	refusedLimit outcome = "refused-limit"
+	refusedKey   outcome = "refused-key"  // not run: no proof that the key is still good
+	noRoute      outcome = "no-route"     // 404
+	noKey        outcome = "unknown-key"  // 401
+	badRequest   outcome = "bad-request"  // 4xx
+	unknownEnd   outcome = "may-have-run" // 502: sent, no answer, must not be sent again
+	outOfTime    outcome = "out-of-time"  // deadline
+	callerGone   outcome = "caller-gone"  // the caller closed its connection
+	notStarted   outcome = "not-started"  // 503: no configuration is known yet
+	stopping     outcome = "stopping"     // 503: the process is about to end
+	tooLarge     outcome = "body-too-large"
 	// quarantinedEnd is 503, or 502 where it was sent before: endpoints crash under it.
 	quarantinedEnd outcome = "quarantined"
 )
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -197,6 +197,7 @@
 			g := f.gateways[n]
 			g.picker.peer(w, now)
 			g.heardCrashes(w)
+			g.heardLimits(w)
 			g.sharing.mu.Lock()
 			g.sharing.heardStore(w, now)
 			g.sharing.mu.Unlock()
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -78,6 +78,9 @@
 	quarantined *quarantined
 	suspension  *suspension
 	limits      *endpointLimits
+	grants      *peerClient
+	// askCoordinator asks another gateway for a grant.
+	askCoordinator func(ctx context.Context, name string, q grantQuestion) (grantAnswer, error)
 	// configurationDocument and endpointsDocument are what peers ask for.
 	configurationDocument, endpointsDocument document
 	// news asks for a whole word to the peers soon.
@@ -99,7 +102,9 @@
 	g.crashProbes = newCrashProbes()
 	g.quarantined = newQuarantined()
 	g.suspension = newSuspension(d.Suspended)
-	g.limits = newEndpointLimits()
+	g.limits = g.picker.limits
+	g.grants = newGrantClient(d.PeerPort)
+	g.askCoordinator = g.askPeerGrant
 	return g
 }
 
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -26,6 +26,8 @@
 	restores        *metrics.Counter
 	limitsNamed     *metrics.Counter
 	limitsEnded     *metrics.Counter
+	grants          *metrics.Counter
+	limited         *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -50,6 +52,8 @@
 		restores:        set.NewCounter("relay_store_restores_total"),
 		limitsNamed:     set.NewCounter("relay_endpoint_limits_named_total"),
 		limitsEnded:     set.NewCounter("relay_endpoint_limits_ended_total"),
+		grants:          set.NewCounter("relay_limit_grants_total"),
+		limited:         set.NewCounter("relay_limit_refusals_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -103,13 +103,19 @@
 	switch {
 	case !busy:
 		return waited < p.objective/unknownShare
-	case p.sends > 0:
-		return waited < p.untilFirst()*resumeShare/100
 	default:
-		return waited < p.objective*waitShare/100
+		return now.Before(p.waitUntil())
 	}
 }
 
+// waitUntil returns until when a request goes on waiting for endpoints that are busy, see mayWait.
+func (p patience) waitUntil() time.Time {
+	if p.sends > 0 {
+		return p.started.Add(p.untilFirst() * resumeShare / 100)
+	}
+	return p.started.Add(p.objective * waitShare / 100)
+}
+
 // comeBackAfter returns when a caller that was refused for busy endpoints had better
 // come back, as far as it will wait for that.
 func (p patience) comeBackAfter(now time.Time) time.Duration {
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -57,6 +57,7 @@
 		g.answerDocument(w, &g.configurationDocument, t.Version, t.Configuration)
 	})
 	m.HandleFunc("GET "+pathEndpoints, g.serveEndpoints)
+	m.HandleFunc("POST "+pathGrant, g.serveGrant)
 	m.HandleFunc("GET "+PathQuarantine, g.serveQuarantine)
 	m.HandleFunc("DELETE "+PathQuarantine+"/{fingerprint}", g.serveClear)
 	return m
@@ -127,6 +128,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	return c.do(req, into)
+}
+
+// do sends a question and reads the answer.
+func (c *peerClient) do(req *http.Request, into any) error {
 	res, err := c.http.Do(req)
 	if err != nil {
 		c.http.CloseIdleConnections() // they may have gone silent together
@@ -134,7 +140,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return trace.Errorf("%s: %s", url, res.Status)
+		return trace.Errorf("%s: %s", req.URL, res.Status)
 	}
 	return trace.Wrap(json.NewDecoder(res.Body).Decode(into))
 }
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -32,6 +32,7 @@
 	// fleet is how many gateways there are, as far as this one knows.
 	fleet  int
 	others map[string]otherCell // by name
+	limits *endpointLimits      // has its own lock
 }
 
 // otherCell is what the newest digest of another cell says beside its load.
@@ -46,7 +47,7 @@
 		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, urgent: make(chan struct{}, 1),
 		book: balance.NewBook(), turns: balance.NewTurns(), health: health.NewTable(),
 		budgets: make(map[string]*limits.Window), changed: make(chan struct{}),
-		others: make(map[string]otherCell),
+		others: make(map[string]otherCell), limits: newEndpointLimits(self),
 	}
 }
 
@@ -57,6 +58,7 @@
 	helpers  []catalog.Endpoint
 	reserve  []wantedMemory
 	memory   *reservations // set aside for the send; nil: none
+	grant    *grant        // to send to an endpoint with a limit; nil: none
 	before   balance.Load  // at the endpoint, before this request
 	chosen   time.Time
 	pace     float64 // of the slowest of the endpoints, as it was known then
--- a/relay/place.go
+++ b/relay/place.go
@@ -50,18 +50,39 @@
 		defer x.g.picker.leave(turn)
 	}
 	var expected balance.Expected // at the newest look at the load
-	for {
+	for first := true; ; first = false {
 		x.countSuspension()
 		now := time.Now()
 		x.patience().tell(&work, x.g.ending(), now)
 		if oversize {
 			work.Late = false // it takes much of many endpoints: it keeps its turn
 		}
+		if first {
+			if at := x.probe(ctx, work); at != nil {
+				x.logChoice(at, now.Sub(began))
+				return at, ""
+			}
+		}
 		var at *place
 		o := pickWait
 		if turn == nil || work.Late || x.g.picker.first(turn, x.patience().rank(oversize, now), now) {
 			at, expected, o = x.g.picker.pick(x.service, work, x.warm, now)
 		}
+		var within withinLimit
+		if o != picked && x.g.limits.any() {
+			within = x.placeWithin(ctx, &work, o, now)
+			switch {
+			case within.at != nil:
+				x.logChoice(within.at, time.Since(began))
+				return within.at, ""
+			case within.end != "":
+				x.logNoPlace("the endpoints' limits are used up", expected, time.Since(began))
+				return nil, within.end
+			case within.again:
+				continue
+			}
+			now = time.Now() // the coordinator took its time
+		}
 		switch {
 		case o == picked:
 			x.logChoice(at, now.Sub(began))
@@ -76,9 +97,15 @@
 			work.Avoid = nil // better the same endpoint again than none
 			continue
 		}
-		if !x.patience().mayWait(o == pickWait, now) {
+		busy := o == pickWait || within.later > 0
+		switch {
+		case x.patience().mayWait(busy, now):
+		case within.later > 0:
+			x.logNoPlace("no endpoint with a limit took it in its time", expected, now.Sub(began))
+			return nil, x.refuseLimited(within.later)
+		default:
 			x.logNoPlace(reasonToRefuse(o), expected, now.Sub(began))
-			return nil, x.giveUpWaiting(o == pickWait)
+			return nil, x.giveUpWaiting(busy)
 		}
 		x.g.picker.await(ctx, queueStep)
 		if ctx.Err() != nil {
--- a/relay/suspend.go
+++ b/relay/suspend.go
@@ -72,8 +72,10 @@
 	}
 	g.state.Outdate(now)
 	g.sharing.outdate(now)
+	g.limits.outdate()
 	g.deps.Endpoints.CloseIdle()
 	g.peers.http.CloseIdleConnections()
+	g.grants.http.CloseIdleConnections()
 	g.meter.suspensions.Inc()
 	g.deps.Log.Logger().Warn("Host was suspended.", "for", fresh, "in_flight", g.inFlight.Load())
 	return total
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -90,6 +90,7 @@
 func (g *Gateway) outgoing(a audience, why occasion, now time.Time) []message {
 	g.quarantined.speaks.Store(a.speaks)
 	g.picker.setFleet(a.gateways, int(g.listedGateways.Load()))
+	g.keepLimits(a, now)
 	told := g.picker.ownLoad(why != changed, now)
 	base := peers.Word{
 		Leaving: g.leaving.Load(), DataCentre: g.config.DataCentre, Partial: why == changed,
@@ -119,6 +120,7 @@
 // near returns the word for the own cell: it tells of all load, wherever it is.
 func (g *Gateway) near(w peers.Word, a audience, why occasion, told ownLoad, now time.Time) message {
 	w.Loads, w.Waiting, w.Signs = told.all, told.waiting, told.signs
+	g.limits.fill(&w, why == dueDigests && g.coordinates(), w.Leaving, now)
 	if a.speaks && why == dueDigests {
 		w.Digests = g.picker.passOn(now)
 	}
@@ -171,6 +173,7 @@
 	g.deps.Mesh.Receive(func(w peers.Word, from netip.AddrPort) {
 		g.picker.peer(w, time.Now())
 		g.heardCrashes(w)
+		g.heardLimits(w)
 		g.heardWord(w, from)
 	})
 }
