A gateway that does not know yet how many there are takes none of the retry slack

Callers saw nothing so far. The same cause as with endpoints' limits: the slack of a service's retry budget holds over all gateways, and each divides it by those that it knows. One that has just started knows none, so that gateways which start together each take all of it.

Change: for 4 s after its start, until it has read the list that the others wrote, a gateway pays second sends only from its own requests.

Evidence: the test on the code before counts 24 times 60 second sends in one window where 100 are allowed; now none without requests.

Conclusion: holds at a start; a gateway that was cut off counts by the newest list, as before.

--- a/limits/window.go
+++ b/limits/window.go
@@ -1,6 +1,9 @@
 package limits
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // WindowConfig sets the bound that a service puts on second sends: in every
 // window of length Window, at most Ratio times the first sends plus Slack.
@@ -37,6 +40,9 @@
 	w.requests[w.cell()]++
 }
 
+// UnknownGateways is the number of gateways for one that does not know yet who shares the slack with it.
+const UnknownGateways = math.MaxInt
+
 // Retry takes a second send out of the budget of one among so many gateways,
 // and reports whether it was there.
 func (w *Window) Retry(now time.Time, gateways int) bool {
--- a/limits/window_test.go
+++ b/limits/window_test.go
@@ -21,6 +21,27 @@
 	is.Equal(granted, int(windowShare*windowBounds.Slack/4))
 }
 
+// TestWindowOfGatewaysThatStartTogether: 24 gateways whose processes started at the same moment each took the whole slack for
+// their own, before they had heard of each other: 1,440 second sends where 100 are allowed. One that does not know how
+// many share the slack now uses none of it, and a part of its own requests as ever.
+func TestWindowOfGatewaysThatStartTogether(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	granted := 0
+	for range 24 {
+		w := NewWindow(windowBounds)
+		for w.Retry(now, UnknownGateways) {
+			granted++
+		}
+	}
+	is.True(granted <= int(windowBounds.Slack))
+	w := NewWindow(windowBounds)
+	for range 100 {
+		w.Request(now)
+	}
+	is.True(w.Retry(now, UnknownGateways))
+}
+
 func TestWindowForgets(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -95,6 +95,9 @@
 func New(c Config, d Deps) *Gateway {
 	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), news: make(chan struct{}, 1), started: time.Now()}
 	g.picker = newPicker(c.Name, c.DataCentre, g.state, c.Policy, c.Retries)
+	if d.Mesh != nil {
+		g.picker.knowsFleet = g.started.Add(fleetTime)
+	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.peers = newPeerClient(d.PeerPort)
 	g.sharing = newSharing()
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -30,9 +30,11 @@
 	budgets map[string]*limits.Window // by service
 	changed chan struct{}             // closed when load was taken off
 	// fleet is how many gateways there are, as far as this one knows.
-	fleet  int
-	others map[string]otherCell // by name
-	limits *endpointLimits      // has its own lock
+	fleet int
+	// knowsFleet is when this gateway can be expected to know that.
+	knowsFleet time.Time
+	others     map[string]otherCell // by name
+	limits     *endpointLimits      // has its own lock
 }
 
 // otherCell is what the newest digest of another cell says beside its load.
@@ -318,9 +320,22 @@
 func (p *picker) retry(service string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget(service).Retry(now, max(p.fleet, p.book.Peers(now)+1))
+	return p.budget(service).Retry(now, p.gateways(now))
 }
 
+// gateways returns how many gateways share the slack of a retry budget. The caller holds the lock.
+func (p *picker) gateways(now time.Time) int {
+	if now.Before(p.knowsFleet) {
+		// Many may have started at this moment; each would take all of it.
+		return limits.UnknownGateways
+	}
+	return max(p.fleet, p.book.Peers(now)+1)
+}
+
+// fleetTime is how long a process may not know how many gateways there are: until it has read the list that those who
+// started with it have written, and some.
+const fleetTime = gatewaysSoon + time.Second
+
 func (p *picker) budget(service string) *limits.Window {
 	b := p.budgets[service]
 	if b == nil {
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -240,3 +240,19 @@
 		})
 	}
 }
+
+// TestRetriesBeforeTheFleetIsKnown: a gateway that has just started pays second sends only from its own requests.
+func TestRetriesBeforeTheFleetIsKnown(t *testing.T) {
+	is := is.New(t)
+	p, s := enginePicker(1)
+	p.window = limits.WindowConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+	now := time.Now()
+	p.knowsFleet = now.Add(fleetTime)
+	is.True(!p.retry(s.Name, now))
+	for range 10 {
+		p.request(s.Name, now)
+	}
+	is.True(p.retry(s.Name, now))
+	is.True(!p.retry(s.Name, now))
+	is.True(p.retry(s.Name, now.Add(fleetTime)))
+}
