A gateway that starts again knows from the store's list how many share the retry slack

The store's entries outlive their processes by 30 s, so that one read at the start tells how many gateways there are.

Change: with such a list the gateway takes its part of the slack at once; on the first start of all, and without the store, it waits as before.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -189,6 +189,9 @@
 		if len(list) > 0 {
 			g.deps.Mesh.SetMembers(list)
 			g.listedGateways.Store(int64(len(list)))
+			if !g.config.FirstStart {
+				g.picker.fleetListed(len(list), time.Now()) // entries outlive their processes
+			}
 		}
 		if err != nil {
 			wait = gatewaysSoon
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -332,8 +332,18 @@
 	return max(p.fleet, p.book.Peers(now)+1)
 }
 
-// fleetTime is how long a process may not know how many gateways there are: until it has read the list that those who
-// started with it have written, and some.
+// fleetListed takes in how many gateways a list of the store names.
+func (p *picker) fleetListed(n int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet = max(p.fleet, n)
+	if now.Before(p.knowsFleet) {
+		p.knowsFleet = now
+	}
+}
+
+// fleetTime is how long a process that can read no list of those before it may not know how many gateways there are: until it
+// has read what those who started with it have written, and some.
 const fleetTime = gatewaysSoon + time.Second
 
 func (p *picker) budget(service string) *limits.Window {
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -256,3 +256,18 @@
 	is.True(!p.retry(s.Name, now))
 	is.True(p.retry(s.Name, now.Add(fleetTime)))
 }
+
+// TestRetriesOnceTheFleetIsListed: a gateway that starts again finds the entries of all that were there before.
+func TestRetriesOnceTheFleetIsListed(t *testing.T) {
+	is := is.New(t)
+	p, s := enginePicker(1)
+	p.window = limits.WindowConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+	now := time.Now()
+	p.knowsFleet = now.Add(fleetTime)
+	p.fleetListed(24, now)
+	granted := 0
+	for p.retry(s.Name, now) {
+		granted++
+	}
+	is.Equal(granted, 2) // its part of the slack
+}
