Gateways together keep no more idle connections to an endpoint than it takes

The same cause as with endpoints' limits: an endpoint takes a number of connections from all gateways together and resets more, and each gateway kept up to 24 without use, whatever the others did (576 with 24 gateways, 264 are taken). The number stood in the configuration and was read by nobody.

Evidence: TestKeepIdle, TestIdleConnectionsOfAllGateways (without the change 576).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -183,9 +183,24 @@
 		Body:    x.body,
 		Echo:    x.g.deps.Protocol.Echo(),
 		MaxIdle: x.maxIdle(),
+		// An endpoint resets connections beyond those that it takes from all gateways together.
+		KeepIdle: idleShare(x.service.MaxConnections, x.g.limits.gatewayCount()),
 	}
 	return req
 }
 
+// idlePart is the part of the connections that an endpoint takes, as a divisor, which gateways may keep without use; the
+// rest is for those in use.
+const idlePart = 2
+
+// idleShare returns how many connections without use one of so many gateways keeps to an endpoint that takes
+// at most so many from all of them; zero: it does not say. Each keeps one, or every request would open one.
+func idleShare(most, gateways int) int {
+	if most <= 0 {
+		return 0
+	}
+	return max(1, most/idlePart/gateways)
+}
+
 // DefaultPriority is the rank of a request that endpoints take as usual.
 const DefaultPriority = 5
--- a/relay/endpointlimits.go
+++ b/relay/endpointlimits.go
@@ -104,6 +104,13 @@
 	return l.chosen
 }
 
+// gatewayCount returns how many gateways the own cell has, this one included.
+func (l *endpointLimits) gatewayCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.gateways
+}
+
 // fill adds to a word for the own cell what this gateway knows of limits.
 func (l *endpointLimits) fill(w *peers.Word, everything, leaving bool, now time.Time) {
 	l.mu.Lock()
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -416,3 +416,18 @@
 	defer l.mu.Unlock()
 	return l.votes.Share(1, time.Now()) > 0
 }
+
+// TestIdleConnectionsOfAllGateways: an endpoint takes 264 connections from all gateways together and resets more. Each kept up to 24
+// to it without use, whatever the others did: 576 with 24 gateways. All together they now keep half of what it takes, as
+// long as that is one for each.
+func TestIdleConnectionsOfAllGateways(t *testing.T) {
+	const most = 264
+	for _, gateways := range []int{1, 4, 6, 24, 100} {
+		if all := gateways * idleShare(most, gateways); all > most/idlePart {
+			t.Errorf("%d gateways keep %d connections", gateways, all)
+		}
+	}
+	if idleShare(most, 400) != 1 || idleShare(0, 400) != 0 {
+		t.Error("a gateway keeps one connection, or as many as it likes where endpoints do not say")
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -60,9 +60,13 @@
 func (p *pool) put(c *conn) {
 	c.unwatch()
 	c.idleSince = time.Now()
+	most := p.perKey
+	if c.keepIdle > 0 {
+		most = min(most, c.keepIdle)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.conns[c.key]) >= p.perKey {
+	if p.closed || len(p.conns[c.key]) >= most {
 		_ = c.Conn.Close()
 		return
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -64,6 +64,9 @@
 	// MaxIdle is how long a kept connection may have been idle to be used for
 	// this request; zero: any.
 	MaxIdle time.Duration
+	// KeepIdle is the most connections that are kept without use to the endpoint after this request, below
+	// Options.IdlePerHost; zero: as many as that.
+	KeepIdle int
 }
 
 // Options bounds a Client.
@@ -126,6 +129,7 @@
 		return nil, &Error{Stage: NotSent, Err: err}
 	}
 	conn.watch(ctx)
+	conn.keepIdle = r.KeepIdle
 	conn.send(r)
 	res, err := conn.head(r)
 	if err != nil {
@@ -198,6 +202,7 @@
 	stopWatch func() bool
 	idleSince time.Time
 	idleLimit time.Duration // announced by the endpoint; 0: none
+	keepIdle  int           // see Request.KeepIdle
 }
 
 func newConn(nc net.Conn, key, address string) *conn {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -369,3 +369,36 @@
 	is.NoErr(err)
 	is.Equal(e.conns.Load(), int32(2))
 }
+
+// TestKeepIdle: of connections that end together only as many are kept without use as the request allows.
+func TestKeepIdle(t *testing.T) {
+	is := is.New(t)
+	e := listen(t, func(_ int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for {
+			if _, err := readRequest(br); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, okAnswer); err != nil {
+				return
+			}
+		}
+	})
+	for keep, want := range map[int]int{0: 3, 1: 1, 2: 2, 9: 3} {
+		client := newClient()
+		var bodies []io.ReadCloser
+		for range 3 {
+			r := get("r1")
+			r.KeepIdle = keep
+			res, err := client.Do(t.Context(), "e", e.Addr().String(), r)
+			is.NoErr(err)
+			bodies = append(bodies, res.Body)
+		}
+		for _, b := range bodies {
+			_, err := io.ReadAll(b)
+			is.NoErr(err)
+		}
+		is.Equal(len(client.idle.conns["e"]), want)
+		client.Close()
+	}
+}
