Gateways that start together do not each give out a workspace's whole limit

Callers of one workspace took, for up to ten seconds after all gateways had started, as many times its limit as there are gateways, at the cost of others. The same cause as with endpoints' limits: each divides by the gateways that it has heard, and one that has just started has heard none.

Change: gateways that the settings name and that were not heard yet count for 30 s as asked for as much as this one.

Conclusion: as with gateways that do not hear each other later, a side of a partition still gives out the parts of the other after 30 s (docs/ops/limits.md).

--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -35,7 +35,7 @@
 }
 
 func newLimiter(g *Gateway) *limiter {
-	return &limiter{g: g, table: limits.NewTable(g.cfg.Name), budgets: make(map[string]*limits.Budget)}
+	return &limiter{g: g, table: limits.NewTable(g.cfg.Name, len(g.cfg.Peers)), budgets: make(map[string]*limits.Budget)}
 }
 
 // apply puts the document's limits in force.
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -38,6 +38,10 @@
 	self       string
 	workspaces map[string]*account
 	peers      map[string]report
+	// others is how many other gateways there should be; one of which nothing was heard peerSpan after the
+	// beginning is not there.
+	others int
+	begun  time.Time // zero: no limits were set yet
 }
 
 type account struct {
@@ -51,9 +55,9 @@
 	comeback     time.Time // told to the last refused request
 }
 
-// NewTable returns the table of the gateway with the given name.
-func NewTable(self string) *Table {
-	return &Table{self: self, workspaces: make(map[string]*account), peers: make(map[string]report)}
+// NewTable returns the table of the gateway with the given name, which shares with so many others.
+func NewTable(self string, others int) *Table {
+	return &Table{self: self, others: others, workspaces: make(map[string]*account), peers: make(map[string]report)}
 }
 
 // SetAll puts new limits in force, by workspace. What is in flight and owed stays.
@@ -70,6 +74,9 @@
 		}
 		a.limit = l
 	}
+	if t.begun.IsZero() {
+		t.begun = now
+	}
 	t.divide(now)
 }
 
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -19,7 +19,7 @@
 func newFleet(n int, l Limit) fleet {
 	f := make(fleet, n)
 	for i := range f {
-		f[i] = NewTable(fmt.Sprint("gateway-", i))
+		f[i] = NewTable(fmt.Sprint("gateway-", i), n-1)
 		f[i].SetAll(map[string]Limit{"w": l}, epoch)
 	}
 	f.round(epoch)
@@ -104,7 +104,7 @@
 		f.round(epoch)
 		var requests, tokens float64
 		for _, g := range f {
-			r, k := g.shares("w", g.workspaces["w"])
+			r, k := g.shares("w", g.workspaces["w"], epoch)
 			is.True(r > 0 && k > 0)
 			requests += r
 			tokens += k
@@ -135,6 +135,43 @@
 	is.Equal(inFlight(at(33_000)), 10)
 }
 
+// TestGatewaysThatStartTogether: gateways that have not heard of each other yet each gave out a workspace's whole limit, 24 times
+// as much together, until they had told each other, ten seconds later. All together they now let through what the limit
+// allows, a second's worth that may come at once, and one request each.
+func TestGatewaysThatStartTogether(t *testing.T) {
+	is := is.New(t)
+	const gateways, perSecond, seconds = 24, 48, 10
+	admitted := 0
+	tables := make(fleet, gateways)
+	for i := range tables {
+		tables[i] = NewTable(fmt.Sprint("gateway-", i), gateways-1)
+		tables[i].SetAll(map[string]Limit{"w": {RequestsPerSecond: perSecond}, "flights": {MaxInFlight: perSecond}}, epoch)
+	}
+	inFlight := 0
+	for _, g := range tables {
+		for g.Admit("flights", 1, epoch).OK {
+			inFlight++
+		}
+	}
+	is.True(inFlight <= perSecond+gateways)
+	for ms := 0; ms < seconds*1000; ms += 10 {
+		for _, g := range tables {
+			if ms%1000 == 0 {
+				g.Tick(at(ms))
+			}
+			if g.Admit("w", 1, at(ms)).OK {
+				admitted++
+				g.Done("w")
+			}
+		}
+	}
+	is.True(admitted <= perSecond*(seconds+1)+gateways)
+	alone := tables[0]
+	alone.Tick(at(31_000))
+	requests, _ := alone.shares("w", alone.workspaces["w"], at(31_000))
+	is.Equal(requests, 1.0) // nobody else is there
+}
+
 // TestRetryAfter has a burst over the limit: each refused request is told a
 // later time, at the pace of the limit, and up to a bound.
 func TestRetryAfter(t *testing.T) {
--- a/limits/split.go
+++ b/limits/split.go
@@ -91,7 +91,7 @@
 func (t *Table) divide(now time.Time) {
 	for name, a := range t.workspaces {
 		a.demand.decay(now)
-		requests, tokens := t.shares(name, a)
+		requests, tokens := t.shares(name, a, now)
 		a.requests.setRate(a.limit.RequestsPerSecond*requests, now)
 		a.tokens.setRate(a.limit.TokensPerSecond*tokens, now)
 		a.mostInFlight = inFlightShare(a.limit.MaxInFlight, requests)
@@ -109,17 +109,27 @@
 	t.divide(now)
 }
 
+// unheard returns how many gateways may be there of which nothing was heard yet.
+func (t *Table) unheard(now time.Time) int {
+	if now.Sub(t.begun) > peerSpan {
+		return 0
+	}
+	return max(0, t.others-len(t.peers))
+}
+
 // shares returns this gateway's share of a workspace's requests and tokens:
 // an even part, and the rest by recent use. Over gateways with the same view
-// the shares sum to one.
-func (t *Table) shares(workspace string, a *account) (requests, tokens float64) {
-	var sum Use
+// the shares sum to one. Those of which nothing was heard yet count as asked for as much as this one:
+// gateways that start together would each give out the whole limit otherwise.
+func (t *Table) shares(workspace string, a *account, now time.Time) (requests, tokens float64) {
+	unheard := float64(t.unheard(now))
+	sum := Use{RequestsPerSecond: unheard * a.demand.requests, TokensPerSecond: unheard * a.demand.tokens}
 	for _, r := range t.peers {
 		u := r.uses[workspace]
 		sum.RequestsPerSecond += u.RequestsPerSecond
 		sum.TokensPerSecond += u.TokensPerSecond
 	}
-	gateways := float64(len(t.peers) + 1)
+	gateways := float64(len(t.peers)+1) + unheard
 	return share(a.demand.requests, sum.RequestsPerSecond, gateways),
 		share(a.demand.tokens, sum.TokensPerSecond, gateways)
 }
