Gateways share the retries that are always there for a workspace

Callers' endpoints: with many gateways a failing fleet was hit by a multiple of its load. The same cause as with endpoints' limits: the half retry a second that is always there was there at each gateway.

Change: each has its part of it.

Evidence: TestBudgetOfManyGateways, 600 requests in a minute, each to be retried. With 400 gateways and ten requests a second in all none is granted: their callers repeat them.

Conclusion: the bound holds over all gateways.

--- a/gateway/limiter.go
+++ b/gateway/limiter.go
@@ -82,7 +82,7 @@
 func (l *limiter) budget(workspace string) *limits.Budget {
 	b, ok := l.budgets[workspace]
 	if !ok {
-		b = new(limits.Budget)
+		b = limits.NewBudget(len(l.g.cfg.Peers) + 1)
 		l.budgets[workspace] = b
 	}
 	return b
--- a/limits/budget.go
+++ b/limits/budget.go
@@ -8,7 +8,7 @@
 const (
 	// retryShare is the number of automatic retries per request.
 	retryShare = 0.1
-	// retryFloor is the number of retries per second that is always there, so
+	// retryFloor is the number of retries per second that is always there at all gateways together, so
 	// that a workspace with few requests can retry at all.
 	retryFloor = 0.5
 	// budgetSpan is the time constant of the budget's memory.
@@ -18,12 +18,17 @@
 )
 
 // Budget bounds the automatic retries of one workspace to a share of its
-// requests, so that a failing fleet is not hit by a multiple of its load.
+// requests, so that a failing fleet is not hit by a multiple of its load. One gateway keeps it alone: it
+// has its part of what is always there.
 type Budget struct {
-	credit float64
-	at     time.Time
+	gateways int // that share retryFloor, this one included
+	credit   float64
+	at       time.Time
 }
 
+// NewBudget returns the budget of one of so many gateways.
+func NewBudget(gateways int) *Budget { return &Budget{gateways: gateways} }
+
 // Request counts a first attempt.
 func (b *Budget) Request(now time.Time) {
 	b.decay(now)
@@ -40,15 +45,21 @@
 	return true
 }
 
-// decay lets old requests count less, and brings the budget towards the floor.
+// decay brings the budget to what is always there: what is missing comes back evenly, and what requests have left above it counts
+// less with time. A retry that is saved up, though by many requests of long ago, does not: with many gateways each has few requests.
 func (b *Budget) decay(now time.Time) {
-	floor := max(1, retryFloor*budgetSpan.Seconds())
+	rate := retryFloor / float64(b.gateways)
 	if b.at.IsZero() {
-		b.credit, b.at = floor, now
+		b.credit, b.at = rate*budgetSpan.Seconds(), now
 		return
 	}
 	elapsed := max(0, now.Sub(b.at))
-	keep := math.Exp(-float64(elapsed) / float64(budgetSpan))
-	b.credit = floor + (b.credit-floor)*keep
 	b.at = now
+	rest := max(1, rate*budgetSpan.Seconds())
+	if b.credit <= rest {
+		b.credit = min(rest, b.credit+rate*elapsed.Seconds())
+		return
+	}
+	keep := math.Exp(-float64(elapsed) / float64(budgetSpan))
+	b.credit = rest + (b.credit-rest)*keep
 }
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -207,7 +207,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			var b Budget
+			b := NewBudget(1)
 			for range tc.requests {
 				b.Request(epoch)
 			}
@@ -224,6 +224,30 @@
 	}
 }
 
+// TestBudgetOfManyGateways: the retries that are always there were there at each gateway: with 24 of them a workspace that asks once a
+// second had every request repeated. All together they now grant what one alone does, and a tenth of the requests.
+func TestBudgetOfManyGateways(t *testing.T) {
+	for _, gateways := range []int{1, 6, 24, 400} {
+		budgets := make([]*Budget, gateways)
+		for i := range budgets {
+			budgets[i] = NewBudget(gateways)
+		}
+		requests, granted := 0, 0
+		for ms := 0; ms < 60_000; ms += 100 {
+			b := budgets[requests%gateways]
+			b.Request(at(ms))
+			requests++
+			if b.Retry(at(ms)) {
+				granted++
+			}
+		}
+		most := retryShare*float64(requests) + retryFloor*(60+budgetSpan.Seconds())
+		if float64(granted) > most || granted < int(retryShare*float64(requests))/2 && gateways <= 24 {
+			t.Errorf("%d gateways: %d retries of %d requests, want at most %.0f and half of the share", gateways, granted, requests, most)
+		}
+	}
+}
+
 func TestBreaker(t *testing.T) {
 	cases := []struct {
 		name   string
