Gateways give out no more requests in flight than a workspace's limit

Callers of other workspaces: four gateways with a limit of ten let twelve through. The same cause as with endpoints' limits: each rounds its part alone.

Change: the parts are laid end to end in the order of the gateways' names, and each has the whole numbers that end in its own.

Evidence: TestInFlightSumsToTheLimit (12 before, 10 now; random fleets of 1 to 25 gateways).

Conclusion: exact while gateways have the same view; each still lets one through where the limit is below their number (docs/ops/limits.md).

--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -114,6 +114,41 @@
 	})
 }
 
+// TestInFlightSumsToTheLimit: four gateways that share ten requests in flight each rounded two and a half up and let
+// twelve through. Gateways with the same view now give out just the limit, however uneven their use, and one each where it is less.
+func TestInFlightSumsToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := rapid.IntRange(1, 25).Draw(t, "gateways")
+		limit := rapid.IntRange(1, 60).Draw(t, "limit")
+		f := newFleet(gateways, Limit{MaxInFlight: limit})
+		for _, g := range f {
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				if g.Admit("w", 1, epoch).OK {
+					g.Done("w")
+				}
+			}
+		}
+		f.round(epoch)
+		all, lifted := 0, 0
+		for _, g := range f {
+			n := g.workspaces["w"].mostInFlight
+			all += n
+			if n == 1 {
+				lifted++ // its part may be less than one
+			}
+		}
+		if all > limit+lifted || all < limit {
+			t.Fatalf("%d gateways let %d through, the limit is %d", gateways, all, limit)
+		}
+	})
+	is := is.New(t)
+	all := 0
+	for _, g := range newFleet(4, Limit{MaxInFlight: 10}) {
+		all += g.workspaces["w"].mostInFlight
+	}
+	is.Equal(all, 10)
+}
+
 func TestPeerLost(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(2, Limit{MaxInFlight: 10})
--- a/limits/split.go
+++ b/limits/split.go
@@ -94,7 +94,7 @@
 		requests, tokens := t.shares(name, a, now)
 		a.requests.setRate(a.limit.RequestsPerSecond*requests, now)
 		a.tokens.setRate(a.limit.TokensPerSecond*tokens, now)
-		a.mostInFlight = inFlightShare(a.limit.MaxInFlight, requests)
+		a.mostInFlight = t.inFlightShare(name, a, requests, now)
 	}
 }
 
@@ -143,10 +143,33 @@
 }
 
 // inFlightShare returns how many requests may be in flight here, at least one
-// if there is a limit; 0 means no limit.
-func inFlightShare(most int, share float64) int {
+// if there is a limit; 0 means no limit. Gateways with the same view give out no more than the limit together, as long as that is
+// one for each: the parts are laid end to end in the order of the gateways' names, and each has the whole numbers that end in its own.
+func (t *Table) inFlightShare(workspace string, a *account, share float64, now time.Time) int {
+	most := float64(a.limit.MaxInFlight)
 	if most <= 0 {
 		return 0
 	}
-	return max(1, int(math.Round(float64(most)*share)))
+	if t.unheard(now) > 0 {
+		return max(1, int(most*share))
+	}
+	before := 0.0
+	for name, r := range t.peers {
+		if name < t.self {
+			before += t.shareOf(r.uses[workspace].RequestsPerSecond, workspace, a)
+		}
+	}
+	return max(1, wholes((before+share)*most)-wholes(before*most))
+}
+
+// wholes returns the number of whole units in a sum of parts, which may be a little off.
+func wholes(sum float64) int { return int(math.Floor(sum + 1e-6)) }
+
+// shareOf returns the share of the requests that falls to a gateway with that use.
+func (t *Table) shareOf(perSecond float64, workspace string, a *account) float64 {
+	all := a.demand.requests
+	for _, r := range t.peers {
+		all += r.uses[workspace].RequestsPerSecond
+	}
+	return share(perSecond, all-perSecond, float64(len(t.peers)+1))
 }
