Questions to an endpoint keep its limit

Endpoints in need that fail requests were asked about themselves 28 times in four seconds where they tolerate 8 (TestQuestionsKeepTheLimit, 6 gateways under virtual time). Cause: the two gateways that watch an endpoint each ask it up to three times a second, whatever it named.

Ruled out: orders about memory are not held back, since a lapse cuts a prompt that is under way.

Conclusion: requests and questions are within the limit; orders for prompts that were under way before it was named are counted by nobody.

--- a/relay/limited.go
+++ b/relay/limited.go
@@ -203,6 +203,16 @@
 	return at
 }
 
+// mayQuestion reports whether an endpoint may be asked about itself now. What it takes counts questions too: while it has a limit
+// each needs a grant, which is given when no request needs it.
+func (g *Gateway) mayQuestion(e catalog.Endpoint) bool {
+	if _, limited := g.limits.limit(e.ID); !limited {
+		return true
+	}
+	granted, _, err := g.askGrant(g.ctx, grantQuestion{Service: e.Service, Endpoints: []string{e.ID}, Probe: true})
+	return err == nil && granted.holds(time.Now(), g.suspendedTime())
+}
+
 // refuseLimited refuses a request that no endpoint can take within its limit.
 func (x *exchange) refuseLimited(after time.Duration) outcome {
 	x.g.meter.limited.Inc()
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/health"
 )
 
 // limitFleet is a fleet under virtual time whose engines may name limits.
@@ -431,3 +432,26 @@
 		t.Error("a gateway keeps one connection, or as many as it likes where endpoints do not say")
 	}
 }
+
+// TestQuestionsKeepTheLimit: gateways ask an endpoint that fails requests about itself several times a second, two of them each for
+// its own. One in need got 28 questions in four seconds where it tolerates 8. While it has a limit, a question needs a grant as a request does.
+func TestQuestionsKeepTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLimitFleet(t, 6, 1)
+		time.Sleep(2 * time.Second)
+		f.name("0.5", 0)
+		f.send(t.Context(), 0, 500)
+		time.Sleep(time.Second)
+		from := time.Now()
+		for range 100 {
+			for _, g := range f.gateways {
+				g.picker.note("e0", health.Bad, time.Now())
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Logf("%d questions in the worst four seconds, %d in ten", f.worst(0, from), f.since(0, from))
+		is.True(float64(f.worst(0, from)) <= 1.5*4*0.5+5)
+		is.True(f.since(0, from) >= 3) // it is still asked
+	})
+}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -147,7 +147,7 @@
 // false either way.
 func (g *Gateway) askEndpoint(e *watched) {
 	question := g.question(e)
-	if question == nil {
+	if question == nil || !g.mayQuestion(e.Endpoint) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, reportTime)
