--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -29,7 +30,6 @@
 type counted struct {
 	at    time.Time
 	limit float64 // that the worker named in its answer
-	named bool
 }
 
 // limitUse is the worst span of one worker.
@@ -40,18 +40,21 @@
 	allowed float64
 }
 
+// share returns what the worker got as a part of what is tolerated.
+func (u limitUse) share() float64 { return float64(u.got) / u.allowed }
+
 // checkLimits: no worker gets more than it has named from gateways that were told.
 func checkLimits(all []asked, f *facts) []string {
 	var out []string
 	for _, u := range limitUses(all, f) {
-		if float64(u.got) > u.allowed {
+		if u.share() > 1 {
 			out = append(out, fmt.Sprintf("worker %s got %d requests in %v from %s on, allowed %.1f", u.worker, u.got, limitSpan, u.from.Format("15:04:05.000"), u.allowed))
 		}
 	}
 	return out
 }
 
-// limitUses returns the worst span of each worker that named a limit.
+// limitUses returns the worst span of each worker that named a limit for long enough.
 func limitUses(all []asked, f *facts) []limitUse {
 	byID := make(map[string]*asked, len(all))
 	for i := range all {
@@ -64,37 +67,57 @@
 	}
 	var out []limitUse
 	for l, arrivals := range lives {
-		if u, ok := worstSpan(l, arrivals, byID, f); ok {
-			out = append(out, u)
+		var worst limitUse
+		for _, need := range needs(arrivals) {
+			if u := worstSpan(need, byID, f); u.got > 0 && u.share() > worst.share() || worst.got == 0 {
+				worst = u
+			}
+		}
+		if worst.got > 0 {
+			worst.life = l
+			out = append(out, worst)
 		}
 	}
 	return out
 }
 
-// worstSpan returns the span in which a worker got most of what it allowed; ok is false when it named no
-// limit for long enough.
-func worstSpan(l life, arrivals []usersplatform.Arrival, byID map[string]*asked, f *facts) (worst limitUse, ok bool) {
-	first := slices.IndexFunc(arrivals, func(a usersplatform.Arrival) bool { return a.Limit != "" })
-	if first < 0 {
-		return worst, false
+// needs splits what reached a worker into the stretches in which its answers named a limit.
+func needs(arrivals []usersplatform.Arrival) (out [][]usersplatform.Arrival) {
+	begin := -1
+	for i, a := range arrivals {
+		_, err := strconv.ParseFloat(a.Limit, 64)
+		switch {
+		case err == nil && begin < 0:
+			begin = i
+		case err != nil && begin >= 0:
+			out = append(out, arrivals[begin:i])
+			begin = -1
+		}
+	}
+	if begin >= 0 {
+		out = append(out, arrivals[begin:])
 	}
-	from := arrivals[first].At.Add(contactTime)
-	list := countedFrom(arrivals, byID, f)
+	return out
+}
+
+// worstSpan returns the span of a stretch in which a worker got most of what it allowed; it got nothing where
+// the stretch is too short.
+func worstSpan(need []usersplatform.Arrival, byID map[string]*asked, f *facts) (worst limitUse) {
+	from := need[0].At.Add(contactTime)
+	list := countedOf(need, byID, f)
 	for i, c := range list {
-		if !c.named || c.at.Before(from) {
+		if c.at.Before(from) {
 			continue
 		}
-		u := spanFrom(list, i)
-		u.life = l
-		if !ok || float64(u.got)/u.allowed > float64(worst.got)/worst.allowed {
-			worst, ok = u, true
+		if u := spanFrom(list, i); worst.got == 0 || u.share() > worst.share() {
+			worst = u
 		}
 	}
-	return worst, ok
+	return worst
 }
 
-// spanFrom counts the span that begins with the ith request. It ends sooner when the worker names no limit any more.
-// Where the limit changes, the highest that held counts, also the one before the span.
+// spanFrom counts the span that begins with the ith request. Where the limit changes, the highest that held
+// counts, also the one before the span.
 func spanFrom(list []counted, i int) limitUse {
 	u := limitUse{from: list[i].at}
 	highest := list[i].limit
@@ -104,7 +127,7 @@
 		}
 	}
 	for _, c := range list[i:] {
-		if c.at.Sub(u.from) >= limitSpan || !c.named {
+		if c.at.Sub(u.from) >= limitSpan {
 			break
 		}
 		u.got++
@@ -114,29 +137,102 @@
 	return u
 }
 
-// countedFrom returns what counts of a worker's arrivals: what came from gateways in touch that
-// had passed on an answer with a limit. Questions and orders carry no id and count always.
-func countedFrom(arrivals []usersplatform.Arrival, byID map[string]*asked, f *facts) []counted {
+// countedOf returns what counts of a stretch: what came from gateways in touch that had passed on an answer
+// with a limit in it. Questions and orders carry no id: they count from when one gateway has, since others hear of it. A worker whose
+// answers reach nobody has told nobody.
+func countedOf(need []usersplatform.Arrival, byID map[string]*asked, f *facts) []counted {
 	told := make(map[string]time.Time) // by gateway
-	for _, a := range arrivals {
+	for _, a := range need {
 		x := byID[a.ID]
-		if a.Limit == "" || x == nil || x.headAt.IsZero() {
+		if x == nil || x.headAt.IsZero() {
 			continue
 		}
 		if at, ok := told[x.gateway]; !ok || x.headAt.Before(at) {
 			told[x.gateway] = x.headAt
 		}
 	}
+	var first time.Time
+	for _, at := range told {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
 	var out []counted
-	for _, a := range arrivals {
-		if x := byID[a.ID]; x != nil {
-			at, ok := told[x.gateway]
-			if !ok || a.At.Sub(at) < limitTold || !f.inTouch(x.gateway, a.At) {
-				continue
-			}
+	for _, a := range need {
+		at, ok := first, !first.IsZero()
+		x := byID[a.ID]
+		if x != nil {
+			at, ok = told[x.gateway]
+		}
+		if !ok || a.At.Sub(at) < limitTold || x != nil && !f.inTouch(x.gateway, a.At) {
+			continue
 		}
 		limit, err := strconv.ParseFloat(a.Limit, 64)
-		out = append(out, counted{a.At, limit, err == nil})
+		if err != nil {
+			continue // needs has none of these
+		}
+		out = append(out, counted{a.At, limit})
 	}
 	return out
 }
+
+// limitFaults befall workers of any kind, drawn apart from the others. A limit may outlast its fault: it holds until the
+// worker's next one.
+var limitFaults = []fault{
+	{"a worker limits its requests", true, limitOne},
+	{"a worker limits its requests", true, limitOne},
+	{"a worker limits its requests", true, limitOne},
+	{"all workers of a service limit their requests", true, limitService},
+	{"a worker's limit cannot be read", true, func(r *run, random *rand.Rand, _ time.Duration) { r.anyWorker(random).SetLimit("-1") }},
+	{"limits end", true, endLimits},
+}
+
+// limitTexts are the limits that workers name.
+var limitTexts = []string{"0", "0.3", "1.9", "5", "20", "1000000"}
+
+func drawLimit(random *rand.Rand) string { return limitTexts[random.IntN(len(limitTexts))] }
+
+// limitOne makes a worker name a limit.
+func limitOne(r *run, random *rand.Rand, _ time.Duration) {
+	r.anyWorker(random).SetLimit(drawLimit(random))
+}
+
+// limitService makes all workers of one service name the same limit.
+func limitService(r *run, random *rand.Rand, _ time.Duration) {
+	service, text := r.anyWorker(random).Service, drawLimit(random)
+	r.eachWorker(func(w *usersplatform.Worker) {
+		if w.Service == service {
+			w.SetLimit(text)
+		}
+	})
+}
+
+// endLimits ends those of one service, one time in three.
+func endLimits(r *run, random *rand.Rand, _ time.Duration) {
+	service := r.anyWorker(random).Service
+	if random.IntN(3) > 0 {
+		return
+	}
+	r.eachWorker(func(w *usersplatform.Worker) {
+		if w.Service == service {
+			w.SetLimit("")
+		}
+	})
+}
+
+// eachWorker calls do for every worker that is announced.
+func (r *run) eachWorker(do func(w *usersplatform.Worker)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range slices.Concat(r.workers, r.engines) {
+		do(p.worker)
+	}
+}
+
+// anyWorker draws a worker of any kind.
+func (r *run) anyWorker(random *rand.Rand) *usersplatform.Worker {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := slices.Concat(r.workers, r.engines)
+	return all[random.IntN(len(all))].worker
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,6 +38,7 @@
 type Report struct {
 	Asked, Answered, Refused, Broken int
 	Crashes                          int      // of workers, under the request that ends them
+	Limited                          int      // workers that named a limit for long enough to be judged
 	Prompts, Used                    int      // long ones, and how often they used memory set aside
 	Faults                           []string // in the order of their times
 	Violations                       []string
@@ -274,6 +275,7 @@
 		}
 		tasks.Go(func() { r.inject(ctx, engineFaults, 0xe9fa) })
 	}
+	tasks.Go(func() { r.inject(ctx, limitFaults, 0x11417) })
 	if r.c.Restores {
 		tasks.Go(func() { r.restoreStore(ctx) })
 	}
@@ -346,6 +348,8 @@
 	defer r.mu.Unlock()
 	out := &Report{Asked: len(r.all), Crashes: len(r.facts.crashes), Faults: r.faults, Violations: violations(r.all, &r.facts), Used: r.memory.Used()}
 	out.Violations = append(out.Violations, checkMemory(r.memory)...)
+	out.Violations = append(out.Violations, checkLimits(r.all, &r.facts)...)
+	out.Limited = len(limitUses(r.all, &r.facts))
 	for _, a := range r.all {
 		if a.kind == "long" {
 			out.Prompts++
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -117,3 +118,23 @@
 		_, _ = decode(p)
 	})
 }
+
+// TestSizeOfLimits bounds what telling of endpoints' limits costs: 18 of them in a word of the coordinator, and the vote in all others.
+func TestSizeOfLimits(t *testing.T) {
+	is := is.New(t)
+	size := func(w Word) int {
+		p, err := encode(&w)
+		is.NoErr(err)
+		return len(p)
+	}
+	limits := make(map[string]ratelimit.Notice)
+	for n := range 18 {
+		limits[fmt.Sprintf("i-%010d", n)] = ratelimit.Notice{Version: 40, Named: ratelimit.Named{Is: true, PerSecond: 1.9}, Born: 1764700000000}
+	}
+	none := size(Word{From: "a"})
+	vote := size(Word{From: "a", Coordinator: 1 << 63}) - none
+	told := size(Word{From: "a", Coordinator: 1 << 63, Limits: limits}) - none - vote
+	t.Logf("a vote takes %d bytes, %d limits take %d", vote, len(limits), told)
+	is.True(vote <= 20)
+	is.True(told <= 18*48)
+}
