--- /dev/null
+++ b/relay/limitcost_test.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/ratelimit"
+	"github.com/micarudder/micarudder/upstream"
+)
+
+// BenchmarkLimitedChoice measures what 290 limits among 2,900 endpoints of 16 cells add to a choice. docs/CAPACITY.md has the figures.
+func BenchmarkLimitedChoice(b *testing.B) {
+	for name, limited := range map[string]int{"none": 0, "a tenth": 10} {
+		b.Run(name, func(b *testing.B) {
+			p, s := enginePicker(0)
+			var list []catalog.Endpoint
+			now := time.Now()
+			for n := range 2900 {
+				e := catalog.Endpoint{ID: fmt.Sprintf("i-%010d", n), Service: s.Name, Address: addressOf(n), DataCentre: fmt.Sprintf("dc%02d", n%16), Slots: 16}
+				list = append(list, e)
+				if limited > 0 && n%limited == 0 {
+					p.limits.answered(e, 0, ratelimit.Named{Is: true, PerSecond: 1.9}, now)
+				}
+			}
+			p.dataCentre = "dc03"
+			p.state.Listed(list, now, time.Time{})
+			w := balance.Work{InputTokens: 500, OutputTokens: 10, LeftMs: 300, DeadlineMs: 2000}
+			b.ResetTimer()
+			for range b.N {
+				if at, _, _ := p.pick(s, w, allCold, time.Now()); at != nil {
+					at.release()
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkGrant measures a question over HTTP and its answer at the coordinator, both sides together.
+func BenchmarkGrant(b *testing.B) {
+	g := New(Config{Name: "g", Policy: balance.Default()}, Deps{Protocol: testProtocol{}, Log: eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel, LinesPerSecond: 1}),
+		Metrics: metrics.NewSet(), Endpoints: upstream.New(upstream.Options{})})
+	e := catalog.Endpoint{ID: "e"}
+	g.limits.answered(e, 0, ratelimit.Named{Is: true, PerSecond: 1e9}, time.Now())
+	g.limits.choose(false, time.Now().Add(-time.Minute))
+	server := httptest.NewServer(g.PeerHandler())
+	defer server.Close()
+	client := newGrantClient(0)
+	b.ResetTimer()
+	for range b.N {
+		var a grantAnswer
+		if err := client.post(b.Context(), server.URL+pathGrant, grantQuestion{Service: "s", Endpoints: []string{"e"}, WaitMs: 100}, &a); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,172 +13,12 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
-	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
-	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/health"
-	"github.com/micarudder/micarudder/ratelimit"
-	"github.com/micarudder/micarudder/upstream"
 )
 
-// limitFleet is a fleet under virtual time whose engines may name limits.
-type limitFleet struct {
-	*testFleet
-	mu       sync.Mutex
-	limits   map[string]string // by address
-	arrivals map[string][]time.Time
-	silent   map[string]bool // gateways that answer no questions of others
-	answered int
-	refused  []time.Duration // how long each refusal took
-	told     []string        // times to come back, of the refusals
-}
-
-func newLimitFleet(t *testing.T, gateways, engines int) *limitFleet {
-	return newLimitCells(t, 1, gateways, engines)
-}
-
-func newLimitCells(t *testing.T, dataCentres, gateways, engines int) *limitFleet {
-	f := &limitFleet{testFleet: newFleet(t, dataCentres, gateways, engines), limits: make(map[string]string), arrivals: make(map[string][]time.Time), silent: make(map[string]bool)}
-	f.connect = f.dialEngine
-	for _, g := range f.gateways {
-		g.askCoordinator = f.question
-	}
-	return f
-}
-
-// question carries a question to another gateway.
-func (f *limitFleet) question(ctx context.Context, name string, q grantQuestion) (grantAnswer, error) {
-	time.Sleep(nearDelay)
-	defer time.Sleep(nearDelay)
-	f.mu.Lock()
-	silent := f.silent[name]
-	f.mu.Unlock()
-	if silent {
-		<-ctx.Done()
-		return grantAnswer{}, ctx.Err()
-	}
-	i := slices.IndexFunc(f.gateways, func(g *Gateway) bool { return g.config.Name == name })
-	return f.gateways[i].keepQuestion(ctx, q)
-}
-
-// dialEngine connects to an engine that answers at once and names its limit.
-func (f *limitFleet) dialEngine(_ int, address string) (net.Conn, error) {
-	near, far := net.Pipe()
-	go func() {
-		defer func() { _ = far.Close() }()
-		br := bufio.NewReader(far)
-		for {
-			if _, err := http.ReadRequest(br); err != nil {
-				return
-			}
-			f.mu.Lock()
-			f.arrivals[address] = append(f.arrivals[address], time.Now())
-			limit := f.limits[address]
-			f.mu.Unlock()
-			line := ""
-			if limit != "" {
-				line = "Limit: " + limit + "\r\n"
-			}
-			if _, err := fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nPace: 1\r\n%sContent-Length: 0\r\n\r\n", line); err != nil {
-				return
-			}
-		}
-	}()
-	return near, nil
-}
-
-// name makes engines name a limit from now on; empty: none.
-func (f *limitFleet) name(limit string, engines ...int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, e := range engines {
-		f.limits[addressOf(e)] = limit
-	}
-}
-
-// since returns how many requests an engine got since a time.
-func (f *limitFleet) since(engine int, at time.Time) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, a := range f.arrivals[addressOf(engine)] {
-		if !a.Before(at) {
-			n++
-		}
-	}
-	return n
-}
-
-// worst returns the most requests that an engine got in four seconds since a time.
-func (f *limitFleet) worst(engine int, since time.Time) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := f.arrivals[addressOf(engine)]
-	most := 0
-	for i, from := range list {
-		if from.Before(since) {
-			continue
-		}
-		n := 0
-		for _, at := range list[i:] {
-			if at.Sub(from) < 4*time.Second {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-	return most
-}
-
-// hostRequest returns a caller's request for the fleet's route.
-func hostRequest(ctx context.Context) *http.Request {
-	r := httptest.NewRequestWithContext(ctx, "POST", "/", nil)
-	r.Host = "h"
-	return r
-}
-
-// send plays a caller's request at a gateway as ServeHTTP does.
-func (f *limitFleet) send(ctx context.Context, gateway, tokens int) outcome {
-	began := time.Now()
-	w := httptest.NewRecorder()
-	x := &exchange{
-		g: f.gateways[gateway], w: w, r: hostRequest(ctx), call: Call{ID: "r", Input: tokens, Output: 10},
-		table: f.table, route: &f.table.Configuration.Routes[0], service: &f.table.Configuration.Services[0], started: began, deadline: began.Add(15 * time.Second),
-	}
-	o := x.run()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if w.Code == http.StatusServiceUnavailable {
-		f.refused = append(f.refused, time.Since(began))
-		f.told = append(f.told, w.Header().Get("Retry-After"))
-	} else {
-		f.answered++
-	}
-	return o
-}
-
-// load sends short requests at gateways in turn, so many times a second, for so long.
-func (f *limitFleet) load(t *testing.T, perSecond int, length time.Duration, at func(n int) int) {
-	var all sync.WaitGroup
-	for n := range int(length.Seconds() * float64(perSecond)) {
-		all.Go(func() { f.send(t.Context(), at(n), 500) })
-		time.Sleep(time.Second / time.Duration(perSecond))
-	}
-	all.Wait()
-}
-
-func engines(n int) []int {
-	out := make([]int, n)
-	for i := range out {
-		out[i] = i
-	}
-	return out
-}
-
 // TestLimitsOfAllAreKeptAndUsed: all engines name a limit; none gets more than it tolerates, nearly all that they take
 // is served, also where one gateway alone is asked, and whoever is refused hears of it within the time that it may wait.
 func TestLimitsOfAllAreKeptAndUsed(t *testing.T) {
@@ -530,49 +368,3 @@
 		})
 	}
 }
-
-// BenchmarkLimitedChoice measures what 290 limits among 2,900 endpoints of 16 cells add to a choice. docs/CAPACITY.md has the figures.
-func BenchmarkLimitedChoice(b *testing.B) {
-	for name, limited := range map[string]int{"none": 0, "a tenth": 10} {
-		b.Run(name, func(b *testing.B) {
-			p, s := enginePicker(0)
-			var list []catalog.Endpoint
-			now := time.Now()
-			for n := range 2900 {
-				e := catalog.Endpoint{ID: fmt.Sprintf("i-%010d", n), Service: s.Name, Address: addressOf(n), DataCentre: fmt.Sprintf("dc%02d", n%16), Slots: 16}
-				list = append(list, e)
-				if limited > 0 && n%limited == 0 {
-					p.limits.answered(e, 0, ratelimit.Named{Is: true, PerSecond: 1.9}, now)
-				}
-			}
-			p.dataCentre = "dc03"
-			p.state.Listed(list, now, time.Time{})
-			w := balance.Work{InputTokens: 500, OutputTokens: 10, LeftMs: 300, DeadlineMs: 2000}
-			b.ResetTimer()
-			for range b.N {
-				if at, _, _ := p.pick(s, w, allCold, time.Now()); at != nil {
-					at.release()
-				}
-			}
-		})
-	}
-}
-
-// BenchmarkGrant measures a question over HTTP and its answer at the coordinator, both sides together.
-func BenchmarkGrant(b *testing.B) {
-	g := New(Config{Name: "g", Policy: balance.Default()}, Deps{Protocol: testProtocol{}, Log: eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel, LinesPerSecond: 1}),
-		Metrics: metrics.NewSet(), Endpoints: upstream.New(upstream.Options{})})
-	e := catalog.Endpoint{ID: "e"}
-	g.limits.answered(e, 0, ratelimit.Named{Is: true, PerSecond: 1e9}, time.Now())
-	g.limits.choose(false, time.Now().Add(-time.Minute))
-	server := httptest.NewServer(g.PeerHandler())
-	defer server.Close()
-	client := newGrantClient(0)
-	b.ResetTimer()
-	for range b.N {
-		var a grantAnswer
-		if err := client.post(b.Context(), server.URL+pathGrant, grantQuestion{Service: "s", Endpoints: []string{"e"}, WaitMs: 100}, &a); err != nil {
-			b.Fatal(err)
-		}
-	}
-}
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -15,14 +15,11 @@
 	// caller waits as it is told.
 	callerHonours = 3
 	// retryAfterQueue is told when no endpoint may take a long prompt: the prompts
-	// that are read now are done, and most that came with them. 2 s instead: worth
-	// 0.007 lower, measured like the figures of balance.Default.
+	// that are read now are done, and most that came with them.
 	retryAfterQueue = 4 * time.Second
 	// waitShare is the part of its objective, in percent, that a long prompt may
 	// wait for quiet endpoints; then it is refused, since it would be late, and
-	// most that wait longer are never served: worth 0.02 lower with 70 % of the
-	// caller's patience, 0.007 lower with 22 % of the objective, the same with 50 %,
-	// measured like the figures of balance.Default.
+	// most that wait longer are never served.
 	waitShare = 35
 	// lateShare is the part of its caller's patience, in percent, after which a
 	// long prompt counts as late.
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -272,7 +272,7 @@
 
 // noteLate takes in that a stream began or paused much later than expected. The next regular
 // word tells whoever watches the endpoint: telling it at once adds words where there is too
-// much to do already. With 300 gateways worth was 0.634 then and is 0.692 (one day each).
+// much to do already.
 func (p *picker) noteLate(endpoint string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -40,9 +40,8 @@
 }
 
 // watchEndpoints asks the endpoints of the own cell which this gateway watches how they
-// are, and tells the others through its words. On days of 34 s with a third of 60 engines
-// four times slower for 14 s, worth was 0.705 with it and 0.624 without, on a day with a fifth
-// of them slow 0.754 and 0.742 (3 pairs each).
+// are, and tells the others through its words: one gateway alone sees an endpoint too seldom to
+// notice that it is slow.
 func (g *Gateway) watchEndpoints() {
 	if g.deps.Mesh == nil {
 		return
@@ -122,9 +121,7 @@
 }
 
 // mustAsk reports whether it is time to ask an endpoint. One where no stream was late
-// is left alone while none is slow: each question has its price. Asking all of 60 endpoints
-// every second cost 0.0026 of worth on days without slow ones, and gained the same on
-// days with them.
+// is left alone while none is slow: each question has its price.
 func (g *Gateway) mustAsk(e *watched, now time.Time) bool {
 	since := now.Sub(e.asked)
 	if since < failingEvery {
