--- a/relay/endpointlimits.go
+++ b/relay/endpointlimits.go
@@ -18,6 +18,7 @@
 type endpointLimits struct {
 	// inForce holds the limits that are believed, by endpoint. It is replaced, never changed: every choice reads it.
 	inForce atomic.Pointer[map[string]float64]
+	self    string // name of this gateway
 
 	mu          sync.Mutex
 	known       *ratelimit.Known
@@ -25,6 +26,10 @@
 	coordinator *ratelimit.Coordinator
 	// chosen is who coordinates by the newest look.
 	chosen string
+	// repeated is when everything was told last, and newcomer set when a gateway was heard since that votes for nobody:
+	// it may know of no limit.
+	repeated time.Time
+	newcomer bool
 	// gateways is how many the own cell has, this one included, as far as any list or word tells.
 	gateways int
 	// probed is when the newest probe was offered that was not taken, by service.
@@ -33,6 +38,7 @@
 
 func newEndpointLimits(self string) *endpointLimits {
 	l := &endpointLimits{
+		self:  self,
 		known: ratelimit.NewKnown(), votes: ratelimit.NewVotes(self), coordinator: ratelimit.NewCoordinator(),
 		gateways: 1, probed: make(map[string]time.Time),
 	}
@@ -123,16 +129,37 @@
 	return l.gateways
 }
 
-// fill adds to a word for the own cell what this gateway knows of limits.
-func (l *endpointLimits) fill(w *peers.Word, everything, leaving bool, now time.Time) {
+const (
+	// repeatEvery is how often the coordinator tells everything again, in case that somebody missed it,
+	// newcomerEvery the same while there is a gateway that may know nothing of it.
+	repeatEvery   = 8 * time.Second
+	newcomerEvery = time.Second
+)
+
+// fill adds to a word for the own cell what this gateway knows of limits; regular is set for one that is sent in
+// any case.
+func (l *endpointLimits) fill(w *peers.Word, regular bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w.Limits = l.known.Tell(everything, now)
-	if l.chosen != "" && !leaving {
+	w.Limits = l.known.Tell(regular && l.mustRepeat(now), now)
+	if l.chosen != "" && !w.Leaving {
 		w.Coordinator = l.votes.Own(now)
 	}
 }
 
+// mustRepeat reports whether it is time to tell everything again, and notes that it is told. The caller holds the lock.
+func (l *endpointLimits) mustRepeat(now time.Time) bool {
+	every := repeatEvery
+	if l.newcomer {
+		every = newcomerEvery
+	}
+	if l.chosen != l.self || now.Sub(l.repeated) < every {
+		return false
+	}
+	l.repeated, l.newcomer = now, false
+	return true
+}
+
 // heard takes in what a gateway of the own cell tells; it returns what that changes.
 func (l *endpointLimits) heard(w peers.Word, now time.Time) (news map[string]ratelimit.Named) {
 	l.mu.Lock()
@@ -142,6 +169,7 @@
 		vote = 0
 	}
 	l.votes.Heard(w.From, vote, now)
+	l.newcomer = l.newcomer || vote == 0 && !w.Leaving
 	for id, n := range w.Limits {
 		if !l.known.Heard(id, n, now) {
 			continue
@@ -274,9 +302,6 @@
 	return changed
 }
 
-// coordinates reports whether this gateway grants sends to endpoints with limits.
-func (g *Gateway) coordinates() bool { return g.limits.coordinatorName() == g.config.Name }
-
 // keepLimits is called before each word: it lets old beliefs lapse.
 func (g *Gateway) keepLimits(a audience, now time.Time) {
 	g.limits.keep(len(a.near)+1, func(id string) bool {
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -120,7 +120,7 @@
 // near returns the word for the own cell: it tells of all load, wherever it is.
 func (g *Gateway) near(w peers.Word, a audience, why occasion, told ownLoad, now time.Time) message {
 	w.Loads, w.Waiting, w.Signs = told.all, told.waiting, told.signs
-	g.limits.fill(&w, why == dueDigests && g.coordinates(), w.Leaving, now)
+	g.limits.fill(&w, why != changed, now)
 	if a.speaks && why == dueDigests {
 		w.Digests = g.picker.passOn(now)
 	}
