What an earlier life of an endpoint named is not believed again; the soak's check reads limits as gateways do

Callers of an endpoint that had started again: its requests were paced by the limit of its earlier life for some seconds. Cause: a gateway that had seen the new life forgot the limit and took it back from one that had not seen it yet; lives were told apart by which began later, and clocks are set back. TestOldNewsOfAnEarlierLife failed both ways. Change: a notice counts only for the life that the gateway's own list names.

Now a limit is a number that is not negative, and a stretch begins with one.

--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -81,15 +81,21 @@
 	return out
 }
 
+// readLimit reads what an answer named; ok is false where that is no limit.
+func readLimit(text string) (perSecond float64, ok bool) {
+	perSecond, err := strconv.ParseFloat(text, 64)
+	return perSecond, err == nil && perSecond >= 0
+}
+
 // needs splits what reached a worker into the stretches in which its answers named a limit.
 func needs(arrivals []usersplatform.Arrival) (out [][]usersplatform.Arrival) {
 	begin := -1
 	for i, a := range arrivals {
-		_, err := strconv.ParseFloat(a.Limit, 64)
+		_, ok := readLimit(a.Limit)
 		switch {
-		case err == nil && begin < 0:
+		case ok && begin < 0:
 			begin = i
-		case err != nil && begin >= 0:
+		case !ok && begin >= 0:
 			out = append(out, arrivals[begin:i])
 			begin = -1
 		}
@@ -167,11 +173,9 @@
 		if !ok || a.At.Sub(at) < limitTold || x != nil && !f.inTouch(x.gateway, a.At) {
 			continue
 		}
-		limit, err := strconv.ParseFloat(a.Limit, 64)
-		if err != nil {
-			continue // needs has none of these
+		if limit, ok := readLimit(a.Limit); ok {
+			out = append(out, counted{a.At, limit})
 		}
-		out = append(out, counted{a.At, limit})
 	}
 	return out
 }
--- a/ratelimit/known.go
+++ b/ratelimit/known.go
@@ -13,8 +13,8 @@
 
 const (
 	// tellFor is how long a change is told in each word; words are sent several times a second, so that
-	// a few may be lost.
-	tellFor = time.Second
+	// a few may be lost, and endpoints that have started again are listed everywhere in less.
+	tellFor = 2 * time.Second
 	// endedFor is how long the end of a limit is repeated: a gateway that was cut off
 	// tells it older news for so long at most, as it is answered with the newer.
 	endedFor = time.Minute
@@ -115,13 +115,13 @@
 	return a.Is && (!b.Is || a.PerSecond < b.PerSecond)
 }
 
-// Heard takes in what another gateway tells of an endpoint; it reports whether that changes what is known.
-// A gateway that tells something old is told the newer.
+// Heard takes in what another gateway tells of an endpoint in the life that the caller knows; it reports whether that
+// changes what is known. A gateway that tells something old is told the newer.
 func (k *Known) Heard(endpoint string, n Notice, now time.Time) bool {
 	e := k.entries[endpoint]
 	switch {
-	case e == nil || n.Born > e.Born:
-	case n.Born < e.Born || n.Version < e.Version:
+	case e == nil || n.Born != e.Born:
+	case n.Version < e.Version:
 		e.until = now.Add(tellFor)
 		return false
 	case n.Version == e.Version && !lower(n.Named, e.Named):
--- a/ratelimit/known_test.go
+++ b/ratelimit/known_test.go
@@ -80,19 +80,24 @@
 	is.Equal(b.Tell(false, now)["e"].Named, Named{}) // it is answered
 }
 
-// TestNewLifeHasNoLimit: what an endpoint named in an earlier life, told late by another gateway, is not believed.
+// TestNewLifeHasNoLimit: what an endpoint named in an earlier life, whatever its clock said, does not outlast it.
 func TestNewLifeHasNoLimit(t *testing.T) {
 	is := is.New(t)
-	k, now := NewKnown(), time.Now()
-	k.Answered("e", 1, 0, limitOf(2), now)
-	old := k.Tell(true, now)["e"]
-	k.Answered("e", 2, 0, limitOf(9), now)
-	is.True(!k.Heard("e", old, now))
-	got, _ := k.Limit("e")
-	is.Equal(got, 9.0)
-	k.Forget("e")
-	_, limited := k.Limit("e")
-	is.True(!limited)
+	for _, born := range []int64{9, 1} {
+		k, now := NewKnown(), time.Now()
+		k.Answered("e", 5, 0, limitOf(2), now)
+		k.Answered("e", 5, 1, limitOf(3), now)
+		is.True(!k.Answered("e", born, 2, Named{}, now)) // of another life: nothing ends
+		k.Answered("e", born, 0, limitOf(9), now)
+		got, _ := k.Limit("e")
+		is.Equal(got, 9.0)
+		k.Heard("e", Notice{Version: 1, Named: limitOf(4), Born: 5}, now)
+		got, _ = k.Limit("e")
+		is.Equal(got, 4.0) // the caller knows that life
+		k.Forget("e")
+		_, limited := k.Limit("e")
+		is.True(!limited)
+	}
 }
 
 // TestForeignLimitsLapse: nobody here learns of the end of a limit in another cell.
--- a/relay/endpointlimits.go
+++ b/relay/endpointlimits.go
@@ -284,6 +284,7 @@
 		return
 	}
 	now := time.Now()
+	w.Limits = g.ofThisLife(w.Limits)
 	news := g.limits.heard(w, now)
 	for id, named := range news {
 		g.logLimit(id, named, w.From, "")
@@ -293,6 +294,22 @@
 	}
 }
 
+// ofThisLife returns the notices of endpoints' lives that this gateway knows. Others may not have seen yet that one has started again, or
+// this one may not; what concerns the new life is told for longer than that takes.
+func (g *Gateway) ofThisLife(notices map[string]ratelimit.Notice) map[string]ratelimit.Notice {
+	var out map[string]ratelimit.Notice
+	for id, n := range notices {
+		if e, ok := g.state.Endpoint(id); !ok || e.Born != n.Born {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]ratelimit.Notice)
+		}
+		out[id] = n
+	}
+	return out
+}
+
 // chooseCoordinator looks who grants sends to endpoints with limits; it reports whether that has changed.
 func (g *Gateway) chooseCoordinator(now time.Time) bool {
 	name, changed := g.limits.choose(g.leaving.Load(), now)
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -225,6 +225,36 @@
 	is.True(!(*grant)(nil).holds(now, 0))
 }
 
+// TestOldNewsOfAnEarlierLife: a gateway that has not seen yet that an endpoint started again tells what its earlier life named; one
+// that has seen it does not believe that, whatever the endpoint's clock said at either start.
+func TestOldNewsOfAnEarlierLife(t *testing.T) {
+	for name, born := range map[string]int64{"later": 20, "clock set back": 5} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newLimitFleet(t, 2, 1)
+				first, _ := f.gateways[0].state.Endpoint("e0")
+				first.Born = 10
+				for _, g := range f.gateways {
+					g.state.Listed([]catalog.Endpoint{first}, time.Now(), time.Time{})
+				}
+				time.Sleep(2 * time.Second)
+				f.name("1", 0)
+				f.send(t.Context(), 0, 500)
+				time.Sleep(20 * time.Millisecond)
+				is.True(f.gateways[1].limits.any())
+				again := first
+				again.Born = born
+				for _, c := range f.gateways[0].state.Listed([]catalog.Endpoint{again}, time.Now(), time.Time{}) {
+					f.gateways[0].memberChanged(c)
+				}
+				time.Sleep(500 * time.Millisecond) // the other one goes on telling
+				is.True(!f.gateways[0].limits.any())
+			})
+		})
+	}
+}
+
 // TestNamedWhileChosen: a request whose endpoint names a limit after it was chosen does not go there.
 func TestNamedWhileChosen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
