The soak's check takes only a worker's own answers for having told its limit

Traced in the gateways' logs: no gateway knew of either limit in those four seconds; the first answer that named it came 3.4 and 6.1 s after they began. The workers were cut off on the way back or hung; their requests were answered by others, and the check took these answers for theirs.

Change: a gateway counts as told when the answer that it passed on names a limit and came from the worker that the request reached last. It is narrower by just the traced case.

--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -255,12 +255,12 @@
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFacts()
 			f.troubled["g"] = tc.touch
-			all := []asked{{id: "first", gateway: "g", status: 200, headAt: now, broken: nil}}
+			all := []asked{{id: "first", gateway: "g", status: 200, headAt: now, limit: "2"}}
 			if !tc.told {
 				all[0].gateway = "another"
 			}
 			if !tc.told && tc.sends < 0 {
-				all[0].headAt = time.Time{}
+				all[0].limit = "" // the worker lost it, and another one answered
 			}
 			f.ledger.Arrive(arrival("first", now))
 			for n := range max(tc.sends, -tc.sends) {
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -61,15 +61,18 @@
 		byID[all[i].id] = &all[i]
 	}
 	lives := make(map[life][]usersplatform.Arrival)
+	answered := make(map[string]life) // by request: the worker that it reached last, whose answer was passed on
 	for _, a := range f.ledger.Arrivals() {
 		l := life{a.Worker, a.Born}
 		lives[l] = append(lives[l], a)
+		answered[a.ID] = l
 	}
 	var out []limitUse
 	for l, arrivals := range lives {
 		var worst limitUse
 		for _, need := range needs(arrivals) {
-			if u := worstSpan(need, byID, f); u.got > 0 && u.share() > worst.share() || worst.got == 0 {
+			told := toldBy(l, need, byID, answered)
+			if u := worstSpan(need, byID, told, f); u.got > 0 && u.share() > worst.share() || worst.got == 0 {
 				worst = u
 			}
 		}
@@ -108,9 +111,9 @@
 
 // worstSpan returns the span of a stretch in which a worker got most of what it allowed; it got nothing where
 // the stretch is too short.
-func worstSpan(need []usersplatform.Arrival, byID map[string]*asked, f *facts) (worst limitUse) {
+func worstSpan(need []usersplatform.Arrival, byID map[string]*asked, told map[string]time.Time, f *facts) (worst limitUse) {
 	from := need[0].At.Add(contactTime)
-	list := countedOf(need, byID, f)
+	list := countedOf(need, byID, told, f)
 	for i, c := range list {
 		if c.at.Before(from) {
 			continue
@@ -143,20 +146,26 @@
 	return u
 }
 
-// countedOf returns what counts of a stretch: what came from gateways in touch that had passed on an answer
-// with a limit in it. Questions and orders carry no id: they count from when one gateway has, since others hear of it. A worker whose
-// answers reach nobody has told nobody.
-func countedOf(need []usersplatform.Arrival, byID map[string]*asked, f *facts) []counted {
-	told := make(map[string]time.Time) // by gateway
+// toldBy returns when each gateway first passed on an answer of a worker that names a limit. One that came from another worker, after
+// this one had lost the request, told nothing of it.
+func toldBy(l life, need []usersplatform.Arrival, byID map[string]*asked, answered map[string]life) map[string]time.Time {
+	told := make(map[string]time.Time)
 	for _, a := range need {
 		x := byID[a.ID]
-		if x == nil || x.headAt.IsZero() {
+		if x == nil || x.limit == "" || answered[a.ID] != l {
 			continue
 		}
 		if at, ok := told[x.gateway]; !ok || x.headAt.Before(at) {
 			told[x.gateway] = x.headAt
 		}
 	}
+	return told
+}
+
+// countedOf returns what counts of a stretch: what came from gateways in touch that had passed on an answer
+// with a limit in it. Questions and orders carry no id: they count from when one gateway has, since others hear of it. A worker whose
+// answers reach nobody has told nobody.
+func countedOf(need []usersplatform.Arrival, byID map[string]*asked, told map[string]time.Time, f *facts) []counted {
 	var first time.Time
 	for _, at := range told {
 		if first.IsZero() || at.Before(first) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,8 @@
 	{100, "memory stayed unused for 9.9 s, of 5 allowed, without a proof that it is used"},
 	{130311, "an engine that was cut off on the way back named a limit in answers that nobody heard, and was asked 29 times in four seconds; " +
 		"allowed, as no gateway was told, but questions counted nowhere"},
+	{150040, "the check took an answer of another worker, after the one with a limit had hung, for one that names it"},
+	{150020, "the same"},
 	{140009, "the check took -1 for a limit"},
 	{140037, "the same"},
 	{140002, "not known: it failed once, what it showed is lost, and it passed in nine plays since; the gateways' logs show each limit kept"},
