Requests that wait when a limit ends are placed again, not refused

Callers whose requests waited for an endpoint's turn were refused with ten seconds to come back at the moment at which the endpoint took everything again. Cause: the coordinator found no limit for their endpoints and took that for "none can take it". It did the same for a limit that was too new to be known to it. Found by reading.

Change: the answer says that there is no limit; the request chooses again, a moment later where it knows better. When no limit is left the votes begin anew: one that had coordinated long before told the others not to choose it, since nobody followed it any more.

Conclusion: what waits is served when the need is over.

--- a/ratelimit/coordinator.go
+++ b/ratelimit/coordinator.go
@@ -43,7 +43,9 @@
 	// after RetryAfter.
 	Refused    bool
 	RetryAfter time.Duration
-	// Expected is when it will be granted, where neither holds.
+	// Unlimited is set when none of the endpoints has a limit that the coordinator knows of: it has ended, or is too new.
+	Unlimited bool
+	// Expected is when it will be granted, where none of these holds.
 	Expected time.Time
 }
 
@@ -92,7 +94,10 @@
 	}
 	c.plan(rates, now)
 	switch {
-	case a.endpoint == "" || a.expected.After(a.Until):
+	case a.endpoint == "":
+		c.Leave(a)
+		return Answer{Unlimited: true}
+	case a.expected.After(a.Until):
 		c.Leave(a)
 		return Answer{Refused: true, RetryAfter: c.promise(a, rates, now)}
 	case a.expected.After(now):
@@ -197,14 +202,7 @@
 			all += max(perSecond, leastRate)
 		}
 	}
-	if all == 0 {
-		return longestPromise
-	}
-	at := later(c.promised[a.Service], now)
-	if a.endpoint != "" {
-		at = later(at, a.expected)
-	}
-	at = at.Add(interval(all))
+	at := later(later(c.promised[a.Service], now), a.expected).Add(interval(all))
 	if at.Sub(now) > longestPromise {
 		return longestPromise
 	}
--- a/ratelimit/votes.go
+++ b/ratelimit/votes.go
@@ -58,6 +58,12 @@
 	v.ballots[from] = ballot{vote, now}
 }
 
+// Reset begins anew: no endpoint has a limit any more.
+func (v *Votes) Reset() {
+	v.coordinator, v.since = "", time.Time{}
+	clear(v.ballots)
+}
+
 // Clear forgets all votes: the host was suspended, and nobody knows for how long they have been old.
 func (v *Votes) Clear() { clear(v.ballots) }
 
--- a/relay/endpointlimits.go
+++ b/relay/endpointlimits.go
@@ -106,6 +106,8 @@
 	defer l.mu.Unlock()
 	if l.any() {
 		coordinator = l.votes.Choose(leaving, now)
+	} else if l.chosen != "" {
+		l.votes.Reset()
 	}
 	changed = coordinator != l.chosen
 	if changed {
--- a/relay/grant.go
+++ b/relay/grant.go
@@ -54,6 +54,7 @@
 	Endpoint     string // granted; empty: none
 	Refused      bool
 	RetryAfterMs int64
+	Unlimited    bool  // the coordinator knows of no limit of the endpoints
 	KeptMs       int64 // how long the coordinator kept the question before it granted
 }
 
@@ -113,6 +114,8 @@
 		switch {
 		case !ok:
 			return grantAnswer{}, errNotCoordinator
+		case answer.Unlimited:
+			return grantAnswer{Unlimited: true}, nil
 		case answer.Refused:
 			return grantAnswer{Refused: true, RetryAfterMs: answer.RetryAfter.Milliseconds()}, nil
 		case answer.Endpoint != "":
--- a/relay/limited.go
+++ b/relay/limited.go
@@ -97,7 +97,7 @@
 	limitedPlaced                     // it may be sent
 	limitedAgain                      // it is to ask again
 	limitedRefused                    // none can take it in its time
-	limitedUnknown                    // nobody grants at the moment
+	limitedUnknown                    // nobody grants at the moment, or the limits have just ended
 )
 
 // limitedWish is why a request asks for a grant.
@@ -127,7 +127,7 @@
 	}
 	granted, a, err := x.g.askGrant(ctx, q)
 	switch {
-	case err != nil:
+	case err != nil || a.Unlimited:
 		step = limitedUnknown
 	case granted != nil:
 		at, step = x.g.picker.pickGranted(x.service, work, x.warm, granted, time.Now()), limitedPlaced
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
+	"github.com/micarudder/micarudder/ratelimit"
 )
 
 // TestLimitsOfAllAreKeptAndUsed: all engines name a limit; none gets more than it tolerates, nearly all that they take
@@ -103,6 +104,40 @@
 	})
 }
 
+// TestLimitEndsWhileRequestsWait: requests that wait for their turn when the limits end are served at once, not refused.
+func TestLimitEndsWhileRequestsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLimitFleet(t, 6, 4)
+		time.Sleep(2 * time.Second)
+		f.name("2", engines(4)...)
+		turn := func(n int) int { return n % 6 }
+		f.load(t, 40, 2*time.Second, turn)
+		time.Sleep(2 * time.Second) // each has saved two sends, and will take another one in half a second
+		f.mu.Lock()
+		f.refused, f.answered = nil, 0
+		f.mu.Unlock()
+		var all sync.WaitGroup
+		for n := range 12 {
+			all.Go(func() { f.send(t.Context(), turn(n), 500) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.mu.Lock()
+		waiting := f.answered < 12
+		f.mu.Unlock()
+		is.True(waiting)
+		for _, g := range f.gateways {
+			for e := range 4 {
+				endpoint, _ := g.state.Endpoint(fmt.Sprint("e", e))
+				g.limits.answered(endpoint, g.limits.version(endpoint.ID), ratelimit.Named{}, time.Now())
+			}
+		}
+		all.Wait()
+		is.Equal(len(f.refused), 0)
+		is.Equal(f.answered, 12)
+	})
+}
+
 // TestCoordinatorFallsSilent: nothing is granted for as long as it takes to notice, then another one grants; what the
 // engines get stays within what they tolerate.
 func TestCoordinatorFallsSilent(t *testing.T) {
