The soak's check judges a lowered limit by what gateways could know

Traced: it had told a million a second last; nothing reached it for over three seconds, in which it lowered its limit to none. Sixteen requests that waited were granted within 6 ms; the first answer with the new limit came 5 ms later, one request went there after it.

Change: a span is judged by the highest limit named in it or four seconds before, or the one that a gateway passed on last, half a second before it began. The bound is as it was; TestCheckOfLoweredLimits has the case, and the same once it was told.

--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -229,6 +229,34 @@
 	return usersplatform.Arrival{Worker: "i", ID: id, At: at, Limit: "2"}
 }
 
+// TestCheckOfLoweredLimits: a worker that lowered its limit while nothing reached it is judged by what it had told last; once its
+// answer has told of it, by that.
+func TestCheckOfLoweredLimits(t *testing.T) {
+	now := time.Now()
+	for name, tc := range map[string]struct {
+		told bool // of the lower limit, before the requests
+		want int
+	}{"not told": {false, 0}, "told": {true, 1}} {
+		f := newFacts()
+		all := []asked{{id: "high", gateway: "g", status: 200, headAt: now, limit: "1000"}}
+		high := arrival("high", now)
+		high.Limit = "1000"
+		f.ledger.Arrive(high)
+		if tc.told {
+			all = append(all, asked{id: "low", gateway: "g", status: 200, headAt: now.Add(5 * time.Second), limit: "2"})
+			f.ledger.Arrive(arrival("low", now.Add(5*time.Second)))
+		}
+		for n := range 40 {
+			a := asked{id: fmt.Sprint(n), gateway: "g"}
+			f.ledger.Arrive(arrival(a.id, now.Add(12*time.Second+time.Duration(n)*time.Millisecond)))
+			all = append(all, a)
+		}
+		if got := checkLimits(all, f); len(got) != tc.want {
+			t.Errorf("%s: violations %q, want %d", name, got, tc.want)
+		}
+	}
+}
+
 // TestCheckSeesLimits: requests beyond a worker's limit are found when they come from gateways that were
 // told and in touch, and not otherwise.
 func TestCheckSeesLimits(t *testing.T) {
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -111,14 +111,14 @@
 
 // worstSpan returns the span of a stretch in which a worker got most of what it allowed; it got nothing where
 // the stretch is too short.
-func worstSpan(need []usersplatform.Arrival, byID map[string]*asked, told map[string]time.Time, f *facts) (worst limitUse) {
+func worstSpan(need []usersplatform.Arrival, byID map[string]*asked, told []telling, f *facts) (worst limitUse) {
 	from := need[0].At.Add(contactTime)
-	list := countedOf(need, byID, told, f)
+	list := countedOf(need, byID, firstTold(told), f)
 	for i, c := range list {
 		if c.at.Before(from) {
 			continue
 		}
-		if u := spanFrom(list, i); worst.got == 0 || u.share() > worst.share() {
+		if u := spanFrom(list, i, lastTold(told, c.at.Add(-limitTold))); worst.got == 0 || u.share() > worst.share() {
 			worst = u
 		}
 	}
@@ -126,10 +126,11 @@
 }
 
 // spanFrom counts the span that begins with the ith request. Where the limit changes, the highest that held
-// counts, also the one before the span.
-func spanFrom(list []counted, i int) limitUse {
+// counts, also the one before the span, and the one that gateways had been told last: a worker that gets nothing for
+// a while can tell nobody that it takes less.
+func spanFrom(list []counted, i int, told float64) limitUse {
 	u := limitUse{from: list[i].at}
-	highest := list[i].limit
+	highest := max(told, list[i].limit)
 	for _, before := range list[:i] {
 		if list[i].at.Sub(before.at) <= limitSpan {
 			highest = max(highest, before.limit)
@@ -146,22 +147,50 @@
 	return u
 }
 
-// toldBy returns when each gateway first passed on an answer of a worker that names a limit. One that came from another worker, after
+// telling is an answer that a gateway passed on and that names a limit.
+type telling struct {
+	at      time.Time
+	gateway string
+	limit   float64
+}
+
+// toldBy returns what gateways passed on of a worker's limit, in the order of time. An answer that came from another worker, after
 // this one had lost the request, told nothing of it.
-func toldBy(l life, need []usersplatform.Arrival, byID map[string]*asked, answered map[string]life) map[string]time.Time {
-	told := make(map[string]time.Time)
+func toldBy(l life, need []usersplatform.Arrival, byID map[string]*asked, answered map[string]life) (told []telling) {
 	for _, a := range need {
 		x := byID[a.ID]
-		if x == nil || x.limit == "" || answered[a.ID] != l {
+		if x == nil || answered[a.ID] != l {
 			continue
 		}
-		if at, ok := told[x.gateway]; !ok || x.headAt.Before(at) {
-			told[x.gateway] = x.headAt
+		if limit, ok := readLimit(x.limit); ok {
+			told = append(told, telling{x.headAt, x.gateway, limit})
 		}
 	}
+	slices.SortFunc(told, func(a, b telling) int { return a.at.Compare(b.at) })
 	return told
 }
 
+// firstTold returns when each gateway was told first.
+func firstTold(told []telling) map[string]time.Time {
+	out := make(map[string]time.Time)
+	for _, t := range told {
+		if _, ok := out[t.gateway]; !ok {
+			out[t.gateway] = t.at
+		}
+	}
+	return out
+}
+
+// lastTold returns the limit that was told last before a moment, 0 for none.
+func lastTold(told []telling, before time.Time) (limit float64) {
+	for _, t := range told {
+		if t.at.Before(before) {
+			limit = t.limit
+		}
+	}
+	return limit
+}
+
 // countedOf returns what counts of a stretch: what came from gateways in touch that had passed on an answer
 // with a limit in it. Questions and orders carry no id: they count from when one gateway has, since others hear of it. A worker whose
 // answers reach nobody has told nobody.
