A limit that rises holds at once

Callers were refused while an endpoint took all that came: for up to ten seconds after one that had taken none, or one request in several seconds, named a higher limit, nothing was granted of it, and then all that waited together. Cause: the coordinator kept when the next send is due as a time, worked out from the limit that held at the send before. Ruled out: the coordinator's absence (it was the same throughout), the limit not being known (told at once to all).

Change: the part of a send that is still owed is kept when the pace changes, not the time for it.

Evidence: TestChangedLimitHoldsAtOnce (nothing granted in two seconds at five a second before, nine to thirteen now; after it falls to one in two seconds three to five in eight).

Conclusion: only granting changed; without a limit none of this code runs.

--- a/ratelimit/coordinator.go
+++ b/ratelimit/coordinator.go
@@ -51,8 +51,9 @@
 
 // pacer spaces the sends to one endpoint.
 type pacer struct {
-	next    time.Time // when the next send is due at an even pace
-	granted time.Time // of the newest send; zero: none was granted yet
+	next     time.Time     // when the next send is due at an even pace
+	interval time.Duration // of that pace
+	granted  time.Time     // of the newest send; zero: none was granted yet
 }
 
 // Coordinator grants the sends to endpoints with limits one by one, to the most urgent requests first and among
@@ -180,12 +181,22 @@
 func (c *Coordinator) pacer(endpoint string, perSecond float64, now time.Time) *pacer {
 	p := c.pacers[endpoint]
 	if p == nil {
-		p = &pacer{next: now.Add(burstSpan + interval(perSecond))}
+		p = &pacer{next: now.Add(burstSpan + interval(perSecond)), interval: interval(perSecond)}
 		c.pacers[endpoint] = p
 	}
+	p.change(interval(perSecond), now)
 	return p
 }
 
+// change takes in a new pace. The part of a send that is still owed stays the same, not the time for it: a limit that has risen
+// holds at once.
+func (p *pacer) change(interval time.Duration, now time.Time) {
+	if owed := p.earliest().Sub(now); owed > 0 && interval != p.interval {
+		p.next = now.Add(burstSpan + time.Duration(float64(owed)*float64(interval)/float64(p.interval)))
+	}
+	p.interval = interval
+}
+
 // earliest returns when the next send may be granted.
 func (p *pacer) earliest() time.Time { return p.next.Add(-burstSpan) }
 
--- a/ratelimit/coordinator_test.go
+++ b/ratelimit/coordinator_test.go
@@ -71,6 +71,39 @@
 	}
 }
 
+// TestChangedLimitHoldsAtOnce: an endpoint that took one request in ten seconds and takes five a second from now on got nothing for
+// the rest of the ten; while it was so, all who waited were granted together at its end. What is owed is owed in requests, not in time.
+func TestChangedLimitHoldsAtOnce(t *testing.T) {
+	is := is.New(t)
+	limits := map[string]float64{"a": 0}
+	rates := fixed(limits)
+	c, now := NewCoordinator(), time.Unix(0, 0)
+	ask := func() Answer {
+		return c.Try(&Ask{Endpoints: []string{"a"}, Since: now, Until: now}, rates, now)
+	}
+	ask() // its pacer begins
+	now = now.Add(10 * time.Second)
+	is.Equal(ask().Endpoint, "a")
+	is.True(ask().Refused)
+	limits["a"] = 5
+	granted := 0
+	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if ask().Endpoint != "" {
+			granted++
+		}
+	}
+	is.True(granted >= 9 && granted <= 13) // and what it saves in half a second
+
+	limits["a"] = 0.5
+	granted = 0
+	for end := now.Add(8 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if ask().Endpoint != "" {
+			granted++
+		}
+	}
+	is.True(granted >= 3 && granted <= 5)
+}
+
 // TestUnevenCallersUseTheLimit: callers that ask for less than the endpoints take, but unevenly, are served.
 func TestUnevenCallersUseTheLimit(t *testing.T) {
 	is := is.New(t)
