--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -259,7 +259,7 @@
 	}
 }
 
-// TestBudgetOfManyGateways: the retries that are always there were there at each gateway: with 24 of them a workspace that asks once a
+// TestBudgetOfManyGateways: the retries that are always there were there at each gateway: with 24 of them a workspace that asks ten times a
 // second had every request repeated. All together they now grant what one alone does, and a tenth of the requests.
 func TestBudgetOfManyGateways(t *testing.T) {
 	for _, gateways := range []int{1, 6, 24, 400} {
--- a/limits/split.go
+++ b/limits/split.go
@@ -162,8 +162,11 @@
 	return max(1, wholes((before+share)*most)-wholes(before*most))
 }
 
-// wholes returns the number of whole units in a sum of parts, which may be a little off.
-func wholes(sum float64) int { return int(math.Floor(sum + 1e-6)) }
+// rounding is by how much a sum of parts may be off.
+const rounding = 1e-6
+
+// wholes returns the number of whole units in a sum of parts.
+func wholes(sum float64) int { return int(math.Floor(sum + rounding)) }
 
 // shareOf returns the share of the requests that falls to a gateway with that use.
 func (t *Table) shareOf(perSecond float64, workspace string, a *account) float64 {
