What an answer says of its endpoint is decoded in one place: limit, leaving, rest

What callers saw: nothing new; on-call could not tell when a gateway had passed on that an endpoint leaves or wants rest, since nothing read either word. Change: one call of the adapter returns all that an answer says of its endpoint (availability.Statement), for answers to callers' requests, questions and orders alike; answers of another incarnation say nothing of the one that was asked. What cannot be read is logged and changes nothing. Two log lines and two counters date what a gateway could know. No decision uses them yet.

--- a/relay/endpointlimits.go
+++ b/relay/endpointlimits.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +8,6 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/ratelimit"
-	"github.com/micarudder/micarudder/upstream"
 )
 
 // endpointLimits is what this gateway knows of how many requests a second endpoints take, and who
@@ -236,41 +233,8 @@
 	delete(l.probed, service)
 }
 
-// sending is what is sent to an endpoint, as far as its limit is concerned.
-type sending uint8
-
-const (
-	callersRequest sending = iota
-	// ownQuestion is a health check, a question or an order. Its answer may name a limit, but one
-	// without ends none: the endpoints need not name it there.
-	ownQuestion
-)
-
-// do sends a request to an endpoint and takes in what the answer says of its limit.
-func (g *Gateway) do(ctx context.Context, e catalog.Endpoint, r *upstream.Request, kind sending, request string) (*http.Response, error) {
-	sent := g.limits.version(e.ID)
-	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, r)
-	if err != nil {
-		return nil, err
-	}
-	if g.deps.Protocol.Verdict(res) != WrongEndpoint {
-		g.noteLimit(e, sent, res, kind, request)
-	}
-	return res, nil
-}
-
 // noteLimit takes in what an answer says of its endpoint's limit, and tells the other gateways at once.
-func (g *Gateway) noteLimit(e catalog.Endpoint, sent uint64, res *http.Response, kind sending, request string) {
-	named, err := g.deps.Protocol.Limit(res)
-	if err != nil {
-		g.deps.Log.Request("An endpoint's limit cannot be read.", "request", request, "endpoint", e.ID, "err", err)
-		if !named.Is {
-			return
-		}
-	}
-	if !named.Is && kind == ownQuestion {
-		return
-	}
+func (g *Gateway) noteLimit(e catalog.Endpoint, sent uint64, named ratelimit.Named, request string) {
 	now := time.Now()
 	if !g.limits.answered(e, sent, named, now) {
 		return
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -20,13 +20,13 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/quarantine"
-	"github.com/micarudder/micarudder/ratelimit"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -83,12 +83,17 @@
 
 func (testProtocol) AtFault(res *http.Response) string { return res.Header.Get("Fault") }
 
-func (testProtocol) Limit(res *http.Response) (n ratelimit.Named, err error) {
+func (testProtocol) Statement(res *http.Response) (s availability.Statement, err error) {
 	if text := res.Header.Get("Limit"); text != "" {
-		n.Is = true
-		n.PerSecond, err = strconv.ParseFloat(text, 64)
+		s.Limit.Is = true
+		s.Limit.PerSecond, err = strconv.ParseFloat(text, 64)
 	}
-	return n, err
+	s.Leaving = res.Header.Get("Leaves") != ""
+	if text := res.Header.Get("Rest-Ms"); text != "" {
+		ms, _ := strconv.Atoi(text) // 0 where it is no number
+		s.Rest = time.Duration(ms) * time.Millisecond
+	}
+	return s, err
 }
 
 func (testProtocol) Report(id string) *upstream.Request {
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -301,14 +301,14 @@
 		at, _ := x.place(t.Context())
 		is.True(x.withinLimits(at, time.Now()))
 		res := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Limit": {"1"}}}
-		g.noteLimit(at.endpoint, 0, res, ownQuestion, "")
+		g.noteAnswer(at.endpoint, 0, res, ownQuestion, "")
 		is.True(!x.withinLimits(at, time.Now()))
 		_, again := x.attempt(t.Context(), at)
 		is.True(again)
 		is.True(x.mayRepeat())
 		is.Equal(x.attempts, 0)
 		res.Header.Del("Limit")
-		g.noteLimit(at.endpoint, g.limits.version(at.endpoint.ID), res, ownQuestion, "") // a question ends none
+		g.noteAnswer(at.endpoint, g.limits.version(at.endpoint.ID), res, ownQuestion, "") // a question ends none
 		is.True(g.limits.any())
 	})
 }
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -28,6 +28,8 @@
 	limitsEnded     *metrics.Counter
 	grants          *metrics.Counter
 	limited         *metrics.Counter
+	leavesTold      *metrics.Counter
+	restsAsked      *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -54,6 +56,8 @@
 		limitsEnded:     set.NewCounter("relay_endpoint_limits_ended_total"),
 		grants:          set.NewCounter("relay_limit_grants_total"),
 		limited:         set.NewCounter("relay_limit_refusals_total"),
+		leavesTold:      set.NewCounter("relay_endpoint_leaves_told_total"),
+		restsAsked:      set.NewCounter("relay_endpoint_rests_asked_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -11,9 +11,9 @@
 	"net/http"
 	"time"
 
+	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/peers"
-	"github.com/micarudder/micarudder/ratelimit"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -104,9 +104,9 @@
 	// AtFault returns the address of the endpoint for which an answer says that the
 	// request was not run; empty: it does not say.
 	AtFault(res *http.Response) string
-	// Limit reads what an answer says of how many requests a second the endpoint takes. The
-	// error tells of a value that cannot be read, which neither sets nor ends a limit.
-	Limit(res *http.Response) (ratelimit.Named, error)
+	// Statement reads what an answer says of the endpoint that gave it. The error tells of a value that cannot
+	// be read, or counts only in part; the rest holds.
+	Statement(res *http.Response) (availability.Statement, error)
 	// Report returns the question to an endpoint with an engine about itself.
 	Report(endpointID string) *upstream.Request
 	// ReadReport reads its answer; ok is false when it says nothing.
--- /dev/null
+++ b/relay/statements.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/micarudder/micarudder/availability"
+	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/upstream"
+)
+
+// sending is what is sent to an endpoint, as far as its limit is concerned.
+type sending uint8
+
+const (
+	callersRequest sending = iota
+	// ownQuestion is a health check, a question or an order. Its answer may name a limit, but one
+	// without ends none: the endpoints need not name it there.
+	ownQuestion
+)
+
+// do sends a request to an endpoint and takes in what the answer says of that endpoint.
+func (g *Gateway) do(ctx context.Context, e catalog.Endpoint, r *upstream.Request, kind sending, request string) (*http.Response, error) {
+	sent := g.limits.version(e.ID)
+	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, r)
+	if err != nil {
+		return nil, err
+	}
+	if g.deps.Protocol.Verdict(res) != WrongEndpoint { // that one says it of another endpoint
+		g.noteAnswer(e, sent, res, kind, request)
+	}
+	return res, nil
+}
+
+// noteAnswer takes in what an answer says of the endpoint that gave it. sent is the version of its limit when the request was sent.
+func (g *Gateway) noteAnswer(e catalog.Endpoint, sent uint64, res *http.Response, kind sending, request string) {
+	said, err := g.deps.Protocol.Statement(res)
+	if err != nil {
+		g.deps.Log.Request("What an endpoint says of itself cannot be read.", "request", request, "endpoint", e.ID, "err", err)
+	}
+	if !said.LimitUnreadable && (said.Limit.Is || kind == callersRequest) {
+		g.noteLimit(e, sent, said.Limit, request)
+	}
+	g.noteStatement(e, said, request)
+}
+
+// noteStatement takes in whether an endpoint takes requests.
+func (g *Gateway) noteStatement(e catalog.Endpoint, said availability.Statement, request string) {
+	if said.Leaving {
+		g.meter.leavesTold.Inc()
+		g.deps.Log.Request("Endpoint says that it leaves.", "endpoint", e.ID, "born", e.Born, "request", request)
+	}
+	if said.Rest > 0 {
+		g.meter.restsAsked.Inc()
+		g.deps.Log.Request("Endpoint asks for rest.", "endpoint", e.ID, "born", e.Born, "rest_ms", said.Rest.Milliseconds(), "request", request)
+	}
+}
