Tests of endpoints that leave or want rest, which fail; the stand-in's workers say both words

What callers saw: nothing but second sends. Change: workers of the stand-in say that they leave in all their answers, and turn a part of their requests away and ask for rest; the ledger keeps what each answer said. Checks of both rules in the soak's report, excused only where a gateway was started again, frozen or suspended, or where the answer may have been lost on its way; TestCheckSeesLateSends and TestCheckSeesRests show what they find. A check that a rest is kept begins half a second after the answer, as the users count it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,6 +24,7 @@
 	stops     []span            // from SIGTERM to the process's end
 	crashes   []time.Time       // of workers, under the request that ends them
 	troubled  map[string][]span // by gateway: it was killed, stopped or frozen
+	harmed    map[string][]span // by worker: its answers may have been lost on their way
 }
 
 // violations returns what broke a promise, one line each.
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -25,7 +25,7 @@
 	ended     time.Time
 	status    int // 0: no head came
 	seal      string
-	limit     string // that the answer names; empty: none
+	said      usersplatform.Said // of the worker, by the answer
 	body      string
 	broken    error         // why the answer did not end well; nil for a whole one
 	abandoned bool          // the client left before the end
@@ -103,7 +103,7 @@
 	a.sent = time.Now()
 	res, err := c.transport(a.gateway).RoundTrip(r)
 	if err == nil {
-		a.headAt, a.limit = time.Now(), usersplatform.LimitIn(res.Header)
+		a.headAt, a.said = time.Now(), usersplatform.Saying(res.Header)
 		a.status, a.seal = res.StatusCode, usersplatform.SealIn(res.Header)
 		var p []byte
 		p, err = io.ReadAll(res.Body)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -192,14 +192,21 @@
 
 func weather(w Weather) func(*run, *rand.Rand, time.Duration) {
 	return func(r *run, random *rand.Rand, length time.Duration) {
-		p := r.worker(random).proxy
-		p.set(w)
+		worker, began := r.worker(random), time.Now()
+		worker.proxy.set(w)
 		time.Sleep(length)
-		p.set(Weather{})
+		worker.proxy.set(Weather{})
+		r.harm(worker, began)
 	}
 }
 
-func resetWorker(r *run, random *rand.Rand, _ time.Duration) { r.worker(random).proxy.resetAll() }
+func resetWorker(r *run, random *rand.Rand, _ time.Duration) { r.reset(r.worker(random)) }
+
+// reset resets a worker's connections.
+func (r *run) reset(p *pooled) {
+	r.harm(p, time.Now())
+	p.proxy.resetAll()
+}
 
 // replace takes a worker out of the list and starts another.
 func (r *run) replace(random *rand.Rand) *pooled {
@@ -226,7 +233,11 @@
 // tells, and not before the length of the fault has passed. The new process bears the request
 // that ends the others, as one of another release may.
 func restartWorker(r *run, random *rand.Rand, length time.Duration) {
-	old := r.worker(random)
+	r.restart(r.worker(random), length/4)
+}
+
+// restart ends a worker and starts it again under its name; its entry tells so after a time.
+func (r *run) restart(old *pooled, told time.Duration) {
 	old.worker.Crash()
 	next, err := usersplatform.NewWorker(old.worker.ID, old.worker.Service, old.worker.Kind, old.worker.Address(), r.ledger, r.c.Seed)
 	r.mu.Lock()
@@ -240,7 +251,7 @@
 	if !announced {
 		return // it was leaving
 	}
-	time.AfterFunc(length/4, func() { r.store.Announce(next, old.proxy.address(), usersplatform.Ready) })
+	time.AfterFunc(told, func() { r.store.Announce(next, old.proxy.address(), usersplatform.Ready) })
 }
 
 // foreignEntries lets somebody else write entries beside those of the workers.
--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -57,16 +57,15 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.balance(ctx) })
-	for i := range p.clients {
-		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(uint64(n), uint64(i))), http: make(map[string]*http.Transport), pause: p.pause}
+	r.startClients(ctx, &tasks, n, p.clients, func(c *client) {
+		c.pause = p.pause
 		if p.oneGateway {
 			c.gateway = r.front(0)
 		}
 		if p.oneEach {
-			c.gateway = r.front(i)
+			c.gateway = r.front(c.number)
 		}
-		tasks.Go(func() { c.loop(ctx) })
-	}
+	})
 	time.Sleep(time.Second)
 	limited := r.nameLimits(p.limited, fmt.Sprint(p.perSecond))
 	from := time.Now().Add(contactTime)
@@ -80,6 +79,15 @@
 	return r.limitFigures(limited, p.perSecond, from, to)
 }
 
+// startClients starts so many clients, each after setup.
+func (r *run) startClients(ctx context.Context, tasks *sync.WaitGroup, seed, n int, setup func(c *client)) {
+	for i := range n {
+		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(uint64(seed), uint64(i))), http: make(map[string]*http.Transport)}
+		setup(c)
+		tasks.Go(func() { c.loop(ctx) })
+	}
+}
+
 // nameLimits makes the first workers of each service name a limit and returns their ids.
 func (r *run) nameLimits(each int, text string) map[string]bool {
 	r.mu.Lock()
@@ -226,7 +234,7 @@
 }
 
 func arrival(id string, at time.Time) usersplatform.Arrival {
-	return usersplatform.Arrival{Worker: "i", ID: id, At: at, Limit: "2"}
+	return usersplatform.Arrival{Worker: "i", ID: id, At: at, Said: usersplatform.Said{Limit: "2"}}
 }
 
 // TestCheckOfLoweredLimits: a worker that lowered its limit while nothing reached it is judged by what it had told last; once its
@@ -238,12 +246,12 @@
 		want int
 	}{"not told": {false, 0}, "told": {true, 1}} {
 		f := newFacts()
-		all := []asked{{id: "high", gateway: "g", status: 200, headAt: now, limit: "1000"}}
+		all := []asked{{id: "high", gateway: "g", status: 200, headAt: now, said: usersplatform.Said{Limit: "1000"}}}
 		high := arrival("high", now)
-		high.Limit = "1000"
+		high.Said.Limit = "1000"
 		f.ledger.Arrive(high)
 		if tc.told {
-			all = append(all, asked{id: "low", gateway: "g", status: 200, headAt: now.Add(5 * time.Second), limit: "2"})
+			all = append(all, asked{id: "low", gateway: "g", status: 200, headAt: now.Add(5 * time.Second), said: usersplatform.Said{Limit: "2"}})
 			f.ledger.Arrive(arrival("low", now.Add(5*time.Second)))
 		}
 		for n := range 40 {
@@ -283,12 +291,12 @@
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFacts()
 			f.troubled["g"] = tc.touch
-			all := []asked{{id: "first", gateway: "g", status: 200, headAt: now, limit: "2"}}
+			all := []asked{{id: "first", gateway: "g", status: 200, headAt: now, said: usersplatform.Said{Limit: "2"}}}
 			if !tc.told {
 				all[0].gateway = "another"
 			}
 			if !tc.told && tc.sends < 0 {
-				all[0].limit = "" // the worker lost it, and another one answered
+				all[0].said.Limit = "" // the worker lost it, and another one answered
 			}
 			f.ledger.Arrive(arrival("first", now))
 			for n := range max(tc.sends, -tc.sends) {
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -54,19 +54,31 @@
 	return out
 }
 
-// limitUses returns the worst span of each worker that named a limit for long enough.
-func limitUses(all []asked, f *facts) []limitUse {
-	byID := make(map[string]*asked, len(all))
+// byID returns the requests by their ids.
+func byID(all []asked) map[string]*asked {
+	out := make(map[string]*asked, len(all))
 	for i := range all {
-		byID[all[i].id] = &all[i]
+		out[all[i].id] = &all[i]
 	}
-	lives := make(map[life][]usersplatform.Arrival)
-	answered := make(map[string]life) // by request: the worker that it reached last, whose answer was passed on
+	return out
+}
+
+// lives returns what reached each life of a worker, in the order of time, and by request the life that it reached last,
+// whose answer was passed on.
+func (f *facts) lives() (lives map[life][]usersplatform.Arrival, answered map[string]life) {
+	lives, answered = make(map[life][]usersplatform.Arrival), make(map[string]life)
 	for _, a := range f.ledger.Arrivals() {
 		l := life{a.Worker, a.Born}
 		lives[l] = append(lives[l], a)
 		answered[a.ID] = l
 	}
+	return lives, answered
+}
+
+// limitUses returns the worst span of each worker that named a limit for long enough.
+func limitUses(all []asked, f *facts) []limitUse {
+	byID := byID(all)
+	lives, answered := f.lives()
 	var out []limitUse
 	for l, arrivals := range lives {
 		var worst limitUse
@@ -94,7 +106,7 @@
 func needs(arrivals []usersplatform.Arrival) (out [][]usersplatform.Arrival) {
 	begin := -1
 	for i, a := range arrivals {
-		_, ok := readLimit(a.Limit)
+		_, ok := readLimit(a.Said.Limit)
 		switch {
 		case ok && begin < 0:
 			begin = i
@@ -162,7 +174,7 @@
 		if x == nil || answered[a.ID] != l {
 			continue
 		}
-		if limit, ok := readLimit(x.limit); ok {
+		if limit, ok := readLimit(x.said.Limit); ok {
 			told = append(told, telling{x.headAt, x.gateway, limit})
 		}
 	}
@@ -211,7 +223,7 @@
 		if !ok || a.At.Sub(at) < limitTold || x != nil && !f.inTouch(x.gateway, a.At) {
 			continue
 		}
-		if limit, ok := readLimit(a.Limit); ok {
+		if limit, ok := readLimit(a.Said.Limit); ok {
 			out = append(out, counted{a.At, limit})
 		}
 	}
--- a/internal/soak/memory.go
+++ b/internal/soak/memory.go
@@ -32,12 +32,13 @@
 	{"engines hang", false, spoilEngines(usersplatform.Faults{Hang: 0.6})},
 	{"engines hang", false, spoilEngines(usersplatform.Faults{Hang: 0.6})},
 	{"engines lose answers", false, spoilEngines(usersplatform.Faults{LoseAnswer: 0.6})},
-	{"engine connections reset", false, func(r *run, random *rand.Rand, _ time.Duration) { r.engine(random).proxy.resetAll() }},
+	{"engine connections reset", false, func(r *run, random *rand.Rand, _ time.Duration) { r.reset(r.engine(random)) }},
 	{"engine cut off", false, func(r *run, random *rand.Rand, length time.Duration) {
-		p := r.engine(random).proxy
-		p.set(Weather{SilenceUp: true, SilenceDown: true})
+		engine, began := r.engine(random), time.Now()
+		engine.proxy.set(Weather{SilenceUp: true, SilenceDown: true})
 		time.Sleep(length)
-		p.set(Weather{})
+		engine.proxy.set(Weather{})
+		r.harm(engine, began)
 	}},
 	{"engine crashes, another comes", false, crashEngine},
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -103,7 +103,7 @@
 // begin starts the platform's stand-ins and the gateways, and waits until these are ready. The caller closes the run.
 func begin(ctx context.Context, c Config) (*run, error) {
 	r := &run{c: c, store: usersplatform.NewStore(), ledger: usersplatform.NewLedger(), memory: usersplatform.NewMemory(), group: procs.NewGroup(c.Dir), suspended: make(map[int]time.Duration)}
-	r.facts = facts{ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), troubled: make(map[string][]span)}
+	r.facts = facts{ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), troubled: make(map[string][]span), harmed: make(map[string][]span)}
 	if err := r.open(); err != nil {
 		return nil, err
 	}
@@ -349,6 +349,8 @@
 	out := &Report{Asked: len(r.all), Crashes: len(r.facts.crashes), Faults: r.faults, Violations: violations(r.all, &r.facts), Used: r.memory.Used()}
 	out.Violations = append(out.Violations, checkMemory(r.memory)...)
 	out.Violations = append(out.Violations, checkLimits(r.all, &r.facts)...)
+	out.Violations = append(out.Violations, checkLeaving(r.all, &r.facts)...)
+	out.Violations = append(out.Violations, checkRests(r.all, &r.facts)...)
 	out.Limited = len(limitUses(r.all, &r.facts))
 	for _, a := range r.all {
 		if a.kind == "long" {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -131,7 +131,7 @@
 }
 
 func newFacts() *facts {
-	return &facts{ledger: usersplatform.NewLedger(), revoked: make(map[string]time.Time), owners: map[string]string{"k": "w", "other": "x"}, troubled: make(map[string][]span)}
+	return &facts{ledger: usersplatform.NewLedger(), revoked: make(map[string]time.Time), owners: map[string]string{"k": "w", "other": "x"}, troubled: make(map[string][]span), harmed: make(map[string][]span)}
 }
 
 // runOnce writes a run into the ledger as a worker does.
--- a/internal/standin/usersplatform/memory.go
+++ b/internal/standin/usersplatform/memory.go
@@ -200,22 +200,22 @@
 }
 
 // aboutMemory answers an order or a question about memory; ok is false for other requests.
-func (w *Worker) aboutMemory(c net.Conn, r *http.Request, body []byte) (goOn, ok bool) {
+func (w *Worker) aboutMemory(c net.Conn, r *http.Request, body []byte, said Said) (goOn, ok bool) {
 	switch r.URL.Path {
 	case "/report":
-		return whole(c, "", "200 OK", "Content-Type: application/json\r\n", w.memory.report(w.ID)), true
+		return whole(c, "", "200 OK", said.lines()+"Content-Type: application/json\r\n", w.memory.report(w.ID)), true
 	case "/order":
 		var o order
 		if err := json.Unmarshal(body, &o); err != nil {
-			return whole(c, "", "400 Bad Request", "", ""), true
+			return whole(c, "", "400 Bad Request", said.lines(), ""), true
 		}
-		return whole(c, "", w.memory.take(w.ID, o), "", ""), true
+		return whole(c, "", w.memory.take(w.ID, o), said.lines(), ""), true
 	}
 	return false, false
 }
 
 // prompt reads a prompt with the memory that the request names, and answers it.
-func (w *Worker) prompt(c net.Conn, br *bufio.Reader, r *http.Request, id string, f Faults, chance float64) bool {
+func (w *Worker) prompt(c net.Conn, br *bufio.Reader, r *http.Request, id string, said Said, f Faults, chance float64) bool {
 	var names []string
 	for helper := range strings.SplitSeq(r.Header.Get("Helpers"), ",") {
 		if _, name, ok := strings.Cut(helper, "/"); ok {
@@ -236,7 +236,7 @@
 		_, _ = br.ReadByte()
 		return false
 	}
-	return w.stream(c, r, id, w.Limit(), false)
+	return w.stream(c, r, id, said, false)
 }
 
 // hung notes that a request got no answer.
--- a/internal/standin/usersplatform/speech.go
+++ b/internal/standin/usersplatform/speech.go
@@ -30,9 +30,6 @@
 // SealIn returns the signature that an answer carries, empty for none.
 func SealIn(h http.Header) string { return h.Get("Response-Seal") }
 
-// LimitIn returns the limit that an answer names, empty for none.
-func LimitIn(h http.Header) string { return h.Get("Server-Limit") }
-
 // Route is a route of the operator's configuration on one host.
 type Route struct {
 	Name      string // also the path, between slashes
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -27,8 +27,8 @@
 	Born   int64  // of the worker
 	ID     string // of the request; empty: a gateway's own question or order
 	At     time.Time
-	// Limit is what the answer named, as text; empty: nothing.
-	Limit string
+	// Said is what the answer says of the worker.
+	Said Said
 }
 
 // Ledger keeps what all workers ran, by request id, and what reached them.
@@ -91,7 +91,8 @@
 
 	mu     sync.Mutex
 	faults Faults
-	limit  string // that its answers name; empty: none
+	says   Said
+	rests  float64 // part of the requests that are turned away with says.Rest
 	// crashOn is the body of requests that end the worker when it begins them; ended is
 	// called then.
 	crashOn string
@@ -140,29 +141,6 @@
 	w.faults = f
 }
 
-// SetLimit sets what the worker's answers name as the requests a second that it takes from all gateways
-// together; empty: nothing. It answers whatever comes.
-func (w *Worker) SetLimit(text string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.limit = text
-}
-
-// Limit returns what the worker's answers name.
-func (w *Worker) Limit() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.limit
-}
-
-// limitLine returns the line for the head of an answer that names this limit.
-func limitLine(limit string) string {
-	if limit == "" {
-		return ""
-	}
-	return "Server-Limit: " + limit + "\r\n"
-}
-
 // CrashOn makes each request with this body end the worker; ended is called once.
 func (w *Worker) CrashOn(body string, ended func()) {
 	w.mu.Lock()
@@ -244,16 +222,16 @@
 	if r.Header.Get("Expect-Instance") != w.ID {
 		return whole(c, id, "421 Misdirected Request", "Not-Executed: 1\r\n", "")
 	}
-	limit := w.Limit()
-	w.ledger.Arrive(Arrival{w.ID, w.Born, id, time.Now(), limit})
+	said := w.saying(isQuestion(r))
+	w.ledger.Arrive(Arrival{w.ID, w.Born, id, time.Now(), said})
 	if w.memory != nil {
-		if goOn, ok := w.aboutMemory(c, r, body); ok {
+		if goOn, ok := w.aboutMemory(c, r, body, said); ok {
 			return goOn
 		}
 	}
 	f, chance := w.draw()
-	if chance[0] < f.Refuse {
-		return whole(c, id, "503 Service Unavailable", limitLine(limit)+"Not-Executed: 1\r\n", "")
+	if said.Rest != "" || chance[0] < f.Refuse {
+		return whole(c, id, "503 Service Unavailable", said.lines()+"Not-Executed: 1\r\n", "")
 	}
 	w.ledger.Add(id, Run{w.ID, r.Header.Get("Tenant"), r.Header.Get("Last-Event-Id"), time.Now()})
 	if w.crashesOn(body) {
@@ -269,17 +247,17 @@
 		return false
 	}
 	if w.memory != nil {
-		return w.prompt(c, br, r, id, f, chance[3])
+		return w.prompt(c, br, r, id, said, f, chance[3])
 	}
 	if w.Kind == "stream" {
-		return w.stream(c, r, id, limit, chance[3] < f.CutShort)
+		return w.stream(c, r, id, said, chance[3] < f.CutShort)
 	}
 	text := Body(id)
 	if chance[3] < f.CutShort {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, Seal(id), limitLine(limit), len(text), text[:len(text)/2])
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, Seal(id), said.lines(), len(text), text[:len(text)/2])
 		return false
 	}
-	return whole(c, id, "200 OK", limitLine(limit)+"Response-Seal: "+Seal(id)+"\r\n", text)
+	return whole(c, id, "200 OK", said.lines()+"Response-Seal: "+Seal(id)+"\r\n", text)
 }
 
 // draw returns the faults and one chance for each.
@@ -294,9 +272,9 @@
 }
 
 // stream sends the events after the one that the request names.
-func (w *Worker) stream(c net.Conn, r *http.Request, id, limit string, cut bool) bool {
+func (w *Worker) stream(c net.Conn, r *http.Request, id string, said Said, cut bool) bool {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, Seal(id), limitLine(limit)); err != nil {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, Seal(id), said.lines()); err != nil {
 		return false
 	}
 	for n := after + 1; n <= StreamEvents; n++ {
