An endpoint that says in an answer that it leaves gets nothing new, from any gateway

What callers saw: nothing; requests went on to an endpoint for 11 s after it had said that it leaves, and would have been cut off had it ended. Cause: leaving was believed from the store's list alone, and the store was away. Ruled out: requests chosen before and sent late (all were first sends), a belief that was taken back. Change: availability.Leaves holds who leaves, in which life, since when and who said so: an answer of any kind, a gateway, the store's list. Gateways tell news at once, for two seconds in each word, and repeat twice a second what the store does not tell. Only a later life takes it back. Idle connections to it are closed; what runs there goes on. Where all endpoints of a service leave they get requests for one second more, half of what is allowed; then callers are refused at once and told a second, as far as they wait for it. A gateway of the release before skips the new field and goes by the store.

--- /dev/null
+++ b/availability/leaves.go
@@ -0,0 +1,99 @@
+package availability
+
+import (
+	"maps"
+	"time"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+const (
+	// FromStore and FromAnswer are sources of a leave beside the names of gateways.
+	FromStore  = "store"
+	FromAnswer = "answer"
+	// tellFor is how long a leave is told in each word; words are sent several times a second, so that a few may be lost.
+	tellFor = 2 * time.Second
+	// rememberFor is how long the leave of an endpoint that is not known is remembered. Copies of the store's list are seconds old.
+	rememberFor = 10 * time.Minute
+	// maxUnknown is how many leaves of endpoints that are not known are remembered.
+	maxUnknown = 4096
+	// maxTold is how many leaves one word tells; each word tells others of more.
+	maxTold = 256
+)
+
+// Leave is what is known of an endpoint that takes no new requests any more.
+type Leave struct {
+	Born   int64     // the life that leaves, see catalog.Endpoint
+	Since  time.Time // when it was learned
+	Source string    // who said so first: FromStore, FromAnswer or the name of a gateway
+	// listed is set when the store's list says so as well: everybody reads that.
+	listed bool
+}
+
+// Leaves holds which endpoints leave. Whoever leaves never comes back in the same life: neither an answer without the word, which
+// others may have overtaken, nor an entry of the store, which may be old, takes it back. Leaves is not safe for concurrent use.
+type Leaves struct {
+	entries map[string]*Leave
+}
+
+// NewLeaves returns a table in which nobody leaves.
+func NewLeaves() *Leaves { return &Leaves{entries: make(map[string]*Leave)} }
+
+// Take takes in that an endpoint leaves; it reports whether that is news.
+func (l *Leaves) Take(e catalog.Endpoint, source string, now time.Time) bool {
+	old := l.entries[e.ID]
+	if old != nil && !restarted(old.Born, e.Born) {
+		old.listed = old.listed || source == FromStore
+		return false
+	}
+	l.entries[e.ID] = &Leave{Born: e.Born, Since: now, Source: source, listed: source == FromStore}
+	return true
+}
+
+// Of returns what is known of an endpoint's leave; ok is false where it does not leave in this life.
+func (l *Leaves) Of(e catalog.Endpoint) (leave Leave, ok bool) {
+	entry := l.entries[e.ID]
+	if entry == nil || restarted(entry.Born, e.Born) {
+		return Leave{}, false
+	}
+	return *entry, true
+}
+
+// restarted reports whether two lives under one name differ; 0: it is not known which life it is.
+func restarted(before, now int64) bool {
+	return catalog.Endpoint{Born: before}.RestartedAs(catalog.Endpoint{Born: now})
+}
+
+// Tell returns the lives that are to be told by endpoint: those learned lately, and with everything set also the
+// others that the store's list does not tell.
+func (l *Leaves) Tell(everything bool, now time.Time) map[string]int64 {
+	var out map[string]int64
+	for id, leave := range l.entries { // in no order, so that each is told in some word
+		if leave.listed || !everything && now.Sub(leave.Since) > tellFor {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]int64)
+		}
+		out[id] = leave.Born
+		if len(out) == maxTold {
+			break
+		}
+	}
+	return out
+}
+
+// Forget drops what is known of an endpoint that has started again.
+func (l *Leaves) Forget(id string) { delete(l.entries, id) }
+
+// Expire drops what was learned long ago of endpoints that are not known, and of these what goes beyond their number.
+func (l *Leaves) Expire(known func(id string) bool, now time.Time) {
+	unknown := 0
+	maps.DeleteFunc(l.entries, func(id string, leave *Leave) bool {
+		if known(id) {
+			return false
+		}
+		unknown++
+		return unknown > maxUnknown || now.Sub(leave.Since) > rememberFor
+	})
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -78,6 +78,8 @@
 	// Coordinator identifies the gateway that grants sends to these, see ratelimit.Votes; 0: the sender
 	// knows of no limit, or cannot do it itself.
 	Coordinator uint64
+	// Leaves tells of endpoints of the sender's cell or of others that leave, with the life that does, see availability.Leaves.
+	Leaves map[string]int64
 }
 
 // Digest is the load of the endpoints that one cell offers to others.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -69,13 +69,12 @@
 	is.True(m.newer(Word{From: "b", Life: 2, Sequence: 1}, at)) // a new process
 }
 
-// TestAdjacentReleases: a word of the release before, which tells of no limits of endpoints, and one of a
-// later release with a field more are read as far as they go; reports and limits are told whole.
+// TestAdjacentReleases: a word of the release before, and one of a later release with a field more, are read as far as they go.
 func TestAdjacentReleases(t *testing.T) {
 	is := is.New(t)
 	reports := []quarantine.Report{{Kind: quarantine.Crashed, Fingerprint: quarantine.Fingerprint{Head: 1<<64 - 1, Body: 2}, Endpoint: 3, Begun: true, AgeMs: 4}}
 	limits := map[string]ratelimit.Notice{"e": {Version: 3, Named: ratelimit.Named{Is: true, PerSecond: 1.9}, Born: 4}}
-	p, err := encode(&Word{From: "a", DataCentre: "dc", Crashes: reports, StoreEra: 5, Limits: limits, Coordinator: 6})
+	p, err := encode(&Word{From: "a", DataCentre: "dc", Crashes: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Leaves: map[string]int64{"e": 7}})
 	is.NoErr(err)
 	w, err := decode(p)
 	is.NoErr(err)
@@ -83,11 +82,12 @@
 	is.Equal(w.StoreEra, uint64(5))
 	is.Equal(w.Limits, limits)
 	is.Equal(w.Coordinator, uint64(6))
+	is.Equal(w.Leaves, map[string]int64{"e": 7})
 	var fields []msgpack.RawMessage
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
 	is.NoErr(err)
-	before := len(fields) - 2 // what the release before has
+	before := len(fields) - 1 // what the release before has
 	for _, list := range [][]msgpack.RawMessage{fields[:before], append(slices.Clone(fields), extra)} {
 		p, err := msgpack.Marshal(list)
 		is.NoErr(err)
@@ -97,8 +97,9 @@
 		is.Equal(w.DataCentre, "dc")
 		is.Equal(w.Crashes, reports)
 		is.Equal(w.StoreEra, uint64(5))
-		is.Equal(len(w.Limits) > 0, len(list) >= len(fields))
-		is.Equal(w.Coordinator > 0, len(list) >= len(fields))
+		is.Equal(w.Limits, limits)
+		is.Equal(w.Coordinator, uint64(6))
+		is.Equal(len(w.Leaves) > 0, len(list) >= len(fields))
 	}
 	// Words without reports, eras and limits are as the release before writes them.
 	p, err = encode(&Word{From: "a"})
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -29,11 +29,11 @@
 	if o, ok := x.mayProceed(); !ok {
 		return o, false
 	}
-	if _, ok := x.g.state.Endpoint(at.endpoint.ID); !ok {
+	now := time.Now()
+	if !x.allTake(at, now) {
 		x.unsent++
 		return "", true
 	}
-	now := time.Now()
 	if !x.withinLimits(at, now) {
 		x.granted = true // this send was not made: the next one is no more of the budget
 		return "", true
@@ -67,6 +67,16 @@
 	return x.relay(ctx, at, res)
 }
 
+// allTake reports whether the endpoint of a place, and those that read for it, still take requests.
+func (x *exchange) allTake(at *place, now time.Time) bool {
+	for _, e := range at.helpers {
+		if !x.g.state.Takes(e.ID, now) {
+			return false
+		}
+	}
+	return x.g.state.Takes(at.endpoint.ID, now)
+}
+
 // notTaken takes in an answer that says that the request did not run. Where it names
 // another endpoint, a helper, that one is avoided from now on and the one that told of it
 // may be chosen again: otherwise the next send has the same helper, and long prompts whose
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -198,6 +198,7 @@
 			g.picker.peer(w, now)
 			g.heardCrashes(w)
 			g.heardLimits(w)
+			g.heardLeaves(w)
 			g.sharing.mu.Lock()
 			g.sharing.heardStore(w, now)
 			g.sharing.mu.Unlock()
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -163,7 +163,10 @@
 
 func (g *Gateway) memberChanged(c MemberChange) {
 	e := c.Endpoint
-	g.deps.Log.Logger().Info("Endpoint changed.", "endpoint", e.ID, "change", string(c.Kind), "born", e.Born, "service", e.Service, "address", e.Address)
+	g.deps.Log.Logger().Info("Endpoint changed.", "endpoint", e.ID, "change", string(c.Kind), "from", c.Source, "born", e.Born, "service", e.Service, "address", e.Address)
+	if c.Kind == changeDraining {
+		g.deps.Endpoints.Forget(e.ID) // connections without use
+	}
 	if c.Kind == changeGone || c.Kind == changeRestarted {
 		g.deps.Endpoints.Forget(e.ID)
 		g.picker.forget(e.ID)
--- a/relay/limited.go
+++ b/relay/limited.go
@@ -39,7 +39,7 @@
 	if !p.limits.any() {
 		return s, nil
 	}
-	for _, e := range p.state.EndpointsByCell(service.Name)[s.home] {
+	for _, e := range p.state.Takers(service.Name, now)[s.home] {
 		if _, limited := p.limits.limit(e.ID); limited {
 			endpoints = append(endpoints, e)
 		}
--- a/relay/limitharness_test.go
+++ b/relay/limitharness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -18,6 +19,8 @@
 	*testFleet
 	mu       sync.Mutex
 	limits   map[string]string // by address
+	lines    map[string]string // more of the heads of answers, by address
+	statuses map[string]string // of answers, by address; empty: 200
 	arrivals map[string][]time.Time
 	silent   map[string]bool // gateways that answer no questions of others
 	answered int
@@ -30,7 +33,7 @@
 }
 
 func newLimitCells(t *testing.T, dataCentres, gateways, engines int) *limitFleet {
-	f := &limitFleet{testFleet: newFleet(t, dataCentres, gateways, engines), limits: make(map[string]string), arrivals: make(map[string][]time.Time), silent: make(map[string]bool)}
+	f := &limitFleet{testFleet: newFleet(t, dataCentres, gateways, engines), limits: make(map[string]string), lines: make(map[string]string), statuses: make(map[string]string), arrivals: make(map[string][]time.Time), silent: make(map[string]bool)}
 	f.connect = f.dialEngine
 	for _, g := range f.gateways {
 		g.askCoordinator = f.question
@@ -67,11 +70,13 @@
 			f.arrivals[address] = append(f.arrivals[address], time.Now())
 			limit := f.limits[address]
 			f.mu.Unlock()
-			line := ""
+			f.mu.Lock()
+			line, status := f.lines[address], cmp.Or(f.statuses[address], "200 OK")
+			f.mu.Unlock()
 			if limit != "" {
-				line = "Limit: " + limit + "\r\n"
+				line += "Limit: " + limit + "\r\n"
 			}
-			if _, err := fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nPace: 1\r\n%sContent-Length: 0\r\n\r\n", line); err != nil {
+			if _, err := fmt.Fprintf(far, "HTTP/1.1 %s\r\nPace: 1\r\n%sContent-Length: 0\r\n\r\n", status, line); err != nil {
 				return
 			}
 		}
@@ -88,6 +93,15 @@
 	}
 }
 
+// answer sets the status of engines' answers, empty for 200, and more lines of their heads.
+func (f *limitFleet) answer(status, lines string, engines ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range engines {
+		f.statuses[addressOf(e)], f.lines[addressOf(e)] = status, lines
+	}
+}
+
 // since returns how many requests an engine got since a time.
 func (f *limitFleet) since(engine int, at time.Time) int {
 	f.mu.Lock()
--- a/relay/members.go
+++ b/relay/members.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/cell"
 )
@@ -25,12 +26,17 @@
 	staleEntryTime = 6 * time.Second
 	// departedFor is how long an endpoint that left is remembered. Copies are seconds old.
 	departedFor = 10 * time.Minute
+	// lastResortTime is how long after an endpoint has said that it leaves it still gets requests that no other one could take:
+	// half of the time within which one that leaves must get no more requests.
+	lastResortTime = time.Second
 )
 
 // MemberChange is a change of what is believed of an endpoint.
 type MemberChange struct {
 	Endpoint catalog.Endpoint
 	Kind     ChangeKind
+	// Source is who said so: the store's list, an answer of the endpoint, or the name of a gateway.
+	Source string
 }
 
 // ChangeKind says what changed, as it stands in logs.
@@ -39,16 +45,17 @@
 // The changes.
 const (
 	changeNew       ChangeKind = "new"
-	changeDraining  ChangeKind = "draining"
+	changeDraining  ChangeKind = "draining"  // it takes no new requests any more
 	changeMissing   ChangeKind = "missing"   // its entry lapsed, perhaps with the store
 	changeGone      ChangeKind = "gone"      // it gets no more requests
 	changeRestarted ChangeKind = "restarted" // under the same ID; it holds nothing of before
 )
 
-// members decides from the store's list which endpoints take new requests. It
-// is pure: times are arguments.
+// members decides from the store's list, and from what endpoints say of themselves, which
+// of them take new requests. It is pure: times are arguments.
 type members struct {
-	known   map[string]catalog.Endpoint
+	known   map[string]catalog.Endpoint // Draining is set whoever said so
+	leaves  *availability.Leaves
 	missing map[string]time.Time // entries that lapsed, and when that was seen
 	// departed are endpoints that were known and are gone. An older copy of the store may name
 	// them again.
@@ -70,6 +77,7 @@
 
 func newMembers() *members {
 	return &members{
+		leaves:   availability.NewLeaves(),
 		known:    make(map[string]catalog.Endpoint),
 		missing:  make(map[string]time.Time),
 		departed: make(map[string]departure),
@@ -92,20 +100,25 @@
 		present[e.ID] = true
 		delete(m.missing, e.ID)
 		old, ok := m.known[e.ID]
-		if old.Draining && !old.RestartedAs(e) {
-			e.Draining = true // who leaves does not stay: an older copy of the store says so
+		if old.RestartedAs(e) {
+			m.leaves.Forget(e.ID)
 		}
+		if e.Draining {
+			m.leaves.Take(e, availability.FromStore, now)
+		}
+		_, e.Draining = m.leaves.Of(e)
 		switch {
 		case !ok:
-			changes = append(changes, MemberChange{e, changeNew})
+			changes = append(changes, MemberChange{e, changeNew, availability.FromStore})
 		case old.RestartedAs(e):
-			changes = append(changes, MemberChange{e, changeRestarted})
+			changes = append(changes, MemberChange{e, changeRestarted, availability.FromStore})
 		case e.Draining && !old.Draining:
-			changes = append(changes, MemberChange{e, changeDraining})
+			changes = append(changes, MemberChange{e, changeDraining, availability.FromStore})
 		}
 		m.known[e.ID] = e
 	}
 	m.forgetDeparted(now)
+	m.leaves.Expire(func(id string) bool { return present[id] }, now)
 	lapsed := m.massLapsed(present)
 	for id, e := range m.known {
 		if present[id] {
@@ -118,19 +131,56 @@
 		if !e.Draining && m.mayReturn(since, now, storeFailed, lapsed[e.Service]) {
 			if !seen {
 				m.missing[id] = now
-				changes = append(changes, MemberChange{e, changeMissing})
+				changes = append(changes, MemberChange{e, changeMissing, availability.FromStore})
 			}
 			continue
 		}
 		delete(m.known, id)
 		delete(m.missing, id)
 		m.departed[id] = departure{e, now}
-		changes = append(changes, MemberChange{e, changeGone})
+		changes = append(changes, MemberChange{e, changeGone, availability.FromStore})
 	}
 	m.sort()
 	return changes
 }
 
+// left takes in that somebody other than the store says of an endpoint that it leaves. It reports whether that is news, and returns the
+// change where the endpoint is known.
+func (m *members) left(e catalog.Endpoint, source string, now time.Time) (news bool, changes []MemberChange) {
+	known, ok := m.known[e.ID]
+	if ok && known.RestartedAs(e) || !m.leaves.Take(e, source, now) {
+		return false, nil // an earlier life, or a later one that says so again
+	}
+	if !ok || known.Draining {
+		return true, nil
+	}
+	known.Draining = true
+	m.known[e.ID] = known
+	m.sort()
+	return true, []MemberChange{{known, changeDraining, source}}
+}
+
+// lastResort returns the endpoints of a service by cell that have said not long ago that they leave. They still take requests while no other one does.
+func (m *members) lastResort(service string, now time.Time) map[string][]catalog.Endpoint {
+	var out map[string][]catalog.Endpoint
+	for _, e := range m.known {
+		if e.Service != service || !m.leftLately(e, now) {
+			continue
+		}
+		if out == nil {
+			out = make(map[string][]catalog.Endpoint)
+		}
+		name := m.cells.Of(e.DataCentre)
+		out[name] = append(out[name], e)
+	}
+	return out
+}
+
+func (m *members) leftLately(e catalog.Endpoint, now time.Time) bool {
+	leave, ok := m.leaves.Of(e)
+	return ok && now.Sub(leave.Since) < lastResortTime
+}
+
 // isStale reports whether an entry is that of an endpoint which has left, in a store that came
 // back from an older copy. One that had said so never comes back in the same life. One whose entry had
 // only disappeared may: it counts again when its entry outlives the heartbeats that it misses.
@@ -239,3 +289,9 @@
 	e, ok := m.known[id]
 	return e, ok && !e.Draining
 }
+
+// takes reports whether a request may be sent to an endpoint now.
+func (m *members) takes(id string, now time.Time) bool {
+	e, ok := m.known[id]
+	return ok && (!e.Draining || len(m.order[e.Service]) == 0 && m.leftLately(e, now))
+}
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -11,6 +11,9 @@
 	// retryAfterBusy is told while all slots of a service are taken: a little
 	// longer than a short request takes, so that those under way are done.
 	retryAfterBusy = 3 * time.Second
+	// retryAfterLeaving is told while all endpoints of a service leave: others that take their place are known a second after
+	// they have started.
+	retryAfterLeaving = time.Second
 	// callerHonours is the part of its time left, as a divisor, up to which a
 	// caller waits as it is told.
 	callerHonours = 3
@@ -116,7 +119,12 @@
 // comeBackAfter returns when a caller that was refused for busy endpoints had better
 // come back, as far as it will wait for that.
 func (p patience) comeBackAfter(now time.Time) time.Duration {
-	return min(retryAfterQueue, p.deadline.Sub(now)/callerHonours).Truncate(time.Millisecond)
+	return p.comeBackWithin(retryAfterQueue, now)
+}
+
+// comeBackWithin returns a time to come back, as far as the caller will wait for that.
+func (p patience) comeBackWithin(after time.Duration, now time.Time) time.Duration {
+	return min(after, p.deadline.Sub(now)/callerHonours).Truncate(time.Millisecond)
 }
 
 // rank returns the rank of a long prompt among those that wait.
--- a/relay/place.go
+++ b/relay/place.go
@@ -102,6 +102,10 @@
 			work.Avoid = nil // better the same endpoint again than none
 			continue
 		}
+		if o == pickNone && x.attempts == 0 && x.g.state.AllLeave(x.service.Name) {
+			x.logNoPlace("all endpoints leave", expected, now.Sub(began))
+			return nil, x.refuse(http.StatusServiceUnavailable, x.patience().comeBackWithin(retryAfterLeaving, now), refusedFull)
+		}
 		busy := o == pickWait || limited.later > 0
 		switch {
 		case x.patience().mayWait(busy, now):
--- a/relay/search.go
+++ b/relay/search.go
@@ -43,7 +43,7 @@
 func (p *picker) pick(service *catalog.Service, w balance.Work, warm warmth, now time.Time) (chosen *place, expected balance.Expected, o pickOutcome) {
 	s := search{
 		picker: p, service: service, work: w, warm: warm, now: now,
-		cells: p.unlimited(p.state.EndpointsByCell(service.Name)), home: p.state.Cells().Of(p.dataCentre),
+		cells: p.unlimited(p.state.Takers(service.Name, now)), home: p.state.Cells().Of(p.dataCentre),
 	}
 	if len(s.cells) == 0 {
 		return nil, expected, pickNone
--- a/relay/state.go
+++ b/relay/state.go
@@ -166,6 +166,52 @@
 	return s.members.inCell[service]
 }
 
+// Takers returns the endpoints of a service by cell that take requests now. The caller must not change it.
+func (s *State) Takers(service string, now time.Time) map[string][]catalog.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cells := s.members.inCell[service]; len(cells) > 0 {
+		return cells
+	}
+	return s.members.lastResort(service, now)
+}
+
+// Takes reports whether a request may be sent to an endpoint now.
+func (s *State) Takes(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.takes(id, now)
+}
+
+// AllLeave reports whether a service has endpoints, and all of them leave.
+func (s *State) AllLeave(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.members.order[service]) > 0 {
+		return false
+	}
+	for _, e := range s.members.known {
+		if e.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Left takes in that an endpoint leaves: an answer of it says so, or a gateway. It reports whether that is news, and returns what it changes.
+func (s *State) Left(e catalog.Endpoint, source string, now time.Time) (news bool, changes []MemberChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.left(e, source, now)
+}
+
+// TellLeaves returns the lives of endpoints that leave, as others are to be told of them.
+func (s *State) TellLeaves(everything bool, now time.Time) map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.leaves.Tell(everything, now)
+}
+
 // Cells returns which cell each data centre belongs to.
 func (s *State) Cells() cell.Map {
 	s.mu.Lock()
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -48,10 +50,30 @@
 func (g *Gateway) noteStatement(e catalog.Endpoint, said availability.Statement, request string) {
 	if said.Leaving {
 		g.meter.leavesTold.Inc()
-		g.deps.Log.Request("Endpoint says that it leaves.", "endpoint", e.ID, "born", e.Born, "request", request)
+		g.left(e, availability.FromAnswer, request)
 	}
 	if said.Rest > 0 {
 		g.meter.restsAsked.Inc()
 		g.deps.Log.Request("Endpoint asks for rest.", "endpoint", e.ID, "born", e.Born, "rest_ms", said.Rest.Milliseconds(), "request", request)
 	}
 }
+
+// left takes in that an endpoint leaves, and tells the other gateways at once where that is news.
+func (g *Gateway) left(e catalog.Endpoint, source, request string) {
+	news, changes := g.state.Left(e, source, time.Now())
+	if !news {
+		return
+	}
+	g.deps.Log.Logger().Info("Endpoint says that it leaves.", "endpoint", e.ID, "born", e.Born, "from", source, "request", request)
+	for _, c := range changes {
+		g.memberChanged(c)
+	}
+	g.picker.callPeers()
+}
+
+// heardLeaves takes in which endpoints a peer knows to leave.
+func (g *Gateway) heardLeaves(w peers.Word) {
+	for id, born := range w.Leaves {
+		g.left(catalog.Endpoint{ID: id, Born: born}, w.From, "")
+	}
+}
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -121,6 +121,7 @@
 func (g *Gateway) near(w peers.Word, a audience, why occasion, told ownLoad, now time.Time) message {
 	w.Loads, w.Waiting, w.Signs = told.all, told.waiting, told.signs
 	g.limits.fill(&w, why != changed, now)
+	w.Leaves = g.state.TellLeaves(why == dueDigests, now)
 	if a.speaks && why == dueDigests {
 		w.Digests = g.picker.passOn(now)
 	}
@@ -174,6 +175,7 @@
 		g.picker.peer(w, time.Now())
 		g.heardCrashes(w)
 		g.heardLimits(w)
+		g.heardLeaves(w)
 		g.heardWord(w, from)
 	})
 }
