An endpoint that asks a gateway for rest is left alone by it until the rest is over

What callers saw: second sends, and a refusal without reason where two sends were turned away. What endpoints saw: up to 361 requests of one gateway in a rest of 3 s, where two are tolerated. Cause: a 503 made its endpoint one that was tried by that request, and a sign of a fault after some; how long it wants nothing was not read, and an endpoint that turns all away has no load, so that it was chosen first. Change: availability.Rests holds until when an endpoint wants nothing from this gateway; of asks that overlap the one that ends last. A rest touches neither health nor pace, and other gateways are not told: it is asked of one. Memory that a request uses is still renewed. After the rest it gets one request, and one more with each answer, until eight may be out. A host's suspension counts as rest.

--- /dev/null
+++ b/availability/rests.go
@@ -0,0 +1,118 @@
+package availability
+
+import (
+	"time"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+// fullWindow is how many sends may be unanswered at an endpoint that has just rested before it is used like any other. The first
+// one finds out whether it takes requests again; each that is answered lets one more go.
+const fullWindow = 8
+
+// Rests holds which endpoints want rest from this gateway. After it an endpoint gets one request, and more as these are answered: what has
+// waited meanwhile must not meet it all at once. A rest says nothing of other gateways, nor of the endpoint's health. Rests
+// is not safe for concurrent use.
+type Rests struct {
+	entries map[string]*rest
+}
+
+// rest is a rest and what follows it.
+type rest struct {
+	born  int64
+	until time.Time
+	// round counts the asks: the answers to sends of before one say nothing of what follows it.
+	round uint64
+	// out of the sends after the rest are not answered yet, and so many may be.
+	out, window int
+}
+
+// Send is a request to an endpoint that may have rested lately. The zero value is none.
+type Send struct {
+	endpoint string
+	round    uint64 // 0: nothing is known of a rest
+}
+
+// NewRests returns a table in which nobody rests.
+func NewRests() *Rests { return &Rests{entries: make(map[string]*rest)} }
+
+// Ask takes in that an endpoint wants rest from now on. Of several that overlap the one holds that ends last: answers overtake each other. It
+// reports whether that changes when the endpoint gets requests again.
+func (r *Rests) Ask(e catalog.Endpoint, d time.Duration, now time.Time) bool {
+	old := r.entries[e.ID]
+	if old == nil || restarted(old.born, e.Born) {
+		old = &rest{born: e.Born}
+		r.entries[e.ID] = old
+	}
+	until := now.Add(d)
+	longer := until.After(old.until)
+	if longer {
+		old.until = until
+	}
+	old.round++
+	old.out, old.window = 0, 1
+	return longer
+}
+
+// Any reports whether there is anything to look at.
+func (r *Rests) Any() bool { return len(r.entries) > 0 }
+
+// Resting reports whether an endpoint rests.
+func (r *Rests) Resting(endpoint string, now time.Time) bool {
+	e := r.entries[endpoint]
+	return e != nil && now.Before(e.until)
+}
+
+// Open reports whether one more request may be sent to an endpoint.
+func (r *Rests) Open(endpoint string, now time.Time) bool {
+	e := r.entries[endpoint]
+	return e == nil || !now.Before(e.until) && e.out < e.window
+}
+
+// OpensAt returns when one more request may be sent to an endpoint; now, where that depends on answers only.
+func (r *Rests) OpensAt(endpoint string, now time.Time) time.Time {
+	if e := r.entries[endpoint]; e != nil && now.Before(e.until) {
+		return e.until
+	}
+	return now
+}
+
+// Begin counts a request that was chosen for an endpoint; ok is false where it must not go there.
+func (r *Rests) Begin(endpoint string, now time.Time) (s Send, ok bool) {
+	if !r.Open(endpoint, now) {
+		return s, false
+	}
+	s.endpoint = endpoint
+	if e := r.entries[endpoint]; e != nil {
+		e.out++
+		s.round = e.round
+	}
+	return s, true
+}
+
+// End takes in that a request was answered, or will not be. It reports whether the endpoint is used like any other from now on.
+func (r *Rests) End(s Send, answered bool) bool {
+	e := r.entries[s.endpoint]
+	if e == nil || s.round != e.round {
+		return false
+	}
+	e.out--
+	if answered {
+		e.window++
+	}
+	if e.window <= fullWindow {
+		return false
+	}
+	delete(r.entries, s.endpoint)
+	return true
+}
+
+// Forget drops what is known of an endpoint that is gone or has started again.
+func (r *Rests) Forget(endpoint string) { delete(r.entries, endpoint) }
+
+// Suspended takes in that the host was suspended for so long, which its clock does not count.
+func (r *Rests) Suspended(d time.Duration) {
+	for _, e := range r.entries {
+		e.until = e.until.Add(-d)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -16,6 +16,9 @@
 // when the request got no answer that could be passed on.
 func (x *exchange) attempt(ctx context.Context, at *place) (o outcome, again bool) {
 	defer at.release()
+	if !x.allTake(at, time.Now()) {
+		return x.withdraw()
+	}
 	var memory *reservations
 	if len(at.reserve) > 0 {
 		var err error
@@ -30,18 +33,15 @@
 		return o, false
 	}
 	now := time.Now()
-	if !x.allTake(at, now) {
-		x.unsent++
-		return "", true
-	}
-	if !x.withinLimits(at, now) {
-		x.granted = true // this send was not made: the next one is no more of the budget
-		return "", true
+	if !x.allTake(at, now) || !x.withinLimits(at, now) {
+		return x.withdraw()
 	}
 	req := x.request(at, memory, now)
-	x.g.meter.sends.Inc()
 	x.begun = false
 	res, err := x.g.do(ctx, at.endpoint, req, callersRequest, x.call.ID)
+	if at.endSend(err == nil) {
+		x.g.deps.Log.Logger().Info("Endpoint has rested.", "endpoint", at.endpoint.ID)
+	}
 	if err != nil {
 		x.failed(ctx, at, err)
 		return "", true
@@ -67,14 +67,21 @@
 	return x.relay(ctx, at, res)
 }
 
+// withdraw ends a send that was not made, since endpoints say that they do not take it. The request is placed again: the next send is
+// no more of the budget.
+func (x *exchange) withdraw() (o outcome, again bool) {
+	x.granted = true
+	return "", true
+}
+
 // allTake reports whether the endpoint of a place, and those that read for it, still take requests.
 func (x *exchange) allTake(at *place, now time.Time) bool {
 	for _, e := range at.helpers {
-		if !x.g.state.Takes(e.ID, now) {
+		if !x.g.state.StillTakes(e.ID, now) {
 			return false
 		}
 	}
-	return x.g.state.Takes(at.endpoint.ID, now)
+	return x.g.state.StillTakes(at.endpoint.ID, now)
 }
 
 // notTaken takes in an answer that says that the request did not run. Where it names
@@ -96,6 +103,8 @@
 	switch {
 	case verdict == WrongEndpoint:
 		x.note(at, health.Replaced)
+	case x.g.state.Resting(at.endpoint.ID, time.Now()):
+		// It wants rest from this gateway, which is no fault.
 	case hasRoom(at, x.service, x.call.Input):
 		x.note(at, health.Bad)
 	}
@@ -136,6 +145,10 @@
 func (x *exchange) failed(ctx context.Context, at *place, err error) {
 	x.brokenBy(at, err)
 	var failure *upstream.Error
+	if errors.Is(err, upstream.ErrWithdrawn) {
+		x.withdraw()
+		return
+	}
 	if errors.As(err, &failure) && failure.Stage == upstream.NotSent {
 		x.unsent++
 		if ctx.Err() == nil {
@@ -195,6 +208,14 @@
 		MaxIdle: x.maxIdle(),
 		// An endpoint resets connections beyond those that it takes from all gateways together.
 		KeepIdle: idleShare(x.service.MaxConnections, x.g.limits.gatewayCount()),
+		Check: func() bool {
+			now := time.Now()
+			if !x.allTake(at, now) || !x.withinLimits(at, now) {
+				return false
+			}
+			x.g.meter.sends.Inc()
+			return true
+		},
 	}
 	return req
 }
--- a/relay/digest.go
+++ b/relay/digest.go
@@ -51,6 +51,9 @@
 		if _, limited := p.limits.limit(e.ID); limited {
 			continue // its own cell needs what it takes
 		}
+		if p.state.Resting(e.ID, now) {
+			continue
+		}
 		if p.policy.Spare(s.Engine, e.Slots, p.book.Load(e.ID, now)) && !p.health.Suspect(e.ID, now) {
 			out = append(out, e)
 		}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -20,16 +20,18 @@
 	refusedBusy outcome = "refused-busy" // not run: all slots are taken
 	// refusedLimit: not run: endpoints limit their requests, and none can take it in its time.
 	refusedLimit outcome = "refused-limit"
-	refusedKey   outcome = "refused-key"  // not run: no proof that the key is still good
-	noRoute      outcome = "no-route"     // 404
-	noKey        outcome = "unknown-key"  // 401
-	badRequest   outcome = "bad-request"  // 4xx
-	unknownEnd   outcome = "may-have-run" // 502: sent, no answer, must not be sent again
-	outOfTime    outcome = "out-of-time"  // deadline
-	callerGone   outcome = "caller-gone"  // the caller closed its connection
-	notStarted   outcome = "not-started"  // 503: no configuration is known yet
-	stopping     outcome = "stopping"     // 503: the process is about to end
-	tooLarge     outcome = "body-too-large"
+	// refusedRest: not run: endpoints want rest from this gateway, and none can take it in its time.
+	refusedRest outcome = "refused-rest"
+	refusedKey  outcome = "refused-key"  // not run: no proof that the key is still good
+	noRoute     outcome = "no-route"     // 404
+	noKey       outcome = "unknown-key"  // 401
+	badRequest  outcome = "bad-request"  // 4xx
+	unknownEnd  outcome = "may-have-run" // 502: sent, no answer, must not be sent again
+	outOfTime   outcome = "out-of-time"  // deadline
+	callerGone  outcome = "caller-gone"  // the caller closed its connection
+	notStarted  outcome = "not-started"  // 503: no configuration is known yet
+	stopping    outcome = "stopping"     // 503: the process is about to end
+	tooLarge    outcome = "body-too-large"
 	// quarantinedEnd is 503, or 502 where it was sent before: endpoints crash under it.
 	quarantinedEnd outcome = "quarantined"
 )
@@ -127,10 +129,21 @@
 	case x.mayRun:
 		return x.refuse(http.StatusBadGateway, 0, unknownEnd)
 	default:
-		return x.refuse(http.StatusServiceUnavailable, retryAfterFull, o)
+		return x.refuse(http.StatusServiceUnavailable, x.comeBack(time.Now()), o)
 	}
 }
 
+// comeBack returns when the caller of a request that was turned away everywhere had better come back.
+func (x *exchange) comeBack(now time.Time) time.Duration {
+	if x.service == nil {
+		return retryAfterFull
+	}
+	if rests := x.g.state.RestOf(x.service.Name, now); rests.open == 0 && rests.closed > 0 && rests.opens.After(now) {
+		return x.g.state.SendAway(x.service.Name, rests.opens, now)
+	}
+	return retryAfterFull
+}
+
 // run sends the request until it is answered or must be given up.
 func (x *exchange) run() outcome {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
--- a/relay/leaves_test.go
+++ b/relay/leaves_test.go
@@ -32,7 +32,7 @@
 				}
 				time.Sleep(50 * time.Millisecond)
 				for _, g := range f.gateways {
-					is.True(!g.state.Takes("e0", time.Now()))
+					is.True(!g.state.StillTakes("e0", time.Now()))
 				}
 				began := time.Now()
 				f.load(t, 50, 2*time.Second, func(n int) int { return n % 6 })
--- a/relay/limited.go
+++ b/relay/limited.go
@@ -84,8 +84,10 @@
 	if at.choice.Endpoint < 0 {
 		return nil
 	}
-	chosen := p.put(at)
-	chosen.grant = g
+	chosen := p.put(at, now)
+	if chosen != nil {
+		chosen.grant = g
+	}
 	return chosen
 }
 
@@ -218,7 +220,11 @@
 
 // mayQuestion reports whether an endpoint may be asked about itself now. What it takes counts questions too: while it has a limit
 // each needs a grant, which is given when no request needs it.
+// One that wants rest gets none.
 func (g *Gateway) mayQuestion(e catalog.Endpoint) bool {
+	if !g.state.StillTakes(e.ID, time.Now()) {
+		return false
+	}
 	if _, limited := g.limits.limit(e.ID); !limited {
 		return true
 	}
--- a/relay/limitharness_test.go
+++ b/relay/limitharness_test.go
@@ -22,6 +22,8 @@
 	lines    map[string]string // more of the heads of answers, by address
 	statuses map[string]string // of answers, by address; empty: 200
 	arrivals map[string][]time.Time
+	took     time.Duration   // that engines take for an answer
+	dialed   func()          // called for each connection; nil: nothing
 	silent   map[string]bool // gateways that answer no questions of others
 	answered int
 	refused  []time.Duration // how long each refusal took
@@ -58,6 +60,9 @@
 
 // dialEngine connects to an engine that answers at once and names its limit.
 func (f *limitFleet) dialEngine(_ int, address string) (net.Conn, error) {
+	if f.dialed != nil {
+		f.dialed()
+	}
 	near, far := net.Pipe()
 	go func() {
 		defer func() { _ = far.Close() }()
@@ -70,6 +75,7 @@
 			f.arrivals[address] = append(f.arrivals[address], time.Now())
 			limit := f.limits[address]
 			f.mu.Unlock()
+			time.Sleep(f.took)
 			f.mu.Lock()
 			line, status := f.lines[address], cmp.Or(f.statuses[address], "200 OK")
 			f.mu.Unlock()
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -30,6 +30,7 @@
 	limited         *metrics.Counter
 	leavesTold      *metrics.Counter
 	restsAsked      *metrics.Counter
+	restRefusals    *metrics.Counter
 	firstByte       *metrics.Histogram
 	whole           *metrics.Histogram
 	wait            *metrics.Histogram
@@ -58,6 +59,7 @@
 		limited:         set.NewCounter("relay_limit_refusals_total"),
 		leavesTold:      set.NewCounter("relay_endpoint_leaves_told_total"),
 		restsAsked:      set.NewCounter("relay_endpoint_rests_asked_total"),
+		restRefusals:    set.NewCounter("relay_rest_refusals_total"),
 		resumes:         set.NewCounter("relay_resumes_total"),
 		firstByte:       set.NewHistogram("relay_first_event_seconds"),
 		whole:           set.NewHistogram("relay_request_seconds"),
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -116,6 +116,16 @@
 	return p.started.Add(p.objective * waitShare / 100)
 }
 
+// mayWaitFor reports whether a request waits until endpoints have rested, which they have at a known time: where it is in time
+// then. What the caller of a stream that goes on has got is lost without the rest, so that it waits longer.
+func (p patience) mayWaitFor(opens, now time.Time) bool {
+	limit := p.started.Add(p.objective * waitShare / 100)
+	if p.resumed {
+		limit = p.waitUntil()
+	}
+	return now.Before(limit) && opens.Before(limit)
+}
+
 // comeBackAfter returns when a caller that was refused for busy endpoints had better
 // come back, as far as it will wait for that.
 func (p patience) comeBackAfter(now time.Time) time.Duration {
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
@@ -61,7 +62,8 @@
 	reserve  []wantedMemory
 	memory   *reservations // set aside for the send; nil: none
 	grant    *grant        // to send to an endpoint with a limit; nil: none
-	before   balance.Load  // at the endpoint, before this request
+	send     availability.Send
+	before   balance.Load // at the endpoint, before this request
 	chosen   time.Time
 	pace     float64 // of the slowest of the endpoints, as it was known then
 	// candidates is how many endpoints there were to choose among.
@@ -94,11 +96,15 @@
 	pickFull             // the caller had better come back later
 )
 
-// put counts the load of a choice. The caller holds the lock.
-func (p *picker) put(at found) *place {
+// put counts the load of a choice; nil: its endpoint takes no more requests at the moment. The caller holds the lock.
+func (p *picker) put(at found, now time.Time) *place {
 	c := at.choice
+	send, ok := p.state.BeginSend(at.endpoints[c.Endpoint].ID, now)
+	if !ok {
+		return nil
+	}
 	chosen := &place{
-		picker: p, endpoint: at.endpoints[c.Endpoint], before: at.candidates[c.Endpoint].Load,
+		picker: p, endpoint: at.endpoints[c.Endpoint], before: at.candidates[c.Endpoint].Load, send: send,
 		candidates: len(at.candidates), expected: c.Expected, chosen: time.Now(),
 	}
 	for _, i := range c.Helpers {
@@ -223,6 +229,7 @@
 // release takes off all load of the request.
 func (pl *place) release() {
 	p := pl.picker
+	pl.endSend(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pl.takeOffReading()
@@ -233,6 +240,22 @@
 	p.wake()
 }
 
+// endSend takes in that the request was answered, or will not be; only the first call counts. It reports whether the endpoint
+// is used like any other again after a rest.
+func (pl *place) endSend(answered bool) bool {
+	send := pl.send
+	pl.send = availability.Send{}
+	return pl.picker.state.EndSend(send, answered)
+}
+
+// wakeAll lets those that wait for endpoints look again.
+func (p *picker) wakeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wake()
+}
+
+// wake is wakeAll for callers that hold the lock.
 func (p *picker) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/relay/place.go
+++ b/relay/place.go
@@ -54,6 +54,9 @@
 		turn = x.g.picker.join(x.service.Name, x.patience().rank(oversize, began), x.started.Add(x.route.Objective), began)
 		defer x.g.picker.leave(turn)
 	}
+	rests := &restWait{x: x}
+	defer rests.leave()
+	fewest := x.fewestEndpoints(work)
 	var expected balance.Expected // at the newest look at the load
 	for first := true; ; first = false {
 		x.countSuspension()
@@ -70,7 +73,14 @@
 		}
 		var at *place
 		o := pickWait
-		if turn == nil || work.Late || x.g.picker.first(turn, x.patience().rank(oversize, now), now) {
+		choice := hasChosen
+		switch {
+		case turn != nil && !work.Late && !x.g.picker.first(turn, x.patience().rank(oversize, now), now):
+			choice = notItsTurn
+			rests.leave() // others need not wait for its turn
+		case !rests.mayChoose():
+			choice = notInLine
+		default:
 			at, expected, o = x.g.picker.pick(x.service, work, x.warm, now)
 		}
 		var limited limitedEnd
@@ -102,6 +112,19 @@
 			work.Avoid = nil // better the same endpoint again than none
 			continue
 		}
+		if o != pickFull {
+			switch step, comeBack := rests.next(fewest, choice, now); step {
+			case restWaits:
+				x.g.picker.await(ctx, queueStep)
+				if ctx.Err() != nil {
+					return nil, x.giveUp(outOfTime)
+				}
+				continue
+			case restRefuse:
+				x.logNoPlace("the endpoints rest", expected, now.Sub(began))
+				return nil, rests.refuse(comeBack)
+			}
+		}
 		if o == pickNone && x.attempts == 0 && x.g.state.AllLeave(x.service.Name) {
 			x.logNoPlace("all endpoints leave", expected, now.Sub(began))
 			return nil, x.refuse(http.StatusServiceUnavailable, x.patience().comeBackWithin(retryAfterLeaving, now), refusedFull)
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -190,7 +190,7 @@
 // askUse asks one of the endpoints that have memory set aside whether it is used. All of it is
 // used by the same request, so that one question is enough, however many endpoints have some.
 func (r *reservations) askUse(ctx context.Context) {
-	one := r.list[r.use.question(len(r.list))]
+	one := r.questioned(time.Now())
 	asked := time.Now()
 	report, err := r.g.report(ctx, one.endpoint)
 	switch state := report.Reservations[one.id]; {
@@ -206,6 +206,17 @@
 	}
 }
 
+// questioned returns whom to ask next: each in turn, but for those that want rest while there are others.
+func (r *reservations) questioned(now time.Time) *reservation {
+	next := r.use.question(len(r.list))
+	for i := range r.list {
+		if one := r.list[(next+i)%len(r.list)]; !r.g.state.Resting(one.endpoint.ID, now) {
+			return one
+		}
+	}
+	return r.list[next]
+}
+
 // notUsed takes in that memory is not used, and asks the endpoint that the request went to whether
 // others are in the way there.
 func (r *reservations) notUsed(ctx context.Context, one *reservation, state ReservationState, asked time.Time) {
--- a/relay/search.go
+++ b/relay/search.go
@@ -63,7 +63,10 @@
 	case c.Endpoint < 0:
 		return nil, c.Expected, pickNone
 	}
-	return p.put(at), c.Expected, picked
+	if chosen = p.put(at, now); chosen == nil {
+		return nil, c.Expected, pickNone
+	}
+	return chosen, c.Expected, picked
 }
 
 // among chooses among endpoints and remote, which are endpoints of other cells.
--- a/relay/state.go
+++ b/relay/state.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/cell"
 )
@@ -25,11 +26,18 @@
 	// storeEra is the newest era of the store that is known; 0: none is.
 	storeEra uint64
 	members  *members
+	rests    *availability.Rests
+	// lines are the requests that wait until endpoints of a service have rested, and sentAway those that were refused instead.
+	lines    map[string]*availability.Line
+	sentAway map[string]sentAway
 }
 
 // NewState returns a state that knows nothing.
 func NewState() *State {
-	return &State{changed: make(chan struct{}), members: newMembers()}
+	return &State{
+		changed: make(chan struct{}), members: newMembers(), rests: availability.NewRests(),
+		lines: make(map[string]*availability.Line), sentAway: make(map[string]sentAway),
+	}
 }
 
 // Table returns the configuration in force, or nil before one is known.
@@ -101,11 +109,12 @@
 	return s.storeEra
 }
 
-// Outdate drops the proof: the host was suspended, which was noticed now.
-func (s *State) Outdate(now time.Time) {
+// Outdate drops the proof: the host was suspended for so long, which was noticed now.
+func (s *State) Outdate(now time.Time, suspended time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.proof, s.since = time.Time{}, now
+	s.rests.Suspended(suspended)
 }
 
 // ProofAge returns how old the newest proof is, and a channel that is closed at
@@ -166,23 +175,6 @@
 	return s.members.inCell[service]
 }
 
-// Takers returns the endpoints of a service by cell that take requests now. The caller must not change it.
-func (s *State) Takers(service string, now time.Time) map[string][]catalog.Endpoint {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cells := s.members.inCell[service]; len(cells) > 0 {
-		return cells
-	}
-	return s.members.lastResort(service, now)
-}
-
-// Takes reports whether a request may be sent to an endpoint now.
-func (s *State) Takes(id string, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.members.takes(id, now)
-}
-
 // AllLeave reports whether a service has endpoints, and all of them leave.
 func (s *State) AllLeave(service string) bool {
 	s.mu.Lock()
@@ -198,20 +190,6 @@
 	return false
 }
 
-// Left takes in that an endpoint leaves: an answer of it says so, or a gateway. It reports whether that is news, and returns what it changes.
-func (s *State) Left(e catalog.Endpoint, source string, now time.Time) (news bool, changes []MemberChange) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.members.left(e, source, now)
-}
-
-// TellLeaves returns the lives of endpoints that leave, as others are to be told of them.
-func (s *State) TellLeaves(everything bool, now time.Time) map[string]int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.members.leaves.Tell(everything, now)
-}
-
 // Cells returns which cell each data centre belongs to.
 func (s *State) Cells() cell.Map {
 	s.mu.Lock()
--- a/relay/suspend.go
+++ b/relay/suspend.go
@@ -70,7 +70,7 @@
 	if fresh == 0 {
 		return total
 	}
-	g.state.Outdate(now)
+	g.state.Outdate(now, fresh)
 	g.sharing.outdate(now)
 	g.limits.outdate()
 	g.deps.Endpoints.CloseIdle()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -67,8 +67,14 @@
 	// KeepIdle is the most connections that are kept without use to the endpoint after this request, below
 	// Options.IdlePerHost; zero: as many as that.
 	KeepIdle int
+	// Check is called when there is a connection, right before anything is written; the request is not sent where it reports false.
+	// Nil: it is sent.
+	Check func() bool
 }
 
+// ErrWithdrawn is the cause of an exchange that Request.Check ended.
+var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
+
 // Options bounds a Client.
 type Options struct {
 	DialTimeout time.Duration
@@ -128,6 +134,10 @@
 		c.idle.put(conn)
 		return nil, &Error{Stage: NotSent, Err: err}
 	}
+	if r.Check != nil && !r.Check() {
+		c.idle.put(conn)
+		return nil, &Error{Stage: NotSent, Err: ErrWithdrawn}
+	}
 	conn.watch(ctx)
 	conn.keepIdle = r.KeepIdle
 	conn.send(r)
