The soak plays and checks leaving and rest; a rest outlives the news of a restart

What callers saw: nothing. Cause: the worker had started again under its name before it asked, its entry told so a moment later, and the gateway took the rest for the earlier life's and dropped it; with a store that came back from an older copy the entry's life also went back and forth. Change: a rest is of an endpoint's name. It is dropped when a new life is seen only if it was asked for more than 1.5 s before, and not while a copy of the store may name lives of before. A leave is kept with its life, so that one that the list names again is still leaving, and is not told while another life is known. Soak: workers say in answers only that they leave, ask some or all gateways for rest, with texts that cannot be read among them; lost answers and gateways in trouble are excused only. Reports count the leaves and rests that were judged, so that a run that judged none shows it.

--- a/availability/leaves.go
+++ b/availability/leaves.go
@@ -28,6 +28,8 @@
 	Source string    // who said so first: FromStore, FromAnswer or the name of a gateway
 	// listed is set when the store's list says so as well: everybody reads that.
 	listed bool
+	// past is set while another life than this is known. An older copy of the store's list may name it for a while.
+	past bool
 }
 
 // Leaves holds which endpoints leave. Whoever leaves never comes back in the same life: neither an answer without the word, which
@@ -69,7 +71,7 @@
 func (l *Leaves) Tell(everything bool, now time.Time) map[string]int64 {
 	var out map[string]int64
 	for id, leave := range l.entries { // in no order, so that each is told in some word
-		if leave.listed || !everything && now.Sub(leave.Since) > tellFor {
+		if leave.listed || leave.past || !everything && now.Sub(leave.Since) > tellFor {
 			continue
 		}
 		if out == nil {
@@ -83,17 +85,18 @@
 	return out
 }
 
-// Forget drops what is known of an endpoint that has started again.
-func (l *Leaves) Forget(id string) { delete(l.entries, id) }
-
-// Expire drops what was learned long ago of endpoints that are not known, and of these what goes beyond their number.
-func (l *Leaves) Expire(known func(id string) bool, now time.Time) {
+// Expire drops what was learned long ago of endpoints that are not known, or not in that life, and of the former what goes beyond their number.
+func (l *Leaves) Expire(known func(id string) (e catalog.Endpoint, ok bool), now time.Time) {
 	unknown := 0
 	maps.DeleteFunc(l.entries, func(id string, leave *Leave) bool {
-		if known(id) {
+		e, ok := known(id)
+		leave.past = ok && restarted(leave.Born, e.Born)
+		if ok && !leave.past {
 			return false
 		}
-		unknown++
+		if !ok {
+			unknown++
+		}
 		return unknown > maxUnknown || now.Sub(leave.Since) > rememberFor
 	})
 }
--- a/availability/rests.go
+++ b/availability/rests.go
@@ -1,15 +1,14 @@
 package availability
 
-import (
-	"time"
-
-	"github.com/micarudder/micarudder/catalog"
-)
+import "time"
 
 // fullWindow is how many sends may be unanswered at an endpoint that has just rested before it is used like any other. The first
 // one finds out whether it takes requests again; each that is answered lets one more go.
 const fullWindow = 8
 
+// restartTold is how long an endpoint that has started again may answer before its entry says so.
+const restartTold = 1500 * time.Millisecond
+
 // Rests holds which endpoints want rest from this gateway. After it an endpoint gets one request, and more as these are answered: what has
 // waited meanwhile must not meet it all at once. A rest says nothing of other gateways, nor of the endpoint's health. Rests
 // is not safe for concurrent use.
@@ -19,7 +18,7 @@
 
 // rest is a rest and what follows it.
 type rest struct {
-	born  int64
+	asked time.Time // last
 	until time.Time
 	// round counts the asks: the answers to sends of before one say nothing of what follows it.
 	round uint64
@@ -38,12 +37,13 @@
 
 // Ask takes in that an endpoint wants rest from now on. Of several that overlap the one holds that ends last: answers overtake each other. It
 // reports whether that changes when the endpoint gets requests again.
-func (r *Rests) Ask(e catalog.Endpoint, d time.Duration, now time.Time) bool {
-	old := r.entries[e.ID]
-	if old == nil || restarted(old.born, e.Born) {
-		old = &rest{born: e.Born}
-		r.entries[e.ID] = old
+func (r *Rests) Ask(endpoint string, d time.Duration, now time.Time) bool {
+	old := r.entries[endpoint]
+	if old == nil {
+		old = &rest{}
+		r.entries[endpoint] = old
 	}
+	old.asked = now
 	until := now.Add(d)
 	longer := until.After(old.until)
 	if longer {
@@ -107,7 +107,15 @@
 	return true
 }
 
-// Forget drops what is known of an endpoint that is gone or has started again.
+// Restarted takes in that an endpoint is seen to have started again: what its earlier life asked for is over. What was asked a moment ago may be
+// of the new life already.
+func (r *Rests) Restarted(endpoint string, now time.Time) {
+	if e := r.entries[endpoint]; e != nil && now.Sub(e.asked) > restartTold {
+		delete(r.entries, endpoint)
+	}
+}
+
+// Forget drops what is known of an endpoint that is gone.
 func (r *Rests) Forget(endpoint string) { delete(r.entries, endpoint) }
 
 // Suspended takes in that the host was suspended for so long, which its clock does not count.
--- a/internal/soak/said.go
+++ b/internal/soak/said.go
@@ -32,22 +32,34 @@
 	return out
 }
 
-// lateSends returns the requests that were sent too late. One whose gateway was started again, frozen or suspended since counts not.
-func lateSends(all []asked, f *facts) (out []lateSend) {
+// toldLeaves returns when each gateway first passed on an answer that says that its worker leaves, by worker.
+func toldLeaves(all []asked, f *facts) map[life]map[string]time.Time {
 	byID := byID(all)
 	lives, answered := f.lives()
+	out := make(map[life]map[string]time.Time)
 	for l, arrivals := range lives {
-		told := make(map[string]time.Time) // by gateway
 		for _, a := range arrivals {
 			x := byID[a.ID]
 			if x == nil || a.Said.Leaving == "" || x.said.Leaving == "" || answered[a.ID] != l {
 				continue
 			}
-			if at, ok := told[x.gateway]; !ok || x.headAt.Before(at) {
-				told[x.gateway] = x.headAt
+			if out[l] == nil {
+				out[l] = make(map[string]time.Time)
+			}
+			if at, ok := out[l][x.gateway]; !ok || x.headAt.Before(at) {
+				out[l][x.gateway] = x.headAt
 			}
 		}
-		for _, a := range arrivals {
+	}
+	return out
+}
+
+// lateSends returns the requests that were sent too late. One whose gateway was started again, frozen or suspended since counts not.
+func lateSends(all []asked, f *facts) (out []lateSend) {
+	byID := byID(all)
+	lives, _ := f.lives()
+	for l, told := range toldLeaves(all, f) {
+		for _, a := range lives[l] {
 			x := byID[a.ID]
 			if x == nil {
 				continue
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -39,6 +39,8 @@
 	Asked, Answered, Refused, Broken int
 	Crashes                          int      // of workers, under the request that ends them
 	Limited                          int      // workers that named a limit for long enough to be judged
+	Rests                            int      // asks for rest that were judged
+	Left                             int      // workers whose leave some gateway passed on
 	Prompts, Used                    int      // long ones, and how often they used memory set aside
 	Faults                           []string // in the order of their times
 	Violations                       []string
@@ -276,6 +278,7 @@
 		tasks.Go(func() { r.inject(ctx, engineFaults, 0xe9fa) })
 	}
 	tasks.Go(func() { r.inject(ctx, limitFaults, 0x11417) })
+	tasks.Go(func() { r.inject(ctx, saidFaults, 0x5a1d) })
 	if r.c.Restores {
 		tasks.Go(func() { r.restoreStore(ctx) })
 	}
@@ -351,6 +354,8 @@
 	out.Violations = append(out.Violations, checkLimits(r.all, &r.facts)...)
 	out.Violations = append(out.Violations, checkLeaving(r.all, &r.facts)...)
 	out.Violations = append(out.Violations, checkRests(r.all, &r.facts)...)
+	out.Rests = len(restUses(r.all, &r.facts))
+	out.Left = len(toldLeaves(r.all, &r.facts))
 	out.Limited = len(limitUses(r.all, &r.facts))
 	for _, a := range r.all {
 		if a.kind == "long" {
--- a/relay/members.go
+++ b/relay/members.go
@@ -100,9 +100,6 @@
 		present[e.ID] = true
 		delete(m.missing, e.ID)
 		old, ok := m.known[e.ID]
-		if old.RestartedAs(e) {
-			m.leaves.Forget(e.ID)
-		}
 		if e.Draining {
 			m.leaves.Take(e, availability.FromStore, now)
 		}
@@ -118,7 +115,7 @@
 		m.known[e.ID] = e
 	}
 	m.forgetDeparted(now)
-	m.leaves.Expire(func(id string) bool { return present[id] }, now)
+	m.leaves.Expire(func(id string) (catalog.Endpoint, bool) { return m.known[id], present[id] }, now)
 	lapsed := m.massLapsed(present)
 	for id, e := range m.known {
 		if present[id] {
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -54,7 +54,7 @@
 	}
 	if said.Rest > 0 {
 		g.meter.restsAsked.Inc()
-		if g.state.Rest(e, said.Rest, time.Now()) {
+		if g.state.Rest(e.ID, said.Rest, time.Now()) {
 			g.deps.Log.Request("Endpoint asks for rest.", "endpoint", e.ID, "born", e.Born, "rest_ms", said.Rest.Milliseconds(), "request", request)
 		}
 	}
--- a/relay/takers.go
+++ b/relay/takers.go
@@ -76,13 +76,13 @@
 }
 
 // Rest takes in that an endpoint wants rest from this gateway. It reports whether that changes when it gets requests again.
-func (s *State) Rest(e catalog.Endpoint, d time.Duration, now time.Time) bool {
+func (s *State) Rest(id string, d time.Duration, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.members.known[e.ID]; !ok || known.RestartedAs(e) {
-		return false // an earlier life
+	if _, ok := s.members.known[id]; !ok {
+		return false // it is gone
 	}
-	return s.rests.Ask(e, d, now)
+	return s.rests.Ask(id, d, now)
 }
 
 // Resting reports whether an endpoint rests.
@@ -92,11 +92,16 @@
 	return s.rests.Resting(id, now)
 }
 
-// ForgetRest drops what is known of the rest of an endpoint that is gone or has started again.
-func (s *State) ForgetRest(id string) {
+// RestOver takes in that an endpoint is gone, or has started again.
+func (s *State) RestOver(id string, kind ChangeKind, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rests.Forget(id)
+	switch {
+	case kind == changeGone:
+		s.rests.Forget(id)
+	case s.members.restored.IsZero() || now.Sub(s.members.restored) > staleEntryTime: // an older copy may name a life of before
+		s.rests.Restarted(id, now)
+	}
 }
 
 // serviceRest is what the rests of its endpoints mean for a service.
