An engine that turns its agent away with a time to come back gets nothing until then

What callers saw: refusals that others could have served, once the workspace's retries were used up, and a second to come back whatever the engine had said. Ruled out: retries elsewhere, which work while the budget lasts. Change: the engine's client reads Retry-After of 503 and 429 (whole seconds, ten minutes at most); the agent admits and starts no new work until then and says so in the refusal, also of the run that met it; gateways leave the endpoint out of the choice for that time, under a filter of its own, and tell callers that none can serve the first end of a rest. The stand-in's engines name such a time and count what they refuse. Runs, spans and memory that are there go on; other orders keep their own pauses. Plain services' own answers are passed on as before.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -106,7 +106,7 @@
 	if !a.records.fits(req) {
 		return result.New(result.RecordsFull, "")
 	}
-	return nil
+	return a.resting(time.Now())
 }
 
 // enqueue offers the run to the queue.
@@ -237,7 +237,11 @@
 		// Work that does not fit beside the reservations is refused at once.
 		whole -= min(a.desk.tokens(), whole-1)
 	}
-	return admission.Capacity{FreeTokens: free, MemoryTokens: whole, Running: a.running, MaxRunning: a.cfg.MaxRunning}
+	running := a.running
+	if a.resting(time.Now()) != nil {
+		running = max(running, a.cfg.MaxRunning) // what waits is started after the rest
+	}
+	return admission.Capacity{FreeTokens: free, MemoryTokens: whole, Running: running, MaxRunning: a.cfg.MaxRunning}
 }
 
 // endOf makes the end frame of a refusal.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -63,6 +63,7 @@
 	started     time.Time
 
 	mu       sync.Mutex
+	restsTo  time.Time           // the engine wants no new work before
 	state    rudderv1.AgentState // of the endpoint; current adds leaving
 	leave    departure
 	records  *records
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -232,6 +232,7 @@
 		return
 	}
 	a.deps.Log.Warn("Run failed.", "request", r.req.RequestId, "err", err)
+	a.noteRest(r, err)
 	switch {
 	case errors.Is(err, engine.ErrRefused), errors.Is(err, engine.ErrNoMemory), errors.Is(err, service.ErrRefused):
 		r.apply(lifecycle.Event{Kind: lifecycle.EvRefused, Code: result.EndpointRefused}, err.Error())
--- a/agent/run.go
+++ b/agent/run.go
@@ -41,8 +41,10 @@
 	end     *rudderv1.End
 	dropped bool // the answer is no longer kept
 	changed chan struct{}
-	readers int
-	idle    *time.Timer // runs while a repeatable run has no reader
+	// retryAfter is the time to come back that the endpoint named when it refused the run; 0: none.
+	retryAfter time.Duration
+	readers    int
+	idle       *time.Timer // runs while a repeatable run has no reader
 }
 
 func newRun(parent context.Context, req *rudderv1.RunRequest, now time.Time) *run {
@@ -88,6 +90,8 @@
 		Checksum: r.sum.Sum64(),
 		Detail:   detail,
 		Sealed:   r.life.State == lifecycle.Refused,
+
+		RetryAfterMs: r.retryAfter.Milliseconds(),
 	}
 	r.broadcast()
 }
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"time"
 )
 
 // maxErrorBytes bounds what is read of an error answer.
@@ -18,7 +20,9 @@
 	Kind   error  // one of the sentinel errors
 	Status int    // HTTP status; 0 when there was no answer
 	Detail string
-	Cause  error
+	// RetryAfter is for how long the engine wants no more work, as its refusal says; 0: it does not say.
+	RetryAfter time.Duration
+	Cause      error
 }
 
 // Error implements error.
@@ -52,7 +56,7 @@
 	if json.Unmarshal(raw, &b) != nil {
 		b = ErrorBody{}
 	}
-	e := &Error{Op: op, Status: resp.StatusCode, Detail: b.Error.Message}
+	e := &Error{Op: op, Status: resp.StatusCode, Detail: b.Error.Message, RetryAfter: retryAfter(resp)}
 	e.Kind = kindOf(b.Error.Code, resp.StatusCode)
 	if b.Error.Code == CodeNotFound && op == opStart {
 		e.Kind, e.Cause = ErrRefused, ErrNotFound
@@ -60,6 +64,21 @@
 	return e
 }
 
+// maxRetryAfter bounds the time to come back that counts: a mistaken one must not cost an engine for good.
+const maxRetryAfter = 10 * time.Minute
+
+// retryAfter reads the seconds to come back that a refusal names; what is no whole number says nothing.
+func retryAfter(resp *http.Response) time.Duration {
+	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+		return 0
+	}
+	seconds, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+}
+
 // kindOf maps an error code, or else the status, to a sentinel. A server error
 // without a known code may come from anything between, so it proves nothing.
 func kindOf(code ErrorCode, status int) error {
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -47,6 +47,7 @@
 	pending   time.Duration // predicted work sent since the agent last told its load
 	pendingL  time.Duration // the long part of it
 	pendingN  int
+	restsTo   time.Time // the endpoint wants no new work before
 	breaker   limits.Breaker
 	slowness  cost.Slowness
 	cache     *affinity.Set // blocks that the endpoint is believed to hold
@@ -220,7 +221,7 @@
 		Endpoint: l.declared.Name, Host: l.declared.Host, DataCentre: l.declared.DataCentre, Service: l.declared.Service,
 		MemoryTokens: l.declared.MemoryTokens, Models: l.models, Pending: l.pending, PendingLong: l.pendingL, PendingCount: l.pendingN,
 		Connected: v.Usable(), Leaving: v.State == membership.Leaving,
-		BreakerOpen: l.breaker.Blocks(now), LongLane: l.g.lanes.has(l.declared.Name),
+		Resting: now.Before(l.restsTo), BreakerOpen: l.breaker.Blocks(now), LongLane: l.g.lanes.has(l.declared.Name),
 		Slowness: l.slowness.Factor(now), Cached: l.cache.Cached,
 	}
 	if l.report == nil {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -107,13 +108,40 @@
 	m.apply(ev)
 }
 
-// takeRefusal learns from an end that the agent is leaving.
+// takeRefusal learns from an end that the agent is leaving, or that its endpoint wants no new work for a while.
 func (l *link) takeRefusal(e *rudderv1.End) {
-	if result.Code(e.Code) == result.Draining {
+	switch result.Code(e.Code) {
+	case result.Draining:
 		l.g.members.apply(membership.Refused{Endpoint: l.declared.Name})
+	case result.EndpointRefused:
+		l.rest(time.Duration(e.RetryAfterMs)*time.Millisecond, time.Now())
 	}
 }
 
+// rest takes in for how long the endpoint wants no new work; 0: its agent does not say.
+func (l *link) rest(d time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if until := now.Add(d); d > 0 && until.After(l.restsTo) {
+		l.restsTo = until
+		l.g.deps.Log.Info("Endpoint asks for rest.", "endpoint", l.declared.Name, "for", d)
+	}
+}
+
+// restLeft returns when the first endpoint that rests takes work again, comeBack where none rests.
+func (ls *links) restLeft(now time.Time) time.Duration {
+	least := time.Duration(0)
+	for _, l := range ls.all() {
+		l.mu.Lock()
+		left := l.restsTo.Sub(now)
+		l.mu.Unlock()
+		if left > 0 && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return cmp.Or(least, comeBack)
+}
+
 // followHosts reads the platform's list of hosts for as long as the gateway
 // lives and tells agents whose hosts it takes away.
 func (g *Gateway) followHosts() {
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -206,6 +206,9 @@
 	if l == nil {
 		err := result.New(result.NoEndpoint, decision.Reason)
 		err.RetryAfter = comeBack.Milliseconds()
+		if decision.Reason == routing.FilterResting {
+			err.RetryAfter = s.g.links.restLeft(time.Now()).Milliseconds()
+		}
 		return nil, endOf(err)
 	}
 	return s.named(l)
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -86,7 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Refuse || s.closed {
-		return nil, errRefusing
+		return nil, s.refusing()
 	}
 	if !s.shop.serves(j.model) {
 		return nil, errNoSuch
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -17,6 +17,8 @@
 	SlowFactor float64 `json:"slow_factor,omitempty"`
 	// Refuse refuses new runs, spans and orders.
 	Refuse bool `json:"refuse,omitempty"`
+	// RestSeconds is what these refusals ask for as the time to come back; 0: they do not say.
+	RestSeconds int `json:"rest_seconds,omitempty"`
 	// LoseStart runs the request and breaks the connection before any answer.
 	LoseStart bool `json:"lose_start,omitempty"`
 	// FailStream ends each stream with an error event instead of its last token.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -108,19 +108,37 @@
 	status int
 	code   engine.ErrorCode
 	text   string
+	rest   int // seconds, as a time to come back; 0: none is told
 }
 
-func (f *refusal) write(w http.ResponseWriter) { writeError(w, f.status, f.code, f.text) }
+func (f *refusal) write(w http.ResponseWriter) {
+	if f.rest > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(f.rest))
+	}
+	writeError(w, f.status, f.code, f.text)
+}
+
+// refusing returns the refusal of an engine that refuses work, and counts it. The caller holds the lock.
+func (s *Server) refusing() *refusal {
+	s.refused++
+	return &refusal{http.StatusServiceUnavailable, engine.CodeRefused, "the engine refuses work", s.faults.RestSeconds}
+}
+
+// Refused returns how much work was refused since the start.
+func (s *Server) Refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
 
 func badRequest(text string) *refusal {
-	return &refusal{http.StatusBadRequest, engine.CodeRefused, text}
+	return &refusal{http.StatusBadRequest, engine.CodeRefused, text, 0}
 }
 
 var (
-	errRefusing  = &refusal{http.StatusServiceUnavailable, engine.CodeRefused, "the engine refuses work"}
-	errNoMemory  = &refusal{http.StatusInsufficientStorage, engine.CodeNoMemory, "not enough cache memory"}
-	errDuplicate = &refusal{http.StatusConflict, engine.CodeRefused, "the id is in use"}
-	errNoSuch    = &refusal{http.StatusNotFound, engine.CodeNotFound, "no such run, span or model"}
+	errNoMemory  = &refusal{http.StatusInsufficientStorage, engine.CodeNoMemory, "not enough cache memory", 0}
+	errDuplicate = &refusal{http.StatusConflict, engine.CodeRefused, "the id is in use", 0}
+	errNoSuch    = &refusal{http.StatusNotFound, engine.CodeNotFound, "no such run, span or model", 0}
 )
 
 // abort breaks the connection without an answer.
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -69,7 +69,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case s.faults.Refuse || s.closed:
-		return nil, errRefusing
+		return nil, s.refusing()
 	case !s.shop.serves(j.body.Model):
 		return nil, errNoSuch
 	case s.held[j.id] != nil || s.runs[j.id] != nil:
@@ -218,7 +218,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Refuse || s.closed {
-		return errRefusing
+		return s.refusing()
 	}
 	if h := s.held[id]; h != nil {
 		if h.span == in {
@@ -259,7 +259,7 @@
 		return errNoSuch
 	}
 	if h.uses > 0 {
-		return &refusal{http.StatusConflict, engine.CodeRefused, "a run reads the span"}
+		return &refusal{http.StatusConflict, engine.CodeRefused, "a run reads the span", 0}
 	}
 	s.mem.unhold(h.memory)
 	delete(s.held, id)
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -118,15 +118,15 @@
 	b := s.shop
 	switch {
 	case s.faults.Refuse || s.closed:
-		return false, errRefusing
+		return false, s.refusing()
 	case len(s.cfg.Callers) > 0 && !slices.Contains(s.cfg.Callers, o.From):
-		return false, &refusal{http.StatusForbidden, engine.CodeRefused, "not one of this engine's callers"}
+		return false, &refusal{http.StatusForbidden, engine.CodeRefused, "not one of this engine's callers", 0}
 	case s.cfg.ChecksFencing && o.Fence < b.fence:
-		return false, &refusal{http.StatusConflict, engine.CodeOldFence, "a higher fencing number was seen"}
+		return false, &refusal{http.StatusConflict, engine.CodeOldFence, "a higher fencing number was seen", 0}
 	case o.ID != "" && o.ID == b.lastID:
 		return true, nil
 	case b.busy:
-		return false, &refusal{http.StatusConflict, engine.CodeRefused, "busy with another order"}
+		return false, &refusal{http.StatusConflict, engine.CodeRefused, "busy with another order", 0}
 	case !knownKinds[o.Kind]:
 		return false, badRequest("unknown kind of order")
 	}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -23,6 +23,7 @@
 	mem      *memory
 	held     map[string]*heldSpan
 	stepping bool
+	refused  int         // see Refused
 	load     engine.Load // last report
 	shop     *orderBook
 	events   *eventLog
--- a/routing/filter.go
+++ b/routing/filter.go
@@ -16,6 +16,7 @@
 	FilterConnected = "not connected"
 	FilterLeaving   = "leaving"
 	FilterMemory    = "memory too small"
+	FilterResting   = "resting"
 	FilterBreaker   = "breaker open"
 	FilterExcluded  = "excluded"
 	FilterLane      = "outside the long lane"
@@ -39,13 +40,14 @@
 	byConnected
 	byLeaving
 	byMemory
+	byResting
 	byBreaker
 	byExcluded
 )
 
 // String returns the filter's name.
 func (f filterID) String() string {
-	return [...]string{FilterNone, FilterServes, FilterConnected, FilterLeaving, FilterMemory, FilterBreaker, FilterExcluded}[f]
+	return [...]string{FilterNone, FilterServes, FilterConnected, FilterLeaving, FilterMemory, FilterResting, FilterBreaker, FilterExcluded}[f]
 }
 
 // rejectedBy returns the first filter that rejects the job's candidate.
@@ -59,6 +61,8 @@
 		return byLeaving
 	case memoryTooSmall(j):
 		return byMemory
+	case j.cand.Resting:
+		return byResting
 	case breakerOpen(j):
 		return byBreaker
 	case excluded(j):
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -67,7 +67,9 @@
 	Connected   bool
 	Leaving     bool
 	BreakerOpen bool
-	LongLane    bool // this endpoint is in the lane for long work
+	// Resting is set while the endpoint wants no new work, as its agent has said.
+	Resting  bool
+	LongLane bool // this endpoint is in the lane for long work
 
 	Queued       int
 	Running      int
