The search for an endpoint in short steps; leaves are repeated every two seconds

Cause: the function that places a request had grown to 115 lines with the words of endpoints, and telling leaves that the store does not tell twice a second was reckoned as 20 KB a second at the design size, over the 7 KB of a node. What is not news is told every two seconds. Conclusion: no decision is changed but that interval.

--- a/availability/leaves.go
+++ b/availability/leaves.go
@@ -13,6 +13,8 @@
 	FromAnswer = "answer"
 	// tellFor is how long a leave is told in each word; words are sent several times a second, so that a few may be lost.
 	tellFor = 2 * time.Second
+	// repeatEvery is how often what the store's list does not tell is repeated, for those that have just started or were cut off.
+	repeatEvery = 2 * time.Second
 	// rememberFor is how long the leave of an endpoint that is not known is remembered. Copies of the store's list are seconds old.
 	rememberFor = 10 * time.Minute
 	// maxUnknown is how many leaves of endpoints that are not known are remembered.
@@ -35,7 +37,8 @@
 // Leaves holds which endpoints leave. Whoever leaves never comes back in the same life: neither an answer without the word, which
 // others may have overtaken, nor an entry of the store, which may be old, takes it back. Leaves is not safe for concurrent use.
 type Leaves struct {
-	entries map[string]*Leave
+	entries  map[string]*Leave
+	repeated time.Time // when what is not news was told last
 }
 
 // NewLeaves returns a table in which nobody leaves.
@@ -66,9 +69,13 @@
 	return catalog.Endpoint{Born: before}.RestartedAs(catalog.Endpoint{Born: now})
 }
 
-// Tell returns the lives that are to be told by endpoint: those learned lately, and with everything set also the
-// others that the store's list does not tell.
-func (l *Leaves) Tell(everything bool, now time.Time) map[string]int64 {
+// Tell returns the lives that are to be told by endpoint: those learned lately, and now and then also the
+// others that the store's list does not tell. regular is set for a word that is sent in any case.
+func (l *Leaves) Tell(regular bool, now time.Time) map[string]int64 {
+	everything := regular && now.Sub(l.repeated) >= repeatEvery
+	if everything {
+		l.repeated = now
+	}
 	var out map[string]int64
 	for id, leave := range l.entries { // in no order, so that each is told in some word
 		if leave.listed || leave.past || !everything && now.Sub(leave.Since) > tellFor {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -139,3 +139,18 @@
 	is.True(vote <= 20)
 	is.True(told <= 18*48)
 }
+
+// TestSizeOfLeaves bounds what telling of endpoints that leave costs.
+func TestSizeOfLeaves(t *testing.T) {
+	is := is.New(t)
+	leaves := make(map[string]int64)
+	for n := range 18 {
+		leaves[fmt.Sprintf("i-%010d", n)] = 1764700000000
+	}
+	none, err := encode(&Word{From: "a"})
+	is.NoErr(err)
+	told, err := encode(&Word{From: "a", Leaves: leaves})
+	is.NoErr(err)
+	t.Logf("%d leaves take %d bytes", len(leaves), len(told)-len(none))
+	is.True(len(told)-len(none) <= 18*24)
+}
--- a/relay/patience.go
+++ b/relay/patience.go
@@ -113,13 +113,16 @@
 	if p.sends > 0 {
 		return p.started.Add(p.untilFirst() * resumeShare / 100)
 	}
-	return p.started.Add(p.objective * waitShare / 100)
+	return p.inTimeUntil()
 }
 
+// inTimeUntil returns until when a request may be placed and be in time.
+func (p patience) inTimeUntil() time.Time { return p.started.Add(p.objective * waitShare / 100) }
+
 // mayWaitFor reports whether a request waits until endpoints have rested, which they have at a known time: where it is in time
 // then. What the caller of a stream that goes on has got is lost without the rest, so that it waits longer.
 func (p patience) mayWaitFor(opens, now time.Time) bool {
-	limit := p.started.Add(p.objective * waitShare / 100)
+	limit := p.inTimeUntil()
 	if p.resumed {
 		limit = p.waitUntil()
 	}
--- a/relay/place.go
+++ b/relay/place.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -43,109 +42,6 @@
 	}
 }
 
-// place finds an endpoint, waiting for one where that is better.
-func (x *exchange) place(ctx context.Context) (*place, outcome) {
-	began := time.Now()
-	defer func() { x.g.meter.wait.UpdateDuration(began) }()
-	work := x.placedWork()
-	oversize := x.g.config.Policy.Oversize(x.service, work)
-	var turn *balance.Turn
-	if x.g.config.Policy.TakesTurns(x.service, work) {
-		turn = x.g.picker.join(x.service.Name, x.patience().rank(oversize, began), x.started.Add(x.route.Objective), began)
-		defer x.g.picker.leave(turn)
-	}
-	rests := &restWait{x: x}
-	defer rests.leave()
-	fewest := x.fewestEndpoints(work)
-	var expected balance.Expected // at the newest look at the load
-	for first := true; ; first = false {
-		x.countSuspension()
-		now := time.Now()
-		x.patience().tell(&work, x.g.ending(), now)
-		if oversize {
-			work.Late = false // it takes much of many endpoints: it keeps its turn
-		}
-		if first {
-			if at := x.probe(ctx, work); at != nil {
-				x.logChoice(at, now.Sub(began))
-				return at, ""
-			}
-		}
-		var at *place
-		o := pickWait
-		choice := hasChosen
-		switch {
-		case turn != nil && !work.Late && !x.g.picker.first(turn, x.patience().rank(oversize, now), now):
-			choice = notItsTurn
-			rests.leave() // others need not wait for its turn
-		case !rests.mayChoose():
-			choice = notInLine
-		default:
-			at, expected, o = x.g.picker.pick(x.service, work, x.warm, now)
-		}
-		var limited limitedEnd
-		if o != picked && x.g.limits.any() {
-			limited = x.placeAmongLimited(ctx, &work, o, now)
-			switch {
-			case limited.at != nil:
-				x.logChoice(limited.at, time.Since(began))
-				return limited.at, ""
-			case limited.end != "":
-				x.logNoPlace(limited.end.whyLimited(), expected, time.Since(began))
-				return nil, limited.end
-			case limited.again:
-				continue
-			}
-			now = time.Now() // the coordinator took its time
-		}
-		switch {
-		case o == picked:
-			x.logChoice(at, now.Sub(began))
-			return at, ""
-		case o == pickFull:
-			x.logNoPlace(reasonToRefuse(o), expected, now.Sub(began))
-			return nil, x.refuse(http.StatusServiceUnavailable, retryAfterBusy, refusedBusy)
-		case x.attempts == 0 && x.g.ending():
-			// The process may end before an endpoint is free.
-			return nil, x.refuse(http.StatusServiceUnavailable, retryAfterStop, stopping)
-		case o == pickNone && len(work.Avoid) > 0:
-			work.Avoid = nil // better the same endpoint again than none
-			continue
-		}
-		if o != pickFull {
-			switch step, comeBack := rests.next(fewest, choice, now); step {
-			case restWaits:
-				x.g.picker.await(ctx, queueStep)
-				if ctx.Err() != nil {
-					return nil, x.giveUp(outOfTime)
-				}
-				continue
-			case restRefuse:
-				x.logNoPlace("the endpoints rest", expected, now.Sub(began))
-				return nil, rests.refuse(comeBack)
-			}
-		}
-		if o == pickNone && x.attempts == 0 && x.g.state.AllLeave(x.service.Name) {
-			x.logNoPlace("all endpoints leave", expected, now.Sub(began))
-			return nil, x.refuse(http.StatusServiceUnavailable, x.patience().comeBackWithin(retryAfterLeaving, now), refusedFull)
-		}
-		busy := o == pickWait || limited.later > 0
-		switch {
-		case x.patience().mayWait(busy, now):
-		case limited.later > 0:
-			x.logNoPlace("no endpoint with a limit took it in its time", expected, now.Sub(began))
-			return nil, x.refuseLimited(limited.later)
-		default:
-			x.logNoPlace(reasonToRefuse(o), expected, now.Sub(began))
-			return nil, x.giveUpWaiting(busy)
-		}
-		x.g.picker.await(ctx, queueStep)
-		if ctx.Err() != nil {
-			return nil, x.giveUp(outOfTime)
-		}
-	}
-}
-
 // logChoice logs where the request goes and what was believed of that endpoint.
 func (x *exchange) logChoice(at *place, waited time.Duration) {
 	x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", at.endpoint.ID, "helpers", ids(at.helpers), "reserved", len(at.reserve),
