One filter of endpoints by cell, one set-up of plays and of requests in tests

Cause: the duplicates of this change showed the filter for endpoints with limits and for those that rest, the set-up of two plays of the soak and that of a request in two tests. Change: without() for both filters, beginPlay and exchange for the tests; no check changed.

--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -48,12 +48,7 @@
 // playLimits plays one and returns its figures.
 func playLimits(t *testing.T, bin string, n int, p limitPlay) limitFigures {
 	t.Helper()
-	r, err := begin(t.Context(), Config{Seed: uint64(n), Binary: bin, Dir: t.TempDir(), Network: network(100 + n), Gateways: p.gateways, Workers: p.workers})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer r.close()
-	defer r.end()
+	r := beginPlay(t, Config{Seed: uint64(n), Binary: bin, Network: network(100 + n), Gateways: p.gateways, Workers: p.workers})
 	ctx, stop := context.WithCancel(t.Context())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.balance(ctx) })
@@ -79,6 +74,21 @@
 	return r.limitFigures(limited, p.perSecond, from, to)
 }
 
+// beginPlay begins a run that ends with the test.
+func beginPlay(t *testing.T, c Config) *run {
+	t.Helper()
+	c.Dir = t.TempDir()
+	r, err := begin(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.end()
+		r.close()
+	})
+	return r
+}
+
 // startClients starts so many clients, each after setup.
 func (r *run) startClients(ctx context.Context, tasks *sync.WaitGroup, seed, n int, setup func(c *client)) {
 	for i := range n {
--- a/internal/soak/said_test.go
+++ b/internal/soak/said_test.go
@@ -47,12 +47,7 @@
 // playSaid plays one and returns its figures.
 func playSaid(t *testing.T, bin string, n int, p saidPlay) saidFigures {
 	t.Helper()
-	r, err := begin(t.Context(), Config{Seed: uint64(n), Binary: bin, Dir: t.TempDir(), Network: network(n), Gateways: p.gateways, Workers: p.workers})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer r.close()
-	defer r.end()
+	r := beginPlay(t, Config{Seed: uint64(n), Binary: bin, Network: network(n), Gateways: p.gateways, Workers: p.workers})
 	ctx, stop := context.WithCancel(t.Context())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.balance(ctx) })
--- a/relay/limited.go
+++ b/relay/limited.go
@@ -17,20 +17,10 @@
 	if !p.limits.any() {
 		return cells
 	}
-	isLimited := func(e catalog.Endpoint) bool {
+	return without(cells, func(e catalog.Endpoint) bool {
 		_, limited := p.limits.limit(e.ID)
 		return limited
-	}
-	out := make(map[string][]catalog.Endpoint, len(cells))
-	for c, endpoints := range cells {
-		if slices.ContainsFunc(endpoints, isLimited) {
-			endpoints = slices.DeleteFunc(slices.Clone(endpoints), isLimited)
-		}
-		if len(endpoints) > 0 {
-			out[c] = endpoints
-		}
-	}
-	return out
+	})
 }
 
 // limitedSearch returns a search among the own cell's endpoints with limits.
--- a/relay/limitharness_test.go
+++ b/relay/limitharness_test.go
@@ -149,14 +149,20 @@
 	return r
 }
 
-// send plays a caller's request at a gateway as ServeHTTP does.
-func (f *limitFleet) send(ctx context.Context, gateway, tokens int) outcome {
+// exchange returns a caller's request at a gateway that has not been placed yet, and where its answer goes.
+func (f *limitFleet) exchange(ctx context.Context, gateway, tokens int) (*exchange, *httptest.ResponseRecorder) {
 	began := time.Now()
 	w := httptest.NewRecorder()
-	x := &exchange{
+	return &exchange{
 		g: f.gateways[gateway], w: w, r: hostRequest(ctx), call: Call{ID: "r", Input: tokens, Output: 10},
 		table: f.table, route: &f.table.Configuration.Routes[0], service: &f.table.Configuration.Services[0], started: began, deadline: began.Add(15 * time.Second),
-	}
+	}, w
+}
+
+// send plays a caller's request at a gateway as ServeHTTP does.
+func (f *limitFleet) send(ctx context.Context, gateway, tokens int) outcome {
+	x, w := f.exchange(ctx, gateway, tokens)
+	began := time.Now()
 	o := x.run()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -77,8 +76,7 @@
 				is := is.New(t)
 				f := newLimitFleet(t, 1, 4)
 				g := f.gateways[0]
-				x := &exchange{g: g, w: httptest.NewRecorder(), r: hostRequest(t.Context()), call: Call{ID: "r", Input: 100_000, Output: 10}, table: f.table,
-					route: &f.table.Configuration.Routes[0], service: &f.table.Configuration.Services[0], started: time.Now(), deadline: time.Now().Add(15 * time.Second)}
+				x, _ := f.exchange(t.Context(), 0, 100_000)
 				at, _ := x.place(t.Context())
 				is.True(at != nil && len(at.helpers) > 0)
 				if tc.dialing {
--- a/relay/takers.go
+++ b/relay/takers.go
@@ -24,11 +24,15 @@
 	if !s.rests.Any() {
 		return cells
 	}
-	closed := func(e catalog.Endpoint) bool { return !s.rests.Open(e.ID, now) }
+	return without(cells, func(e catalog.Endpoint) bool { return !s.rests.Open(e.ID, now) })
+}
+
+// without returns endpoints by cell but for those that drop names, and no cell that has none left.
+func without(cells map[string][]catalog.Endpoint, drop func(e catalog.Endpoint) bool) map[string][]catalog.Endpoint {
 	out := make(map[string][]catalog.Endpoint, len(cells))
 	for c, endpoints := range cells {
-		if slices.ContainsFunc(endpoints, closed) {
-			endpoints = slices.DeleteFunc(slices.Clone(endpoints), closed)
+		if slices.ContainsFunc(endpoints, drop) {
+			endpoints = slices.DeleteFunc(slices.Clone(endpoints), drop)
 		}
 		if len(endpoints) > 0 {
 			out[c] = endpoints
