A rest outlives the news of a restart however late that comes

Cause: the worker had started again while the store was away; the news came 1.8 s after its new life had asked, and what was asked more than 1.5 s before the news was dropped. Ruled out: another kind of trouble (the gateways' logs show ask, news and sends). Change: what is dropped is what was asked 1.5 s or more before the last list that named the earlier life, however long ago that was read; State.Listed does it together with the list.

--- a/availability/rests.go
+++ b/availability/rests.go
@@ -6,7 +6,7 @@
 // one finds out whether it takes requests again; each that is answered lets one more go.
 const fullWindow = 8
 
-// restartTold is how long an endpoint that has started again may answer before its entry says so.
+// restartTold is how long an endpoint that has started again may answer before lists that are read say so.
 const restartTold = 1500 * time.Millisecond
 
 // Rests holds which endpoints want rest from this gateway. After it an endpoint gets one request, and more as these are answered: what has
@@ -107,10 +107,10 @@
 	return true
 }
 
-// Restarted takes in that an endpoint is seen to have started again: what its earlier life asked for is over. What was asked a moment ago may be
-// of the new life already.
-func (r *Rests) Restarted(endpoint string, now time.Time) {
-	if e := r.entries[endpoint]; e != nil && now.Sub(e.asked) > restartTold {
+// Restarted takes in that an endpoint is seen to have started again: what its earlier life asked for is over. listed is when its earlier life
+// was listed last. What was asked since may be of the new life already.
+func (r *Rests) Restarted(endpoint string, listed time.Time) {
+	if e := r.entries[endpoint]; e != nil && e.asked.Before(listed.Add(-restartTold)) {
 		delete(r.entries, endpoint)
 	}
 }
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -171,7 +171,6 @@
 		g.deps.Endpoints.Forget(e.ID)
 		g.picker.forget(e.ID)
 		g.limits.forget(e.ID)
-		g.state.RestOver(e.ID, c.Kind, time.Now())
 	}
 }
 
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -182,24 +182,31 @@
 	})
 }
 
-// TestRestOfAnEndpointThatStartedAgain: a rest asked for before its entry told of the new life holds, one of long before does not.
+// TestRestOfAnEndpointThatStartedAgain: a rest that the new life may have asked for before a list told of it holds, one of the life before does not.
 func TestRestOfAnEndpointThatStartedAgain(t *testing.T) {
-	for name, tc := range map[string]struct {
-		askedMs int // before the restart is seen
-		rests   bool
-	}{"by the new life": {700, true}, "by the one before": {3000, false}} {
-		t.Run(name, func(t *testing.T) {
+	cases := []struct {
+		name              string
+		askedMs, listedMs int // before the list that tells
+		rests             bool
+	}{
+		{"a moment ago", 700, 500, true},
+		{"long before", 3000, 500, false},
+		{"while the store was away", 3000, 4000, true},
+		{"before the store was away", 6000, 4000, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			g := newBench(t, nil).gateway
+			s := NewState()
 			e := catalog.Endpoint{ID: "a", Service: "s", Address: "127.0.0.1:1", Born: 1}
-			now := time.Now()
-			g.state.Listed([]catalog.Endpoint{e}, now, time.Time{})
-			is.True(g.state.Rest(e.ID, time.Minute, now.Add(-time.Duration(tc.askedMs)*time.Millisecond)))
+			s.Listed([]catalog.Endpoint{e}, at(-10_000), time.Time{})
+			s.Listed([]catalog.Endpoint{e}, at(-tc.listedMs), time.Time{})
+			is.True(s.Rest(e.ID, time.Minute, at(-tc.askedMs)))
 			e.Born = 2
-			for _, c := range g.state.Listed([]catalog.Endpoint{e}, now, time.Time{}) {
-				g.memberChanged(c)
-			}
-			is.Equal(g.state.Resting(e.ID, now), tc.rests)
+			s.Listed([]catalog.Endpoint{e}, at(0), time.Time{})
+			is.Equal(s.Resting(e.ID, at(0)), tc.rests)
+			s.Listed(nil, at(1000), time.Time{})
+			is.True(!s.Resting(e.ID, at(1000))) // it is gone
 		})
 	}
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -26,6 +26,7 @@
 	// storeEra is the newest era of the store that is known; 0: none is.
 	storeEra uint64
 	members  *members
+	listedAt time.Time // when the newest list was taken in
 	rests    *availability.Rests
 	// lines are the requests that wait until endpoints of a service have rested, and sentAway those that were refused instead.
 	lines    map[string]*availability.Line
@@ -240,7 +241,11 @@
 	for _, service := range s.Services() {
 		s.members.services = append(s.members.services, service.Name)
 	}
-	return s.members.listed(list, now, storeFailed)
+	before := s.listedAt
+	s.listedAt = now
+	changes := s.members.listed(list, now, storeFailed)
+	s.restsOver(changes, before, now)
+	return changes
 }
 
 // SameLife reports whether an endpoint still lives the life that e tells of, as far as is
--- a/relay/takers.go
+++ b/relay/takers.go
@@ -96,15 +96,16 @@
 	return s.rests.Resting(id, now)
 }
 
-// RestOver takes in that an endpoint is gone, or has started again.
-func (s *State) RestOver(id string, kind ChangeKind, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case kind == changeGone:
-		s.rests.Forget(id)
-	case s.members.restored.IsZero() || now.Sub(s.members.restored) > staleEntryTime: // an older copy may name a life of before
-		s.rests.Restarted(id, now)
+// restsOver takes in which endpoints are gone or have started again. listed is when the list before was taken in. The caller holds the lock.
+func (s *State) restsOver(changes []MemberChange, listed, now time.Time) {
+	oldCopy := !s.members.restored.IsZero() && now.Sub(s.members.restored) <= staleEntryTime // it may name a life of before
+	for _, c := range changes {
+		switch {
+		case c.Kind == changeGone:
+			s.rests.Forget(c.Endpoint.ID)
+		case c.Kind == changeRestarted && !oldCopy:
+			s.rests.Restarted(c.Endpoint.ID, listed)
+		}
 	}
 }
 
