What an endpoint said while it started again is asked for, not dropped with the news

Cause: the new life had said so before a list told of it; the news of the restart took the leave for the earlier life's. The rest's date went by when a list was taken in, and a peer's older list was taken in late. Ruled out: lost words of peers (the gateway that was late had read the answer itself). Change: the list is dated by when its read was sent. A leave that may be of the new life counts, is told to nobody, and is settled by a question to the endpoint a second; all are doubted while an older copy of the store may name lives of before.

--- a/availability/leaves.go
+++ b/availability/leaves.go
@@ -30,6 +30,8 @@
 	Source string    // who said so first: FromStore, FromAnswer or the name of a gateway
 	// listed is set when the store's list says so as well: everybody reads that.
 	listed bool
+	// doubted is set where the life before may have said so instead.
+	doubted bool
 	// past is set while another life than this is known. An older copy of the store's list may name it for a while.
 	past bool
 }
@@ -47,7 +49,7 @@
 // Take takes in that an endpoint leaves; it reports whether that is news.
 func (l *Leaves) Take(e catalog.Endpoint, source string, now time.Time) bool {
 	old := l.entries[e.ID]
-	if old != nil && !restarted(old.Born, e.Born) {
+	if old != nil && !old.doubted && !restarted(old.Born, e.Born) {
 		old.listed = old.listed || source == FromStore
 		return false
 	}
@@ -55,6 +57,30 @@
 	return true
 }
 
+// Restarted takes in that an endpoint is seen to have started again, as e. listed is when its earlier life was listed last. What was
+// said since may be of the new life already: it counts as leaving until TakeBack. It reports whether that is so.
+func (l *Leaves) Restarted(e catalog.Endpoint, listed, now time.Time) bool {
+	old := l.entries[e.ID]
+	if old == nil || old.listed || old.Since.Before(listed.Add(-restartTold)) {
+		return false
+	}
+	l.entries[e.ID] = &Leave{Born: e.Born, Since: now, Source: old.Source, doubted: true}
+	return true
+}
+
+// Doubted reports whether an endpoint counts as leaving for what the life before may have said.
+func (l *Leaves) Doubted(e catalog.Endpoint) bool {
+	leave, ok := l.Of(e)
+	return ok && leave.doubted
+}
+
+// TakeBack takes in an answer in which an endpoint whose leave is doubted does not say that it leaves.
+func (l *Leaves) TakeBack(e catalog.Endpoint) {
+	if l.Doubted(e) {
+		delete(l.entries, e.ID)
+	}
+}
+
 // Of returns what is known of an endpoint's leave; ok is false where it does not leave in this life.
 func (l *Leaves) Of(e catalog.Endpoint) (leave Leave, ok bool) {
 	entry := l.entries[e.ID]
@@ -78,7 +104,7 @@
 	}
 	var out map[string]int64
 	for id, leave := range l.entries { // in no order, so that each is told in some word
-		if leave.listed || leave.past || !everything && now.Sub(leave.Since) > tellFor {
+		if leave.listed || leave.past || leave.doubted || !everything && now.Sub(leave.Since) > tellFor {
 			continue
 		}
 		if out == nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,6 +51,7 @@
 	{150020, "the same"},
 	{440003, "a worker that had just started again under its name asked for rest; the news of its new life ended that"},
 	{510031, "the same, with the store away when the worker started again"},
+	{610004, "a worker that had just started again under its name said that it leaves; the news of its new life ended that"},
 	{180045, "a worker lowered its limit from a million to none while nothing reached it; sixteen requests were granted at once by what it had told last"},
 	{140009, "the check took -1 for a limit"},
 	{140037, "the same"},
--- a/relay/crashfleet_test.go
+++ b/relay/crashfleet_test.go
@@ -196,7 +196,7 @@
 	gateways := slices.Clone(c.gateways)
 	c.mu.Unlock()
 	for _, g := range gateways {
-		for _, changed := range g.state.Listed(list, time.Now(), time.Time{}) {
+		for _, changed := range g.state.Listed(list, time.Now(), time.Now(), time.Time{}) {
 			g.memberChanged(changed)
 		}
 	}
@@ -275,7 +275,7 @@
 		deps.Metrics = metrics.NewSet()
 		g := New(old.config, deps)
 		g.state.Take(c.table.Configuration)
-		g.state.Listed(c.list(), time.Now(), time.Time{})
+		g.state.Listed(c.list(), time.Now(), time.Now(), time.Time{})
 		c.t.Cleanup(g.Close)
 		out = append(out, g)
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -125,7 +125,7 @@
 			},
 		})})
 		g.state.Take(c)
-		g.state.Listed(list, time.Now(), time.Time{})
+		g.state.Listed(list, time.Now(), time.Now(), time.Time{})
 		f.gateways = append(f.gateways, g)
 		f.members = append(f.members, peers.Member{Name: g.config.Name, DataCentre: dc, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1))})
 	}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -164,6 +164,9 @@
 func (g *Gateway) memberChanged(c MemberChange) {
 	e := c.Endpoint
 	g.deps.Log.Logger().Info("Endpoint changed.", "endpoint", e.ID, "change", string(c.Kind), "from", c.Source, "born", e.Born, "service", e.Service, "address", e.Address)
+	if c.Kind == changeRestarted && g.state.LeaveDoubted(e) {
+		g.tasks.Go(func() { g.settleLeave(e) })
+	}
 	if c.Kind == changeDraining {
 		g.deps.Endpoints.Forget(e.ID) // connections without use
 	}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -269,7 +269,7 @@
 		b.t.Fatal(err)
 	}
 	list, _ := b.source.Endpoints(b.t.Context())
-	b.gateway.state.Listed(list, time.Now(), time.Time{})
+	b.gateway.state.Listed(list, time.Now(), time.Now(), time.Time{})
 }
 
 // knowEngines makes the service one of engines with so much memory, adds endpoints to it,
--- a/relay/leaves_test.go
+++ b/relay/leaves_test.go
@@ -123,8 +123,53 @@
 		is.Equal(f.told, []string{"1"})
 		is.Equal(f.since(0, time.Time{})+f.since(1, time.Time{}), sent)
 		next := catalog.Endpoint{ID: "e2", Service: "s", Address: addressOf(2), DataCentre: "dc0", Slots: 10}
-		f.gateways[0].state.Listed([]catalog.Endpoint{next}, time.Now(), time.Time{})
+		f.gateways[0].state.Listed([]catalog.Endpoint{next}, time.Now(), time.Now(), time.Time{})
 		f.send(t.Context(), 0, 500)
 		is.Equal(f.answered, 5)
 	})
 }
+
+// TestLeaveOfAnEndpointThatStartedAgain: what was said just before the news may have been said by the new life, which is asked.
+func TestLeaveOfAnEndpointThatStartedAgain(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lines  string        // of the new life's answers
+		said   time.Duration // before the news
+		asked  bool
+		leaves bool
+	}{
+		"the new life leaves":      {leaves, time.Second, true, true},
+		"the one before left":      {"", time.Second, true, false},
+		"the one before, long ago": {"", 5 * time.Second, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newLimitFleet(t, 1, 2)
+				g := f.gateways[0]
+				list := g.state.Endpoints("s")
+				list = []catalog.Endpoint{list[0], list[1]}
+				list[0].Born = 1
+				read := func() {
+					for _, c := range g.state.Listed(list, time.Now(), time.Now(), time.Time{}) {
+						g.memberChanged(c)
+					}
+				}
+				read()
+				time.Sleep(10 * time.Second)
+				g.left(list[0], "answer", "r")
+				time.Sleep(tc.said - 500*time.Millisecond)
+				read()
+				time.Sleep(500 * time.Millisecond)
+				f.answer("", tc.lines, 0, 1)
+				began := time.Now()
+				list[0].Born = 2
+				read()
+				is.Equal(!g.state.StillTakes(list[0].ID, time.Now()), tc.asked)
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(f.since(0, began)+f.since(1, began) > 0, tc.asked)
+				is.Equal(!g.state.StillTakes(list[0].ID, time.Now()), tc.leaves)
+				is.Equal(len(g.state.TellLeaves(true, time.Now())) > 0, tc.leaves)
+			})
+		})
+	}
+}
--- a/relay/limitcost_test.go
+++ b/relay/limitcost_test.go
@@ -33,7 +33,7 @@
 				}
 			}
 			p.dataCentre = "dc03"
-			p.state.Listed(list, now, time.Time{})
+			p.state.Listed(list, now, now, time.Time{})
 			for n, e := range list {
 				if every.resting > 0 && n%every.resting == 0 {
 					p.state.Rest(e.ID, time.Hour, now)
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -226,7 +226,7 @@
 		is.True(err)
 		first.Born = 1
 		for _, g := range f.gateways {
-			g.state.Listed([]catalog.Endpoint{first}, time.Now(), time.Time{})
+			g.state.Listed([]catalog.Endpoint{first}, time.Now(), time.Now(), time.Time{})
 		}
 		time.Sleep(2 * time.Second)
 		f.name("1", 0)
@@ -237,7 +237,7 @@
 		again := first
 		again.Born = 2
 		for _, g := range f.gateways {
-			for _, c := range g.state.Listed([]catalog.Endpoint{again}, time.Now(), time.Time{}) {
+			for _, c := range g.state.Listed([]catalog.Endpoint{again}, time.Now(), time.Now(), time.Time{}) {
 				g.memberChanged(c)
 			}
 		}
@@ -271,7 +271,7 @@
 				first, _ := f.gateways[0].state.Endpoint("e0")
 				first.Born = 10
 				for _, g := range f.gateways {
-					g.state.Listed([]catalog.Endpoint{first}, time.Now(), time.Time{})
+					g.state.Listed([]catalog.Endpoint{first}, time.Now(), time.Now(), time.Time{})
 				}
 				time.Sleep(2 * time.Second)
 				f.name("1", 0)
@@ -280,7 +280,7 @@
 				is.True(f.gateways[1].limits.any())
 				again := first
 				again.Born = born
-				for _, c := range f.gateways[0].state.Listed([]catalog.Endpoint{again}, time.Now(), time.Time{}) {
+				for _, c := range f.gateways[0].state.Listed([]catalog.Endpoint{again}, time.Now(), time.Now(), time.Time{}) {
 					f.gateways[0].memberChanged(c)
 				}
 				time.Sleep(500 * time.Millisecond) // the other one goes on telling
--- a/relay/members.go
+++ b/relay/members.go
@@ -60,6 +60,7 @@
 	// departed are endpoints that were known and are gone. An older copy of the store may name
 	// them again.
 	departed map[string]departure
+	listSent time.Time // when the read of the list before was sent; zero: long ago
 	// restored is when the store was seen to have come back from an older copy; zero: never.
 	restored time.Time
 	order    map[string][]catalog.Endpoint
@@ -100,6 +101,9 @@
 		present[e.ID] = true
 		delete(m.missing, e.ID)
 		old, ok := m.known[e.ID]
+		if old.RestartedAs(e) {
+			m.leaves.Restarted(e, m.earlierLifeListed(now), now)
+		}
 		if e.Draining {
 			m.leaves.Take(e, availability.FromStore, now)
 		}
@@ -141,6 +145,33 @@
 	return changes
 }
 
+// readsOldCopy reports whether lists may still come from an older copy of the store, and name lives of before.
+func (m *members) readsOldCopy(now time.Time) bool {
+	return !m.restored.IsZero() && now.Sub(m.restored) <= staleEntryTime
+}
+
+// earlierLifeListed returns when the life before was certainly the one that runs; zero: that is not known, since it may run again in
+// a list of an older copy.
+func (m *members) earlierLifeListed(now time.Time) time.Time {
+	if m.readsOldCopy(now) {
+		return time.Time{}
+	}
+	return m.listSent
+}
+
+// takeBack takes in an answer of an endpoint whose leave is doubted, and that does not say that it leaves. It reports whether it takes requests now.
+func (m *members) takeBack(e catalog.Endpoint) bool {
+	m.leaves.TakeBack(e)
+	known, ok := m.known[e.ID]
+	if _, leaves := m.leaves.Of(known); !ok || leaves || !known.Draining {
+		return false
+	}
+	known.Draining = false
+	m.known[e.ID] = known
+	m.sort()
+	return true
+}
+
 // left takes in that somebody other than the store says of an endpoint that it leaves. It reports whether that is news, and returns the
 // change where the endpoint is known.
 func (m *members) left(e catalog.Endpoint, source string, now time.Time) (news bool, changes []MemberChange) {
--- a/relay/members_test.go
+++ b/relay/members_test.go
@@ -98,17 +98,17 @@
 		out[0].Born = born
 		return out
 	}
-	is.Equal(len(s.Listed(list(0), at(0), time.Time{})), 2)
-	is.Equal(len(s.Listed(list(5000), at(10), time.Time{})), 0) // it begins to tell
+	is.Equal(len(s.Listed(list(0), at(0), at(0), time.Time{})), 2)
+	is.Equal(len(s.Listed(list(5000), at(10), at(10), time.Time{})), 0) // it begins to tell
 	first, _ := s.Endpoint("a")
 	is.True(s.SameLife(first))
-	changes := s.Listed(list(7000), at(20), time.Time{})
+	changes := s.Listed(list(7000), at(20), at(20), time.Time{})
 	is.Equal(len(changes), 1)
 	is.Equal(changes[0].Kind, changeRestarted)
 	is.Equal(changes[0].Endpoint.ID, "a")
 	is.True(!s.SameLife(first))
-	is.Equal(len(s.Listed(list(7000), at(30), time.Time{})), 0)
-	is.Equal(len(s.Listed(list(6000), at(40), time.Time{})), 1) // its clock may have been set back
+	is.Equal(len(s.Listed(list(7000), at(30), at(30), time.Time{})), 0)
+	is.Equal(len(s.Listed(list(6000), at(40), at(40), time.Time{})), 1) // its clock may have been set back
 	is.True(hashEndpoints(list(6000)) != hashEndpoints(list(7000)))
 }
 
@@ -127,11 +127,11 @@
 	for _, dc := range []string{"d1", "d2", "d3", "d4"} {
 		add("s", dc, 30)
 	}
-	s.Listed(list, at(0), time.Time{})
+	s.Listed(list, at(0), at(0), time.Time{})
 	before := s.Cells().Cells()
 	is.Equal(len(before), 4)
 	add("x", "d9", 500)
-	s.Listed(list, at(10), time.Time{})
+	s.Listed(list, at(10), at(10), time.Time{})
 	is.Equal(s.Cells().Cells(), before)
 }
 
--- a/relay/memoryuse_test.go
+++ b/relay/memoryuse_test.go
@@ -66,7 +66,7 @@
 	for i := range 4 {
 		list = append(list, catalog.Endpoint{ID: string(rune('a' + i)), Service: "s", Address: addressOf(i), Slots: 16, Born: 1})
 	}
-	b.gateway.state.Listed(list, time.Now(), time.Time{})
+	b.gateway.state.Listed(list, time.Now(), time.Now(), time.Time{})
 	return b
 }
 
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -28,7 +28,7 @@
 	for i := range n {
 		list = append(list, catalog.Endpoint{ID: string(rune('a' + i)), Service: s.Name, Address: "127.0.0.1:1"})
 	}
-	state.Listed(list, time.Now(), time.Time{})
+	state.Listed(list, time.Now(), time.Now(), time.Time{})
 	return newPicker("g", "dc", state, balance.Default(), limits.WindowConfig{}), s
 }
 
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -186,7 +186,7 @@
 		for i := range list {
 			list[i].Draining = true
 		}
-		b.gateway.state.Listed(list, time.Now(), time.Time{})
+		b.gateway.state.Listed(list, time.Now(), time.Now(), time.Time{})
 		b.crash(c)
 	})
 	b.know()
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -33,7 +33,7 @@
 		list := func(born int64) []catalog.Endpoint {
 			return []catalog.Endpoint{{ID: "a", Service: "s", Address: "127.0.0.1:1", Born: born}}
 		}
-		g.state.Listed(list(1), time.Now(), time.Time{})
+		g.state.Listed(list(1), time.Now(), time.Now(), time.Time{})
 		first, _ := g.state.Endpoint("a")
 		memory, err := g.reserve(t.Context(), "r", &place{reserve: []wantedMemory{{first, 100}}})
 		is.NoErr(err)
@@ -41,7 +41,7 @@
 		reserved, released := orders.orders()
 		is.Equal(reserved, 3)
 		is.Equal(released, 0)
-		g.state.Listed(list(2), time.Now(), time.Time{})
+		g.state.Listed(list(2), time.Now(), time.Now(), time.Time{})
 		time.Sleep(3 * renewEvery)
 		reserved, _ = orders.orders()
 		is.Equal(reserved, 3)
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -199,13 +199,13 @@
 			is := is.New(t)
 			s := NewState()
 			e := catalog.Endpoint{ID: "a", Service: "s", Address: "127.0.0.1:1", Born: 1}
-			s.Listed([]catalog.Endpoint{e}, at(-10_000), time.Time{})
-			s.Listed([]catalog.Endpoint{e}, at(-tc.listedMs), time.Time{})
+			s.Listed([]catalog.Endpoint{e}, at(-10_000), at(-10_000), time.Time{})
+			s.Listed([]catalog.Endpoint{e}, at(-tc.listedMs), at(-tc.listedMs), time.Time{})
 			is.True(s.Rest(e.ID, time.Minute, at(-tc.askedMs)))
 			e.Born = 2
-			s.Listed([]catalog.Endpoint{e}, at(0), time.Time{})
+			s.Listed([]catalog.Endpoint{e}, at(0), at(0), time.Time{})
 			is.Equal(s.Resting(e.ID, at(0)), tc.rests)
-			s.Listed(nil, at(1000), time.Time{})
+			s.Listed(nil, at(1000), at(1000), time.Time{})
 			is.True(!s.Resting(e.ID, at(1000))) // it is gone
 		})
 	}
--- a/relay/share.go
+++ b/relay/share.go
@@ -380,9 +380,9 @@
 func (g *Gateway) applyEndpoints() {
 	s := g.sharing
 	s.mu.Lock()
-	list, failed := s.list.Endpoints, s.failed
+	list, sent, failed := s.list.Endpoints, s.listed, s.failed
 	s.mu.Unlock()
-	for _, c := range g.state.Listed(list, time.Now(), failed) {
+	for _, c := range g.state.Listed(list, sent, time.Now(), failed) {
 		g.memberChanged(c)
 	}
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -26,7 +26,6 @@
 	// storeEra is the newest era of the store that is known; 0: none is.
 	storeEra uint64
 	members  *members
-	listedAt time.Time // when the newest list was taken in
 	rests    *availability.Rests
 	// lines are the requests that wait until endpoints of a service have rested, and sentAway those that were refused instead.
 	lines    map[string]*availability.Line
@@ -232,19 +231,18 @@
 	return "", false
 }
 
-// Listed takes in a list of endpoints that was read at now, and returns what it
+// Listed takes in a list of endpoints that was read by a call sent then, zero: long ago, and returns what it
 // changed. storeFailed is when a read of the list failed last; zero: never.
-func (s *State) Listed(list []catalog.Endpoint, now, storeFailed time.Time) []MemberChange {
+func (s *State) Listed(list []catalog.Endpoint, sent, now, storeFailed time.Time) []MemberChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.members.services = s.members.services[:0]
 	for _, service := range s.Services() {
 		s.members.services = append(s.members.services, service.Name)
 	}
-	before := s.listedAt
-	s.listedAt = now
 	changes := s.members.listed(list, now, storeFailed)
-	s.restsOver(changes, before, now)
+	s.restsOver(changes, s.members.earlierLifeListed(now))
+	s.members.listSent = sent
 	return changes
 }
 
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -79,3 +79,44 @@
 		g.left(catalog.Endpoint{ID: id, Born: born}, w.From, "")
 	}
 }
+
+// settleLeaveEvery is the time between two questions to an endpoint whose leave is doubted.
+const settleLeaveEvery = time.Second
+
+// settleLeave asks an endpoint that has started again whether it leaves: what said so may have been its earlier life. One that cannot be asked
+// counts as leaving until it says something of itself.
+func (g *Gateway) settleLeave(e catalog.Endpoint) {
+	question := g.question(&watched{Endpoint: e, service: g.serviceOf(e)})
+	for question != nil && g.state.LeaveDoubted(e) {
+		if !g.state.Resting(e.ID, time.Now()) && g.answersWithoutLeave(e, question) && g.state.TakeLeaveBack(e) {
+			g.deps.Log.Logger().Info("Endpoint does not leave.", "endpoint", e.ID, "born", e.Born)
+		}
+		if !g.pause(settleLeaveEvery) {
+			return
+		}
+	}
+}
+
+// answersWithoutLeave asks an endpoint about itself; it reports whether it has answered and did not say that it leaves.
+func (g *Gateway) answersWithoutLeave(e catalog.Endpoint, question *upstream.Request) bool {
+	ctx, cancel := context.WithTimeout(g.ctx, reportTime)
+	defer cancel()
+	g.meter.reports.Inc()
+	res, err := g.do(ctx, e, question, ownQuestion, "")
+	if err != nil {
+		g.deps.Log.Logger().Info("It is not known whether an endpoint leaves.", "endpoint", e.ID, "born", e.Born, "err", err)
+		return false
+	}
+	defer res.Body.Close()
+	return g.deps.Protocol.Verdict(res) != WrongEndpoint && g.state.LeaveDoubted(e)
+}
+
+// serviceOf returns an endpoint's service as it is configured, one without a name where it is not.
+func (g *Gateway) serviceOf(e catalog.Endpoint) catalog.Service {
+	for _, s := range g.state.Services() {
+		if s.Name == e.Service {
+			return s
+		}
+	}
+	return catalog.Service{}
+}
--- a/relay/suspend_test.go
+++ b/relay/suspend_test.go
@@ -174,7 +174,7 @@
 		b.know()
 		list, err := b.source.Endpoints(t.Context())
 		is.NoErr(err)
-		b.gateway.state.Listed(list[:1], time.Now(), time.Time{})
+		b.gateway.state.Listed(list[:1], time.Now(), time.Now(), time.Time{})
 		is.Equal(b.ask(t.Context(), "POST", "/once/", "", nil).status, 200)
 		is.Equal(b.ask(t.Context(), "POST", "/once/", "", nil).status, 200)
 		is.Equal(b.gateway.deps.Endpoints.Dials(), uint64(1))
--- a/relay/takers.go
+++ b/relay/takers.go
@@ -72,6 +72,20 @@
 	return s.members.left(e, source, now)
 }
 
+// LeaveDoubted reports whether an endpoint counts as leaving for what its earlier life may have said.
+func (s *State) LeaveDoubted(e catalog.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.leaves.Doubted(e)
+}
+
+// TakeLeaveBack takes in an answer of such an endpoint that does not say that it leaves. It reports whether it takes requests now.
+func (s *State) TakeLeaveBack(e catalog.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.takeBack(e)
+}
+
 // TellLeaves returns the lives of endpoints that leave, as others are to be told of them.
 func (s *State) TellLeaves(everything bool, now time.Time) map[string]int64 {
 	s.mu.Lock()
@@ -96,14 +110,13 @@
 	return s.rests.Resting(id, now)
 }
 
-// restsOver takes in which endpoints are gone or have started again. listed is when the list before was taken in. The caller holds the lock.
-func (s *State) restsOver(changes []MemberChange, listed, now time.Time) {
-	oldCopy := !s.members.restored.IsZero() && now.Sub(s.members.restored) <= staleEntryTime // it may name a life of before
+// restsOver takes in which endpoints are gone or have started again. listed is when the life before was certainly the one that runs. The caller holds the lock.
+func (s *State) restsOver(changes []MemberChange, listed time.Time) {
 	for _, c := range changes {
 		switch {
 		case c.Kind == changeGone:
 			s.rests.Forget(c.Endpoint.ID)
-		case c.Kind == changeRestarted && !oldCopy:
+		case c.Kind == changeRestarted:
 			s.rests.Restarted(c.Endpoint.ID, listed)
 		}
 	}
