--- a/e2e/engine_rest_test.go
+++ b/e2e/engine_rest_test.go
@@ -12,8 +12,7 @@
 	standengine "github.com/micarudder/micarudder/internal/standin/engine"
 )
 
-// TestEngineThatAsksForRest: an engine that turns its agent away with a time to come back gets nothing until then; others serve
-// what they can, and callers that none can serve are told a time at which they are served.
+// TestEngineThatAsksForRest: it gets nothing until then; others serve, or callers are told a time at which they are served.
 func TestEngineThatAsksForRest(t *testing.T) {
 	for name, engines := range map[string]int{"another engine is there": 2, "it is the only one": 1} {
 		t.Run(name, func(t *testing.T) {
--- a/relay/leaves_test.go
+++ b/relay/leaves_test.go
@@ -81,6 +81,15 @@
 	is.Equal(names(m), "a")
 }
 
+// isWithdrawn checks that a request does not go where it was placed, may be placed again, and costs nothing.
+func isWithdrawn(is *is.I, x *exchange, at *place) {
+	_, again := x.attempt(x.r.Context(), at)
+	is.True(again)
+	is.True(x.mayRepeat())
+	is.Equal(x.attempts, 0)
+	is.Equal(x.g.meter.sends.Get(), uint64(0))
+}
+
 // TestLeftWhileChosen: a request whose endpoint, or one that reads for it, leaves after it was chosen does not go there.
 func TestLeftWhileChosen(t *testing.T) {
 	for name, leaver := range map[string]func(at *place) string{
@@ -96,11 +105,7 @@
 				at, _ := x.place(t.Context())
 				is.True(at != nil && len(at.helpers) > 0)
 				g.left(catalog.Endpoint{ID: leaver(at)}, "g", "")
-				_, again := x.attempt(t.Context(), at)
-				is.True(again)
-				is.True(x.mayRepeat())
-				is.Equal(x.attempts, 0)
-				is.Equal(g.meter.sends.Get(), uint64(0))
+				isWithdrawn(is, x, at)
 			})
 		})
 	}
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -56,8 +56,7 @@
 	})
 }
 
-// TestRestedWhileChosen: a request whose endpoint, or one that reads for it, asks for rest after it was chosen does not go there, nor
-// when that happens while the connection is opened.
+// TestRestedWhileChosen: a request whose endpoint, or one that reads for it, asks for rest after it was chosen does not go there.
 func TestRestedWhileChosen(t *testing.T) {
 	ask := func(g *Gateway, id string) {
 		g.noteAnswer(catalog.Endpoint{ID: id}, 0, &http.Response{StatusCode: 503, Header: http.Header{"Rest-Ms": {"1000"}}}, callersRequest, "")
@@ -84,11 +83,7 @@
 				} else {
 					ask(g, tc.who(at))
 				}
-				_, again := x.attempt(t.Context(), at)
-				is.True(again)
-				is.True(x.mayRepeat())
-				is.Equal(x.attempts, 0)
-				is.Equal(g.meter.sends.Get(), uint64(0))
+				isWithdrawn(is, x, at)
 				is.Equal(len(g.picker.health.Own(time.Now())), 0)
 			})
 		})
