A release of reserved memory waits for the renewal before it

What callers saw: nothing at once. An endpoint kept memory for a request that was over for up to three seconds more, so that long prompts found less room. Cause: when an attempt ends, renewals on their way were abandoned by their context and the release was sent at once, over another connection. A renewal that was executed after the release reserved the memory anew, for nobody, until its lease ended. TestUnusedMemoryOfAPromptThatMayRunOnce failed by this where the goroutine that carries the abandoned renewal ran late. Ruled out: the renewal loop (the release has always waited for it); a lost release (the test's endpoints lose none). Change: an order that was begun is awaited, for orderTimeout at most, before the release is sent; one that was not begun is not sent. Closing waits for both. Conclusion: the class is closed by order, not by luck; a renewal that takes longer than 400 ms still expires by its lease.

--- a/relay/engines_memory_test.go
+++ b/relay/engines_memory_test.go
@@ -19,11 +19,12 @@
 	script engineScript
 
 	mu                 sync.Mutex
-	alwaysUsed         bool // reservations are reported as used, whatever the script does
-	noReports          bool // queries get no response
-	waiting            int  // queue length in the reports
-	reserved, released int  // numbers of orders
-	reports            int  // number of reports
+	alwaysUsed         bool          // reservations are reported as used, whatever the script does
+	renewalDelay       time.Duration // how late a renewal is executed, even if its connection was closed
+	noReports          bool          // queries get no response
+	waiting            int           // queue length in the reports
+	reserved, released int           // numbers of orders
+	reports            int           // number of reports
 	sent               []string
 	reservations       map[string]*testReservation
 	maxUnusedTime      time.Duration // longest time that any memory was reserved without use
@@ -70,6 +71,7 @@
 		parts := strings.Split(r.RequestURI, "/")
 		switch parts[1] {
 		case "reserve", "release", "report":
+			time.Sleep(e.orderDelay(parts))
 			header, ok := e.handleOrder(parts)
 			if !ok {
 				return
@@ -91,6 +93,16 @@
 	}
 }
 
+// orderDelay returns how late an order is executed.
+func (e *testEngines) orderDelay(parts []string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if parts[1] != "reserve" || e.reservations[parts[2]] == nil {
+		return 0
+	}
+	return e.renewalDelay
+}
+
 // handleOrder executes an order, or returns the header of a report; ok is false if there is no
 // response.
 func (e *testEngines) handleOrder(parts []string) (header string, ok bool) {
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -137,8 +137,8 @@
 }
 
 // closeTimeout bounds the wait for background tasks at shutdown: pending release orders are given
-// one round trip.
-const closeTimeout = orderTimeout
+// one round trip, after one for the renewals that they follow.
+const closeTimeout = 2 * orderTimeout
 
 func (g *Gateway) waitForTasks() {
 	done := make(chan struct{})
--- a/relay/memoryuse_test.go
+++ b/relay/memoryuse_test.go
@@ -249,6 +249,22 @@
 	})
 }
 
+// TestReleaseAfterSlowRenewal guards against memory that stays reserved after its release: the release
+// overtook a renewal that was abandoned on its way, and the renewal reserved the memory again.
+func TestReleaseAfterSlowRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newMemoryTestGateway(t, func(_ int, r *engineRun) { r.hang() })
+		b.engines.renewalDelay = orderTimeout / 2
+		b.send(t, "story")
+		time.Sleep(time.Second)
+		_, left := b.engines.memoryState()
+		is.Equal(left, 0)
+		_, released := b.engines.orders()
+		is.True(released > 0)
+	})
+}
+
 // slowCaller is a caller that stops reading for a while after the first event.
 type slowCaller struct {
 	*httptest.ResponseRecorder
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -277,9 +277,13 @@
 	}
 }
 
-// sendOrder sends a reserve or release order to the endpoint of a reservation.
+// sendOrder sends a reserve or release order to the endpoint of a reservation. It does not abandon an
+// order that may be on its way when ctx ends, because the release that follows could overtake it.
 func (g *Gateway) sendOrder(ctx context.Context, r *reservation, order *upstream.Request) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
 	g.meter.orders.Inc()
 	res, err := g.do(ctx, r.endpoint, order, gatewayQuery, "")
