Evacuated data centres get no more requests

Cause: nothing in the tree knew of it. Change: the gateways that read the configuration read the evacuations with the same call; the set goes out whole in regular peer messages and in what a starting gateway asks its peers, and the higher revision of the store (within its era) wins. Endpoints there are left out of the choice, and looked at again before the request's bytes are written. Why it holds: reads are ordered by the store itself, no clocks compared; an older copy of the store takes nothing back before operators can have repeated their writes. Not done yet: rudderctl does not show it; the fault soak does not play it.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
@@ -84,6 +85,9 @@
 	// Drains holds, by id, the draining endpoints of any cell, each with the
 	// incarnation that is draining; see availability.DrainTable.
 	Drains map[string]int64
+	// Evacuations are the evacuated data centres according to the newest read of the store that the
+	// sender knows; nil if it has known of none evacuated.
+	Evacuations *catalog.Evacuations
 }
 
 // Digest is the load at the endpoints that one cell offers to others.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
 )
@@ -75,7 +76,8 @@
 	is := is.New(t)
 	reports := []quarantine.Report{{Kind: quarantine.Crashed, Fingerprint: quarantine.Fingerprint{Head: 1<<64 - 1, Body: 2}, Endpoint: 3, Begun: true, AgeMs: 4}}
 	limits := map[string]ratelimit.LimitUpdate{"e": {Version: 3, Limit: ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, Born: 4}}
-	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}})
+	evacuations := &catalog.Evacuations{Era: 5, Revision: 8, DataCentres: []string{"dc"}}
+	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations})
 	is.NoErr(err)
 	msg, err := decode(p)
 	is.NoErr(err)
@@ -84,6 +86,7 @@
 	is.Equal(msg.Limits, limits)
 	is.Equal(msg.Coordinator, uint64(6))
 	is.Equal(msg.Drains, map[string]int64{"e": 7})
+	is.Equal(msg.Evacuations, evacuations)
 	var fields []msgpack.RawMessage
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
@@ -100,7 +103,8 @@
 		is.Equal(msg.StoreEra, uint64(5))
 		is.Equal(msg.Limits, limits)
 		is.Equal(msg.Coordinator, uint64(6))
-		is.Equal(len(msg.Drains) > 0, len(list) >= len(fields))
+		is.Equal(msg.Drains, map[string]int64{"e": 7})
+		is.Equal(msg.Evacuations != nil, len(list) >= len(fields))
 	}
 	// A datagram without crash reports, era and limits is encoded as in the previous
 	// release.
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -199,6 +199,7 @@
 			g.handleCrashReports(msg)
 			g.handlePeerLimits(msg)
 			g.handlePeerDrains(msg)
+			g.handlePeerEvacuations(msg)
 			g.storeReads.mu.Lock()
 			g.storeReads.recordPeerStore(msg, now)
 			g.storeReads.mu.Unlock()
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -87,12 +87,14 @@
 		g.broadcastSoon()
 	})
 	defer silent.Stop()
-	c, err := g.deps.Source.Configuration(ctx)
+	settings, err := g.deps.Source.OperatorSettings(ctx)
 	g.checkStoreEra()
+	g.applyEvacuations(settings.Evacuations, "store")
 	if err != nil {
 		g.meter.storeFailures.Inc()
 		return err
 	}
+	c := settings.Configuration
 	if c == nil {
 		// Peers may know a newer one that an older copy of the store does not contain.
 		g.state.RecordProof(g.lastReadVersion.Load(), sent)
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -129,13 +129,14 @@
 
 // testSource is a store whose content is set by the test.
 type testSource struct {
-	mu        sync.Mutex
-	config    *catalog.Configuration
-	endpoints []catalog.Endpoint
-	err       error
-	era       uint64
-	unchanged bool // whether the configuration is the one that was returned last
-	stored    map[quarantine.Fingerprint]quarantine.Entry
+	mu          sync.Mutex
+	config      *catalog.Configuration
+	endpoints   []catalog.Endpoint
+	err         error
+	era         uint64
+	evacuations catalog.Evacuations
+	unchanged   bool // whether the configuration is the one that was returned last
+	stored      map[quarantine.Fingerprint]quarantine.Entry
 }
 
 func (s *testSource) setConfiguration(c *catalog.Configuration, err error) {
@@ -144,13 +145,13 @@
 	s.config, s.err = c, err
 }
 
-func (s *testSource) Configuration(context.Context) (*catalog.Configuration, error) {
+func (s *testSource) OperatorSettings(context.Context) (OperatorSettings, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unchanged {
-		return nil, s.err
+		return OperatorSettings{}, s.err
 	}
-	return s.config, s.err
+	return OperatorSettings{Configuration: s.config, Evacuations: s.evacuations}, s.err
 }
 
 func (s *testSource) Endpoints(context.Context) ([]catalog.Endpoint, error) {
--- a/relay/members.go
+++ b/relay/members.go
@@ -60,6 +60,7 @@
 type endpointSet struct {
 	known        map[string]catalog.Endpoint // Draining is set whatever the source
 	drains       *availability.DrainTable
+	evacuated    map[string]bool      // data centres whose endpoints get no requests
 	missingSince map[string]time.Time // entries that expired, and when that was noticed
 	// departed holds endpoints that were known and are gone. An older copy of the store may list
 	// them again.
@@ -200,7 +201,7 @@
 func (s *endpointSet) lastResort(service string, now time.Time) map[string][]catalog.Endpoint {
 	var out map[string][]catalog.Endpoint
 	for _, e := range s.known {
-		if e.Service != service || !s.recentlyDraining(e, now) {
+		if e.Service != service || s.evacuated[e.DataCentre] || !s.recentlyDraining(e, now) {
 			continue
 		}
 		if out == nil {
@@ -280,7 +281,7 @@
 func (s *endpointSet) sort() {
 	s.usableByService = make(map[string][]catalog.Endpoint)
 	for _, e := range s.known {
-		if !e.Draining {
+		if !e.Draining && !s.evacuated[e.DataCentre] {
 			s.usableByService[e.Service] = append(s.usableByService[e.Service], e)
 		}
 	}
@@ -324,11 +325,11 @@
 
 func (s *endpointSet) endpoint(id string) (catalog.Endpoint, bool) {
 	e, ok := s.known[id]
-	return e, ok && !e.Draining
+	return e, ok && !e.Draining && !s.evacuated[e.DataCentre]
 }
 
 // acceptsRequests reports whether a request may be sent to an endpoint now.
 func (s *endpointSet) acceptsRequests(id string, now time.Time) bool {
 	e, ok := s.known[id]
-	return ok && (!e.Draining || len(s.usableByService[e.Service]) == 0 && s.recentlyDraining(e, now))
+	return ok && !s.evacuated[e.DataCentre] && (!e.Draining || len(s.usableByService[e.Service]) == 0 && s.recentlyDraining(e, now))
 }
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -31,6 +31,7 @@
 	drainsAnnounced   *metrics.Counter
 	backoffsRequested *metrics.Counter
 	backoffRefusals   *metrics.Counter
+	evacuated         *metrics.Gauge // number of evacuated data centres
 	firstByte         *metrics.Histogram
 	requestTime       *metrics.Histogram
 	waitTime          *metrics.Histogram
@@ -60,6 +61,7 @@
 		drainsAnnounced:   set.NewCounter("relay_endpoint_leaves_told_total"),
 		backoffsRequested: set.NewCounter("relay_endpoint_rests_asked_total"),
 		backoffRefusals:   set.NewCounter("relay_rest_refusals_total"),
+		evacuated:         set.NewGauge("relay_evacuated_data_centres", nil),
 		resumes:           set.NewCounter("relay_resumes_total"),
 		firstByte:         set.NewHistogram("relay_first_event_seconds"),
 		requestTime:       set.NewHistogram("relay_request_seconds"),
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -34,6 +34,7 @@
 	// EndpointsAgeMs is the time since the read of its list of endpoints was sent; negative: it has
 	// no list.
 	EndpointsAgeMs int64
+	Evacuations    catalog.Evacuations
 }
 
 // PeerHandler answers operators and gateways that cannot reach the store.
@@ -42,7 +43,7 @@
 	m.HandleFunc("GET "+pathProof, func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
 		age, _ := g.state.ProofAge(now)
-		a := proofAnswer{Version: g.state.Version(), AgeMs: age.Milliseconds(), EndpointsAgeMs: -1}
+		a := proofAnswer{Version: g.state.Version(), AgeMs: age.Milliseconds(), EndpointsAgeMs: -1, Evacuations: g.state.Evacuations()}
 		if listed := g.storeReads.endpointsAge(now); listed < time.Hour {
 			a.EndpointsAgeMs = listed.Milliseconds()
 		}
@@ -179,6 +180,7 @@
 	if err := g.peerClient.get(ctx, g.peerURL(m, pathProof), &proof); err != nil {
 		return proof, err
 	}
+	g.applyEvacuations(proof.Evacuations, m.String())
 	if proof.Version > g.state.Version() {
 		c := new(catalog.Configuration)
 		if err := g.peerClient.get(ctx, g.peerURL(m, pathConfiguration), c); err != nil {
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -118,10 +118,10 @@
 	case backoffRefuse:
 		return p.refuse("the endpoints rest", now, func() outcome { return p.backoff.refuse(retryAfter) })
 	}
-	if found == pickNone && x.attempts == 0 && x.g.state.AllDraining(x.service.Name) {
-		return p.refuse("all endpoints leave", now, func() outcome {
-			return x.refuse(http.StatusServiceUnavailable, x.waitPolicy().capRetryAfter(retryAfterDraining, now), refusedFull)
-		})
+	if found == pickNone && x.attempts == 0 {
+		if pl, o, next, ok := p.refuseUnavailable(now); ok {
+			return pl, o, next
+		}
 	}
 	return p.waitOrRefuse(found, limited.retryAfter, now)
 }
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -121,12 +121,19 @@
 	EchoedHeader() string
 }
 
+// OperatorSettings is what one read of the operators' entries in the store returned.
+type OperatorSettings struct {
+	// Configuration is the newest configuration; nil if its version is the one that was returned last.
+	Configuration *catalog.Configuration
+	Evacuations   catalog.Evacuations
+}
+
 // Source provides the configuration and the list of endpoints and gateways, and stores the
 // gateways' findings. Its methods return when they have a response or when ctx ends.
 type Source interface {
-	// Configuration returns the newest configuration, or nil if its version is the one that was
-	// returned last.
-	Configuration(ctx context.Context) (*catalog.Configuration, error)
+	// OperatorSettings returns what the operators last asked for. If there is no valid configuration, it
+	// returns an error together with the evacuations.
+	OperatorSettings(ctx context.Context) (OperatorSettings, error)
 	// Endpoints returns every endpoint that is known to exist.
 	Endpoints(ctx context.Context) ([]catalog.Endpoint, error)
 	// Gateways registers this gateway and returns the peer addresses of all gateways.
--- a/relay/share.go
+++ b/relay/share.go
@@ -212,6 +212,7 @@
 	if age < 0 || age > time.Hour {
 		msg.ProofAgeMs = -1
 	}
+	msg.Evacuations = g.state.AnnouncedEvacuations()
 	s := g.storeReads
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/state.go
+++ b/relay/state.go
@@ -24,9 +24,13 @@
 	// proves nothing, however short the time that the clock has counted since.
 	suspendedAt time.Time
 	// storeEra is the newest known era of the store; 0 if none is known.
-	storeEra  uint64
-	endpoints *endpointSet
-	backoffs  *availability.BackoffTable
+	storeEra uint64
+	// evacuations come from the newest known read. evacuationSeen is set once any data centre was
+	// evacuated.
+	evacuations    catalog.Evacuations
+	evacuationSeen bool
+	endpoints      *endpointSet
+	backoffs       *availability.BackoffTable
 	// backoffQueues hold the requests that wait until endpoints of a service end their backoff.
 	// refusedCallers counts those that were refused instead.
 	backoffQueues  map[string]*availability.WaitQueue
@@ -176,21 +180,6 @@
 	return s.endpoints.usableByCell[service]
 }
 
-// AllDraining reports whether a service has endpoints, all of which are draining.
-func (s *State) AllDraining(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.endpoints.usableByService[service]) > 0 {
-		return false
-	}
-	for _, e := range s.endpoints.known {
-		if e.Service == service {
-			return true
-		}
-	}
-	return false
-}
-
 // Cells returns the mapping of data centres to cells.
 func (s *State) Cells() cell.Map {
 	s.mu.Lock()
--- a/relay/tell.go
+++ b/relay/tell.go
@@ -177,6 +177,7 @@
 		g.handleCrashReports(msg)
 		g.handlePeerLimits(msg)
 		g.handlePeerDrains(msg)
+		g.handlePeerEvacuations(msg)
 		g.handlePeerMessage(msg, from)
 	})
 }
