Cold endpoints get no more than they bear from all gateways together

What could happen: endpoints that have just come back look empty, and all gateways turn to them; above their rate while cold they fall over. Cause: coldRemainingMs was decoded and not used, coldPerS of a service not read. Change: while the endpoint list shows an endpoint as cold, it has its service's rate as a limit, which the cell's coordinator grants like a limit that the endpoint names. The lower of both applies.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -74,8 +74,11 @@
 type Service struct {
 	Name           string
 	HealthPath     string
-	MaxConnections int     // maximum of connections to one endpoint from all callers together
-	Engine         *Engine // nil if the service has no model engine
+	MaxConnections int // maximum of connections to one endpoint from all callers together
+	// ColdRate is how many requests a second an endpoint accepts from all callers together while it is
+	// cold; 0 means no limit.
+	ColdRate float64
+	Engine   *Engine // nil if the service has no model engine
 }
 
 // Workspace is a customer and the keys that belong to it.
@@ -112,6 +115,8 @@
 	DataCentre string
 	Slots      int // requests that it runs concurrently
 	Draining   bool
+	// ColdFor is how long the endpoint was still cold when its entry was read; see Service.ColdRate.
+	ColdFor time.Duration
 	// Born is the start time of its process in Unix milliseconds of its own clock; zero if unknown.
 	// A restarted process may keep its ID, but has lost all its state.
 	Born int64
--- a/relay/endpointlimits.go
+++ b/relay/endpointlimits.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 
 	mu          sync.Mutex
 	known       *ratelimit.LimitTable
+	cold        map[string]coldLimit // of endpoints that are cold, by id
 	votes       *ratelimit.Election
 	coordinator *ratelimit.Coordinator
 	// chosenName is the coordinator according to the last evaluation.
@@ -49,6 +51,11 @@
 // l.
 func (l *endpointLimits) publish() {
 	limits := l.known.Limits()
+	for id, cold := range l.cold {
+		if perSecond, limited := limits[id]; !limited || cold.perSecond < perSecond {
+			limits[id] = cold.perSecond
+		}
+	}
 	l.current.Store(&limits)
 }
 
@@ -196,7 +203,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gateways = gateways
-	if l.known.Expire(local, now) {
+	expired := l.known.Expire(local, now)
+	before := len(l.cold)
+	maps.DeleteFunc(l.cold, func(_ string, cold coldLimit) bool { return now.After(cold.until) })
+	if expired || len(l.cold) < before {
 		l.publish()
 	}
 }
--- a/relay/share.go
+++ b/relay/share.go
@@ -199,6 +199,9 @@
 		if e.Draining {
 			state = "|draining|"
 		}
+		if e.ColdFor > 0 {
+			state += "cold|"
+		}
 		_, _ = h.WriteString(e.ID + "|" + e.Service + "|" + e.Address + state)
 		_ = binary.Write(h, binary.BigEndian, [2]int64{int64(e.Slots), e.Born}) // writes to a hash never fail
 	}
@@ -389,6 +392,7 @@
 	for _, c := range g.state.ApplyList(list, sent, time.Now(), failed) {
 		g.handleEndpointChange(c)
 	}
+	g.applyCold(list, sent)
 }
 
 // invalidateList makes the newest list count as very old, since the host was suspended.
