Calls to the store are counted by kind

What operators could not see: what a gateway calls the store for. Change: relay_store_calls_total{kind}. A source says apart that there is no configuration at all (relay.ErrNoConfiguration); nothing follows from it yet.

--- a/relay/process.go
+++ b/relay/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
 
@@ -26,8 +27,8 @@
 	listeners []net.Listener
 }
 
-// Adapter builds the protocol and the source of one platform.
-type Adapter func(s *Settings, log *log.Logger) (Protocol, Source)
+// Adapter builds the protocol and the source of one platform. The source counts its calls in set.
+type Adapter func(s *Settings, log *log.Logger, set *metrics.Set) (Protocol, Source)
 
 // Options holds what a process is built from besides its settings.
 type Options struct {
@@ -44,7 +45,7 @@
 	events := eventlog.New(os.Stdout, eventlog.Options{
 		Prefix: "relay", LinesPerSecond: s.Log.LinesPerSecond, Level: log.InfoLevel, Format: log.LogfmtFormatter,
 	})
-	protocol, source := o.Adapt(s, events.Logger())
+	protocol, source := o.Adapt(s, events.Logger(), env.Metrics)
 	peerAddress, err := netip.ParseAddrPort(string(s.Relay.PeerListen))
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -121,6 +122,9 @@
 	EchoedHeader() string
 }
 
+// ErrNoConfiguration is returned by a Source while the operators have not written a configuration.
+var ErrNoConfiguration = errors.New("there is no configuration yet")
+
 // OperatorSettings is what one read of the operators' entries in the store returned.
 type OperatorSettings struct {
 	// Configuration is the newest configuration; nil if its version is the one that was returned last.
@@ -132,7 +136,8 @@
 // gateways' findings. Its methods return when they have a response or when ctx ends.
 type Source interface {
 	// OperatorSettings returns what the operators last asked for. If there is no valid configuration, it
-	// returns an error together with the evacuations.
+	// returns an error, ErrNoConfiguration
+	// if there is none at all, together with the evacuations.
 	OperatorSettings(ctx context.Context) (OperatorSettings, error)
 	// Endpoints returns every endpoint that is known to exist.
 	Endpoints(ctx context.Context) ([]catalog.Endpoint, error)
