Gateways that start together leave the store to a few of them

Cause: a gateway without data read the store as soon as the three seeds had not answered within 60 ms, which hundreds of them asking at once make sure of; messages of peers did not hold it back, and were not taken before they echoed its clock. Until the first configuration every gateway polled for it, since its absence counted as a store that cannot be reached. Before endpoints are known all data centres count as one cell, so each told all others four times a second. Whoever has nothing takes configuration and endpoints from the first peer whose message offers both. A read that finds no configuration is told like any other. Without endpoints each data centre counts as a cell, told with the first gateways of the others.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -51,7 +51,8 @@
 	// EchoClocks tells Send to fill in ClockEchoes; it is not sent.
 	EchoClocks bool `msgpack:"-"`
 	// ProofAgeMs is the time since the sending of the store read that proved Version
-	// to be the newest; negative if there is no proof.
+	// to be the newest, or that there is none if Version is 0; negative if there is no
+	// proof.
 	ProofAgeMs int64
 	// Endpoints identifies the list of endpoints that the sender read last, and
 	// EndpointsAgeMs is the time since that read. Endpoints is 0 if none was read.
--- a/relay/audience.go
+++ b/relay/audience.go
@@ -39,16 +39,22 @@
 	crossCell map[string]bool // those of other cells that sent digests
 }
 
-// newRecipients returns the recipients for a gateway in a data centre. The representatives of a
+// newRecipients returns the recipients for a gateway in a data centre. Before the cells are known, each data
+// centre counts as one. The representatives of a
 // cell are its first two gateways, in an order of all gateways that is independent of their names,
 // and the first two that can reach the store, so that one of them may fail unnoticed.
 func newRecipients(self, dataCentre string, cells cell.Map, members []peers.Member, recent recentPeers) recipients {
-	r := recipients{localCell: cells.Of(dataCentre), remote: make(map[string][]netip.AddrPort), remoteRecipients: make(map[string][]netip.AddrPort), gateways: 1}
+	cellsKnown := len(cells.Cells()) > 0
+	cellOf := cells.Of
+	if !cellsKnown { // no endpoints are known yet
+		cellOf = func(dataCentre string) string { return dataCentre }
+	}
+	r := recipients{localCell: cellOf(dataCentre), remote: make(map[string][]netip.AddrPort), remoteRecipients: make(map[string][]netip.AddrPort), gateways: 1}
 	preceding, precedingWithStore := 0, 0
 	byCell := make(map[string][]peers.Member)
 	for _, m := range members {
-		if m.DataCentre != "" && cells.Of(m.DataCentre) != r.localCell {
-			c := cells.Of(m.DataCentre)
+		if m.DataCentre != "" && cellOf(m.DataCentre) != r.localCell {
+			c := cellOf(m.DataCentre)
 			byCell[c] = append(byCell[c], m)
 			r.remote[c] = append(r.remote[c], m.Address)
 			continue
@@ -68,6 +74,9 @@
 	r.representative = preceding < storeReaders || precedingWithStore < storeReaders
 	for c, list := range byCell {
 		r.remoteRecipients[c] = selectRemoteRecipients(list, recent.crossCell)
+		if !cellsKnown {
+			r.local = append(r.local, r.remoteRecipients[c]...) // they may turn out to be of this cell
+		}
 	}
 	return r
 }
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/netip"
 	"strconv"
@@ -42,7 +43,7 @@
 	lost := false
 	for {
 		wait := readInterval
-		if g.shouldReadStore(g.proofAge()) {
+		if g.shouldReadStore(g.state.ConfigurationAge(time.Now())) {
 			sent := time.Now()
 			err := g.readConfiguration(sent)
 			g.storeReads.recordRead(err, time.Now())
@@ -64,11 +65,23 @@
 	}
 }
 
-// shouldReadStore reports whether this gateway reads the store now, given the age of its data.
+// shouldReadStore reports whether this gateway reads the store now, given the age of its data, which is
+// noDataAge if it has none.
 func (g *Gateway) shouldReadStore(age time.Duration) bool {
-	return g.deps.Mesh == nil || g.storeReads.shouldRead(g.config.Name, age, time.Now())
+	now := time.Now()
+	switch {
+	case g.deps.Mesh == nil:
+		return true
+	case age == noDataAge && now.Before(g.firstReadAt):
+		return false
+	default:
+		return g.storeReads.shouldRead(g.config.Name, age, now)
+	}
 }
 
+// noDataAge stands for the age of data that a gateway does not have.
+const noDataAge time.Duration = math.MaxInt64
+
 func (g *Gateway) proofAge() time.Duration {
 	age, _ := g.state.ProofAge(time.Now())
 	return age
@@ -90,6 +103,10 @@
 	settings, err := g.deps.Source.OperatorSettings(ctx)
 	g.checkStoreEra()
 	g.applyEvacuations(settings.Evacuations, "store")
+	if errors.Is(err, ErrNoConfiguration) && g.state.Table() == nil {
+		g.state.RecordNoConfiguration(sent)
+		return nil
+	}
 	if err != nil {
 		g.meter.storeFailures.Inc()
 		return err
@@ -194,6 +211,7 @@
 		}
 		if len(list) > 0 {
 			g.deps.Mesh.SetMembers(list)
+			g.listedOnce.Do(func() { close(g.gatewaysListed) })
 			g.listedGatewayCount.Store(int64(len(list)))
 			if !g.config.FirstStart {
 				g.picker.setListedGateways(len(list), time.Now()) // entries outlive their processes
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -86,13 +86,18 @@
 	fullMessageDue chan struct{}
 	// lastReadVersion is the version of the configuration that this gateway's last own read returned.
 	lastReadVersion atomic.Uint64
+	// firstReadAt is when this gateway may read the store if it has no data; set by bootstrap.
+	firstReadAt time.Time
+	// gatewaysListed is closed once the store's list of gateways was read.
+	gatewaysListed chan struct{}
+	listedOnce     sync.Once
 	// listedGatewayCount is the number of gateways in the store's newest list.
 	listedGatewayCount atomic.Int64
 }
 
 // New returns a gateway whose background tasks run until Close.
 func New(c Config, d Deps) *Gateway {
-	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), fullMessageDue: make(chan struct{}, 1), started: time.Now()}
+	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), fullMessageDue: make(chan struct{}, 1), gatewaysListed: make(chan struct{}), started: time.Now()}
 	g.picker = newPicker(c.Name, c.DataCentre, g.state, c.Policy, c.Retries)
 	if d.Mesh != nil {
 		g.picker.fleetKnownAt = g.started.Add(fleetDiscoveryTime)
--- a/relay/share.go
+++ b/relay/share.go
@@ -210,7 +210,7 @@
 
 // fillReads adds to a message what this gateway has read.
 func (g *Gateway) fillReads(msg *peers.Message, now time.Time) {
-	age, _ := g.state.ProofAge(now)
+	age := g.state.ConfigurationAge(now)
 	msg.Version, msg.ProofAgeMs = g.state.Version(), age.Milliseconds()
 	if age < 0 || age > time.Hour {
 		msg.ProofAgeMs = -1
@@ -281,6 +281,9 @@
 	s.mu.Lock()
 	s.recordPeerStore(msg, now)
 	s.mu.Unlock()
+	if msg.Version > 0 && msg.Endpoints != 0 && !g.hasData() {
+		g.fetch(func() { g.bootstrapFrom(from) })
+	}
 	sentAfter, ok := g.deps.Mesh.SentAfter(msg)
 	if !ok {
 		return
@@ -304,6 +307,10 @@
 		return
 	}
 	sent := sentAfter.Add(-time.Duration(msg.ProofAgeMs) * time.Millisecond)
+	if msg.Version == 0 {
+		g.state.RecordNoConfiguration(sent)
+		return
+	}
 	if !g.state.RecordProof(msg.Version, sent) {
 		return
 	}
@@ -417,7 +424,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.hash == 0 || s.listedAt.IsZero() {
-		return 1<<63 - 1
+		return noDataAge
 	}
 	return now.Sub(s.listedAt)
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -20,6 +20,8 @@
 	mu           sync.Mutex
 	proof        time.Time     // send time of the latest read that proved the configuration to be current
 	proofChanged chan struct{} // closed at the next proof
+	// noConfigurationAt is when the latest read was sent that found no configuration at all.
+	noConfigurationAt time.Time
 	// suspendedAt is when the host's latest suspension was noticed. A read that was sent before it
 	// proves nothing, however short the time that the clock has counted since.
 	suspendedAt time.Time
@@ -83,6 +85,30 @@
 	return true
 }
 
+// RecordNoConfiguration records that a read sent at that time found no configuration at all.
+func (s *State) RecordNoConfiguration(sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sent.After(s.noConfigurationAt) && !sent.Before(s.suspendedAt) {
+		s.noConfigurationAt = sent
+	}
+}
+
+// ConfigurationAge returns the time since the latest read that proved the configuration in force, or that
+// there is none; noDataAge if there was no such read.
+func (s *State) ConfigurationAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	readAt := s.proof
+	if s.table.Load() == nil {
+		readAt = s.noConfigurationAt
+	}
+	if readAt.IsZero() {
+		return noDataAge
+	}
+	return now.Sub(readAt)
+}
+
 // mayMissWrites reports whether the latest writes may have been missing in the store at that time.
 // The caller holds the lock.
 func (s *State) mayMissWrites(t time.Time) bool {
@@ -127,7 +153,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.proof.IsZero() {
-		return 1<<63 - 1, s.proofChanged
+		return noDataAge, s.proofChanged
 	}
 	return now.Sub(s.proof), s.proofChanged
 }
