A response that lost its agent waits for one that is coming back

What callers saw: the beginning of a repeatable response and then an error (195 of 400 words), although an agent that could have gone on with it was running. Cause: a gateway tries again to reach an agent that was down after up to 4.5 s. An attempt that found no connected agent ended the request at once, with the error of the attempt before. Ruled out: load (virtual time; the delays are drawn at random); the agent, whose stream ends with the error that lets a gateway go on elsewhere. Change: a partly delivered response waits up to 2 s, within its deadline, and makes the links that are not connected try again at once. Conclusion: bounded in time; a caller without any agent gets the same error 2 s later.

--- a/e2e/handover_test.go
+++ b/e2e/handover_test.go
@@ -397,6 +397,32 @@
 	})
 }
 
+// TestStreamAwaitsAnAgent guards against a caller who gets the beginning of a
+// repeatable response and then an error, because its agent has stopped and the
+// gateway does not know yet that another one is running again.
+func TestStreamAwaitsAnAgent(t *testing.T) {
+	runSession(t, func(b *cluster) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.engineWithoutAgent("b")
+		b.gateway("gw1")
+		b.publish()
+		var got reply
+		var wg sync.WaitGroup
+		wg.Go(func() { got = b.ask("gw1", "POST", chatPath, chat("free", 400, true), nil) })
+		time.Sleep(1500 * time.Millisecond)
+		wg.Go(func() {
+			time.Sleep(800 * time.Millisecond)
+			b.startAgent("b")
+		})
+		is.True(b.stopAgent("a", 500*time.Millisecond) != nil)
+		wg.Wait()
+		is.Equal(got.problem, "")
+		is.Equal(got.text, answerTo("free", 400))
+		is.Equal(len(b.engines["b"].Counts().Resumes), 1)
+	})
+}
+
 // TestLargeHandover: records with many megabytes of answers are handed over
 // completely, in several parts.
 func TestLargeHandover(t *testing.T) {
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -37,6 +37,7 @@
 	client   rudderv1connect.AgentServiceClient
 	stop     context.CancelFunc
 	reported chan struct{} // signals that a report has arrived since the channel was last read
+	retry    chan struct{} // ends the delay before the next attempt to subscribe
 
 	mu              sync.Mutex
 	report          *rudderv1.AgentReport
@@ -56,7 +57,7 @@
 
 func newLink(g *Gateway, e *rudderv1.Endpoint) *link {
 	client := rudderv1connect.NewAgentServiceClient(g.deps.Client, g.deps.Client.URL(e.AgentAddress), inner.ClientOptions()...)
-	return &link{g: g, declared: e, client: client, cache: affinity.New(e.MemoryTokens), reported: make(chan struct{}, 1)}
+	return &link{g: g, declared: e, client: client, cache: affinity.New(e.MemoryTokens), reported: make(chan struct{}, 1), retry: make(chan struct{}, 1)}
 }
 
 // run keeps a subscription to the agent open until ctx ends.
@@ -69,11 +70,25 @@
 		}
 		select {
 		case <-time.After(retryDelay.NextBackOff()):
+		case <-l.retry:
+			retryDelay.Reset()
 		case <-ctx.Done():
 		}
 	}
 }
 
+// resubscribe ends the delay before the next attempt to subscribe, if the link is
+// not connected.
+func (l *link) resubscribe() {
+	if _, connected := l.generation(); connected {
+		return
+	}
+	select {
+	case l.retry <- struct{}{}:
+	default:
+	}
+}
+
 // subscribe reads reports until the stream breaks. It returns whether any was
 // received.
 func (l *link) subscribe(ctx context.Context) bool {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -77,6 +77,13 @@
 	return l
 }
 
+// resubscribe makes the links that are not connected try again at once.
+func (ls *links) resubscribe() {
+	for _, l := range ls.all() {
+		l.resubscribe()
+	}
+}
+
 // all returns the links in the order of the document.
 func (ls *links) all() []*link {
 	ls.mu.RLock()
--- a/gateway/starting.go
+++ b/gateway/starting.go
@@ -13,6 +13,10 @@
 	// the configuration and for the first reports of agents.
 	startGrace        = 2 * time.Second
 	startPollInterval = 10 * time.Millisecond
+	// resumeGrace is how long a partly delivered response waits for an endpoint
+	// that can continue it: an agent that is running but not connected is found in
+	// well under a second once links resubscribe.
+	resumeGrace = 2 * time.Second
 )
 
 // starting reports whether the gateway is still within startGrace.
@@ -39,11 +43,21 @@
 	}
 }
 
-// chooseOrAwaitAgent chooses an endpoint. Within startGrace, it waits until one
-// can be chosen.
+// chooseOrAwaitAgent chooses an endpoint. It waits until one can be chosen within
+// startGrace of the gateway's start, and within resumeGrace if the caller already
+// has the beginning of the response.
 func (s *session) chooseOrAwaitAgent() (*link, routing.Decision) {
 	l, d := s.choose()
-	for l == nil && s.g.starting() && time.Until(s.cr.deadline) > startPollInterval {
+	if l != nil {
+		return l, d
+	}
+	grace := time.Until(s.g.started.Add(startGrace))
+	if len(s.delivered) > 0 {
+		grace = max(grace, resumeGrace)
+		s.g.links.resubscribe()
+	}
+	until := time.Now().Add(grace)
+	for l == nil && time.Now().Before(until) && time.Until(s.cr.deadline) > startPollInterval && s.callerErr == nil {
 		time.Sleep(startPollInterval)
 		l, d = s.choose()
 	}
