One gateway reads the list of gateways for the others

Cause: the list was read together with the renewal of a gateway's own entry. Change: the entry is renewed by each gateway; the list is read by the first reader, as configuration and endpoints are, told as a hash with its age every 2.5 s, and fetched from the teller where it differs.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -89,6 +89,10 @@
 	// Evacuations are the evacuated data centres according to the newest read of the store that the
 	// sender knows; nil if it has known of none evacuated.
 	Evacuations *catalog.Evacuations
+	// Gateways identifies the list of gateways that the sender knows, and GatewaysAgeMs
+	// is the time since the read of that list. Gateways is 0 in most messages.
+	Gateways      uint64
+	GatewaysAgeMs int64
 }
 
 // Digest is the load at the endpoints that one cell offers to others.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -77,7 +77,7 @@
 	reports := []quarantine.Report{{Kind: quarantine.Crashed, Fingerprint: quarantine.Fingerprint{Head: 1<<64 - 1, Body: 2}, Endpoint: 3, Begun: true, AgeMs: 4}}
 	limits := map[string]ratelimit.LimitUpdate{"e": {Version: 3, Limit: ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, Born: 4}}
 	evacuations := &catalog.Evacuations{Era: 5, Revision: 8, DataCentres: []string{"dc"}}
-	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations})
+	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10})
 	is.NoErr(err)
 	msg, err := decode(p)
 	is.NoErr(err)
@@ -91,7 +91,7 @@
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
 	is.NoErr(err)
-	previous := len(fields) - 1 // number of fields in the previous release
+	previous := len(fields) - 3 // number of fields in the previous release
 	for _, list := range [][]msgpack.RawMessage{fields[:previous], append(slices.Clone(fields), extra)} {
 		p, err := msgpack.Marshal(list)
 		is.NoErr(err)
@@ -106,6 +106,13 @@
 		is.Equal(msg.Drains, map[string]int64{"e": 7})
 		is.Equal(msg.Evacuations != nil, len(list) >= len(fields))
 	}
+	// A datagram with the last field and not the ones before it.
+	p, err = encode(&Message{From: "a", Gateways: 9})
+	is.NoErr(err)
+	msg, err = decode(p)
+	is.NoErr(err)
+	is.Equal(msg.Gateways, uint64(9))
+	is.Equal(msg.Evacuations, nil)
 	// A datagram without crash reports, era and limits is encoded as in the previous
 	// release.
 	p, err = encode(&Message{From: "a"})
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -30,12 +30,6 @@
 	listTimeout = 8 * time.Second
 	// peerQueryAge is the age of this gateway's proof at which it asks peers for theirs.
 	peerQueryAge = 1600 * time.Millisecond
-	// gatewaysInterval is how often the list of gateways is read and this gateway's entry renewed:
-	// a third of the entry's lease. gatewaysFirstDelay is the delay before the first renewal, when
-	// gateways that started together have entries. Between reads gateways know each other from
-	// their messages.
-	gatewaysInterval   = 10 * time.Second
-	gatewaysFirstDelay = 3 * time.Second
 )
 
 // followConfiguration keeps the configuration and its proof up to date.
@@ -75,7 +69,7 @@
 	case age == noDataAge && now.Before(g.firstReadAt):
 		return false
 	default:
-		return g.storeReads.shouldRead(g.config.Name, age, now)
+		return g.storeReads.shouldRead(g.config.Name, age, frequentReadTimes, now)
 	}
 }
 
@@ -194,38 +188,6 @@
 	}
 }
 
-// followGateways keeps this gateway's entry and the list of peers up to date.
-func (g *Gateway) followGateways() {
-	if g.deps.Mesh == nil {
-		return
-	}
-	lost := false
-	for wait := gatewaysFirstDelay; ; wait = gatewaysInterval {
-		ctx, cancel := context.WithTimeout(g.ctx, readTimeout)
-		list, err := g.deps.Source.Gateways(ctx)
-		cancel()
-		g.checkStoreEra()
-		if (err != nil) != lost {
-			lost = err != nil
-			g.logDependency("gateway list", lost, err)
-		}
-		if len(list) > 0 {
-			g.deps.Mesh.SetMembers(list)
-			g.listedOnce.Do(func() { close(g.gatewaysListed) })
-			g.listedGatewayCount.Store(int64(len(list)))
-			if !g.config.FirstStart {
-				g.picker.setListedGateways(len(list), time.Now()) // entries outlive their processes
-			}
-		}
-		if err != nil {
-			wait = gatewaysFirstDelay
-		}
-		if !g.pause(wait) {
-			return
-		}
-	}
-}
-
 // peerURL returns the URL of a path at another gateway.
 func (g *Gateway) peerURL(a netip.AddrPort, path string) string {
 	return "http://" + net.JoinHostPort(a.Addr().String(), strconv.Itoa(g.deps.PeerPort)) + path
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -81,7 +81,7 @@
 	// askCoordinator requests a grant from another gateway.
 	askCoordinator func(ctx context.Context, name string, q grantQuestion) (grantAnswer, error)
 	// configurationDocument and endpointsDocument are the documents that peers request.
-	configurationDocument, endpointsDocument compressedDocument
+	configurationDocument, endpointsDocument, gatewaysDocument compressedDocument
 	// fullMessageDue requests that a complete message be sent to the peers soon.
 	fullMessageDue chan struct{}
 	// lastReadVersion is the version of the configuration that this gateway's last own read returned.
--- /dev/null
+++ b/relay/gatewaylist.go
@@ -0,0 +1,181 @@
+package relay
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/micarudder/micarudder/peers"
+)
+
+const (
+	// gatewaysInterval is how often this gateway's entry is renewed and the list of gateways is read
+	// for all: a third of the entry's lease. gatewaysFirstDelay is the delay before the second time,
+	// when gateways that started together have entries. Between reads gateways know each other from
+	// their messages.
+	gatewaysInterval   = 10 * time.Second
+	gatewaysFirstDelay = 3 * time.Second
+	// gatewayListMessageInterval is how often messages tell which list of gateways their sender has.
+	gatewayListMessageInterval = gatewaysInterval / 4
+
+	pathGateways = "/peer/gateways"
+)
+
+// gatewayReadTimes are the ages of the list of gateways at which others than the first reader read it.
+var gatewayReadTimes = readTimes{standby: 3 * gatewaysInterval / 2, takeover: 5 * gatewaysInterval / 2}
+
+// gatewayList is a list of gateways as it was read from the store.
+type gatewayList struct {
+	Members []peers.Member
+}
+
+// hash identifies the list.
+func (l gatewayList) hash() uint64 {
+	sorted := slices.Clone(l.Members)
+	slices.SortFunc(sorted, func(a, b peers.Member) int { return strings.Compare(a.Name, b.Name) })
+	h := xxhash.New()
+	for _, m := range sorted {
+		address := m.Address.Addr().As16()
+		_, _ = h.WriteString(m.Name + "|" + m.DataCentre + "|")
+		_, _ = h.Write(address[:])
+		_ = binary.Write(h, binary.BigEndian, m.Address.Port()) // writes to a hash never fail
+	}
+	return max(1, h.Sum64())
+}
+
+// knownGateways is the newest list of gateways that this gateway knows.
+type knownGateways struct {
+	list     gatewayList
+	hash     uint64    // of list; 0 if there is none
+	listedAt time.Time // when the read of the list was sent
+	toldAt   time.Time // when a message last told of it
+}
+
+// followGateways keeps this gateway's entry and the list of gateways up to date.
+func (g *Gateway) followGateways() {
+	if g.deps.Mesh == nil {
+		return
+	}
+	lost := false
+	for wait := gatewaysFirstDelay; ; wait = gatewaysInterval {
+		err := g.announceAndList(wait == gatewaysFirstDelay)
+		g.checkStoreEra()
+		if (err != nil) != lost {
+			lost = err != nil
+			g.logDependency("gateway list", lost, err)
+		}
+		if err != nil {
+			wait = gatewaysFirstDelay
+		}
+		if !g.pause(wait) {
+			return
+		}
+	}
+}
+
+// announceAndList renews this gateway's entry and reads the list, if this gateway reads it for the others or
+// starting is set.
+func (g *Gateway) announceAndList(starting bool) error {
+	ctx, cancel := context.WithTimeout(g.ctx, readTimeout)
+	defer cancel()
+	if err := g.deps.Source.Announce(ctx); err != nil {
+		return err
+	}
+	sent := time.Now()
+	if !starting && !g.storeReads.shouldRead(g.config.Name, g.storeReads.gatewaysAge(sent), gatewayReadTimes, sent) {
+		return nil
+	}
+	list, err := g.deps.Source.Gateways(ctx)
+	if err != nil {
+		return err
+	}
+	g.recordGateways(gatewayList{list}, sent)
+	return nil
+}
+
+// recordGateways records a list that this gateway or a peer has read from the store, by a read sent at that
+// time.
+func (g *Gateway) recordGateways(list gatewayList, sent time.Time) {
+	if len(list.Members) == 0 {
+		return
+	}
+	s := g.storeReads
+	s.mu.Lock()
+	s.gateways.list, s.gateways.hash, s.gateways.listedAt = list, list.hash(), sent
+	s.mu.Unlock()
+	g.deps.Mesh.SetMembers(list.Members)
+	g.listedOnce.Do(func() { close(g.gatewaysListed) })
+	g.listedGatewayCount.Store(int64(len(list.Members)))
+	if !g.config.FirstStart {
+		g.picker.setListedGateways(len(list.Members), time.Now()) // entries outlive their processes
+	}
+}
+
+// gatewaysAge returns the age of the newest list of gateways.
+func (s *storeReads) gatewaysAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gateways.hash == 0 {
+		return noDataAge
+	}
+	return now.Sub(s.gateways.listedAt)
+}
+
+// fillGateways adds to a message which list of gateways this gateway has, now and then. The caller holds the
+// lock.
+func (s *storeReads) fillGateways(msg *peers.Message, now time.Time) {
+	if s.gateways.hash == 0 || now.Sub(s.gateways.toldAt) < gatewayListMessageInterval {
+		return
+	}
+	s.gateways.toldAt = now
+	msg.Gateways, msg.GatewaysAgeMs = s.gateways.hash, now.Sub(s.gateways.listedAt).Milliseconds()
+}
+
+// handlePeerGateways compares the list of gateways that the sender of a message has with this gateway's list.
+func (g *Gateway) handlePeerGateways(msg peers.Message, sentAfter time.Time, from netip.AddrPort) {
+	if msg.Gateways == 0 {
+		return
+	}
+	sent := sentAfter.Add(-time.Duration(msg.GatewaysAgeMs) * time.Millisecond)
+	s := g.storeReads
+	s.mu.Lock()
+	newer, same := sent.After(s.gateways.listedAt), s.gateways.hash == msg.Gateways
+	if newer && same {
+		s.gateways.listedAt = sent
+	}
+	s.mu.Unlock()
+	if newer && !same {
+		g.fetch(func() { g.fetchGateways(from, sent) })
+	}
+}
+
+// fetchGateways fetches a peer's list of gateways.
+func (g *Gateway) fetchGateways(from netip.AddrPort, sent time.Time) {
+	ctx, cancel := context.WithTimeout(g.ctx, 2*peerQueryTimeout)
+	defer cancel()
+	var list gatewayList
+	if err := g.peerClient.get(ctx, g.peerURL(from, pathGateways), &list); err != nil {
+		g.deps.Log.Logger().Warn("A peer's list of gateways could not be read.", "peer", from, "err", err)
+		return
+	}
+	g.recordGateways(list, sent)
+}
+
+// serveGateways answers a peer that asks for the list of gateways.
+func (g *Gateway) serveGateways(w http.ResponseWriter, _ *http.Request) {
+	s := g.storeReads
+	s.mu.Lock()
+	list, hash := s.gateways.list, s.gateways.hash
+	s.mu.Unlock()
+	if hash == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	g.writeDocument(w, &g.gatewaysDocument, hash, list)
+}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -203,6 +203,8 @@
 	s.era++
 }
 
+func (s *testSource) Announce(context.Context) error { return nil }
+
 func (s *testSource) Gateways(context.Context) ([]peers.Member, error) { return nil, nil }
 
 // testGateway is a gateway with scripted endpoints.
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -58,6 +58,7 @@
 		g.writeDocument(w, &g.configurationDocument, t.Version, t.Configuration)
 	})
 	m.HandleFunc("GET "+pathEndpoints, g.serveEndpoints)
+	m.HandleFunc("GET "+pathGateways, g.serveGateways)
 	m.HandleFunc("POST "+pathGrant, g.serveGrant)
 	m.HandleFunc("GET "+PathQuarantine, g.serveQuarantine)
 	m.HandleFunc("DELETE "+PathQuarantine+"/{fingerprint}", g.serveClear)
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -141,7 +141,9 @@
 	OperatorSettings(ctx context.Context) (OperatorSettings, error)
 	// Endpoints returns every endpoint that is known to exist.
 	Endpoints(ctx context.Context) ([]catalog.Endpoint, error)
-	// Gateways registers this gateway and returns the peer addresses of all gateways.
+	// Announce writes this gateway's entry to the store, or renews it.
+	Announce(ctx context.Context) error
+	// Gateways returns the peer addresses of all gateways with an entry.
 	Gateways(ctx context.Context) ([]peers.Member, error)
 	// StoreEra returns the era in the store's newest response, or 0 before the first one. The era
 	// increases each time the store is restored from an older copy, which lacks the latest writes.
--- a/relay/storereads.go
+++ b/relay/storereads.go
@@ -65,6 +65,7 @@
 	peersLostSince time.Time
 	storeLost      bool // whether the latest read failed, or has been unanswered for silentAfter
 	fetching       bool // whether something is being fetched from a peer
+	gateways       knownGateways
 }
 
 func newStoreReads() *storeReads {
@@ -101,12 +102,21 @@
 	return newRecipients(g.config.Name, g.config.DataCentre, g.state.Cells(), g.deps.Mesh.Members(now), g.storeReads.recentPeers(now))
 }
 
+// readTimes are the ages of data at which gateways read it from the store although another one should.
+type readTimes struct {
+	standby  time.Duration // the second reader
+	takeover time.Duration // all others
+}
+
+// frequentReadTimes are those of the configuration and the endpoints.
+var frequentReadTimes = readTimes{standbyAge, takeoverAge}
+
 // shouldRead reports whether this gateway reads the store again, given the age of its newest read.
 // Of the gateways that reach the store the first always reads, the next stands by, and the others
 // read when both must have failed. If other gateways cannot reach the store either, this one leaves
 // it to them for a while: 103 gateways made 560 calls in the 7 s for which the store was
 // unavailable.
-func (s *storeReads) shouldRead(self string, age time.Duration, now time.Time) bool {
+func (s *storeReads) shouldRead(self string, age time.Duration, times readTimes, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reaching := countPreceding(self, s.withStore, now)
@@ -121,9 +131,9 @@
 		return true
 	case !s.storeLost && reaching == 0:
 		return true
-	case !s.storeLost && reaching < storeReaders && age > standbyAge:
+	case !s.storeLost && reaching < storeReaders && age > times.standby:
 		return true
-	case age <= takeoverAge:
+	case age <= times.takeover:
 		return false
 	case notReaching > 0:
 		return now.Sub(s.peersLostSince) > readDeferral && now.Sub(s.queriedAt) > readDeferral
@@ -219,6 +229,7 @@
 	s := g.storeReads
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.fillGateways(msg, now)
 	if s.hash != 0 && !s.listedAt.IsZero() {
 		msg.Endpoints, msg.EndpointsAgeMs = s.hash, now.Sub(s.listedAt).Milliseconds()
 	}
@@ -295,6 +306,7 @@
 	g.picker.recordDigests(msg, sentAfter)
 	g.handlePeerProof(msg, sentAfter, from)
 	g.handlePeerEndpoints(msg, sentAfter, from)
+	g.handlePeerGateways(msg, sentAfter, from)
 }
 
 // handlePeerProof records the proof in a message that was sent after that time.
--- a/relay/storereads_test.go
+++ b/relay/storereads_test.go
@@ -35,20 +35,20 @@
 				s.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: true}, now)
 			}
 		}
-		if s.shouldRead(fmt.Sprint(i), veryOld, now) {
+		if s.shouldRead(fmt.Sprint(i), veryOld, frequentReadTimes, now) {
 			querying++
 		} else {
 			deferring = s
 		}
 	}
 	is.Equal(querying, storeReaders)
-	is.True(newStoreReads().shouldRead("0", veryOld, now))
-	is.True(deferring.shouldRead("0", veryOld, now.Add(peerTimeout+time.Millisecond)))
+	is.True(newStoreReads().shouldRead("0", veryOld, frequentReadTimes, now))
+	is.True(deferring.shouldRead("0", veryOld, frequentReadTimes, now.Add(peerTimeout+time.Millisecond)))
 	later := now.Add(readDeferral + time.Millisecond)
 	for j := range gateways {
 		deferring.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: true}, later)
 	}
-	is.True(deferring.shouldRead("g", veryOld, later))
+	is.True(deferring.shouldRead("g", veryOld, frequentReadTimes, later))
 }
 
 // TestStoreReaderSelection: of gateways that can all reach the store one reads, and a second one
@@ -68,7 +68,7 @@
 					s.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: fmt.Sprint(j) == unreachableFrom}, now)
 				}
 			}
-			if s.shouldRead(self, age, now) {
+			if s.shouldRead(self, age, frequentReadTimes, now) {
 				out = append(out, self)
 			}
 		}
