rudderctl relays: what relaying gateways know, evacuated data centres too

Operators could not see whether an evacuation is in force but in logs. The command asks each gateway named for what it answers its peers.

--- a/ctl/quarantine.go
+++ b/ctl/quarantine.go
@@ -1,10 +1,8 @@
 package ctl
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -60,7 +58,7 @@
 func (c *quarantineCommand) requestFromAny(method, path string) ([]byte, error) {
 	var lastErr error
 	for _, address := range c.Relay {
-		body, status, err := c.call(method, "http://"+address+path)
+		body, status, err := c.app.callRelay(method, address, path)
 		switch {
 		case err != nil:
 			lastErr = err
@@ -74,25 +72,3 @@
 	}
 	return nil, result.New(result.PlatformAway, "no relaying gateway answered: "+lastErr.Error())
 }
-
-// relayTimeout limits the call to one gateway, so that the next one can be tried.
-const relayTimeout = 2 * time.Second
-
-// maxListBytes limits a gateway's response, which lists up to 4,096 requests of about 120 bytes each.
-const maxListBytes = 1 << 20
-
-func (c *quarantineCommand) call(method, url string) (body []byte, status int, err error) {
-	ctx, cancel := context.WithTimeout(c.app.ctx, relayTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, url, nil)
-	if err != nil {
-		return nil, 0, trace.Wrap(err)
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, 0, trace.Wrap(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	body, err = io.ReadAll(io.LimitReader(res.Body, maxListBytes))
-	return body, res.StatusCode, trace.Wrap(err)
-}
--- a/ctl/registry.go
+++ b/ctl/registry.go
@@ -21,6 +21,7 @@
 		{"load", "Generate load", "Sends a load mix to the gateways and judges every answer.", &loadCommand{app: a}},
 		{"burn", "Report service-level burn", "Samples the gateways' metrics and reports how fast error budgets burn.", &burnCommand{app: a}},
 		{"quarantine", "Requests under which endpoints crash", "Lists what relaying gateways hold against requests, or clears one.", &quarantineCommand{app: a}},
+		{"relays", "Show relaying gateways", "Shows what relaying gateways know: configuration, endpoints, evacuated data centres.", &relaysCommand{app: a}},
 		{"completion", "Write shell completion", "Writes the completion script for bash.", &completionCommand{app: a}},
 	}
 }
--- a/relay/bootstrap.go
+++ b/relay/bootstrap.go
@@ -137,14 +137,14 @@
 	defer cancel()
 	type response struct {
 		from  netip.AddrPort
-		proof proofAnswer
+		proof GatewayState
 		err   error
 	}
 	responses := make(chan response, len(peers))
 	for _, peer := range peers {
 		go func() {
 			a := response{from: peer}
-			a.err = g.peerClient.get(ctx, g.peerURL(peer, pathProof), &a.proof)
+			a.err = g.peerClient.get(ctx, g.peerURL(peer, PathState), &a.proof)
 			responses <- a
 		}()
 	}
@@ -162,7 +162,7 @@
 }
 
 // isFresh reports whether a gateway that takes over this proof need not read the store at once.
-func (p proofAnswer) isFresh() bool {
+func (p GatewayState) isFresh() bool {
 	limit := takeoverAge.Milliseconds()
 	return p.Version > 0 && p.AgeMs < limit && p.EndpointsAgeMs >= 0 && p.EndpointsAgeMs < limit
 }
--- a/relay/peerclient.go
+++ b/relay/peerclient.go
@@ -23,14 +23,15 @@
 	// peersQueried is how many peers are queried at once.
 	peersQueried = 3
 
-	pathProof         = "/peer/proof"
+	// PathState is the path at which a gateway answers with its GatewayState.
+	PathState         = "/peer/proof"
 	pathConfiguration = "/peer/configuration"
 )
 
-// proofAnswer is a gateway's response about its newest proof of the configuration.
-type proofAnswer struct {
-	Version uint64
-	AgeMs   int64 // since the read was sent that proved Version
+// GatewayState is what a gateway answers about what it knows of the store.
+type GatewayState struct {
+	Version uint64 // of the configuration in force; 0: none
+	AgeMs   int64  // since the read was sent that proved Version
 	// EndpointsAgeMs is the time since the read of its list of endpoints was sent; negative: it has
 	// no list.
 	EndpointsAgeMs int64
@@ -40,10 +41,10 @@
 // PeerHandler answers operators and gateways that cannot reach the store.
 func (g *Gateway) PeerHandler() http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("GET "+pathProof, func(w http.ResponseWriter, _ *http.Request) {
+	m.HandleFunc("GET "+PathState, func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
 		age, _ := g.state.ProofAge(now)
-		a := proofAnswer{Version: g.state.Version(), AgeMs: age.Milliseconds(), EndpointsAgeMs: -1, Evacuations: g.state.Evacuations()}
+		a := GatewayState{Version: g.state.Version(), AgeMs: age.Milliseconds(), EndpointsAgeMs: -1, Evacuations: g.state.Evacuations()}
 		if listed := g.storeReads.endpointsAge(now); listed < time.Hour {
 			a.EndpointsAgeMs = listed.Milliseconds()
 		}
@@ -174,11 +175,11 @@
 }
 
 // queryPeer fetches a peer's proof and, if its version is newer, its configuration.
-func (g *Gateway) queryPeer(m netip.AddrPort) (proof proofAnswer, err error) {
+func (g *Gateway) queryPeer(m netip.AddrPort) (proof GatewayState, err error) {
 	ctx, cancel := context.WithTimeout(g.ctx, 2*peerQueryTimeout)
 	defer cancel()
 	sent := time.Now()
-	if err := g.peerClient.get(ctx, g.peerURL(m, pathProof), &proof); err != nil {
+	if err := g.peerClient.get(ctx, g.peerURL(m, PathState), &proof); err != nil {
 		return proof, err
 	}
 	g.applyEvacuations(proof.Evacuations, m.String())
