Fault soak: a data centre is evacuated again and again, and it is checked

Workers and gateways stand in two data centres now; the stand-in of the store takes evacuations as the operator writes them. A request that reaches a worker of an evacuated data centre two seconds after the request was acknowledged, counted from the end of each disruption of the store in between, is a violation, unless its gateway was disrupted since.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -25,6 +25,10 @@
 	crashes   []time.Time           // of workers, caused by the crashing request
 	disrupted map[string][]interval // by gateway: it was killed, stopped, frozen or suspended
 	lossy     map[string][]interval // by worker: its responses may have been lost in transit
+	// evacuations are the intervals from the acknowledgement of each evacuation to its end.
+	evacuations    []interval
+	storeDisrupted []interval        // the store was not usable as usual
+	dataCentres    map[string]string // by worker
 }
 
 // violations returns the violated guarantees, one line each.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -176,13 +176,18 @@
 
 func disruptStore(t usersplatform.Failure) func(*run, *rand.Rand, time.Duration) {
 	return func(r *run, _ *rand.Rand, length time.Duration) {
+		began := time.Now()
 		r.store.SetFailure(t)
 		time.Sleep(length)
 		r.store.SetFailure(usersplatform.NoFailure)
+		r.recordStoreDisruption(began)
 	}
 }
 
-func resetStore(r *run, _ *rand.Rand, _ time.Duration) { r.storeProxy.resetAll() }
+func resetStore(r *run, _ *rand.Rand, _ time.Duration) {
+	r.storeProxy.resetAll()
+	r.recordStoreDisruption(time.Now())
+}
 
 // pickWorker returns a random announced worker.
 func (r *run) pickWorker(random *rand.Rand) *proxiedWorker {
@@ -241,7 +246,7 @@
 // announceAfter.
 func (r *run) restartWorkerAs(old *proxiedWorker, announceAfter time.Duration) {
 	old.worker.Crash()
-	next, err := usersplatform.NewWorker(old.worker.ID, old.worker.Service, old.worker.Kind, old.worker.Address(), r.ledger, r.c.Seed)
+	next, err := usersplatform.NewWorker(old.worker.ID, old.worker.Service, old.worker.Kind, old.worker.DataCentre, old.worker.Address(), r.ledger, r.c.Seed)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
--- a/internal/soak/memory.go
+++ b/internal/soak/memory.go
@@ -87,7 +87,8 @@
 func (r *run) startEngine() error {
 	r.enginesStarted++
 	id := fmt.Sprintf("e-%d", r.enginesStarted)
-	w, err := usersplatform.NewEngine(id, engineService, r.host(102)+":0", r.ledger, r.memory, r.c.Seed+uint64(r.enginesStarted))
+	r.facts.dataCentres[id] = dataCentreOf(r.enginesStarted)
+	w, err := usersplatform.NewEngine(id, engineService, r.facts.dataCentres[id], r.host(102)+":0", r.ledger, r.memory, r.c.Seed+uint64(r.enginesStarted))
 	if err != nil {
 		return err
 	}
@@ -136,6 +137,8 @@
 	if ctx.Err() != nil {
 		return
 	}
+	began := time.Now()
+	defer r.recordStoreDisruption(began)
 	r.store.Restore(snapshot)
 	r.mu.Lock()
 	r.faults = append(r.faults, time.Now().Format("15:04:05.000")+" store restored from an older snapshot")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,7 @@
 	LimitedWorkers                            int      // workers that advertised a limit for long enough to be checked
 	Backoffs                                  int      // backoff requests that were checked
 	DrainedWorkers                            int      // workers whose drain notice was forwarded by some gateway
+	DuringEvacuations                         int      // requests that reached workers elsewhere while an evacuation had to be in force
 	LongPrompts, MemoryUses                   int      // long prompts, and how often they used reserved memory
 	Faults                                    []string // in the order of their times
 	Violations                                []string
@@ -106,7 +107,7 @@
 // The caller closes the run.
 func startRun(ctx context.Context, c Config) (*run, error) {
 	r := &run{c: c, store: usersplatform.NewStore(), ledger: usersplatform.NewLedger(), memory: usersplatform.NewMemory(), group: procs.NewGroup(c.Dir), suspended: make(map[int]time.Duration)}
-	r.facts = facts{ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), disrupted: make(map[string][]interval), lossy: make(map[string][]interval)}
+	r.facts = facts{ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), disrupted: make(map[string][]interval), lossy: make(map[string][]interval), dataCentres: make(map[string]string)}
 	if err := r.startPlatform(); err != nil {
 		return nil, err
 	}
@@ -187,7 +188,7 @@
 	host := r.host(i)
 	ini := fmt.Sprintf(`[relay]
 name = gateway-%d
-data_centre = a
+data_centre = %s
 listen = %s:%d
 ready_listen = %s:%d
 peer_listen = %s:%d
@@ -201,7 +202,7 @@
 [process]
 admin_listen = %s:%d
 drain_time = %s
-`, i, host, servicePort, host, readyPort, host, peerPort, r.host(0), r.storeProxy.address(), revokeAfter, maxUnusedTime, host, adminPort, drainTime)
+`, i, dataCentreOf(i), host, servicePort, host, readyPort, host, peerPort, r.host(0), r.storeProxy.address(), revokeAfter, maxUnusedTime, host, adminPort, drainTime)
 	return procs.Spec{
 		Name: fmt.Sprintf("gateway-%d", i), Binary: r.c.Binary, Args: []string{"--config", procs.DirVar + "/relay.ini"},
 		Env:   []string{"SUSPENDED_FILE=" + r.suspendedFile(i)},
@@ -248,7 +249,9 @@
 func (r *run) startWorker(kind string) error {
 	r.workersStarted++
 	id := fmt.Sprintf("i-%d", r.workersStarted)
-	w, err := usersplatform.NewWorker(id, kind, kind, r.host(100)+":0", r.ledger, r.c.Seed+uint64(r.workersStarted))
+	dataCentre := dataCentreOf(r.workersStarted / 2) // both services have workers in both
+	r.facts.dataCentres[id] = dataCentre
+	w, err := usersplatform.NewWorker(id, kind, kind, dataCentre, r.host(100)+":0", r.ledger, r.c.Seed+uint64(r.workersStarted))
 	if err != nil {
 		return err
 	}
@@ -281,6 +284,7 @@
 	}
 	tasks.Go(func() { r.inject(ctx, limitFaults, 0x11417) })
 	tasks.Go(func() { r.inject(ctx, statementFaults, 0x5a1d) })
+	tasks.Go(func() { r.evacuate(ctx) })
 	if r.c.RestoreStore {
 		tasks.Go(func() { r.restoreStore(ctx) })
 	}
@@ -356,6 +360,9 @@
 	out.Violations = append(out.Violations, checkLimits(r.requests, &r.facts)...)
 	out.Violations = append(out.Violations, checkDraining(r.requests, &r.facts)...)
 	out.Violations = append(out.Violations, checkBackoffs(r.requests, &r.facts)...)
+	evacuations := checkEvacuations(r.requests, &r.facts)
+	out.Violations = append(out.Violations, evacuations.violations...)
+	out.DuringEvacuations = evacuations.elsewhere
 	out.Backoffs = len(backoffUses(r.requests, &r.facts))
 	out.DrainedWorkers = len(drainNotices(r.requests, &r.facts))
 	out.LimitedWorkers = len(limitUses(r.requests, &r.facts))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,8 +82,8 @@
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
 	}
-	t.Logf("seed %d: %d requests, %d succeeded, %d refused, %d interrupted, %d workers crashed by one request, %d faults, %d long prompts, memory used %d times, %d workers checked for limits, %d for drains, %d backoffs", seed, report.Requests, report.Succeeded,
-		report.Refused, report.Interrupted, report.Crashes, len(report.Faults), report.LongPrompts, report.MemoryUses, report.LimitedWorkers, report.DrainedWorkers, report.Backoffs)
+	t.Logf("seed %d: %d requests, %d succeeded, %d refused, %d interrupted, %d workers crashed by one request, %d faults, %d long prompts, memory used %d times, %d workers checked for limits, %d for drains, %d backoffs, %d requests during evacuations", seed, report.Requests, report.Succeeded,
+		report.Refused, report.Interrupted, report.Crashes, len(report.Faults), report.LongPrompts, report.MemoryUses, report.LimitedWorkers, report.DrainedWorkers, report.Backoffs, report.DuringEvacuations)
 	if report.Requests == 0 || report.Succeeded == 0 {
 		t.Errorf("seed %d: no request was sent or none succeeded, so nothing was checked", seed)
 	}
--- a/internal/standin/usersplatform/wire.go
+++ b/internal/standin/usersplatform/wire.go
@@ -82,11 +82,19 @@
 // Announce writes the worker's entry as the worker does, with the address at which it is reached.
 func (s *Store) Announce(w *Worker, address, state string) {
 	s.Put("servers/"+w.ID, map[string]any{
-		"service": w.Service, "address": address, "zone": "a", "version": "v1", "slots": 8, "state": state,
+		"service": w.Service, "address": address, "zone": w.DataCentre, "version": "v1", "slots": 8, "state": state,
 		"coldRemainingMs": 0, "sequence": 1, "born": w.StartedMs,
 	})
 }
 
+// Evacuate asks, as the operator does, that the workers of a data centre get no more requests.
+func (s *Store) Evacuate(dataCentre string) { s.Put(evacuationPrefix+dataCentre, map[string]any{}) }
+
+// EndEvacuation takes the request back.
+func (s *Store) EndEvacuation(dataCentre string) { s.Delete(evacuationPrefix + dataCentre) }
+
+const evacuationPrefix = "op/evacuate/"
+
 // foreignValues are entries that no worker writes about itself.
 var foreignValues = []any{
 	"ready", nil, 7, []string{"ready"}, map[string]any{}, map[string]any{"state": "ready"},
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -86,6 +86,7 @@
 type Worker struct {
 	ID, Service, Kind string // Kind: plain, stream or engine
 	StartedMs         int64  // Unix milliseconds
+	DataCentre        string
 	ledger            *Ledger
 	listener          net.Listener
 	memory            *Memory // of kind engine
@@ -112,13 +113,13 @@
 const eventInterval = 20 * time.Millisecond
 
 // NewWorker starts a worker on a loopback address.
-func NewWorker(id, service, kind, address string, ledger *Ledger, seed uint64) (*Worker, error) {
-	return start(&Worker{ID: id, Service: service, Kind: kind, ledger: ledger}, address, seed)
+func NewWorker(id, service, kind, dataCentre, address string, ledger *Ledger, seed uint64) (*Worker, error) {
+	return start(&Worker{ID: id, Service: service, Kind: kind, DataCentre: dataCentre, ledger: ledger}, address, seed)
 }
 
 // NewEngine starts a worker of kind engine, with its reservations in memory.
-func NewEngine(id, service, address string, ledger *Ledger, memory *Memory, seed uint64) (*Worker, error) {
-	return start(&Worker{ID: id, Service: service, Kind: "engine", ledger: ledger, memory: memory}, address, seed)
+func NewEngine(id, service, dataCentre, address string, ledger *Ledger, memory *Memory, seed uint64) (*Worker, error) {
+	return start(&Worker{ID: id, Service: service, Kind: "engine", DataCentre: dataCentre, ledger: ledger, memory: memory}, address, seed)
 }
 
 func start(w *Worker, address string, seed uint64) (*Worker, error) {
