Two gateways of each cell read the store before the whole cell does

Cause: the fleet has one reader, and others take over from data that is two seconds old. What reaches a cell from another one is dated by its oldest possible moment at each of two hops, twice a second: in some cells it is always a little older than that, and then all 80 gateways read at once, again and again. Why it holds: reads grow with cells, which hold 24 endpoints or more, not with gateways; while data is fresh still one gateway reads for all. TestTwoReadersInAnOldCell, with the two cases taken out: nobody of 80 reads before all do; now two.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -201,7 +201,7 @@
 			g.handlePeerDrains(msg)
 			g.handlePeerEvacuations(msg)
 			g.storeReads.mu.Lock()
-			g.storeReads.recordPeerStore(msg, now)
+			g.storeReads.recordPeerStore(msg, !g.fromOtherCell(msg), now)
 			g.storeReads.mu.Unlock()
 			g.picker.recordDigests(msg, sentAt)
 		})
--- a/relay/gatewaylist_test.go
+++ b/relay/gatewaylist_test.go
@@ -24,7 +24,7 @@
 			s := newStoreReads()
 			for j := range gateways {
 				if j != i {
-					s.recordPeerStore(peers.Message{From: fmt.Sprint(j)}, now)
+					s.recordPeerStore(peers.Message{From: fmt.Sprint(j)}, true, now)
 				}
 			}
 			if s.shouldRead(fmt.Sprint(i), age, gatewayReadTimes, now) {
--- a/relay/storereads.go
+++ b/relay/storereads.go
@@ -50,8 +50,8 @@
 // storeReads holds what this gateway knows of its own and the other gateways' reads of the store.
 type storeReads struct {
 	mu           sync.Mutex
-	withStore    map[string]time.Time // last message of peers that can reach the store
-	withoutStore map[string]time.Time // last message of peers that cannot
+	withStore    map[string]heardPeer // peers that can reach the store
+	withoutStore map[string]heardPeer // peers that cannot
 	crossCell    map[string]time.Time // last digest of peers of other cells
 	list         endpointList
 	hash         uint64    // of list; 0 if there is none
@@ -68,8 +68,14 @@
 	gateways       knownGateways
 }
 
+// heardPeer is a peer from which a message was received.
+type heardPeer struct {
+	at    time.Time // when the last one was
+	local bool      // whether the peer is in the local cell
+}
+
 func newStoreReads() *storeReads {
-	return &storeReads{withStore: make(map[string]time.Time), withoutStore: make(map[string]time.Time), crossCell: make(map[string]time.Time)}
+	return &storeReads{withStore: make(map[string]heardPeer), withoutStore: make(map[string]heardPeer), crossCell: make(map[string]time.Time)}
 }
 
 // recentPeers returns the peers that sent a message recently.
@@ -77,13 +83,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recent := recentPeers{all: make(map[string]bool), withStore: make(map[string]bool), crossCell: make(map[string]bool)}
-	for name, receivedAt := range s.withStore {
-		if now.Sub(receivedAt) <= peerTimeout {
+	for name, peer := range s.withStore {
+		if now.Sub(peer.at) <= peerTimeout {
 			recent.all[name], recent.withStore[name] = true, true
 		}
 	}
-	for name, receivedAt := range s.withoutStore {
-		if now.Sub(receivedAt) <= peerTimeout {
+	for name, peer := range s.withoutStore {
+		if now.Sub(peer.at) <= peerTimeout {
 			recent.all[name] = true
 		}
 	}
@@ -113,14 +119,15 @@
 
 // shouldRead reports whether this gateway reads the store again, given the age of its newest read.
 // Of the gateways that reach the store the first always reads, the next stands by, and the others
-// read when both must have failed. If other gateways cannot reach the store either, this one leaves
+// read when both must have failed. What comes from another cell may be as old as that in normal
+// operation, so the first two gateways of each cell read before the others of the cell do. If other gateways cannot reach the store either, this one leaves
 // it to them for a while: 103 gateways made 560 calls in the 7 s for which the store was
 // unavailable.
 func (s *storeReads) shouldRead(self string, age time.Duration, times readTimes, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reaching := countPreceding(self, s.withStore, now)
-	notReaching := countPreceding(self, s.withoutStore, now)
+	reaching, localReaching := countPreceding(self, s.withStore, now)
+	notReaching, _ := countPreceding(self, s.withoutStore, now)
 	if notReaching == 0 {
 		s.peersLostSince = time.Time{}
 	} else if s.peersLostSince.IsZero() {
@@ -133,6 +140,10 @@
 		return true
 	case !s.storeLost && reaching < storeReaders && age > times.standby:
 		return true
+	case !s.storeLost && localReaching == 0 && age > times.standby:
+		return true
+	case !s.storeLost && localReaching < storeReaders && age > (times.standby+times.takeover)/2:
+		return true
 	case age <= times.takeover:
 		return false
 	case notReaching > 0:
@@ -142,20 +153,23 @@
 	}
 }
 
-// countPreceding returns how many of the peers that sent a message recently precede a gateway; it
-// drops the others.
-func countPreceding(self string, peers map[string]time.Time, now time.Time) int {
-	preceding := 0
-	for name, receivedAt := range peers {
-		if now.Sub(receivedAt) > peerTimeout {
+// countPreceding returns how many of the peers that sent a message recently precede a gateway, in all
+// and in the local cell; it drops the others.
+func countPreceding(self string, peers map[string]heardPeer, now time.Time) (all, local int) {
+	for name, peer := range peers {
+		if now.Sub(peer.at) > peerTimeout {
 			delete(peers, name)
 			continue
 		}
-		if precedes(name, self) {
-			preceding++
+		if !precedes(name, self) {
+			continue
+		}
+		all++
+		if peer.local {
+			local++
 		}
 	}
-	return preceding
+	return all, local
 }
 
 // rank orders gateways independently of their names, so that the readers are in different data
@@ -237,9 +251,9 @@
 
 // recordPeerStore records whether a peer can reach the store. A peer's failure counts like a failed
 // read of this gateway, which keeps endpoints whose entries expired meanwhile, unless other peers
-// can reach the store: a gateway that takes its lists from these may not have read for long. The
-// caller holds the lock.
-func (s *storeReads) recordPeerStore(msg peers.Message, now time.Time) {
+// can reach the store: a gateway that takes its lists from these may not have read for long. local is
+// set for a peer of the local cell. The caller holds the lock.
+func (s *storeReads) recordPeerStore(msg peers.Message, local bool, now time.Time) {
 	delete(s.withStore, msg.From)
 	delete(s.withoutStore, msg.From)
 	if len(msg.Digests) > 0 {
@@ -248,20 +262,20 @@
 	switch {
 	case msg.ShuttingDown:
 	case msg.StoreUnreachable:
-		s.withoutStore[msg.From] = now
+		s.withoutStore[msg.From] = heardPeer{now, local}
 		if s.storeLost && !s.peerReachesStore(now) {
 			s.failedAt = now
 		}
 	default:
-		s.withStore[msg.From] = now
+		s.withStore[msg.From] = heardPeer{now, local}
 	}
 }
 
 // peerReachesStore reports whether a peer that can reach the store sent a message recently. The
 // caller holds the lock.
 func (s *storeReads) peerReachesStore(now time.Time) bool {
-	for _, receivedAt := range s.withStore {
-		if now.Sub(receivedAt) <= peerTimeout {
+	for _, peer := range s.withStore {
+		if now.Sub(peer.at) <= peerTimeout {
 			return true
 		}
 	}
@@ -287,10 +301,10 @@
 
 // handlePeerMessage processes what a peer reports about its reads.
 func (g *Gateway) handlePeerMessage(msg peers.Message, from netip.AddrPort) {
-	now := time.Now()
+	now, local := time.Now(), !g.fromOtherCell(msg)
 	s := g.storeReads
 	s.mu.Lock()
-	s.recordPeerStore(msg, now)
+	s.recordPeerStore(msg, local, now)
 	s.mu.Unlock()
 	if msg.Version > 0 && msg.Endpoints != 0 && !g.hasData() {
 		g.fetch(func() { g.bootstrapFrom(from) })
--- a/relay/storereads_test.go
+++ b/relay/storereads_test.go
@@ -32,7 +32,7 @@
 		s.recordRead(fmt.Errorf("no answer"), now)
 		for j := range gateways {
 			if j != i {
-				s.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: true}, now)
+				s.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: true}, true, now)
 			}
 		}
 		if s.shouldRead(fmt.Sprint(i), veryOld, frequentReadTimes, now) {
@@ -46,7 +46,7 @@
 	is.True(deferring.shouldRead("0", veryOld, frequentReadTimes, now.Add(peerTimeout+time.Millisecond)))
 	later := now.Add(readDeferral + time.Millisecond)
 	for j := range gateways {
-		deferring.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: true}, later)
+		deferring.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: true}, true, later)
 	}
 	is.True(deferring.shouldRead("g", veryOld, frequentReadTimes, later))
 }
@@ -65,7 +65,7 @@
 			}
 			for j := range gateways {
 				if j != i {
-					s.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: fmt.Sprint(j) == unreachableFrom}, now)
+					s.recordPeerStore(peers.Message{From: fmt.Sprint(j), StoreUnreachable: fmt.Sprint(j) == unreachableFrom}, true, now)
 				}
 			}
 			if s.shouldRead(self, age, frequentReadTimes, now) {
@@ -85,6 +85,45 @@
 	is.True(slices.Contains(without, first[0]))
 }
 
+// TestTwoReadersInAnOldCell guards against reads of the store by all gateways of a cell at once, because what
+// comes from other cells, whose readers precede, is a little older than all tolerate: two of the cell read
+// before.
+func TestTwoReadersInAnOldCell(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	const cells, gateways = 5, 80
+	names := make([][]string, cells) // of each cell, in the order of readers
+	for cell := range cells {
+		for i := range gateways {
+			names[cell] = append(names[cell], fmt.Sprint("g", cell, "-", i))
+		}
+		slices.SortFunc(names[cell], compareRank)
+	}
+	readers := func(cell int, age time.Duration) (n int) {
+		for i := range gateways {
+			s := newStoreReads()
+			for other := range cells {
+				for j := range gateways {
+					if other == cell && j != i || other != cell && j < storeReaders {
+						s.recordPeerStore(peers.Message{From: names[other][j]}, other == cell, now)
+					}
+				}
+			}
+			if s.shouldRead(names[cell][i], age, frequentReadTimes, now) {
+				n++
+			}
+		}
+		return n
+	}
+	fresh := 0
+	for cell := range cells {
+		fresh += readers(cell, readInterval)
+		is.True(readers(cell, standbyAge+time.Millisecond) >= 1)
+		is.Equal(readers(cell, takeoverAge), storeReaders)
+	}
+	is.Equal(fresh, 1) // while data is fresh, one gateway of the fleet reads
+}
+
 // TestStoreRecoveryInferredFromPeerProof: a gateway whose last read failed some time ago takes a
 // peer's later proof as evidence that the store is back, but not a proof from shortly after the
 // failure.
@@ -108,15 +147,15 @@
 	s := newStoreReads()
 	s.recordRead(fmt.Errorf("no answer"), now)
 	later := now.Add(time.Second)
-	s.recordPeerStore(peers.Message{From: "p", StoreUnreachable: true}, later)
+	s.recordPeerStore(peers.Message{From: "p", StoreUnreachable: true}, true, later)
 	is.Equal(s.failedAt, later)
 	again := later.Add(time.Second)
-	s.recordPeerStore(peers.Message{From: "q"}, again)
-	s.recordPeerStore(peers.Message{From: "p", StoreUnreachable: true}, again)
+	s.recordPeerStore(peers.Message{From: "q"}, true, again)
+	s.recordPeerStore(peers.Message{From: "p", StoreUnreachable: true}, true, again)
 	is.Equal(s.failedAt, later)
-	s.recordPeerStore(peers.Message{From: "q", ShuttingDown: true}, again)
+	s.recordPeerStore(peers.Message{From: "q", ShuttingDown: true}, true, again)
 	s.recordRead(nil, again)
-	s.recordPeerStore(peers.Message{From: "p", StoreUnreachable: true}, again)
+	s.recordPeerStore(peers.Message{From: "p", StoreUnreachable: true}, true, again)
 	is.Equal(s.failedAt, later)
 }
 
