Gateways of a cell take over reading two by two

What operators saw: a trial that logged each call of two of the fleet's data centres showed all 86 gateways of one reading configuration and list at once after the first start, and all of both when traffic began. Cause: the age at which others take over from the readers is the same for all of a cell. Change: each further pair of a cell, by the readers' order, takes over 0.2 s later, up to 0.8 s. Why it holds: a read and its word to the others take less than that; ten gateways at most read before all do, whatever the size of the cell, and the bound keeps proofs under three seconds.

--- a/relay/storereads.go
+++ b/relay/storereads.go
@@ -114,6 +114,20 @@
 	takeover time.Duration // all others
 }
 
+const (
+	// takeoverInterval is how much later each further group of storeReaders gateways of a cell reads when
+	// the data of the cell is too old: enough for a read and for telling the others.
+	takeoverInterval = 200 * time.Millisecond
+	// maxTakeoverDelay bounds that delay, since keys need a proof that is not much older than takeoverAge.
+	maxTakeoverDelay = 4 * takeoverInterval
+)
+
+// takeoverDelay returns how much later than takeover a gateway reads that this many gateways of its cell
+// precede, so that the cell does not read all at once what the first of them tell it.
+func takeoverDelay(preceding int) time.Duration {
+	return min(maxTakeoverDelay, time.Duration(preceding/storeReaders)*takeoverInterval)
+}
+
 // frequentReadTimes are those of the configuration and the endpoints.
 var frequentReadTimes = readTimes{standbyAge, takeoverAge}
 
@@ -144,7 +158,7 @@
 		return true
 	case !s.storeLost && localReaching < storeReaders && age > (times.standby+times.takeover)/2:
 		return true
-	case age <= times.takeover:
+	case age <= times.takeover+takeoverDelay(localReaching):
 		return false
 	case notReaching > 0:
 		return now.Sub(s.peersLostSince) > readDeferral && now.Sub(s.queriedAt) > readDeferral
