Lists of endpoints are passed on by their difference

Cause: each change of the list makes a new one, which each of 80 gateways fetched whole from the one that tells it (9.4 KB compressed, measured on such entries, for 633 endpoints, two or three lists a second): more than a thin host's link of 20 Mbit/s gives in time, so that the data of the others grew older than they tolerate. Change: the peer says which list it has; the last eight are kept, and the answer holds what has changed. Peers of the release before ask without it and get the whole list. Why it holds: bytes of a change do not grow with the endpoints; who was away longer gets the whole list.

--- /dev/null
+++ b/relay/endpointlist.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+// endpointList is a list as it was read from the store, or its difference from an earlier one. Failed reads
+// of a peer are not passed on, since they say nothing about the store itself.
+type endpointList struct {
+	// Endpoints is the complete list or, if Base is set, the endpoints that are new or have changed.
+	Endpoints []catalog.Endpoint
+	// Base is the hash of the list that this one differs from; 0 if this one is complete.
+	Base    uint64   `json:",omitempty"`
+	Removed []string `json:",omitempty"` // endpoints of Base that are gone
+}
+
+// listHistory is the number of earlier lists to which differences are known: while endpoints are replaced one
+// after the other, peers ask for each new list within a second.
+const listHistory = 8
+
+// earlierList is a list that was replaced by a newer one.
+type earlierList struct {
+	hash      uint64
+	endpoints []catalog.Endpoint
+}
+
+// difference returns the list as its difference from the one with the hash base, or complete if that one is
+// not known. The caller holds the lock.
+func (s *storeReads) difference(base uint64) endpointList {
+	if base == s.hash {
+		return endpointList{Base: base}
+	}
+	for _, earlier := range s.earlier {
+		if earlier.hash == base {
+			return diffEndpoints(earlier, s.list)
+		}
+	}
+	return endpointList{Endpoints: s.list}
+}
+
+func diffEndpoints(from earlierList, to []catalog.Endpoint) endpointList {
+	out := endpointList{Base: from.hash}
+	before := make(map[string]catalog.Endpoint, len(from.endpoints))
+	for _, e := range from.endpoints {
+		before[e.ID] = e
+	}
+	for _, e := range to {
+		if old, ok := before[e.ID]; !ok || old != e {
+			out.Endpoints = append(out.Endpoints, e)
+		}
+		delete(before, e.ID)
+	}
+	for id := range before {
+		out.Removed = append(out.Removed, id)
+	}
+	return out
+}
+
+// applyTo returns the complete list, given the list with the hash l.Base.
+func (l endpointList) applyTo(base []catalog.Endpoint) []catalog.Endpoint {
+	replaced := make(map[string]bool, len(l.Endpoints)+len(l.Removed))
+	for _, e := range l.Endpoints {
+		replaced[e.ID] = true
+	}
+	for _, id := range l.Removed {
+		replaced[id] = true
+	}
+	out := make([]catalog.Endpoint, 0, len(base)+len(l.Endpoints))
+	for _, e := range base {
+		if !replaced[e.ID] {
+			out = append(out, e)
+		}
+	}
+	return append(out, l.Endpoints...)
+}
+
+// fetchEndpoints fetches a peer's list, by its difference from the known one if the peer has that. The peer
+// may have read the store again meanwhile; then the list is newer than sent.
+func (g *Gateway) fetchEndpoints(from netip.AddrPort, sent time.Time) error {
+	ctx, cancel := context.WithTimeout(g.ctx, 2*peerQueryTimeout)
+	defer cancel()
+	s := g.storeReads
+	s.mu.Lock()
+	known, base := s.hash, s.list
+	s.mu.Unlock()
+	var list endpointList
+	if err := g.peerClient.get(ctx, g.peerURL(from, pathEndpoints)+"?known="+strconv.FormatUint(known, 10), &list); err != nil {
+		return err
+	}
+	switch list.Base {
+	case 0:
+		base = list.Endpoints
+	case known:
+		base = list.applyTo(base)
+	default:
+		return trace.Errorf("a peer's list differs from %x, which was not asked for", list.Base)
+	}
+	s.recordList(base, sent)
+	g.applyEndpoints()
+	return nil
+}
+
+// fetchEndpointsLogged is fetchEndpoints for callers that go on with what they have.
+func (g *Gateway) fetchEndpointsLogged(from netip.AddrPort, sent time.Time) {
+	if err := g.fetchEndpoints(from, sent); err != nil {
+		g.deps.Log.Logger().Warn("A peer's list of endpoints could not be read.", "peer", from, "err", err)
+	}
+}
+
+// serveEndpoints answers a peer that asks for the list and may say which one it knows.
+func (g *Gateway) serveEndpoints(w http.ResponseWriter, r *http.Request) {
+	known, _ := strconv.ParseUint(r.URL.Query().Get("known"), 10, 64) // an invalid hash is that of no list
+	s := g.storeReads
+	s.mu.Lock()
+	list, hash := s.difference(known), s.hash
+	s.mu.Unlock()
+	if hash == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if list.Base != 0 {
+		g.writePeerResponse(w, list)
+		return
+	}
+	g.writeDocument(w, &g.endpointsDocument, hash, list)
+}
--- a/relay/storereads.go
+++ b/relay/storereads.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"context"
 	"encoding/binary"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -41,25 +39,20 @@
 	pathEndpoints = "/peer/endpoints"
 )
 
-// endpointList is a list as it was read from the store. Failed reads of a peer are not passed on,
-// since they say nothing about the store itself.
-type endpointList struct {
-	Endpoints []catalog.Endpoint
-}
-
 // storeReads holds what this gateway knows of its own and the other gateways' reads of the store.
 type storeReads struct {
 	mu           sync.Mutex
 	withStore    map[string]heardPeer // peers that can reach the store
 	withoutStore map[string]heardPeer // peers that cannot
 	crossCell    map[string]time.Time // last digest of peers of other cells
-	list         endpointList
-	hash         uint64    // of list; 0 if there is none
-	listedAt     time.Time // when the read of list was sent, or list was last confirmed; zero means long ago
-	suspendedAt  time.Time // when the host's latest suspension was noticed
-	cancelReads  []func()  // cancel reads of the list that are in progress
-	failedAt     time.Time // when a read of the store last failed, see recordPeerStore
-	queriedAt    time.Time // when this gateway last queried the store
+	list         []catalog.Endpoint
+	hash         uint64        // of list; 0 if there is none
+	earlier      []earlierList // before list, the newest last
+	listedAt     time.Time     // when the read of list was sent, or list was last confirmed; zero means long ago
+	suspendedAt  time.Time     // when the host's latest suspension was noticed
+	cancelReads  []func()      // cancel reads of the list that are in progress
+	failedAt     time.Time     // when a read of the store last failed, see recordPeerStore
+	queriedAt    time.Time     // when this gateway last queried the store
 	// peersLostSince is since when peers that precede this one have been unable to reach the store;
 	// zero if they can.
 	peersLostSince time.Time
@@ -212,7 +205,12 @@
 func (s *storeReads) recordList(list []catalog.Endpoint, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list.Endpoints, s.hash = list, hashEndpoints(list)
+	hash := hashEndpoints(list)
+	if s.hash != 0 && s.hash != hash {
+		s.earlier = append(s.earlier, earlierList{s.hash, s.list})
+		s.earlier = s.earlier[max(0, len(s.earlier)-listHistory):]
+	}
+	s.list, s.hash = list, hash
 	s.setListedAt(sent)
 	for _, cancel := range s.cancelReads {
 		cancel()
@@ -409,32 +407,11 @@
 	}()
 }
 
-// fetchEndpoints fetches a peer's list. The peer may have read the store again meanwhile; then the
-// list is newer than sent.
-func (g *Gateway) fetchEndpoints(from netip.AddrPort, sent time.Time) error {
-	ctx, cancel := context.WithTimeout(g.ctx, 2*peerQueryTimeout)
-	defer cancel()
-	var list endpointList
-	if err := g.peerClient.get(ctx, g.peerURL(from, pathEndpoints), &list); err != nil {
-		return err
-	}
-	g.storeReads.recordList(list.Endpoints, sent)
-	g.applyEndpoints()
-	return nil
-}
-
-// fetchEndpointsLogged is fetchEndpoints for callers that go on with what they have.
-func (g *Gateway) fetchEndpointsLogged(from netip.AddrPort, sent time.Time) {
-	if err := g.fetchEndpoints(from, sent); err != nil {
-		g.deps.Log.Logger().Warn("A peer's list of endpoints could not be read.", "peer", from, "err", err)
-	}
-}
-
 // applyEndpoints applies the newest list.
 func (g *Gateway) applyEndpoints() {
 	s := g.storeReads
 	s.mu.Lock()
-	list, sent, failed := s.list.Endpoints, s.listedAt, s.failedAt
+	list, sent, failed := s.list, s.listedAt, s.failedAt
 	s.mu.Unlock()
 	for _, c := range g.state.ApplyList(list, sent, time.Now(), failed) {
 		g.handleEndpointChange(c)
@@ -468,16 +445,3 @@
 	}
 	return now.Sub(s.listedAt)
 }
-
-// serveEndpoints answers a peer that asks for the list.
-func (g *Gateway) serveEndpoints(w http.ResponseWriter, _ *http.Request) {
-	s := g.storeReads
-	s.mu.Lock()
-	list, hash := s.list, s.hash
-	s.mu.Unlock()
-	if hash == 0 {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	g.writeDocument(w, &g.endpointsDocument, hash, list)
-}
