--- a/relay/bootstrap.go
+++ b/relay/bootstrap.go
@@ -74,8 +74,8 @@
 
 // bootstrapFromAny queries gateways and takes the data from the first one with a fresh proof. It reports
 // whether it has the data.
-func (g *Gateway) bootstrapFromAny(peers []netip.AddrPort, began time.Time) bool {
-	from := g.queryProofs(peers)
+func (g *Gateway) bootstrapFromAny(addresses []netip.AddrPort, began time.Time) bool {
+	from := g.queryProofs(addresses)
 	if !from.IsValid() || !g.bootstrapFrom(from) {
 		return false
 	}
@@ -132,7 +132,7 @@
 
 // queryProofs queries the proofs of several gateways at once. It returns the first one with a fresh proof,
 // or the zero value if none has one.
-func (g *Gateway) queryProofs(peers []netip.AddrPort) netip.AddrPort {
+func (g *Gateway) queryProofs(addresses []netip.AddrPort) netip.AddrPort {
 	ctx, cancel := context.WithTimeout(g.ctx, bootstrapQueryTimeout)
 	defer cancel()
 	type response struct {
@@ -140,15 +140,15 @@
 		proof GatewayState
 		err   error
 	}
-	responses := make(chan response, len(peers))
-	for _, peer := range peers {
+	responses := make(chan response, len(addresses))
+	for _, peer := range addresses {
 		go func() {
 			a := response{from: peer}
 			a.err = g.peerClient.get(ctx, g.peerURL(peer, PathState), &a.proof)
 			responses <- a
 		}()
 	}
-	for range peers {
+	for range addresses {
 		a := <-responses
 		if a.err != nil {
 			g.deps.Log.Logger().Info("A named gateway does not answer.", "peer", a.from, "err", a.err)
