A confirmed drain keeps the time of its first statement

Cause: the worker had restarted under its name and its new incarnation said so before the store listed it. The statement was kept as uncertain, dated when the list showed the restart, and dated once more when another gateway confirmed it. Endpoints that drain are used as a last resort for one second after they said so, and by then the workers of the other data centre were evacuated or drained. Ruled out: the evacuation itself (its data centre got nothing); an old list (the restart was known). Change: an uncertain entry and its confirmation keep the time of the first statement; how long an entry is sent to others is kept apart from it. TestConfirmedDrainKeepsItsTime failed before (dated 3 s late).

--- a/availability/drain.go
+++ b/availability/drain.go
@@ -30,9 +30,10 @@
 
 // DrainEntry describes a draining endpoint, which accepts no new requests.
 type DrainEntry struct {
-	Born   int64     // incarnation that is draining, see catalog.Endpoint
-	Since  time.Time // when this gateway learned of it
-	Source string    // where it learned of it first: FromStore, FromResponse or the name of a gateway
+	Born       int64     // incarnation that is draining, see catalog.Endpoint
+	Since      time.Time // when this gateway learned of it, or received a statement that may have been about it
+	Source     string    // where it learned of it first: FromStore, FromResponse or the name of a gateway
+	shareUntil time.Time // until when every message to the other gateways includes the entry
 	// listed is set if the store's list says so too. All gateways read that list, so the entry need
 	// not be sent to them.
 	listed bool
@@ -61,7 +62,11 @@
 		old.listed = old.listed || source == FromStore
 		return false
 	}
-	t.entries[e.ID] = &DrainEntry{Born: e.Born, Since: now, Source: source, listed: source == FromStore}
+	entry := &DrainEntry{Born: e.Born, Since: now, shareUntil: now.Add(shareFor), Source: source, listed: source == FromStore}
+	if old != nil && !restarted(old.Born, e.Born) {
+		entry.Since = old.Since // it was uncertain
+	}
+	t.entries[e.ID] = entry
 	return true
 }
 
@@ -74,7 +79,7 @@
 	if old == nil || old.listed || old.Since.Before(listed.Add(-restartListingLag)) {
 		return false
 	}
-	t.entries[e.ID] = &DrainEntry{Born: e.Born, Since: now, Source: old.Source, uncertain: true}
+	t.entries[e.ID] = &DrainEntry{Born: e.Born, Since: old.Since, Source: old.Source, uncertain: true}
 	return true
 }
 
@@ -117,7 +122,7 @@
 	}
 	var out map[string]int64
 	for id, entry := range t.entries { // in random order, so that each is sent in some message
-		if entry.listed || entry.superseded || entry.uncertain || !full && now.Sub(entry.Since) > shareFor {
+		if entry.listed || entry.superseded || entry.uncertain || !full && now.After(entry.shareUntil) {
 			continue
 		}
 		if out == nil {
--- a/availability/drain_test.go
+++ b/availability/drain_test.go
@@ -91,3 +91,20 @@
 	_, draining := table.Lookup(e)
 	is.True(draining)
 }
+
+// TestConfirmedDrainKeepsItsTime guards against requests that reach a draining endpoint as a last resort
+// long after its gateway has passed on that it drains: the statement came from an incarnation that was not
+// known yet, and its confirmation was taken for a new drain.
+func TestConfirmedDrainKeepsItsTime(t *testing.T) {
+	is := is.New(t)
+	table, begin := NewDrainTable(), time.Unix(1000, 0)
+	first, second := catalog.Endpoint{ID: "e", Born: 1}, catalog.Endpoint{ID: "e", Born: 2}
+	table.Add(first, FromResponse, begin)
+	is.True(table.Restarted(second, begin, begin.Add(2*time.Second)))
+	now := begin.Add(3 * time.Second)
+	is.True(table.Add(second, "g2", now))
+	drain, ok := table.Lookup(second)
+	is.True(ok)
+	is.Equal(drain.Since, begin)
+	is.Equal(table.Updates(false, now.Add(shareFor/2)), map[string]int64{"e": 2}) // others may not know yet
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,6 +55,7 @@
 	{180045, "a worker lowered its limit from a million to none while it received nothing; sixteen requests were granted at once under the limit last announced"},
 	{140009, "the check accepted -1 as a limit"},
 	{140037, "the same"},
+	{880022, "a drain that a new incarnation had announced was dated anew when another gateway confirmed it, and the worker was used as a last resort while its data centre's others drained"},
 	{140002, "unknown: it failed once, the violation was not kept, and it passed in nine runs since; the gateways' logs show each limit kept"},
 }
 
