Cold engines are used as usual where their slots let in no more than they take

Cause: the limit is meant for endpoints that would get too much; engines there take 28 requests a second while cold and have 12 slots, in which a request stays for longer than half a second. Change: no grants for a cold engine whose rate is two a second for each slot or more. Why it holds: gateways send none to an engine without a free slot, and 1.5 times the rate and five are borne. TestColdEnginesWithEnoughRateAreUsed: of 1,500 requests 496 go to the cold third of the engines, nobody refused; with the limits fewer than 400 (failed).

--- a/relay/cold.go
+++ b/relay/cold.go
@@ -14,6 +14,16 @@
 	until     time.Time
 }
 
+// sendsPerSlot is how many requests a second one slot of an engine may get at most: a request holds its slot
+// for longer than half a second, and gateways send none to an engine without a free slot.
+const sendsPerSlot = 2
+
+// needsColdLimit reports whether a cold endpoint of the service could get more requests than it accepts. An
+// engine whose slots let in no more needs no grants, which would leave it idle while others are busy.
+func needsColdLimit(s *catalog.Service, e catalog.Endpoint) bool {
+	return s.ColdRate > 0 && (s.Engine == nil || s.ColdRate < float64(sendsPerSlot*e.Slots))
+}
+
 // setCold replaces the limits of cold endpoints. It returns the ids of those that became cold and of those
 // that no longer are.
 func (l *endpointLimits) setCold(cold map[string]coldLimit) (began, ended []string) {
@@ -52,12 +62,12 @@
 		if e.ColdFor <= 0 {
 			continue
 		}
-		if s := table.Service(e.Service); s != nil && s.ColdRate > 0 {
+		if s := table.Service(e.Service); s != nil && needsColdLimit(s, e) {
 			cold[e.ID] = coldLimit{s.ColdRate, sent.Add(e.ColdFor)}
 		}
 	}
 	began, ended := g.endpointLimits.setCold(cold)
 	if len(began) > 0 || len(ended) > 0 {
-		g.deps.Log.Logger().Info("Cold endpoints changed.", "cold", len(cold), "began", began, "ended", ended, "list_age_ms", time.Since(sent).Milliseconds())
+		g.deps.Log.Logger().Info("Limits of cold endpoints changed.", "cold", len(cold), "began", began, "ended", ended, "list_age_ms", time.Since(sent).Milliseconds())
 	}
 }
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -98,6 +98,29 @@
 	}
 }
 
+// TestColdEnginesWithEnoughRateAreUsed guards against callers who wait or are refused while cold engines stand
+// idle that may take more requests than their slots let in.
+func TestColdEnginesWithEnoughRateAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLimitFleetInCells(t, 3, 20, 30)
+		f.responseTime = 600 * time.Millisecond
+		time.Sleep(2 * time.Second)
+		rate := float64(sendsPerSlot * f.gateways[0].state.Endpoints("s")[0].Slots)
+		from := time.Now()
+		f.setCold(rate, 10*time.Second, "dc1")
+		time.Sleep(250 * time.Millisecond)
+		f.sendLoad(t, 300, 5*time.Second, func(n int) int { return n % 20 })
+		sent := 0
+		for e := 1; e < 30; e += 3 {
+			sent += f.requestsSince(e, from)
+			is.True(float64(f.maxInOneSecond(e, from)) <= 1.5*rate+5)
+		}
+		t.Logf("%d of 1500 requests, %d refused", sent, len(f.refusalTimes))
+		is.True(sent >= 400)
+	})
+}
+
 // TestColdTimeEnds checks that an endpoint counts as warm after its cold time if no list can be read.
 func TestColdTimeEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -105,7 +128,7 @@
 		f := newLimitFleetInCells(t, 1, 2, 2)
 		g := f.gateways[0]
 		g.state.Table().Services[0].ColdRate = 2
-		list := []catalog.Endpoint{{ID: "e0", Service: "s", ColdFor: 3 * time.Second}}
+		list := []catalog.Endpoint{{ID: "e0", Service: "s", Slots: 10, ColdFor: 3 * time.Second}}
 		g.applyCold(list, time.Now())
 		time.Sleep(2 * time.Second)
 		_, cold := g.endpointLimits.limit("e0")
