--- a/relay/bootstrap.go
+++ b/relay/bootstrap.go
@@ -15,7 +15,7 @@
 	// plus a margin for a busy process. A starting gateway serves no requests meanwhile.
 	bootstrapQueryTimeout = 60 * time.Millisecond
 	// firstStartWait is how long, on the first start of an installation, a gateway leaves reading the
-	// store to the seeds. By then it has a complete list of gateways.
+	// store to the seeds. By then it has messages of the others of its data centre.
 	firstStartWait = 5 * time.Second
 	// minSeedRetryDelay and maxSeedRetryDelay bound the pause between two queries to a seed, which grows
 	// with each query.
--- a/relay/gatewaylist.go
+++ b/relay/gatewaylist.go
@@ -16,9 +16,8 @@
 
 const (
 	// gatewaysInterval is how often this gateway's entry is renewed and the list of gateways is read
-	// for all: a third of the entry's lease. gatewaysFirstDelay is the delay before the second time,
-	// when gateways that started together have entries. Between reads gateways know each other from
-	// their messages.
+	// for all: a third of the entry's lease. gatewaysFirstDelay is the delay before the second time and
+	// after a failure. Between reads gateways know each other from their messages.
 	gatewaysInterval   = 10 * time.Second
 	gatewaysFirstDelay = 3 * time.Second
 	// gatewayListMessageInterval is how often messages tell which list of gateways their sender has.
--- a/relay/storereads_test.go
+++ b/relay/storereads_test.go
@@ -52,7 +52,8 @@
 }
 
 // TestStoreReaderSelection: of gateways that can all reach the store one reads, a second one when the
-// reads of the first are overdue, and the others, two by two, when both must have failed. A gateway that cannot reach the store is skipped.
+// reads of the first are overdue, and the others, two by two, when both must have failed. A gateway that
+// cannot reach the store is skipped.
 func TestStoreReaderSelection(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
