relay: repeat the probe of an endpoint whose connections were reset

Cause: a process that is ending may reset its connections 1 to 5 ms before its listener closes. The only probe then found a listener, and the crash was not counted. Two more faults came from sharing the result of a probe for 250 ms: a crash was not counted if its endpoint had broken off a response before, and a restarted endpoint counted as crashed because its previous incarnation had.

A crash that a later probe finds is recorded then, at the time of the break, for all exchanges that broke in that time.

--- /dev/null
+++ b/relay/crashseries_test.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/quarantine"
+)
+
+// TestProbeResultsAreNotShared guards against a crash that is not counted because its endpoint broke off a
+// response before, and against a restarted endpoint that counts as crashed because its previous incarnation was.
+func TestProbeResultsAreNotShared(t *testing.T) {
+	cases := []struct {
+		name          string
+		closed        bool                                   // whether the listener is closed at the first break
+		then          func(c *crashFleet, b *brokenExchange) // what happens before the second break
+		first, second bool                                   // whether the breaks count as crashes
+	}{
+		{"crash after a response was broken off", false, func(c *crashFleet, _ *brokenExchange) { c.setDown(true) }, false, true},
+		{"response broken off after a restart", true, func(c *crashFleet, b *brokenExchange) { c.setDown(false); b.endpoint.Born++ }, true, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c, first := newBrokenExchange(t)
+				g := c.gateways[0]
+				c.setDown(tc.closed)
+				is.Equal(g.hasCrashed(first), tc.first)
+				time.Sleep(200 * time.Millisecond)
+				second := first
+				second.fingerprint.Head, second.at = 2, time.Now()
+				tc.then(c, &second)
+				is.Equal(g.hasCrashed(second), tc.second)
+				is.Equal(g.quarantine.verdict(first.fingerprint, time.Now()).CrashesBefore == 1, tc.first)
+				is.Equal(g.quarantine.verdict(second.fingerprint, time.Now()).CrashesBefore == 1, tc.second)
+			})
+		})
+	}
+}
+
+// TestDrainLearnedAfterBreak guards against the end of a draining endpoint that counts as a crash because the
+// gateway learns of the drain between the break and the end.
+func TestDrainLearnedAfterBreak(t *testing.T) {
+	for name, drains := range map[string]bool{"drain": true, "crash": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c, b := newBrokenExchange(t)
+				g := c.gateways[0]
+				is.True(!g.hasCrashed(b))
+				time.Sleep(5 * time.Millisecond)
+				if drains {
+					g.state.MarkDraining(b.endpoint, "answer", time.Now())
+				}
+				c.setDown(true)
+				time.Sleep(time.Second)
+				is.Equal(g.meter.crashes.Get(), uint64(1))
+				is.Equal(g.quarantine.verdict(b.fingerprint, time.Now()).CrashesBefore == 0, drains)
+			})
+		})
+	}
+}
+
+// newBrokenExchange returns a fleet of one gateway and one engine, and an exchange that broke there now.
+func newBrokenExchange(t *testing.T) (*crashFleet, brokenExchange) {
+	c := newCrashFleet(t, 1, 1, 1)
+	time.Sleep(time.Second)
+	e := c.gateways[0].state.Endpoints("s")[0]
+	return c, brokenExchange{fingerprint: quarantine.Fingerprint{Head: 1}, endpoint: e, inUse: true, at: time.Now()}
+}
+
+// setDown sets whether the listener of the first engine is closed.
+func (c *crashFleet) setDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.engines[addressOf(0)].down = down
+}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -128,22 +128,29 @@
 	return x.fingerprint.String()
 }
 
-// recordCrash records that the endpoint crashed while it had the request.
-func (x *exchange) recordCrash(pl *placement) {
-	g, f, now := x.g, x.requestFingerprint(), time.Now()
+// recordCrash records that an endpoint crashed while it had a request. An endpoint that was draining, as this
+// gateway may have learned since the exchange broke, ended as announced, whatever requests it still had.
+func (g *Gateway) recordCrash(b brokenExchange) {
+	_, known := g.state.CellOf(b.endpoint.ID)
+	if _, inUse := g.state.Endpoint(b.endpoint.ID); !b.inUse || known && !inUse {
+		return
+	}
+	f, now := b.fingerprint, time.Now()
 	var before, after quarantine.Verdict
 	g.quarantine.change(func(t *quarantine.Table) {
 		before = t.Verdict(f, now)
-		t.RecordCrash(f, quarantine.Crash{Endpoint: quarantine.IncarnationOf(pl.endpoint.ID, pl.endpoint.Born), Begun: x.responseBegun, At: now}, now)
+		t.RecordCrash(f, quarantine.Crash{Endpoint: quarantine.IncarnationOf(b.endpoint.ID, b.endpoint.Born), Begun: b.begun, At: b.at}, now)
 		after = t.Verdict(f, now)
 	})
+	g.deps.Log.Request("Crash counted.", "request", b.request, "fingerprint", f, "endpoint", b.endpoint.ID, "born", b.endpoint.Born, "begun", b.begun,
+		"after_ms", now.Sub(b.at).Milliseconds(), "crashed_before", after.CrashesBefore, "crashed_within", after.CrashesWithin)
 	g.announceCrashes()
 	if !after.Quarantined() {
 		return
 	}
 	if !before.Quarantined() {
 		g.meter.quarantines.Inc()
-		g.logQuarantined(f, after, now, "request", x.call.ID, "workspace", x.fingerprintInput().Workspace, "route", x.route.Name)
+		g.logQuarantined(f, after, now, "request", b.request, "workspace", b.workspace, "route", b.route)
 	}
 	g.scheduleStore(f)
 }
