relay: renew unused memory no longer than it may be needed

Cause, from soak: gateway-3 reserved memory at e-4 at 41.646 s and sent a renewal of 3 s at 42.647, without evidence of use. e-4 was unreachable until 44.566 and executed the renewal at 44.569. The gateway had stopped waiting for it at 43.047 and was frozen from 43.368 to 46.102, so that it neither released the memory in time nor, since e-4 was unreachable again, at 46.1. The memory expired at 47.569, unused for 5.92 s of 5 s.

Change: a renewal reserves the memory for no longer than one tick after the release that is due if there is no new evidence of use, and is not sent to endpoints that have confirmed that time. When a query proves the use, the memory is renewed at once instead of at the next tick, so that two attempts remain before it expires. A process that was stopped finds its reservations expired by these times.

Result: TestLateRenewalBeforeFreeze (renewals executed 1.92 s late) failed before at the limit of 5 s, unused for 5.92 s, and did not get to the limit of 9 s. Now memory is unused for 3 s at the limit of 5 s, and both limits pass. Renewals that are more than 2 s late may still exceed the limit.

--- a/relay/memoryuse.go
+++ b/relay/memoryuse.go
@@ -58,10 +58,77 @@
 	everUsed   bool      // whether there was any evidence of use
 	lastQueued time.Time // when a request was last known to wait at the decoding endpoint
 	queries    int       // how often an endpoint was queried
+	// heldUntil is when the memory expires if the newest orders were executed in time, and confirmed is
+	// when it expires at each endpoint, as confirmed by its responses.
+	heldUntil time.Time
+	confirmed []time.Time
 }
 
-func newMemoryUsage(l unusedLimits, now time.Time) *memoryUsage {
-	return &memoryUsage{limits: l, lastUsed: now, lastQueued: now}
+// newMemoryUsage returns the usage of memory that was reserved at n endpoints by orders sent at the given time.
+func newMemoryUsage(l unusedLimits, n int, reservedAt time.Time) *memoryUsage {
+	u := &memoryUsage{limits: l, lastUsed: reservedAt, lastQueued: reservedAt, heldUntil: reservedAt.Add(reservationTTL)}
+	for range n {
+		u.confirmed = append(u.confirmed, u.heldUntil)
+	}
+	return u
+}
+
+// renewalEnd returns until when a renewal that is sent now reserves the memory: for reservationTTL, but no
+// longer than a tick after the memory has to be released unless there is new evidence of use. Otherwise a
+// renewal that its endpoint executes late keeps unused memory for longer than allowed, if the gateway dies
+// or is frozen before it releases the memory. The caller holds mu.
+func (u *memoryUsage) renewalEnd(now time.Time) time.Time {
+	end, longest := now.Add(reservationTTL), u.lastUsed.Add(max(reservationTTL, u.limits.queued+renewInterval))
+	if end.After(longest) {
+		return longest
+	}
+	return end
+}
+
+// renewal returns until when the memory is to be reserved by renewals sent now, and to which endpoints they
+// are sent: those that have not confirmed that time.
+func (u *memoryUsage) renewal(now time.Time) (until time.Time, endpoints []int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	until = u.renewalEnd(now)
+	for i, confirmed := range u.confirmed {
+		if until.After(confirmed) {
+			endpoints = append(endpoints, i)
+		}
+	}
+	if until.After(u.heldUntil) {
+		u.heldUntil = until
+	}
+	return until, endpoints
+}
+
+// confirm records that an endpoint has executed an order that reserves the memory until then.
+func (u *memoryUsage) confirm(endpoint int, until time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if until.After(u.confirmed[endpoint]) {
+		u.confirmed[endpoint] = until
+	}
+}
+
+// renewalDue reports whether new evidence of use allows to reserve the memory for longer than by the newest
+// orders, without waiting for the next tick.
+func (u *memoryUsage) renewalDue(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.renewalEnd(now).Sub(u.heldUntil) >= tickTolerance
+}
+
+// lapsed reports whether the reservations have expired, given for how long the host was suspended since the
+// previous call.
+func (u *memoryUsage) lapsed(now time.Time, suspended time.Duration) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.heldUntil = u.heldUntil.Add(-suspended)
+	for i := range u.confirmed {
+		u.confirmed[i] = u.confirmed[i].Add(-suspended)
+	}
+	return !now.Before(u.heldUntil)
 }
 
 // recordUse records that the memory was in use at that time: a part of the response arrived, or an
--- a/relay/memoryuse_test.go
+++ b/relay/memoryuse_test.go
@@ -284,6 +284,51 @@
 	}
 }
 
+// TestLateRenewalBeforeFreeze guards against memory that stays reserved without use for longer than allowed,
+// because a renewal without evidence of use is executed late and its gateway is frozen before the release.
+func TestLateRenewalBeforeFreeze(t *testing.T) {
+	for _, limit := range []time.Duration{5 * time.Second, maxUnused} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newMemoryTestGateway(t, nil)
+			b.gateway.config.UnusedMemory = limit
+			b.engines.noReports, b.engines.renewalDelay = true, 1920*time.Millisecond
+			first, _ := b.gateway.state.Endpoint("a")
+			memory, err := b.gateway.reserve(t.Context(), "r", &placement{memoryDemands: []memoryDemand{{first, 100}}})
+			is.NoErr(err)
+			// The last tick before the release; then the gateway does nothing more.
+			time.Sleep(newUnusedLimits(limit).queued - renewInterval/2)
+			memory.stopRenewal()
+			time.Sleep(limit)
+			unused, left := b.engines.memoryState()
+			is.Equal(left, 0)
+			is.True(unused <= limit)
+		})
+	}
+}
+
+// TestRenewalsWithoutUse guards against memory in use that expires because its renewals are withheld while
+// there is no evidence of use: with the shortest limits, two attempts to renew it remain.
+func TestRenewalsWithoutUse(t *testing.T) {
+	is := is.New(t)
+	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	u := newMemoryUsage(newUnusedLimits(5*time.Second), 2, at(0))
+	_, endpoints := u.renewal(at(renewInterval))
+	is.Equal(len(endpoints), 0) // there is no evidence of use, and both have confirmed the memory
+	u.recordUse(at(renewInterval))
+	is.True(u.renewalDue(at(renewInterval))) // the result of a query does not wait for the next tick
+	until, endpoints := u.renewal(at(renewInterval))
+	is.Equal(until, at(renewInterval+reservationTTL))
+	is.Equal(endpoints, []int{0, 1})
+	u.confirm(0, until)
+	is.True(!u.renewalDue(at(renewInterval)))
+	again, endpoints := u.renewal(at(2 * renewInterval)) // the second attempt, a tick before the expiry
+	is.Equal(again, until)
+	is.Equal(endpoints, []int{1})
+	is.True(!u.lapsed(at(reservationTTL), 0))
+	is.True(u.lapsed(at(reservationTTL), renewInterval)) // the host was suspended
+}
+
 // slowCaller is a caller that stops reading for a while after the first event.
 type slowCaller struct {
 	*httptest.ResponseRecorder
@@ -388,7 +433,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			u := newMemoryUsage(newUnusedLimits(maxUnused), at(0))
+			u := newMemoryUsage(newUnusedLimits(maxUnused), 1, at(0))
 			releasedAfter := 0.0
 			for _, a := range tc.answers {
 				queriedAt := at(a.at + 0.001)
@@ -416,7 +461,7 @@
 func TestQueryUsage(t *testing.T) {
 	is := is.New(t)
 	start := time.Now()
-	u := newMemoryUsage(newUnusedLimits(maxUnused), start)
+	u := newMemoryUsage(newUnusedLimits(maxUnused), 1, start)
 	is.Equal(u.nextAction(start.Add(queryAfter/2)), renewMemory)
 	is.Equal(u.nextAction(start.Add(queryAfter)), queryUsage)
 	u.recordUse(start.Add(5 * time.Second))
@@ -439,7 +484,7 @@
 // TestQueriesRotate: an endpoint that does not answer does not block the queries for long.
 func TestQueriesRotate(t *testing.T) {
 	is := is.New(t)
-	u := newMemoryUsage(newUnusedLimits(maxUnused), time.Now())
+	u := newMemoryUsage(newUnusedLimits(maxUnused), 1, time.Now())
 	for _, want := range []int{0, 1, 2, 0} {
 		is.Equal(u.nextQuery(3), want)
 	}
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -21,7 +21,7 @@
 	// gateway, or an order that an endpoint executes late, can keep memory reserved; endpoints must
 	// get unused memory back within four seconds.
 	reservationTTL = 3 * time.Second
-	// renewInterval allows two attempts to renew a reservation before it expires.
+	// renewInterval allows two attempts to renew a reservation that is used before it expires.
 	renewInterval = reservationTTL / 3
 	// orderTimeout bounds a reserve or release order, which takes one round trip.
 	orderTimeout = 400 * time.Millisecond
@@ -78,6 +78,7 @@
 		err      error
 	}
 	r := &reservations{g: g, request: request, decoding: pl.endpoint}
+	reservedAt := time.Now()
 	results := make(chan orderResult, len(pl.memoryDemands))
 	for _, want := range pl.memoryDemands {
 		rv := &reservation{endpoint: want.endpoint, id: uuid.NewString(), tokens: want.tokens}
@@ -101,7 +102,7 @@
 		r.release()
 		return nil, &failed
 	}
-	r.usage = newMemoryUsage(newUnusedLimits(g.config.UnusedMemory), time.Now())
+	r.usage = newMemoryUsage(newUnusedLimits(g.config.UnusedMemory), len(r.list), reservedAt)
 	r.attemptCtx, r.cancelAttempt = context.WithCancelCause(ctx)
 	renewing, stop := context.WithCancel(g.ctx)
 	r.stopRenewal = stop
@@ -147,7 +148,7 @@
 func (r *reservations) renew(ctx context.Context) {
 	tick := time.NewTicker(renewInterval)
 	defer tick.Stop()
-	last, suspended := time.Now(), r.g.checkSuspension()
+	suspended := r.g.checkSuspension()
 	for {
 		select {
 		case <-ctx.Done():
@@ -155,13 +156,13 @@
 		case <-tick.C:
 		}
 		now, total := time.Now(), r.g.checkSuspension()
-		if now.Sub(last)+total-suspended >= reservationTTL {
+		if r.usage.lapsed(now, total-suspended) {
 			// This process was stopped or suspended and the reservations have expired. A renewal
 			// would reserve the memory again, for a request that ended with them.
 			r.releaseUnused("lapsed", now)
 			return
 		}
-		last, suspended = now, total
+		suspended = total
 		switch r.usage.nextAction(now) {
 		case releaseUnused:
 			r.releaseUnused("no evidence of use", now)
@@ -173,15 +174,22 @@
 	}
 }
 
-// renewAll sends a renewal to every endpoint without waiting for the responses.
+// renewAll sends a renewal to every endpoint that needs one, without waiting for the responses.
 func (r *reservations) renewAll(ctx context.Context) {
-	for _, rv := range r.list {
+	now := time.Now()
+	until, endpoints := r.usage.renewal(now)
+	for _, i := range endpoints {
+		rv := r.list[i]
 		if !r.g.state.SameIncarnation(rv.endpoint) {
 			continue // the endpoint has restarted without this reservation and must not reserve the memory again
 		}
 		r.background.Go(func() {
-			if err := r.g.sendOrder(ctx, rv, r.g.deps.Protocol.Reserve(rv.endpoint.ID, rv.id, rv.tokens, reservationTTL)); err != nil && ctx.Err() == nil {
-				r.g.deps.Log.Request("Memory was not renewed.", "endpoint", rv.endpoint.ID, "reservation", rv.id, "err", err)
+			err := r.g.sendOrder(ctx, rv, r.g.deps.Protocol.Reserve(rv.endpoint.ID, rv.id, rv.tokens, until.Sub(now)))
+			switch {
+			case err == nil:
+				r.usage.confirm(i, until)
+			case ctx.Err() == nil:
+				r.g.deps.Log.Request("Memory was not renewed.", "endpoint", rv.endpoint.ID, "reservation", rv.id, "hold_ms", until.Sub(now).Milliseconds(), "err", err)
 			}
 		})
 	}
@@ -201,7 +209,9 @@
 		r.g.deps.Log.Request("It is not known whether memory is used.", "request", r.request, "endpoint", rv.endpoint.ID, "reservation", rv.id,
 			"unproved_ms", r.usage.sinceLastUse(queriedAt).Milliseconds(), "err", err)
 	case state == ReservationUsed:
-		r.usage.recordUse(queriedAt)
+		if r.usage.recordUse(queriedAt); r.usage.renewalDue(time.Now()) {
+			r.renewAll(ctx)
+		}
 	default:
 		r.handleUnused(ctx, rv, state, queriedAt)
 	}
