relay: a gateway that is stopped repeats its crash reports

Cause: a report of a crash is sent for 2 s, and only representatives of a cell repeat the reports on quarantined requests. If the only gateway that saw the crashes was stopped while the others were restarted (soak), those that started after 2 s learned nothing from it, although it runs for 3 s more.

Change: a gateway that is shutting down repeats the reports to its cell every 500 ms until it ends.

Result: TestStoppingGatewayHandsOverCrashes failed before for a gateway that does not represent its cell, and passes for each of six now.

--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -126,7 +126,10 @@
 	if r.representative && cause == digestsDue {
 		msg.Digests = g.picker.remoteDigests(now)
 	}
-	msg.CrashReports = g.crashReports(quarantine.LocalCell, r.representative, cause == loadChanged, r.representative && cause == digestsDue, now)
+	// A gateway that is stopped may be the only one that knows of a request, if the others have just been
+	// started.
+	repeat := (r.representative || msg.ShuttingDown) && cause == digestsDue
+	msg.CrashReports = g.crashReports(quarantine.LocalCell, r.representative, cause == loadChanged, repeat, now)
 	return outgoingMessage{msg, r.local}
 }
 
--- a/relay/crashseries_test.go
+++ b/relay/crashseries_test.go
@@ -79,3 +79,35 @@
 	defer c.mu.Unlock()
 	c.engines[addressOf(0)].down = down
 }
+
+// TestStoppingGatewayHandsOverCrashes guards against crashes that are forgotten because the only gateway that
+// saw them is stopped while the others are restarted: they start after its first reports.
+func TestStoppingGatewayHandsOverCrashes(t *testing.T) {
+	const gateways = 6
+	for stopping := range gateways {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCrashFleet(t, 1, gateways, 4)
+			time.Sleep(time.Second)
+			g, f := c.gateways[stopping], quarantine.Fingerprint{Head: 1}
+			g.quarantine.change(func(q *quarantine.Table) {
+				for i := range 3 {
+					at := time.Now().Add(time.Duration(i-3) * time.Second)
+					q.RecordCrash(f, quarantine.Crash{Endpoint: quarantine.Incarnation(i + 1), At: at}, time.Now())
+				}
+			})
+			g.shuttingDown.Store(true)
+			for i, started := range c.gateways { // they start after 2.1 s, without any knowledge
+				if i != stopping {
+					time.AfterFunc(2100*time.Millisecond, func() {
+						started.quarantine.change(func(q *quarantine.Table) { *q = *quarantine.NewTable() })
+					})
+				}
+			}
+			time.Sleep(unreadyDetectionTime)
+			for _, other := range c.gateways {
+				is.True(other.quarantine.verdict(f, time.Now()).Quarantined())
+			}
+		})
+	}
+}
