Forward peer messages between data centres; count their bytes

Most bytes between data centres are peer messages: each change of load is sent to every gateway of the other data centres. With forward_messages in section [load], a message that is for all gateways of another data centre is sent to two of them, chosen by rendezvous hashing among those heard from within 1 s, which send it on. Gateways that do not report that they read forwarded messages, among them all of the previous release, are sent it directly. relay_peer_bytes_total counts the bytes by kind and destination.

A complete message that arrives after a later partial one is no longer dropped while forwarding is enabled; it is handled with the changes of the partial ones. A forwarded message is dropped if it took 500 ms longer than the newest direct one of its sender, or is of a process that was replaced.

Bytes are not measured yet.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -5,6 +5,7 @@
 package peers
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -16,6 +17,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/forward"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
@@ -100,6 +102,16 @@
 	// UnprovenAgeMs is the time, plus one, since the sending of the newest store read that found an
 	// entry which does not prove Version; 0 if the proof is newer.
 	UnprovenAgeMs int64
+	// Forwarding tells how the sender and this message take part in forwarding.
+	Forwarding ForwardFlags
+
+	// Kind is the kind of the message in the count of bytes; it is not sent.
+	Kind Kind `msgpack:"-"`
+	// Direct tells Send not to have the message forwarded; it is not sent.
+	Direct bool `msgpack:"-"`
+	// Late is set in a complete message that arrived after a partial one that followed it. Loads then
+	// includes the changes of that one; everything else may be older than what was received before.
+	Late bool `msgpack:"-"`
 }
 
 // addAge adds a time to the ages in the message that it has.
@@ -186,21 +198,34 @@
 type recentMember struct {
 	Member
 	received time.Time
+	flags    ForwardFlags
+}
+
+// Conn is the socket of a mesh; *net.UDPConn implements it.
+type Conn interface {
+	ReadFromUDPAddrPort(p []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(p []byte, to netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
 }
 
 // Mesh exchanges datagrams with the other gateways. Its methods may be called
 // concurrently.
 type Mesh struct {
-	socket      *net.UDPConn
+	socket      Conn
 	name        string
 	incarnation uint64
+	dataCentre  string                                  // of this gateway; set with forwarding or count
+	forwarding  bool                                    // see EnableForwarding
+	count       func(kind Kind, remote bool, bytes int) // see CountBytes; may be nil
 
-	mu           sync.Mutex
-	sequence     uint64
-	listed       []Member
-	recent       map[netip.AddrPort]recentMember
-	lastReceived map[string]receipt
-	epoch        time.Time // zero point of the clock sent in datagrams
+	mu                sync.Mutex
+	sequence          uint64
+	listed            []Member
+	listedDataCentres map[netip.AddrPort]string
+	recent            map[netip.AddrPort]recentMember
+	lastReceived      map[string]receipt
+	epoch             time.Time // zero point of the clock sent in datagrams
 }
 
 // receipt describes the newest datagram received from a sender.
@@ -209,6 +234,16 @@
 	clock                 int64
 	at                    time.Time
 	from                  netip.AddrPort
+	// replaced is the incarnation of the process before this one; 0 if none is known.
+	replaced uint64
+	// complete is the sequence of the newest complete message, and changes holds the loads of the newest
+	// partial one since.
+	complete uint64
+	changes  map[string]balance.Load
+	// directOffset is the clock offset of the newest message that was not forwarded, received at
+	// directAt; see tooLate.
+	directOffset time.Duration
+	directAt     time.Time
 }
 
 // Listen opens the UDP socket of the named gateway.
@@ -221,10 +256,15 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	return New(name, socket), nil
+}
+
+// New returns the mesh of the named gateway, which takes over the socket.
+func New(name string, socket Conn) *Mesh {
 	return &Mesh{
 		socket: socket, name: name, incarnation: rand.Uint64(),
 		recent: make(map[netip.AddrPort]recentMember), lastReceived: make(map[string]receipt), epoch: time.Now(),
-	}, nil
+	}
 }
 
 // Close closes the socket; Receive then returns.
@@ -242,6 +282,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = members
+	m.listedDataCentres = make(map[netip.AddrPort]string, len(members))
+	for _, l := range members {
+		m.listedDataCentres[l.Address] = l.DataCentre
+	}
 }
 
 // Members returns the other gateways that are listed, or that sent a datagram within
@@ -267,7 +311,8 @@
 	return out
 }
 
-// Send fills in the sender's fields of msg and sends it to each of the addresses.
+// Send fills in the sender's fields of msg and sends it to each of the addresses. If forwarding is
+// enabled and msg is not Direct, other gateways send it on to some of them.
 func (m *Mesh) Send(msg Message, to []netip.AddrPort, now time.Time) error {
 	m.mu.Lock()
 	m.sequence++
@@ -276,20 +321,48 @@
 	if msg.EchoClocks {
 		msg.ClockEchoes = m.clockEchoes(to, now)
 	}
+	p := forward.Plan{Direct: to}
+	if m.forwarding && !msg.Direct {
+		p = m.plan(to, now)
+	}
 	m.mu.Unlock()
+	msg.Forwarding = m.flags(now)
 	if !msg.AgesAt.IsZero() {
 		// After the echoes were chosen: the receiver dates the message by them.
 		msg.addAge(time.Since(msg.AgesAt))
 	}
-	p, err := encode(&msg)
-	if err != nil {
-		return trace.Wrap(err)
+	var err error
+	if len(p.Forwarders) > 0 {
+		asking := msg
+		asking.Forwarding |= ForwardThis
+		var datagram []byte
+		if datagram, err = encode(&asking); err != nil {
+			return trace.Wrap(err)
+		}
+		if len(datagram)+forwardedOverhead > maxDatagram {
+			p = forward.Plan{Direct: to} // too large to be forwarded
+		} else {
+			err = m.write(msg.Kind, datagram, p.Forwarders)
+		}
+	}
+	if len(p.Direct) == 0 {
+		return err
 	}
+	datagram, e := encode(&msg)
+	if e != nil {
+		return trace.Wrap(e)
+	}
+	return cmp.Or(m.write(msg.Kind, datagram, p.Direct), err)
+}
+
+// write sends a datagram to each of the addresses.
+func (m *Mesh) write(kind Kind, datagram []byte, to []netip.AddrPort) (err error) {
 	for _, a := range to {
-		if _, e := m.socket.WriteToUDPAddrPort(p, a); e != nil {
+		if _, e := m.socket.WriteToUDPAddrPort(datagram, a); e != nil {
 			err = trace.Wrap(e)
 		}
 	}
+	m.countBytes(kind, len(datagram), to)
 	return err
 }
 
@@ -320,10 +393,11 @@
 	return at, !at.After(time.Now())
 }
 
-// Receive calls handle for each datagram of another gateway until the mesh is closed.
+// Receive calls handle for each datagram of another gateway until the mesh is closed; from is the
+// address of its sender, also if another gateway forwarded it.
 // The datagrams of one sender are handled in the order of sending; one that arrives
-// after a later one is dropped. Receive returns the number of datagrams that could
-// not be decoded.
+// after a later one is dropped, except for a complete one that is handled as Late. Receive returns the
+// number of datagrams that could not be decoded.
 func (m *Mesh) Receive(handle func(msg Message, from netip.AddrPort)) (malformed int) {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -331,31 +405,57 @@
 		if err != nil {
 			return malformed
 		}
-		msg, err := decode(buf[:n])
+		p := buf[:n]
+		var msg Message
+		ok, forwarded := true, m.forwarding && n > 0 && p[0] == forwardedMark
+		if forwarded {
+			msg, from, ok, err = m.readForwarded(p)
+		} else {
+			msg, err = decode(p)
+		}
 		if err != nil {
 			malformed++
 			continue
 		}
-		if msg.From != m.name && m.accept(msg, from) {
+		if !ok || msg.From == m.name {
+			continue
+		}
+		if !forwarded {
+			m.forward(p, msg, from)
+		}
+		if m.accept(&msg, from, forwarded) {
 			handle(msg, from)
 		}
 	}
 }
 
-// accept records the receipt of a datagram. It returns false if the same or a later
-// one of the same process was received before.
-func (m *Mesh) accept(msg Message, from netip.AddrPort) bool {
+// accept records the receipt of a datagram. It returns false if the datagram is of no use because the same or a
+// later one was received before, or because it was forwarded too late. A complete one that arrived
+// after later partial ones becomes Late and receives their changes.
+func (m *Mesh) accept(msg *Message, from netip.AddrPort, forwarded bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if last, ok := m.lastReceived[msg.From]; ok && last.incarnation == msg.Incarnation && last.sequence >= msg.Sequence {
+	now := time.Now()
+	last, ok := m.lastReceived[msg.From]
+	if ok && (last.supersedes(msg.Incarnation, msg.Sequence, m.forwarding && !msg.Partial, forwarded) ||
+		forwarded && last.tooLate(*msg, now, m.epoch)) {
 		return false
 	}
-	now := time.Now()
-	m.lastReceived[msg.From] = receipt{msg.Incarnation, msg.Sequence, msg.Clock, now, from}
-	if msg.ShuttingDown {
+	next := receipt{incarnation: msg.Incarnation, sequence: msg.Sequence, clock: msg.Clock, at: now, from: from}
+	if m.forwarding {
+		next = next.after(last)
+		next.record(msg)
+		if !forwarded {
+			next.directOffset, next.directAt = clockOffset(*msg, now, m.epoch), now
+		}
+	}
+	m.lastReceived[msg.From] = next
+	switch {
+	case msg.Late: // a later one was received before
+	case msg.ShuttingDown:
 		delete(m.recent, from)
-	} else {
-		m.recent[from] = recentMember{Member{from, msg.From, msg.DataCentre}, now}
+	default:
+		m.recent[from] = recentMember{Member{from, msg.From, msg.DataCentre}, now, msg.Forwarding}
 	}
 	return true
 }
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -56,7 +56,7 @@
 	other := netip.MustParseAddrPort("127.0.0.1:1")
 	m.SetMembers([]Member{{Address: self, Name: "a"}, {Address: other}, {Address: netip.MustParseAddrPort("127.0.0.1:2"), Name: "c"}})
 	is.Equal(len(m.Members(time.Now())), 2)
-	is.True(m.accept(Message{From: "b", Incarnation: 1, Sequence: 1, DataCentre: "dc"}, other))
+	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 1, DataCentre: "dc"}, other, false))
 	members := m.Members(time.Now())
 	is.Equal(len(members), 2)
 	is.True(slices.Contains(members, Member{Address: other, Name: "b", DataCentre: "dc"}))
@@ -65,10 +65,10 @@
 func TestReorderedDatagrams(t *testing.T) {
 	is := is.New(t)
 	m, at := listen(t, "a")
-	is.True(m.accept(Message{From: "b", Incarnation: 1, Sequence: 5}, at))
-	is.True(!m.accept(Message{From: "b", Incarnation: 1, Sequence: 5}, at))
-	is.True(!m.accept(Message{From: "b", Incarnation: 1, Sequence: 4}, at))
-	is.True(m.accept(Message{From: "b", Incarnation: 2, Sequence: 1}, at)) // a new process
+	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 5}, at, false))
+	is.True(!m.accept(&Message{From: "b", Incarnation: 1, Sequence: 5}, at, false))
+	is.True(!m.accept(&Message{From: "b", Incarnation: 1, Sequence: 4}, at, false))
+	is.True(m.accept(&Message{From: "b", Incarnation: 2, Sequence: 1}, at, false)) // a new process
 }
 
 // crashReportsField is the position of CrashReports in a datagram.
@@ -83,7 +83,7 @@
 	withoutAddress[0].Address = 0
 	limits := map[string]ratelimit.LimitUpdate{"e": {Version: 3, Limit: ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, Born: 4}}
 	evacuations := &catalog.Evacuations{Era: 5, Revision: 8, DataCentres: []string{"dc"}}
-	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11})
+	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11, Forwarding: ReadsForwarded})
 	is.NoErr(err)
 	msg, err := decode(p)
 	is.NoErr(err)
@@ -97,7 +97,7 @@
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
 	is.NoErr(err)
-	previous := len(fields) - 2 // number of fields in the previous release
+	previous := len(fields) - 3 // number of fields in the previous release
 	for _, list := range [][]msgpack.RawMessage{fields[:previous], append(slices.Clone(fields), extra)} {
 		p, err := msgpack.Marshal(list)
 		is.NoErr(err)
@@ -115,6 +115,7 @@
 		if len(list) >= len(fields) {
 			is.Equal(msg.CrashReports, reports)
 			is.Equal(msg.UnprovenAgeMs, int64(11))
+			is.Equal(msg.Forwarding, ReadsForwarded)
 		} else {
 			is.Equal(msg.CrashReports, withoutAddress)
 		}
--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -20,6 +20,9 @@
 	minBroadcastGap = 10 * time.Millisecond
 	// broadcastsPerDigest is how many regular messages are sent for each one with digests.
 	broadcastsPerDigest = 2
+	// broadcastsPerDirect is how many regular messages are sent for each one that is not forwarded, so
+	// that what is lost with forwarders is repaired within a second.
+	broadcastsPerDirect = 4
 )
 
 // trigger is the reason why a message is sent.
@@ -32,6 +35,20 @@
 	digestsDue                  // a regular message with digests is due
 )
 
+// kind returns the kind of a message for the local cell.
+func (t trigger) kind() peers.Kind {
+	switch t {
+	case proofRead:
+		return peers.Proof
+	case broadcastDue:
+		return peers.Regular
+	case digestsDue:
+		return peers.RegularDigests
+	default:
+		return peers.LoadChange
+	}
+}
+
 // outgoingMessage is a message with its recipients.
 type outgoingMessage struct {
 	message peers.Message
@@ -48,12 +65,12 @@
 	defer heartbeat.Stop()
 	heartbeats := 0
 	for {
-		cause := loadChanged
+		cause, direct := loadChanged, false
 		select {
 		case <-g.ctx.Done():
 			return
 		case <-heartbeat.C:
-			cause = broadcastDue
+			cause, direct = broadcastDue, heartbeats%broadcastsPerDirect == 0
 			if heartbeats++; heartbeats%broadcastsPerDigest == 0 {
 				cause = digestsDue
 			}
@@ -62,7 +79,7 @@
 		case <-g.picker.sendSoon:
 		}
 		now := time.Now()
-		g.send(g.outgoing(g.recipients(now), cause, now))
+		g.send(g.outgoing(g.recipients(now), cause, now), direct)
 		if !g.pause(minBroadcastGap) {
 			return
 		}
@@ -77,9 +94,10 @@
 	}
 }
 
-func (g *Gateway) send(outgoing []outgoingMessage) {
+func (g *Gateway) send(outgoing []outgoingMessage, direct bool) {
 	now := time.Now()
 	for _, m := range outgoing {
+		m.message.Direct = direct
 		if err := g.deps.Mesh.Send(m.message, m.to, now); err != nil {
 			g.meter.peerSendFailures.Inc()
 		}
@@ -127,13 +145,17 @@
 		msg.Digests = g.picker.remoteDigests(now)
 	}
 	msg.CrashReports = g.crashReports(quarantine.LocalCell, r.representative, cause == loadChanged, r.representative && cause == digestsDue, now)
+	msg.Kind = cause.kind()
 	return outgoingMessage{msg, r.local}
 }
 
 // remoteMessage returns the message for another cell, if there is one to send: the load at that
 // cell's endpoints, and what representatives of cells send each other.
 func (g *Gateway) remoteMessage(msg peers.Message, r recipients, otherCell string, cause trigger, loads map[string]balance.Load, repeat bool, now time.Time) (outgoingMessage, bool) {
-	msg.Loads = loads
+	msg.Loads, msg.Kind = loads, peers.CrossCellReport
+	if cause == loadChanged {
+		msg.Kind = peers.CrossCellLoad
+	}
 	representative := r.representative && (cause == digestsDue || cause == proofRead)
 	if representative && cause == digestsDue {
 		msg.Digests = []peers.Digest{g.picker.localDigest(otherCell, g.config.DataCentre, r.gateways, now)}
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -283,6 +283,9 @@
 	} else {
 		p.loads.SetPeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	}
+	if msg.Late {
+		return // the rest was received later
+	}
 	p.queue.SetPeerHeads(msg.From, msg.Waiting, now)
 	p.health.UpdatePeer(msg.From, msg.Observations, p.state.EndpointCount(), now)
 	if p.queue.Waiting() > 0 {
--- a/relay/process.go
+++ b/relay/process.go
@@ -57,6 +57,10 @@
 	c := s.config()
 	c.Seeds = seedAddresses(s, peerAddress)
 	mesh.SetMembers(membersWithoutNames(c.Seeds))
+	mesh.CountBytes(c.DataCentre, countPeerBytes(env.Metrics))
+	if s.Load.ForwardMessages {
+		mesh.EnableForwarding(c.DataCentre)
+	}
 	c.Policy = balance.Default()
 	suspended := o.Suspended
 	if suspended == nil {
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -35,6 +35,9 @@
 		RetryWindow  time.Duration `key:"retry_window" default:"10s" min:"1s" help:"window of the two"`
 		UnusedMemory time.Duration `key:"unused_memory" default:"9s" min:"1s" help:"longest that memory may stay set aside at an endpoint without use; below 5s a release that is lost may keep it longer"`
 	} `section:"bounds"`
+	Load struct {
+		ForwardMessages bool `key:"forward_messages" default:"false" help:"whether messages to the gateways of another data centre are sent to two of them, which send them on"`
+	} `section:"load"`
 	Log struct {
 		LinesPerSecond float64 `key:"lines_per_second" default:"300" min:"0" help:"request lines a second; more are counted and left out"`
 	} `section:"log"`
