--- a/peers/forward.go
+++ b/peers/forward.go
@@ -238,24 +238,34 @@
 	return r
 }
 
+// change is the load at an endpoint in the partial message with this sequence.
+type change struct {
+	load     balance.Load
+	sequence uint64
+}
+
 // record records the loads in a message. A complete one that arrived after later partial ones becomes
 // Late and receives their changes.
 func (r *receipt) record(msg *Message) {
 	if msg.Partial {
 		if r.changes == nil {
-			r.changes = make(map[string]balance.Load)
+			r.changes = make(map[string]change)
+		}
+		for e, l := range msg.Loads {
+			r.changes[e] = change{l, msg.Sequence}
 		}
-		maps.Copy(r.changes, msg.Loads)
 		return
 	}
 	r.complete = msg.Sequence
+	maps.DeleteFunc(r.changes, func(_ string, c change) bool { return c.sequence < msg.Sequence })
 	if msg.Sequence == r.sequence {
-		r.changes = nil
 		return
 	}
 	msg.Late = true
 	if msg.Loads == nil {
 		msg.Loads = make(map[string]balance.Load)
 	}
-	maps.Copy(msg.Loads, r.changes)
+	for e, c := range r.changes {
+		msg.Loads[e] = c.load
+	}
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -236,10 +236,10 @@
 	from                  netip.AddrPort
 	// replaced is the incarnation of the process before this one; 0 if none is known.
 	replaced uint64
-	// complete is the sequence of the newest complete message, and changes holds the loads of the newest
-	// partial one since.
+	// complete is the sequence of the newest complete message, and changes holds the newest loads of the
+	// partial ones that followed it.
 	complete uint64
-	changes  map[string]balance.Load
+	changes  map[string]change
 	// directOffset is the clock offset of the newest message that was not forwarded, received at
 	// directAt; see tooLate.
 	directOffset time.Duration
