Encode the numbers in peer messages in the least bytes

Most fields of a message are numbers, which took 9 bytes each, also those that are 0 and are sent only because a later field is not. The decoders of all releases read the compact form.

--- a/peers/codec.go
+++ b/peers/codec.go
@@ -44,6 +44,9 @@
 	var b bytes.Buffer
 	e := msgpack.NewEncoder(&b)
 	e.UseArrayEncodedStructs(true)
+	// Numbers take 1 to 9 bytes instead of always 9; decoders of all releases read both forms.
+	e.UseCompactInts(true)
+	e.UseCompactFloats(true)
 	if err := e.EncodeArrayLen(n); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"net/netip"
@@ -13,6 +14,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
 )
@@ -236,3 +238,28 @@
 	is.Equal(AgeFromMs(math.MinInt64), time.Duration(0))
 	is.Equal(AgeFromMs(math.MaxInt64), MaxAge)
 }
+
+// TestCompactNumbers checks that no number loses anything in the compact form, and that datagrams of the previous release,
+// which has numbers of fixed size, are read.
+func TestCompactNumbers(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int64{0, 1, -1, 127, 128, -32, -33, 255, 256, 1 << 16, 1 << 32, math.MaxInt64, math.MinInt64} {
+		for _, x := range []float64{float64(n), 24.1, -0.5, 1 << 53, 1e300, math.Inf(1), math.SmallestNonzeroFloat64} {
+			msg := Message{From: "a", Incarnation: uint64(n), Sequence: math.MaxUint64, Clock: n, ProofAgeMs: -1, ClockEchoes: map[string]int64{"b": n},
+				Loads: map[string]balance.Load{"e": {PrefillMs: x, Short: int(n)}}, Waiting: map[string]balance.QueueHead{"s": {DueInMs: n}},
+				Observations: map[string]health.Observation{"e": {Failure: health.Unreachable, FailureAgeMs: n, Slowdown: x}}, StoreEra: uint64(n), UnprovenAgeMs: n}
+			p, err := encode(&msg)
+			is.NoErr(err)
+			got, err := decode(p)
+			is.NoErr(err)
+			is.Equal(got, msg)
+			var previous bytes.Buffer
+			e := msgpack.NewEncoder(&previous)
+			e.UseArrayEncodedStructs(true)
+			is.NoErr(e.Encode(msg))
+			got, err = decode(previous.Bytes())
+			is.NoErr(err)
+			is.Equal(got, msg)
+		}
+	}
+}
