--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -199,7 +199,9 @@
 	g.deps.Mesh.Receive(func(msg peers.Message, from netip.AddrPort) {
 		g.picker.recordPeer(msg, time.Now())
 		g.handleCrashReports(msg)
-		g.handlePeerLimits(msg)
+		if !msg.Late { // otherwise a newer vote was received
+			g.handlePeerLimits(msg)
+		}
 		g.handlePeerDrains(msg)
 		g.handlePeerEvacuations(msg)
 		g.handlePeerMessage(msg, from)
--- a/relay/peerreads.go
+++ b/relay/peerreads.go
@@ -54,9 +54,11 @@
 func (g *Gateway) handlePeerMessage(msg peers.Message, from netip.AddrPort) {
 	now, local := time.Now(), !g.fromOtherCell(msg)
 	s := g.storeReads
-	s.mu.Lock()
-	s.recordPeerStore(msg, local, now)
-	s.mu.Unlock()
+	if !msg.Late { // otherwise a newer state was received
+		s.mu.Lock()
+		s.recordPeerStore(msg, local, now)
+		s.mu.Unlock()
+	}
 	if msg.Version > 0 && msg.Endpoints != 0 && !g.hasData() {
 		g.fetch(func() { g.bootstrapFrom(from) })
 	}
