Count forwarded messages that are too late; test the direct messages

A forwarded message that took too long is dropped, which shows slow or suspended forwarders: relay_peer_forwarded_late_total counts them. Tests cover that every fourth regular message goes to all gateways, and forwarding between UDP sockets of the host.

--- a/peers/count.go
+++ b/peers/count.go
@@ -28,6 +28,10 @@
 	m.dataCentre, m.count = dataCentre, count
 }
 
+// CountLate makes the mesh call count for each forwarded message that it drops because it took too long,
+// see maxForwardDelay. It must be called before Receive.
+func (m *Mesh) CountLate(count func()) { m.countLate = count }
+
 // countBytes counts a datagram of this size to each of the addresses.
 func (m *Mesh) countBytes(kind Kind, size int, to []netip.AddrPort) {
 	if m.count == nil {
--- a/peers/forward_test.go
+++ b/peers/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -272,6 +273,8 @@
 	is := is.New(t)
 	m, at := listen(t, "a")
 	m.EnableForwarding("dc")
+	late := 0
+	m.CountLate(func() { late++ })
 	clock := int64(time.Minute)
 	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 1, Clock: clock}, at, false))
 	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 2, Clock: clock}, at, true))
@@ -279,6 +282,7 @@
 	is.True(!m.accept(&Message{From: "b", Incarnation: 1, Sequence: 3, Clock: clock}, at, true))
 	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 4, Clock: clock}, at, false))
 	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 5, Clock: clock}, at, true))
+	is.Equal(late, 1)
 }
 
 // TestForwardedClocks: a message that was forwarded still bounds the time of its sending by the receiver's clock.
@@ -333,6 +337,52 @@
 	})
 }
 
+// TestForwardingOverUDP checks the addresses that the sockets of the host report: a forwarded message comes
+// with that of its origin.
+func TestForwardingOverUDP(t *testing.T) {
+	is := is.New(t)
+	type receipt struct {
+		by   int
+		msg  Message
+		from netip.AddrPort
+	}
+	received := make(chan receipt, 100)
+	var meshes []*Mesh
+	var addresses []netip.AddrPort
+	const origin = 0 // in a data centre of its own
+	for n := range 5 {
+		m, at := listen(t, string(rune('a'+n)))
+		m.epoch = m.epoch.Add(-forwardAfter)
+		m.EnableForwarding(dataCentreOf(n == origin))
+		go m.Receive(func(msg Message, from netip.AddrPort) { received <- receipt{n, msg, from} })
+		meshes, addresses = append(meshes, m), append(addresses, at)
+	}
+	for n, m := range meshes {
+		to := slices.Delete(slices.Clone(addresses), n, n+1)
+		is.NoErr(m.Send(Message{DataCentre: dataCentreOf(n == origin), Direct: true}, to, time.Now()))
+		for range to {
+			<-received
+		}
+	}
+	is.NoErr(meshes[origin].Send(Message{DataCentre: dataCentreOf(true), Version: 7}, addresses[1:], time.Now()))
+	reached := make(map[int]bool)
+	for range addresses[1:] {
+		r := <-received
+		is.Equal(r.msg.Version, uint64(7))
+		is.True(r.msg.Forwarding&ForwardThis != 0) // it was not sent directly
+		is.Equal(r.from, addresses[origin])
+		reached[r.by] = true
+	}
+	is.Equal(len(reached), len(addresses)-1)
+}
+
+func dataCentreOf(isOrigin bool) string {
+	if isOrigin {
+		return "dc0"
+	}
+	return "dc1"
+}
+
 // TestUnwrap checks that a forwarded datagram is read as it was sent, and that parts of one are rejected.
 func TestUnwrap(t *testing.T) {
 	is := is.New(t)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -218,6 +218,7 @@
 	dataCentre  string                                  // of this gateway; set with forwarding or count
 	forwarding  bool                                    // see EnableForwarding
 	count       func(kind Kind, remote bool, bytes int) // see CountBytes; may be nil
+	countLate   func()                                  // see CountLate; may be nil
 
 	mu                sync.Mutex
 	sequence          uint64
@@ -437,8 +438,13 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	last, ok := m.lastReceived[msg.From]
-	if ok && (last.supersedes(msg.Incarnation, msg.Sequence, m.forwarding && !msg.Partial, forwarded) ||
-		forwarded && last.tooLate(*msg, now, m.epoch)) {
+	if ok && last.supersedes(msg.Incarnation, msg.Sequence, m.forwarding && !msg.Partial, forwarded) {
+		return false
+	}
+	if forwarded && last.tooLate(*msg, now, m.epoch) {
+		if m.countLate != nil {
+			m.countLate()
+		}
 		return false
 	}
 	next := receipt{incarnation: msg.Incarnation, sequence: msg.Sequence, clock: msg.Clock, at: now, from: from}
--- a/relay/messagesize_test.go
+++ b/relay/messagesize_test.go
@@ -62,6 +62,8 @@
 type measuredGateway struct {
 	*Gateway
 	conn *memoryConn
+	// sendFromPeers sends a message of each peer to the gateway.
+	sendFromPeers func()
 }
 
 // newMeasuredGateway starts a gateway that represents its cell. It has requests at 8 endpoints, of which 3
@@ -104,13 +106,16 @@
 		others = append(others, other)
 	}
 	time.Sleep(2 * time.Second) // until they forward
-	now = time.Now()
-	for n, other := range others {
-		if err := other.Send(peers.Message{DataCentre: dataCentre(n + 1), ProofAgeMs: -1}, []netip.AddrPort{address(0)}, now); err != nil {
-			t.Fatal(err)
+	m.sendFromPeers = func() {
+		for n, other := range others {
+			if err := other.Send(peers.Message{DataCentre: dataCentre(n + 1), ProofAgeMs: -1}, []netip.AddrPort{address(0)}, time.Now()); err != nil {
+				t.Error(err)
+			}
 		}
+		synctest.Wait()
 	}
-	synctest.Wait()
+	m.sendFromPeers()
+	now = time.Now()
 	short := balance.Load{Short: 1, MemoryTokens: 4960, PrefillMs: 24.1, AwaitingFirstEvent: 1}
 	for n := range 8 {
 		m.picker.loads.Add(list[n].ID, short)
@@ -218,3 +223,24 @@
 		})
 	}
 }
+
+// TestEveryFourthMessageIsDirect guards against changes that are lost for longer than a second when both forwarders
+// of a data centre die: of the four regular messages in a second one goes to all gateways.
+func TestEveryFourthMessageIsDirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const gateways, direct, forwarded = 29, 28, 13
+		m := newMeasuredGateway(t, gateways, 3, 69)
+		m.background.Go(m.broadcastLoop)
+		time.Sleep(broadcastInterval / 2) // between two messages
+		var datagrams []int
+		for range 8 {
+			before := m.conn.written
+			time.Sleep(broadcastInterval)
+			synctest.Wait()
+			datagrams = append(datagrams, m.conn.written-before)
+			m.sendFromPeers()
+		}
+		is.Equal(datagrams, []int{direct, forwarded, forwarded, forwarded, direct, forwarded, forwarded, forwarded})
+	})
+}
--- a/relay/process.go
+++ b/relay/process.go
@@ -60,6 +60,7 @@
 	mesh.CountBytes(c.DataCentre, countPeerBytes(env.Metrics))
 	if s.Load.ForwardMessages {
 		mesh.EnableForwarding(c.DataCentre)
+		mesh.CountLate(env.Metrics.NewCounter("relay_peer_forwarded_late_total").Inc)
 	}
 	c.Policy = balance.Default()
 	suspended := o.Suspended
