Share the network of the peer message tests between packages

Package internal/meshnet connects the sockets of gateways under virtual time; the tests of peers and relay had one each. The counters of bytes move to package peers, which keeps relay small.

--- a/peers/count.go
+++ b/peers/count.go
@@ -1,6 +1,10 @@
 package peers
 
-import "net/netip"
+import (
+	"net/netip"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 // Kind is the kind of a datagram in the count of bytes.
 type Kind string
@@ -16,9 +20,24 @@
 	Forwarded       Kind = "forwarded"    // a message of another gateway
 )
 
-// Kinds returns all kinds.
-func Kinds() []Kind {
-	return []Kind{LoadChange, Regular, RegularDigests, Proof, CrossCellLoad, CrossCellReport, Forwarded}
+var kinds = []Kind{LoadChange, Regular, RegularDigests, Proof, CrossCellLoad, CrossCellReport, Forwarded}
+
+// ByteCounters adds counters of bytes by kind and destination to set. It returns the function that counts, for CountBytes.
+func ByteCounters(set *metrics.Set) func(kind Kind, remote bool, bytes int) {
+	local, remote := make(map[Kind]*metrics.Counter), make(map[Kind]*metrics.Counter)
+	for _, k := range kinds {
+		local[k] = set.NewCounter(`relay_peer_bytes_total{kind="` + string(k) + `",to="local"}`)
+		remote[k] = set.NewCounter(`relay_peer_bytes_total{kind="` + string(k) + `",to="remote"}`)
+	}
+	return func(kind Kind, isRemote bool, bytes int) {
+		counters := local
+		if isRemote {
+			counters = remote
+		}
+		if c := counters[kind]; c != nil {
+			c.Add(bytes)
+		}
+	}
 }
 
 // CountBytes makes the mesh call count with the bytes of the datagrams that it sends, by kind and by
--- a/peers/forward_test.go
+++ b/peers/forward_test.go
@@ -12,11 +12,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/internal/meshnet"
 )
 
 // settled is the time within which a change of load is known everywhere if nothing is lost: the least gap between two
 // messages of a sender, the delay to another data centre, and the forwarding.
-const settled = 10*time.Millisecond + remoteDelay + 2*localDelay
+const settled = 10*time.Millisecond + meshnet.RemoteDelay + 2*meshnet.LocalDelay
 
 // smallFleet is the number of gateways of most tests: five in each data centre, of which two forward.
 const smallFleet = 15
@@ -49,7 +50,7 @@
 			for _, p := range f.peers {
 				is.Equal(len(p.mesh.Members(time.Now())), 28)
 				for _, o := range f.peers { // the forwarder's address does not replace the origin's
-					is.True(o == p || p.origins[o.name] == o.address)
+					is.True(o == p || p.origins[o.name] == o.Address)
 				}
 			}
 		})
@@ -69,7 +70,7 @@
 				list := f.forwarders(f.peers[0], "dc1")
 				is.Equal(len(list), 2)
 				for _, p := range list[:killed] {
-					p.kill()
+					p.Kill()
 				}
 				time.Sleep(300 * time.Millisecond)
 				f.setQuiet(true)
@@ -96,18 +97,18 @@
 	for name, cut := range map[string]time.Duration{"briefly": 500 * time.Millisecond, "longer than members are kept": memberTTL + 2*time.Second} {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, smallFleet, always, func(is *is.I, f *testMesh) {
-				f.setDrops(func(from, to *testConn) bool { return (from.dataCentre == "dc2") != (to.dataCentre == "dc2") })
+				f.SetDrops(func(from, to *meshnet.Conn) bool { return (from.DataCentre == "dc2") != (to.DataCentre == "dc2") })
 				time.Sleep(cut)
 				f.setQuiet(true)
 				time.Sleep(settled)
 				for _, p := range f.peers {
 					for _, o := range f.peers {
-						if (p.dataCentre == "dc2") == (o.dataCentre == "dc2") {
+						if (p.DataCentre == "dc2") == (o.DataCentre == "dc2") {
 							is.True(p == o || p.knows(o, time.Now()))
 						}
 					}
 				}
-				f.setDrops(nil)
+				f.SetDrops(nil)
 				f.setQuiet(false)
 				time.Sleep(time.Second)
 				f.setQuiet(true)
@@ -151,9 +152,9 @@
 		origin := f.peers[0]
 		list := f.forwarders(origin, "dc1")
 		is.Equal(len(list), 2)
-		resume := []func(){list[0].suspend(), list[1].suspend()}
+		resume := []func(){list[0].Suspend(), list[1].Suspend()}
 		time.Sleep(300 * time.Millisecond)
-		origin.kill()
+		origin.Kill()
 		time.Sleep(2500 * time.Millisecond)
 		handled := make(map[*testPeer]time.Time)
 		for _, p := range f.peers {
@@ -164,7 +165,7 @@
 		}
 		time.Sleep(time.Second)
 		for _, p := range f.peers {
-			if p.dataCentre == "dc1" && p != list[0] && p != list[1] {
+			if p.DataCentre == "dc1" && p != list[0] && p != list[1] {
 				is.Equal(p.mesh.lastReceivedAt(origin.name), handled[p])
 			}
 		}
@@ -186,14 +187,12 @@
 func TestSlowForwarders(t *testing.T) {
 	runFleet(t, smallFleet, always, func(is *is.I, f *testMesh) {
 		r := rand.New(rand.NewPCG(1, 1))
-		f.mu.Lock()
-		f.delay = func(from, to *testConn) time.Duration {
-			if from.dataCentre != to.dataCentre {
+		f.SetDelay(func(from, to *meshnet.Conn) time.Duration {
+			if from.DataCentre != to.DataCentre {
 				return 0
 			}
 			return time.Duration(r.IntN(20)) * time.Millisecond
-		}
-		f.mu.Unlock()
+		})
 		late := 0
 		for range 10 {
 			f.setQuiet(false)
@@ -215,7 +214,7 @@
 func TestReorderedLoads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
-		m := New("receiver", &testConn{address: netip.MustParseAddrPort("10.0.0.1:1")})
+		m := New("receiver", meshnet.New().Listen(meshnet.Address(0), "dc"))
 		m.EnableForwarding("dc")
 		endpoints := []string{"a", "b", "c", "d"}
 		sender, known := balance.NewLoadTracker(), balance.NewLoadTracker()
@@ -293,7 +292,7 @@
 			p.mesh.mu.Lock()
 			r := p.mesh.lastReceived[echoes.name]
 			p.mesh.mu.Unlock()
-			is.Equal(r.from, echoes.address)
+			is.Equal(r.from, echoes.Address)
 			echoes.mesh.mu.Lock()
 			back := echoes.mesh.lastReceived[p.name]
 			echoes.mesh.mu.Unlock()
@@ -312,7 +311,7 @@
 		f.setQuiet(true)
 		time.Sleep(settled)
 		origin := f.peers[0]
-		base, err := encode(&Message{From: origin.name, DataCentre: origin.dataCentre, Forwarding: ReadsForwarded | Forwards | ForwardThis})
+		base, err := encode(&Message{From: origin.name, DataCentre: origin.DataCentre, Forwarding: ReadsForwarded | Forwards | ForwardThis})
 		is.NoErr(err)
 		for _, size := range []int{maxDatagram - 200, maxDatagram - 30, maxDatagram - 10} {
 			before := make(map[*testPeer]uint64)
@@ -321,7 +320,7 @@
 			for _, m := range origin.mesh.Members(now) {
 				to = append(to, m.Address)
 			}
-			msg := Message{DataCentre: origin.dataCentre, Loads: map[string]balance.Load{string(make([]byte, size-len(base)-40)): {}}}
+			msg := Message{DataCentre: origin.DataCentre, Loads: map[string]balance.Load{string(make([]byte, size-len(base)-40)): {}}}
 			is.NoErr(origin.mesh.Send(msg, to, now))
 			origin.mesh.mu.Lock()
 			sequence := origin.mesh.sequence
--- a/peers/network_test.go
+++ b/peers/network_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,124 +10,19 @@
 	"time"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/internal/meshnet"
 )
 
 const (
-	localDelay      = 100 * time.Microsecond // of a datagram inside a data centre
-	remoteDelay     = 900 * time.Microsecond // of a datagram between two data centres
 	regularInterval = 250 * time.Millisecond
 	// directInterval is how many regular messages are sent for each one that is not forwarded.
 	directInterval = 4
 )
 
-// testNetwork delivers datagrams under virtual time.
-type testNetwork struct {
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*testConn
-	// drops reports whether a datagram between two hosts is lost; nil if none is.
-	drops func(from, to *testConn) bool
-	// delay adds to the time that a datagram takes; nil if nothing does.
-	delay func(from, to *testConn) time.Duration
-}
-
-type testDatagram struct {
-	content []byte
-	from    netip.AddrPort
-}
-
-// testConn is the socket of one host.
-type testConn struct {
-	network    *testNetwork
-	address    netip.AddrPort
-	dataCentre string
-	arrived    chan testDatagram
-	closed     chan struct{}
-	down       bool          // set if the host sends and receives nothing
-	resumed    chan struct{} // closed when a suspension of the host ends; nil if there was none
-}
-
-func (c *testConn) ReadFromUDPAddrPort(p []byte) (int, netip.AddrPort, error) {
-	select {
-	case d := <-c.arrived:
-		c.waitWhileSuspended()
-		return copy(p, d.content), d.from, nil
-	case <-c.closed:
-		return 0, netip.AddrPort{}, net.ErrClosed
-	}
-}
-
-func (c *testConn) WriteToUDPAddrPort(p []byte, to netip.AddrPort) (int, error) {
-	c.network.mu.Lock()
-	defer c.network.mu.Unlock()
-	other := c.network.conns[to]
-	if other == nil || c.down || other.down || c.network.drops != nil && c.network.drops(c, other) {
-		return len(p), nil
-	}
-	delay := localDelay
-	if other.dataCentre != c.dataCentre {
-		delay = remoteDelay
-	}
-	if c.network.delay != nil {
-		delay += c.network.delay(c, other)
-	}
-	d := testDatagram{slices.Clone(p), c.address}
-	time.AfterFunc(delay, func() {
-		select {
-		case other.arrived <- d:
-		default: // the buffer is full
-		}
-	})
-	return len(p), nil
-}
-
-// suspend suspends the host until the returned function is called.
-func (c *testConn) suspend() (resume func()) {
-	c.network.mu.Lock()
-	defer c.network.mu.Unlock()
-	c.resumed = make(chan struct{})
-	return sync.OnceFunc(func() { close(c.resumed) })
-}
-
-func (c *testConn) waitWhileSuspended() {
-	c.network.mu.Lock()
-	resumed := c.resumed
-	c.network.mu.Unlock()
-	if resumed != nil {
-		<-resumed
-	}
-}
-
-// kill makes the host send and receive nothing.
-func (c *testConn) kill() {
-	c.network.mu.Lock()
-	defer c.network.mu.Unlock()
-	c.down = true
-}
-
-func (c *testConn) isDown() bool {
-	c.network.mu.Lock()
-	defer c.network.mu.Unlock()
-	return c.down
-}
-
-func (c *testConn) LocalAddr() net.Addr { return net.UDPAddrFromAddrPort(c.address) }
-
-func (c *testConn) Close() error {
-	close(c.closed)
-	return nil
-}
-
-// setDrops sets which datagrams are lost from now on.
-func (n *testNetwork) setDrops(drops func(from, to *testConn) bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.drops = drops
-}
-
 // testPeer is a gateway that only exchanges its load: at its own endpoints, so that what another one
 // knows can be compared with it.
 type testPeer struct {
-	*testConn
+	*meshnet.Conn
 	mesh *Mesh
 	name string
 
@@ -147,7 +41,7 @@
 
 // testMesh is a set of gateways in several data centres.
 type testMesh struct {
-	*testNetwork
+	*meshnet.Network
 	peers []*testPeer
 	wg    sync.WaitGroup
 	done  chan struct{}
@@ -160,20 +54,18 @@
 // behaves like one of the previous release.
 func newTestMesh(t *testing.T, dataCentres, gateways int, forwards func(n int) bool) *testMesh {
 	t.Helper()
-	f := &testMesh{testNetwork: &testNetwork{conns: make(map[netip.AddrPort]*testConn)}, done: make(chan struct{})}
+	f := &testMesh{Network: meshnet.New(), done: make(chan struct{})}
 	var members []Member
 	for n := range gateways {
-		c := &testConn{network: f.testNetwork, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7100),
-			dataCentre: fmt.Sprint("dc", n%dataCentres), arrived: make(chan testDatagram, 1<<14), closed: make(chan struct{})}
-		f.conns[c.address] = c
-		p := &testPeer{testConn: c, name: fmt.Sprintf("gw-%04d", n), local: balance.NewLoadTracker(), known: balance.NewLoadTracker(), origins: make(map[string]netip.AddrPort), bytes: make(map[Kind]int)}
+		c := f.Listen(meshnet.Address(n), fmt.Sprint("dc", n%dataCentres))
+		p := &testPeer{Conn: c, name: fmt.Sprintf("gw-%04d", n), local: balance.NewLoadTracker(), known: balance.NewLoadTracker(), origins: make(map[string]netip.AddrPort), bytes: make(map[Kind]int)}
 		p.mesh = New(p.name, c)
-		p.mesh.CountBytes(c.dataCentre, p.countBytes)
+		p.mesh.CountBytes(c.DataCentre, p.countBytes)
 		if forwards(n) {
-			p.mesh.EnableForwarding(c.dataCentre)
+			p.mesh.EnableForwarding(c.DataCentre)
 		}
 		f.peers = append(f.peers, p)
-		members = append(members, Member{Address: c.address})
+		members = append(members, Member{Address: c.Address})
 	}
 	for n, p := range f.peers {
 		p.mesh.SetMembers(members)
@@ -231,7 +123,7 @@
 	change := time.NewTimer(0)
 	defer change.Stop()
 	for beat := 0; ; {
-		msg := Message{DataCentre: p.dataCentre, Partial: true, Kind: LoadChange, EchoClocks: n < 2}
+		msg := Message{DataCentre: p.DataCentre, Partial: true, Kind: LoadChange, EchoClocks: n < 2}
 		select {
 		case <-done:
 			return
@@ -242,7 +134,7 @@
 			p.changeLoad(r)
 			change.Reset(time.Duration(25+r.IntN(75)) * time.Millisecond)
 		}
-		p.waitWhileSuspended()
+		p.WaitWhileSuspended()
 		p.fillLoads(&msg)
 		now := time.Now()
 		var to []netip.AddrPort
@@ -298,7 +190,7 @@
 	now := time.Now()
 	for _, p := range f.peers {
 		for _, o := range f.peers {
-			if p != o && !p.isDown() && !o.isDown() && !p.knows(o, now) {
+			if p != o && !p.Killed() && !o.Killed() && !p.knows(o, now) {
 				pairs++
 			}
 		}
@@ -333,7 +225,7 @@
 	plan := p.mesh.plan(to, now)
 	p.mesh.mu.Unlock()
 	for _, o := range f.peers {
-		if o.dataCentre == dataCentre && slices.Contains(plan.Forwarders, o.address) {
+		if o.DataCentre == dataCentre && slices.Contains(plan.Forwarders, o.Address) {
 			out = append(out, o)
 		}
 	}
--- a/relay/messagesize_test.go
+++ b/relay/messagesize_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -16,52 +15,15 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/internal/meshnet"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/upstream"
 )
 
-// memoryConn is a socket whose datagrams go to arrived of another one, or are only measured.
-type memoryConn struct {
-	address netip.AddrPort
-	to      *memoryConn // nil: datagrams are measured
-	arrived chan memoryDatagram
-	largest int // datagram that was written, in bytes
-	written int // datagrams
-}
-
-type memoryDatagram struct {
-	content []byte
-	from    netip.AddrPort
-}
-
-func (c *memoryConn) ReadFromUDPAddrPort(p []byte) (int, netip.AddrPort, error) {
-	d, ok := <-c.arrived
-	if !ok {
-		return 0, netip.AddrPort{}, net.ErrClosed
-	}
-	return copy(p, d.content), d.from, nil
-}
-
-func (c *memoryConn) WriteToUDPAddrPort(p []byte, _ netip.AddrPort) (int, error) {
-	c.largest = max(c.largest, len(p))
-	c.written++
-	if c.to != nil {
-		c.to.arrived <- memoryDatagram{append([]byte(nil), p...), c.address}
-	}
-	return len(p), nil
-}
-
-func (c *memoryConn) LocalAddr() net.Addr { return net.UDPAddrFromAddrPort(c.address) }
-
-func (c *memoryConn) Close() error {
-	close(c.arrived)
-	return nil
-}
-
 // measuredGateway is a gateway among peers from which it has just received a message.
 type measuredGateway struct {
 	*Gateway
-	conn *memoryConn
+	conn *meshnet.Conn
 	// sendFromPeers sends a message of each peer to the gateway.
 	sendFromPeers func()
 }
@@ -71,11 +33,9 @@
 func newMeasuredGateway(t *testing.T, gateways, dataCentres, endpoints int) *measuredGateway {
 	t.Helper()
 	events := eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel, LinesPerSecond: 1})
-	address := func(n int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7100)
-	}
 	dataCentre := func(n int) string { return fmt.Sprint("dc-", n%dataCentres) }
-	m := &measuredGateway{conn: &memoryConn{address: address(0), arrived: make(chan memoryDatagram, gateways)}}
+	network := meshnet.New()
+	m := &measuredGateway{conn: network.Listen(meshnet.Address(0), dataCentre(0))}
 	// The first gateway in the order of all represents its cell.
 	names := make([]string, gateways)
 	for n := range names {
@@ -101,17 +61,18 @@
 	m.state.ApplyList(list, now, now, time.Time{})
 	var others []*peers.Mesh
 	for n := 1; n < gateways; n++ {
-		other := peers.New(names[n], &memoryConn{address: address(n), to: m.conn})
+		other := peers.New(names[n], network.Listen(meshnet.Address(n), dataCentre(n)))
 		other.EnableForwarding(dataCentre(n))
 		others = append(others, other)
 	}
 	time.Sleep(2 * time.Second) // until they forward
 	m.sendFromPeers = func() {
 		for n, other := range others {
-			if err := other.Send(peers.Message{DataCentre: dataCentre(n + 1), ProofAgeMs: -1}, []netip.AddrPort{address(0)}, time.Now()); err != nil {
+			if err := other.Send(peers.Message{DataCentre: dataCentre(n + 1), ProofAgeMs: -1}, []netip.AddrPort{m.conn.Address}, time.Now()); err != nil {
 				t.Error(err)
 			}
 		}
+		time.Sleep(meshnet.RemoteDelay)
 		synctest.Wait()
 	}
 	m.sendFromPeers()
@@ -158,11 +119,12 @@
 	for _, cause := range []trigger{loadChanged, proofRead, broadcastDue, digestsDue} {
 		now := time.Now()
 		for _, out := range m.outgoing(m.recipients(now), cause, now) {
-			m.conn.largest, m.conn.written = 0, 0
+			_, _ = m.conn.Written()
 			m.send([]outgoingMessage{out}, false)
-			sizes[out.message.Kind] = max(sizes[out.message.Kind], m.conn.largest)
+			written, largest := m.conn.Written()
+			sizes[out.message.Kind] = max(sizes[out.message.Kind], largest)
 			if cause == loadChanged {
-				datagrams += m.conn.written
+				datagrams += written
 			}
 		}
 	}
@@ -235,10 +197,10 @@
 		time.Sleep(broadcastInterval / 2) // between two messages
 		var datagrams []int
 		for range 8 {
-			before := m.conn.written
 			time.Sleep(broadcastInterval)
 			synctest.Wait()
-			datagrams = append(datagrams, m.conn.written-before)
+			written, _ := m.conn.Written()
+			datagrams = append(datagrams, written)
 			m.sendFromPeers()
 		}
 		is.Equal(datagrams, []int{direct, forwarded, forwarded, forwarded, direct, forwarded, forwarded, forwarded})
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-
-	"github.com/micarudder/micarudder/peers"
 )
 
 // meter holds the gateway's counters and histograms.
@@ -79,19 +77,3 @@
 	m.set.GetOrCreateCounter(`relay_requests_total{outcome="` + string(o) + `"}`).Inc()
 	m.requestTime.UpdateDuration(started)
 }
-
-// countPeerBytes returns the function that counts the bytes of peer messages by kind and destination.
-func countPeerBytes(set *metrics.Set) func(kind peers.Kind, remote bool, bytes int) {
-	local, remote := make(map[peers.Kind]*metrics.Counter), make(map[peers.Kind]*metrics.Counter)
-	for _, k := range peers.Kinds() {
-		local[k] = set.NewCounter(`relay_peer_bytes_total{kind="` + string(k) + `",to="local"}`)
-		remote[k] = set.NewCounter(`relay_peer_bytes_total{kind="` + string(k) + `",to="remote"}`)
-	}
-	return func(kind peers.Kind, isRemote bool, bytes int) {
-		if isRemote {
-			remote[kind].Add(bytes)
-		} else {
-			local[kind].Add(bytes)
-		}
-	}
-}
--- a/relay/process.go
+++ b/relay/process.go
@@ -57,7 +57,7 @@
 	c := s.config()
 	c.Seeds = seedAddresses(s, peerAddress)
 	mesh.SetMembers(membersWithoutNames(c.Seeds))
-	mesh.CountBytes(c.DataCentre, countPeerBytes(env.Metrics))
+	mesh.CountBytes(c.DataCentre, peers.ByteCounters(env.Metrics))
 	if s.Load.ForwardMessages {
 		mesh.EnableForwarding(c.DataCentre)
 		mesh.CountLate(env.Metrics.NewCounter("relay_peer_forwarded_late_total").Inc)
