--- a/peers/forward_test.go
+++ b/peers/forward_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -336,6 +337,64 @@
 	})
 }
 
+// TestWhatIsForwarded guards against messages that circulate because they are forwarded twice, and against
+// forwarding by a gateway that does not take part in it.
+func TestWhatIsForwarded(t *testing.T) {
+	asking := Message{From: "origin", Incarnation: 1, Sequence: 1, DataCentre: "dc0", Forwarding: ReadsForwarded | Forwards | ForwardThis}
+	plain, local := asking, asking
+	plain.Forwarding, local.DataCentre = ReadsForwarded|Forwards, "dc1"
+	for name, c := range map[string]struct {
+		msg                Message
+		wrapped, disabled  bool
+		forwarded, handled int
+	}{
+		"asked":                              {asking, false, false, 5, 1},
+		"not asked":                          {plain, false, false, 0, 1},
+		"forwarded by another":               {asking, true, false, 0, 1},
+		"of the own data centre":             {local, false, false, 0, 1},
+		"disabled":                           {asking, false, true, 0, 1},
+		"disabled, and forwarded by another": {asking, true, true, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				network := meshnet.New()
+				conn, origin := network.Listen(meshnet.Address(0), "dc1"), network.Listen(meshnet.Address(1), "dc0")
+				m := New("forwarder", conn)
+				if !c.disabled {
+					m.EnableForwarding("dc1")
+				}
+				for n := range 5 {
+					is.True(m.accept(&Message{From: fmt.Sprint(n), Incarnation: 1, Sequence: 1, DataCentre: "dc1", Forwarding: ReadsForwarded}, meshnet.Address(n+2), false))
+				}
+				is.True(m.accept(&Message{From: "previous release", Incarnation: 1, Sequence: 1, DataCentre: "dc1"}, meshnet.Address(7), false))
+				is.True(m.accept(&Message{From: "elsewhere", Incarnation: 1, Sequence: 1, DataCentre: "dc2", Forwarding: ReadsForwarded}, meshnet.Address(8), false))
+				handled := 0
+				done := make(chan struct{})
+				go func() {
+					m.Receive(func(Message, netip.AddrPort) { handled++ })
+					close(done)
+				}()
+				p, err := encode(&c.msg)
+				is.NoErr(err)
+				if c.wrapped {
+					p, err = wrap(p, origin.Address, false)
+					is.NoErr(err)
+				}
+				_, err = origin.WriteToUDPAddrPort(p, conn.Address)
+				is.NoErr(err)
+				time.Sleep(meshnet.RemoteDelay)
+				synctest.Wait()
+				is.NoErr(m.Close())
+				<-done
+				written, _ := conn.Written()
+				is.Equal(written, c.forwarded)
+				is.Equal(handled, c.handled)
+			})
+		})
+	}
+}
+
 // TestForwardingOverUDP checks the addresses that the sockets of the host report: a forwarded message comes
 // with that of its origin.
 func TestForwardingOverUDP(t *testing.T) {
