Do not forward through gateways that are short of processor time

A gateway whose own regular messages are late would delay every message that it forwards for others. It no longer offers to forward while two of its last eight regular messages were sent more than 20 ms late; others in its data centre are chosen, or messages are sent directly if fewer than two offer it. relay_peer_forwarding_offered shows the state.

Tests: forward, peers, and in relay the message tests pass. The effect on gateways with a tenth of a core is not measured.

--- a/peers/forward.go
+++ b/peers/forward.go
@@ -111,12 +111,27 @@
 	m.forwarding, m.dataCentre = true, dataCentre
 }
 
-// flags returns the flags for this gateway's messages.
+// RecordDelay records how much later than due a regular message of this gateway is sent, which decides whether
+// the gateway offers to forward messages.
+func (m *Mesh) RecordDelay(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.punctuality.Record(d)
+}
+
+// OffersForwarding reports whether this gateway's messages now offer to forward those of others.
+func (m *Mesh) OffersForwarding(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.flags(now)&Forwards != 0
+}
+
+// flags returns the flags for this gateway's messages. The caller holds mu.
 func (m *Mesh) flags(now time.Time) ForwardFlags {
 	switch {
 	case !m.forwarding:
 		return 0
-	case now.Sub(m.epoch) < forwardAfter:
+	case now.Sub(m.epoch) < forwardAfter || !m.punctuality.Punctual():
 		return ReadsForwarded
 	default:
 		return ReadsForwarded | Forwards
--- a/peers/forward_test.go
+++ b/peers/forward_test.go
@@ -120,6 +120,37 @@
 	}
 }
 
+// TestUnpunctualGatewaysDoNotForward: gateways whose own messages are late are not asked to forward; two others in the
+// data centre do, and nothing is lost.
+func TestUnpunctualGatewaysDoNotForward(t *testing.T) {
+	runFleet(t, smallFleet, always, func(is *is.I, f *testMesh) {
+		for n, p := range f.peers {
+			if n/3 >= 2 { // all but two in each data centre
+				for range 2 {
+					p.mesh.RecordDelay(time.Second)
+				}
+			}
+		}
+		time.Sleep(2 * regularInterval)
+		for n, p := range f.peers {
+			is.Equal(p.mesh.OffersForwarding(time.Now()), n/3 < 2)
+			for _, other := range []string{"dc0", "dc1", "dc2"} {
+				if other == p.DataCentre {
+					continue
+				}
+				list := f.forwarders(p, other)
+				is.Equal(len(list), 2)
+				for _, o := range list {
+					is.True(slices.Index(f.peers, o)/3 < 2)
+				}
+			}
+		}
+		f.setQuiet(true)
+		time.Sleep(settled)
+		is.Equal(f.wrong(), 0)
+	})
+}
+
 // TestMixedReleases: gateways that do not forward, as those of the previous release, receive every message directly and
 // never a forwarded one, which they could not read.
 func TestMixedReleases(t *testing.T) {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -226,6 +226,7 @@
 	listedDataCentres map[netip.AddrPort]string
 	recent            map[netip.AddrPort]recentMember
 	lastReceived      map[string]receipt
+	punctuality       forward.Punctuality
 	epoch             time.Time // zero point of the clock sent in datagrams
 }
 
@@ -326,8 +327,8 @@
 	if m.forwarding && !msg.Direct {
 		p = m.plan(to, now)
 	}
-	m.mu.Unlock()
 	msg.Forwarding = m.flags(now)
+	m.mu.Unlock()
 	if !msg.AgesAt.IsZero() {
 		// After the echoes were chosen: the receiver dates the message by them.
 		msg.addAge(time.Since(msg.AgesAt))
--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -69,7 +69,8 @@
 		select {
 		case <-g.ctx.Done():
 			return
-		case <-heartbeat.C:
+		case due := <-heartbeat.C:
+			g.deps.Mesh.RecordDelay(time.Since(due))
 			cause, direct = broadcastDue, heartbeats%broadcastsPerDirect == 0
 			if heartbeats++; heartbeats%broadcastsPerDigest == 0 {
 				cause = digestsDue
--- a/relay/process.go
+++ b/relay/process.go
@@ -60,6 +60,12 @@
 	mesh.CountBytes(c.DataCentre, peers.ByteCounters(env.Metrics))
 	if s.Load.ForwardMessages {
 		mesh.EnableForwarding(c.DataCentre)
+		env.Metrics.NewGauge("relay_peer_forwarding_offered", func() float64 {
+			if mesh.OffersForwarding(time.Now()) {
+				return 1
+			}
+			return 0
+		})
 		mesh.CountLate(env.Metrics.NewCounter("relay_peer_forwarded_late_total").Inc)
 	}
 	c.Policy = balance.Default()
