Plan the forwarding of a message with less work

The plan of each message built a map of its recipients. It now counts the gateways that read forwarded messages, and compares.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -19,15 +20,13 @@
 	MaxDirect = 3
 )
 
-// Member is a gateway that may be sent a message.
+// Member is a gateway that a message is for.
 type Member struct {
 	Address    netip.AddrPort
 	Name       string
 	DataCentre string // empty if not known yet
-	// Recipient is set if the message is for this gateway.
-	Recipient bool
-	// Understands is set if the gateway has reported that it reads forwarded messages.
-	Understands bool
+	// Reads is set if the gateway has reported that it reads forwarded messages.
+	Reads bool
 	// Forwards is set if the gateway has recently reported that it forwards messages.
 	Forwards bool
 }
@@ -38,48 +37,57 @@
 	Forwarders []netip.AddrPort // sent the message and asked to forward it
 }
 
-// New returns the plan for a message of a sender in a data centre; members are all other gateways. A
-// message that is not for all gateways of another data centre that read forwarded messages is not forwarded there, since
-// forwarders do not know for whom it is. Gateways that do not read forwarded messages are sent it
-// directly.
-func New(sender, dataCentre string, members []Member) Plan {
-	var p Plan
-	groups := make(map[string]*group)
-	for _, m := range members {
+// New returns the plan for a message of a sender in a data centre. readers is the number of gateways in
+// each data centre that read forwarded messages; a message that is not for all of them is not forwarded
+// there, since forwarders do not know for whom it is. Gateways that do not read forwarded messages are
+// sent it directly.
+func New(sender, dataCentre string, recipients []Member, readers map[string]int) Plan {
+	p := Plan{Direct: make([]netip.AddrPort, 0, len(recipients))}
+	var groups []group
+	for i := range recipients {
+		m := &recipients[i]
 		if m.DataCentre == "" || m.DataCentre == dataCentre {
-			if m.Recipient {
-				p.Direct = append(p.Direct, m.Address)
-			}
 			continue
 		}
-		g := groups[m.DataCentre]
-		if g == nil {
-			g = new(group)
-			groups[m.DataCentre] = g
+		n := find(groups, m.DataCentre)
+		if n < 0 {
+			n = len(groups)
+			groups = append(groups, group{dataCentre: m.DataCentre})
 		}
-		g.add(sender, m)
+		groups[n].add(sender, m)
 	}
-	for _, m := range members {
-		g := groups[m.DataCentre]
+	for i := range groups {
+		g := &groups[i]
+		g.usable = g.recipients > MaxDirect && g.readers >= readers[g.dataCentre] && g.forwarders[Copies-1].address.IsValid()
+	}
+	for i := range recipients {
+		m := &recipients[i]
+		n := find(groups, m.DataCentre)
 		switch {
-		case !m.Recipient || g == nil:
-		case !g.usable():
+		case n < 0 || !groups[n].usable:
 			p.Direct = append(p.Direct, m.Address)
-		case g.chosen(m.Address):
+		case groups[n].chosen(m.Address):
 			p.Forwarders = append(p.Forwarders, m.Address)
-		case !m.Understands:
+		case !m.Reads:
 			p.Direct = append(p.Direct, m.Address)
 		}
 	}
 	return p
 }
 
-// group holds the gateways of another data centre.
+// group holds the recipients in another data centre.
 type group struct {
+	dataCentre string
 	recipients int
-	incomplete bool // the message is not for all of those that read forwarded messages
+	readers    int // recipients that read forwarded messages
 	// forwarders are the gateways with the highest scores, the highest first.
 	forwarders [Copies]scored
+	usable     bool // whether the message is forwarded
+}
+
+// find returns the index of the group of a data centre, or -1. There are few.
+func find(groups []group, dataCentre string) int {
+	return slices.IndexFunc(groups, func(g group) bool { return g.dataCentre == dataCentre })
 }
 
 type scored struct {
@@ -87,13 +95,13 @@
 	address netip.AddrPort
 }
 
-func (g *group) add(sender string, m Member) {
-	if !m.Recipient {
-		g.incomplete = g.incomplete || m.Understands
+func (g *group) add(sender string, m *Member) {
+	g.recipients++
+	if !m.Reads {
 		return
 	}
-	g.recipients++
-	if !m.Forwards || !m.Understands {
+	g.readers++
+	if !m.Forwards {
 		return
 	}
 	next := scored{score(sender, m.Name), m.Address}
@@ -104,11 +112,6 @@
 	}
 }
 
-// usable reports whether a message is forwarded in the data centre.
-func (g *group) usable() bool {
-	return !g.incomplete && g.recipients > MaxDirect && g.forwarders[Copies-1].address.IsValid()
-}
-
 func (g *group) chosen(a netip.AddrPort) bool {
 	for _, f := range g.forwarders {
 		if f.address == a {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -13,13 +13,13 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7100)
 }
 
-// gateways returns this many members of each data centre that are recipients and forward messages.
+// gateways returns this many members of each data centre that forward messages.
 func gateways(sizes ...int) []Member {
 	var out []Member
 	for dc, size := range sizes {
 		for range size {
 			n := len(out)
-			out = append(out, Member{Address: address(n), Name: fmt.Sprint("g", n), DataCentre: fmt.Sprint("dc", dc), Recipient: true, Understands: true, Forwards: true})
+			out = append(out, Member{Address: address(n), Name: fmt.Sprint("g", n), DataCentre: fmt.Sprint("dc", dc), Reads: true, Forwards: true})
 		}
 	}
 	return out
@@ -30,56 +30,63 @@
 	const own = 5
 	for name, c := range map[string]struct {
 		size               int // of the other data centre
+		recipients         int // of these, the first ones
 		change             func(other []Member)
 		direct, forwarders int // in the other data centre
 	}{
-		"all forward":                     {10, func([]Member) {}, 0, Copies},
-		"small data centre":               {MaxDirect, func([]Member) {}, MaxDirect, 0},
-		"smallest that forwards":          {MaxDirect + 1, func([]Member) {}, 0, Copies},
-		"one runs a release that cannot":  {10, func(o []Member) { o[3].Understands, o[3].Forwards = false, false }, 1, Copies},
-		"most run such a release":         {10, func(o []Member) { clearFlags(o[:8]) }, 8, Copies},
-		"only one forwards":               {10, func(o []Member) { clearFlags(o[:9]) }, 10, 0},
-		"none was heard recently":         {10, func(o []Member) { clearForwards(o) }, 10, 0},
-		"two were heard recently":         {10, func(o []Member) { clearForwards(o[2:]) }, 0, Copies},
-		"message for some of them only":   {10, func(o []Member) { clearRecipients(o[5:]) }, 5, 0},
-		"message for few of them":         {10, func(o []Member) { clearRecipients(o[2:]) }, 2, 0},
-		"message for all that understand": {10, func(o []Member) { clearFlags(o[9:]); clearRecipients(o[9:]) }, 0, Copies},
-		"not for this data centre":        {10, clearRecipients, 0, 0},
-		"data centre not known":           {10, func(o []Member) { clearDataCentres(o) }, 10, 0},
+		"all forward":                 {10, 10, func([]Member) {}, 0, Copies},
+		"small data centre":           {MaxDirect, MaxDirect, func([]Member) {}, MaxDirect, 0},
+		"smallest that forwards":      {MaxDirect + 1, MaxDirect + 1, func([]Member) {}, 0, Copies},
+		"one cannot read":             {10, 10, func(o []Member) { clearFlags(o[3:4]) }, 1, Copies},
+		"most cannot read":            {10, 10, func(o []Member) { clearFlags(o[:8]) }, 8, Copies},
+		"only one forwards":           {10, 10, func(o []Member) { clearFlags(o[:9]) }, 10, 0},
+		"none was heard recently":     {10, 10, func(o []Member) { clearForwards(o) }, 10, 0},
+		"two were heard recently":     {10, 10, func(o []Member) { clearForwards(o[2:]) }, 0, Copies},
+		"message for some of them":    {10, 5, func([]Member) {}, 5, 0},
+		"message for few of them":     {10, 2, func([]Member) {}, 2, 0},
+		"message for all that read":   {10, 9, func(o []Member) { clearFlags(o[9:]) }, 0, Copies},
+		"not for this data centre":    {10, 0, func([]Member) {}, 0, 0},
+		"data centre not known":       {10, 10, func(o []Member) { clearDataCentres(o) }, 10, 0},
+		"data centre of some unknown": {10, 10, func(o []Member) { clearDataCentres(o[6:]) }, 4, Copies},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			members := gateways(own, c.size)
 			c.change(members[own:])
-			p := New("sender", "dc0", members)
+			recipients := members[:own+c.recipients]
+			p := New("sender", "dc0", recipients, readers(members))
 			is.Equal(len(p.Direct), own+c.direct)
 			is.Equal(len(p.Forwarders), c.forwarders)
-			for _, m := range members {
+			for _, m := range recipients {
 				direct, forwarder := slices.Contains(p.Direct, m.Address), slices.Contains(p.Forwarders, m.Address)
 				is.True(!direct || !forwarder) // no gateway is sent a message twice
 				is.True(!forwarder || m.Forwards)
-				is.True(m.Recipient || !direct && !forwarder)
-				is.True(direct || forwarder || m.Understands || !m.Recipient) // the others can read a forwarded one
+				is.True(direct || forwarder || m.Reads) // the others can read a forwarded one
 			}
 		})
 	}
 }
 
-func clearFlags(members []Member) {
-	for i := range members {
-		members[i].Understands, members[i].Forwards = false, false
+// readers counts the members of each data centre that read forwarded messages.
+func readers(members []Member) map[string]int {
+	out := make(map[string]int)
+	for _, m := range members {
+		if m.Reads {
+			out[m.DataCentre]++
+		}
 	}
+	return out
 }
 
-func clearForwards(members []Member) {
+func clearFlags(members []Member) {
 	for i := range members {
-		members[i].Forwards = false
+		members[i].Reads, members[i].Forwards = false, false
 	}
 }
 
-func clearRecipients(members []Member) {
+func clearForwards(members []Member) {
 	for i := range members {
-		members[i].Recipient = false
+		members[i].Forwards = false
 	}
 }
 
@@ -94,14 +101,14 @@
 func TestForwardersAreStable(t *testing.T) {
 	is := is.New(t)
 	members := gateways(0, 10)
-	before := New("sender", "dc0", members).Forwarders
+	before := New("sender", "dc0", members, readers(members)).Forwarders
 	slices.Reverse(members)
-	is.Equal(sorted(New("sender", "dc0", members).Forwarders), sorted(before))
+	is.Equal(sorted(New("sender", "dc0", members, readers(members)).Forwarders), sorted(before))
 	dead := before[0]
 	for i := range members {
 		members[i].Forwards = members[i].Address != dead
 	}
-	after := New("sender", "dc0", members).Forwarders
+	after := New("sender", "dc0", members, readers(members)).Forwarders
 	is.True(slices.Contains(after, before[1])) // the other one remains
 	is.True(!slices.Contains(after, dead))
 }
@@ -114,7 +121,7 @@
 		count := make(map[netip.AddrPort]int)
 		senders := 2 * size // of the two other data centres of three
 		for n := range senders {
-			for _, a := range New(fmt.Sprintf("gw-%04d", n), "dc0", members).Forwarders {
+			for _, a := range New(fmt.Sprintf("gw-%04d", n), "dc0", members, readers(members)).Forwarders {
 				count[a]++
 			}
 		}
--- a/peers/forward.go
+++ b/peers/forward.go
@@ -140,27 +140,22 @@
 
 // plan returns whom a message for these addresses is sent to. The caller holds mu.
 func (m *Mesh) plan(to []netip.AddrPort, now time.Time) forward.Plan {
-	recipients := make(map[netip.AddrPort]bool, len(to))
-	for _, a := range to {
-		recipients[a] = true
-	}
-	members := make([]forward.Member, 0, len(m.recent)+len(to))
-	for a, r := range m.recent {
-		if now.Sub(r.received) > memberTTL {
-			continue
+	readers := make(map[string]int)
+	for _, r := range m.recent {
+		if r.flags&ReadsForwarded != 0 && now.Sub(r.received) <= memberTTL {
+			readers[r.DataCentre]++
 		}
-		members = append(members, forward.Member{
-			Address: a, Name: r.Name, DataCentre: r.DataCentre, Recipient: recipients[a], Understands: r.flags&ReadsForwarded != 0,
+	}
+	recipients := m.recipients[:0]
+	for _, a := range to {
+		r := m.recent[a] // empty if the gateway is not known to read forwarded messages
+		recipients = append(recipients, forward.Member{
+			Address: a, Name: r.Name, DataCentre: r.DataCentre, Reads: r.flags&ReadsForwarded != 0,
 			Forwards: r.flags&Forwards != 0 && now.Sub(r.received) <= heardRecently,
 		})
-		delete(recipients, a)
-	}
-	for _, a := range to { // the rest is not known to read forwarded messages
-		if recipients[a] {
-			members = append(members, forward.Member{Address: a, Recipient: true})
-		}
 	}
-	return forward.New(m.name, m.dataCentre, members)
+	m.recipients = recipients
+	return forward.New(m.name, m.dataCentre, recipients, readers)
 }
 
 // forward sends a datagram that asks for it to the gateways of this data centre that read forwarded messages.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -227,7 +227,8 @@
 	recent            map[netip.AddrPort]recentMember
 	lastReceived      map[string]receipt
 	punctuality       forward.Punctuality
-	epoch             time.Time // zero point of the clock sent in datagrams
+	recipients        []forward.Member // memory that plan uses again
+	epoch             time.Time        // zero point of the clock sent in datagrams
 }
 
 // receipt describes the newest datagram received from a sender.
