Test the clocks of real forwarded messages

The test built its message itself. It now checks each message that arrives with an echo of the receiver's clock. Comments are wrapped.

peers passes, also with the race detector.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,8 +15,8 @@
 	// Copies is the number of gateways of another data centre that are asked to forward a message. With
 	// two, nothing is lost if one of them dies.
 	Copies = 2
-	// MaxDirect is the size of the largest data centre whose gateways are all sent the message directly:
-	// two copies and the forwarding would save at most one datagram.
+	// MaxDirect is the size of the largest data centre whose gateways are all sent the message
+	// directly: two copies and the forwarding would save at most one datagram.
 	MaxDirect = 3
 )
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -25,7 +25,8 @@
 	return out
 }
 
-// TestPlan checks how many gateways of the own data centre (5 members) and of another one are sent a message directly.
+// TestPlan checks how many gateways of the own data centre (5 members) and of another one are sent
+// a message directly.
 func TestPlan(t *testing.T) {
 	const own = 5
 	for name, c := range map[string]struct {
--- a/forward/punctuality_test.go
+++ b/forward/punctuality_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 )
 
-// TestPunctuality guards against a gateway with too little processor time that goes on forwarding, and against one that never
-// forwards again after a pause.
+// TestPunctuality guards against a gateway with too little processor time that goes on forwarding,
+// and against one that never forwards again after a pause.
 func TestPunctuality(t *testing.T) {
 	const onTime, late = maxDelay, maxDelay + time.Millisecond
 	for name, c := range map[string]struct {
--- a/internal/meshnet/meshnet.go
+++ b/internal/meshnet/meshnet.go
@@ -136,7 +136,8 @@
 	return datagrams, largest
 }
 
-// Suspend suspends the host until the returned function is called. Datagrams that arrive meanwhile are read then.
+// Suspend suspends the host until the returned function is called. Datagrams that arrive meanwhile
+// are read then.
 func (c *Conn) Suspend() (resume func()) {
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
--- a/peers/count.go
+++ b/peers/count.go
@@ -22,7 +22,8 @@
 
 var kinds = []Kind{LoadChange, Regular, RegularDigests, Proof, CrossCellLoad, CrossCellReport, Forwarded}
 
-// ByteCounters adds counters of bytes by kind and destination to set. It returns the function that counts, for CountBytes.
+// ByteCounters adds counters of bytes by kind and destination to set. It returns the function that
+// counts, for CountBytes.
 func ByteCounters(set *metrics.Set) func(kind Kind, remote bool, bytes int) {
 	local, remote := make(map[Kind]*metrics.Counter), make(map[Kind]*metrics.Counter)
 	for _, k := range kinds {
@@ -47,8 +48,8 @@
 	m.dataCentre, m.count = dataCentre, count
 }
 
-// CountLate makes the mesh call count for each forwarded message that it drops because it took too long,
-// see maxForwardDelay. It must be called before Receive.
+// CountLate makes the mesh call count for each forwarded message that it drops because it took too
+// long, see maxForwardDelay. It must be called before Receive.
 func (m *Mesh) CountLate(count func()) { m.countLate = count }
 
 // countBytes counts a datagram of this size to each of the addresses.
--- a/peers/count_test.go
+++ b/peers/count_test.go
@@ -12,8 +12,9 @@
 	"github.com/micarudder/micarudder/internal/meshnet"
 )
 
-// TestByteCounters checks that bytes are counted by kind and destination. Gateways whose data centre is not known
-// count as remote, so that the bytes between data centres are not underestimated.
+// TestByteCounters checks that bytes are counted by kind and destination. Gateways whose data
+// centre is not known count as remote, so that the bytes between data centres are not
+// underestimated.
 func TestByteCounters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/peers/forward.go
+++ b/peers/forward.go
@@ -40,12 +40,12 @@
 )
 
 // A forwarded datagram consists of forwardedMark, the length and the bytes of the address of the
-// origin, whether the message is partial, and the datagram as the origin sent it. The datagram is not encoded
-// again, so that fields of later releases are kept.
+// origin, whether the message is partial, and the datagram as the origin sent it. The datagram is
+// not encoded again, so that fields of later releases are kept.
 
-// forwardedMark begins a forwarded datagram. No message begins with it, because MessagePack does not use this
-// byte. A gateway that does not read forwarded messages drops them as malformed, and so does not take
-// the address of the forwarder for that of the origin.
+// forwardedMark begins a forwarded datagram. No message begins with it, because MessagePack does
+// not use this byte. A gateway that does not read forwarded messages drops them as malformed, and
+// so does not take the address of the forwarder for that of the origin.
 const forwardedMark = 0xc1
 
 // forwardedOverhead is the most bytes that a forwarded datagram has besides the origin's.
@@ -111,8 +111,8 @@
 	m.forwarding, m.dataCentre = true, dataCentre
 }
 
-// RecordDelay records how much later than due a regular message of this gateway is sent, which decides whether
-// the gateway offers to forward messages.
+// RecordDelay records how much later than due a regular message of this gateway is sent, which
+// decides whether the gateway offers to forward messages.
 func (m *Mesh) RecordDelay(d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -158,7 +158,8 @@
 	return forward.New(m.name, m.dataCentre, recipients, readers)
 }
 
-// forward sends a datagram that asks for it to the gateways of this data centre that read forwarded messages.
+// forward sends a datagram that asks for it to the gateways of this data centre that read forwarded
+// messages.
 func (m *Mesh) forward(p []byte, msg Message, origin netip.AddrPort) {
 	if !m.forwarding || msg.Forwarding&ForwardThis == 0 || msg.DataCentre == m.dataCentre {
 		return
@@ -167,7 +168,8 @@
 	if err != nil {
 		return // the address was read from a datagram
 	}
-	_ = m.write(Forwarded, wrapped, m.forwardTargets(origin, time.Now())) // the other forwarder and the regular messages replace it
+	// A failure is made up for by the other forwarder and by the regular messages.
+	_ = m.write(Forwarded, wrapped, m.forwardTargets(origin, time.Now()))
 }
 
 // forwardTargets returns the gateways of this data centre that read forwarded messages.
@@ -201,8 +203,8 @@
 	return msg, origin, err == nil, err
 }
 
-// superseded reports whether a message is of no use, because it or a later one that includes it was received
-// before.
+// superseded reports whether a message is of no use, because it or a later one that includes it was
+// received before.
 func (m *Mesh) superseded(id messageID, partial, forwarded bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -210,10 +212,11 @@
 	return ok && last.supersedes(id.incarnation, id.sequence, m.forwarding && !partial, forwarded)
 }
 
-// supersedes reports whether a message of the same sender is of no use after the ones that r describes.
-// Each message holds all changes of load since the complete one before it. An earlier partial
-// message is therefore included in a later message; an earlier complete one is not included in the
-// partial messages that follow it. keepComplete is set if the message is complete and is used in this case.
+// supersedes reports whether a message of the same sender is of no use after the ones that r
+// describes. Each message holds all changes of load since the complete one before it. An earlier
+// partial message is therefore included in a later message; an earlier complete one is not included
+// in the partial messages that follow it. keepComplete is set if the message is complete and is
+// used in this case.
 func (r receipt) supersedes(incarnation, sequence uint64, keepComplete, forwarded bool) bool {
 	if r.incarnation != incarnation {
 		// A forwarder that was suspended sends messages of a process that was replaced meanwhile.
@@ -222,7 +225,8 @@
 	return sequence <= r.complete || sequence == r.sequence || sequence < r.sequence && !keepComplete
 }
 
-// tooLate reports whether a forwarded message took much longer than the newest direct one of its sender.
+// tooLate reports whether a forwarded message took much longer than the newest direct one of its
+// sender.
 func (r receipt) tooLate(msg Message, now time.Time, epoch time.Time) bool {
 	if r.incarnation != msg.Incarnation || r.directAt.IsZero() || now.Sub(r.directAt) > memberTTL {
 		return false
--- a/peers/forward_test.go
+++ b/peers/forward_test.go
@@ -16,8 +16,8 @@
 	"github.com/micarudder/micarudder/internal/meshnet"
 )
 
-// settled is the time within which a change of load is known everywhere if nothing is lost: the least gap between two
-// messages of a sender, the delay to another data centre, and the forwarding.
+// settled is the time within which a change of load is known everywhere if nothing is lost: the
+// least gap between two messages of a sender, the delay to another data centre, and the forwarding.
 const settled = 10*time.Millisecond + meshnet.RemoteDelay + 2*meshnet.LocalDelay
 
 // smallFleet is the number of gateways of most tests: five in each data centre, of which two forward.
@@ -50,9 +50,11 @@
 			is.Equal(f.wrong(), 0)
 			for _, p := range f.peers {
 				is.Equal(len(p.mesh.Members(time.Now())), 28)
+				p.mu.Lock()
 				for _, o := range f.peers { // the forwarder's address does not replace the origin's
 					is.True(o == p || p.origins[o.name] == o.Address)
 				}
+				p.mu.Unlock()
 			}
 		})
 		return remote
@@ -92,8 +94,8 @@
 	}
 }
 
-// TestDataCentreCutOff: gateways that were cut off from another data centre know all loads within a second of its return, and
-// forwarding to the remaining data centre goes on.
+// TestDataCentreCutOff: gateways that were cut off from another data centre know all loads within a
+// second of its return, and forwarding to the remaining data centre goes on.
 func TestDataCentreCutOff(t *testing.T) {
 	for name, cut := range map[string]time.Duration{"briefly": 500 * time.Millisecond, "longer than members are kept": memberTTL + 2*time.Second} {
 		t.Run(name, func(t *testing.T) {
@@ -120,8 +122,8 @@
 	}
 }
 
-// TestUnpunctualGatewaysDoNotForward: gateways whose own messages are late are not asked to forward; two others in the
-// data centre do, and nothing is lost.
+// TestUnpunctualGatewaysDoNotForward: gateways whose own messages are late are not asked to
+// forward; two others in the data centre do, and nothing is lost.
 func TestUnpunctualGatewaysDoNotForward(t *testing.T) {
 	runFleet(t, smallFleet, always, func(is *is.I, f *testMesh) {
 		for n, p := range f.peers {
@@ -151,8 +153,8 @@
 	})
 }
 
-// TestMixedReleases: gateways that do not forward, as those of the previous release, receive every message directly and
-// never a forwarded one, which they could not read.
+// TestMixedReleases: gateways that do not forward, as those of the previous release, receive every
+// message directly and never a forwarded one, which they could not read.
 func TestMixedReleases(t *testing.T) {
 	for name, forwards := range map[string]func(n int) bool{
 		"a third forward":           func(n int) bool { return n/3%3 == 0 },
@@ -177,8 +179,8 @@
 	}
 }
 
-// TestSuspendedForwarder guards against old messages that a suspended forwarder sends when it is resumed:
-// the load of a gateway that died meanwhile would count again.
+// TestSuspendedForwarder guards against old messages that a suspended forwarder sends when it is
+// resumed: the load of a gateway that died meanwhile would count again.
 func TestSuspendedForwarder(t *testing.T) {
 	runFleet(t, smallFleet, always, func(is *is.I, f *testMesh) {
 		origin := f.peers[0]
@@ -214,8 +216,8 @@
 	return m.lastReceived[name].at
 }
 
-// TestSlowForwarders: forwarders of which each takes its own time, up to twice the gap between messages, cause
-// no lost change.
+// TestSlowForwarders: forwarders of which each takes its own time, up to twice the gap between
+// messages, cause no lost change.
 func TestSlowForwarders(t *testing.T) {
 	runFleet(t, smallFleet, always, func(is *is.I, f *testMesh) {
 		r := rand.New(rand.NewPCG(1, 1))
@@ -234,15 +236,17 @@
 			is.Equal(f.wrong(), 0)
 		}
 		for _, p := range f.peers {
-			late += p.late
+			n, _, _ := p.counts()
+			late += n
 		}
 		t.Logf("%d complete messages arrived after a later one", late)
 		is.True(late > 0)
 	})
 }
 
-// TestReorderedLoads guards against partial updates that are lost since a complete message arrived after a later one: whatever
-// the order and the duplicates, the receiver ends with the sender's load.
+// TestReorderedLoads guards against partial updates that are lost since a complete message arrived
+// after a later one: whatever the order and the duplicates, the receiver ends with the sender's
+// load.
 func TestReorderedLoads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
@@ -286,8 +290,8 @@
 	})
 }
 
-// TestReplacedProcess guards against a delayed message of the previous process of a gateway, which would count as
-// that of a new process.
+// TestReplacedProcess guards against a delayed message of the previous process of a gateway, which
+// would count as that of a new process.
 func TestReplacedProcess(t *testing.T) {
 	is := is.New(t)
 	m, at := listen(t, "a")
@@ -316,28 +320,27 @@
 	is.Equal(late, 1)
 }
 
-// TestForwardedClocks: a message that was forwarded still bounds the time of its sending by the receiver's clock.
+// TestForwardedClocks: the clocks in a message still bound the time of its sending by the receiver's
+// clock, although both the message and the one that it echoes were forwarded.
 func TestForwardedClocks(t *testing.T) {
 	runFleet(t, smallFleet, always, func(is *is.I, f *testMesh) {
-		echoes := f.peers[0] // it echoes clocks
-		for _, p := range f.peers[2:] {
-			p.mesh.mu.Lock()
-			r := p.mesh.lastReceived[echoes.name]
-			p.mesh.mu.Unlock()
-			is.Equal(r.from, echoes.Address)
-			echoes.mesh.mu.Lock()
-			back := echoes.mesh.lastReceived[p.name]
-			echoes.mesh.mu.Unlock()
-			msg := Message{ClockEchoes: map[string]int64{p.name: back.clock}}
-			sentAfter, ok := p.mesh.SentAfter(msg)
-			is.True(ok)
-			is.True(!sentAfter.After(back.at))
-			is.True(back.at.Sub(sentAfter) <= 2*time.Millisecond)
+		before := make(map[*testPeer]int)
+		for _, p := range f.peers {
+			_, before[p], _ = p.counts()
+		}
+		time.Sleep(time.Second)
+		for n, p := range f.peers {
+			_, dated, misdated := p.counts()
+			is.Equal(misdated, 0)
+			if n >= 2 { // the first two gateways echo clocks in all their messages
+				is.True(dated-before[p] >= 2*4)
+			}
 		}
 	})
 }
 
-// TestLargeMessages: a message that would be too large to be read once it is forwarded is sent directly.
+// TestLargeMessages: a message that would be too large to be read once it is forwarded is sent
+// directly.
 func TestLargeMessages(t *testing.T) {
 	runFleet(t, smallFleet, always, func(is *is.I, f *testMesh) {
 		f.setQuiet(true)
@@ -368,8 +371,8 @@
 	})
 }
 
-// TestWhatIsForwarded guards against messages that circulate because they are forwarded twice, and against
-// forwarding by a gateway that does not take part in it.
+// TestWhatIsForwarded guards against messages that circulate because they are forwarded twice, and
+// against forwarding by a gateway that does not take part in it.
 func TestWhatIsForwarded(t *testing.T) {
 	asking := Message{From: "origin", Incarnation: 1, Sequence: 1, DataCentre: "dc0", Forwarding: ReadsForwarded | Forwards | ForwardThis}
 	plain, local := asking, asking
@@ -426,8 +429,8 @@
 	}
 }
 
-// TestForwardingOverUDP checks the addresses that the sockets of the host report: a forwarded message comes
-// with that of its origin.
+// TestForwardingOverUDP checks the addresses that the sockets of the host report: a forwarded
+// message comes with that of its origin.
 func TestForwardingOverUDP(t *testing.T) {
 	is := is.New(t)
 	type receipt struct {
@@ -472,7 +475,8 @@
 	return "dc1"
 }
 
-// TestUnwrap checks that a forwarded datagram is read as it was sent, and that parts of one are rejected.
+// TestUnwrap checks that a forwarded datagram is read as it was sent, and that parts of one are
+// rejected.
 func TestUnwrap(t *testing.T) {
 	is := is.New(t)
 	content, err := encode(&Message{From: "a", Incarnation: 1 << 63, Sequence: 7})
--- a/peers/network_test.go
+++ b/peers/network_test.go
@@ -34,6 +34,8 @@
 	handled   int
 	late      int // of the handled messages
 	malformed int
+	dated     int                       // messages with an echo of this gateway's clock
+	misdated  int                       // of these, those with an echo from after their sending
 	origins   map[string]netip.AddrPort // the address of each sender
 	bytes     map[Kind]int
 	remote    int // bytes to other data centres
@@ -50,8 +52,8 @@
 // endpointsPerPeer is how many endpoints a testPeer has load at.
 const endpointsPerPeer = 24
 
-// newTestMesh starts gateways, spread evenly over the data centres. A gateway for which forwards returns false
-// behaves like one of the previous release.
+// newTestMesh starts gateways, spread evenly over the data centres. A gateway for which forwards
+// returns false behaves like one of the previous release.
 func newTestMesh(t *testing.T, dataCentres, gateways int, forwards func(n int) bool) *testMesh {
 	t.Helper()
 	f := &testMesh{Network: meshnet.New(), done: make(chan struct{})}
@@ -107,6 +109,13 @@
 	if msg.Late {
 		p.late++
 	}
+	if at, ok := p.mesh.SentAfter(msg); ok {
+		p.dated++
+		// All gateways started at the same time.
+		if at.After(p.mesh.epoch.Add(time.Duration(msg.Clock))) {
+			p.misdated++
+		}
+	}
 	if msg.Partial {
 		p.known.UpdatePeerLoad(msg.From, msg.DataCentre, msg.Loads, time.Now())
 	} else {
@@ -114,6 +123,13 @@
 	}
 }
 
+// counts returns the numbers of late, dated and misdated messages.
+func (p *testPeer) counts() (late, dated, misdated int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.late, p.dated, p.misdated
+}
+
 // run changes the load 10 to 40 times a second and sends messages until the gateway stops.
 func (p *testPeer) run(n int, done chan struct{}) {
 	r := rand.New(rand.NewPCG(1, uint64(n)))
@@ -232,7 +248,8 @@
 	return out
 }
 
-// remoteBytes returns the bytes that all gateways have sent to other data centres, and all bytes by kind.
+// remoteBytes returns the bytes that all gateways have sent to other data centres, and all bytes by
+// kind.
 func (f *testMesh) remoteBytes() (remote int, byKind map[Kind]int) {
 	byKind = make(map[Kind]int)
 	for _, p := range f.peers {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -1,7 +1,8 @@
 // Package peers implements the UDP protocol between gateways. Each datagram (a Message)
 // carries the load that its sender has in flight at endpoints: only what changed, or,
 // several times a second, all of it, so that lost or duplicated datagrams do no harm.
-// The caller chooses what to send to which gateway.
+// The caller chooses what to send to which gateway; a message for all gateways of another data
+// centre can be forwarded there, see EnableForwarding.
 package peers
 
 import (
@@ -397,10 +398,10 @@
 }
 
 // Receive calls handle for each datagram of another gateway until the mesh is closed; from is the
-// address of its sender, also if another gateway forwarded it.
-// The datagrams of one sender are handled in the order of sending; one that arrives
-// after a later one is dropped, except for a complete one that is handled as Late. Receive returns the
-// number of datagrams that could not be decoded.
+// address of its sender, also if another gateway forwarded it. The datagrams of one sender are
+// handled in the order of sending; one that arrives after a later one is dropped, except for a
+// complete one that is handled as Late. Receive returns the number of datagrams that could not be
+// decoded.
 func (m *Mesh) Receive(handle func(msg Message, from netip.AddrPort)) (malformed int) {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -432,9 +433,9 @@
 	}
 }
 
-// accept records the receipt of a datagram. It returns false if the datagram is of no use because the same or a
-// later one was received before, or because it was forwarded too late. A complete one that arrived
-// after later partial ones becomes Late and receives their changes.
+// accept records the receipt of a datagram. It returns false if the datagram is of no use because
+// the same or a later one was received before, or because it was forwarded too late. A complete one
+// that arrived after later partial ones becomes Late and receives their changes.
 func (m *Mesh) accept(msg *Message, from netip.AddrPort, forwarded bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -239,8 +239,8 @@
 	is.Equal(AgeFromMs(math.MaxInt64), MaxAge)
 }
 
-// TestCompactNumbers checks that no number loses anything in the compact form, and that datagrams of the previous release,
-// which has numbers of fixed size, are read.
+// TestCompactNumbers checks that no number loses anything in the compact form, and that datagrams of
+// the previous release, which has numbers of fixed size, are read.
 func TestCompactNumbers(t *testing.T) {
 	is := is.New(t)
 	for _, n := range []int64{0, 1, -1, 127, 128, -32, -33, 255, 256, 1 << 16, 1 << 32, math.MaxInt64, math.MinInt64} {
--- a/relay/messagesize_test.go
+++ b/relay/messagesize_test.go
@@ -28,8 +28,8 @@
 	sendFromPeers func()
 }
 
-// newMeasuredGateway starts a gateway that represents its cell. It has requests at 8 endpoints, of which 3
-// changed since its last complete message, and observed 3 slow endpoints.
+// newMeasuredGateway starts a gateway that represents its cell. It has requests at 8 endpoints, of
+// which 3 changed since its last complete message, and observed 3 slow endpoints.
 func newMeasuredGateway(t *testing.T, gateways, dataCentres, endpoints int) *measuredGateway {
 	t.Helper()
 	events := eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel, LinesPerSecond: 1})
@@ -92,7 +92,8 @@
 	return m
 }
 
-// recordOffers records a digest of each other cell, which offers all endpoints that it shares with this one.
+// recordOffers records a digest of each other cell, which offers all endpoints that it shares with
+// this one.
 func (m *measuredGateway) recordOffers(list []catalog.Endpoint, load balance.Load, now time.Time) {
 	cells := m.state.Cells()
 	localCell := cells.Of(m.config.DataCentre)
@@ -134,9 +135,9 @@
 // maxPeerDatagram is the size of the largest datagram that gateways read, in bytes.
 const maxPeerDatagram = 60 << 10
 
-// TestMessageSizes bounds the size of each kind of message of a gateway that represents its cell, so that a field that
-// grows with the fleet is noticed before datagrams outgrow what is read. A complete message holds a clock for each receiver;
-// a change of load does not grow with the fleet.
+// TestMessageSizes bounds the size of each kind of message of a gateway that represents its cell,
+// so that a field that grows with the fleet is noticed before datagrams outgrow what is read. A
+// complete message holds a clock for each receiver; a change of load does not grow with the fleet.
 func TestMessageSizes(t *testing.T) {
 	const (
 		loadSize, remoteLoadSize = 250, 130
@@ -186,8 +187,9 @@
 	}
 }
 
-// TestEveryFourthMessageIsDirect guards against changes that are lost for longer than a second when both forwarders
-// of a data centre die: of the four regular messages in a second one goes to all gateways.
+// TestEveryFourthMessageIsDirect guards against changes that are lost for longer than a second when
+// both forwarders of a data centre die: of the four regular messages in a second one goes to all
+// gateways.
 func TestEveryFourthMessageIsDirect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
