--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,6 +31,9 @@
 	Length       time.Duration // how long faults are injected
 	Engines      int           // workers with memory; 0: no long prompts are sent
 	RestoreStore bool          // whether the store is restored from an older snapshot once
+	// ForwardMessages enables the forwarding of peer messages, which needs more than three gateways
+	// in each of the two data centres.
+	ForwardMessages bool
 }
 
 // Report is the outcome of a run.
@@ -201,10 +204,12 @@
 revoke_after = %s
 retry_slack = 1000
 unused_memory = %s
+[load]
+forward_messages = %t
 [process]
 admin_listen = %s:%d
 drain_time = %s
-`, i, dataCentreOf(i), host, servicePort, host, readyPort, host, peerPort, r.host(0), r.storeProxy.address(), revokeAfter, maxUnusedTime, host, adminPort, drainTime)
+`, i, dataCentreOf(i), host, servicePort, host, readyPort, host, peerPort, r.host(0), r.storeProxy.address(), revokeAfter, maxUnusedTime, r.c.ForwardMessages, host, adminPort, drainTime)
 	return procs.Spec{
 		Name: fmt.Sprintf("gateway-%d", i), Binary: r.c.Binary, Args: []string{"--config", procs.DirVar + "/relay.ini"},
 		Env:   []string{"SUSPENDED_FILE=" + r.suspendedFile(i)},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -180,6 +180,12 @@
 			runSeed(t, bin, r.seed, len(regressions)+i, c)
 		})
 	}
+	t.Run("forwarding", func(t *testing.T) {
+		t.Parallel()
+		c := ciSize()
+		c.Gateways, c.ForwardMessages = 10, true
+		runSeed(t, bin, 1, len(regressions)+len(engineRegressions)+*seeds, c)
+	})
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
