--- a/peers/forward.go
+++ b/peers/forward.go
@@ -114,6 +114,9 @@
 // RecordDelay records how much later than due a regular message of this gateway is sent, which
 // decides whether the gateway offers to forward messages.
 func (m *Mesh) RecordDelay(d time.Duration) {
+	if !m.forwarding {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.punctuality.Record(d)
