--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"net/netip"
@@ -13,6 +14,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
 )
@@ -56,7 +58,7 @@
 	other := netip.MustParseAddrPort("127.0.0.1:1")
 	m.SetMembers([]Member{{Address: self, Name: "a"}, {Address: other}, {Address: netip.MustParseAddrPort("127.0.0.1:2"), Name: "c"}})
 	is.Equal(len(m.Members(time.Now())), 2)
-	is.True(m.accept(Message{From: "b", Incarnation: 1, Sequence: 1, DataCentre: "dc"}, other))
+	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 1, DataCentre: "dc"}, other, false))
 	members := m.Members(time.Now())
 	is.Equal(len(members), 2)
 	is.True(slices.Contains(members, Member{Address: other, Name: "b", DataCentre: "dc"}))
@@ -65,10 +67,10 @@
 func TestReorderedDatagrams(t *testing.T) {
 	is := is.New(t)
 	m, at := listen(t, "a")
-	is.True(m.accept(Message{From: "b", Incarnation: 1, Sequence: 5}, at))
-	is.True(!m.accept(Message{From: "b", Incarnation: 1, Sequence: 5}, at))
-	is.True(!m.accept(Message{From: "b", Incarnation: 1, Sequence: 4}, at))
-	is.True(m.accept(Message{From: "b", Incarnation: 2, Sequence: 1}, at)) // a new process
+	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 5}, at, false))
+	is.True(!m.accept(&Message{From: "b", Incarnation: 1, Sequence: 5}, at, false))
+	is.True(!m.accept(&Message{From: "b", Incarnation: 1, Sequence: 4}, at, false))
+	is.True(m.accept(&Message{From: "b", Incarnation: 2, Sequence: 1}, at, false)) // a new process
 }
 
 // crashReportsField is the position of CrashReports in a datagram.
@@ -83,7 +85,7 @@
 	withoutAddress[0].Address = 0
 	limits := map[string]ratelimit.LimitUpdate{"e": {Version: 3, Limit: ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, Born: 4}}
 	evacuations := &catalog.Evacuations{Era: 5, Revision: 8, DataCentres: []string{"dc"}}
-	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11})
+	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11, Forwarding: ReadsForwarded})
 	is.NoErr(err)
 	msg, err := decode(p)
 	is.NoErr(err)
@@ -97,7 +99,7 @@
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
 	is.NoErr(err)
-	previous := len(fields) - 2 // number of fields in the previous release
+	previous := len(fields) - 3 // number of fields in the previous release
 	for _, list := range [][]msgpack.RawMessage{fields[:previous], append(slices.Clone(fields), extra)} {
 		p, err := msgpack.Marshal(list)
 		is.NoErr(err)
@@ -115,6 +117,7 @@
 		if len(list) >= len(fields) {
 			is.Equal(msg.CrashReports, reports)
 			is.Equal(msg.UnprovenAgeMs, int64(11))
+			is.Equal(msg.Forwarding, ReadsForwarded)
 		} else {
 			is.Equal(msg.CrashReports, withoutAddress)
 		}
@@ -235,3 +238,28 @@
 	is.Equal(AgeFromMs(math.MinInt64), time.Duration(0))
 	is.Equal(AgeFromMs(math.MaxInt64), MaxAge)
 }
+
+// TestCompactNumbers checks that no number loses anything in the compact form, and that datagrams of
+// the previous release, which has numbers of fixed size, are read.
+func TestCompactNumbers(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int64{0, 1, -1, 127, 128, -32, -33, 255, 256, 1 << 16, 1 << 32, math.MaxInt64, math.MinInt64} {
+		for _, x := range []float64{float64(n), 24.1, -0.5, 1 << 53, 1e300, math.Inf(1), math.SmallestNonzeroFloat64} {
+			msg := Message{From: "a", Incarnation: uint64(n), Sequence: math.MaxUint64, Clock: n, ProofAgeMs: -1, ClockEchoes: map[string]int64{"b": n},
+				Loads: map[string]balance.Load{"e": {PrefillMs: x, Short: int(n)}}, Waiting: map[string]balance.QueueHead{"s": {DueInMs: n}},
+				Observations: map[string]health.Observation{"e": {Failure: health.Unreachable, FailureAgeMs: n, Slowdown: x}}, StoreEra: uint64(n), UnprovenAgeMs: n}
+			p, err := encode(&msg)
+			is.NoErr(err)
+			got, err := decode(p)
+			is.NoErr(err)
+			is.Equal(got, msg)
+			var previous bytes.Buffer
+			e := msgpack.NewEncoder(&previous)
+			e.UseArrayEncodedStructs(true)
+			is.NoErr(e.Encode(msg))
+			got, err = decode(previous.Bytes())
+			is.NoErr(err)
+			is.Equal(got, msg)
+		}
+	}
+}
