Count the load of gateway processes that are gone

After a restart of all gateways, the new processes knew of no load, while engines still ran the requests of the old ones, and all packed short prompts onto the same few endpoints.

The new package residual estimates that load from the engines' reports. A starting gateway asks a bounded number of endpoints for their report and tells its cell the result in the new fields Residual and Starting of peers.Message. Until the load of an endpoint is known, for at most a second, short prompts are spread over all endpoints by their known load. The load of a gateway that falls silent, or whose process was replaced, counts as residual load too. The setting residual_load of the section load enables all of this; it is off by default.

The effect on late first events is not measured yet.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -61,6 +61,8 @@
 	// Slowdown is the factor by which the endpoint is slower than usual in everything it
 	// does.
 	Slowdown float64
+	// LoadUnknown is set while Load may lack requests of processes that are gone.
+	LoadUnknown bool
 }
 
 // slowdown returns the factor by which the endpoint is slower than usual, at least 1.
@@ -94,6 +96,7 @@
 	Interference  float64 // interference, in late short requests
 	Parts         int     // parts of the prompt; 0: no endpoint has room for one
 	IdleEndpoints int     // usable endpoints without prefill work
+	UnknownLoads  int     // usable endpoints whose load is not known, for a short request
 }
 
 const (
--- a/balance/load.go
+++ b/balance/load.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/micarudder/micarudder/residual"
 )
 
 // Load is the load of one endpoint. Messages between gateways encode its fields by
@@ -94,6 +96,8 @@
 	// changed holds the endpoints whose local load has changed since the last call of
 	// Local.
 	changed map[string]struct{}
+	// residual is the load of processes that are gone; nil if it is not counted.
+	residual *residual.Table
 }
 
 // NewLoadTracker returns an empty tracker.
@@ -253,7 +257,7 @@
 	t.nextExpiry = time.Time{}
 	for name, p := range t.peers {
 		if now.Sub(p.receivedAt) > peerTTL {
-			t.removePeer(name)
+			t.retirePeer(name, now)
 			continue
 		}
 		t.storePeer(name, p)
@@ -267,9 +271,15 @@
 }
 
 // Load returns the load of an endpoint: that of this gateway, of peers with a valid
-// report, and of other cells according to their valid digests.
+// report, of other cells according to their valid digests, and of processes that are
+// gone.
 func (t *LoadTracker) Load(endpoint string, now time.Time) Load {
-	sum := t.LoadExcluding(endpoint, nil, now)
+	return t.LiveLoad(endpoint, now).plus(t.residualLoad(endpoint, now))
+}
+
+// LiveLoad returns the load of an endpoint without that of processes that are gone.
+func (t *LoadTracker) LiveLoad(endpoint string, now time.Time) Load {
+	sum := t.liveLoadExcluding(endpoint, nil, now)
 	for _, d := range t.digests {
 		if now.Sub(d.CreatedAt) <= digestTTL {
 			sum = sum.plus(d.Loads[endpoint])
@@ -279,9 +289,15 @@
 }
 
 // LoadExcluding returns the load that this gateway and its peers have at an endpoint,
-// without peers in data centres for which excluded returns true. A nil excluded
-// excludes none.
+// without peers in data centres for which excluded returns true, and the load of
+// processes that are gone.
 func (t *LoadTracker) LoadExcluding(endpoint string, excluded func(dataCentre string) bool, now time.Time) Load {
+	return t.liveLoadExcluding(endpoint, excluded, now).plus(t.residualLoad(endpoint, now))
+}
+
+// liveLoadExcluding is LoadExcluding without the load of processes that are gone. A nil
+// excluded excludes no peers.
+func (t *LoadTracker) liveLoadExcluding(endpoint string, excluded func(dataCentre string) bool, now time.Time) Load {
 	t.expirePeers(now)
 	sum := t.localLoadAt(endpoint)
 	for dataCentre, sums := range t.sums {
--- a/balance/short.go
+++ b/balance/short.go
@@ -12,15 +12,24 @@
 // gateways share, using only as many as the short requests in flight need, so that the
 // others remain free for long prompts. Of these endpoints it selects one with an early
 // expected first event. If none of them is early enough, it takes the next endpoint in
-// the order that is.
+// the order that is. While the load of an endpoint is not known, they are spread over all
+// endpoints instead.
 //
 // The order does not depend on where long requests are decoding, because that changes
 // constantly: with such an order 30 short requests were spread over 8 to 11 of 17
 // endpoints, and each part of a long prompt caused a gap for some of them.
 func (p Policy) placeShort(e *catalog.Engine, req Request, prefill float64, all []Candidate, usable []int) Choice {
-	slices.SortFunc(usable, func(a, b int) int { return cmp.Compare(all[a].Rank, all[b].Rank) })
 	tokens := req.InputTokens + req.OutputTokens
-	packed := p.packedEndpoints(e, all, usable)
+	known, unknown := all, unknownLoads(all, usable)
+	spread := unknown > 0
+	packed := len(usable)
+	if spread {
+		all = assumeMeanLoad(all, usable)
+		slices.SortFunc(usable, func(a, b int) int { return compareSpread(all[a], all[b]) })
+	} else {
+		slices.SortFunc(usable, func(a, b int) int { return cmp.Compare(all[a].Rank, all[b].Rank) })
+		packed = p.packedEndpoints(e, all, usable)
+	}
 	best, earliest := -1, -1
 	late := false
 	var bestFirst, earliestFirst float64 // ms
@@ -35,12 +44,12 @@
 		if first > p.FirstEventShare*req.ObjectiveLeftMs {
 			continue
 		}
-		if best < 0 || earlier(first, all[i], bestFirst, all[best]) {
+		if best < 0 || spread && sooner(first, bestFirst) || !spread && earlier(first, all[i], bestFirst, all[best]) {
 			best, bestFirst = i, first
 		}
 	}
 	if best < 0 {
-		if !req.NoRefusal && earliestFirst > req.ObjectiveLeftMs && p.saturated(e, all, usable) {
+		if !req.NoRefusal && earliestFirst > req.ObjectiveLeftMs && p.saturated(e, known, usable) {
 			return Choice{Endpoint: -1, Refuse: true, Expected: Estimate{FirstMs: earliestFirst}}
 		}
 		if req.Remote {
@@ -49,7 +58,7 @@
 		best, bestFirst, late = earliest, earliestFirst, true
 	}
 	load := Load{PrefillMs: prefill, Short: 1, MemoryTokens: tokens, AwaitingFirstEvent: 1}
-	return Choice{Endpoint: best, Suboptimal: late, Loads: []LoadShare{{Candidate: best, Load: load}}, Expected: Estimate{FirstMs: bestFirst, Parts: 1}}
+	return Choice{Endpoint: best, Suboptimal: late, Loads: []LoadShare{{Candidate: best, Load: load}}, Expected: Estimate{FirstMs: bestFirst, Parts: 1, UnknownLoads: unknown}}
 }
 
 // saturated reports whether the requests in flight use up the slots of all endpoints
@@ -82,6 +91,49 @@
 	return cmp.Or(cmp.Compare(int(firstA/tieMs), int(firstB/tieMs)), compareLocal(a, b)) < 0
 }
 
+// sooner reports whether the first of two expected first events is clearly earlier.
+func sooner(firstA, firstB float64) bool { return int(firstA/tieMs) < int(firstB/tieMs) }
+
+// unknownLoads returns the number of endpoints whose load is not known.
+func unknownLoads(all []Candidate, usable []int) int {
+	n := 0
+	for _, i := range usable {
+		if all[i].LoadUnknown {
+			n++
+		}
+	}
+	return n
+}
+
+// assumeMeanLoad returns the candidates with the mean load of the known ones at those
+// whose load is not known, which would look idle otherwise.
+func assumeMeanLoad(all []Candidate, usable []int) []Candidate {
+	requests, tokens, known := 0, 0, 0
+	for _, i := range usable {
+		if l := all[i].Load; !all[i].LoadUnknown {
+			requests, tokens, known = requests+l.Short+l.Long, tokens+l.MemoryTokens, known+1
+		}
+	}
+	if known == 0 {
+		return all
+	}
+	out := slices.Clone(all)
+	for _, i := range usable {
+		if l := &out[i].Load; out[i].LoadUnknown {
+			l.Short += max(0, requests/known-l.Short-l.Long)
+			l.MemoryTokens = max(l.MemoryTokens, tokens/known)
+		}
+	}
+	return out
+}
+
+// compareSpread orders endpoints while the load of some is not known: by their requests,
+// then by this gateway's own order. Gateways that know nothing of each other thus take
+// different endpoints.
+func compareSpread(a, b Candidate) int {
+	return cmp.Or(cmp.Compare(a.Load.Short+a.Load.Long, b.Load.Short+b.Load.Long), cmp.Compare(a.LocalRank, b.LocalRank))
+}
+
 // firstEventMs estimates how long a short request waits for its first event: the
 // pending prefill plus the iterations of the decoding requests. Penalties keep requests
 // away from endpoints that are crowded, out of memory or too slow.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -19,6 +19,7 @@
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
+	"github.com/micarudder/micarudder/residual"
 )
 
 const (
@@ -100,6 +101,11 @@
 	// UnprovenAgeMs is the time, plus one, since the sending of the newest store read that found an
 	// entry which does not prove Version; 0 if the proof is newer.
 	UnprovenAgeMs int64
+	// Residual holds the load of processes that are gone, by endpoint, from the reports of
+	// endpoints that the sender received.
+	Residual map[string]residual.Report
+	// Starting is set while the sender may not know the load of all endpoints.
+	Starting bool
 }
 
 // addAge adds a time to the ages in the message that it has.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -15,6 +15,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
+	"github.com/micarudder/micarudder/residual"
 )
 
 func listen(t *testing.T, name string) (*Mesh, netip.AddrPort) {
@@ -83,7 +84,8 @@
 	withoutAddress[0].Address = 0
 	limits := map[string]ratelimit.LimitUpdate{"e": {Version: 3, Limit: ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, Born: 4}}
 	evacuations := &catalog.Evacuations{Era: 5, Revision: 8, DataCentres: []string{"dc"}}
-	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11})
+	residualLoads := map[string]residual.Report{"e": {Requests: 8, MemoryTokens: 40000, AgeMs: 12}}
+	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11, Residual: residualLoads, Starting: true})
 	is.NoErr(err)
 	msg, err := decode(p)
 	is.NoErr(err)
@@ -98,7 +100,8 @@
 	extra, err := msgpack.Marshal([]int{1, 2})
 	is.NoErr(err)
 	previous := len(fields) - 2 // number of fields in the previous release
-	for _, list := range [][]msgpack.RawMessage{fields[:previous], append(slices.Clone(fields), extra)} {
+	earlier := previous - 2     // in the one before it
+	for _, list := range [][]msgpack.RawMessage{fields[:earlier], fields[:previous], append(slices.Clone(fields), extra)} {
 		p, err := msgpack.Marshal(list)
 		is.NoErr(err)
 		msg, err := decode(p)
@@ -113,6 +116,13 @@
 		is.Equal(msg.Gateways, uint64(9))
 		is.Equal(msg.GatewaysAgeMs, int64(10))
 		if len(list) >= len(fields) {
+			is.Equal(msg.Residual, residualLoads)
+			is.True(msg.Starting)
+		} else {
+			is.Equal(len(msg.Residual), 0)
+			is.True(!msg.Starting)
+		}
+		if len(list) >= previous {
 			is.Equal(msg.CrashReports, reports)
 			is.Equal(msg.UnprovenAgeMs, int64(11))
 		} else {
--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -122,6 +122,7 @@
 // localMessage returns the message for the local cell, with the load at all endpoints.
 func (g *Gateway) localMessage(msg peers.Message, r recipients, cause trigger, load localLoad, now time.Time) outgoingMessage {
 	msg.Loads, msg.Waiting, msg.Observations = load.all, load.waiting, load.observations
+	msg.Residual, msg.Starting = load.residual, load.starting
 	g.endpointLimits.fillMessage(&msg, cause != loadChanged, now)
 	if r.representative && cause == digestsDue {
 		msg.Digests = g.picker.remoteDigests(now)
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/residual"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -38,6 +40,8 @@
 	FirstStart bool
 	// BodyMemory bounds the total size of all request bodies in memory; zero: no bound.
 	BodyMemory int64
+	// ResidualLoad is set if requests of gateway processes that are gone count as load.
+	ResidualLoad bool
 }
 
 // Deps holds the dependencies of a gateway.
@@ -101,6 +105,9 @@
 func New(c Config, d Deps) *Gateway {
 	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), fullMessageDue: make(chan struct{}, 1), gatewaysListed: make(chan struct{}), started: time.Now()}
 	g.picker = newPicker(c.Name, c.DataCentre, g.state, c.Policy, c.Retries)
+	if c.ResidualLoad {
+		g.picker.loads.CountResidual(residual.NewTable(rand.Uint64()))
+	}
 	if d.Mesh != nil {
 		g.picker.fleetKnownAt = g.started.Add(fleetDiscoveryTime)
 	}
@@ -119,7 +126,7 @@
 
 // Start starts the background tasks.
 func (g *Gateway) Start() {
-	for _, task := range []func(){g.followGateways, g.broadcastLoop, g.receivePeers, g.storeQuarantined, g.pollSuspensions} {
+	for _, task := range []func(){g.followGateways, g.broadcastLoop, g.receivePeers, g.storeQuarantined, g.pollSuspensions, g.followResidual} {
 		g.background.Go(task)
 	}
 	if !g.config.FirstStart {
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -18,6 +18,8 @@
 	reserveFailures   *metrics.Counter
 	memoryUnused      *metrics.Counter
 	reports           *metrics.Counter
+	residualReports   *metrics.Counter
+	spreadChoices     *metrics.Counter
 	brokenExchanges   *metrics.Counter
 	probes            *metrics.Counter
 	crashes           *metrics.Counter
@@ -50,6 +52,8 @@
 		reserveFailures:      set.NewCounter("relay_reserve_failures_total"),
 		memoryUnused:         set.NewCounter("relay_memory_unused_total"),
 		reports:              set.NewCounter("relay_reports_total"),
+		residualReports:      set.NewCounter("relay_residual_reports_total"),
+		spreadChoices:        set.NewCounter("relay_spread_choices_total"),
 		brokenExchanges:      set.NewCounter("relay_broken_exchanges_total"),
 		probes:               set.NewCounter("relay_crash_probes_total"),
 		crashes:              set.NewCounter("relay_endpoint_crashes_total"),
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -11,6 +11,7 @@
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/residual"
 )
 
 // picker holds the state that endpoint selection is based on. Its methods may be called
@@ -75,6 +76,10 @@
 		picker: p, endpoint: res.endpoints[c.Endpoint], loadBefore: res.candidates[c.Endpoint].Load, sentRequest: sent,
 		candidates: len(res.candidates), expected: c.Expected, chosenAt: time.Now(),
 	}
+	pl.residual, pl.residualAge = p.loads.Residual().Load(pl.endpoint.ID, now), -time.Millisecond
+	if age, ok := p.loads.Residual().Age(pl.endpoint.ID, now); ok {
+		pl.residualAge = age
+	}
 	for _, i := range c.Helpers {
 		pl.helpers = append(pl.helpers, res.endpoints[i])
 	}
@@ -224,6 +229,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.health.Forget(endpoint)
+	p.loads.Residual().Forget(endpoint)
 }
 
 // countRequest counts a request to a service; takeRetry takes a retry from the budget and reports
@@ -278,6 +284,8 @@
 func (p *picker) recordPeer(msg peers.Message, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.loads.RecordPeerProcess(msg.From, msg.Incarnation, msg.ShuttingDown, !msg.Partial, msg.Starting, now)
+	p.loads.Residual().SetReports(msg.Residual, now)
 	if msg.Partial {
 		p.loads.UpdatePeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	} else {
@@ -297,6 +305,8 @@
 	byCell       map[string]map[string]balance.Load // the entries of all at the endpoints of each cell
 	waiting      map[string]balance.QueueHead
 	observations map[string]health.Observation // of endpoints' health
+	residual     map[string]residual.Report
+	starting     bool
 }
 
 // localLoad returns the complete load, or what has changed since the complete load was last sent.
@@ -304,6 +314,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	load := localLoad{waiting: p.queue.LocalHeads(now), observations: p.health.LocalObservations(now), byCell: make(map[string]map[string]balance.Load)}
+	load.residual, load.starting = p.loads.Residual().Updates(complete, now), p.loads.Residual().Starting(now)
 	if complete {
 		load.all = p.loads.Local()
 	} else {
--- a/relay/place.go
+++ b/relay/place.go
@@ -45,10 +45,17 @@
 
 // logPlacement logs where the request goes and the state of that endpoint as known to this gateway.
 func (x *exchange) logPlacement(pl *placement, waited time.Duration) {
-	x.g.deps.Log.Request("Endpoint chosen.", "request", x.call.ID, "endpoint", pl.endpoint.ID, "helpers", endpointIDs(pl.helpers), "reserved", len(pl.memoryDemands),
+	var more []any
+	if x.g.config.ResidualLoad {
+		more = []any{"residual", pl.residual.Requests, "residual_age_ms", pl.residualAge.Milliseconds(), "unknown", pl.expected.UnknownLoads}
+		if pl.expected.UnknownLoads > 0 {
+			x.g.meter.spreadChoices.Inc()
+		}
+	}
+	x.g.deps.Log.Request("Endpoint chosen.", append([]any{"request", x.call.ID, "endpoint", pl.endpoint.ID, "helpers", endpointIDs(pl.helpers), "reserved", len(pl.memoryDemands),
 		"tokens", x.call.PromptTokens, "waited_ms", waited.Milliseconds(),
 		"expected_ms", int(pl.expected.FirstMs), "harm", int(pl.expected.Interference), "idle", pl.expected.IdleEndpoints,
-		"read_ms", int(pl.loadBefore.PrefillMs), "short", pl.loadBefore.Short, "long", pl.loadBefore.Long, "memory", pl.loadBefore.MemoryTokens, "pace", pl.slowdown, "candidates", pl.candidates, "remote", pl.remoteEndpoints, "limit", x.g.endpointLimits.logValue(pl.endpoint.ID))
+		"read_ms", int(pl.loadBefore.PrefillMs), "short", pl.loadBefore.Short, "long", pl.loadBefore.Long, "memory", pl.loadBefore.MemoryTokens, "pace", pl.slowdown, "candidates", pl.candidates, "remote", pl.remoteEndpoints, "limit", x.g.endpointLimits.logValue(pl.endpoint.ID)}, more...)...)
 }
 
 // refusalReason returns the reason for the log when a choice with this outcome leads to a refusal.
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -6,6 +6,7 @@
 	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/residual"
 )
 
 // placement is the placement of a request on endpoints. Its load counts until it is released.
@@ -18,8 +19,12 @@
 	grant         *grant        // permits an attempt at an endpoint with a rate limit; nil if none
 	sentRequest   availability.SentRequest
 	loadBefore    balance.Load // load of the endpoint before this request
-	chosenAt      time.Time
-	slowdown      float64 // of the slowest of the endpoints, as known when the choice was made
+	// residual is the part of loadBefore of processes that are gone, and residualAge the time since
+	// the endpoint's report on it; negative if there was none.
+	residual    residual.Load
+	residualAge time.Duration
+	chosenAt    time.Time
+	slowdown    float64 // of the slowest of the endpoints, as known when the choice was made
 	// candidates is the number of endpoints that were considered.
 	candidates      int
 	remoteEndpoints int // number of endpoints of other cells that work on the request
--- /dev/null
+++ b/residual/residual.go
@@ -0,0 +1,419 @@
+// Package residual estimates the load that endpoints still have for gateway processes that are gone:
+// processes that ended without closing their connections, or that nothing was heard from for a while.
+// No live gateway counts these requests, so without an estimate they look like free slots. The
+// package does no I/O and reads no clock.
+package residual
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// startTime is how long a process asks for the reports of endpoints that it knows nothing about.
+	startTime = 5 * time.Second
+	// spreadTime bounds how long an endpoint's load counts as not known. By then all gateways of
+	// the cell have asked and told each other.
+	spreadTime = time.Second
+	// askInterval is the time between two reports of an endpoint with residual load.
+	askInterval = 400 * time.Millisecond
+	// standbyDelay is how much later the second gateway of an endpoint asks, if the first one has not
+	// told it a report by then.
+	standbyDelay = 200 * time.Millisecond
+	// askedShare and minAsked bound how many reports a gateway asks for within askInterval: a share
+	// of the endpoints, as a divisor, but at least minAsked. The gateways that start together thereby
+	// cover the endpoints, and each of them spends little of its processor.
+	askedShare = 8
+	minAsked   = 8
+	// repeatTime is how long a report is repeated in complete messages, in case messages are lost.
+	repeatTime = time.Second
+	// MaxLifetime bounds how long residual load is assumed to exist.
+	MaxLifetime = 15 * time.Second
+)
+
+// Load is what an endpoint does for requests.
+type Load struct {
+	Requests     int
+	MemoryTokens int
+}
+
+func (l Load) isZero() bool { return l == Load{} }
+
+// Report is the residual load of an endpoint according to its own report, as one gateway sends it to
+// another. Messages encode it by position and cannot be read if it gets another field.
+type Report struct {
+	Requests     int
+	MemoryTokens int
+	AgeMs        int64 // time since the endpoint answered
+}
+
+// process identifies a gateway process.
+type process struct {
+	name        string
+	incarnation uint64
+}
+
+// amount is a load that falls linearly to 0.
+type amount struct {
+	requests, tokens float64
+	at, end          time.Time // it has the above size at the first time and none at the second
+}
+
+// left returns the share of the load that is left.
+func (a amount) left(now time.Time) float64 {
+	if !now.Before(a.end) {
+		return 0
+	}
+	return min(1, float64(a.end.Sub(now))/float64(a.end.Sub(a.at)))
+}
+
+// estimate is what is known of the residual load of an endpoint.
+type estimate struct {
+	reported   amount
+	reportedAt time.Time // when the endpoint answered with the newest report; zero: never
+	// silent is the load of processes that nothing is heard from, as far as it is not in reported.
+	silent  map[process]amount
+	askedAt time.Time // when this gateway last asked for a report
+	own     bool      // whether this gateway received the newest report
+	unsent  bool      // whether the newest report is in no message yet
+	// live is the load of live gateways when this gateway last received a report.
+	live Load
+}
+
+func (e *estimate) total(now time.Time) (requests, tokens float64) {
+	if e == nil {
+		return 0, 0
+	}
+	left := e.reported.left(now)
+	requests, tokens = left*e.reported.requests, left*e.reported.tokens
+	for _, a := range e.silent {
+		left := a.left(now)
+		requests, tokens = requests+left*a.requests, tokens+left*a.tokens
+	}
+	return requests, tokens
+}
+
+func (e *estimate) load(now time.Time) Load {
+	requests, tokens := e.total(now)
+	return Load{int(math.Round(requests)), int(math.Round(tokens))}
+}
+
+// end returns when the estimate is zero.
+func (e *estimate) end(now time.Time, lifetime time.Duration) time.Time {
+	end := e.reported.end
+	for _, a := range e.silent {
+		if a.end.After(end) {
+			end = a.end
+		}
+	}
+	if !end.After(now) {
+		return now.Add(lifetime)
+	}
+	return end
+}
+
+// peer is what is known of another gateway.
+type peer struct {
+	process
+	leaving  bool      // whether it said that it shuts down
+	complete bool      // whether a complete message of the process was received
+	starting bool      // whether it does not know the load of all endpoints itself
+	heardAt  time.Time // when its last message was received
+}
+
+// Table holds the residual load of the endpoints of a cell. It is not safe for concurrent use. A nil
+// table is empty, and every load counts as known.
+type Table struct {
+	begun     time.Time // when the process first knew endpoints; zero: it knows none yet
+	lifetime  time.Duration
+	random    *rand.Rand
+	endpoints map[string]*estimate
+	peers     map[string]peer
+	silent    map[process]bool // processes that may have load in endpoints
+	allHeard  bool             // see SetListed
+	// windowStart and asked count the reports asked for within askInterval.
+	windowStart time.Time
+	asked       int
+}
+
+// NewTable returns the empty table of a process that starts. The seed differs between gateways, so
+// that they ask different endpoints.
+func NewTable(seed uint64) *Table {
+	return &Table{
+		lifetime: MaxLifetime, random: rand.New(rand.NewPCG(seed, 0)),
+		endpoints: make(map[string]*estimate), peers: make(map[string]peer), silent: make(map[process]bool),
+	}
+}
+
+// SetLifetime sets the longest time in which requests end, at most MaxLifetime.
+func (t *Table) SetLifetime(d time.Duration) { t.lifetime = min(MaxLifetime, max(d, askInterval)) }
+
+// Starting reports whether the process is so young that it may not know the load of all endpoints.
+// Its time counts from when it knows endpoints, which it may learn late.
+func (t *Table) Starting(now time.Time) bool {
+	return t != nil && (t.begun.IsZero() || now.Sub(t.begun) < startTime)
+}
+
+// begin records that the process knows endpoints.
+func (t *Table) begin(now time.Time) {
+	if t.begun.IsZero() {
+		t.begun = now
+	}
+}
+
+// Load returns the residual load of an endpoint.
+func (t *Table) Load(endpoint string, now time.Time) Load {
+	if t == nil {
+		return Load{}
+	}
+	return t.endpoints[endpoint].load(now)
+}
+
+// Age returns the time since the newest report of an endpoint; ok is false if there was none.
+func (t *Table) Age(endpoint string, now time.Time) (age time.Duration, ok bool) {
+	if t == nil || t.endpoints[endpoint] == nil || t.endpoints[endpoint].reportedAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(t.endpoints[endpoint].reportedAt), true
+}
+
+// Unknown reports whether the load of an endpoint is not known yet. It is false after spreadTime in
+// any case.
+func (t *Table) Unknown(endpoint string, now time.Time) bool {
+	if !t.Starting(now) || t.allHeard {
+		return false
+	}
+	t.begin(now)
+	e := t.endpoints[endpoint]
+	return now.Sub(t.begun) < spreadTime && (e == nil || e.reportedAt.IsZero())
+}
+
+// Active reports whether there may be reports to ask for.
+func (t *Table) Active(now time.Time) bool {
+	return t != nil && (t.Starting(now) || len(t.endpoints) > 0)
+}
+
+// Watched is an endpoint that this gateway may ask for its report. Second is set if another gateway
+// does so first.
+type Watched struct {
+	Endpoint string
+	Second   bool
+}
+
+// Due returns the endpoints to ask for their report now, and counts them as asked. total is the number
+// of endpoints in the cell.
+func (t *Table) Due(watched []Watched, total int, now time.Time) []string {
+	if total > 0 {
+		t.begin(now)
+	}
+	t.expire(now)
+	if t.windowStart.IsZero() || now.Sub(t.windowStart) >= askInterval {
+		t.windowStart, t.asked = now, 0
+	}
+	var due []string
+	for _, w := range watched {
+		if t.isDue(w, now) {
+			due = append(due, w.Endpoint)
+		}
+	}
+	t.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	slices.SortStableFunc(due, func(a, b string) int { return t.lastReport(a).Compare(t.lastReport(b)) })
+	limit := max(minAsked, (total+askedShare-1)/askedShare)
+	due = due[:min(len(due), max(0, limit-t.asked))]
+	for _, id := range due {
+		t.estimate(id).askedAt = now
+	}
+	t.asked += len(due)
+	return due
+}
+
+func (t *Table) lastReport(endpoint string) time.Time {
+	if e := t.endpoints[endpoint]; e != nil {
+		return e.reportedAt
+	}
+	return time.Time{}
+}
+
+func (t *Table) isDue(w Watched, now time.Time) bool {
+	wait := askInterval
+	if w.Second {
+		wait += standbyDelay
+	}
+	e := t.endpoints[w.Endpoint]
+	switch {
+	case e != nil && !e.askedAt.IsZero() && now.Sub(e.askedAt) < askInterval:
+		return false
+	case e == nil || e.reportedAt.IsZero():
+		return t.Starting(now) && (!w.Second || now.Sub(t.begun) >= standbyDelay) || !e.load(now).isZero()
+	default:
+		return !e.load(now).isZero() && now.Sub(e.reportedAt) >= wait
+	}
+}
+
+// expire drops what is no longer needed.
+func (t *Table) expire(now time.Time) {
+	for id, e := range t.endpoints {
+		for p, a := range e.silent {
+			if !now.Before(a.end) {
+				delete(e.silent, p)
+			}
+		}
+		if !t.Starting(now) && e.load(now).isZero() && now.Sub(e.reportedAt) >= repeatTime {
+			delete(t.endpoints, id)
+		}
+	}
+	for name, p := range t.peers {
+		if now.Sub(p.heardAt) > t.lifetime {
+			delete(t.peers, name)
+			delete(t.silent, p.process)
+		}
+	}
+}
+
+func (t *Table) estimate(endpoint string) *estimate {
+	e := t.endpoints[endpoint]
+	if e == nil {
+		e = new(estimate)
+		t.endpoints[endpoint] = e
+	}
+	return e
+}
+
+// Record records an endpoint's own report, and returns the residual load. before and after are the
+// loads that live gateways are known to have there when it was asked and when it answered. Reports
+// are slightly old: requests that began after the report was made are not in it, so the smallest
+// known load is subtracted, including the one at the report before.
+func (t *Table) Record(endpoint string, reported, before, after Load, now time.Time) Load {
+	e := t.estimate(endpoint)
+	live := Load{min(before.Requests, after.Requests), min(before.MemoryTokens, after.MemoryTokens)}
+	if e.own {
+		live = Load{min(live.Requests, e.live.Requests), min(live.MemoryTokens, e.live.MemoryTokens)}
+	}
+	requests := float64(max(0, reported.Requests-live.Requests))
+	tokens := float64(max(0, reported.MemoryTokens-live.MemoryTokens))
+	if !e.reportedAt.IsZero() || !t.Starting(now) {
+		// What was not there at the first report belongs to live gateways.
+		oldRequests, oldTokens := e.total(now)
+		requests, tokens = min(requests, oldRequests), min(tokens, oldTokens)
+	}
+	e.reported = amount{requests, tokens, now, e.end(now, t.lifetime)}
+	e.reportedAt, e.own, e.unsent, e.live, e.silent = now, true, true, after, nil
+	return e.load(now)
+}
+
+// Updates returns the reports that this gateway received, for a message to the cell: the recent ones
+// for a complete message, otherwise those that were not sent yet.
+func (t *Table) Updates(complete bool, now time.Time) map[string]Report {
+	if t == nil {
+		return nil
+	}
+	var out map[string]Report
+	for id, e := range t.endpoints {
+		age := now.Sub(e.reportedAt)
+		if !e.own || !e.unsent && !(complete && age < repeatTime) {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]Report)
+		}
+		e.unsent = false
+		l := e.load(now)
+		out[id] = Report{l.Requests, l.MemoryTokens, (age + time.Millisecond - 1).Milliseconds()}
+	}
+	return out
+}
+
+// SetReports records the reports that another gateway received. The newest report of an endpoint
+// counts.
+func (t *Table) SetReports(reports map[string]Report, now time.Time) {
+	if t == nil {
+		return
+	}
+	for id, r := range reports {
+		age := time.Duration(min(max(0, r.AgeMs), MaxLifetime.Milliseconds())) * time.Millisecond
+		at := now.Add(-age)
+		e := t.estimate(id)
+		if !at.After(e.reportedAt) {
+			continue
+		}
+		end := e.end(now, t.lifetime)
+		e.reported = amount{float64(max(0, r.Requests)), float64(max(0, r.MemoryTokens)), now, end}
+		e.reportedAt, e.own, e.unsent = at, false, false
+		for p, a := range e.silent {
+			if a.at.Before(at) { // the report includes it
+				delete(e.silent, p)
+			}
+		}
+	}
+}
+
+// Replaces reports whether a message of this process shows that an earlier process of the gateway is
+// gone.
+func (t *Table) Replaces(name string, incarnation uint64) bool {
+	if t == nil {
+		return false
+	}
+	p, ok := t.peers[name]
+	return ok && p.incarnation != incarnation
+}
+
+// PeerSilent counts the load of a gateway that nothing is heard from as residual load, unless the
+// gateway said that it shuts down: engines drop most requests whose connection closes.
+func (t *Table) PeerSilent(name string, loads map[string]Load, now time.Time) {
+	if t == nil {
+		return
+	}
+	p, ok := t.peers[name]
+	if !ok || p.leaving {
+		return
+	}
+	for id, l := range loads {
+		if l.isZero() {
+			continue
+		}
+		e := t.estimate(id)
+		if e.silent == nil {
+			e.silent = make(map[process]amount)
+		}
+		e.silent[p.process] = amount{float64(l.Requests), float64(l.MemoryTokens), now, now.Add(t.lifetime)}
+		t.silent[p.process] = true
+	}
+}
+
+// PeerMessage records a message of another gateway. If the gateway was only silent for a while, its
+// load is not residual any more.
+func (t *Table) PeerMessage(name string, incarnation uint64, leaving, complete, starting bool, now time.Time) {
+	if t == nil {
+		return
+	}
+	p := process{name, incarnation}
+	if old := t.peers[name]; old.process == p {
+		complete = complete || old.complete
+	}
+	t.peers[name] = peer{p, leaving, complete, starting, now}
+	if !t.silent[p] {
+		return
+	}
+	delete(t.silent, p)
+	for _, e := range t.endpoints {
+		delete(e.silent, p)
+	}
+}
+
+// SetListed records the other gateways of the cell according to a list in the store. If each has sent
+// a complete message and knows all loads itself, so does this one.
+func (t *Table) SetListed(gateways []string) {
+	t.allHeard = len(gateways) > 0 && !slices.ContainsFunc(gateways, func(name string) bool {
+		p := t.peers[name]
+		return !p.complete || p.starting
+	})
+}
+
+// Forget drops what is known of an endpoint that is gone or has restarted.
+func (t *Table) Forget(endpoint string) {
+	if t != nil {
+		delete(t.endpoints, endpoint)
+	}
+}
