Discount the load of live gateways that reports include

A gateway that starts beside running ones took their requests for residual load until it heard from them, and told the others so.

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -53,6 +53,8 @@
 	// cutOff gateways cannot reach any engine.
 	cutOff map[int]bool
 	dials  int // connection attempts to engines that are down
+	// running returns how many requests the engine at an address reports; nil: none.
+	running func(address string) int
 	// dialOverride replaces dial if it is set.
 	dialOverride func(gateway int, address string) (net.Conn, error)
 }
@@ -76,7 +78,11 @@
 			f.mu.Lock()
 			slowdown := max(1, f.slowdowns[address])
 			f.mu.Unlock()
-			if _, err := fmt.Fprintf(server, "HTTP/1.1 200 OK\r\nPace: %g\r\nContent-Length: 0\r\n\r\n", slowdown); err != nil {
+			running := 0
+			if f.running != nil {
+				running = f.running(address)
+			}
+			if _, err := fmt.Fprintf(server, "HTTP/1.1 200 OK\r\nPace: %g\r\nRunning: %d\r\nContent-Length: 0\r\n\r\n", slowdown, running); err != nil {
 				return
 			}
 		}
@@ -93,12 +99,20 @@
 		now := time.Now()
 		list = g.assignedEndpoints(list, others, now)
 		g.queryDue(list, now)
+		g.askResidual(others, now)
 	}
 	g.Close()
 }
 
 // newFleet starts gateways and engines, spread evenly over the data centres.
 func newFleet(t *testing.T, dataCentres, gateways, engines int) *testFleet {
+	t.Helper()
+	return newPreparedFleet(t, dataCentres, gateways, engines, Config{}, func(*catalog.Configuration) {}, func(*testFleet) {})
+}
+
+// newPreparedFleet is newFleet with settings for the gateways and a change to the configuration. prepare
+// is called before the gateways send messages.
+func newPreparedFleet(t *testing.T, dataCentres, gateways, engines int, base Config, configure func(*catalog.Configuration), prepare func(*testFleet)) *testFleet {
 	t.Helper()
 	c := &catalog.Configuration{
 		Version: 1,
@@ -106,6 +120,7 @@
 			Objective: 3 * time.Second, GapObjective: time.Second, Targets: []catalog.Target{{Service: "s", Weight: 1}}}},
 		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 10, MemoryTokens: 232000, StepMs: 1, ReadPerMs: 206, PairsPerM: 0.138, ChunkTokens: 2048, Stride: 68}}},
 	}
+	configure(c)
 	f := &testFleet{table: catalog.NewTable(c), messagesSent: make([]int, gateways), loadsSent: make([]int, gateways), crashReports: make([]int, gateways), busyUntil: make(map[string]time.Time)}
 	var list []catalog.Endpoint
 	for i := range engines {
@@ -115,7 +130,8 @@
 	t.Cleanup(func() { events.Close(time.Second) })
 	for i := range gateways {
 		dc := fmt.Sprint("dc", i%dataCentres)
-		g := New(Config{Name: fmt.Sprint("g", i), DataCentre: dc, DrainTime: time.Minute, Policy: balance.Default(), Retries: limits.RetryWindowConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}, Deps{Protocol: testProtocol{}, Log: events, Metrics: metrics.NewSet(), Endpoints: upstream.New(upstream.Options{
+		base.Name, base.DataCentre, base.DrainTime, base.Policy, base.Retries = fmt.Sprint("g", i), dc, time.Minute, balance.Default(), limits.RetryWindowConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+		g := New(base, Deps{Protocol: testProtocol{}, Log: events, Metrics: metrics.NewSet(), Endpoints: upstream.New(upstream.Options{
 			MaxIdle: time.Minute, IdlePerHost: 1,
 			Dialer: func(_ context.Context, address string) (net.Conn, error) {
 				if f.dialOverride != nil {
@@ -129,6 +145,7 @@
 		f.gateways = append(f.gateways, g)
 		f.members = append(f.members, peers.Member{Name: g.config.Name, DataCentre: dc, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i+1))})
 	}
+	prepare(f)
 	var wg sync.WaitGroup
 	t.Cleanup(wg.Wait) // the context ends first
 	for i := range f.gateways {
@@ -173,7 +190,7 @@
 
 func (f *testFleet) deliver(from int, out outgoingMessage, sentAt time.Time) {
 	msg := out.message
-	msg.From = f.gateways[from].config.Name
+	msg.From, msg.Incarnation = f.gateways[from].config.Name, 1
 	f.mu.Lock()
 	f.messagesSent[from] += len(out.to)
 	f.loadsSent[from] += len(out.to) * len(msg.Loads)
@@ -222,15 +239,21 @@
 	return f.drops != nil && f.drops(from, to)
 }
 
+// newExchange returns the exchange of a prompt that arrives at a gateway now.
+func (f *testFleet) newExchange(ctx context.Context, gateway, tokens int) *exchange {
+	start := time.Now()
+	return &exchange{
+		g: f.gateways[gateway], w: httptest.NewRecorder(), r: httptest.NewRequestWithContext(ctx, "POST", "/", nil), call: Call{ID: "r", PromptTokens: tokens, MaxTokens: 300},
+		table: f.table, route: &f.table.Configuration.Routes[0], service: &f.table.Configuration.Services[0], started: start, deadline: start.Add(15 * time.Second),
+	}
+}
+
 // placePrompt places a prompt at a gateway and simulates what the engines do with it. It returns
 // how long the prompt waited for endpoints, whether it was placed, and whether endpoints of other
 // cells took part.
 func (f *testFleet) placePrompt(ctx context.Context, gateway, tokens int) (waited time.Duration, placed, remote bool) {
 	start := time.Now()
-	x := &exchange{
-		g: f.gateways[gateway], w: httptest.NewRecorder(), r: httptest.NewRequestWithContext(ctx, "POST", "/", nil), call: Call{ID: "r", PromptTokens: tokens, MaxTokens: 300},
-		table: f.table, route: &f.table.Configuration.Routes[0], service: &f.table.Configuration.Services[0], started: start, deadline: start.Add(15 * time.Second),
-	}
+	x := f.newExchange(ctx, gateway, tokens)
 	pl, _ := x.findPlacement(ctx)
 	waited = time.Since(start)
 	if pl == nil {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -107,6 +107,7 @@
 func (testProtocol) ReadReport(res *http.Response) (r EndpointReport, ok bool, err error) {
 	r.Slowdown, err = strconv.ParseFloat(res.Header.Get("Pace"), 64)
 	r.Waiting, _ = strconv.Atoi(res.Header.Get("Waiting")) // 0 if it is not given
+	r.Running, _ = strconv.Atoi(res.Header.Get("Running"))
 	r.Reservations = make(map[string]ReservationState)
 	for _, id := range res.Header["Idle"] {
 		r.Reservations[id] = ReservationIdle
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -284,8 +284,8 @@
 func (p *picker) recordPeer(msg peers.Message, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads.RecordPeerProcess(msg.From, msg.Incarnation, msg.ShuttingDown, !msg.Partial, msg.Starting, now)
-	p.loads.Residual().SetReports(msg.Residual, now)
+	p.loads.RecordPeerProcess(residual.Message{Name: msg.From, Incarnation: msg.Incarnation, Leaving: msg.ShuttingDown, Starting: msg.Starting, Complete: !msg.Partial}, msg.Loads, now)
+	p.loads.Residual().SetReports(msg.Residual, msg.Starting, now)
 	if msg.Partial {
 		p.loads.UpdatePeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	} else {
--- a/residual/residual.go
+++ b/residual/residual.go
@@ -24,7 +24,8 @@
 	standbyDelay = 200 * time.Millisecond
 	// askedShare and minAsked bound how many reports a gateway asks for within askInterval: a share
 	// of the endpoints, as a divisor, but at least minAsked. The gateways that start together thereby
-	// cover the endpoints, and each of them spends little of its processor.
+	// cover the endpoints, and each of them spends little of its processor. Half as many are asked
+	// again, because the second gateway of an endpoint asks for what the first one leaves out.
 	askedShare = 8
 	minAsked   = 8
 	// repeatTime is how long a report is repeated in complete messages, in case messages are lost.
@@ -78,6 +79,9 @@
 	askedAt time.Time // when this gateway last asked for a report
 	own     bool      // whether this gateway received the newest report
 	unsent  bool      // whether the newest report is in no message yet
+	// incomplete is set if the newest report was received by a gateway that may not have known all live
+	// gateways.
+	incomplete bool
 	// live is the load of live gateways when this gateway last received a report.
 	live Load
 }
@@ -221,6 +225,9 @@
 	t.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	slices.SortStableFunc(due, func(a, b string) int { return t.lastReport(a).Compare(t.lastReport(b)) })
 	limit := max(minAsked, (total+askedShare-1)/askedShare)
+	if again := slices.IndexFunc(due, func(id string) bool { return !t.lastReport(id).IsZero() }); again >= 0 {
+		limit = min(limit, max(again+t.asked, limit/2))
+	}
 	due = due[:min(len(due), max(0, limit-t.asked))]
 	for _, id := range due {
 		t.estimate(id).askedAt = now
@@ -300,6 +307,7 @@
 	}
 	e.reported = amount{requests, tokens, now, e.end(now, t.lifetime)}
 	e.reportedAt, e.own, e.unsent, e.live, e.silent = now, true, true, after, nil
+	e.incomplete = t.Starting(now)
 	return e.load(now)
 }
 
@@ -326,8 +334,10 @@
 }
 
 // SetReports records the reports that another gateway received. The newest report of an endpoint
-// counts.
-func (t *Table) SetReports(reports map[string]Report, now time.Time) {
+// counts. starting is set if the sender may not know the load of all live gateways. What such a
+// gateway takes for residual load may belong to them, so a gateway that has run for longer lets the
+// reports only lower what it knows.
+func (t *Table) SetReports(reports map[string]Report, starting bool, now time.Time) {
 	if t == nil {
 		return
 	}
@@ -339,13 +349,34 @@
 			continue
 		}
 		end := e.end(now, t.lifetime)
-		e.reported = amount{float64(max(0, r.Requests)), float64(max(0, r.MemoryTokens)), now, end}
-		e.reportedAt, e.own, e.unsent = at, false, false
+		left := e.reported.left(now)
+		knownRequests, knownTokens := left*e.reported.requests, left*e.reported.tokens
 		for p, a := range e.silent {
 			if a.at.Before(at) { // the report includes it
+				left := a.left(now)
+				knownRequests, knownTokens = knownRequests+left*a.requests, knownTokens+left*a.tokens
 				delete(e.silent, p)
 			}
 		}
+		requests, tokens := float64(max(0, r.Requests)), float64(max(0, r.MemoryTokens))
+		if !t.Starting(now) {
+			requests, tokens = min(requests, knownRequests), min(tokens, knownTokens)
+		}
+		e.reported = amount{requests, tokens, now, end}
+		e.reportedAt, e.own, e.unsent, e.incomplete = at, false, false, starting
+	}
+}
+
+// firstHeard lowers the residual load by the load of a gateway that has run for long, when its first
+// complete message is received: reports that were made without knowing the gateway include it.
+func (t *Table) firstHeard(loads map[string]Load, now time.Time) {
+	for id, l := range loads {
+		if e := t.endpoints[id]; e != nil && e.incomplete {
+			left := e.reported.left(now)
+			e.reported.requests = max(0, left*e.reported.requests-float64(l.Requests))
+			e.reported.tokens = max(0, left*e.reported.tokens-float64(l.MemoryTokens))
+			e.reported.at = now
+		}
 	}
 }
 
@@ -382,17 +413,30 @@
 	}
 }
 
+// Message is what a message of another gateway says about its process.
+type Message struct {
+	Name        string
+	Incarnation uint64
+	Leaving     bool // the gateway shuts down
+	Starting    bool // it may not know the load of all endpoints
+	// Loads is the load of the gateway if the message is a complete one.
+	Loads    map[string]Load
+	Complete bool
+}
+
 // PeerMessage records a message of another gateway. If the gateway was only silent for a while, its
 // load is not residual any more.
-func (t *Table) PeerMessage(name string, incarnation uint64, leaving, complete, starting bool, now time.Time) {
+func (t *Table) PeerMessage(m Message, now time.Time) {
 	if t == nil {
 		return
 	}
-	p := process{name, incarnation}
-	if old := t.peers[name]; old.process == p {
-		complete = complete || old.complete
+	p := process{m.Name, m.Incarnation}
+	old := t.peers[m.Name]
+	known := old.process == p && old.complete
+	t.peers[m.Name] = peer{p, m.Leaving, m.Complete || known, m.Starting, now}
+	if m.Complete && !known && !m.Starting {
+		t.firstHeard(m.Loads, now)
 	}
-	t.peers[name] = peer{p, leaving, complete, starting, now}
 	if !t.silent[p] {
 		return
 	}
--- a/residual/residual_test.go
+++ b/residual/residual_test.go
@@ -78,6 +78,10 @@
 		}
 		next := table.Due(watchAll(endpoints), endpoints, at(400))
 		is.Equal(len(next), len(due))
+		for _, w := range watchAll(endpoints) {
+			table.Record(w.Endpoint, Load{9, 9000}, Load{}, Load{}, at(400))
+		}
+		is.Equal(len(table.Due(watchAll(endpoints), endpoints, at(800))), len(due)/2)
 		for _, id := range next {
 			asked[id] = true
 		}
@@ -112,7 +116,7 @@
 			table := NewTable(1)
 			table.Due(nil, 1, start)
 			if c.requests >= 0 {
-				table.SetReports(map[string]Report{"e": {Requests: c.requests}}, start)
+				table.SetReports(map[string]Report{"e": {Requests: c.requests}}, false, start)
 			}
 			is.Equal(len(table.Due([]Watched{{"e", c.second}}, 1, at(c.ms))) == 1, c.want)
 		})
@@ -130,8 +134,8 @@
 		"at the start":     {func(*Table) {}, 0, true},
 		"after a second":   {func(*Table) {}, 1000, false},
 		"after a report":   {func(t *Table) { t.Record("e", Load{}, Load{}, Load{}, start) }, 0, false},
-		"told by a peer":   {func(t *Table) { t.SetReports(map[string]Report{"e": {}}, start) }, 0, false},
-		"about another":    {func(t *Table) { t.SetReports(map[string]Report{"f": {}}, start) }, 0, true},
+		"told by a peer":   {func(t *Table) { t.SetReports(map[string]Report{"e": {}}, false, start) }, 0, false},
+		"about another":    {func(t *Table) { t.SetReports(map[string]Report{"f": {}}, false, start) }, 0, true},
 		"list not read":    {func(t *Table) { t.SetListed(nil) }, 0, true},
 		"all heard":        {func(t *Table) { hear(t, true, false, "a", "b"); t.SetListed(listed) }, 0, false},
 		"one not heard":    {func(t *Table) { hear(t, true, false, "a"); t.SetListed(listed) }, 0, true},
@@ -152,7 +156,7 @@
 // hear records a message of each gateway.
 func hear(t *Table, complete, starting bool, names ...string) {
 	for _, name := range names {
-		t.PeerMessage(name, 1, false, complete, starting, start)
+		t.PeerMessage(Message{Name: name, Incarnation: 1, Complete: complete, Starting: starting}, start)
 	}
 }
 
@@ -169,18 +173,18 @@
 		"silent":                         {false, func(*Table) {}, 0, 4},
 		"silent for long":                {false, func(*Table) {}, 7500, 2},
 		"shut down":                      {true, func(*Table) {}, 0, 0},
-		"comes back":                     {false, func(t *Table) { t.PeerMessage("p", 1, false, false, false, at(100)) }, 100, 0},
-		"replaced by another process":    {false, func(t *Table) { t.PeerMessage("p", 2, false, false, true, at(100)) }, 100, 4},
+		"comes back":                     {false, func(t *Table) { t.PeerMessage(Message{Name: "p", Incarnation: 1}, at(100)) }, 100, 0},
+		"replaced by another process":    {false, func(t *Table) { t.PeerMessage(Message{Name: "p", Incarnation: 2, Starting: true}, at(100)) }, 100, 4},
 		"the endpoint reports less":      {false, func(t *Table) { t.Record("e", Load{1, 1000}, Load{}, Load{}, at(100)) }, 100, 1},
 		"the endpoint reports more":      {false, func(t *Table) { t.Record("e", Load{9, 9000}, Load{}, Load{}, at(100)) }, 100, 4},
-		"a peer's report includes it":    {false, func(t *Table) { t.SetReports(map[string]Report{"e": {3, 3000, 50}}, at(100)) }, 100, 3},
-		"a peer's report is from before": {false, func(t *Table) { t.SetReports(map[string]Report{"e": {3, 3000, 150}}, at(100)) }, 100, 7},
+		"a peer's report includes it":    {false, func(t *Table) { t.SetReports(map[string]Report{"e": {3, 3000, 50}}, false, at(100)) }, 100, 3},
+		"a peer's report is from before": {false, func(t *Table) { t.SetReports(map[string]Report{"e": {3, 3000, 150}}, false, at(100)) }, 100, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			table := NewTable(1)
 			table.Due(nil, 1, at(-6000)) // not at the start of the process
-			table.PeerMessage("p", 1, c.leaving, true, false, at(-1500))
+			table.PeerMessage(Message{Name: "p", Incarnation: 1, Leaving: c.leaving, Complete: true}, at(-1500))
 			table.PeerSilent("p", old, start)
 			c.then(table)
 			got := table.Load("e", at(c.ms))
@@ -190,12 +194,50 @@
 	}
 }
 
+// TestLoadOfLiveGateways guards against load of live gateways that counts as residual load, because the
+// gateway that received the report had not heard from them.
+func TestLoadOfLiveGateways(t *testing.T) {
+	live := Message{Name: "p", Incarnation: 1, Complete: true, Loads: map[string]Load{"e": {4, 4000}}}
+	record := func(t *Table) { t.Record("e", Load{9, 9000}, Load{}, Load{}, start) }
+	starting, other := live, live
+	starting.Starting, other.Incarnation = true, 2
+	for name, c := range map[string]struct {
+		begun int // ms
+		do    func(t *Table)
+		want  int
+	}{
+		"not heard":                   {0, func(t *Table) { record(t) }, 9},
+		"heard after the report":      {0, func(t *Table) { record(t); t.PeerMessage(live, start) }, 5},
+		"heard twice":                 {0, func(t *Table) { record(t); t.PeerMessage(live, start); t.PeerMessage(live, start) }, 5},
+		"heard from its next process": {0, func(t *Table) { record(t); t.PeerMessage(live, start); t.PeerMessage(other, start) }, 1},
+		"started after the report":    {0, func(t *Table) { record(t); t.PeerMessage(starting, start) }, 9},
+		"heard before the report":     {0, func(t *Table) { t.PeerMessage(live, start); record(t) }, 9},
+		"told by one that starts": {0, func(t *Table) {
+			t.SetReports(map[string]Report{"e": {9, 0, 0}}, true, start)
+			t.PeerMessage(live, start)
+		}, 5},
+		"told by one that knows all": {0, func(t *Table) {
+			t.SetReports(map[string]Report{"e": {9, 0, 0}}, false, start)
+			t.PeerMessage(live, start)
+		}, 9},
+		"told one that has run for long": {-6000, func(t *Table) { t.SetReports(map[string]Report{"e": {9, 0, 0}}, true, start) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := NewTable(1)
+			table.Due(nil, 1, at(c.begun))
+			c.do(table)
+			is.Equal(table.Load("e", start).Requests, c.want)
+		})
+	}
+}
+
 // TestUpdates checks which reports are sent: each at once, and again in complete messages for a while.
 func TestUpdates(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(1)
 	table.Due(nil, 1, start)
-	table.SetReports(map[string]Report{"f": {Requests: 1}}, start) // its receiver repeats it
+	table.SetReports(map[string]Report{"f": {Requests: 1}}, false, start) // its receiver repeats it
 	is.Equal(len(table.Updates(true, start)), 0)
 	table.Record("e", Load{8, 800}, Load{}, Load{}, start)
 	is.Equal(table.Updates(false, at(3)), map[string]Report{"e": {8, 800, 3}})
@@ -208,10 +250,10 @@
 func TestNewestReport(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(1)
-	table.SetReports(map[string]Report{"e": {5, 0, 10}}, at(400))
-	table.SetReports(map[string]Report{"e": {9, 0, 300}}, at(400))
+	table.SetReports(map[string]Report{"e": {5, 0, 10}}, false, at(400))
+	table.SetReports(map[string]Report{"e": {9, 0, 300}}, false, at(400))
 	is.Equal(table.Load("e", at(400)).Requests, 5)
-	table.SetReports(map[string]Report{"e": {-1, -1, -1}}, at(800))
+	table.SetReports(map[string]Report{"e": {-1, -1, -1}}, false, at(800))
 	is.Equal(table.Load("e", at(800)).Requests, 0)
 }
 
@@ -222,9 +264,9 @@
 	table.Due(nil, 1, start)
 	for i := range 100 {
 		name := fmt.Sprint(i)
-		table.PeerMessage(name, 1, false, true, false, start)
+		table.PeerMessage(Message{Name: name, Incarnation: 1, Complete: true}, start)
 		table.PeerSilent(name, map[string]Load{name: {1, 1}}, start)
-		table.SetReports(map[string]Report{"r" + name: {Requests: 1}}, start)
+		table.SetReports(map[string]Report{"r" + name: {Requests: 1}}, false, start)
 	}
 	is.True(table.Active(at(5000)))
 	table.Due(nil, 1, at(20000))
@@ -236,8 +278,8 @@
 func TestNilTable(t *testing.T) {
 	is := is.New(t)
 	var table *Table
-	table.SetReports(map[string]Report{"e": {Requests: 1}}, start)
-	table.PeerMessage("p", 1, false, true, false, start)
+	table.SetReports(map[string]Report{"e": {Requests: 1}}, false, start)
+	table.PeerMessage(Message{Name: "p", Incarnation: 1, Complete: true}, start)
 	table.PeerSilent("p", map[string]Load{"e": {1, 1}}, start)
 	table.Forget("e")
 	is.True(table.Load("e", start).isZero())
