Spread short prompts more evenly while loads are not known

Gateways that start together know different endpoints' loads and not each other's choices, so several sent their first prompts to the same least loaded endpoint. A gateway's own requests now count three times more while it spreads, so that it takes several endpoints.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -63,6 +63,8 @@
 	Slowdown float64
 	// LoadUnknown is set while Load may lack requests of processes that are gone.
 	LoadUnknown bool
+	// Own is the number of requests in Load that are short ones of this gateway.
+	Own int
 }
 
 // slowdown returns the factor by which the endpoint is slower than usual, at least 1.
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -71,6 +71,54 @@
 	is.Equal(choose(plain, Request{Excluded: []string{"1"}}, all).Endpoint, 0)
 }
 
+// TestShortRequestsAreSpread guards against short requests that are packed onto busy endpoints while
+// the load of some endpoints is not known.
+func TestShortRequestsAreSpread(t *testing.T) {
+	type endpoint struct {
+		requests, own int
+		unknown       bool
+	}
+	for name, c := range map[string]struct {
+		endpoints []endpoint
+		want      int
+	}{
+		"none known: own order":           {[]endpoint{{0, 0, true}, {0, 0, true}, {0, 0, true}}, 2},
+		"none known: not the same again":  {[]endpoint{{0, 0, true}, {0, 0, true}, {1, 1, true}}, 1},
+		"least known load":                {[]endpoint{{5, 0, false}, {3, 0, false}, {6, 0, true}}, 1},
+		"an unknown one is not idle":      {[]endpoint{{5, 0, false}, {9, 0, false}, {0, 0, true}}, 0},
+		"an unknown one has less":         {[]endpoint{{9, 0, false}, {9, 0, false}, {0, 0, true}}, 2},
+		"others may choose alike":         {[]endpoint{{5, 1, false}, {7, 0, false}, {12, 0, true}}, 1},
+		"not where the first event waits": {[]endpoint{{16, 0, false}, {16, 0, true}, {11, 0, false}}, 2},
+		"all known: packed":               {[]endpoint{{5, 0, false}, {0, 0, false}, {0, 0, false}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			all := idleCandidates(len(c.endpoints))
+			for i, e := range c.endpoints {
+				all[i].Load.Short, all[i].Own, all[i].LoadUnknown = e.requests, e.own, e.unknown
+				all[i].LocalRank = uint64(len(all) - i)
+			}
+			got := choose(model, short, all)
+			is.Equal(got.Endpoint, c.want)
+			for i, e := range c.endpoints {
+				is.Equal(all[i].Load.Short, e.requests) // the assumed load is not counted
+			}
+		})
+	}
+}
+
+// TestUnknownLoadRefusesNothing guards against refusals that are based on an assumed load.
+func TestUnknownLoadRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	all := idleCandidates(2)
+	all[0].Load.Short, all[0].Load.AwaitingFirstEvent = engine.Slots, 8
+	all[1].LoadUnknown = true
+	is.True(!choose(model, short, all).Refuse)
+	all[1].LoadUnknown = false
+	all[1].Load = all[0].Load
+	is.True(choose(model, short, all).Refuse)
+}
+
 // TestShortRequestsArePacked: the short requests of all gateways use the first
 // endpoints of the shared order, which leaves the last ones free for long prompts, and
 // spread to the next one before an endpoint is full.
--- a/balance/load.go
+++ b/balance/load.go
@@ -170,6 +170,14 @@
 	return out
 }
 
+// LocalRequests returns the number of requests that this gateway has at an endpoint.
+func (t *LoadTracker) LocalRequests(endpoint string) int {
+	if local := t.local[endpoint]; local != nil {
+		return local.requests
+	}
+	return 0
+}
+
 func (t *LoadTracker) localLoadAt(endpoint string) Load {
 	if local := t.local[endpoint]; local != nil {
 		return local.load
--- a/balance/short.go
+++ b/balance/short.go
@@ -44,7 +44,7 @@
 		if first > p.FirstEventShare*req.ObjectiveLeftMs {
 			continue
 		}
-		if best < 0 || spread && sooner(first, bestFirst) || !spread && earlier(first, all[i], bestFirst, all[best]) {
+		if best < 0 || !spread && earlier(first, all[i], bestFirst, all[best]) {
 			best, bestFirst = i, first
 		}
 	}
@@ -91,9 +91,6 @@
 	return cmp.Or(cmp.Compare(int(firstA/tieMs), int(firstB/tieMs)), compareLocal(a, b)) < 0
 }
 
-// sooner reports whether the first of two expected first events is clearly earlier.
-func sooner(firstA, firstB float64) bool { return int(firstA/tieMs) < int(firstB/tieMs) }
-
 // unknownLoads returns the number of endpoints whose load is not known.
 func unknownLoads(all []Candidate, usable []int) int {
 	n := 0
@@ -127,13 +124,20 @@
 	return out
 }
 
+// ownWeight is how often a request of this gateway counts when requests are spread:
+// other gateways that know the load of the same endpoint choose like this one, and their
+// choices may not be known yet.
+const ownWeight = 3
+
 // compareSpread orders endpoints while the load of some is not known: by their requests,
 // then by this gateway's own order. Gateways that know nothing of each other thus take
 // different endpoints.
 func compareSpread(a, b Candidate) int {
-	return cmp.Or(cmp.Compare(a.Load.Short+a.Load.Long, b.Load.Short+b.Load.Long), cmp.Compare(a.LocalRank, b.LocalRank))
+	return cmp.Or(cmp.Compare(a.spreadRequests(), b.spreadRequests()), cmp.Compare(a.LocalRank, b.LocalRank))
 }
 
+func (c Candidate) spreadRequests() int { return c.Load.Short + c.Load.Long + ownWeight*c.Own }
+
 // firstEventMs estimates how long a short request waits for its first event: the
 // pending prefill plus the iterations of the decoding requests. Penalties keep requests
 // away from endpoints that are crowded, out of memory or too slow.
--- a/relay/search.go
+++ b/relay/search.go
@@ -78,6 +78,7 @@
 		res.candidates[i] = balance.Candidate{
 			ID: e.ID, Load: s.loads.Load(e.ID, s.now), Rank: rank(e.ID), LocalRank: rank(s.self + e.ID),
 			Suspect: s.health.Suspect(e.ID, s.now), Slowdown: s.health.Slowdown(e.ID, s.now), Remote: i >= len(endpoints), Shared: cells.Shared(e.ID), Connected: s.hasIdleConn(e.ID),
+			Own:         s.loads.LocalRequests(e.ID),
 			LoadUnknown: i < len(endpoints) && !s.request.Remote && s.loads.Residual().Unknown(e.ID, s.now),
 		}
 	}
