Let a silent gateway that comes back take its load along

After a report had included the load of a silent gateway, that load counted twice once the gateway was heard from again: 10 requests instead of 6 for up to a second in the fleet test. Its part of the report is now remembered and subtracted. Reports are rounded up in messages, because rounding to nearest let the load of 5 requests fall to 4 too soon.

--- a/relay/residual_test.go
+++ b/relay/residual_test.go
@@ -261,3 +261,62 @@
 	is.True(result.avoidable >= 100)
 	is.Equal(result.reports, 0)
 }
+
+// TestSilentGatewayLeavesResidualLoad guards against engines that look free because the gateway whose
+// requests they run has fallen silent, and against load that counts on after the engine has dropped it.
+func TestSilentGatewayLeavesResidualLoad(t *testing.T) {
+	for name, c := range map[string]struct {
+		running int // of the silent gateway's 6 requests, according to the engine
+		leaving bool
+		back    bool // whether the gateway is heard from again
+		want    int
+	}{
+		"engine runs them":       {6, false, false, 5},
+		"engine dropped some":    {2, false, false, 2},
+		"engine dropped all":     {0, false, false, 0},
+		"shut down":              {6, true, false, 0},
+		"comes back":             {6, false, true, 6},
+		"engine without answers": {-1, false, false, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newPreparedFleet(t, 1, 5, 20, Config{ResidualLoad: true}, func(*catalog.Configuration) {}, func(f *testFleet) {
+					f.running = func(address string) int {
+						if address != addressOf(0) {
+							return 0
+						}
+						return max(0, c.running)
+					}
+					f.down = map[string]bool{addressOf(0): c.running < 0}
+				})
+				time.Sleep(6 * time.Second) // the gateways are not starting any more
+				silent := f.gateways[0]
+				silent.shuttingDown.Store(c.leaving)
+				silent.picker.mu.Lock()
+				for range 6 {
+					silent.picker.loads.Add("e0", balance.Load{Short: 1, MemoryTokens: 6000})
+				}
+				silent.picker.mu.Unlock()
+				time.Sleep(500 * time.Millisecond)
+				f.setDrops(func(from, to int) bool { return from == 0 })
+				time.Sleep(4 * time.Second)
+				if c.back {
+					f.setDrops(nil)
+					time.Sleep(500 * time.Millisecond)
+				}
+				for _, g := range f.gateways[1:] {
+					g.picker.mu.Lock()
+					load := g.picker.loads.Load("e0", time.Now())
+					g.picker.mu.Unlock()
+					is.Equal(load.Short, c.want)
+				}
+				asked := 0
+				for _, g := range f.gateways {
+					asked += int(g.meter.residualReports.Get())
+				}
+				t.Log(asked, "reports") // each engine's at the start, then e0's
+			})
+		})
+	}
+}
--- a/residual/residual.go
+++ b/residual/residual.go
@@ -5,6 +5,7 @@
 package residual
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -75,10 +76,12 @@
 	reported   amount
 	reportedAt time.Time // when the endpoint answered with the newest report; zero: never
 	// silent is the load of processes that nothing is heard from, as far as it is not in reported.
-	silent  map[process]amount
-	askedAt time.Time // when this gateway last asked for a report
-	own     bool      // whether this gateway received the newest report
-	unsent  bool      // whether the newest report is in no message yet
+	silent map[process]amount
+	// included is the load of such processes that is in reported.
+	included map[process]amount
+	askedAt  time.Time // when this gateway last asked for a report
+	own      bool      // whether this gateway received the newest report
+	unsent   bool      // whether the newest report is in no message yet
 	// incomplete is set if the newest report was received by a gateway that may not have known all live
 	// gateways.
 	incomplete bool
@@ -104,6 +107,30 @@
 	return Load{int(math.Round(requests)), int(math.Round(tokens))}
 }
 
+// include records that the newest report includes the load of a silent process.
+func (e *estimate) include(p process, a amount) {
+	delete(e.silent, p)
+	if e.included == nil {
+		e.included = make(map[process]amount)
+	}
+	e.included[p] = a
+}
+
+// remove removes the load of a process that is heard from again.
+func (e *estimate) remove(p process, now time.Time) {
+	delete(e.silent, p)
+	if a, ok := e.included[p]; ok {
+		e.subtract(a.left(now)*a.requests, a.left(now)*a.tokens, now)
+		delete(e.included, p)
+	}
+}
+
+// subtract lowers the load that is known from reports.
+func (e *estimate) subtract(requests, tokens float64, now time.Time) {
+	left := e.reported.left(now)
+	e.reported = amount{max(0, left*e.reported.requests-requests), max(0, left*e.reported.tokens-tokens), now, e.reported.end}
+}
+
 // end returns when the estimate is zero.
 func (e *estimate) end(now time.Time, lifetime time.Duration) time.Time {
 	end := e.reported.end
@@ -262,11 +289,9 @@
 // expire drops what is no longer needed.
 func (t *Table) expire(now time.Time) {
 	for id, e := range t.endpoints {
-		for p, a := range e.silent {
-			if !now.Before(a.end) {
-				delete(e.silent, p)
-			}
-		}
+		ended := func(_ process, a amount) bool { return !now.Before(a.end) }
+		maps.DeleteFunc(e.silent, ended)
+		maps.DeleteFunc(e.included, ended)
 		if !t.Starting(now) && e.load(now).isZero() && now.Sub(e.reportedAt) >= repeatTime {
 			delete(t.endpoints, id)
 		}
@@ -306,7 +331,10 @@
 		requests, tokens = min(requests, oldRequests), min(tokens, oldTokens)
 	}
 	e.reported = amount{requests, tokens, now, e.end(now, t.lifetime)}
-	e.reportedAt, e.own, e.unsent, e.live, e.silent = now, true, true, after, nil
+	e.reportedAt, e.own, e.unsent, e.live = now, true, true, after
+	for p, a := range e.silent {
+		e.include(p, a)
+	}
 	e.incomplete = t.Starting(now)
 	return e.load(now)
 }
@@ -327,8 +355,9 @@
 			out = make(map[string]Report)
 		}
 		e.unsent = false
-		l := e.load(now)
-		out[id] = Report{l.Requests, l.MemoryTokens, (age + time.Millisecond - 1).Milliseconds()}
+		requests, tokens := e.total(now)
+		// Rounded up, because receivers never let the load grow.
+		out[id] = Report{int(math.Ceil(requests)), int(math.Ceil(tokens)), (age + time.Millisecond - 1).Milliseconds()}
 	}
 	return out
 }
@@ -355,7 +384,7 @@
 			if a.at.Before(at) { // the report includes it
 				left := a.left(now)
 				knownRequests, knownTokens = knownRequests+left*a.requests, knownTokens+left*a.tokens
-				delete(e.silent, p)
+				e.include(p, a)
 			}
 		}
 		requests, tokens := float64(max(0, r.Requests)), float64(max(0, r.MemoryTokens))
@@ -372,10 +401,7 @@
 func (t *Table) firstHeard(loads map[string]Load, now time.Time) {
 	for id, l := range loads {
 		if e := t.endpoints[id]; e != nil && e.incomplete {
-			left := e.reported.left(now)
-			e.reported.requests = max(0, left*e.reported.requests-float64(l.Requests))
-			e.reported.tokens = max(0, left*e.reported.tokens-float64(l.MemoryTokens))
-			e.reported.at = now
+			e.subtract(float64(l.Requests), float64(l.MemoryTokens), now)
 		}
 	}
 }
@@ -442,7 +468,7 @@
 	}
 	delete(t.silent, p)
 	for _, e := range t.endpoints {
-		delete(e.silent, p)
+		e.remove(p, now)
 	}
 }
 
--- a/residual/residual_test.go
+++ b/residual/residual_test.go
@@ -170,10 +170,18 @@
 		ms      int
 		want    int
 	}{
-		"silent":                         {false, func(*Table) {}, 0, 4},
-		"silent for long":                {false, func(*Table) {}, 7500, 2},
-		"shut down":                      {true, func(*Table) {}, 0, 0},
-		"comes back":                     {false, func(t *Table) { t.PeerMessage(Message{Name: "p", Incarnation: 1}, at(100)) }, 100, 0},
+		"silent":          {false, func(*Table) {}, 0, 4},
+		"silent for long": {false, func(*Table) {}, 7500, 2},
+		"shut down":       {true, func(*Table) {}, 0, 0},
+		"comes back":      {false, func(t *Table) { t.PeerMessage(Message{Name: "p", Incarnation: 1}, at(100)) }, 100, 0},
+		"comes back after a report": {false, func(t *Table) {
+			t.Record("e", Load{6, 6000}, Load{}, Load{}, at(100))
+			t.PeerMessage(Message{Name: "p", Incarnation: 1}, at(200))
+		}, 200, 0},
+		"comes back after a peer's": {false, func(t *Table) {
+			t.SetReports(map[string]Report{"e": {3, 3000, 50}}, false, at(100))
+			t.PeerMessage(Message{Name: "p", Incarnation: 1}, at(200))
+		}, 200, 0},
 		"replaced by another process":    {false, func(t *Table) { t.PeerMessage(Message{Name: "p", Incarnation: 2, Starting: true}, at(100)) }, 100, 4},
 		"the endpoint reports less":      {false, func(t *Table) { t.Record("e", Load{1, 1000}, Load{}, Load{}, at(100)) }, 100, 1},
 		"the endpoint reports more":      {false, func(t *Table) { t.Record("e", Load{9, 9000}, Load{}, Load{}, at(100)) }, 100, 4},
