--- a/catalog/table.go
+++ b/catalog/table.go
@@ -100,3 +100,11 @@
 
 // Workspace returns the workspace that the key belongs to, or nil.
 func (t *Table) Workspace(key string) *Workspace { return t.workspacesByKey[key] }
+
+// LongestTimeout returns the longest timeout of a route.
+func (t *Table) LongestTimeout() (longest time.Duration) {
+	for i := range t.Configuration.Routes {
+		longest = max(longest, t.Configuration.Routes[i].Timeout)
+	}
+	return longest
+}
--- a/relay/residual.go
+++ b/relay/residual.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
@@ -27,11 +26,14 @@
 
 // askResidual asks the endpoints whose report is due.
 func (g *Gateway) askResidual(members []peers.Member, now time.Time) {
-	if !g.picker.residualActive(now) {
+	g.picker.mu.Lock()
+	active := g.picker.loads.Residual().Active(now)
+	g.picker.mu.Unlock()
+	if !active || g.state.Table() == nil { // there is no configuration yet
 		return
 	}
 	watched, endpoints := g.residualWatched(members, now)
-	for _, id := range g.picker.residualDue(watched, len(endpoints), g.listedGateways(members), g.longestTimeout(), now) {
+	for _, id := range g.picker.residualDue(watched, len(endpoints), g.listedGateways(members), g.state.Table().LongestTimeout(), now) {
 		g.background.Go(func() { g.askResidualOf(endpoints[id]) })
 	}
 }
@@ -87,26 +89,16 @@
 	}
 }
 
-// longestTimeout returns the longest deadline of a route.
-func (g *Gateway) longestTimeout() (longest time.Duration) {
-	if t := g.state.Table(); t != nil {
-		for _, r := range t.Configuration.Routes {
-			longest = max(longest, r.Timeout)
-		}
-	}
-	return longest
-}
-
 // askResidualOf asks an endpoint for its report and tells the peers the result.
 func (g *Gateway) askResidualOf(e catalog.Endpoint) {
-	before := g.picker.liveResidual(e.ID, time.Now())
+	g.picker.mu.Lock()
+	before := g.picker.loads.LiveResidual(e.ID, time.Now())
+	g.picker.mu.Unlock()
 	if !g.mayQuery(e) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, queryTimeout)
-	defer cancel()
 	g.meter.residualReports.Inc()
-	report, err := g.fetchReport(ctx, e)
+	report, err := g.fetchReport(g.ctx, e)
 	if err != nil {
 		g.deps.Log.Logger().Debug("An endpoint's residual load is not known.", "endpoint", e.ID, "err", err)
 		return
@@ -117,12 +109,6 @@
 	}
 }
 
-func (p *picker) residualActive(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.loads.Residual().Active(now)
-}
-
 // residualDue returns the endpoints to ask now. listed are the other gateways of the cell; none if they
 // are not known.
 func (p *picker) residualDue(watched []residual.Watched, total int, listed []string, lifetime time.Duration, now time.Time) []string {
@@ -134,12 +120,6 @@
 	return t.Due(watched, total, now)
 }
 
-func (p *picker) liveResidual(endpoint string, now time.Time) residual.Load {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.loads.LiveResidual(endpoint, now)
-}
-
 // recordResidual records a report and returns the residual load of the endpoint, and whether the report
 // is the first one known.
 func (p *picker) recordResidual(endpoint string, reported, before residual.Load, now time.Time) (left residual.Load, first bool) {
--- a/relay/residual_test.go
+++ b/relay/residual_test.go
@@ -139,9 +139,13 @@
 						table.Due(nil, 1, now.Add(-time.Minute))
 					}
 					for j := range f.gateways {
+						msg := peers.Message{From: f.gateways[j].config.Name, Incarnation: 1, DataCentre: f.members[j].DataCentre, Loads: maps.Clone(old[j])}
+						if j < c.restarted {
+							msg.Incarnation = 0 // before the restart
+						}
 						if j != i {
-							g.picker.recordPeer(peers.Message{From: f.gateways[j].config.Name, Incarnation: incarnationBefore(j < c.restarted), DataCentre: f.members[j].DataCentre, Loads: maps.Clone(old[j])}, now)
-							g.storeReads.recordPeerStore(peers.Message{From: f.gateways[j].config.Name}, true, now)
+							g.picker.recordPeer(msg, now)
+							g.storeReads.recordPeerStore(msg, true, now)
 						}
 					}
 				}
@@ -219,14 +223,6 @@
 	return result
 }
 
-// incarnationBefore returns the incarnation before the restart of a process that did or did not restart.
-func incarnationBefore(restarted bool) uint64 {
-	if restarted {
-		return 0
-	}
-	return 1
-}
-
 // TestRestartKnowsResidualLoad guards against short prompts that are packed onto engines that still run
 // requests of gateways before their restart, while other engines have free slots. It allows for gateways
 // that choose the same engine while they do not know each other.
@@ -311,11 +307,6 @@
 					g.picker.mu.Unlock()
 					is.Equal(load.Short, c.want)
 				}
-				asked := 0
-				for _, g := range f.gateways {
-					asked += int(g.meter.residualReports.Get())
-				}
-				t.Log(asked, "reports") // each engine's at the start, then e0's
 			})
 		})
 	}
