Ask endpoints that do not answer after the others

Endpoints without a report were asked first each time, so that as many of them as a gateway may ask at once kept it from asking any other. Endpoints are now ordered by when they were last asked or reported.

go test ./residual passes; its new test fails without the change.

--- a/residual/residual.go
+++ b/residual/residual.go
@@ -250,9 +250,9 @@
 		}
 	}
 	t.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
-	slices.SortStableFunc(due, func(a, b string) int { return t.lastReport(a).Compare(t.lastReport(b)) })
+	slices.SortStableFunc(due, func(a, b string) int { return t.lastAsked(a).Compare(t.lastAsked(b)) })
 	limit := max(minAsked, (total+askedShare-1)/askedShare)
-	if again := slices.IndexFunc(due, func(id string) bool { return !t.lastReport(id).IsZero() }); again >= 0 {
+	if again := slices.IndexFunc(due, func(id string) bool { return !t.lastAsked(id).IsZero() }); again >= 0 {
 		limit = min(limit, max(again+t.asked, limit/2))
 	}
 	due = due[:min(len(due), max(0, limit-t.asked))]
@@ -263,11 +263,18 @@
 	return due
 }
 
-func (t *Table) lastReport(endpoint string) time.Time {
-	if e := t.endpoints[endpoint]; e != nil {
+// lastAsked returns when an endpoint was last asked or reported; zero: never. Endpoints that do not
+// answer therefore do not keep this gateway from asking the others.
+func (t *Table) lastAsked(endpoint string) time.Time {
+	e := t.endpoints[endpoint]
+	switch {
+	case e == nil:
+		return time.Time{}
+	case e.askedAt.After(e.reportedAt):
+		return e.askedAt
+	default:
 		return e.reportedAt
 	}
-	return time.Time{}
 }
 
 func (t *Table) isDue(w Watched, now time.Time) bool {
--- a/residual/residual_test.go
+++ b/residual/residual_test.go
@@ -90,6 +90,20 @@
 	is.Equal(len(NewTable(1).Due(watchAll(20), 20, start)), minAsked)
 }
 
+// TestSilentEndpoints guards against endpoints that do not answer and are asked all the time instead of
+// others.
+func TestSilentEndpoints(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(1)
+	asked := make(map[string]bool)
+	for ms := 0; ms <= 1600; ms += 400 { // no endpoint answers
+		for _, id := range table.Due(watchAll(40), 40, at(ms)) {
+			asked[id] = true
+		}
+	}
+	is.Equal(len(asked), 40)
+}
+
 // TestDueAgain checks which endpoints are asked again, and that the second gateway of an endpoint leaves
 // it to the first one while that one tells it the reports.
 func TestDueAgain(t *testing.T) {
