Spread for as long as no other gateway is heard from

A gateway that hears from nobody asks an eighth of the endpoints at a time. After a second it packed short prompts again, onto the endpoints that it had not asked yet and that looked idle. It now spreads until it has asked all, for 5 s at most; once it hears from another gateway, the bound of one second holds.

--- a/relay/residual_test.go
+++ b/relay/residual_test.go
@@ -77,7 +77,9 @@
 	restarted                             int  // number of gateways that start
 	residualLoad                          bool // the setting
 	known                                 bool // whether the gateways know all loads from the beginning
-	seed                                  uint64
+	// discovery is when the first messages to and from the gateways that start arrive.
+	discovery time.Duration
+	seed      uint64
 }
 
 // restartResult is what callers get in the two seconds after a restart.
@@ -88,9 +90,6 @@
 	most                  int // requests that were at one engine at once
 }
 
-// discoveryTime is when the first messages between gateways that start reach each other.
-const discoveryTime = 500 * time.Millisecond
-
 // run lets gateways restart and sends short prompts for two seconds.
 func (c restartCase) run(t *testing.T) (result restartResult) {
 	synctest.Test(t, func(t *testing.T) {
@@ -160,7 +159,7 @@
 			}
 			if !c.known {
 				f.drops = func(from, to int) bool {
-					return (from < c.restarted || to < c.restarted) && time.Since(now) < discoveryTime
+					return (from < c.restarted || to < c.restarted) && time.Since(now) < c.discovery
 				}
 			}
 		}
@@ -229,15 +228,17 @@
 func TestRestartKnowsResidualLoad(t *testing.T) {
 	for name, tt := range map[string]struct {
 		restarted int
+		discovery time.Duration
 		maxMore   int // late prompts beyond those of gateways that know all loads
 	}{
-		"all":     {29, 15},
-		"a third": {10, 8},
-		"one":     {1, 4},
+		"all":                               {29, 500 * time.Millisecond, 15},
+		"all, without messages for a while": {29, 2 * time.Second, 40},
+		"a third":                           {10, 500 * time.Millisecond, 8},
+		"one":                               {1, 500 * time.Millisecond, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			c := restartCase{gateways: 29, engines: 69, running: 600, perSecond: 260, restarted: tt.restarted, residualLoad: true, seed: 1}
+			c := restartCase{gateways: 29, engines: 69, running: 600, perSecond: 260, restarted: tt.restarted, discovery: tt.discovery, residualLoad: true, seed: 1}
 			result := c.run(t)
 			c.known = true
 			known := c.run(t)
@@ -252,7 +253,7 @@
 // are late after a restart of all gateways, and nothing is asked or counted.
 func TestRestartWithoutResidualLoad(t *testing.T) {
 	is := is.New(t)
-	result := restartCase{gateways: 29, engines: 69, running: 600, perSecond: 260, restarted: 29, seed: 1}.run(t)
+	result := restartCase{gateways: 29, engines: 69, running: 600, perSecond: 260, restarted: 29, discovery: 500 * time.Millisecond, seed: 1}.run(t)
 	t.Logf("%+v", result)
 	is.True(result.avoidable >= 100)
 	is.Equal(result.reports, 0)
--- a/residual/residual.go
+++ b/residual/residual.go
@@ -15,8 +15,8 @@
 const (
 	// startTime is how long a process asks for the reports of endpoints that it knows nothing about.
 	startTime = 5 * time.Second
-	// spreadTime bounds how long an endpoint's load counts as not known. By then all gateways of
-	// the cell have asked and told each other.
+	// spreadTime bounds how long an endpoint's load counts as not known while other gateways are
+	// heard from. By then all gateways of the cell have asked and told each other.
 	spreadTime = time.Second
 	// askInterval is the time between two reports of an endpoint with residual load.
 	askInterval = 400 * time.Millisecond
@@ -210,15 +210,16 @@
 	return now.Sub(t.endpoints[endpoint].reportedAt), true
 }
 
-// Unknown reports whether the load of an endpoint is not known yet. It is false after spreadTime in
-// any case.
+// Unknown reports whether the load of an endpoint is not known yet. It is false after spreadTime, or
+// after startTime if no other gateway was heard from: a gateway that is alone asks the endpoints in
+// turn, and those not asked yet would look idle.
 func (t *Table) Unknown(endpoint string, now time.Time) bool {
 	if !t.Starting(now) || t.allHeard {
 		return false
 	}
 	t.begin(now)
 	e := t.endpoints[endpoint]
-	return now.Sub(t.begun) < spreadTime && (e == nil || e.reportedAt.IsZero())
+	return (len(t.peers) == 0 || now.Sub(t.begun) < spreadTime) && (e == nil || e.reportedAt.IsZero())
 }
 
 // Active reports whether there may be reports to ask for.
--- a/residual/residual_test.go
+++ b/residual/residual_test.go
@@ -146,7 +146,10 @@
 		want bool
 	}{
 		"at the start":     {func(*Table) {}, 0, true},
-		"after a second":   {func(*Table) {}, 1000, false},
+		"after a second":   {func(t *Table) { hear(t, false, true, "a") }, 1000, false},
+		"just before":      {func(t *Table) { hear(t, false, true, "a") }, 999, true},
+		"alone":            {func(*Table) {}, 4999, true},
+		"alone for long":   {func(*Table) {}, 5000, false},
 		"after a report":   {func(t *Table) { t.Record("e", Load{}, Load{}, Load{}, start) }, 0, false},
 		"told by a peer":   {func(t *Table) { t.SetReports(map[string]Report{"e": {}}, false, start) }, 0, false},
 		"about another":    {func(t *Table) { t.SetReports(map[string]Report{"f": {}}, false, start) }, 0, true},
