--- a/peers/peers.go
+++ b/peers/peers.go
@@ -22,6 +22,7 @@
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
+	"github.com/micarudder/micarudder/residual"
 )
 
 const (
@@ -105,6 +106,11 @@
 	UnprovenAgeMs int64
 	// Forwarding tells how the sender and this message take part in forwarding.
 	Forwarding ForwardFlags
+	// Residual holds the load of processes that are gone, by endpoint, from the reports of
+	// endpoints that the sender received.
+	Residual map[string]residual.Report
+	// Starting is set while the sender may not know the load of all endpoints.
+	Starting bool
 
 	// Kind is the kind of the message in the count of bytes; it is not sent.
 	Kind Kind `msgpack:"-"`
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -37,6 +37,7 @@
 	} `section:"bounds"`
 	Load struct {
 		ForwardMessages bool `key:"forward_messages" default:"false" help:"whether messages to the gateways of another data centre are sent to two of them, which send them on"`
+		ResidualLoad    bool `key:"residual_load" default:"false" help:"whether requests of gateway processes that are gone count as load of their endpoints"`
 	} `section:"load"`
 	Log struct {
 		LinesPerSecond float64 `key:"lines_per_second" default:"300" min:"0" help:"request lines a second; more are counted and left out"`
@@ -61,7 +62,7 @@
 	return Config{
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
-		BodyMemory: int64(s.Relay.BodyMemory),
-		Retries:    limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
+		BodyMemory: int64(s.Relay.BodyMemory), ResidualLoad: s.Load.ResidualLoad,
+		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
