relay: streams without progress are resumed at another endpoint (stall_resume)

Cause: a stream that got one event and then nothing was left alone until its deadline; nothing monitored progress.

Change: package stall decides, from the route's gap objective, when a stream stalls. Time for which the host was suspended, the process did not run or the caller did not read does not count. A stalled stream is cut if the route is resumable, an attempt is left, another endpoint accepts requests and the retry budget grants the resumption; it continues after the last event that the caller has. The endpoint counts as late, and as failing if it delivers to no other stream. Splitting of events moves from relay to package eventstream, with its tests.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -36,6 +36,8 @@
 	if !x.allAccept(pl, now) || !x.withinLimits(pl, now) {
 		return x.abandonAttempt()
 	}
+	ctx, pl.stall = x.newStallMonitor(ctx, pl)
+	defer pl.stall.end()
 	req := x.upstreamRequest(pl, reserved, now)
 	x.responseBegun, x.unsent, x.wrongIncarnation = false, false, false
 	res, err := x.g.do(ctx, pl.endpoint, req, callerRequest, x.call.ID)
--- a/relay/crashfleet_test.go
+++ b/relay/crashfleet_test.go
@@ -46,6 +46,9 @@
 	// startDelay is how long an engine takes to start a request.
 	startDelay time.Duration
 
+	// beforeEvent is called before an engine writes the nth event of a stream; it may be nil.
+	beforeEvent func(e *scriptedEngine, n int)
+
 	// listDelay is how long after the restart of an engine its new entry is read.
 	listDelay time.Duration
 
@@ -145,7 +148,7 @@
 		c.crash(e, id)
 		return false
 	}
-	ok := c.stream(conn, r)
+	ok := c.stream(e, conn, r)
 	c.mu.Lock()
 	e.conns[conn] = false
 	c.mu.Unlock()
@@ -153,12 +156,15 @@
 }
 
 // stream sends the events that follow the one named in the request.
-func (c *crashFleet) stream(conn net.Conn, r *http.Request) bool {
+func (c *crashFleet) stream(e *scriptedEngine, conn net.Conn, r *http.Request) bool {
 	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id")); err != nil {
 		return false
 	}
 	after, _ := strconv.Atoi(r.Header.Get("After"))
 	for n := after + 1; n <= streamEvents; n++ {
+		if c.beforeEvent != nil {
+			c.beforeEvent(e, n)
+		}
 		event := fmt.Sprintf("id: %d\n\n", n)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/stall"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -38,6 +39,8 @@
 	FirstStart bool
 	// BodyMemory bounds the total size of all request bodies in memory; zero: no bound.
 	BodyMemory int64
+	// StallResume cuts streams that make no progress and resumes them at another endpoint.
+	StallResume bool
 }
 
 // Deps holds the dependencies of a gateway.
@@ -74,6 +77,7 @@
 	storeReads     *storeReads
 	servers        *callerServers
 	crashProbes    *crashProbes
+	deliveries     *streamDeliveries
 	quarantine     *quarantineTable
 	suspensions    *suspensionDetector
 	endpointLimits *endpointLimits
@@ -109,6 +113,7 @@
 	g.storeReads = newStoreReads()
 	g.servers = newCallerServers(g)
 	g.crashProbes = newCrashProbes()
+	g.deliveries = &streamDeliveries{record: stall.NewDeliveries()}
 	g.quarantine = newQuarantineTable()
 	g.suspensions = newSuspensionDetector(d.Suspended)
 	g.endpointLimits = g.picker.limits
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -31,6 +31,8 @@
 	drainsAnnounced   *metrics.Counter
 	backoffsRequested *metrics.Counter
 	backoffRefusals   *metrics.Counter
+	stalls            *metrics.Counter // streams without progress, whether they were cut or not
+	stallsCut         *metrics.Counter
 	evacuated         *metrics.Gauge // number of evacuated data centres
 	// configurationInvalid is 1 while the operators' entry cannot be used, as this gateway read it.
 	configurationInvalid *metrics.Gauge
@@ -63,6 +65,8 @@
 		drainsAnnounced:      set.NewCounter("relay_endpoint_leaves_told_total"),
 		backoffsRequested:    set.NewCounter("relay_endpoint_rests_asked_total"),
 		backoffRefusals:      set.NewCounter("relay_rest_refusals_total"),
+		stalls:               set.NewCounter("relay_stream_stalls_total"),
+		stallsCut:            set.NewCounter("relay_stream_stalls_cut_total"),
 		evacuated:            set.NewGauge("relay_evacuated_data_centres", nil),
 		configurationInvalid: set.NewGauge("relay_configuration_invalid", nil),
 		resumes:              set.NewCounter("relay_resumes_total"),
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -15,6 +15,7 @@
 	helpers       []catalog.Endpoint
 	memoryDemands []memoryDemand
 	reservations  *reservations // reserved for the attempt; nil if none
+	stall         *stallMonitor // cuts the stream if it makes no progress; nil: it is not monitored
 	grant         *grant        // permits an attempt at an endpoint with a rate limit; nil if none
 	sentRequest   availability.SentRequest
 	loadBefore    balance.Load // load of the endpoint before this request
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/eventstream"
 	"github.com/micarudder/micarudder/health"
 )
 
@@ -29,48 +29,6 @@
 	partial  []byte // bytes of the incomplete event
 }
 
-// splitEvents splits buf after its last complete event and records the id of that event. An event
-// ends with an empty line; lines may end with CR LF.
-func (s *eventStream) splitEvents(buf []byte) (complete, rest []byte) {
-	end := 0
-	for {
-		n := eventLength(buf[end:])
-		if n == 0 {
-			return buf[:end], buf[end:]
-		}
-		if id, ok := eventID(buf[end : end+n]); ok {
-			s.lastID = id
-		}
-		end += n
-	}
-}
-
-// eventLength returns the length of the first complete event in buf, or 0 if there is none.
-func eventLength(buf []byte) int {
-	for end := 0; ; {
-		n := bytes.IndexByte(buf[end:], '\n')
-		if n < 0 {
-			return 0
-		}
-		line := buf[end : end+n]
-		end += n + 1
-		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
-			return end
-		}
-	}
-}
-
-// eventID returns the value of the event's id line.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if ok {
-			return string(bytes.TrimSpace(value)), true
-		}
-	}
-	return "", false
-}
-
 // relay passes a response on to the caller. again is set if a stream broke that may resume at
 // another endpoint.
 func (x *exchange) relay(ctx context.Context, pl *placement, res *http.Response) (o outcome, again bool) {
@@ -167,7 +125,8 @@
 		n, err := res.Body.Read(buf)
 		if n > 0 {
 			s.partial = append(s.partial, buf[:n]...)
-			complete, rest := s.splitEvents(s.partial)
+			complete, rest, id := eventstream.Split(s.partial, s.lastID)
+			s.lastID = id
 			if len(complete) > 0 {
 				if e := x.writeEvents(pl, res, complete); e != nil {
 					return callerGone, false
@@ -195,6 +154,8 @@
 		x.stream.headSent = true
 		x.writeHead(res)
 	}
+	pl.stall.eventArrived()
+	defer pl.stall.eventPassedOn()
 	return x.writeToCaller(pl, events, true)
 }
 
@@ -220,6 +181,11 @@
 		return callerGone, false
 	}
 	x.recordFailure(pl, err)
+	if pl.stall.wasCut() {
+		x.lastError, x.retryGranted = errStalled, true
+		x.g.meter.resumes.Inc()
+		return "", true
+	}
 	if ctx.Err() == nil {
 		x.recordOutcome(pl, health.BadResponse)
 		x.g.meter.resumes.Inc()
