relay: callers and endpoints that do not read are bounded (slow_reader_timeout, held_memory)

Cause: the only bound on a caller that stops reading was a write deadline one second after the request's deadline, and the kernel's buffers grew with each of them.

Change: package boundedconn fixes the kernel's buffers of a connection at 64 KB in each direction and disconnects a peer that has read nothing for the timeout; a slow one is recognized by the kernel's queue that shrinks. Callers' connections and, through upstream.Options, endpoints' connections use it. Package heldmemory counts each request with the most that it can hold; a request beyond held_memory takes the place of the caller that has not read for the longest (at least a quarter of the timeout), or is refused with 503 and Retry-After.

--- /dev/null
+++ b/heldmemory/heldmemory.go
@@ -0,0 +1,69 @@
+// Package heldmemory bounds the memory that a process holds for the responses of all its requests
+// together. Each request counts with the most that it can hold, because a request that is admitted
+// while it holds little may hold all of it a moment later. The package does no I/O and reads no clock.
+package heldmemory
+
+import "time"
+
+// Reader is the receiver of a response.
+type Reader interface {
+	// WaitingSince returns since when the response has been waiting for its receiver to read, or the
+	// zero time.
+	WaitingSince() time.Time
+}
+
+// Ledger holds the requests that count. It is not safe for concurrent use.
+type Ledger struct {
+	limit, perRequest int64
+	minWait           time.Duration
+	requests          map[*Request]struct{}
+}
+
+// Request is a request that counts until it is released.
+type Request struct {
+	reader Reader // nil if unknown
+}
+
+// NewLedger returns a ledger for requests of which each may hold perRequest bytes, and all together
+// limit bytes. A request may take the place of one that has waited for its reader for at least minWait.
+func NewLedger(limit, perRequest int64, minWait time.Duration) *Ledger {
+	return &Ledger{limit: limit, perRequest: perRequest, minWait: minWait, requests: make(map[*Request]struct{})}
+}
+
+// Held returns how many bytes the requests may hold.
+func (l *Ledger) Held() int64 { return int64(len(l.requests)) * l.perRequest }
+
+// Admit counts a request, or returns nil if it does not fit. evicted is the reader whose place it takes;
+// the caller must disconnect it. It is the one that has not read for the longest.
+func (l *Ledger) Admit(r Reader, now time.Time) (admitted *Request, evicted Reader) {
+	if l.Held()+l.perRequest > l.limit {
+		slowest := l.slowest(now)
+		if slowest == nil {
+			return nil, nil
+		}
+		delete(l.requests, slowest)
+		evicted = slowest.reader
+	}
+	admitted = &Request{reader: r}
+	l.requests[admitted] = struct{}{}
+	return admitted, evicted
+}
+
+// Release ends the count of a request; r may be nil, and may have been evicted.
+func (l *Ledger) Release(r *Request) { delete(l.requests, r) }
+
+// slowest returns the request that has waited for its reader for the longest, or nil if none has waited
+// for long enough.
+func (l *Ledger) slowest(now time.Time) *Request {
+	var found *Request
+	earliest := now.Add(-l.minWait)
+	for r := range l.requests {
+		if r.reader == nil {
+			continue
+		}
+		if since := r.reader.WaitingSince(); !since.IsZero() && !since.After(earliest) {
+			found, earliest = r, since
+		}
+	}
+	return found
+}
--- a/relay/callerservers.go
+++ b/relay/callerservers.go
@@ -72,7 +72,7 @@
 	}
 	current := cs.current
 	cs.mu.Unlock()
-	current.listener.push(c)
+	current.listener.push(cs.g.boundCallerConn(c))
 }
 
 // startServer starts a server with the limits.
@@ -92,6 +92,7 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
+		ConnContext:       withCallerConn,
 		ErrorLog:          stdlog.New(errorLogWriter{cs.g}, "", 0),
 	}
 	s.server.SetKeepAlivesEnabled(!cs.g.shuttingDown.Load())
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/quarantine"
 )
@@ -35,6 +36,7 @@
 	notStarted      outcome = "not-started"  // 503: no configuration is known yet
 	refusedShutdown outcome = "stopping"     // 503: the process is about to exit
 	tooLarge        outcome = "body-too-large"
+	refusedMemory   outcome = "refused-memory" // not run: too many requests are served at once
 	// quarantinedOutcome is a 503: endpoints crash when they run the request. One that was sent
 	// before gets a 502 and the outcome mayHaveRun.
 	quarantinedOutcome outcome = "quarantined"
@@ -76,7 +78,8 @@
 	service   *catalog.Service
 	workspace *catalog.Workspace
 	body      []byte
-	heldBytes int64 // size counted against Config.BodyMemory
+	heldBytes int64               // size counted against Config.BodyMemory
+	held      *heldmemory.Request // counted against Config.HeldMemory; nil: not counted
 	started   time.Time
 	deadline  time.Time
 
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -41,6 +41,12 @@
 	BodyMemory int64
 	// StallResume cuts streams that make no progress and resumes them at another endpoint.
 	StallResume bool
+	// SlowReaderTimeout is the time after which a caller that reads nothing is disconnected; zero: only
+	// the request's deadline applies.
+	SlowReaderTimeout time.Duration
+	// HeldMemory bounds the memory of all requests that are served at once, without their bodies;
+	// zero: no bound.
+	HeldMemory int64
 }
 
 // Deps holds the dependencies of a gateway.
@@ -78,6 +84,7 @@
 	servers        *callerServers
 	crashProbes    *crashProbes
 	deliveries     *streamDeliveries
+	held           *heldRequests
 	quarantine     *quarantineTable
 	suspensions    *suspensionDetector
 	endpointLimits *endpointLimits
@@ -113,6 +120,7 @@
 	g.storeReads = newStoreReads()
 	g.servers = newCallerServers(g)
 	g.crashProbes = newCrashProbes()
+	g.held = newHeldRequests(c)
 	g.deliveries = &streamDeliveries{record: stall.NewDeliveries()}
 	g.quarantine = newQuarantineTable()
 	g.suspensions = newSuspensionDetector(d.Suspended)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -18,6 +18,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer x.releaseBodyMemory()
+	defer x.releaseHeld()
 	x.recordEnd(x.serve())
 	// Clears the write deadline, since the connection may carry another request. On a broken
 	// connection this fails, and the error is of no use.
@@ -85,6 +86,9 @@
 		return o
 	}
 	x.setDeadline()
+	if o, ok := x.admitHeld(); !ok {
+		return o
+	}
 	if o, ok := x.readBody(); !ok {
 		return o
 	}
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -33,6 +33,8 @@
 	backoffRefusals   *metrics.Counter
 	stalls            *metrics.Counter // streams without progress, whether they were cut or not
 	stallsCut         *metrics.Counter
+	slowReaders       *metrics.Counter // callers that were disconnected because they did not read
+	heldRefusals      *metrics.Counter
 	evacuated         *metrics.Gauge // number of evacuated data centres
 	// configurationInvalid is 1 while the operators' entry cannot be used, as this gateway read it.
 	configurationInvalid *metrics.Gauge
@@ -67,6 +69,8 @@
 		backoffRefusals:      set.NewCounter("relay_rest_refusals_total"),
 		stalls:               set.NewCounter("relay_stream_stalls_total"),
 		stallsCut:            set.NewCounter("relay_stream_stalls_cut_total"),
+		slowReaders:          set.NewCounter("relay_slow_readers_total"),
+		heldRefusals:         set.NewCounter("relay_held_memory_refusals_total"),
 		evacuated:            set.NewGauge("relay_evacuated_data_centres", nil),
 		configurationInvalid: set.NewGauge("relay_configuration_invalid", nil),
 		resumes:              set.NewCounter("relay_resumes_total"),
--- a/relay/process.go
+++ b/relay/process.go
@@ -67,6 +67,7 @@
 		Protocol:  protocol, Source: source, Mesh: mesh, PeerPort: int(peerAddress.Port()), Log: events, Metrics: env.Metrics,
 		Endpoints: upstream.New(upstream.Options{
 			DialTimeout: s.Endpoints.DialTimeout, MaxIdle: s.Endpoints.MaxIdle, IdlePerHost: s.Endpoints.IdlePerHost,
+			SlowReaderTimeout: s.Load.SlowReaderTimeout,
 		}),
 	})
 	p := &Process{Gateway: g, settings: s}
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -37,6 +37,9 @@
 	} `section:"bounds"`
 	Load struct {
 		StallResume bool `key:"stall_resume" default:"false" help:"whether a stream that has begun and makes no progress is cut at its endpoint and resumed at another one"`
+		// SlowReaderTimeout applies to callers and to endpoints.
+		SlowReaderTimeout time.Duration `key:"slow_reader_timeout" default:"0s" min:"0s" help:"after how long without reading anything a caller or an endpoint is disconnected; 0s: only at the request's deadline"`
+		HeldMemory        settings.Size `key:"held_memory" default:"0B" help:"most memory for the connections, buffers and responses of the requests that are served at once; more are refused with a time to come back; 0B: no bound"`
 	} `section:"load"`
 	Log struct {
 		LinesPerSecond float64 `key:"lines_per_second" default:"300" min:"0" help:"request lines a second; more are counted and left out"`
@@ -62,7 +65,7 @@
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
 		BodyMemory:  int64(s.Relay.BodyMemory),
-		StallResume: s.Load.StallResume,
-		Retries:     limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
+		StallResume: s.Load.StallResume, SlowReaderTimeout: s.Load.SlowReaderTimeout, HeldMemory: int64(s.Load.HeldMemory),
+		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
--- /dev/null
+++ b/relay/slowreader.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/micarudder/micarudder/boundedconn"
+	"github.com/micarudder/micarudder/heldmemory"
+)
+
+const (
+	// requestHeldBytes is the most that a request holds besides its body: the kernel's buffers for its
+	// caller and of its endpoint's response, and the buffers and stacks of the process.
+	requestHeldBytes = 2*boundedconn.BufferBytes + processBytes
+	// processBytes is what the process itself holds for a request whose caller does not read.
+	processBytes = 64 << 10
+	// evictionDivisor is the part of Config.SlowReaderTimeout, as a divisor, after which a caller that
+	// does not read may be disconnected to make room for another request.
+	evictionDivisor = 4
+	// retryAfterHeld is the Retry-After while the memory is used up: about the time after which
+	// callers that do not read make room.
+	retryAfterHeld = 500 * time.Millisecond
+)
+
+// heldRequests bounds the memory of the requests that are served at once.
+type heldRequests struct {
+	mu     sync.Mutex
+	ledger *heldmemory.Ledger // nil: no bound
+}
+
+func newHeldRequests(c Config) *heldRequests {
+	h := &heldRequests{}
+	if c.HeldMemory > 0 {
+		h.ledger = heldmemory.NewLedger(c.HeldMemory, requestHeldBytes, c.SlowReaderTimeout/evictionDivisor)
+	}
+	return h
+}
+
+// admitHeld counts the request against Config.HeldMemory. If it does not fit, it takes the place of the
+// one whose caller has not read for the longest, or is refused.
+func (x *exchange) admitHeld() (outcome, bool) {
+	h := x.g.held
+	if h.ledger == nil {
+		return "", true
+	}
+	var reader heldmemory.Reader
+	if c := callerConn(x.r.Context()); c != nil {
+		reader = c
+	}
+	h.mu.Lock()
+	held := h.ledger.Held()
+	admitted, evicted := h.ledger.Admit(reader, time.Now())
+	h.mu.Unlock()
+	if evicted != nil {
+		evicted.(*boundedconn.Conn).Disconnect()
+	}
+	if admitted == nil {
+		x.g.meter.heldRefusals.Inc()
+		x.g.deps.Log.Request("Request refused for lack of memory.", "request", x.call.ID, "held_bytes", held, "limit_bytes", x.g.config.HeldMemory, "retry_after_ms", retryAfterHeld.Milliseconds())
+		x.w.Header().Set("Connection", "close") // an idle connection would hold memory as well
+		return x.refuse(http.StatusServiceUnavailable, retryAfterHeld, refusedMemory), false
+	}
+	x.held = admitted
+	return "", true
+}
+
+func (x *exchange) releaseHeld() {
+	if x.held == nil {
+		return
+	}
+	x.g.held.mu.Lock()
+	defer x.g.held.mu.Unlock()
+	x.g.held.ledger.Release(x.held)
+}
+
+// boundCallerConn bounds what the connection holds for a caller that does not read, and for how long.
+func (g *Gateway) boundCallerConn(c net.Conn) net.Conn {
+	if g.config.SlowReaderTimeout == 0 {
+		return c
+	}
+	return boundedconn.New(c, g.config.SlowReaderTimeout, g.meter.slowReaders.Inc)
+}
+
+// callerConnKey is the key of a request's connection in its context.
+type callerConnKey struct{}
+
+// withCallerConn adds the connection to the context of its requests.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// callerConn returns the bounded connection of a request, or nil if its connection is not bounded.
+func callerConn(ctx context.Context) *boundedconn.Conn {
+	c, _ := ctx.Value(callerConnKey{}).(*boundedconn.Conn)
+	return c
+}
+
+// logSlowReader logs a failed write to the caller if it failed because the caller did not read.
+func (x *exchange) logSlowReader(err error) {
+	var failure *boundedconn.NotReadingError
+	if errors.As(err, &failure) {
+		x.lastError = err
+		x.g.deps.Log.Request("Caller does not read and is disconnected.", "request", x.call.ID, "waited_ms", failure.For.Milliseconds(), "limit_ms", x.g.config.SlowReaderTimeout.Milliseconds())
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -166,13 +166,12 @@
 		pl.reservations.writingToCaller.Store(true)
 		defer pl.reservations.writingToCaller.Store(false)
 	}
-	if _, err := x.w.Write(part); err != nil {
-		return err
+	_, err := x.w.Write(part)
+	if err == nil && flush {
+		err = http.NewResponseController(x.w).Flush()
 	}
-	if !flush {
-		return nil
-	}
-	return http.NewResponseController(x.w).Flush()
+	x.logSlowReader(err)
+	return err
 }
 
 // handleBrokenStream handles a stream that ended early.
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/micarudder/micarudder/boundedconn"
 )
 
 const (
@@ -44,9 +46,23 @@
 	}
 }
 
+// boundConns returns a dialer whose connections are bounded, see boundedconn.
+func boundConns(dial func(context.Context, string) (net.Conn, error), timeout time.Duration) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return boundedconn.New(c, timeout, nil), nil
+	}
+}
+
 // openAndEmpty reports whether an idle connection is open and has no bytes to read. A
 // connection with unread bytes is unusable, since they belong to no request.
 func openAndEmpty(c net.Conn) bool {
+	if bounded, ok := c.(*boundedconn.Conn); ok {
+		c = bounded.NetConn()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true // not a socket: a connection supplied by a test
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -81,6 +81,9 @@
 	MaxIdle     time.Duration // longest time that an idle connection is kept
 	IdlePerHost int           // largest number of idle connections kept to one endpoint
 	Dialer      func(ctx context.Context, address string) (net.Conn, error)
+	// SlowReaderTimeout is the time after which an endpoint that reads nothing of a request is
+	// disconnected; the buffers of its connections are bounded then. Zero: off.
+	SlowReaderTimeout time.Duration
 }
 
 const (
@@ -106,6 +109,9 @@
 	if o.Dialer == nil {
 		o.Dialer = dialTCP(o.DialTimeout)
 	}
+	if o.SlowReaderTimeout > 0 {
+		o.Dialer = boundConns(o.Dialer, o.SlowReaderTimeout)
+	}
 	return &Client{options: o, idle: pool{maxPerKey: o.IdlePerHost, conns: make(map[string][]*conn)}}
 }
 
