relay: endpoint set, list differences, pushed listener and HTTP syntax have packages of their own

Change: pure moves with their tests. endpointset holds which endpoints accept requests and the difference and hash of lists, pushlistener the listener whose connections are pushed, httpsyntax the path of a target, hop-by-hop fields and the format of Retry-After. Fields of the set that relay read become methods.

--- a/relay/members.go
+++ b/endpointset/endpointset.go
@@ -1,4 +1,6 @@
-package relay
+// Package endpointset decides, from the store's list and from the statements of endpoints, which
+// endpoints accept new requests. It is pure: times are arguments.
+package endpointset
 
 import (
 	"cmp"
@@ -12,9 +14,9 @@
 )
 
 const (
-	// returnWindow is how long after the store's return an endpoint whose entry expired may still
+	// ReturnWindow is how long after the store's return an endpoint whose entry expired may still
 	// come back; the platform documents about two seconds.
-	returnWindow = 2 * time.Second
+	ReturnWindow = 2 * time.Second
 	// massExpiryWindow is how long endpoints are kept while the store is suspected, see
 	// massExpiryRatio: half of the time within which an endpoint that left must get no more
 	// requests.
@@ -28,14 +30,14 @@
 	// departedRetention is how long a departed endpoint is remembered. Copies of the store are
 	// seconds old.
 	departedRetention = 10 * time.Minute
-	// lastResortWindow is how long after an endpoint has announced its drain it still gets requests
+	// LastResortWindow is how long after an endpoint has announced its drain it still gets requests
 	// that no other endpoint could take: half of the time within which a draining endpoint must get
 	// no more requests.
-	lastResortWindow = time.Second
+	LastResortWindow = time.Second
 )
 
-// EndpointChange is a change of the known state of an endpoint.
-type EndpointChange struct {
+// Change is a change of the known state of an endpoint.
+type Change struct {
 	Endpoint catalog.Endpoint
 	Kind     ChangeKind
 	// Source is where the change was reported: the store's list, a response of the endpoint, or a
@@ -48,16 +50,15 @@
 
 // The kinds of changes.
 const (
-	changeNew       ChangeKind = "new"
-	changeDraining  ChangeKind = "draining"  // it accepts no new requests
-	changeMissing   ChangeKind = "missing"   // its entry expired, perhaps because of the store
-	changeGone      ChangeKind = "gone"      // it gets no more requests
-	changeRestarted ChangeKind = "restarted" // under the same ID; state from before the restart is lost
+	Added     ChangeKind = "new"
+	Draining  ChangeKind = "draining"  // it accepts no new requests
+	Missing   ChangeKind = "missing"   // its entry expired, perhaps because of the store
+	Gone      ChangeKind = "gone"      // it gets no more requests
+	Restarted ChangeKind = "restarted" // under the same ID; state from before the restart is lost
 )
 
-// endpointSet decides, from the store's list and from the statements of endpoints, which endpoints
-// accept new requests. It is pure: times are arguments.
-type endpointSet struct {
+// Set holds the known endpoints. It is not safe for concurrent use.
+type Set struct {
 	known        map[string]catalog.Endpoint // Draining is set whatever the source
 	drains       *availability.DrainTable
 	evacuated    map[string]bool      // data centres whose endpoints get no requests
@@ -82,8 +83,9 @@
 	at       time.Time
 }
 
-func newEndpointSet() *endpointSet {
-	return &endpointSet{
+// New returns an empty set.
+func New() *Set {
+	return &Set{
 		drains:          availability.NewDrainTable(),
 		known:           make(map[string]catalog.Endpoint),
 		missingSince:    make(map[string]time.Time),
@@ -92,13 +94,13 @@
 	}
 }
 
-// applyList applies a list that was read at now. An entry that disappeared while the store could be
+// ApplyList applies a list that was read at now. An entry that disappeared while the store could be
 // read means that the endpoint has left; an entry that expired with the store may come back within
-// returnWindow. An entry that became unreadable is not in the list and counts as one that
+// ReturnWindow. An entry that became unreadable is not in the list and counts as one that
 // disappeared, since it gives no address to send to. Its endpoint keeps the requests that it works
 // on and comes back with the next entry that it writes.
-func (s *endpointSet) applyList(list []catalog.Endpoint, now, storeFailed time.Time) []EndpointChange {
-	var changes []EndpointChange
+func (s *Set) ApplyList(list []catalog.Endpoint, now, storeFailed time.Time) []Change {
+	var changes []Change
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
 		if s.isStale(e, now) {
@@ -108,7 +110,7 @@
 		delete(s.missingSince, e.ID)
 		old, ok := s.known[e.ID]
 		if old.RestartedAs(e) {
-			s.drains.Restarted(e, s.previousIncarnationListedAt(now), now)
+			s.drains.Restarted(e, s.PreviousIncarnationListedAt(now), now)
 		}
 		if e.Draining {
 			s.drains.Add(e, availability.FromStore, now)
@@ -116,11 +118,11 @@
 		_, e.Draining = s.drains.Lookup(e)
 		switch {
 		case !ok:
-			changes = append(changes, EndpointChange{e, changeNew, availability.FromStore})
+			changes = append(changes, Change{e, Added, availability.FromStore})
 		case old.RestartedAs(e):
-			changes = append(changes, EndpointChange{e, changeRestarted, availability.FromStore})
+			changes = append(changes, Change{e, Restarted, availability.FromStore})
 		case e.Draining && !old.Draining:
-			changes = append(changes, EndpointChange{e, changeDraining, availability.FromStore})
+			changes = append(changes, Change{e, Draining, availability.FromStore})
 		}
 		s.known[e.ID] = e
 	}
@@ -138,14 +140,14 @@
 		if !e.Draining && s.mayReturn(since, now, storeFailed, expired[e.Service]) {
 			if !seen {
 				s.missingSince[id] = now
-				changes = append(changes, EndpointChange{e, changeMissing, availability.FromStore})
+				changes = append(changes, Change{e, Missing, availability.FromStore})
 			}
 			continue
 		}
 		delete(s.known, id)
 		delete(s.missingSince, id)
 		s.departed[id] = departure{e, now}
-		changes = append(changes, EndpointChange{e, changeGone, availability.FromStore})
+		changes = append(changes, Change{e, Gone, availability.FromStore})
 	}
 	s.sort()
 	return changes
@@ -153,22 +155,22 @@
 
 // mayReadOldCopy reports whether lists may still come from an older copy of the store and contain
 // earlier incarnations.
-func (s *endpointSet) mayReadOldCopy(now time.Time) bool {
+func (s *Set) mayReadOldCopy(now time.Time) bool {
 	return !s.restoredAt.IsZero() && now.Sub(s.restoredAt) <= staleEntryWindow
 }
 
-// previousIncarnationListedAt returns when the previous incarnation was certainly the running one;
+// PreviousIncarnationListedAt returns when the previous incarnation was certainly the running one;
 // zero if that is not known, since a list from an older copy may contain it again.
-func (s *endpointSet) previousIncarnationListedAt(now time.Time) time.Time {
+func (s *Set) PreviousIncarnationListedAt(now time.Time) time.Time {
 	if s.mayReadOldCopy(now) {
 		return time.Time{}
 	}
 	return s.listSentAt
 }
 
-// revokeUncertainDrain records a response without a drain statement of an endpoint whose drain is
+// RevokeUncertainDrain records a response without a drain statement of an endpoint whose drain is
 // uncertain. It reports whether the endpoint accepts requests again.
-func (s *endpointSet) revokeUncertainDrain(e catalog.Endpoint) bool {
+func (s *Set) RevokeUncertainDrain(e catalog.Endpoint) bool {
 	s.drains.RevokeUncertain(e)
 	known, ok := s.known[e.ID]
 	if _, draining := s.drains.Lookup(known); !ok || draining || !known.Draining {
@@ -180,9 +182,9 @@
 	return true
 }
 
-// markDraining records that a source other than the store reports an endpoint as draining. It
+// MarkDraining records that a source other than the store reports an endpoint as draining. It
 // reports whether that is new, and returns the change if the endpoint is known.
-func (s *endpointSet) markDraining(e catalog.Endpoint, source string, now time.Time) (isNew bool, changes []EndpointChange) {
+func (s *Set) MarkDraining(e catalog.Endpoint, source string, now time.Time) (isNew bool, changes []Change) {
 	known, ok := s.known[e.ID]
 	if ok && known.RestartedAs(e) || !s.drains.Add(e, source, now) {
 		return false, nil // an earlier incarnation, or a repeated report
@@ -193,12 +195,12 @@
 	known.Draining = true
 	s.known[e.ID] = known
 	s.sort()
-	return true, []EndpointChange{{known, changeDraining, source}}
+	return true, []Change{{known, Draining, source}}
 }
 
-// lastResort returns the endpoints of a service, by cell, that announced their drain recently. They
+// LastResort returns the endpoints of a service, by cell, that announced their drain recently. They
 // still accept requests while no other endpoint does.
-func (s *endpointSet) lastResort(service string, now time.Time) map[string][]catalog.Endpoint {
+func (s *Set) LastResort(service string, now time.Time) map[string][]catalog.Endpoint {
 	var out map[string][]catalog.Endpoint
 	for _, e := range s.known {
 		if e.Service != service || s.evacuated[e.DataCentre] || !s.recentlyDraining(e, now) {
@@ -213,16 +215,16 @@
 	return out
 }
 
-func (s *endpointSet) recentlyDraining(e catalog.Endpoint, now time.Time) bool {
+func (s *Set) recentlyDraining(e catalog.Endpoint, now time.Time) bool {
 	drain, ok := s.drains.Lookup(e)
-	return ok && now.Sub(drain.Since) < lastResortWindow
+	return ok && now.Sub(drain.Since) < LastResortWindow
 }
 
 // isStale reports whether an entry in a store that was restored from an older copy belongs to an
 // endpoint that has left. An endpoint that had announced its drain never comes back in the same
 // incarnation. One whose entry had only disappeared may: it counts again once its entry outlives
 // the heartbeats that a departed endpoint would miss.
-func (s *endpointSet) isStale(e catalog.Endpoint, now time.Time) bool {
+func (s *Set) isStale(e catalog.Endpoint, now time.Time) bool {
 	dep, ok := s.departed[e.ID]
 	if !ok {
 		return false
@@ -243,9 +245,9 @@
 
 // mayReturn reports whether an endpoint that has been missing since that time may come back,
 // because its entry expired with the store or is missing in an older copy of it.
-func (s *endpointSet) mayReturn(since, now, storeFailed time.Time, massExpired bool) bool {
+func (s *Set) mayReturn(since, now, storeFailed time.Time, massExpired bool) bool {
 	for _, unavailableAt := range []time.Time{storeFailed, s.restoredAt} {
-		if !unavailableAt.IsZero() && now.Sub(unavailableAt) < returnWindow {
+		if !unavailableAt.IsZero() && now.Sub(unavailableAt) < ReturnWindow {
 			return true
 		}
 	}
@@ -253,7 +255,7 @@
 }
 
 // forgetDeparted drops endpoints that left so long ago that no copy contains them.
-func (s *endpointSet) forgetDeparted(now time.Time) {
+func (s *Set) forgetDeparted(now time.Time) {
 	for id, dep := range s.departed {
 		if now.Sub(dep.at) > departedRetention {
 			delete(s.departed, id)
@@ -262,7 +264,7 @@
 }
 
 // massExpired returns the services of which most endpoints are missing at once.
-func (s *endpointSet) massExpired(present map[string]bool) map[string]bool {
+func (s *Set) massExpired(present map[string]bool) map[string]bool {
 	all, missing := make(map[string]int), make(map[string]int)
 	for id, e := range s.known {
 		all[e.Service]++
@@ -278,7 +280,7 @@
 }
 
 // sort orders the endpoints in the same way at every gateway.
-func (s *endpointSet) sort() {
+func (s *Set) sort() {
 	s.usableByService = make(map[string][]catalog.Endpoint)
 	for _, e := range s.known {
 		if !e.Draining && !s.evacuated[e.DataCentre] {
@@ -294,7 +296,7 @@
 // groupCells derives the cells from the data centres of the service with the most endpoints. If any
 // configured service has endpoints, only configured ones count, so that entries of other services
 // cannot change the cells.
-func (s *endpointSet) groupCells() {
+func (s *Set) groupCells() {
 	var most []catalog.Endpoint
 	known := slices.ContainsFunc(s.services, func(name string) bool { return len(s.usableByService[name]) > 0 })
 	for _, service := range slices.Sorted(maps.Keys(s.usableByService)) {
@@ -321,15 +323,59 @@
 	}
 }
 
-func (s *endpointSet) usable(service string) []catalog.Endpoint { return s.usableByService[service] }
+// Usable returns the endpoints of a service that accept requests. The caller must not change them.
+func (s *Set) Usable(service string) []catalog.Endpoint { return s.usableByService[service] }
 
-func (s *endpointSet) endpoint(id string) (catalog.Endpoint, bool) {
-	e, ok := s.known[id]
+// UsableByCell returns the endpoints of a service that accept requests, by cell. The caller must not
+// change them.
+func (s *Set) UsableByCell(service string) map[string][]catalog.Endpoint {
+	return s.usableByCell[service]
+}
+
+// Known returns all known endpoints by ID. Draining is set whatever the source. The caller must not change
+// them.
+func (s *Set) Known() map[string]catalog.Endpoint { return s.known }
+
+// Drains returns the table of draining endpoints.
+func (s *Set) Drains() *availability.DrainTable { return s.drains }
+
+// Cells returns the cells of the data centres.
+func (s *Set) Cells() cell.Map { return s.cells }
+
+// Evacuated reports whether the endpoints of a data centre get no requests.
+func (s *Set) Evacuated(dataCentre string) bool { return s.evacuated[dataCentre] }
+
+// SetServices sets the services of the configuration in force, for the next list.
+func (s *Set) SetServices(names []string) { s.services = names }
+
+// SetListSentAt sets when the read of the newest list was sent; zero means long ago.
+func (s *Set) SetListSentAt(t time.Time) { s.listSentAt = t }
+
+// SetRestored records that the store was noticed to have been restored from an older copy.
+func (s *Set) SetRestored(now time.Time) { s.restoredAt = now }
+
+// MayPrecedeRestore reports whether what was read at t may lack writes from before a restore.
+func (s *Set) MayPrecedeRestore(t time.Time) bool {
+	return !s.restoredAt.IsZero() && t.Before(s.restoredAt.Add(ReturnWindow))
+}
+
+// Endpoint returns an endpoint by its ID; ok is false if it accepts no requests.
+func (s *Set) Endpoint(id string) (e catalog.Endpoint, ok bool) {
+	e, ok = s.known[id]
 	return e, ok && !e.Draining && !s.evacuated[e.DataCentre]
 }
 
-// acceptsRequests reports whether a request may be sent to an endpoint now.
-func (s *endpointSet) acceptsRequests(id string, now time.Time) bool {
+// AcceptsRequests reports whether a request may be sent to an endpoint now.
+func (s *Set) AcceptsRequests(id string, now time.Time) bool {
 	e, ok := s.known[id]
 	return ok && !s.evacuated[e.DataCentre] && (!e.Draining || len(s.usableByService[e.Service]) == 0 && s.recentlyDraining(e, now))
 }
+
+// SetEvacuated replaces the evacuated data centres.
+func (s *Set) SetEvacuated(dataCentres []string) {
+	s.evacuated = make(map[string]bool, len(dataCentres))
+	for _, name := range dataCentres {
+		s.evacuated[name] = true
+	}
+	s.sort()
+}
--- a/relay/available.go
+++ b/relay/available.go
@@ -6,6 +6,7 @@
 
 	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/endpointset"
 )
 
 // AvailableEndpoints returns the endpoints of a service, by cell, that accept requests of this
@@ -18,9 +19,9 @@
 
 // availableLocked is AvailableEndpoints for callers that hold the lock.
 func (s *State) availableLocked(service string, now time.Time) map[string][]catalog.Endpoint {
-	cells := s.endpoints.usableByCell[service]
+	cells := s.endpoints.UsableByCell(service)
 	if len(cells) == 0 {
-		cells = s.endpoints.lastResort(service, now)
+		cells = s.endpoints.LastResort(service, now)
 	}
 	if !s.backoffs.Active() {
 		return cells
@@ -47,7 +48,7 @@
 func (s *State) AcceptsRequests(id string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.acceptsRequests(id, now) && !s.backoffs.InBackoff(id, now)
+	return s.endpoints.AcceptsRequests(id, now) && !s.backoffs.InBackoff(id, now)
 }
 
 // BeginAttempt counts a request for which an endpoint was chosen; ok is false if it must not be sent
@@ -55,7 +56,7 @@
 func (s *State) BeginAttempt(id string, now time.Time) (sent availability.SentRequest, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.endpoints.acceptsRequests(id, now) {
+	if !s.endpoints.AcceptsRequests(id, now) {
 		return sent, false
 	}
 	return s.backoffs.Begin(id, now)
@@ -71,10 +72,10 @@
 
 // MarkDraining records that an endpoint is draining, as a response of the endpoint or a gateway
 // says. It reports whether that is new, and returns the resulting changes.
-func (s *State) MarkDraining(e catalog.Endpoint, source string, now time.Time) (isNew bool, changes []EndpointChange) {
+func (s *State) MarkDraining(e catalog.Endpoint, source string, now time.Time) (isNew bool, changes []endpointset.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.markDraining(e, source, now)
+	return s.endpoints.MarkDraining(e, source, now)
 }
 
 // DrainUncertain reports whether an endpoint counts as draining because of a statement that its
@@ -82,7 +83,7 @@
 func (s *State) DrainUncertain(e catalog.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.drains.Uncertain(e)
+	return s.endpoints.Drains().Uncertain(e)
 }
 
 // RevokeUncertainDrain records a response of such an endpoint that does not say that it is draining.
@@ -90,7 +91,7 @@
 func (s *State) RevokeUncertainDrain(e catalog.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.revokeUncertainDrain(e)
+	return s.endpoints.RevokeUncertainDrain(e)
 }
 
 // DrainUpdates returns the incarnations of draining endpoints that are to be sent to other
@@ -98,7 +99,7 @@
 func (s *State) DrainUpdates(everything bool, now time.Time) map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.drains.Updates(everything, now)
+	return s.endpoints.Drains().Updates(everything, now)
 }
 
 // RecordBackoff records that an endpoint asked this gateway to back off for d. It reports whether
@@ -106,7 +107,7 @@
 func (s *State) RecordBackoff(id string, d time.Duration, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.endpoints.known[id]; !ok {
+	if _, ok := s.endpoints.Known()[id]; !ok {
 		return false // the endpoint is gone
 	}
 	return s.backoffs.Request(id, d, now)
@@ -121,12 +122,12 @@
 
 // clearBackoffs drops backoffs of endpoints that are gone or have restarted. listed is when the
 // previous incarnation was certainly still running. The caller holds the lock.
-func (s *State) clearBackoffs(changes []EndpointChange, listed time.Time) {
+func (s *State) clearBackoffs(changes []endpointset.Change, listed time.Time) {
 	for _, c := range changes {
 		switch {
-		case c.Kind == changeGone:
+		case c.Kind == endpointset.Gone:
 			s.backoffs.Forget(c.Endpoint.ID)
-		case c.Kind == changeRestarted:
+		case c.Kind == endpointset.Restarted:
 			s.backoffs.Restarted(c.Endpoint.ID, listed)
 		}
 	}
@@ -148,7 +149,7 @@
 	if !s.backoffs.Active() {
 		return backoff
 	}
-	for _, e := range s.endpoints.usableByService[service] {
+	for _, e := range s.endpoints.Usable(service) {
 		if s.backoffs.MaySend(e.ID, now) {
 			backoff.open++
 			continue
--- a/relay/callerservers.go
+++ b/relay/callerservers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/pushlistener"
 )
 
 const (
@@ -33,7 +34,7 @@
 // callerServer is one http.Server with the listener that passes connections to it.
 type callerServer struct {
 	server   *http.Server
-	listener *connListener
+	listener *pushlistener.Listener
 }
 
 func newCallerServers(g *Gateway) *callerServers { return &callerServers{g: g} }
@@ -72,7 +73,7 @@
 	}
 	current := cs.current
 	cs.mu.Unlock()
-	current.listener.push(cs.g.boundCallerConn(c))
+	current.listener.Push(cs.g.boundCallerConn(c))
 }
 
 // startServer starts a server with the limits.
@@ -86,7 +87,7 @@
 	if limits.IdleTimeout <= 0 {
 		limits.IdleTimeout = defaultIdleTimeout
 	}
-	s := &callerServer{listener: newConnListener()}
+	s := &callerServer{listener: pushlistener.New()}
 	s.server = &http.Server{
 		Handler:           cs.g,
 		MaxHeaderBytes:    limits.HeaderBytes,
@@ -116,41 +117,3 @@
 	e.g.deps.Log.Request("HTTP server error.", "text", string(p))
 	return len(p), nil
 }
-
-// connListener is a listener whose connections are pushed by the gateway.
-type connListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func newConnListener() *connListener {
-	return &connListener{conns: make(chan net.Conn), done: make(chan struct{})}
-}
-
-func (l *connListener) push(c net.Conn) {
-	select {
-	case l.conns <- c:
-	case <-l.done:
-		_ = c.Close()
-	}
-}
-
-// Accept implements net.Listener.
-func (l *connListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *connListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (l *connListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/relay/endpointlist.go
+++ b/relay/endpointlist.go
@@ -10,18 +10,9 @@
 	"github.com/gravitational/trace"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/endpointset"
 )
 
-// endpointList is a list as it was read from the store, or its difference from an earlier one. Failed reads
-// of a peer are not passed on, since they say nothing about the store itself.
-type endpointList struct {
-	// Endpoints is the complete list or, if Base is set, the endpoints that are new or have changed.
-	Endpoints []catalog.Endpoint
-	// Base is the hash of the list that this one differs from; 0 if this one is complete.
-	Base    uint64   `json:",omitempty"`
-	Removed []string `json:",omitempty"` // endpoints of Base that are gone
-}
-
 // listHistory is the number of earlier lists to which differences are known: while endpoints are replaced one
 // after the other, peers ask for each new list within a second.
 const listHistory = 8
@@ -34,52 +25,16 @@
 
 // difference returns the list as its difference from the one with the hash base, or complete if that one is
 // not known. The caller holds the lock.
-func (s *storeReads) difference(base uint64) endpointList {
+func (s *storeReads) difference(base uint64) endpointset.List {
 	if base == s.hash {
-		return endpointList{Base: base}
+		return endpointset.List{Base: base}
 	}
 	for _, earlier := range s.earlier {
 		if earlier.hash == base {
-			return diffEndpoints(earlier, s.list)
-		}
-	}
-	return endpointList{Endpoints: s.list}
-}
-
-func diffEndpoints(from earlierList, to []catalog.Endpoint) endpointList {
-	out := endpointList{Base: from.hash}
-	before := make(map[string]catalog.Endpoint, len(from.endpoints))
-	for _, e := range from.endpoints {
-		before[e.ID] = e
-	}
-	for _, e := range to {
-		if old, ok := before[e.ID]; !ok || old != e {
-			out.Endpoints = append(out.Endpoints, e)
-		}
-		delete(before, e.ID)
-	}
-	for id := range before {
-		out.Removed = append(out.Removed, id)
-	}
-	return out
-}
-
-// applyTo returns the complete list, given the list with the hash l.Base.
-func (l endpointList) applyTo(base []catalog.Endpoint) []catalog.Endpoint {
-	replaced := make(map[string]bool, len(l.Endpoints)+len(l.Removed))
-	for _, e := range l.Endpoints {
-		replaced[e.ID] = true
-	}
-	for _, id := range l.Removed {
-		replaced[id] = true
-	}
-	out := make([]catalog.Endpoint, 0, len(base)+len(l.Endpoints))
-	for _, e := range base {
-		if !replaced[e.ID] {
-			out = append(out, e)
+			return endpointset.Diff(earlier.hash, earlier.endpoints, s.list)
 		}
 	}
-	return append(out, l.Endpoints...)
+	return endpointset.List{Endpoints: s.list}
 }
 
 // fetchEndpoints fetches a peer's list, by its difference from the known one if the peer has that. The peer
@@ -91,7 +46,7 @@
 	s.mu.Lock()
 	known, base := s.hash, s.list
 	s.mu.Unlock()
-	var list endpointList
+	var list endpointset.List
 	if err := g.peerClient.get(ctx, g.peerURL(from, pathEndpoints)+"?known="+strconv.FormatUint(known, 10), &list); err != nil {
 		return err
 	}
@@ -99,7 +54,7 @@
 	case 0:
 		base = list.Endpoints
 	case known:
-		base = list.applyTo(base)
+		base = list.ApplyTo(base)
 	default:
 		return trace.Errorf("a peer's list differs from %x, which was not asked for", list.Base)
 	}
--- a/relay/evacuate.go
+++ b/relay/evacuate.go
@@ -31,7 +31,7 @@
 		return false
 	}
 	s.evacuationSeen = true
-	s.endpoints.setEvacuated(e.DataCentres)
+	s.endpoints.SetEvacuated(e.DataCentres)
 	return true
 }
 
@@ -54,15 +54,6 @@
 	return &e
 }
 
-// setEvacuated replaces the evacuated data centres.
-func (s *endpointSet) setEvacuated(dataCentres []string) {
-	s.evacuated = make(map[string]bool, len(dataCentres))
-	for _, name := range dataCentres {
-		s.evacuated[name] = true
-	}
-	s.sort()
-}
-
 // applyEvacuations applies evacuations that this gateway read or that a peer sent, and notifies the other
 // gateways at once if they have changed.
 func (g *Gateway) applyEvacuations(e catalog.Evacuations, source string) {
@@ -98,14 +89,14 @@
 func (s *State) Unavailability(service string) unavailability {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.endpoints.usableByService[service]) > 0 {
+	if len(s.endpoints.Usable(service)) > 0 {
 		return unavailableNone
 	}
 	reason := unavailableNone
-	for _, e := range s.endpoints.known {
+	for _, e := range s.endpoints.Known() {
 		switch {
 		case e.Service != service:
-		case s.endpoints.evacuated[e.DataCentre] && !e.Draining:
+		case s.endpoints.Evacuated(e.DataCentre) && !e.Draining:
 			return unavailableEvacuated
 		default:
 			reason = unavailableDraining
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/heldmemory"
+	"github.com/micarudder/micarudder/httpsyntax"
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/quarantine"
 )
@@ -116,7 +117,7 @@
 		return x.abort()
 	}
 	if retryAfter > 0 {
-		x.w.Header().Set("Retry-After", formatSeconds(retryAfter))
+		x.w.Header().Set("Retry-After", httpsyntax.Seconds(retryAfter))
 	}
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"github.com/micarudder/micarudder/endpointset"
 )
 
 const (
@@ -173,16 +175,16 @@
 	return true
 }
 
-func (g *Gateway) handleEndpointChange(c EndpointChange) {
+func (g *Gateway) handleEndpointChange(c endpointset.Change) {
 	e := c.Endpoint
 	g.deps.Log.Logger().Info("Endpoint changed.", "endpoint", e.ID, "change", string(c.Kind), "from", c.Source, "born", e.Born, "service", e.Service, "address", e.Address)
-	if c.Kind == changeRestarted && g.state.DrainUncertain(e) {
+	if c.Kind == endpointset.Restarted && g.state.DrainUncertain(e) {
 		g.background.Go(func() { g.resolveUncertainDrain(e) })
 	}
-	if c.Kind == changeDraining {
+	if c.Kind == endpointset.Draining {
 		g.deps.Endpoints.CloseIdleTo(e.ID) // close idle connections
 	}
-	if c.Kind == changeGone || c.Kind == changeRestarted {
+	if c.Kind == endpointset.Gone || c.Kind == endpointset.Restarted {
 		g.deps.Endpoints.CloseIdleTo(e.ID)
 		g.picker.forget(e.ID)
 		g.endpointLimits.forget(e.ID)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -5,11 +5,10 @@
 	"io"
 	"math"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/httpsyntax"
 )
 
 // ServeHTTP relays one request.
@@ -109,7 +108,7 @@
 // request waited.
 func (x *exchange) authorize() (outcome, bool) {
 	table := x.g.state.Table()
-	route := table.Route(x.r.Host, requestPath(x.r.RequestURI))
+	route := table.Route(x.r.Host, httpsyntax.Path(x.r.RequestURI))
 	if route == nil {
 		return x.deny(http.StatusNotFound, noRoute), false
 	}
@@ -260,28 +259,3 @@
 	_, err := io.ReadFull(body, p)
 	return p, err
 }
-
-// requestPath returns the path of a request target.
-func requestPath(target string) string {
-	if strings.HasPrefix(target, "http://") {
-		if slash := strings.IndexByte(target[len("http://"):], '/'); slash >= 0 {
-			target = target[len("http://")+slash:]
-		}
-	}
-	path, _, _ := strings.Cut(target, "?")
-	return path
-}
-
-// hopByHop holds the header fields that apply to a single connection.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true, "Te": true, "Trailer": true,
-	"Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-}
-
-// HopByHop reports whether a header field, in its canonical form, applies to a single connection.
-func HopByHop(name string) bool { return hopByHop[name] }
-
-// formatSeconds formats a duration for the Retry-After header; fractions are allowed.
-func formatSeconds(d time.Duration) string {
-	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
-}
--- a/relay/state.go
+++ b/relay/state.go
@@ -9,6 +9,7 @@
 	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/cell"
+	"github.com/micarudder/micarudder/endpointset"
 )
 
 // State holds the configuration and the endpoints known to the gateway, with the time of the reads
@@ -33,7 +34,7 @@
 	// evacuated.
 	evacuations    catalog.Evacuations
 	evacuationSeen bool
-	endpoints      *endpointSet
+	endpoints      *endpointset.Set
 	backoffs       *availability.BackoffTable
 	// backoffQueues hold the requests that wait until endpoints of a service end their backoff.
 	// refusedCallers counts those that were refused instead.
@@ -44,7 +45,7 @@
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		proofChanged: make(chan struct{}), endpoints: newEndpointSet(), backoffs: availability.NewBackoffTable(),
+		proofChanged: make(chan struct{}), endpoints: endpointset.New(), backoffs: availability.NewBackoffTable(),
 		backoffQueues: make(map[string]*availability.WaitQueue), refusedCallers: make(map[string]refusedCallers),
 	}
 }
@@ -144,7 +145,7 @@
 // mayMissWrites reports whether the latest writes may have been missing in the store at that time.
 // The caller holds the lock.
 func (s *State) mayMissWrites(t time.Time) bool {
-	return !s.endpoints.restoredAt.IsZero() && t.Before(s.endpoints.restoredAt.Add(returnWindow))
+	return s.endpoints.MayPrecedeRestore(t)
 }
 
 // RecordStoreEra records an era that the store announced now; it reports whether the store was
@@ -160,7 +161,7 @@
 	if before == 0 {
 		return false // the first known era
 	}
-	s.endpoints.restoredAt = now
+	s.endpoints.SetRestored(now)
 	return true
 }
 
@@ -218,7 +219,7 @@
 func (s *State) Endpoints(service string) []catalog.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.usable(service)
+	return s.endpoints.Usable(service)
 }
 
 // Services returns the services of the configuration in force.
@@ -235,43 +236,43 @@
 func (s *State) EndpointsByCell(service string) map[string][]catalog.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.usableByCell[service]
+	return s.endpoints.UsableByCell(service)
 }
 
 // Cells returns the mapping of data centres to cells.
 func (s *State) Cells() cell.Map {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.cells
+	return s.endpoints.Cells()
 }
 
 // CellOf returns the cell of an endpoint; ok is false for an unknown endpoint.
 func (s *State) CellOf(id string) (name string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.endpoints.known[id]
-	return s.endpoints.cells.Of(e.DataCentre), ok
+	e, ok := s.endpoints.Known()[id]
+	return s.endpoints.Cells().Of(e.DataCentre), ok
 }
 
 // Endpoint returns an endpoint and whether it accepts new requests.
 func (s *State) Endpoint(id string) (catalog.Endpoint, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpoints.endpoint(id)
+	return s.endpoints.Endpoint(id)
 }
 
 // EndpointCount returns the number of known endpoints.
 func (s *State) EndpointCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.endpoints.known)
+	return len(s.endpoints.Known())
 }
 
 // EndpointAt returns the endpoint whose entry has an address.
 func (s *State) EndpointAt(address string) (id string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, e := range s.endpoints.known {
+	for id, e := range s.endpoints.Known() {
 		if e.Address == address {
 			return id, true
 		}
@@ -282,16 +283,17 @@
 // ApplyList applies a list of endpoints and returns the resulting changes. sent is when the read that
 // returned the list was sent; zero means long ago. storeFailed is when a read of the list last
 // failed; zero means never.
-func (s *State) ApplyList(list []catalog.Endpoint, sent, now, storeFailed time.Time) []EndpointChange {
+func (s *State) ApplyList(list []catalog.Endpoint, sent, now, storeFailed time.Time) []endpointset.Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endpoints.services = s.endpoints.services[:0]
+	var names []string
 	for _, service := range s.Services() {
-		s.endpoints.services = append(s.endpoints.services, service.Name)
+		names = append(names, service.Name)
 	}
-	changes := s.endpoints.applyList(list, now, storeFailed)
-	s.clearBackoffs(changes, s.endpoints.previousIncarnationListedAt(now))
-	s.endpoints.listSentAt = sent
+	s.endpoints.SetServices(names)
+	changes := s.endpoints.ApplyList(list, now, storeFailed)
+	s.clearBackoffs(changes, s.endpoints.PreviousIncarnationListedAt(now))
+	s.endpoints.SetListSentAt(sent)
 	return changes
 }
 
@@ -300,5 +302,5 @@
 func (s *State) SameIncarnation(e catalog.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !e.RestartedAs(s.endpoints.known[e.ID])
+	return !e.RestartedAs(s.endpoints.Known()[e.ID])
 }
--- a/relay/storeera.go
+++ b/relay/storeera.go
@@ -16,7 +16,7 @@
 }
 
 // recordStoreEra records an era of the store; it reports whether the store was restored from an
-// older copy. Such a store lacks the latest writes, which are repeated within returnWindow. Until
+// older copy. Such a store lacks the latest writes, which are repeated within endpointset.ReturnWindow. Until
 // then a read proves nothing, and missing endpoints may return; endpoints that have left stay away.
 func (g *Gateway) recordStoreEra(era uint64, from string) bool {
 	if !g.state.RecordStoreEra(era, time.Now()) {
--- a/relay/storereads.go
+++ b/relay/storereads.go
@@ -1,15 +1,13 @@
 package relay
 
 import (
-	"cmp"
-	"encoding/binary"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/endpointset"
 	"github.com/micarudder/micarudder/peers"
 )
 
@@ -208,7 +206,7 @@
 	if sent.Before(s.listedAt) {
 		return
 	}
-	hash := hashEndpoints(list)
+	hash := endpointset.Hash(list)
 	if s.hash != 0 && s.hash != hash {
 		s.earlier = append(s.earlier, earlierList{s.hash, s.list})
 		s.earlier = s.earlier[max(0, len(s.earlier)-listHistory):]
@@ -228,25 +226,6 @@
 	s.cancelReads = append(s.cancelReads, cancel)
 }
 
-// hashEndpoints returns a hash of the parts of a list that matter for its endpoints.
-func hashEndpoints(list []catalog.Endpoint) uint64 {
-	sorted := slices.Clone(list)
-	slices.SortFunc(sorted, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	h := xxhash.New()
-	for _, e := range sorted {
-		state := "|ready|"
-		if e.Draining {
-			state = "|draining|"
-		}
-		if e.ColdFor > 0 {
-			state += "cold|"
-		}
-		_, _ = h.WriteString(e.ID + "|" + e.Service + "|" + e.Address + state)
-		_ = binary.Write(h, binary.BigEndian, [2]int64{int64(e.Slots), e.Born}) // writes to a hash never fail
-	}
-	return max(1, h.Sum64())
-}
-
 // fillReads adds to a message what this gateway has read.
 func (g *Gateway) fillReads(msg *peers.Message, now time.Time) {
 	age := g.state.ConfigurationAge(now)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -10,6 +10,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/eventstream"
 	"github.com/micarudder/micarudder/health"
+	"github.com/micarudder/micarudder/httpsyntax"
 )
 
 const (
@@ -82,7 +83,7 @@
 func (x *exchange) writeHead(res *http.Response) {
 	h := x.w.Header()
 	for name, values := range res.Header {
-		if !HopByHop(name) {
+		if !httpsyntax.HopByHop(name) {
 			h[name] = values
 		}
 	}
