soak: streams that stall, and callers that stop reading, judged from outside

Cause: the soak had no endpoint that sends one event and then nothing, and no caller that stops reading.

Change: a run with Config.Progress enables stall_resume, slow_reader_timeout and held_memory, injects workers that stall streams, gateways that are frozen and hosts that are suspended, and sends requests for endless streams that nobody reads. It checks that a stalled stream reaches another worker between 1 s and 1.9 s after its last event, from that event on, and that a response that is not read ends within 2.5 s.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,16 +21,19 @@
 
 // Config describes one run.
 type Config struct {
-	Seed         uint64
-	Binary       string // rudder-relay, or the program in suspendable, which the host suspension fault needs
-	Dir          string // for settings and logs
-	Network      byte   // second number of the loopback addresses 127.N.x.y
-	Gateways     int
-	Workers      int // of each of the two services
-	Clients      int
-	Length       time.Duration // how long faults are injected
-	Engines      int           // workers with memory; 0: no long prompts are sent
-	RestoreStore bool          // whether the store is restored from an older snapshot once
+	Seed     uint64
+	Binary   string // rudder-relay, or the program in suspendable, which the host suspension fault needs
+	Dir      string // for settings and logs
+	Network  byte   // second number of the loopback addresses 127.N.x.y
+	Gateways int
+	Workers  int // of each of the two services
+	Clients  int
+	Length   time.Duration // how long faults are injected
+	Engines  int           // workers with memory; 0: no long prompts are sent
+	// Progress replaces all other faults by streams that stall and callers that stop reading, and
+	// enables the settings against both.
+	Progress     bool
+	RestoreStore bool // whether the store is restored from an older snapshot once
 }
 
 // Report is the outcome of a run.
@@ -42,6 +45,7 @@
 	DrainedWorkers                            int      // workers whose drain notice was forwarded by some gateway
 	DuringEvacuations                         int      // requests that reached workers elsewhere while an evacuation had to be in force
 	LongPrompts, MemoryUses                   int      // long prompts, and how often they used reserved memory
+	Stalls, Endless                           int      // streams that stalled, and endless ones whose callers did not read
 	Faults                                    []string // in the order of their times
 	Violations                                []string
 
@@ -205,6 +209,9 @@
 admin_listen = %s:%d
 drain_time = %s
 `, i, dataCentreOf(i), host, servicePort, host, readyPort, host, peerPort, r.host(0), r.storeProxy.address(), revokeAfter, maxUnusedTime, host, adminPort, drainTime)
+	if r.c.Progress {
+		ini += progressSettings
+	}
 	return procs.Spec{
 		Name: fmt.Sprintf("gateway-%d", i), Binary: r.c.Binary, Args: []string{"--config", procs.DirVar + "/relay.ini"},
 		Env:   []string{"SUSPENDED_FILE=" + r.suspendedFile(i)},
@@ -229,6 +236,9 @@
 		Routes: []usersplatform.Route{route("safe", "safe", "plain", false), route("once", "unsafe", "plain", false),
 			route("stream", "streaming", "stream", true), route("story", "streaming", "stream", false)},
 	}
+	if r.c.Progress {
+		c.Routes[2].Gap, c.Routes[3].Gap = progressGap, progressGap
+	}
 	if r.c.Engines > 0 {
 		long := route("long", "streaming", engineService, true)
 		long.Timeout, long.Objective = promptTimeout, promptObjective
@@ -277,6 +287,14 @@
 		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(r.c.Seed, uint64(i))), transports: make(map[string]*http.Transport)}
 		tasks.Go(func() { c.loop(ctx) })
 	}
+	if r.c.Progress {
+		tasks.Go(func() { r.stopReading(ctx) })
+		r.inject(ctx, progressFaults, 0x57a11)
+		time.Sleep(recoveryTime)
+		stop()
+		tasks.Wait()
+		return
+	}
 	tasks.Go(func() { r.sendCrashRequests(ctx) })
 	if r.c.Engines > 0 {
 		for i := range promptClients {
@@ -362,6 +380,9 @@
 	out.Violations = append(out.Violations, checkLimits(r.requests, &r.facts)...)
 	out.Violations = append(out.Violations, checkDraining(r.requests, &r.facts)...)
 	out.Violations = append(out.Violations, checkBackoffs(r.requests, &r.facts)...)
+	progress := checkProgress(r.requests, &r.facts)
+	out.Violations = append(out.Violations, progress.violations...)
+	out.Stalls, out.Endless = progress.stalls, progress.endless
 	evacuations := checkEvacuations(r.requests, &r.facts)
 	out.Violations = append(out.Violations, evacuations.violations...)
 	out.DuringEvacuations = evacuations.elsewhere
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -101,7 +101,7 @@
 func ciSize() Config { return Config{Gateways: 4, Workers: 4, Clients: 16, Length: 4 * time.Second} }
 
 // runSeed runs one seed; c gives the size and the duration.
-func runSeed(t *testing.T, bin string, seed uint64, n int, c Config) {
+func runSeed(t *testing.T, bin string, seed uint64, n int, c Config) *Report {
 	t.Helper()
 	dir := t.TempDir()
 	c.Seed, c.Binary, c.Dir, c.Network = seed, bin, dir, network(t, n)
@@ -115,7 +115,7 @@
 		t.Errorf("seed %d: no request was sent or none succeeded, so nothing was checked", seed)
 	}
 	if len(report.Violations) == 0 {
-		return
+		return report
 	}
 	kept, err := keepRecords(*keepDir, seed, report, dir)
 	t.Logf("seed %d: violations, faults, requests and logs are kept in %s (%v)", seed, kept, err)
@@ -125,6 +125,7 @@
 	for _, v := range report.Violations {
 		t.Errorf("seed %d: %s", seed, v)
 	}
+	return report
 }
 
 // keepRecords writes the report of a failed seed and the gateways' logs in dir to a folder, and
@@ -162,6 +163,19 @@
 	}
 }
 
+// TestProgress guards against streams that stall until their deadline, and against responses that go on
+// while their callers do not read.
+func TestProgress(t *testing.T) {
+	bin := buildGateway(t)
+	c := ciSize()
+	c.Progress, c.Length = true, 6*time.Second
+	report := runSeed(t, bin, 1, len(regressions)+len(engineRegressions)+*seeds, c)
+	t.Logf("%d stalled streams, %d endless responses to callers that did not read", report.Stalls, report.Endless)
+	if report.Stalls == 0 || report.Endless == 0 {
+		t.Error("nothing was checked")
+	}
+}
+
 // TestSeeds runs the seeds of CI, and further seeds on request:
 // go test ./internal/soak -run Seeds -seeds 50 -keep DIR
 func TestSeeds(t *testing.T) {
--- a/internal/standin/usersplatform/wire.go
+++ b/internal/standin/usersplatform/wire.go
@@ -38,6 +38,7 @@
 	Resumable bool
 	Timeout   time.Duration
 	Objective time.Duration
+	Gap       time.Duration // longest gap between two events that is in time; 0: none is declared
 	Attempts  int
 }
 
@@ -57,7 +58,7 @@
 	for _, r := range c.Routes {
 		routes = append(routes, map[string]any{
 			"name": r.Name, "host": c.Host, "pathPrefix": "/" + r.Name + "/", "kind": r.Kind, "service": r.Service, "resumeStreams": r.Resumable,
-			"timeoutMs": r.Timeout.Milliseconds(), "targetLatencyMs": r.Objective.Milliseconds(), "maxAttempts": r.Attempts,
+			"timeoutMs": r.Timeout.Milliseconds(), "targetLatencyMs": r.Objective.Milliseconds(), "maxAttempts": r.Attempts, "targetGapMs": r.Gap.Milliseconds(),
 		})
 	}
 	services, tenants := []any{}, []any{}
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -38,10 +38,14 @@
 	arrivals []Arrival
 	runs     map[string][]Run
 	hung     map[string]bool // requests that a worker of kind engine left without a response
+	stalls   map[string]Stall
+	endless  []EndlessRun
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{runs: make(map[string][]Run), hung: make(map[string]bool)} }
+func NewLedger() *Ledger {
+	return &Ledger{runs: make(map[string][]Run), hung: make(map[string]bool), stalls: make(map[string]Stall)}
+}
 
 // Runs returns the executions of a request.
 func (l *Ledger) Runs(id string) []Run {
@@ -77,6 +81,8 @@
 	LoseRun       float64 // runs, then resets the connection
 	Truncate      float64 // closes the connection inside the response
 	ExtraResponse float64 // sends a response to another request first
+	// Of workers of kind stream:
+	Stall float64 // sends one event and then nothing, until the gateway closes the connection
 	// Of workers of kind engine:
 	Hang         float64 // does not run and never responds
 	LoseResponse float64 // reads the prompt and never responds
@@ -251,6 +257,12 @@
 	if w.memory != nil {
 		return w.servePrompt(c, br, r, id, statement, f, chance[3])
 	}
+	if w.Kind == "stream" && string(body) == EndlessBody {
+		return w.streamEndlessly(c, id, statement)
+	}
+	if w.Kind == "stream" && chance[3] < f.Stall {
+		return w.stall(c, br, r, id, statement)
+	}
 	if w.Kind == "stream" {
 		return w.stream(c, r, id, statement, chance[3] < f.Truncate)
 	}
@@ -276,7 +288,7 @@
 // stream sends the events after the one that the request names.
 func (w *Worker) stream(c net.Conn, r *http.Request, id string, statement Statement, cut bool) bool {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, Seal(id), statement.headerLines()); err != nil {
+	if !writeStreamHead(c, id, statement) {
 		return false
 	}
 	for n := after + 1; n <= StreamEvents; n++ {
@@ -294,6 +306,12 @@
 	return err == nil
 }
 
+// writeStreamHead writes the head of a stream.
+func writeStreamHead(c net.Conn, id string, statement Statement) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, Seal(id), statement.headerLines())
+	return err == nil
+}
+
 // Body returns the response body of a plain service.
 func Body(id string) string { return strings.Repeat(id+".", 40) }
 
