relay: TestCallerLeavesAtAnyMoment reads what engines recorded under their lock

Cause: with -race the test failed, because it read the arrivals while an engine's goroutine may still write them.

Change: the test holds the fleet's lock while it checks.

Measured: go test -race ./relay with this test and TestStreamWithoutProgress passes; before, the former failed in each of two runs.

--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -108,12 +108,11 @@
 		beforeEvent func(*scriptedEngine, int)
 		prepare     func(c *crashFleet)
 		delay       func(n int) time.Duration // of the caller's reads
-
-		events   int // that the caller gets
-		cut      uint64
-		arrivals int
-		atLeast  time.Duration // that the stream takes
-		atMost   time.Duration
+		events      int                       // that the caller gets
+		cut         uint64
+		arrivals    int
+		atLeast     time.Duration // that the stream takes
+		atMost      time.Duration
 	}{
 		{name: "resumed after one event", beforeEvent: stallAt(2, never, false), events: streamEvents, cut: 1, arrivals: 2, atMost: stallLimit + 2*time.Second},
 		{name: "resumed before the last event", beforeEvent: stallAt(streamEvents, never, false), events: streamEvents, cut: 1, arrivals: 2, atMost: stallLimit + 2*time.Second},
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -70,6 +70,8 @@
 				t.Errorf("left after %v: the gateway went on until %v", leave, took)
 			}
 			time.Sleep(2 * restartDelay)
+			c.mu.Lock()
+			defer c.mu.Unlock()
 			left := began.Add(leave)
 			for _, at := range c.arrivals {
 				if at.After(left) {
