--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,6 +34,9 @@
 	// ForwardMessages enables the forwarding of peer messages, which needs more than three gateways
 	// in each of the two data centres.
 	ForwardMessages bool
+	// Progress replaces all other faults by streams that stall and callers that stop reading, and
+	// enables the settings against both.
+	Progress bool
 }
 
 // Report is the outcome of a run.
@@ -45,6 +48,7 @@
 	DrainedWorkers                            int      // workers whose drain notice was forwarded by some gateway
 	DuringEvacuations                         int      // requests that reached workers elsewhere while an evacuation had to be in force
 	LongPrompts, MemoryUses                   int      // long prompts, and how often they used reserved memory
+	Stalls, Endless                           int      // streams that stalled, and endless ones whose callers did not read
 	Faults                                    []string // in the order of their times
 	Violations                                []string
 
@@ -210,6 +214,9 @@
 admin_listen = %s:%d
 drain_time = %s
 `, i, dataCentreOf(i), host, servicePort, host, readyPort, host, peerPort, r.host(0), r.storeProxy.address(), revokeAfter, maxUnusedTime, r.c.ForwardMessages, host, adminPort, drainTime)
+	if r.c.Progress {
+		ini += progressSettings
+	}
 	return procs.Spec{
 		Name: fmt.Sprintf("gateway-%d", i), Binary: r.c.Binary, Args: []string{"--config", procs.DirVar + "/relay.ini"},
 		Env:   []string{"SUSPENDED_FILE=" + r.suspendedFile(i)},
@@ -234,6 +241,9 @@
 		Routes: []usersplatform.Route{route("safe", "safe", "plain", false), route("once", "unsafe", "plain", false),
 			route("stream", "streaming", "stream", true), route("story", "streaming", "stream", false)},
 	}
+	if r.c.Progress {
+		c.Routes[2].Gap, c.Routes[3].Gap = progressGap, progressGap
+	}
 	if r.c.Engines > 0 {
 		long := route("long", "streaming", engineService, true)
 		long.Timeout, long.Objective = promptTimeout, promptObjective
@@ -282,6 +292,14 @@
 		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(r.c.Seed, uint64(i))), transports: make(map[string]*http.Transport)}
 		tasks.Go(func() { c.loop(ctx) })
 	}
+	if r.c.Progress {
+		tasks.Go(func() { r.stopReading(ctx) })
+		r.inject(ctx, progressFaults, 0x57a11)
+		time.Sleep(recoveryTime)
+		stop()
+		tasks.Wait()
+		return
+	}
 	tasks.Go(func() { r.sendCrashRequests(ctx) })
 	if r.c.Engines > 0 {
 		for i := range promptClients {
@@ -367,6 +385,9 @@
 	out.Violations = append(out.Violations, checkLimits(r.requests, &r.facts)...)
 	out.Violations = append(out.Violations, checkDraining(r.requests, &r.facts)...)
 	out.Violations = append(out.Violations, checkBackoffs(r.requests, &r.facts)...)
+	progress := checkProgress(r.requests, &r.facts)
+	out.Violations = append(out.Violations, progress.violations...)
+	out.Stalls, out.Endless = progress.stalls, progress.endless
 	evacuations := checkEvacuations(r.requests, &r.facts)
 	out.Violations = append(out.Violations, evacuations.violations...)
 	out.DuringEvacuations = evacuations.elsewhere
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/residual"
+	"github.com/micarudder/micarudder/stall"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -42,6 +43,14 @@
 	BodyMemory int64
 	// ResidualLoad is set if requests of gateway processes that are gone count as load.
 	ResidualLoad bool
+	// StallResume cuts streams that make no progress and resumes them at another endpoint.
+	StallResume bool
+	// SlowReaderTimeout is the time after which a caller that reads nothing is disconnected; zero: only
+	// the request's deadline applies.
+	SlowReaderTimeout time.Duration
+	// HeldMemory bounds the memory of all requests that are served at once, without their bodies;
+	// zero: no bound.
+	HeldMemory int64
 }
 
 // Deps holds the dependencies of a gateway.
@@ -78,6 +87,8 @@
 	storeReads     *storeReads
 	servers        *callerServers
 	crashProbes    *crashProbes
+	deliveries     *streamDeliveries
+	held           *heldRequests
 	quarantine     *quarantineTable
 	suspensions    *suspensionDetector
 	endpointLimits *endpointLimits
@@ -116,6 +127,8 @@
 	g.storeReads = newStoreReads()
 	g.servers = newCallerServers(g)
 	g.crashProbes = newCrashProbes()
+	g.held = newHeldRequests(c)
+	g.deliveries = &streamDeliveries{record: stall.NewDeliveries()}
 	g.quarantine = newQuarantineTable()
 	g.suspensions = newSuspensionDetector(d.Suspended)
 	g.endpointLimits = g.picker.limits
--- a/relay/members_test.go
+++ b/relay/members_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/endpointlist"
 )
 
 var testStart = time.Unix(1000, 0)
@@ -45,7 +46,7 @@
 	is.True(!s.SameIncarnation(first))
 	is.Equal(len(s.ApplyList(listWith(7000), msAfterStart(30), msAfterStart(30), time.Time{})), 0)
 	is.Equal(len(s.ApplyList(listWith(6000), msAfterStart(40), msAfterStart(40), time.Time{})), 1) // its clock may have been set back
-	is.True(hashEndpoints(listWith(6000)) != hashEndpoints(listWith(7000)))
+	is.True(endpointlist.Hash(listWith(6000)) != endpointlist.Hash(listWith(7000)))
 }
 
 // TestUnconfiguredServicesDoNotMoveCells: many entries of a service that is not configured do not
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -38,6 +38,10 @@
 	Load struct {
 		ForwardMessages bool `key:"forward_messages" default:"false" help:"whether messages to the gateways of another data centre are sent to two of them, which send them on"`
 		ResidualLoad    bool `key:"residual_load" default:"false" help:"whether requests of gateway processes that are gone count as load of their endpoints"`
+		StallResume     bool `key:"stall_resume" default:"false" help:"whether a stream that has begun and makes no progress is cut at its endpoint and resumed at another one"`
+		// SlowReaderTimeout applies to callers and to endpoints.
+		SlowReaderTimeout time.Duration `key:"slow_reader_timeout" default:"0s" min:"0s" help:"after how long without reading anything a caller or an endpoint is disconnected; 0s: only at the request's deadline"`
+		HeldMemory        settings.Size `key:"held_memory" default:"0B" help:"most memory for the connections, buffers and responses of the requests that are served at once; more are refused with a time to come back; 0B: no bound"`
 	} `section:"load"`
 	Log struct {
 		LinesPerSecond float64 `key:"lines_per_second" default:"300" min:"0" help:"request lines a second; more are counted and left out"`
@@ -63,6 +67,7 @@
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
 		BodyMemory: int64(s.Relay.BodyMemory), ResidualLoad: s.Load.ResidualLoad,
+		StallResume: s.Load.StallResume, SlowReaderTimeout: s.Load.SlowReaderTimeout, HeldMemory: int64(s.Load.HeldMemory),
 		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
