memoryuse: how long reserved memory is kept, as a package of its own

The decisions about reserved memory move from relay to a package without I/O, with their tests and constants.

--- a/relay/memoryuse_test.go
+++ b/relay/memoryuse_test.go
@@ -19,6 +19,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/memoryuse"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -276,7 +277,7 @@
 			b := newMemoryTestGateway(t, func(_ int, r *engineRun) { r.hang() })
 			b.engines.renewalDelay = delay
 			b.send(t, "story")
-			time.Sleep(delay + reservationTTL + time.Millisecond)
+			time.Sleep(delay + memoryuse.ReservationTTL + time.Millisecond)
 			unused, left := b.engines.memoryState()
 			is.Equal(left, 0)
 			is.True(unused <= maxUnused)
@@ -297,7 +298,7 @@
 			memory, err := b.gateway.reserve(t.Context(), "r", &placement{memoryDemands: []memoryDemand{{first, 100}}})
 			is.NoErr(err)
 			// The last tick before the release; then the gateway does nothing more.
-			time.Sleep(newUnusedLimits(limit).queued - renewInterval/2)
+			time.Sleep(limit - memoryuse.ReservationTTL - memoryuse.RenewInterval/2)
 			memory.stopRenewal()
 			time.Sleep(limit)
 			unused, left := b.engines.memoryState()
@@ -307,28 +308,6 @@
 	}
 }
 
-// TestRenewalsWithoutUse guards against memory in use that expires because its renewals are withheld while
-// there is no evidence of use: with the shortest limits, two attempts to renew it remain.
-func TestRenewalsWithoutUse(t *testing.T) {
-	is := is.New(t)
-	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
-	u := newMemoryUsage(newUnusedLimits(5*time.Second), 2, at(0))
-	_, endpoints := u.renewal(at(renewInterval))
-	is.Equal(len(endpoints), 0) // there is no evidence of use, and both have confirmed the memory
-	u.recordUse(at(renewInterval))
-	is.True(u.renewalDue(at(renewInterval))) // the result of a query does not wait for the next tick
-	until, endpoints := u.renewal(at(renewInterval))
-	is.Equal(until, at(renewInterval+reservationTTL))
-	is.Equal(endpoints, []int{0, 1})
-	u.confirm(0, until)
-	is.True(!u.renewalDue(at(renewInterval)))
-	again, endpoints := u.renewal(at(2 * renewInterval)) // the second attempt, a tick before the expiry
-	is.Equal(again, until)
-	is.Equal(endpoints, []int{1})
-	is.True(!u.lapsed(at(reservationTTL), 0))
-	is.True(u.lapsed(at(reservationTTL), renewInterval)) // the host was suspended
-}
-
 // slowCaller is a caller that stops reading for a while after the first event.
 type slowCaller struct {
 	*httptest.ResponseRecorder
@@ -369,7 +348,7 @@
 }
 
 // TestSuspendedGatewayDoesNotRenewMemory: a gateway whose host was suspended for longer than
-// reservationTTL does not renew its reservations. The endpoint has ended the request with them, and
+// memoryuse.ReservationTTL does not renew its reservations. The endpoint has ended the request with them, and
 // a renewal would reserve memory for no request.
 func TestSuspendedGatewayDoesNotRenewMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -379,11 +358,11 @@
 		first, _ := b.gateway.state.Endpoint("a")
 		memory, err := b.gateway.reserve(t.Context(), "r", &placement{memoryDemands: []memoryDemand{{first, 100}}})
 		is.NoErr(err)
-		time.Sleep(renewInterval + renewInterval/2)
+		time.Sleep(memoryuse.RenewInterval + memoryuse.RenewInterval/2)
 		reserved, _ := b.engines.orders()
 		is.Equal(reserved, 2)
-		b.suspended.Add(int64(reservationTTL))
-		time.Sleep(2 * renewInterval)
+		b.suspended.Add(int64(memoryuse.ReservationTTL))
+		time.Sleep(2 * memoryuse.RenewInterval)
 		reserved, released := b.engines.orders()
 		is.Equal(reserved, 2)
 		is.Equal(released, 1)
@@ -391,101 +370,3 @@
 		memory.end()
 	})
 }
-
-// TestMemoryUsage checks when memory counts as used and when it is released. Times are seconds
-// after it was reserved.
-func TestMemoryUsage(t *testing.T) {
-	at := func(seconds float64) time.Time {
-		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
-	}
-	const (
-		used   = 'u' // reported by a part of the response or by an endpoint
-		unused = 'i' // an endpoint reports that it is not used, and nothing is queued
-		queued = 'q' // an endpoint reports that it is not used, and requests are queued at the decoding endpoint
-		silent = 's' // no response
-	)
-	type answer struct {
-		at   float64
-		kind rune
-	}
-	every := func(from, to float64, kind rune) (out []answer) {
-		for s := from; s <= to; s++ {
-			out = append(out, answer{s, kind})
-		}
-		return out
-	}
-	cases := []struct {
-		name          string
-		answers       []answer
-		releasedAfter float64 // when the memory is released; 0: not within 20 s
-	}{
-		{"no answers", every(1, 20, silent), 6},
-		{"never started", every(1, 20, unused), 3},
-		{"queued throughout", every(1, 20, queued), 6},
-		{"queued, then started", append(every(1, 4, queued), every(5, 20, used)...), 0},
-		{"queued, then lost", append(every(1, 2, queued), every(3, 20, unused)...), 5},
-		{"started while the report lags", append(append(every(1, 3, queued), answer{4, unused}), every(5, 20, used)...), 0},
-		{"long prefill", every(1, 20, used), 0},
-		{"ended, answer lost", append(every(1, 4, used), every(5, 20, unused)...), 6},
-		{"ended, other requests queued", append(every(1, 4, used), every(5, 20, queued)...), 6},
-		{"preempted and prefilled again", append(append(every(1, 4, used), answer{5, unused}), every(6, 20, used)...), 0},
-		{"ended, no answers", append(every(1, 4, used), every(5, 20, silent)...), 10},
-	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			u := newMemoryUsage(newUnusedLimits(maxUnused), 1, at(0))
-			releasedAfter := 0.0
-			for _, a := range tc.answers {
-				queriedAt := at(a.at + 0.001)
-				if u.nextAction(queriedAt) == releaseUnused {
-					releasedAfter = a.at
-					break
-				}
-				if a.kind == used {
-					u.recordUse(queriedAt)
-				}
-				if (a.kind == unused || a.kind == queued) && u.recordUnused(queriedAt, a.kind == queued) {
-					releasedAfter = a.at
-					break
-				}
-			}
-			if releasedAfter != tc.releasedAfter {
-				t.Errorf("released after %v s, want %v", releasedAfter, tc.releasedAfter)
-			}
-		})
-	}
-}
-
-// TestQueryUsage: endpoints are queried only if a response is silent, and a result that is older
-// than the newest event is ignored.
-func TestQueryUsage(t *testing.T) {
-	is := is.New(t)
-	start := time.Now()
-	u := newMemoryUsage(newUnusedLimits(maxUnused), 1, start)
-	is.Equal(u.nextAction(start.Add(queryAfter/2)), renewMemory)
-	is.Equal(u.nextAction(start.Add(queryAfter)), queryUsage)
-	u.recordUse(start.Add(5 * time.Second))
-	is.Equal(u.nextAction(start.Add(5*time.Second+queryAfter/2)), renewMemory)
-	is.True(!u.recordUnused(start.Add(4*time.Second), false))
-	is.Equal(u.sinceLastUse(start.Add(6*time.Second)), time.Second)
-}
-
-// TestUnusedLimits: including the time until a reservation expires after a lost release, memory is
-// unused no longer than allowed.
-func TestUnusedLimits(t *testing.T) {
-	for most := 5 * time.Second; most < time.Minute; most += time.Second {
-		l := newUnusedLimits(most)
-		if l.queued+reservationTTL > most || l.notQueued >= l.queued {
-			t.Errorf("%v: %+v", most, l)
-		}
-	}
-}
-
-// TestQueriesRotate: an endpoint that does not answer does not block the queries for long.
-func TestQueriesRotate(t *testing.T) {
-	is := is.New(t)
-	u := newMemoryUsage(newUnusedLimits(maxUnused), 1, time.Now())
-	for _, want := range []int{0, 1, 2, 0} {
-		is.Equal(u.nextQuery(3), want)
-	}
-}
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -13,16 +13,11 @@
 	"github.com/gravitational/trace"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/memoryuse"
 	"github.com/micarudder/micarudder/upstream"
 )
 
 const (
-	// reservationTTL is how long memory stays reserved without renewal. It bounds how long a killed
-	// gateway, or an order that an endpoint executes late, can keep memory reserved; endpoints must
-	// get unused memory back within four seconds.
-	reservationTTL = 3 * time.Second
-	// renewInterval allows two attempts to renew a reservation that is used before it expires.
-	renewInterval = reservationTTL / 3
 	// orderTimeout bounds a reserve or release order, which takes one round trip.
 	orderTimeout = 400 * time.Millisecond
 )
@@ -35,7 +30,7 @@
 }
 
 // reservations is the memory reserved for one attempt. It is renewed only while there is evidence
-// that the request uses it (see memoryUsage). An attempt that waits for a response is no such
+// that the request uses it (see memoryuse.Usage). An attempt that waits for a response is no such
 // evidence: its endpoint may have hung or lost the response, while nobody else can use the memory.
 type reservations struct {
 	g       *Gateway
@@ -43,7 +38,7 @@
 	// decoding is the endpoint that the request is sent to.
 	decoding catalog.Endpoint
 	list     []*reservation
-	usage    *memoryUsage
+	usage    *memoryuse.Usage
 	// attemptCtx is the context of the attempt; it is cancelled if the memory is released as unused.
 	attemptCtx    context.Context
 	cancelAttempt context.CancelCauseFunc
@@ -84,7 +79,7 @@
 		rv := &reservation{endpoint: want.endpoint, id: uuid.NewString(), tokens: want.tokens}
 		r.list = append(r.list, rv)
 		go func() {
-			err := g.sendOrder(ctx, rv, g.deps.Protocol.Reserve(rv.endpoint.ID, rv.id, rv.tokens, reservationTTL))
+			err := g.sendOrder(ctx, rv, g.deps.Protocol.Reserve(rv.endpoint.ID, rv.id, rv.tokens, memoryuse.ReservationTTL))
 			results <- orderResult{rv.endpoint.ID, err}
 		}()
 	}
@@ -102,7 +97,7 @@
 		r.release()
 		return nil, &failed
 	}
-	r.usage = newMemoryUsage(newUnusedLimits(g.config.UnusedMemory), len(r.list), reservedAt)
+	r.usage = memoryuse.New(memoryuse.NewLimits(g.config.UnusedMemory), len(r.list), reservedAt)
 	r.attemptCtx, r.cancelAttempt = context.WithCancelCause(ctx)
 	renewing, stop := context.WithCancel(g.ctx)
 	r.stopRenewal = stop
@@ -146,7 +141,7 @@
 
 // renew renews the reservations until ctx ends or the memory turns out to be unused.
 func (r *reservations) renew(ctx context.Context) {
-	tick := time.NewTicker(renewInterval)
+	tick := time.NewTicker(memoryuse.RenewInterval)
 	defer tick.Stop()
 	suspended := r.g.checkSuspension()
 	for {
@@ -156,18 +151,18 @@
 		case <-tick.C:
 		}
 		now, total := time.Now(), r.g.checkSuspension()
-		if r.usage.lapsed(now, total-suspended) {
+		if r.usage.Lapsed(now, total-suspended) {
 			// This process was stopped or suspended and the reservations have expired. A renewal
 			// would reserve the memory again, for a request that ended with them.
 			r.releaseUnused("lapsed", now)
 			return
 		}
 		suspended = total
-		switch r.usage.nextAction(now) {
-		case releaseUnused:
+		switch r.usage.Next(now) {
+		case memoryuse.Release:
 			r.releaseUnused("no evidence of use", now)
 			return
-		case queryUsage:
+		case memoryuse.Query:
 			r.background.Go(func() { r.queryUsage(ctx) })
 		}
 		r.renewAll(ctx)
@@ -177,7 +172,7 @@
 // renewAll sends a renewal to every endpoint that needs one, without waiting for the responses.
 func (r *reservations) renewAll(ctx context.Context) {
 	now := time.Now()
-	until, endpoints := r.usage.renewal(now)
+	until, endpoints := r.usage.Renewal(now)
 	for _, i := range endpoints {
 		rv := r.list[i]
 		if !r.g.state.SameIncarnation(rv.endpoint) {
@@ -187,7 +182,7 @@
 			err := r.g.sendOrder(ctx, rv, r.g.deps.Protocol.Reserve(rv.endpoint.ID, rv.id, rv.tokens, until.Sub(now)))
 			switch {
 			case err == nil:
-				r.usage.confirm(i, until)
+				r.usage.Confirm(i, until)
 			case ctx.Err() == nil:
 				r.g.deps.Log.Request("Memory was not renewed.", "endpoint", rv.endpoint.ID, "reservation", rv.id, "hold_ms", until.Sub(now).Milliseconds(), "err", err)
 			}
@@ -207,9 +202,9 @@
 		return
 	case err != nil:
 		r.g.deps.Log.Request("It is not known whether memory is used.", "request", r.request, "endpoint", rv.endpoint.ID, "reservation", rv.id,
-			"unproved_ms", r.usage.sinceLastUse(queriedAt).Milliseconds(), "err", err)
+			"unproved_ms", r.usage.SinceLastUse(queriedAt).Milliseconds(), "err", err)
 	case state == ReservationUsed:
-		if r.usage.recordUse(queriedAt); r.usage.renewalDue(time.Now()) {
+		if r.usage.RecordUse(queriedAt); r.usage.RenewalDue(time.Now()) {
 			r.renewAll(ctx)
 		}
 	default:
@@ -220,7 +215,7 @@
 // nextReservation returns the reservation to query next. It rotates through the endpoints and
 // skips those that asked this gateway to back off, unless all of them did.
 func (r *reservations) nextReservation(now time.Time) *reservation {
-	next := r.usage.nextQuery(len(r.list))
+	next := r.usage.NextQuery(len(r.list))
 	for i := range r.list {
 		if rv := r.list[(next+i)%len(r.list)]; !r.g.state.InBackoff(rv.endpoint.ID, now) {
 			return rv
@@ -234,9 +229,9 @@
 func (r *reservations) handleUnused(ctx context.Context, rv *reservation, state ReservationState, queriedAt time.Time) {
 	report, err := r.g.fetchReport(ctx, r.decoding)
 	r.g.deps.Log.Request("Memory is not used.", "request", r.request, "endpoint", rv.endpoint.ID, "reservation", rv.id, "tokens", rv.tokens, "state", state.String(),
-		"unproved_ms", r.usage.sinceLastUse(queriedAt).Milliseconds(), "generating", r.decoding.ID, "waiting", report.Waiting, "running", report.Running,
+		"unproved_ms", r.usage.SinceLastUse(queriedAt).Milliseconds(), "generating", r.decoding.ID, "waiting", report.Waiting, "running", report.Running,
 		"memory_used", report.MemoryUsed, "memory_total", report.MemoryTotal, "reservations_there", len(report.Reservations), "err", err)
-	if ctx.Err() == nil && r.usage.recordUnused(queriedAt, err != nil || report.Waiting > 0) {
+	if ctx.Err() == nil && r.usage.RecordUnused(queriedAt, err != nil || report.Waiting > 0) {
 		r.releaseUnused("not used", queriedAt)
 	}
 }
@@ -247,7 +242,7 @@
 	waitsForCaller := r.writingToCaller.Load()
 	r.g.meter.memoryUnused.Inc()
 	r.g.deps.Log.Request("Memory given back.", "request", r.request, "why", reason, "generating", r.decoding.ID, "endpoints", r.endpointIDs(), "reservations", r.reservationIDs(),
-		"unproved_ms", r.usage.sinceLastUse(now).Milliseconds(), "answer_waits_for_caller", waitsForCaller)
+		"unproved_ms", r.usage.SinceLastUse(now).Milliseconds(), "answer_waits_for_caller", waitsForCaller)
 	if !waitsForCaller {
 		r.cancelAttempt(errMemoryUnused)
 	}
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/memoryuse"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -37,19 +38,19 @@
 		first, _ := g.state.Endpoint("a")
 		memory, err := g.reserve(t.Context(), "r", &placement{memoryDemands: []memoryDemand{{first, 100}}})
 		is.NoErr(err)
-		time.Sleep(2*renewInterval + renewInterval/2)
+		time.Sleep(2*memoryuse.RenewInterval + memoryuse.RenewInterval/2)
 		reserved, released := orders.orders()
 		is.Equal(reserved, 3)
 		is.Equal(released, 0)
 		g.state.ApplyList(list(2), time.Now(), time.Now(), time.Time{})
-		time.Sleep(3 * renewInterval)
+		time.Sleep(3 * memoryuse.RenewInterval)
 		reserved, _ = orders.orders()
 		is.Equal(reserved, 3)
 		memory.release()
 		synctest.Wait()
 		_, released = orders.orders()
 		is.Equal(released, 1)
-		time.Sleep(3 * renewInterval)
+		time.Sleep(3 * memoryuse.RenewInterval)
 		reserved, released = orders.orders()
 		is.Equal(reserved+released, 4)
 	})
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -246,7 +246,7 @@
 	}
 	x.lastPartAt = now
 	if pl.reservations != nil {
-		pl.reservations.usage.recordUse(now)
+		pl.reservations.usage.RecordUse(now)
 	}
 	pl.endPrefill()
 }
