relay: representatives of a cell also store a quarantine

Cause: only the gateway that saw the crashes stored the quarantine of a request.

Change: when a gateway learns from its cell that a request is quarantined or cleared, it updates the stored entry if it represents the cell.

--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -253,6 +254,12 @@
 		v := g.quarantine.verdict(f, now)
 		g.logVerdict(log.InfoLevel, "Request cleared.", f, v, "peer", msg.From, "ended_well", v.Successes)
 	}
+	if g.quarantine.representative.Load() && !g.fromOtherCell(msg) {
+		// The gateway that saw the crashes may end before it reaches the store.
+		for _, f := range slices.Concat(applied.Quarantined, applied.Cleared) {
+			g.scheduleStore(f)
+		}
+	}
 	if applied.New > 0 && g.quarantine.representative.Load() {
 		g.broadcastSoon()
 	}
@@ -268,7 +275,7 @@
 }
 
 // storeQuarantined updates the stored entries from the table until the gateway is closed. The
-// gateway that saw the crash does this; if it dies first, the others still know of the crash.
+// gateway that saw the crash does this, and when a verdict changes also the representatives of its cell.
 func (g *Gateway) storeQuarantined() {
 	pending := make(map[quarantine.Fingerprint]bool)
 	for {
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -141,6 +141,21 @@
 	})
 }
 
+// TestQuarantineStoredByOthers guards against an entry that is lost because the gateway that saw the crashes ends
+// while it cannot reach the store, after the others have learned of them.
+func TestQuarantineStoredByOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, source := newFleetWithStore(t)
+		c.gateways[0].deps.Source = &testSource{err: errors.New("store unavailable")}
+		for range 3 {
+			c.attempt(0, crashPath, 0)
+		}
+		time.Sleep(time.Second)
+		is.Equal(source.storedCount(), 1)
+	})
+}
+
 // TestPopularHarmlessRequest: copies of one harmless request are on each of several engines that
 // crash. Simultaneous crashes do not count against it. Crashes one after the other do, as for a
 // request that causes them, until a copy that succeeds elsewhere clears it at all gateways.
