--- a/crashprobe/series.go
+++ b/crashprobe/series.go
@@ -22,8 +22,8 @@
 	refusedTTL = 250 * time.Millisecond
 )
 
-// offsets are the times after the break of an exchange at which the endpoint is probed. Listeners were seen
-// to close 1 to 5 ms after the connections were reset, and on a busy host it takes longer. The last one is
+// offsets are the times after the break of an exchange at which the endpoint is probed. A listener closes
+// within milliseconds after the connections were reset, and on a busy host within tens of them. The last one is
 // shorter than the restart of a process, whose listener under the same address would hide the crash, and
 // short enough that an endpoint that only broke off one response seldom crashes in that time.
 var offsets = [...]time.Duration{0, 10 * time.Millisecond, 40 * time.Millisecond, 140 * time.Millisecond}
