slotqueue: requests wait for free slots in one order for the cell

Cause: while nearly all slots are in use, each request is sent to an engine at once and waits in the queue of that engine, although slots become free at others.

The load itself has not been measured yet.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -61,6 +61,8 @@
 	// Slowdown is the factor by which the endpoint is slower than usual in everything it
 	// does.
 	Slowdown float64
+	// Slots is the number of requests that the endpoint of a plain service runs at once.
+	Slots int
 }
 
 // slowdown returns the factor by which the endpoint is slower than usual, at least 1.
@@ -134,10 +136,22 @@
 		return Choice{Endpoint: -1}
 	}
 	if s.Engine == nil {
+		if p.SharedSlots {
+			if free := withFreeSlots(s, all, usable); len(free) > 0 {
+				usable = free
+			}
+		}
 		return p.leastRequests(all, usable)
 	}
 	prefill := prefillMs(s.Engine, req.InputTokens)
 	if prefill <= p.ShortPrefillMs {
+		if p.SharedSlots {
+			if free := withFreeSlots(s, all, usable); len(free) > 0 {
+				if c := p.placeShort(s.Engine, req, prefill, all, free); c.Endpoint >= 0 && !c.Suboptimal {
+					return c
+				}
+			}
+		}
 		return p.placeShort(s.Engine, req, prefill, all, usable)
 	}
 	return p.placeLong(s.Engine, req, prefill, all, usable)
--- a/balance/load.go
+++ b/balance/load.go
@@ -208,6 +208,23 @@
 	}
 }
 
+// EachDecrease calls f for each endpoint where a peer has fewer requests according to a new report
+// than it had before. It must be called before the report is recorded.
+func (t *LoadTracker) EachDecrease(name string, loads map[string]Load, partial bool, f func(endpoint string, requests int)) {
+	for id, old := range t.peers[name].loads {
+		l, ok := loads[id]
+		if !ok && partial {
+			continue
+		}
+		if n := old.Short + old.Long - l.Short - l.Long; n > 0 {
+			f(id, n)
+		}
+	}
+}
+
+// HasChanges reports whether this gateway's load has changed since the last call of Local.
+func (t *LoadTracker) HasChanges() bool { return len(t.changed) > 0 }
+
 // removePeer drops the report of a peer, if there is one.
 func (t *LoadTracker) removePeer(name string) {
 	p := t.peers[name]
--- a/balance/policy.go
+++ b/balance/policy.go
@@ -54,6 +54,9 @@
 	// PackedShare is the share of an endpoint's slots up to which short requests are
 	// packed onto it.
 	PackedShare float64
+	// SharedSlots is set if a short request or one to a plain service is not placed at an endpoint
+	// whose slots are all in use while another one can serve it in time.
+	SharedSlots bool
 }
 
 // Default returns the policy that gateways use. The comments give the reason for a value
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -19,6 +19,7 @@
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
+	"github.com/micarudder/micarudder/slotqueue"
 )
 
 const (
@@ -100,6 +101,9 @@
 	// UnprovenAgeMs is the time, plus one, since the sending of the newest store read that found an
 	// entry which does not prove Version; 0 if the proof is newer.
 	UnprovenAgeMs int64
+	// Queued describes the sender's first requests that wait for a free slot, by service; see
+	// slotqueue.Queue.
+	Queued map[string][]slotqueue.Head
 }
 
 // addAge adds a time to the ages in the message that it has.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -15,6 +15,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/ratelimit"
+	"github.com/micarudder/micarudder/slotqueue"
 )
 
 func listen(t *testing.T, name string) (*Mesh, netip.AddrPort) {
@@ -83,7 +84,8 @@
 	withoutAddress[0].Address = 0
 	limits := map[string]ratelimit.LimitUpdate{"e": {Version: 3, Limit: ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, Born: 4}}
 	evacuations := &catalog.Evacuations{Era: 5, Revision: 8, DataCentres: []string{"dc"}}
-	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11})
+	queued := map[string][]slotqueue.Head{"s": {{Urgency: slotqueue.Late, Priority: 1, Share: 2, Returned: true, StartByMs: -12, Tie: 1<<64 - 1}}}
+	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11, Queued: queued})
 	is.NoErr(err)
 	msg, err := decode(p)
 	is.NoErr(err)
@@ -97,7 +99,7 @@
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
 	is.NoErr(err)
-	previous := len(fields) - 2 // number of fields in the previous release
+	previous := len(fields) - 3 // number of fields in the previous release
 	for _, list := range [][]msgpack.RawMessage{fields[:previous], append(slices.Clone(fields), extra)} {
 		p, err := msgpack.Marshal(list)
 		is.NoErr(err)
@@ -115,6 +117,7 @@
 		if len(list) >= len(fields) {
 			is.Equal(msg.CrashReports, reports)
 			is.Equal(msg.UnprovenAgeMs, int64(11))
+			is.Equal(msg.Queued, queued)
 		} else {
 			is.Equal(msg.CrashReports, withoutAddress)
 		}
@@ -235,3 +238,24 @@
 	is.Equal(AgeFromMs(math.MinInt64), time.Duration(0))
 	is.Equal(AgeFromMs(math.MaxInt64), MaxAge)
 }
+
+// TestSizeOfQueue limits the bytes that eight waiting requests add to a datagram. While none waits the
+// field must cost nothing.
+func TestSizeOfQueue(t *testing.T) {
+	is := is.New(t)
+	size := func(msg Message) int {
+		p, err := encode(&msg)
+		is.NoErr(err)
+		return len(p)
+	}
+	q := slotqueue.New()
+	now := time.Now()
+	empty := size(Message{From: "a", UnprovenAgeMs: 1})
+	is.Equal(size(Message{From: "a", UnprovenAgeMs: 1, Queued: q.Heads(now)}), empty)
+	for n := range 8 {
+		q.Join(slotqueue.Ticket{Service: "rudder-llm", Priority: 1, StartBy: now.Add(200 * time.Millisecond), Tie: 1<<63 + uint64(n)}, now)
+	}
+	queued := size(Message{From: "a", UnprovenAgeMs: 1, Queued: q.Heads(now)}) - empty
+	t.Logf("eight waiting requests take %d bytes", queued)
+	is.True(queued <= 8*24+16)
+}
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/slotqueue"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -38,6 +39,8 @@
 	FirstStart bool
 	// BodyMemory bounds the total size of all request bodies in memory; zero: no bound.
 	BodyMemory int64
+	// SharedSlots lets requests wait for free slots in one order for the whole cell.
+	SharedSlots bool
 }
 
 // Deps holds the dependencies of a gateway.
@@ -101,6 +104,9 @@
 func New(c Config, d Deps) *Gateway {
 	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), fullMessageDue: make(chan struct{}, 1), gatewaysListed: make(chan struct{}), started: time.Now()}
 	g.picker = newPicker(c.Name, c.DataCentre, g.state, c.Policy, c.Retries)
+	if c.SharedSlots {
+		g.picker.slots, g.picker.policy.SharedSlots = slotqueue.NewTracker(), true
+	}
 	if d.Mesh != nil {
 		g.picker.fleetKnownAt = g.started.Add(fleetDiscoveryTime)
 	}
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -31,7 +31,10 @@
 	drainsAnnounced   *metrics.Counter
 	backoffsRequested *metrics.Counter
 	backoffRefusals   *metrics.Counter
-	evacuated         *metrics.Gauge // number of evacuated data centres
+	// slotsQueued counts the requests that queued for a free slot; slotsRefused those that were
+	// refused at once, and slotsLate those that were late when their wait ended.
+	slotsQueued, slotsRefused, slotsLate *metrics.Counter
+	evacuated                            *metrics.Gauge // number of evacuated data centres
 	// configurationInvalid is 1 while the operators' entry cannot be used, as this gateway read it.
 	configurationInvalid *metrics.Gauge
 	firstByte            *metrics.Histogram
@@ -63,6 +66,9 @@
 		drainsAnnounced:      set.NewCounter("relay_endpoint_leaves_told_total"),
 		backoffsRequested:    set.NewCounter("relay_endpoint_rests_asked_total"),
 		backoffRefusals:      set.NewCounter("relay_rest_refusals_total"),
+		slotsQueued:          set.NewCounter("relay_slot_queued_total"),
+		slotsRefused:         set.NewCounter("relay_slot_refused_total"),
+		slotsLate:            set.NewCounter("relay_slot_late_total"),
 		evacuated:            set.NewGauge("relay_evacuated_data_centres", nil),
 		configurationInvalid: set.NewGauge("relay_configuration_invalid", nil),
 		resumes:              set.NewCounter("relay_resumes_total"),
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -11,6 +11,7 @@
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/slotqueue"
 )
 
 // picker holds the state that endpoint selection is based on. Its methods may be called
@@ -35,6 +36,10 @@
 	fleetKnownAt time.Time
 	remoteCells  map[string]remoteCell // by cell name
 	limits       *endpointLimits       // has its own lock
+	// slots orders the requests that wait for a free slot; nil unless Config.SharedSlots is set.
+	// slotWakePending is set while a timer to wake them runs.
+	slots           *slotqueue.Tracker
+	slotWakePending bool
 }
 
 // remoteCell is what the newest digest of another cell reports besides its load.
@@ -90,6 +95,9 @@
 		p.loads.Add(id, l.Load)
 		pl.addLoad(id, l)
 	}
+	if p.slots != nil {
+		p.slots.Taken(pl.endpoint.Service)
+	}
 	p.notifyPeers()
 	return pl
 }
@@ -278,6 +286,7 @@
 func (p *picker) recordPeer(msg peers.Message, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordPeerSlots(msg.From, msg.Loads, msg.Partial, msg.Queued, now)
 	if msg.Partial {
 		p.loads.UpdatePeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	} else {
@@ -296,6 +305,7 @@
 	all          map[string]balance.Load
 	byCell       map[string]map[string]balance.Load // the entries of all at the endpoints of each cell
 	waiting      map[string]balance.QueueHead
+	queued       map[string][]slotqueue.Head   // requests that wait for a free slot
 	observations map[string]health.Observation // of endpoints' health
 }
 
@@ -304,6 +314,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	load := localLoad{waiting: p.queue.LocalHeads(now), observations: p.health.LocalObservations(now), byCell: make(map[string]map[string]balance.Load)}
+	if p.slots != nil {
+		p.slots.ExpirePeers(now)
+		load.queued = p.slots.Heads(now)
+	}
 	if complete {
 		load.all = p.loads.Local()
 	} else {
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -104,6 +104,7 @@
 		p.loads.Remove(l.endpoint, l.load)
 	}
 	pl.loads = nil
+	p.recordSlotRelease(pl, time.Now())
 	p.notifyWaitersLocked()
 }
 
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -23,7 +23,7 @@
 			return pl, o
 		}
 		if next == tryLater {
-			x.g.picker.waitForLoadChange(ctx, queuePollInterval)
+			x.g.picker.waitForLoadChange(ctx, p.pollInterval(time.Now()))
 		}
 		if ctx.Err() != nil {
 			return nil, x.giveUp(outOfTime)
@@ -48,6 +48,7 @@
 	oversize     bool
 	minEndpoints int                 // number of endpoints that the request needs at once
 	queueEntry   *balance.QueueEntry // position among long prompts; nil if it needs none
+	slots        slotWait            // for a free slot
 	backoff      backoffWait
 	expected     balance.Estimate // from the latest evaluation of the load
 }
@@ -56,7 +57,9 @@
 	p := &placementSearch{x: x, began: time.Now(), request: x.balanceRequest(), backoff: backoffWait{x: x}}
 	p.oversize = x.g.config.Policy.ExceedsMemory(x.service, p.request)
 	p.minEndpoints = x.minEndpoints(p.request)
-	if x.g.config.Policy.MustQueue(x.service, p.request) {
+	mustQueue := x.g.config.Policy.MustQueue(x.service, p.request)
+	p.slots.enabled = x.g.config.SharedSlots && !mustQueue
+	if mustQueue {
 		p.queueEntry = x.g.picker.joinQueue(x.service.Name, x.waitPolicy().promptUrgency(p.oversize, p.began), x.started.Add(x.route.Objective), p.began)
 	}
 	return p
@@ -67,6 +70,7 @@
 	if p.queueEntry != nil {
 		p.x.g.picker.leaveQueue(p.queueEntry)
 	}
+	p.endSlotWait(time.Now())
 	p.x.g.meter.waitTime.UpdateDuration(p.began)
 }
 
@@ -104,7 +108,7 @@
 	}
 	switch {
 	case found == pickFull:
-		return p.refuse(refusalReason(found), now, func() outcome { return x.refuse(http.StatusServiceUnavailable, retryAfterBusy, refusedBusy) })
+		return p.refuse(refusalReason(found), now, func() outcome { return x.refuse(http.StatusServiceUnavailable, p.busyRetryAfter(now), refusedBusy) })
 	case x.attempts == 0 && x.g.shutdownNoticed():
 		// The process may end before an endpoint is free.
 		return nil, x.refuse(http.StatusServiceUnavailable, retryAfterShutdown, refusedShutdown), tryEnded
@@ -136,6 +140,10 @@
 	if !p.backoff.mayChoose() {
 		return nil, pickWait, choiceNotFirstInQueue
 	}
+	if p.slots.enabled {
+		pl, found = p.chooseSlot(now)
+		return pl, found, choiceMade
+	}
 	pl, p.expected, found = picker.pick(p.x.service, p.request, p.x.hasIdleConn, now)
 	return pl, found, choiceMade
 }
@@ -145,7 +153,7 @@
 func (p *placementSearch) waitOrRefuse(found pickOutcome, retryAfter time.Duration, now time.Time) (pl *placement, o outcome, next nextTry) {
 	busy := found == pickWait || retryAfter > 0
 	switch {
-	case p.x.waitPolicy().mayWait(busy, now):
+	case p.slots.entry != nil && p.x.waitPolicy().mayWaitForSlot(now), p.slots.entry == nil && p.x.waitPolicy().mayWait(busy, now):
 		return nil, "", tryLater
 	case retryAfter > 0:
 		return p.refuse("no endpoint with a rate limit accepted it in time", now, func() outcome { return p.x.refuseLimited(retryAfter) })
--- a/relay/search.go
+++ b/relay/search.go
@@ -41,19 +41,33 @@
 // pick chooses an endpoint of the service and counts the load: in the local cell if that suffices,
 // otherwise with the help of other cells.
 func (p *picker) pick(service *catalog.Service, req balance.Request, hasIdleConn idleConnFunc, now time.Time) (pl *placement, expected balance.Estimate, found pickOutcome) {
-	s := endpointSearch{
-		picker: p, service: service, request: req, hasIdleConn: hasIdleConn, now: now,
-		cells: p.withoutLimited(p.state.AvailableEndpoints(service.Name, now)), localCell: p.state.Cells().Of(p.dataCentre),
-	}
+	s := p.newSearch(service, req, hasIdleConn, now)
 	if len(s.cells) == 0 {
 		return nil, expected, pickNone
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	res := s.choose(s.cells[s.localCell], nil)
+	return p.place(s, s.choose(s.cells[s.localCell], nil))
+}
+
+func (p *picker) newSearch(service *catalog.Service, req balance.Request, hasIdleConn idleConnFunc, now time.Time) *endpointSearch {
+	return &endpointSearch{
+		picker: p, service: service, request: req, hasIdleConn: hasIdleConn, now: now,
+		cells: p.withoutLimited(p.state.AvailableEndpoints(service.Name, now)), localCell: p.state.Cells().Of(p.dataCentre),
+	}
+}
+
+// place carries out the choice of the local cell, or a better one with the help of other cells. The
+// caller holds the lock.
+func (p *picker) place(s *endpointSearch, res searchResult) (pl *placement, expected balance.Estimate, found pickOutcome) {
 	if res.choice.TryOtherCells() && len(s.cells) > 1 {
 		res = s.chooseWithRemote(res)
 	}
+	return p.placeChoice(res, s.now)
+}
+
+// placeChoice carries out a choice. The caller holds the lock.
+func (p *picker) placeChoice(res searchResult, now time.Time) (pl *placement, expected balance.Estimate, found pickOutcome) {
 	c := res.choice
 	switch {
 	case c.Wait:
@@ -71,16 +85,26 @@
 
 // choose chooses among endpoints and remote, which are endpoints of other cells.
 func (s *endpointSearch) choose(endpoints, remote []catalog.Endpoint) searchResult {
+	return s.chooseAmong(s.gather(endpoints, remote))
+}
+
+// chooseAmong chooses among gathered candidates.
+func (s *endpointSearch) chooseAmong(res searchResult) searchResult {
+	res.choice = s.policy.Choose(s.service, s.request, res.candidates)
+	return res
+}
+
+// gather returns the candidates of a choice among endpoints and remote, as currently known.
+func (s *endpointSearch) gather(endpoints, remote []catalog.Endpoint) searchResult {
 	res := searchResult{endpoints: slices.Concat(endpoints, remote)}
 	res.candidates = make([]balance.Candidate, len(res.endpoints))
 	cells := s.state.Cells()
 	for i, e := range res.endpoints {
 		res.candidates[i] = balance.Candidate{
 			ID: e.ID, Load: s.loads.Load(e.ID, s.now), Rank: rank(e.ID), LocalRank: rank(s.self + e.ID),
-			Suspect: s.health.Suspect(e.ID, s.now), Slowdown: s.health.Slowdown(e.ID, s.now), Remote: i >= len(endpoints), Shared: cells.Shared(e.ID), Connected: s.hasIdleConn(e.ID),
+			Suspect: s.health.Suspect(e.ID, s.now), Slowdown: s.health.Slowdown(e.ID, s.now), Remote: i >= len(endpoints), Shared: cells.Shared(e.ID), Connected: s.hasIdleConn(e.ID), Slots: e.Slots,
 		}
 	}
-	res.choice = s.policy.Choose(s.service, s.request, res.candidates)
 	return res
 }
 
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -35,6 +35,9 @@
 		RetryWindow  time.Duration `key:"retry_window" default:"10s" min:"1s" help:"window of the two"`
 		UnusedMemory time.Duration `key:"unused_memory" default:"9s" min:"1s" help:"longest that memory may stay set aside at an endpoint without use; below 5s a release that is lost may keep it longer"`
 	} `section:"bounds"`
+	Load struct {
+		SharedSlots bool `key:"shared_slots" default:"false" help:"whether requests wait in the gateways, in one order for the cell, while nearly all slots of a service are in use"`
+	} `section:"load"`
 	Log struct {
 		LinesPerSecond float64 `key:"lines_per_second" default:"300" min:"0" help:"request lines a second; more are counted and left out"`
 	} `section:"log"`
@@ -58,7 +61,7 @@
 	return Config{
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
-		BodyMemory: int64(s.Relay.BodyMemory),
-		Retries:    limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
+		BodyMemory: int64(s.Relay.BodyMemory), SharedSlots: s.Load.SharedSlots,
+		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
