slotqueue: gateways order requests and slots identically

Cause: under 290 short prompts a second, gateways that learned of a released slot one after the other chose the same slot, since it shifted the places of all others; and each gateway added the delay of the messages to the times of other gateways' requests. 159 of 1,740 requests were late at a full endpoint while another one had a free slot (messages of 1 to 3 ms), more than without the queue.

Change: requests are ordered by a clock that the gateways of the cell share. Each request prefers the slots in an order of its own that all gateways know. A gateway does not take a slot that an earlier request may have taken before it knew of newer ones. Releases count at the gateway that made them once they are known elsewhere.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -63,6 +63,9 @@
 	Slowdown float64
 	// Slots is the number of requests that the endpoint of a plain service runs at once.
 	Slots int
+	// Fresh holds the ages of the slots that became free so recently that other gateways may
+	// have chosen without knowing of them.
+	Fresh []time.Duration
 }
 
 // slowdown returns the factor by which the endpoint is slower than usual, at least 1.
@@ -137,7 +140,7 @@
 	}
 	if s.Engine == nil {
 		if p.SharedSlots {
-			if free := withFreeSlots(s, all, usable); len(free) > 0 {
+			if free := withFreeSlots(s, all, usable, 1); len(free) > 0 {
 				usable = free
 			}
 		}
@@ -146,9 +149,12 @@
 	prefill := prefillMs(s.Engine, req.InputTokens)
 	if prefill <= p.ShortPrefillMs {
 		if p.SharedSlots {
-			if free := withFreeSlots(s, all, usable); len(free) > 0 {
-				if c := p.placeShort(s.Engine, req, prefill, all, free); c.Endpoint >= 0 && !c.Suboptimal {
-					return c
+			// Another gateway may have taken the last slot of an endpoint at the same moment.
+			for _, spare := range []int{2, 1} {
+				if free := withFreeSlots(s, all, usable, spare); len(free) > 0 {
+					if c := p.placeShort(s.Engine, req, prefill, all, free); c.Endpoint >= 0 && !c.Suboptimal {
+						return c
+					}
 				}
 			}
 		}
--- a/balance/free.go
+++ b/balance/free.go
@@ -2,7 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/micarudder/micarudder/catalog"
 )
@@ -46,102 +50,159 @@
 	return free, total
 }
 
-// withFreeSlots returns those of the usable candidates that have a free slot.
-func withFreeSlots(s *catalog.Service, all []Candidate, usable []int) []int {
+// withFreeSlots returns those of the usable candidates that have at least a number of free slots.
+func withFreeSlots(s *catalog.Service, all []Candidate, usable []int, atLeast int) []int {
 	var out []int
 	for _, i := range usable {
-		if freeSlots(s, all[i]) > 0 {
+		if freeSlots(s, all[i]) >= atLeast {
 			out = append(out, i)
 		}
 	}
 	return out
 }
 
-// slotClass ranks endpoints with a free slot by what a request can expect there.
+// slotClass ranks endpoints with a free slot by what requests can expect there. It depends on nothing
+// that differs between equally large requests, so that all gateways order the slots identically.
 type slotClass uint8
 
 const (
-	slotInTime slotClass = iota // the first event is in time, and so are the gaps
-	slotLate                    // the caller still waits for the first event
-	slotNever                   // the caller would have given up
+	slotGood slotClass = iota // a request that starts in time is served in time
+	slotBad                   // the endpoint is slow, prefills a long prompt or lacks memory
 )
 
-// freeSlot is a free slot of a candidate. Slots of one candidate are numbered by the requests that
-// run there.
-type freeSlot struct {
+// slotPool is the free slots of a candidate.
+type slotPool struct {
 	candidate int
 	class     slotClass
-	number    int
-	firstMs   float64
+	used      int // requests that run there
+	free      int
+	firstMs   float64 // expected time to the first event of the request
 }
 
-// ChooseFree selects the free slot for a short request before which position others wait. The order
-// of the slots depends only on the load and is the same at all gateways; a slot that is taken
-// does not change the order of the others. Endpoints with few requests come first. Wait is set if
-// there is no slot for the request; req.Late tells that it accepts one where it will be late.
-func (p Policy) ChooseFree(s *catalog.Service, req Request, position int, all []Candidate) Choice {
+// ChooseFree selects the free slot for a short request. ahead holds the tie-breakers of the requests
+// that choose before it at any gateway, in their order, and tie that of the request itself. Each is
+// assumed to prefer the endpoints with the fewest requests, and among these to have an order of its
+// own that all gateways know. With one order for all, a slot that becomes free shifts the slots of all
+// requests, so that gateways that learn of it one after the other choose the same slots. Wait is set
+// if there is no slot for the request; req.Late tells that it accepts one where it will be late.
+func (p Policy) ChooseFree(s *catalog.Service, req Request, ahead []uint64, tie uint64, all []Candidate) Choice {
 	usable := usable(req, all)
 	if len(usable) == 0 {
 		return Choice{Endpoint: -1}
 	}
 	load := Load{Short: 1}
-	tokens := req.InputTokens + req.OutputTokens
 	if s.Engine != nil {
-		load = Load{PrefillMs: prefillMs(s.Engine, req.InputTokens), Short: 1, MemoryTokens: tokens, AwaitingFirstEvent: 1}
+		load = Load{PrefillMs: prefillMs(s.Engine, req.InputTokens), Short: 1, MemoryTokens: req.InputTokens + req.OutputTokens, AwaitingFirstEvent: 1}
 	}
-	var slots []freeSlot
+	pools, free := make([]slotPool, 0, len(usable)), 0
 	for _, i := range usable {
-		in := freeSlots(s, all[i])
-		if in == 0 {
-			continue
-		}
-		class, first := p.classify(s, req, all[i], load.PrefillMs)
-		if class == slotNever {
-			continue
-		}
-		used := slotsOf(s, all[i]) - in
-		// A request uses at most the slot at its position, so an endpoint contributes no more.
-		for n := range min(in, position+1) {
-			slots = append(slots, freeSlot{i, class, used + n, first})
+		if n := freeSlots(s, all[i]); n > 0 {
+			class, first := p.classify(s, req, all[i], load.PrefillMs)
+			pools = append(pools, slotPool{i, class, slotsOf(s, all[i]) - n, n, first})
+			free += n
 		}
 	}
 	wait := Choice{Endpoint: -1, Wait: true}
-	if position >= len(slots) {
+	if len(ahead) >= free {
+		return wait
+	}
+	chosen := chooseInOrder(slices.Clone(pools), ahead, all)
+	slot := preferred(chosen, tie, all)
+	if mayBeTaken(pools, slot, ahead, all) {
 		return wait
 	}
-	slices.SortFunc(slots, func(a, b freeSlot) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.number, b.number), cmp.Compare(all[a.candidate].Rank, all[b.candidate].Rank))
-	})
-	slot := slots[position]
-	if slot.class != slotInTime && !req.Late {
+	if slot.class == slotBad && !req.Late || slot.firstMs > req.DeadlineLeftMs {
 		return wait
 	}
 	expected := Estimate{FirstMs: slot.firstMs}
 	if s.Engine != nil {
 		expected.Parts = 1
 	}
-	return Choice{Endpoint: slot.candidate, Suboptimal: slot.class != slotInTime, Loads: []LoadShare{{Candidate: slot.candidate, Load: load}}, Expected: expected}
+	return Choice{Endpoint: slot.candidate, Suboptimal: slot.class == slotBad, Loads: []LoadShare{{Candidate: slot.candidate, Load: load}}, Expected: expected}
+}
+
+// chooseInOrder removes the slots from pools that requests with the given tie-breakers take, as far as
+// there are any.
+func chooseInOrder(pools []slotPool, ties []uint64, all []Candidate) []slotPool {
+	for _, tie := range ties {
+		pool := preferred(pools, tie, all)
+		if pool == nil {
+			break
+		}
+		pool.used++
+		pool.free--
+	}
+	return pools
+}
+
+// mayBeTaken reports whether the last free slot of slot's candidate may have been taken already by
+// one of the requests ahead: by one that chose before it knew of the fresh slots, or of some of them.
+func mayBeTaken(pools []slotPool, slot *slotPool, ahead []uint64, all []Candidate) bool {
+	if len(ahead) == 0 {
+		return false
+	}
+	var ages []time.Duration
+	for _, pool := range pools {
+		ages = append(ages, all[pool.candidate].Fresh...)
+	}
+	slices.Sort(ages)
+	mine := slices.IndexFunc(pools, func(p slotPool) bool { return p.candidate == slot.candidate })
+	for _, age := range slices.Compact(ages) {
+		known := slices.Clone(pools)
+		for i := range known {
+			for _, a := range all[known[i].candidate].Fresh {
+				if a <= age && known[i].free > 0 {
+					known[i].free--
+					known[i].used++
+				}
+			}
+		}
+		before := known[mine].used
+		if chooseInOrder(known, ahead, all)[mine].used-before >= pools[mine].free {
+			return true
+		}
+	}
+	return false
+}
+
+// preferred returns the pool with a free slot that the request with a tie-breaker takes, or nil.
+func preferred(pools []slotPool, tie uint64, all []Candidate) *slotPool {
+	var best *slotPool
+	var bestOrder uint64
+	for i := range pools {
+		pool := &pools[i]
+		if pool.free == 0 {
+			continue
+		}
+		order := mix(tie, all[pool.candidate].Rank)
+		if best == nil || cmp.Or(cmp.Compare(pool.class, best.class), cmp.Compare(pool.used, best.used), cmp.Compare(order, bestOrder)) < 0 {
+			best, bestOrder = pool, order
+		}
+	}
+	return best
+}
+
+// mix returns a hash of two hashes.
+func mix(a, b uint64) uint64 {
+	var p [16]byte
+	binary.LittleEndian.PutUint64(p[:8], a)
+	binary.LittleEndian.PutUint64(p[8:], b)
+	return xxhash.Sum64(p[:])
 }
 
 // classify returns what a short request can expect at a candidate with a free slot, and its
-// expected first event. A late request is not held to its objective.
+// expected first event. Pending short prompts do not count: gateways do not report at once that one
+// has been prefilled.
 func (p Policy) classify(s *catalog.Service, req Request, c Candidate, prefill float64) (slotClass, float64) {
 	if s.Engine == nil {
-		return slotInTime, 0
+		return slotGood, 0
 	}
-	decoding := c.Load.Short + c.Load.Long
-	iteration := iterationMs(s.Engine, decoding, c.Load.MemoryTokens) * c.slowdown()
+	iteration := iterationMs(s.Engine, c.Load.Short+c.Load.Long, c.Load.MemoryTokens) * c.slowdown()
 	first := (c.Load.PrefillMs+prefill)*c.slowdown() + iteration*iterationsToFirst
-	switch {
-	case first > req.DeadlineLeftMs:
-		return slotNever, first
-	case iteration > p.maxIterationMs(req.MaxGap), c.Load.MemoryTokens+req.InputTokens+req.OutputTokens > s.Engine.MemoryTokens:
-		return slotLate, first
-	case !req.Late && first > req.ObjectiveLeftMs-slotMarginMs:
-		return slotLate, first
-	default:
-		return slotInTime, first
+	if iteration > p.maxIterationMs(req.MaxGap) || c.Load.Parts > 0 && p.busy(c.Load) > 0 || c.Load.MemoryTokens+req.InputTokens+req.OutputTokens > s.Engine.MemoryTokens {
+		return slotBad, first
 	}
+	return slotGood, first
 }
 
 // slotMarginMs is the part of the remaining time that the expected first event leaves for the
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -40,6 +40,9 @@
 	// slotWakePending is set while a timer to wake them runs.
 	slots           *slotqueue.Tracker
 	slotWakePending bool
+	// settling counts, by endpoint, the slots that this gateway has just released, see
+	// slotSettleTime.
+	settling map[string]int
 }
 
 // remoteCell is what the newest digest of another cell reports besides its load.
@@ -55,6 +58,7 @@
 		loads: balance.NewLoadTracker(), queue: balance.NewPromptQueue(), health: health.NewTable(),
 		retryBudgets: make(map[string]*limits.RetryWindow), loadChanged: make(chan struct{}),
 		remoteCells: make(map[string]remoteCell), limits: newEndpointLimits(self),
+		settling: make(map[string]int),
 	}
 }
 
--- a/relay/search.go
+++ b/relay/search.go
@@ -100,8 +100,10 @@
 	res.candidates = make([]balance.Candidate, len(res.endpoints))
 	cells := s.state.Cells()
 	for i, e := range res.endpoints {
+		load := s.loads.Load(e.ID, s.now)
+		load.Short += s.settling[e.ID]
 		res.candidates[i] = balance.Candidate{
-			ID: e.ID, Load: s.loads.Load(e.ID, s.now), Rank: rank(e.ID), LocalRank: rank(s.self + e.ID),
+			ID: e.ID, Load: load, Rank: rank(e.ID), LocalRank: rank(s.self + e.ID),
 			Suspect: s.health.Suspect(e.ID, s.now), Slowdown: s.health.Slowdown(e.ID, s.now), Remote: i >= len(endpoints), Shared: cells.Shared(e.ID), Connected: s.hasIdleConn(e.ID), Slots: e.Slots,
 		}
 	}
--- a/relay/slots.go
+++ b/relay/slots.go
@@ -15,6 +15,10 @@
 	// response, in percent, after which a late request goes first: the rest is needed to serve it
 	// before the caller gives up.
 	slotPatiencePercent = 70
+	// slotSettleTime is how long this gateway does not use a slot that it released while requests
+	// wait: until the other gateways know of it too. Otherwise the gateways would count the free
+	// slots differently.
+	slotSettleTime = 4 * time.Millisecond
 	// plainStartDivisor is the part of its objective, as a divisor, within which a request to a plain
 	// service must start to be in time: how long it runs is not known.
 	plainStartDivisor = 2
@@ -151,6 +155,9 @@
 		}
 	}
 	res := s.gather(s.cells[s.localCell], nil)
+	for i := range res.candidates {
+		res.candidates[i].Fresh = p.slots.Fresh(res.candidates[i].ID, now)
+	}
 	free, total := p.policy.FreeSlots(s.service, s.request, res.candidates)
 	if !p.slots.Count(x.service.Name, free, total, now) {
 		pl, expected, found := p.place(s, s.chooseAmong(res))
@@ -164,11 +171,11 @@
 		p.notifyPeers()
 	}
 	w.outlook = p.slots.Outlook(w.entry, now)
-	position, ready := p.slots.Position(w.entry, now)
+	_, ready := p.slots.Position(w.entry, now)
 	s.request.Late = ticket.Urgency == slotqueue.Late || now.After(ticket.StartBy)
 	res.choice = balance.Choice{Endpoint: -1, Wait: true}
-	if ready {
-		res.choice = p.policy.ChooseFree(s.service, s.request, position, res.candidates)
+	if ready && w.outlook.Position < free {
+		res.choice = p.policy.ChooseFree(s.service, s.request, p.slots.Ahead(w.entry, now), ticket.Tie, res.candidates)
 	}
 	if res.choice.Wait && !s.request.Late && len(s.cells) > 1 {
 		res = s.chooseInRemoteCell(res)
@@ -217,6 +224,7 @@
 	p.loads.EachDecrease(peer, loads, partial, func(endpoint string, requests int) {
 		if e, ok := p.state.Endpoint(endpoint); ok {
 			p.slots.ReleasedByPeer(e.Service, requests, now)
+			p.slots.Freed(endpoint, requests, now)
 		}
 	})
 	if p.slots.PeerWaits(peer, queued, now) && p.loads.HasChanges() {
@@ -236,7 +244,20 @@
 // recordSlotRelease records that a placement has released the slot that it held. The caller holds the
 // lock.
 func (p *picker) recordSlotRelease(pl *placement, now time.Time) {
-	if p.slots != nil && p.slots.Released(pl.endpoint.Service, now.Sub(pl.chosenAt), now) {
-		p.notifyPeers()
+	if p.slots == nil || !p.slots.Released(pl.endpoint.Service, now.Sub(pl.chosenAt), now) {
+		return
 	}
+	p.notifyPeers()
+	id := pl.endpoint.ID
+	p.settling[id]++
+	time.AfterFunc(slotSettleTime, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.settling[id]--; p.settling[id] == 0 {
+			delete(p.settling, id)
+		}
+		p.slots.Taken(pl.endpoint.Service)
+		p.slots.Freed(id, 1, time.Now())
+		p.notifyWaitersLocked()
+	})
 }
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 )
@@ -17,7 +18,7 @@
 	maxReportWait = 25 * time.Millisecond
 	// messageDelay is the time after which a report that was sent has arrived at the other
 	// gateways: it is a few milliseconds old when it has been processed there.
-	messageDelay = 8 * time.Millisecond
+	messageDelay = 10 * time.Millisecond
 	// headTTL is how long a peer's last report remains valid: a little longer than the interval
 	// between two messages of an inactive peer, so that a silent peer does not block others.
 	headTTL = 300 * time.Millisecond
@@ -47,8 +48,13 @@
 
 // Before reports whether t goes before o in the queue of the same service.
 func (t Ticket) Before(o Ticket) bool {
-	return cmp.Or(cmp.Compare(t.Urgency, o.Urgency), cmp.Compare(t.Priority, o.Priority), cmp.Compare(t.Share, o.Share),
-		cmp.Compare(notReturned(t), notReturned(o)), t.StartBy.Compare(o.StartBy), cmp.Compare(t.Tie, o.Tie)) < 0
+	return compare(t, o, t.StartBy.Compare(o.StartBy)) < 0
+}
+
+// compare compares tickets, given the comparison of their latest starts.
+func compare(a, b Ticket, startBy int) int {
+	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Share, b.Share),
+		cmp.Compare(notReturned(a), notReturned(b)), startBy, cmp.Compare(a.Tie, b.Tie))
 }
 
 // notReturned returns 0 for a caller that has come back, else 1.
@@ -68,13 +74,52 @@
 	Returned  bool
 	StartByMs int64 // time until Ticket.StartBy; negative if it has passed
 	Tie       uint64
+	Order     int64 // Ticket.StartBy in microseconds of the cell's clock, see cellClock
+}
+
+// cellClock is a clock that the gateways of a cell agree about to within a message's delay: each
+// gateway advances its own to the latest one that it learns of. A request keeps the time that its own
+// gateway gave it, so that all gateways order requests identically, however late a message is.
+type cellClock struct {
+	base    time.Time
+	advance time.Duration // on the wall clock at base
+}
+
+// at returns a time in microseconds of the clock.
+func (c *cellClock) at(t time.Time) int64 {
+	if c.base.IsZero() {
+		c.base = t
+	}
+	return c.base.UnixMicro() + (t.Sub(c.base) + c.advance).Microseconds()
+}
+
+// learn advances the clock to what another gateway's clock showed.
+func (c *cellClock) learn(other int64, now time.Time) {
+	if ahead := other - c.at(now); ahead > 0 {
+		c.advance += time.Duration(ahead) * time.Microsecond
+	}
+}
+
+// ordered is a ticket whose StartBy is replaced by a time of the cell's clock.
+type ordered struct {
+	ticket Ticket
+	order  int64
+}
+
+// before is Ticket.Before with the times of the cell's clock.
+func (a ordered) before(b ordered) bool { return a.compare(b) < 0 }
+
+func (a ordered) compare(b ordered) int {
+	return compare(a.ticket, b.ticket, cmp.Compare(a.order, b.order))
 }
 
 // Entry is the place of a request of this gateway in the queue.
 type Entry struct {
-	ticket   Ticket
+	ordered
 	joined   time.Time
 	reported time.Time // when Heads first returned it; zero if it has not
+	// advanced is set if the entry has moved forward since the last call of Position.
+	advanced bool
 }
 
 // Ticket returns the ticket that the entry was last updated with.
@@ -83,7 +128,7 @@
 // peerReport is a peer's last report of its waiting requests.
 type peerReport struct {
 	receivedAt time.Time
-	heads      map[string][]Ticket // by service; nil if none wait
+	heads      map[string][]ordered // by service; nil if none wait
 }
 
 // Queue orders the waiting requests of all gateways. It is not safe for concurrent use.
@@ -91,6 +136,7 @@
 	local map[string]map[*Entry]struct{} // by service
 	count int                            // number of local entries
 	peers map[string]peerReport
+	clock cellClock
 }
 
 // New returns an empty queue.
@@ -100,7 +146,7 @@
 
 // Join adds a request of this gateway.
 func (q *Queue) Join(t Ticket, now time.Time) *Entry {
-	e := &Entry{ticket: t, joined: now}
+	e := &Entry{ordered: ordered{t, q.clock.at(t.StartBy)}, joined: now}
 	if q.local[t.Service] == nil {
 		q.local[t.Service] = make(map[*Entry]struct{})
 	}
@@ -109,8 +155,16 @@
 	return e
 }
 
-// Update replaces the ticket of a request. The service must remain the same.
-func (q *Queue) Update(e *Entry, t Ticket) { e.ticket = t }
+// Update replaces the ticket of a request. The service must remain the same. A request that moves
+// forward is not ready until the other gateways know of it.
+func (q *Queue) Update(e *Entry, t Ticket) {
+	old := e.ordered
+	if !t.StartBy.Equal(e.ticket.StartBy) {
+		e.order = q.clock.at(t.StartBy)
+	}
+	e.ticket = t
+	e.advanced = e.advanced || e.before(old)
+}
 
 // Leave removes a request. Only the first call for an entry has an effect.
 func (q *Queue) Leave(e *Entry) {
@@ -127,24 +181,54 @@
 // Position returns the number of known waiting requests that go before e. ready is set once the
 // other gateways know of e.
 func (q *Queue) Position(e *Entry, now time.Time) (position int, ready bool) {
-	for o := range q.local[e.ticket.Service] {
-		if o.ticket.Before(e.ticket) {
-			position++
-		}
+	if e.advanced {
+		e.advanced, e.joined, e.reported = false, now, time.Time{}
 	}
-	alone := true
-	for _, p := range q.peers {
-		if now.Sub(p.receivedAt) > headTTL {
-			continue
+	for range q.before(e, now) {
+		position++
+	}
+	return position, !q.hasPeers(now) || !now.Before(e.readyAt())
+}
+
+// Ahead returns the tie-breakers of the requests that Position counts, in their order.
+func (q *Queue) Ahead(e *Entry, now time.Time) []uint64 {
+	list := slices.SortedFunc(q.before(e, now), ordered.compare)
+	out := make([]uint64, len(list))
+	for i, o := range list {
+		out[i] = o.ticket.Tie
+	}
+	return out
+}
+
+// before yields the known waiting requests that go before e, in any order.
+func (q *Queue) before(e *Entry, now time.Time) iter.Seq[ordered] {
+	return func(yield func(ordered) bool) {
+		for o := range q.local[e.ticket.Service] {
+			if o.before(e.ordered) && !yield(o.ordered) {
+				return
+			}
 		}
-		alone = false
-		for _, t := range p.heads[e.ticket.Service] {
-			if t.Before(e.ticket) {
-				position++
+		for _, p := range q.peers {
+			if now.Sub(p.receivedAt) > headTTL {
+				continue
+			}
+			for _, o := range p.heads[e.ticket.Service] {
+				if o.before(e.ordered) && !yield(o) {
+					return
+				}
 			}
 		}
 	}
-	return position, alone || !now.Before(e.readyAt())
+}
+
+// hasPeers reports whether a message of another gateway has arrived within headTTL.
+func (q *Queue) hasPeers(now time.Time) bool {
+	for _, p := range q.peers {
+		if now.Sub(p.receivedAt) <= headTTL {
+			return true
+		}
+	}
+	return false
 }
 
 // readyAt returns when the other gateways know of the entry.
@@ -188,40 +272,36 @@
 		for e := range entries {
 			first = append(first, e)
 		}
-		slices.SortFunc(first, func(a, b *Entry) int {
-			if a.ticket.Before(b.ticket) {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(first, func(a, b *Entry) int { return a.compare(b.ordered) })
 		for _, e := range first[:min(maxHeads, len(first))] {
 			if e.reported.IsZero() {
 				e.reported = now
 			}
-			out[service] = append(out[service], e.ticket.head(now))
+			out[service] = append(out[service], e.head(now))
 		}
 	}
 	return out
 }
 
-func (t Ticket) head(now time.Time) Head {
-	return Head{Urgency: t.Urgency, Priority: t.Priority, Share: t.Share, Returned: t.Returned, StartByMs: t.StartBy.Sub(now).Milliseconds(), Tie: t.Tie}
+func (a ordered) head(now time.Time) Head {
+	t := a.ticket
+	return Head{Urgency: t.Urgency, Priority: t.Priority, Share: t.Share, Returned: t.Returned, StartByMs: t.StartBy.Sub(now).Milliseconds(), Tie: t.Tie, Order: a.order}
 }
 
-// SetPeer records the waiting requests of a peer, as returned by Heads; nil if none wait. The
-// network delay makes them seem to start later than they must, so that two gateways may both
-// consider their own request first if the two tickets differ by less than that delay.
+// SetPeer records the waiting requests of a peer, as returned by Heads; nil if none wait.
 func (q *Queue) SetPeer(name string, heads map[string][]Head, now time.Time) {
 	p := peerReport{receivedAt: now}
 	if len(heads) > 0 {
-		p.heads = make(map[string][]Ticket, len(heads))
+		p.heads = make(map[string][]ordered, len(heads))
 	}
 	for service, list := range heads {
 		for _, h := range list[:min(maxHeads, len(list))] {
-			p.heads[service] = append(p.heads[service], Ticket{
+			q.clock.learn(h.Order-h.StartByMs*1000, now)
+			t := Ticket{
 				Service: service, Urgency: h.Urgency, Priority: h.Priority, Share: h.Share, Returned: h.Returned,
 				StartBy: now.Add(time.Duration(h.StartByMs) * time.Millisecond), Tie: h.Tie,
-			})
+			}
+			p.heads[service] = append(p.heads[service], ordered{t, h.Order})
 		}
 	}
 	q.peers[name] = p
--- a/slotqueue/tracker.go
+++ b/slotqueue/tracker.go
@@ -26,11 +26,14 @@
 type Tracker struct {
 	*Queue
 	services   map[string]*service
-	reportedAt time.Time // when a peer last sent a message
+	freed      map[string][]time.Time // when slots of an endpoint became free recently
+	reportedAt time.Time              // when a peer last sent a message
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{Queue: New(), services: make(map[string]*service)} }
+func NewTracker() *Tracker {
+	return &Tracker{Queue: New(), services: make(map[string]*service), freed: make(map[string][]time.Time)}
+}
 
 func (t *Tracker) service(name string) *service {
 	s := t.services[name]
@@ -65,6 +68,36 @@
 // Taken records that a slot was taken by this gateway.
 func (t *Tracker) Taken(name string) { t.service(name).countedAt = time.Time{} }
 
+// freshFor is how long a free slot counts as fresh: until a message of a gateway that did not know of
+// it when it chose has arrived.
+const freshFor = 12 * time.Millisecond
+
+// Freed records that slots of an endpoint became free.
+func (t *Tracker) Freed(endpoint string, n int, now time.Time) {
+	t.Fresh(endpoint, now)
+	for range n {
+		t.freed[endpoint] = append(t.freed[endpoint], now)
+	}
+}
+
+// Fresh returns the ages of the slots of an endpoint that became free recently.
+func (t *Tracker) Fresh(endpoint string, now time.Time) []time.Duration {
+	list := t.freed[endpoint]
+	for len(list) > 0 && now.Sub(list[0]) > freshFor {
+		list = list[1:]
+	}
+	if len(list) == 0 {
+		delete(t.freed, endpoint)
+		return nil
+	}
+	t.freed[endpoint] = list
+	out := make([]time.Duration, len(list))
+	for i, at := range list {
+		out[i] = now.Sub(at)
+	}
+	return out
+}
+
 // Released records that a request of this gateway released its slot after it had held it for a
 // time. It reports whether other gateways should be told at once.
 func (t *Tracker) Released(name string, held time.Duration, now time.Time) bool {
