slotqueue: waits follow the measured delay of messages; choices spread

Cause: with messages that take 100 ms, gateways chose before they knew of each other's requests, and all preferred the same endpoints: 815 of 1,305 requests were late at a full endpoint, 479 without the queue. Requests to plain services were never refused, since their deadlines are shorter than three times a constant Retry-After.

Change: the cell's clock also gives the mean delay of messages, from which the waits for a report, a released slot and a choice on its way are derived. An endpoint is preferred in proportion to its free slots. While a service is not nearly full, short prompts are spread over an eighth more endpoints than they are packed onto. A predicted wait that is too long is refused if the caller has three objectives left.

--- a/balance/free.go
+++ b/balance/free.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -80,9 +81,10 @@
 }
 
 // ChooseFree selects the free slot for a short request. ahead holds the tie-breakers of the requests
-// that choose before it at any gateway, in their order, and tie that of the request itself. Each is
-// assumed to prefer the endpoints with the fewest requests, and among these to have an order of its
-// own that all gateways know. With one order for all, a slot that becomes free shifts the slots of all
+// that choose before it at any gateway, in their order, and tie that of the request itself. Each has
+// an order of the slots of its own that all gateways know, so that an endpoint is chosen in
+// proportion to its free slots. If all preferred the endpoints with the fewest requests, those that
+// choose by an old load would choose the same ones. With one order for all, a slot that becomes free shifts the slots of all
 // requests, so that gateways that learn of it one after the other choose the same slots. Wait is set
 // if there is no slot for the request; req.Late tells that it accepts one where it will be late.
 func (p Policy) ChooseFree(s *catalog.Service, req Request, ahead []uint64, tie uint64, all []Candidate) Choice {
@@ -168,20 +170,40 @@
 // preferred returns the pool with a free slot that the request with a tie-breaker takes, or nil.
 func preferred(pools []slotPool, tie uint64, all []Candidate) *slotPool {
 	var best *slotPool
-	var bestOrder uint64
+	var bestCost float64
 	for i := range pools {
 		pool := &pools[i]
 		if pool.free == 0 {
 			continue
 		}
-		order := mix(tie, all[pool.candidate].Rank)
-		if best == nil || cmp.Or(cmp.Compare(pool.class, best.class), cmp.Compare(pool.used, best.used), cmp.Compare(order, bestOrder)) < 0 {
-			best, bestOrder = pool, order
+		cost := weightedCost(mix(tie, all[pool.candidate].Rank), pool.free)
+		if best == nil || cmp.Or(cmp.Compare(pool.class, best.class), cmp.Compare(cost, bestCost)) < 0 {
+			best, bestCost = pool, cost
 		}
 	}
 	return best
 }
 
+// weightedCost returns the cost of a candidate with free slots, given its place in a random order. The
+// candidate with the least cost is chosen in proportion to its free slots: of exponential variables,
+// each is the smallest in proportion to its rate.
+func weightedCost(order uint64, free int) float64 {
+	uniform := (float64(order>>11) + 1) / (1 << 53)
+	return -math.Log(uniform) / float64(max(1, free))
+}
+
+// unknownDivisor is the part of the endpoints, as a divisor, over which requests are spread besides
+// those onto which they are packed: with loads that are 100 ms old, a peak sends them as many requests
+// that are not known yet as a twentieth of all slots.
+const unknownDivisor = 8
+
+// spreadCost is the cost of a candidate for a short request while the service is not nearly full. Each
+// gateway has an order of its own, so that those that learn late of each other's choices do not all
+// choose the same endpoint.
+func spreadCost(e *catalog.Engine, c Candidate) float64 {
+	return weightedCost(c.LocalRank, e.Slots-c.Load.Short-c.Load.Long)
+}
+
 // mix returns a hash of two hashes.
 func mix(a, b uint64) uint64 {
 	var p [16]byte
--- a/balance/short.go
+++ b/balance/short.go
@@ -21,6 +21,9 @@
 	slices.SortFunc(usable, func(a, b int) int { return cmp.Compare(all[a].Rank, all[b].Rank) })
 	tokens := req.InputTokens + req.OutputTokens
 	packed := p.packedEndpoints(e, all, usable)
+	if p.SharedSlots {
+		packed += (len(usable) + unknownDivisor - 1) / unknownDivisor
+	}
 	best, earliest := -1, -1
 	late := false
 	var bestFirst, earliestFirst float64 // ms
@@ -35,6 +38,12 @@
 		if first > p.FirstEventShare*req.ObjectiveLeftMs {
 			continue
 		}
+		if p.SharedSlots {
+			if best < 0 || spreadCost(e, all[i]) < spreadCost(e, all[best]) {
+				best, bestFirst = i, first
+			}
+			continue
+		}
 		if best < 0 || earlier(first, all[i], bestFirst, all[best]) {
 			best, bestFirst = i, first
 		}
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -41,7 +41,7 @@
 	slots           *slotqueue.Tracker
 	slotWakePending bool
 	// settling counts, by endpoint, the slots that this gateway has just released, see
-	// slotSettleTime.
+	// recordSlotRelease.
 	settling map[string]int
 }
 
--- a/relay/slots.go
+++ b/relay/slots.go
@@ -15,10 +15,10 @@
 	// response, in percent, after which a late request goes first: the rest is needed to serve it
 	// before the caller gives up.
 	slotPatiencePercent = 70
-	// slotSettleTime is how long this gateway does not use a slot that it released while requests
-	// wait: until the other gateways know of it too. Otherwise the gateways would count the free
-	// slots differently.
-	slotSettleTime = 4 * time.Millisecond
+	// slotSettleMargin is added to the delay of messages for the time that this gateway does not use
+	// a slot that it released while requests wait: until the other gateways know of it too.
+	// Otherwise the gateways would count the free slots differently.
+	slotSettleMargin = time.Millisecond
 	// plainStartDivisor is the part of its objective, as a divisor, within which a request to a plain
 	// service must start to be in time: how long it runs is not known.
 	plainStartDivisor = 2
@@ -52,9 +52,11 @@
 	return now.Sub(p.started) < p.firstPartLimit()
 }
 
-// mayRefuseSlot reports whether a request with a predicted wait for a slot is refused at once.
+// mayRefuseSlot reports whether a request with a predicted wait for a slot is refused at once. The
+// caller must have time to return. Unlike in mayRefuseBusy this is independent of retryAfterBusy, since
+// its Retry-After is the predicted wait; callers of plain services would never be refused.
 func (p waitPolicy) mayRefuseSlot(wait time.Duration, now time.Time) bool {
-	return p.mayRefuseBusy(now) && now.Add(wait).Sub(p.started) > p.firstPartLimit()*latePercent/100
+	return p.untouched(now) && p.deadline.Sub(now) > retryAfterDivisor*p.objective && now.Add(wait).Sub(p.started) > p.firstPartLimit()*latePercent/100
 }
 
 // slotTicket returns the place of the request in the order of those that wait for a slot.
@@ -120,7 +122,7 @@
 	if p.slots.entry == nil {
 		return queuePollInterval
 	}
-	if ready := p.slots.entry.ReadyIn(now); ready > 0 {
+	if ready := p.x.g.picker.slotReadyIn(p.slots.entry, now); ready > 0 {
 		return min(ready, queuePollInterval)
 	}
 	return queuePollInterval
@@ -208,6 +210,13 @@
 	p.notifyWaitersLocked()
 }
 
+// slotReadyIn returns the time until the other gateways know of a waiting request.
+func (p *picker) slotReadyIn(entry *slotqueue.Entry, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slots.ReadyIn(entry, now)
+}
+
 // slotReportAge returns the age of the newest report of another gateway.
 func (p *picker) slotReportAge(now time.Time) time.Duration {
 	p.mu.Lock()
@@ -250,7 +259,7 @@
 	p.notifyPeers()
 	id := pl.endpoint.ID
 	p.settling[id]++
-	time.AfterFunc(slotSettleTime, func() {
+	time.AfterFunc(p.slots.Delay()+slotSettleMargin, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if p.settling[id]--; p.settling[id] == 0 {
--- a/relay/waitpolicy.go
+++ b/relay/waitpolicy.go
@@ -103,8 +103,12 @@
 // mayRefuseBusy reports whether a request may be refused because all slots are in use: it has not
 // been sent or held, and its caller has enough time to retry.
 func (p waitPolicy) mayRefuseBusy(now time.Time) bool {
-	untouched := p.attempts == 0 && p.unsentAttempts == 0 && !p.resumed
-	return untouched && now.Sub(p.started) < p.objective/earlyRefusalDivisor && p.deadline.Sub(now) > retryAfterDivisor*retryAfterBusy
+	return p.untouched(now) && p.deadline.Sub(now) > retryAfterDivisor*retryAfterBusy
+}
+
+// untouched reports whether a request has not been sent or held.
+func (p waitPolicy) untouched(now time.Time) bool {
+	return p.attempts == 0 && p.unsentAttempts == 0 && !p.resumed && now.Sub(p.started) < p.objective/earlyRefusalDivisor
 }
 
 // mayWait reports whether a request that was not placed goes on waiting, for busy endpoints or for
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -16,9 +16,15 @@
 	// gateways. Requests that joined elsewhere at the same moment would otherwise take the same
 	// slot.
 	maxReportWait = 25 * time.Millisecond
-	// messageDelay is the time after which a report that was sent has arrived at the other
-	// gateways: it is a few milliseconds old when it has been processed there.
-	messageDelay = 10 * time.Millisecond
+	// initialDelay is the delay of messages that is assumed until some have arrived, and maxDelay
+	// the longest that is waited for: requests would be late for the sake of the order.
+	initialDelay = 4 * time.Millisecond
+	maxDelay     = 120 * time.Millisecond
+	// delayWeight is the weight of the newest message in the mean delay.
+	delayWeight = 0.02
+	// delayMargin covers messages that take longer than the mean, and the time until waiting requests
+	// are evaluated.
+	delayMargin = 6 * time.Millisecond
 	// headTTL is how long a peer's last report remains valid: a little longer than the interval
 	// between two messages of an inactive peer, so that a silent peer does not block others.
 	headTTL = 300 * time.Millisecond
@@ -93,11 +99,15 @@
 	return c.base.UnixMicro() + (t.Sub(c.base) + c.advance).Microseconds()
 }
 
-// learn advances the clock to what another gateway's clock showed.
-func (c *cellClock) learn(other int64, now time.Time) {
-	if ahead := other - c.at(now); ahead > 0 {
-		c.advance += time.Duration(ahead) * time.Microsecond
+// learn advances the clock to what another gateway's clock showed. It returns how far that one was
+// behind. As all clocks follow the latest, the mean over the gateways is the delay of messages.
+func (c *cellClock) learn(other int64, now time.Time) (behind time.Duration) {
+	behind = time.Duration(c.at(now)-other) * time.Microsecond
+	if behind < 0 {
+		c.advance -= behind
+		return 0
 	}
+	return behind
 }
 
 // ordered is a ticket whose StartBy is replaced by a time of the cell's clock.
@@ -137,11 +147,12 @@
 	count int                            // number of local entries
 	peers map[string]peerReport
 	clock cellClock
+	delay time.Duration // mean delay of messages
 }
 
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{local: make(map[string]map[*Entry]struct{}), peers: make(map[string]peerReport)}
+	return &Queue{local: make(map[string]map[*Entry]struct{}), peers: make(map[string]peerReport), delay: initialDelay}
 }
 
 // Join adds a request of this gateway.
@@ -187,7 +198,7 @@
 	for range q.before(e, now) {
 		position++
 	}
-	return position, !q.hasPeers(now) || !now.Before(e.readyAt())
+	return position, !q.hasPeers(now) || !now.Before(q.readyAt(e))
 }
 
 // Ahead returns the tie-breakers of the requests that Position counts, in their order.
@@ -231,20 +242,27 @@
 	return false
 }
 
-// readyAt returns when the other gateways know of the entry.
-func (e *Entry) readyAt() time.Time {
+// readyAt returns when the other gateways know of the entry: a message's delay after it was reported,
+// but no later than a request can wait and be in time.
+func (q *Queue) readyAt(e *Entry) time.Time {
 	latest := e.joined.Add(maxReportWait)
+	if q.delay+delayMargin > maxReportWait && e.ticket.StartBy.After(latest) {
+		latest = e.ticket.StartBy
+	}
 	if e.reported.IsZero() {
 		return latest
 	}
-	if known := e.reported.Add(messageDelay); known.Before(latest) {
+	if known := e.reported.Add(q.delay + delayMargin); known.Before(latest) {
 		return known
 	}
 	return latest
 }
 
-// ReadyIn returns the time until the entry is ready at the latest, or 0 if it is.
-func (e *Entry) ReadyIn(now time.Time) time.Duration { return max(0, e.readyAt().Sub(now)) }
+// Delay returns the mean delay of the messages with waiting requests.
+func (q *Queue) Delay() time.Duration { return q.delay }
+
+// ReadyIn returns the time until an entry is ready at the latest, or 0 if it is.
+func (q *Queue) ReadyIn(e *Entry, now time.Time) time.Duration { return max(0, q.readyAt(e).Sub(now)) }
 
 // Waiting returns the number of requests that are known to wait for a service.
 func (q *Queue) Waiting(service string, now time.Time) int {
@@ -291,12 +309,13 @@
 // SetPeer records the waiting requests of a peer, as returned by Heads; nil if none wait.
 func (q *Queue) SetPeer(name string, heads map[string][]Head, now time.Time) {
 	p := peerReport{receivedAt: now}
+	var behind time.Duration
 	if len(heads) > 0 {
 		p.heads = make(map[string][]ordered, len(heads))
 	}
 	for service, list := range heads {
 		for _, h := range list[:min(maxHeads, len(list))] {
-			q.clock.learn(h.Order-h.StartByMs*1000, now)
+			behind = q.clock.learn(h.Order-h.StartByMs*time.Millisecond.Microseconds(), now)
 			t := Ticket{
 				Service: service, Urgency: h.Urgency, Priority: h.Priority, Share: h.Share, Returned: h.Returned,
 				StartBy: now.Add(time.Duration(h.StartByMs) * time.Millisecond), Tie: h.Tie,
@@ -304,6 +323,9 @@
 			p.heads[service] = append(p.heads[service], ordered{t, h.Order})
 		}
 	}
+	if len(heads) > 0 {
+		q.delay += time.Duration(delayWeight * float64(min(behind, maxDelay)-q.delay))
+	}
 	q.peers[name] = p
 }
 
--- a/slotqueue/tracker.go
+++ b/slotqueue/tracker.go
@@ -68,9 +68,13 @@
 // Taken records that a slot was taken by this gateway.
 func (t *Tracker) Taken(name string) { t.service(name).countedAt = time.Time{} }
 
-// freshFor is how long a free slot counts as fresh: until a message of a gateway that did not know of
-// it when it chose has arrived.
-const freshFor = 12 * time.Millisecond
+// choiceMargin is the time from the moment at which a gateway may choose until it has sent the message
+// about its choice.
+const choiceMargin = 10 * time.Millisecond
+
+// freshFor returns how long a free slot counts as fresh: until a message of a gateway that did not know
+// of it when it chose has arrived.
+func (t *Tracker) freshFor() time.Duration { return t.Delay() + choiceMargin }
 
 // Freed records that slots of an endpoint became free.
 func (t *Tracker) Freed(endpoint string, n int, now time.Time) {
@@ -83,7 +87,7 @@
 // Fresh returns the ages of the slots of an endpoint that became free recently.
 func (t *Tracker) Fresh(endpoint string, now time.Time) []time.Duration {
 	list := t.freed[endpoint]
-	for len(list) > 0 && now.Sub(list[0]) > freshFor {
+	for len(list) > 0 && now.Sub(list[0]) > t.freshFor() {
 		list = list[1:]
 	}
 	if len(list) == 0 {
