slotqueue: predictions count late requests that will go first

Cause: a request that is late waits behind those in time and goes first when its caller will soon give up.

Change: late requests that will go before a request count as ahead of it.

--- a/slotqueue/capacity.go
+++ b/slotqueue/capacity.go
@@ -105,6 +105,7 @@
 	Ticket    Ticket
 	Position  int // of the request in the queue
 	Waiting   int // all requests that are known to wait, including this one
+	Late      int // late ones that go before this request once their callers will soon give up
 	Free      int // free slots
 	PerSecond float64
 }
@@ -113,7 +114,8 @@
 // is assumed to let those pass that can be.
 func (o Outlook) Wait(now time.Time) time.Duration {
 	if o.Ticket.Urgency == InTime {
-		if wait := o.waitFor(o.Position, 1); !now.Add(wait).After(o.Ticket.StartBy) {
+		// Those that are late go first before their callers give up, so they need slots too.
+		if wait := o.waitFor(o.Position+o.Late, 1); !now.Add(wait).After(o.Ticket.StartBy) {
 			return wait
 		}
 	}
--- a/slotqueue/capacity_test.go
+++ b/slotqueue/capacity_test.go
@@ -51,6 +51,7 @@
 		"a slot is free":       {Outlook{Ticket: inTime, Position: 2, Waiting: 3, Free: 3, PerSecond: 100}, 0},
 		"in time":              {Outlook{Ticket: inTime, Position: 9, Waiting: 10, PerSecond: 100}, 100 * time.Millisecond},
 		"would be late":        {Outlook{Ticket: inTime, Position: 29, Waiting: 40, PerSecond: 100}, 4 * time.Second},
+		"late ones also wait":  {Outlook{Ticket: inTime, Position: 9, Waiting: 20, Late: 10, PerSecond: 100}, 200 * time.Millisecond},
 		"late":                 {Outlook{Ticket: late, Position: 4, Waiting: 5, PerSecond: 100}, 500 * time.Millisecond},
 		"almost none are free": {Outlook{Ticket: late, Position: 400, Waiting: 401, PerSecond: 0.5}, maxPredictedWait},
 	} {
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -275,6 +275,31 @@
 	return n
 }
 
+// LateBefore returns the number of known late requests that go before e once their callers will soon
+// give up, so that they no longer count as late.
+func (q *Queue) LateBefore(e *Entry, now time.Time) int {
+	n := 0
+	count := func(o ordered) {
+		if o.ticket.Urgency != Late {
+			return
+		}
+		if o.ticket.Urgency = InTime; o.before(e.ordered) {
+			n++
+		}
+	}
+	for o := range q.local[e.ticket.Service] {
+		count(o.ordered)
+	}
+	for _, p := range q.peers {
+		if now.Sub(p.receivedAt) <= headTTL {
+			for _, o := range p.heads[e.ticket.Service] {
+				count(o)
+			}
+		}
+	}
+	return n
+}
+
 // LocalWaiting returns the number of requests of this gateway in the queue.
 func (q *Queue) LocalWaiting() int { return q.count }
 
--- a/slotqueue/slotqueue_test.go
+++ b/slotqueue/slotqueue_test.go
@@ -202,6 +202,18 @@
 	}
 }
 
+// TestLateBefore: late requests that will go first count for a prediction, but not those that remain
+// behind since their workspace has used more.
+func TestLateBefore(t *testing.T) {
+	is := is.New(t)
+	q := New()
+	e := q.Join(Ticket{Service: "s", Share: 1, StartBy: at(200)}, start)
+	q.Join(Ticket{Service: "s", Urgency: Late, Share: 2, StartBy: at(-100)}, start)
+	q.Join(Ticket{Service: "s", Urgency: Late, Share: 1, StartBy: at(-100)}, start)
+	q.SetPeer("p", map[string][]Head{"s": {{Urgency: Late, StartByMs: -50, Order: at(-50).UnixMicro()}, {Share: 1, Order: at(-60).UnixMicro()}}}, start)
+	is.Equal(q.LateBefore(e, start), 2)
+}
+
 // TestAdvancedRequestIsReported: a request that moves forward, since its caller will soon give up,
 // first waits until the others know of it.
 func TestAdvancedRequestIsReported(t *testing.T) {
--- a/slotqueue/tracker.go
+++ b/slotqueue/tracker.go
@@ -130,11 +130,29 @@
 	return begun
 }
 
+// competesFor is how long after a service was last nearly full or a request waited for it its use is
+// still counted: longer than a surge takes to pass and come back.
+const competesFor = 5 * time.Second
+
+// Competes reports whether callers compete for a service or recently did.
+func (t *Tracker) Competes(name string, now time.Time) bool {
+	s := t.services[name]
+	return s != nil && (s.fullness.NearlyFull() || !s.waitingAt.IsZero() && now.Sub(s.waitingAt) <= competesFor)
+}
+
+// MeanHold returns the mean time that a request of this gateway held its slot.
+func (t *Tracker) MeanHold(name string) time.Duration {
+	if hold := t.service(name).releases.hold; hold > 0 {
+		return hold
+	}
+	return initialHold
+}
+
 // Outlook returns what the start of a waiting request depends on.
 func (t *Tracker) Outlook(e *Entry, now time.Time) Outlook {
 	s := t.service(e.ticket.Service)
 	position, _ := t.Position(e, now)
-	return Outlook{Ticket: e.ticket, Position: position, Waiting: t.Waiting(e.ticket.Service, now), Free: s.free, PerSecond: s.releases.PerSecond(now)}
+	return Outlook{Ticket: e.ticket, Position: position, Waiting: t.Waiting(e.ticket.Service, now), Late: t.LateBefore(e, now), Free: s.free, PerSecond: s.releases.PerSecond(now)}
 }
 
 // ReportAge returns the time since the last message of a peer, or -1 if there was none.
