fairshare: equal shares of nearly full services

Cause: while callers compete, a workspace whose traffic surges takes the slots of all others.

With the setting fair_shares of section load, which needs shared_slots and is off by default, requests of a workspace above its share queue behind others of their urgency and priority. Gateways report their use in the new field Use of complete messages, only while callers compete.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -104,6 +104,9 @@
 	// Queued describes the sender's first requests that wait for a free slot, by service; see
 	// slotqueue.Queue.
 	Queued map[string][]slotqueue.Head
+	// Use is the sender's use of nearly full services in milliseconds by workspace; see
+	// fairshare.Ledger. It is set in complete messages only.
+	Use map[string]float64
 }
 
 // addAge adds a time to the ages in the message that it has.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -84,8 +84,9 @@
 	withoutAddress[0].Address = 0
 	limits := map[string]ratelimit.LimitUpdate{"e": {Version: 3, Limit: ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, Born: 4}}
 	evacuations := &catalog.Evacuations{Era: 5, Revision: 8, DataCentres: []string{"dc"}}
+	use := map[string]float64{"w": 2400}
 	queued := map[string][]slotqueue.Head{"s": {{Urgency: slotqueue.Late, Priority: 1, Share: 2, Returned: true, StartByMs: -12, Tie: 1<<64 - 1}}}
-	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11, Queued: queued})
+	p, err := encode(&Message{From: "a", DataCentre: "dc", CrashReports: reports, StoreEra: 5, Limits: limits, Coordinator: 6, Drains: map[string]int64{"e": 7}, Evacuations: evacuations, Gateways: 9, GatewaysAgeMs: 10, UnprovenAgeMs: 11, Queued: queued, Use: use})
 	is.NoErr(err)
 	msg, err := decode(p)
 	is.NoErr(err)
@@ -99,7 +100,7 @@
 	is.NoErr(msgpack.Unmarshal(p, &fields))
 	extra, err := msgpack.Marshal([]int{1, 2})
 	is.NoErr(err)
-	previous := len(fields) - 3 // number of fields in the previous release
+	previous := len(fields) - 4 // number of fields in the previous release
 	for _, list := range [][]msgpack.RawMessage{fields[:previous], append(slices.Clone(fields), extra)} {
 		p, err := msgpack.Marshal(list)
 		is.NoErr(err)
@@ -118,6 +119,7 @@
 			is.Equal(msg.CrashReports, reports)
 			is.Equal(msg.UnprovenAgeMs, int64(11))
 			is.Equal(msg.Queued, queued)
+			is.Equal(msg.Use, use)
 		} else {
 			is.Equal(msg.CrashReports, withoutAddress)
 		}
--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -121,7 +121,7 @@
 
 // localMessage returns the message for the local cell, with the load at all endpoints.
 func (g *Gateway) localMessage(msg peers.Message, r recipients, cause trigger, load localLoad, now time.Time) outgoingMessage {
-	msg.Loads, msg.Waiting, msg.Observations, msg.Queued = load.all, load.waiting, load.observations, load.queued
+	msg.Loads, msg.Waiting, msg.Observations, msg.Queued, msg.Use = load.all, load.waiting, load.observations, load.queued, load.use
 	g.endpointLimits.fillMessage(&msg, cause != loadChanged, now)
 	if r.representative && cause == digestsDue {
 		msg.Digests = g.picker.remoteDigests(now)
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/fairshare"
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
@@ -41,6 +42,8 @@
 	BodyMemory int64
 	// SharedSlots lets requests wait for free slots in one order for the whole cell.
 	SharedSlots bool
+	// FairShares orders those requests by how much their workspace has used; it needs SharedSlots.
+	FairShares bool
 }
 
 // Deps holds the dependencies of a gateway.
@@ -106,6 +109,9 @@
 	g.picker = newPicker(c.Name, c.DataCentre, g.state, c.Policy, c.Retries)
 	if c.SharedSlots {
 		g.picker.slots, g.picker.policy.SharedSlots = slotqueue.NewTracker(), true
+		if c.FairShares {
+			g.picker.shares = fairshare.New()
+		}
 	}
 	if d.Mesh != nil {
 		g.picker.fleetKnownAt = g.started.Add(fleetDiscoveryTime)
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -8,6 +8,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/fairshare"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
@@ -40,6 +41,8 @@
 	// slotWakePending is set while a timer to wake them runs.
 	slots           *slotqueue.Tracker
 	slotWakePending bool
+	// shares holds the use of nearly full services; nil unless Config.FairShares is set.
+	shares *fairshare.Ledger
 	// settling counts, by endpoint, the slots that this gateway has just released, see
 	// recordSlotRelease.
 	settling map[string]int
@@ -291,6 +294,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordPeerSlots(msg.From, msg.Loads, msg.Partial, msg.Queued, now)
+	if p.shares != nil && !msg.Partial {
+		p.shares.SetPeer(msg.From, msg.Use, now)
+	}
 	if msg.Partial {
 		p.loads.UpdatePeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	} else {
@@ -310,6 +316,7 @@
 	byCell       map[string]map[string]balance.Load // the entries of all at the endpoints of each cell
 	waiting      map[string]balance.QueueHead
 	queued       map[string][]slotqueue.Head   // requests that wait for a free slot
+	use          map[string]float64            // of nearly full services, by workspace
 	observations map[string]health.Observation // of endpoints' health
 }
 
@@ -324,6 +331,9 @@
 	}
 	if complete {
 		load.all = p.loads.Local()
+		if p.shares != nil {
+			load.use = p.shares.Local(now)
+		}
 	} else {
 		load.all = p.loads.LocalChanges()
 	}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -25,6 +25,7 @@
 	remoteEndpoints int // number of endpoints of other cells that work on the request
 	expected        balance.Estimate
 	loads           []*placedLoad
+	charge          useCharge
 }
 
 // memoryDemand is memory that has to be reserved before an attempt.
@@ -105,6 +106,7 @@
 	}
 	pl.loads = nil
 	p.recordSlotRelease(pl, time.Now())
+	p.chargeRest(pl, time.Now())
 	p.notifyWaitersLocked()
 }
 
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -164,6 +164,7 @@
 
 // succeed ends the search with a placement.
 func (p *placementSearch) succeed(pl *placement, now time.Time) (*placement, outcome, nextTry) {
+	p.x.g.picker.chargeUse(pl, p.x.service, p.x.workspaceName(), now)
 	p.x.logPlacement(pl, now.Sub(p.began))
 	return pl, "", tryEnded
 }
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -37,6 +37,7 @@
 	} `section:"bounds"`
 	Load struct {
 		SharedSlots bool `key:"shared_slots" default:"false" help:"whether requests wait in the gateways, in one order for the cell, while nearly all slots of a service are in use"`
+		FairShares  bool `key:"fair_shares" default:"false" help:"whether workspaces whose use of a nearly full service exceeds an equal share wait behind others; needs shared_slots"`
 	} `section:"load"`
 	Log struct {
 		LinesPerSecond float64 `key:"lines_per_second" default:"300" min:"0" help:"request lines a second; more are counted and left out"`
@@ -50,6 +51,9 @@
 	if s.Bounds.RevokeAfter > 0 && s.Bounds.RevokeAfter < minRevokeAfter {
 		out = append(out, &settings.Mistake{Section: "bounds", Key: "revoke_after", Problem: "is shorter than two reads of the configuration", Allowed: "0s, or at least " + minRevokeAfter.String()})
 	}
+	if s.Load.FairShares && !s.Load.SharedSlots {
+		out = append(out, &settings.Mistake{Section: "load", Key: "fair_shares", Problem: "needs shared_slots", Allowed: "false, or true with shared_slots = true"})
+	}
 	return out
 }
 
@@ -61,7 +65,7 @@
 	return Config{
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
-		BodyMemory: int64(s.Relay.BodyMemory), SharedSlots: s.Load.SharedSlots,
+		BodyMemory: int64(s.Relay.BodyMemory), SharedSlots: s.Load.SharedSlots, FairShares: s.Load.FairShares,
 		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
--- a/relay/slots.go
+++ b/relay/slots.go
@@ -67,6 +67,11 @@
 	if x.workspace != nil && x.workspace.Priority >= 0 {
 		t.Priority = x.workspace.Priority
 	}
+	if p.slots.entry != nil {
+		t.Share = p.slots.entry.Ticket().Share // a request whose place changed would have to report it again
+	} else {
+		t.Share = x.g.picker.shareLevel(x.workspaceName(), now)
+	}
 	start := policy.objective / plainStartDivisor
 	if ms, ok := x.g.config.Policy.StartMs(x.service, p.request); ok {
 		start = policy.objective - time.Duration(ms*float64(time.Millisecond))
@@ -112,7 +117,7 @@
 		g.meter.slotsLate.Inc()
 	}
 	o := w.outlook
-	g.deps.Log.Request("Wait for a slot ended.", "request", p.x.call.ID, "service", p.x.service.Name, "result", result, "late", late,
+	g.deps.Log.Request("Wait for a slot ended.", "request", p.x.call.ID, "service", p.x.service.Name, "result", result, "late", late, "workspace", p.x.workspaceName(), "share", w.outlook.Ticket.Share,
 		"position", o.Position, "waiting", o.Waiting, "free", o.Free, "per_second", int(o.PerSecond), "predicted_ms", w.predicted.Milliseconds(),
 		"waited_ms", now.Sub(p.began).Milliseconds(), "age_ms", g.picker.slotReportAge(now).Milliseconds())
 }
--- a/relay/slots_test.go
+++ b/relay/slots_test.go
@@ -68,6 +68,10 @@
 	// during runs when half of the duration has passed.
 	during func(f *testFleet)
 	plain  bool
+	fair   bool
+	// surging is the part of the requests, as a divisor, that come from the workspace that surges;
+	// zero: none. The others come from ten workspaces in turn.
+	surging int
 }
 
 // slotResult counts the requests of a load by result.
@@ -76,6 +80,7 @@
 	queuedAtEngine              int // found all slots of their endpoint in use
 	avoidable                   int // of these, late while another endpoint had a free slot
 	unserved                    int // refused after a wait
+	others, othersInTime        int // requests of workspaces that do not surge
 	worst                       time.Duration
 }
 
@@ -93,7 +98,7 @@
 // run applies the load and returns its results for all requests after the first quarter, which fills
 // the engines.
 func (l slotLoad) run(t *testing.T) slotResult {
-	f := newFleetOf(t, l.dataCentres, l.gateways, l.engines, l.slots, l.configuration(), func(c *Config) { c.SharedSlots = l.shared })
+	f := newFleetOf(t, l.dataCentres, l.gateways, l.engines, l.slots, l.configuration(), func(c *Config) { c.SharedSlots, c.FairShares = l.shared, l.fair })
 	f.messageDelay = l.messageDelay
 	time.Sleep(time.Second)
 	s := &slotEngines{slots: l.slots, hold: l.hold, engines: l.engines, running: make(map[string]int), queued: make(map[string][]chan struct{})}
@@ -122,6 +127,10 @@
 			mu.Lock()
 			defer mu.Unlock()
 			r.sent++
+			others := o.workspace != "surging"
+			if others {
+				r.others++
+			}
 			switch first := o.first.Sub(started); {
 			case o.refused:
 				r.refused++
@@ -130,6 +139,9 @@
 				}
 			case first <= l.objective:
 				r.inTime++
+				if others {
+					r.othersInTime++
+				}
 				r.worst = max(r.worst, first)
 			default:
 				r.late++
@@ -150,6 +162,7 @@
 
 // slotOutcome is what became of one request.
 type slotOutcome struct {
+	workspace     string
 	refused       bool
 	waited        time.Duration // in the gateway
 	first         time.Time     // of the first event
@@ -166,6 +179,11 @@
 		call:  Call{ID: fmt.Sprint("r", n), PromptTokens: 4960, MaxTokens: 300},
 		table: f.table, route: route, service: &f.table.Configuration.Services[0], started: start, deadline: start.Add(route.Timeout),
 	}
+	o.workspace = fmt.Sprint("w", n%10)
+	if l.surging > 0 && n%l.surging != 0 {
+		o.workspace = "surging"
+	}
+	x.workspace = &catalog.Workspace{Name: o.workspace, Priority: -1}
 	pl, _ := x.findPlacement(ctx)
 	o.waited = time.Since(start)
 	if pl == nil {
@@ -236,6 +254,25 @@
 	}
 }
 
+// TestSurgeTakesNothingFromOthers: one workspace sends four times as much as all others together, and
+// more than there are slots for. The others are served in time as on a day without the surge.
+func TestSurgeTakesNothingFromOthers(t *testing.T) {
+	l := slotLoad{dataCentres: 2, gateways: 12, engines: 12, slots: 12, perSecond: 100, objective: 300 * time.Millisecond, hold: 2300 * time.Millisecond, duration: 12 * time.Second, shared: true, surging: 5}
+	inTime := make(map[bool]float64)
+	for _, fair := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			l := l
+			l.fair = fair
+			r := l.run(t)
+			inTime[fair] = float64(r.othersInTime) / float64(r.others)
+			t.Logf("fair shares %v: %.3f of the others in time, %+v", fair, inTime[fair], r)
+		})
+	}
+	is := is.New(t)
+	is.True(inTime[false] < 0.9) // the surge is large enough
+	is.True(inTime[true] >= 0.97)
+}
+
 const (
 	cutOffGateway = 5
 	killedGateway = 7
