relay: late requests accept slow endpoints that are free

Cause: a late request waited while only slow endpoints had free slots, since the free slots that were counted did not include theirs.

Change: a late request is offered every free slot. The lock of the picker is no longer taken for shares while fair_shares is off. Tests for the urgency and the refusal of requests that wait for a slot, and for the settings.

--- a/relay/shares.go
+++ b/relay/shares.go
@@ -19,9 +19,12 @@
 // prefill, and the slot for as long as requests hold one on average. Waiting for the end would let a
 // surge pass for the duration of a stream.
 func (p *picker) chargeUse(pl *placement, s *catalog.Service, workspace string, now time.Time) {
+	if p.shares == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.shares == nil || !p.slots.Competes(s.Name, now) {
+	if !p.slots.Competes(s.Name, now) {
 		return
 	}
 	slots := max(1, pl.endpoint.Slots)
@@ -53,10 +56,10 @@
 
 // shareLevel returns how far the use of a workspace exceeds its due share; see fairshare.Ledger.
 func (p *picker) shareLevel(workspace string, now time.Time) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.shares == nil {
 		return 0
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.shares.Level(workspace, now)
 }
--- a/relay/slots.go
+++ b/relay/slots.go
@@ -157,7 +157,7 @@
 		p.slots.Update(w.entry, ticket)
 		w.outlook = p.slots.Outlook(w.entry, now)
 		_, ready := p.slots.Position(w.entry, now)
-		if free, ok := p.slots.Counted(x.service.Name, now); ok && (!ready || w.outlook.Position >= free) {
+		if free, ok := p.slots.Counted(x.service.Name, now); ok && (!ready || ticket.Urgency == slotqueue.InTime && !now.After(ticket.StartBy) && w.outlook.Position >= free) {
 			return nil, balance.Estimate{}, pickWait
 		}
 	}
@@ -182,7 +182,8 @@
 	_, ready := p.slots.Position(w.entry, now)
 	s.request.Late = ticket.Urgency == slotqueue.Late || now.After(ticket.StartBy)
 	res.choice = balance.Choice{Endpoint: -1, Wait: true}
-	if ready && w.outlook.Position < free {
+	// A late request also accepts a slow endpoint, whose slots free does not include.
+	if ready && (w.outlook.Position < free || s.request.Late) {
 		res.choice = p.policy.ChooseFree(s.service, s.request, p.slots.Ahead(w.entry, now), ticket.Tie, res.candidates)
 	}
 	if res.choice.Wait && !s.request.Late && len(s.cells) > 1 {
--- a/relay/waitpolicy_test.go
+++ b/relay/waitpolicy_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/slotqueue"
 )
 
 var headReadAt = time.Unix(1000, 0)
@@ -159,3 +160,67 @@
 	is.Equal(misdirected.afterAttempt(route, true), noRetry)
 	is.Equal(misdirected.unreachedRetryDelay(), time.Duration(0))
 }
+
+// TestSlotUrgency: a request that is late goes behind the others, but is served before its caller gives
+// up. A begun stream never goes behind.
+func TestSlotUrgency(t *testing.T) {
+	begun := testWaitPolicy()
+	begun.partial = true
+	for name, c := range map[string]struct {
+		p       waitPolicy
+		ms      int
+		urgency slotqueue.Urgency
+		waits   bool
+	}{
+		"in time":             {testWaitPolicy(), 2500, slotqueue.InTime, true},
+		"late":                {testWaitPolicy(), 2501, slotqueue.Late, true},
+		"late, still patient": {testWaitPolicy(), 8400, slotqueue.Late, true},
+		"caller gives up":     {testWaitPolicy(), 8401, slotqueue.InTime, true},
+		"caller is gone":      {testWaitPolicy(), 12_000, slotqueue.InTime, false},
+		"begun":               {begun, 5000, slotqueue.InTime, true},
+		"begun, patient":      {begun, 14_999, slotqueue.InTime, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.p.slotUrgency(msAfterHead(2500), msAfterHead(c.ms)), c.urgency)
+			is.Equal(c.p.mayWaitForSlot(msAfterHead(c.ms)), c.waits)
+		})
+	}
+}
+
+// TestMayRefuseSlot: a request is refused at once if it would start after 40 % of its caller's patience,
+// but not if it was sent or held, or its caller has no time to return.
+func TestMayRefuseSlot(t *testing.T) {
+	sent, resumed, hurried := testWaitPolicy(), testWaitPolicy(), testWaitPolicy()
+	sent.attempts, resumed.resumed = 1, true
+	hurried.deadline = headReadAt.Add(9 * time.Second)
+	for name, c := range map[string]struct {
+		p          waitPolicy
+		ms, waitMs int
+		want       bool
+	}{
+		"soon enough":      {testWaitPolicy(), 0, 4800, false},
+		"too late":         {testWaitPolicy(), 0, 4801, true},
+		"held":             {testWaitPolicy(), 375, 9000, false},
+		"sent":             {sent, 0, 9000, false},
+		"resumed":          {resumed, 0, 9000, false},
+		"no time to retry": {hurried, 0, 9000, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.p.mayRefuseSlot(time.Duration(c.waitMs)*time.Millisecond, msAfterHead(c.ms)), c.want)
+		})
+	}
+}
+
+// TestFairSharesNeedSharedSlots: fair shares order only what queues for slots, so that the setting alone
+// would have no effect.
+func TestFairSharesNeedSharedSlots(t *testing.T) {
+	is := is.New(t)
+	var s Settings
+	s.Load.FairShares = true
+	is.Equal(len(s.Check()), 1)
+	s.Load.SharedSlots = true
+	is.Equal(len(s.Check()), 0)
+	is.True(s.config().SharedSlots && s.config().FairShares)
+}
