peers: the ages of residual reports count until sending

Cause: Message.addAge advanced every age but those in Residual. A gateway that was frozen between the collection of the loads and the sending sent reports that looked newer than they are, and receivers keep the newest one.

Change: addAge advances them, in a copy of the map.

Result: TestResidualAges fails before (AgeMs 5 instead of 7) and passes now.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -140,6 +141,11 @@
 	for i := range m.Digests {
 		m.Digests[i].AgeMs += more
 	}
+	m.Residual = maps.Clone(m.Residual)
+	for id, r := range m.Residual {
+		r.AgeMs += more
+		m.Residual[id] = r
+	}
 }
 
 // MaxAge is the largest age that gateways tell and believe: whatever is older counts as unknown.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -273,3 +273,14 @@
 		}
 	}
 }
+
+// TestResidualAges guards against reports of residual load that become younger between the collection of
+// the loads and the sending of the message.
+func TestResidualAges(t *testing.T) {
+	is := is.New(t)
+	reports := map[string]residual.Report{"e": {Requests: 2, AgeMs: 5}}
+	msg := Message{ProofAgeMs: -1, Residual: reports}
+	msg.addAge(1500 * time.Microsecond)
+	is.Equal(msg.Residual["e"], residual.Report{Requests: 2, AgeMs: 7})
+	is.Equal(reports["e"].AgeMs, int64(5)) // the caller's map is unchanged
+}
