residual: a late message does not revoke what its gateway said since

Cause: a complete message that arrives after a later one is marked Late and its other fields may be outdated. Leaving and Starting of such a message replaced the newer ones, so the load of a gateway that had shut down in order could count as residual load for up to 15 s.

Change: residual.Message tells that a message is late; the table then keeps Leaving and Starting of the same process.

Result: TestLateMessageKeepsStatement fails before (Starting was taken over) and passes now.

--- a/relay/picker.go
+++ b/relay/picker.go
@@ -284,7 +284,7 @@
 func (p *picker) recordPeer(msg peers.Message, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads.RecordPeerProcess(residual.Message{Name: msg.From, Incarnation: msg.Incarnation, Leaving: msg.ShuttingDown, Starting: msg.Starting, Complete: !msg.Partial}, msg.Loads, now)
+	p.loads.RecordPeerProcess(residual.Message{Name: msg.From, Incarnation: msg.Incarnation, Leaving: msg.ShuttingDown, Starting: msg.Starting, Complete: !msg.Partial, Late: msg.Late}, msg.Loads, now)
 	if msg.Partial {
 		p.loads.UpdatePeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	} else {
--- a/residual/residual.go
+++ b/residual/residual.go
@@ -456,6 +456,8 @@
 	// Loads is the load of the gateway if the message is a complete one.
 	Loads    map[string]Load
 	Complete bool
+	// Late is set if a later message was received before: Leaving and Starting are outdated.
+	Late bool
 }
 
 // PeerMessage records a message of another gateway. If the gateway was only silent for a while, its
@@ -467,6 +469,9 @@
 	p := process{m.Name, m.Incarnation}
 	old := t.peers[m.Name]
 	known := old.process == p && old.complete
+	if m.Late && old.process == p {
+		m.Leaving, m.Starting = old.leaving, old.starting
+	}
 	t.peers[m.Name] = peer{p, m.Leaving, m.Complete || known, m.Starting, now}
 	if m.Complete && !known && !m.Starting {
 		t.firstHeard(m.Loads, now)
--- a/residual/residual_test.go
+++ b/residual/residual_test.go
@@ -311,3 +311,17 @@
 	is.True(!table.Unknown("e", start) && !table.Active(start) && !table.Starting(start) && !table.Replaces("p", 2))
 	is.Equal(table.Updates(true, start), nil)
 }
+
+// TestLateMessageKeepsStatement guards against a message that arrives after a later one and revokes what
+// the gateway has said since, so that the load of a gateway that shut down counted as residual.
+func TestLateMessageKeepsStatement(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable(1)
+	table.PeerMessage(Message{Name: "b", Incarnation: 1, Leaving: true}, now)
+	table.PeerMessage(Message{Name: "b", Incarnation: 1, Starting: true, Complete: true, Late: true}, now)
+	is.Equal(table.peers["b"].starting, false)
+	is.True(table.peers["b"].complete)
+	table.PeerSilent("b", map[string]Load{"e": {Requests: 3}}, now)
+	is.Equal(table.Load("e", now), Load{})
+}
