residual: forget gateway processes that left nothing behind

Cause: the table dropped peers only in Due, which is not called once there are no reports to ask for, and it dropped only the newest process of a name from the silent ones. Both records grew with each gateway process that had ever been heard, in a process that runs for long.

Change: a message of a new process also drops what has expired, and a silent process is dropped once no endpoint has load of it.

Result: TestForgetsProcesses failed before (more than 3 peers; with that mended, more than 3 silent processes) and passes now.

--- a/residual/residual.go
+++ b/residual/residual.go
@@ -304,12 +304,20 @@
 			delete(t.endpoints, id)
 		}
 	}
-	for name, p := range t.peers {
-		if now.Sub(p.heardAt) > t.lifetime {
-			delete(t.peers, name)
-			delete(t.silent, p.process)
+	maps.DeleteFunc(t.peers, func(_ string, p peer) bool { return now.Sub(p.heardAt) > t.lifetime })
+	maps.DeleteFunc(t.silent, func(p process, _ bool) bool { return !t.hasLoad(p) })
+}
+
+// hasLoad reports whether a silent process has load at any endpoint.
+func (t *Table) hasLoad(p process) bool {
+	for _, e := range t.endpoints {
+		_, silent := e.silent[p]
+		_, included := e.included[p]
+		if silent || included {
+			return true
 		}
 	}
+	return false
 }
 
 func (t *Table) estimate(endpoint string) *estimate {
@@ -472,6 +480,9 @@
 	if m.Late && old.process == p {
 		m.Leaving, m.Starting = old.leaving, old.starting
 	}
+	if old.process != p {
+		t.expire(now) // otherwise called only while there may be reports to ask for
+	}
 	t.peers[m.Name] = peer{p, m.Leaving, m.Complete || known, m.Starting, now}
 	if m.Complete && !known && !m.Starting {
 		t.firstHeard(m.Loads, now)
--- a/residual/residual_test.go
+++ b/residual/residual_test.go
@@ -325,3 +325,21 @@
 	table.PeerSilent("b", map[string]Load{"e": {Requests: 3}}, now)
 	is.Equal(table.Load("e", now), Load{})
 }
+
+// TestForgetsProcesses guards against records of gateway processes that are kept for ever, by a table that
+// asks for no reports any more and by one whose gateways restart often.
+func TestForgetsProcesses(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable(1)
+	for n := range 100 {
+		now = now.Add(MaxLifetime)
+		name := fmt.Sprint("left-", n)
+		table.PeerMessage(Message{Name: name, Incarnation: 1, Complete: true}, now)
+		table.PeerMessage(Message{Name: name, Incarnation: 1, Leaving: true}, now)
+		table.PeerMessage(Message{Name: "restarts", Incarnation: uint64(n + 1), Complete: true}, now)
+		table.PeerSilent("restarts", map[string]Load{"e": {Requests: 3}}, now)
+	}
+	is.True(len(table.peers) <= 3)
+	is.True(len(table.silent) <= 3)
+}
