peers: receipts of senders that are gone expire at every gateway

Cause: receipts were dropped only while clock echoes were collected, which only representatives of a cell do. At the other gateways they grew with each gateway name; with forwarding each one also holds the changes of load of its sender.

Change: Members drops them after memberTTL, like the members.

Result: TestReceiptsExpire fails before and passes now.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -319,6 +319,7 @@
 		}
 		out = append(out, r.Member)
 	}
+	maps.DeleteFunc(m.lastReceived, func(_ string, r receipt) bool { return now.Sub(r.at) > memberTTL })
 	for _, l := range m.listed {
 		if _, isRecent := m.recent[l.Address]; !isRecent && l.Address != self {
 			out = append(out, l)
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -284,3 +284,17 @@
 	is.Equal(msg.Residual["e"], residual.Report{Requests: 2, AgeMs: 7})
 	is.Equal(reports["e"].AgeMs, int64(5)) // the caller's map is unchanged
 }
+
+// TestReceiptsExpire guards against receipts that a gateway which sends no clock echoes keeps for ever.
+func TestReceiptsExpire(t *testing.T) {
+	is := is.New(t)
+	m, err := Listen("a", "127.0.0.1:0")
+	is.NoErr(err)
+	defer m.Close()
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 1, ShuttingDown: true}, from, false))
+	m.Members(time.Now().Add(memberTTL - time.Second))
+	is.Equal(len(m.lastReceived), 1)
+	m.Members(time.Now().Add(memberTTL + time.Second))
+	is.Equal(len(m.lastReceived), 0)
+}
