relay: the messages that are not forwarded have digests and drains

Cause: every fourth regular message is sent to all members directly, but these were the odd ones, and digests, all drains and repeated crash reports are in the even ones. What forwarders lost of these was never sent directly.

Change: the direct message is one with digests.

--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -21,7 +21,8 @@
 	// broadcastsPerDigest is how many regular messages are sent for each one with digests.
 	broadcastsPerDigest = 2
 	// broadcastsPerDirect is how many regular messages are sent for each one that is not forwarded, so
-	// that what is lost with forwarders is repaired within a second.
+	// that what is lost with forwarders is repaired within a second. It is a multiple of
+	// broadcastsPerDigest, so that this message has everything that is repeated.
 	broadcastsPerDirect = 4
 )
 
@@ -71,10 +72,8 @@
 			return
 		case due := <-heartbeat.C:
 			g.deps.Mesh.RecordDelay(time.Since(due))
-			cause, direct = broadcastDue, heartbeats%broadcastsPerDirect == 0
-			if heartbeats++; heartbeats%broadcastsPerDigest == 0 {
-				cause = digestsDue
-			}
+			heartbeats++
+			cause, direct = regularTrigger(heartbeats)
 		case <-g.fullMessageDue:
 			cause = proofRead
 		case <-g.picker.sendSoon:
@@ -87,6 +86,15 @@
 	}
 }
 
+// regularTrigger returns the trigger of the nth regular message, and whether the message is not forwarded.
+func regularTrigger(n int) (cause trigger, direct bool) {
+	cause, direct = broadcastDue, n%broadcastsPerDirect == 0
+	if n%broadcastsPerDigest == 0 {
+		cause = digestsDue
+	}
+	return cause, direct
+}
+
 // broadcastSoon causes a complete message to be sent soon, since others wait for what was read.
 func (g *Gateway) broadcastSoon() {
 	select {
--- a/relay/messagesize_test.go
+++ b/relay/messagesize_test.go
@@ -208,3 +208,18 @@
 		is.Equal(datagrams, []int{direct, forwarded, forwarded, forwarded, direct, forwarded, forwarded, forwarded})
 	})
 }
+
+// TestDirectMessagesHaveDigests guards against digests, drains and repeated crash reports that only
+// forwarded messages contain, so that what forwarders lose of them is never repaired.
+func TestDirectMessagesHaveDigests(t *testing.T) {
+	directs, withDigests := 0, 0
+	for n := 1; n <= 4*broadcastsPerDirect; n++ {
+		if cause, direct := regularTrigger(n); direct {
+			directs++
+			if cause == digestsDue {
+				withDigests++
+			}
+		}
+	}
+	is.New(t).Equal([]int{directs, withDigests}, []int{4, 4})
+}
