waitpolicy: the wait policy of requests is a package of its own

Change: relay/waitpolicy.go and its tests move to the package waitpolicy; names that relay uses are exported. No change of behaviour.

--- a/relay/backoff.go
+++ b/relay/backoff.go
@@ -71,7 +71,7 @@
 		return backoffNone, 0
 	}
 	switch {
-	case b.x.waitPolicy().mayWaitForBackoff(opensAt, now):
+	case b.x.waitPolicy().MayWaitForBackoff(opensAt, now):
 		if state != choiceNotItsTurn {
 			b.join()
 		}
--- a/relay/evacuate.go
+++ b/relay/evacuate.go
@@ -7,6 +7,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/waitpolicy"
 )
 
 // retryAfterEvacuated is the Retry-After while all endpoints of a service are in evacuated data centres,
@@ -108,7 +109,7 @@
 // refuseUnavailable refuses a request because no endpoint of its service accepts requests; ok is false if
 // that is not so.
 func (p *placementSearch) refuseUnavailable(now time.Time) (pl *placement, o outcome, next nextTry, ok bool) {
-	reason, retryAfter := "all endpoints leave", retryAfterDraining
+	reason, retryAfter := "all endpoints leave", waitpolicy.RetryAfterDraining
 	switch p.x.g.state.Unavailability(p.x.service.Name) {
 	case unavailableNone:
 		return nil, "", tryEnded, false
@@ -116,7 +117,7 @@
 		reason, retryAfter = "all data centres with endpoints are evacuated", retryAfterEvacuated
 	}
 	pl, o, next = p.refuse(reason, now, func() outcome {
-		return p.x.refuse(http.StatusServiceUnavailable, p.x.waitPolicy().capRetryAfter(retryAfter, now), refusedFull)
+		return p.x.refuse(http.StatusServiceUnavailable, p.x.waitPolicy().CapRetryAfter(retryAfter, now), refusedFull)
 	})
 	return pl, o, next, true
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/micarudder/micarudder/httpsyntax"
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/quarantine"
+	"github.com/micarudder/micarudder/waitpolicy"
 )
 
 // outcome is how a request ended, as written to logs and metrics.
@@ -191,7 +192,7 @@
 // pauseUnreached waits before an attempt to continue a stream whose newest attempt did not reach the
 // endpoint that was meant. It reports whether there is time left.
 func (x *exchange) pauseUnreached(ctx context.Context) bool {
-	delay := x.waitPolicy().unreachedRetryDelay()
+	delay := x.waitPolicy().UnreachedRetryDelay()
 	return delay == 0 || sleep.For(ctx, delay)
 }
 
@@ -225,10 +226,10 @@
 		x.retryGranted = false
 		return true
 	}
-	switch x.waitPolicy().afterAttempt(x.route, x.mayRun) {
-	case noRetry:
+	switch x.waitPolicy().AfterAttempt(x.route, x.mayRun) {
+	case waitpolicy.NoRetry:
 		return false
-	case freeRetry:
+	case waitpolicy.FreeRetry:
 		return true
 	}
 	ok := x.g.picker.takeRetry(x.service.Name, time.Now())
--- a/relay/limited.go
+++ b/relay/limited.go
@@ -117,7 +117,7 @@
 		Service: x.service.Name, Endpoints: candidates, Urgency: x.urgency(), SinceMs: now.Sub(x.started).Milliseconds(), Probe: mode == grantModeProbe,
 	}
 	if mode == grantModeWait {
-		q.WaitMs = max(0, x.waitPolicy().waitUntil().Sub(now).Milliseconds())
+		q.WaitMs = max(0, x.waitPolicy().WaitUntil().Sub(now).Milliseconds())
 	}
 	granted, a, err := x.g.requestGrant(ctx, q)
 	switch {
@@ -166,7 +166,7 @@
 	switch {
 	case found == pickNone:
 		mode = grantModeWait
-	case found == pickWait && x.waitPolicy().mayWait(true, now):
+	case found == pickWait && x.waitPolicy().MayWait(true, now):
 		return limitedResult{}
 	}
 	pl, result, retryAfter := x.placeWithGrant(ctx, *req, mode)
@@ -189,11 +189,11 @@
 	case result == grantNoCandidate && x.g.config.Policy.ExceedsMemory(x.service, *req):
 		// The request needs several endpoints at once, and endpoints with rate limits take only
 		// requests that need one.
-		return limitedResult{refusal: x.refuseLimited(x.waitPolicy().queueRetryAfter(now))}
+		return limitedResult{refusal: x.refuseLimited(x.waitPolicy().QueueRetryAfter(now))}
 	case result == grantUnavailable:
 		return limitedResult{retryAfter: retryAfterCoordinator}
 	default:
-		return limitedResult{retryAfter: x.waitPolicy().queueRetryAfter(now)}
+		return limitedResult{retryAfter: x.waitPolicy().QueueRetryAfter(now)}
 	}
 }
 
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/ratelimit"
+	"github.com/micarudder/micarudder/waitpolicy"
 )
 
 // TestAllEnginesLimited: all engines announce a limit. None gets more than it tolerates, and nearly
@@ -56,7 +57,7 @@
 				used := float64(sent) / (tc.limit * float64(tc.engines) * length.Seconds())
 				t.Logf("%.2f of the limits used, %d refused", used, len(f.refusalTimes))
 				is.True(used >= 0.9)
-				is.True(slices.Max(f.refusalTimes) <= 3*time.Second*waitPercent/100)
+				is.True(slices.Max(f.refusalTimes) <= 3*time.Second*waitpolicy.WaitPercent/100)
 			})
 		})
 	}
--- a/relay/place.go
+++ b/relay/place.go
@@ -7,17 +7,18 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/waitpolicy"
 )
 
 // queuePollInterval is the longest pause between two evaluations of the load.
 const queuePollInterval = 20 * time.Millisecond
 
 // waitPolicy returns the current wait and retry policy of the request.
-func (x *exchange) waitPolicy() waitPolicy {
-	return waitPolicy{
-		started: x.started, deadline: x.deadline, objective: x.route.Objective, firstPartTimeout: x.route.Patience,
-		attempts: x.attempts, unsentAttempts: x.unsentAttempts, helperFailures: x.helperFailures, resumed: x.stream != nil || x.call.LastEventID != "",
-		partial: x.partial(), unsent: x.unsent, misdirected: x.misdirected, wrongIncarnation: x.wrongIncarnation,
+func (x *exchange) waitPolicy() waitpolicy.Policy {
+	return waitpolicy.Policy{
+		Started: x.started, Deadline: x.deadline, Objective: x.route.Objective, FirstPartTimeout: x.route.Patience,
+		Attempts: x.attempts, UnsentAttempts: x.unsentAttempts, HelperFailures: x.helperFailures, Resumed: x.stream != nil || x.call.LastEventID != "",
+		Partial: x.partial(), Unsent: x.unsent, Misdirected: x.misdirected, WrongIncarnation: x.wrongIncarnation,
 	}
 }
 
@@ -81,7 +82,7 @@
 // they are busy.
 func (x *exchange) refuseUnplaced(queued bool) outcome {
 	if queued && !x.mayRun && x.r.Context().Err() == nil {
-		return x.refuse(http.StatusServiceUnavailable, x.waitPolicy().queueRetryAfter(time.Now()), refusedFull)
+		return x.refuse(http.StatusServiceUnavailable, x.waitPolicy().QueueRetryAfter(time.Now()), refusedFull)
 	}
 	return x.giveUp(refusedFull)
 }
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/waitpolicy"
 )
 
 // findPlacement finds an endpoint, and waits for one where that is better.
@@ -57,7 +58,7 @@
 	p.oversize = x.g.config.Policy.ExceedsMemory(x.service, p.request)
 	p.minEndpoints = x.minEndpoints(p.request)
 	if x.g.config.Policy.MustQueue(x.service, p.request) {
-		p.queueEntry = x.g.picker.joinQueue(x.service.Name, x.waitPolicy().promptUrgency(p.oversize, p.began), x.started.Add(x.route.Objective), p.began)
+		p.queueEntry = x.g.picker.joinQueue(x.service.Name, x.waitPolicy().PromptUrgency(p.oversize, p.began), x.started.Add(x.route.Objective), p.began)
 	}
 	return p
 }
@@ -74,7 +75,7 @@
 func (p *placementSearch) updateRequest() (now time.Time) {
 	p.x.deductSuspension()
 	now = time.Now()
-	p.x.waitPolicy().fillTimes(&p.request, p.x.g.shutdownNoticed(), now)
+	p.x.waitPolicy().FillTimes(&p.request, p.x.g.shutdownNoticed(), now)
 	if p.oversize {
 		p.request.Late = false // it takes much of many endpoints, so it keeps its turn
 	}
@@ -104,7 +105,7 @@
 	}
 	switch {
 	case found == pickFull:
-		return p.refuse(refusalReason(found), now, func() outcome { return x.refuse(http.StatusServiceUnavailable, retryAfterBusy, refusedBusy) })
+		return p.refuse(refusalReason(found), now, func() outcome { return x.refuse(http.StatusServiceUnavailable, waitpolicy.RetryAfterBusy, refusedBusy) })
 	case x.attempts == 0 && x.g.shutdownNoticed():
 		// The process may end before an endpoint is free.
 		return nil, x.refuse(http.StatusServiceUnavailable, retryAfterShutdown, refusedShutdown), tryEnded
@@ -129,7 +130,7 @@
 // choose chooses an endpoint if it is the request's turn.
 func (p *placementSearch) choose(now time.Time) (pl *placement, found pickOutcome, state choiceState) {
 	picker := p.x.g.picker
-	if p.queueEntry != nil && !p.request.Late && !picker.isNext(p.queueEntry, p.x.waitPolicy().promptUrgency(p.oversize, now), now) {
+	if p.queueEntry != nil && !p.request.Late && !picker.isNext(p.queueEntry, p.x.waitPolicy().PromptUrgency(p.oversize, now), now) {
 		p.backoff.leave() // others need not wait while it is not its turn
 		return nil, pickWait, choiceNotItsTurn
 	}
@@ -145,7 +146,7 @@
 func (p *placementSearch) waitOrRefuse(found pickOutcome, retryAfter time.Duration, now time.Time) (pl *placement, o outcome, next nextTry) {
 	busy := found == pickWait || retryAfter > 0
 	switch {
-	case p.x.waitPolicy().mayWait(busy, now):
+	case p.x.waitPolicy().MayWait(busy, now):
 		return nil, "", tryLater
 	case retryAfter > 0:
 		return p.refuse("no endpoint with a rate limit accepted it in time", now, func() outcome { return p.x.refuseLimited(retryAfter) })
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -9,6 +9,7 @@
 
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/stall"
+	"github.com/micarudder/micarudder/waitpolicy"
 )
 
 // errStalled ends an attempt whose stream made no progress.
@@ -100,7 +101,7 @@
 func (m *stallMonitor) begin(now time.Time) {
 	x := m.x
 	m.excluded = slices.Concat(x.tried, x.excluded)
-	m.attemptsLeft = len(x.sentEndpoints) < x.route.MaxAttempts && x.waitPolicy().afterAttempt(x.route, true) != noRetry
+	m.attemptsLeft = len(x.sentEndpoints) < x.route.MaxAttempts && x.waitPolicy().AfterAttempt(x.route, true) != waitpolicy.NoRetry
 	m.watch = stall.NewWatch(m.limit, x.g.checkSuspension(), now)
 	x.g.deliveries.update(func(d *stall.Deliveries) { d.Begin(m.endpoint) })
 	m.timer = time.AfterFunc(m.watch.Interval(), m.check)
--- a/relay/waitpolicy.go
+++ b/waitpolicy/waitpolicy.go
@@ -1,4 +1,6 @@
-package relay
+// Package waitpolicy decides how long a request waits, when it is refused and whether it is retried. It does
+// no I/O and reads no clock.
+package waitpolicy
 
 import (
 	"time"
@@ -8,22 +10,22 @@
 )
 
 const (
-	// retryAfterBusy is the Retry-After while all slots of a service are in use: slightly
+	// RetryAfterBusy is the Retry-After while all slots of a service are in use: slightly
 	// longer than a short request takes, so that the current requests have ended by then.
-	retryAfterBusy = 3 * time.Second
-	// retryAfterDraining is the Retry-After while all endpoints of a service are draining:
+	RetryAfterBusy = 3 * time.Second
+	// RetryAfterDraining is the Retry-After while all endpoints of a service are draining:
 	// their replacements are known one second after they have started.
-	retryAfterDraining = time.Second
+	RetryAfterDraining = time.Second
 	// retryAfterDivisor limits a Retry-After to a part of the caller's remaining time. Callers
 	// honour times up to that limit.
 	retryAfterDivisor = 3
 	// retryAfterQueue is the Retry-After when no endpoint may take a long prompt: by then the
 	// current prefills have ended, and most of the prompts that arrived with them are done.
 	retryAfterQueue = 4 * time.Second
-	// waitPercent is the part of its objective, in percent, that a long prompt may wait for idle
+	// WaitPercent is the part of its objective, in percent, that a long prompt may wait for idle
 	// endpoints. After that it is refused, since it would be late, and most prompts that wait
 	// longer are never served.
-	waitPercent = 35
+	WaitPercent = 35
 	// latePercent is the part of the time that its caller waits for a first part of the response, in
 	// percent, after which a long prompt counts as late.
 	latePercent = 40
@@ -52,135 +54,135 @@
 	maxUnreachedRetryDelay = 500 * time.Millisecond
 )
 
-// waitPolicy decides how long a request waits, when it is refused and whether it is retried. Its
+// Policy decides how long a request waits, when it is refused and whether it is retried. Its
 // methods are pure: the time is an argument.
-type waitPolicy struct {
-	started  time.Time
-	deadline time.Time // the earlier of the caller's and the route's
-	// objective is the time to the first part of the response within which the request counts as in
+type Policy struct {
+	Started  time.Time
+	Deadline time.Time // the earlier of the caller's and the route's
+	// Objective is the time to the first part of the response within which the request counts as in
 	// time.
-	objective time.Duration
-	// firstPartTimeout is how long the caller waits for the first part of the response; zero means
+	Objective time.Duration
+	// FirstPartTimeout is how long the caller waits for the first part of the response; zero means
 	// until the deadline.
-	firstPartTimeout time.Duration
-	// attempts counts the attempts that may have reached an endpoint, unsentAttempts the others.
-	// helperFailures counts the attempts that did not run because of a helper; they used no run of
+	FirstPartTimeout time.Duration
+	// Attempts counts the attempts that may have reached an endpoint, UnsentAttempts the others.
+	// HelperFailures counts the attempts that did not run because of a helper; they used no run of
 	// an endpoint.
-	// misdirected counts those that reached another incarnation than the one meant.
-	attempts, unsentAttempts, helperFailures, misdirected int
-	// resumed is set for a caller that resumes a stream.
-	resumed bool
-	// partial is set if the caller has received the beginning of a stream from this gateway.
-	partial bool
-	// unsent is set if the newest attempt failed before any byte was written, and wrongIncarnation if
+	// Misdirected counts those that reached another incarnation than the one meant.
+	Attempts, UnsentAttempts, HelperFailures, Misdirected int
+	// Resumed is set for a caller that resumes a stream.
+	Resumed bool
+	// Partial is set if the caller has received the beginning of a stream from this gateway.
+	Partial bool
+	// Unsent is set if the newest attempt failed before any byte was written, and WrongIncarnation if
 	// it reached another incarnation.
-	unsent, wrongIncarnation bool
+	Unsent, WrongIncarnation bool
 }
 
 // firstPartLimit returns how long the caller waits for the first part of the response.
-func (p waitPolicy) firstPartLimit() time.Duration {
-	limit := p.deadline.Sub(p.started)
-	if p.firstPartTimeout > 0 {
-		limit = min(limit, p.firstPartTimeout)
+func (p Policy) firstPartLimit() time.Duration {
+	limit := p.Deadline.Sub(p.Started)
+	if p.FirstPartTimeout > 0 {
+		limit = min(limit, p.FirstPartTimeout)
 	}
 	return limit
 }
 
-// fillTimes sets the fields of req that depend on the remaining time. A request of a process that is
+// FillTimes sets the fields of req that depend on the remaining time. A request of a process that is
 // stopping counts as late.
-func (p waitPolicy) fillTimes(req *balance.Request, shuttingDown bool, now time.Time) {
-	waited := now.Sub(p.started)
+func (p Policy) FillTimes(req *balance.Request, shuttingDown bool, now time.Time) {
+	waited := now.Sub(p.Started)
 	firstPartLimit := p.firstPartLimit()
-	mayWait := p.objective * waitPercent / 100
+	mayWait := p.Objective * WaitPercent / 100
 	req.Slack = mayWait - waited
 	req.WaitedShare = min(1, float64(waited)/float64(max(1, mayWait)))
 	req.Late = waited > firstPartLimit*latePercent/100 || shuttingDown
-	req.ObjectiveLeftMs = float64((p.objective - waited).Milliseconds())
+	req.ObjectiveLeftMs = float64((p.Objective - waited).Milliseconds())
 	req.DeadlineLeftMs = float64((firstPartLimit - waited).Milliseconds())
 	req.NoRefusal = !p.mayRefuseBusy(now)
 }
 
 // mayRefuseBusy reports whether a request may be refused because all slots are in use: it has not
 // been sent or held, and its caller has enough time to retry.
-func (p waitPolicy) mayRefuseBusy(now time.Time) bool {
-	untouched := p.attempts == 0 && p.unsentAttempts == 0 && !p.resumed
-	return untouched && now.Sub(p.started) < p.objective/earlyRefusalDivisor && p.deadline.Sub(now) > retryAfterDivisor*retryAfterBusy
+func (p Policy) mayRefuseBusy(now time.Time) bool {
+	untouched := p.Attempts == 0 && p.UnsentAttempts == 0 && !p.Resumed
+	return untouched && now.Sub(p.Started) < p.Objective/earlyRefusalDivisor && p.Deadline.Sub(now) > retryAfterDivisor*RetryAfterBusy
 }
 
-// mayWait reports whether a request that was not placed goes on waiting, for busy endpoints or for
+// MayWait reports whether a request that was not placed goes on waiting, for busy endpoints or for
 // any endpoint to become known. One that was already sent waits longer, and one whose caller has the
 // beginning of a stream waits until its deadline: endpoints that crash or are replaced are back
 // within seconds, and without the rest the caller loses what it has received.
-func (p waitPolicy) mayWait(busy bool, now time.Time) bool {
-	waited := now.Sub(p.started)
+func (p Policy) MayWait(busy bool, now time.Time) bool {
+	waited := now.Sub(p.Started)
 	switch {
-	case !busy && !p.partial:
-		return waited < p.objective/noEndpointWaitDivisor
+	case !busy && !p.Partial:
+		return waited < p.Objective/noEndpointWaitDivisor
 	default:
-		return now.Before(p.waitUntil())
+		return now.Before(p.WaitUntil())
 	}
 }
 
-// waitUntil returns until when a request goes on waiting for busy endpoints, see mayWait.
-func (p waitPolicy) waitUntil() time.Time {
+// WaitUntil returns until when a request goes on waiting for busy endpoints, see MayWait.
+func (p Policy) WaitUntil() time.Time {
 	switch {
-	case p.partial:
-		return p.deadline
-	case p.attempts > 0:
-		return p.started.Add(p.firstPartLimit() * resumeWaitPercent / 100)
+	case p.Partial:
+		return p.Deadline
+	case p.Attempts > 0:
+		return p.Started.Add(p.firstPartLimit() * resumeWaitPercent / 100)
 	default:
 		return p.inTimeBy()
 	}
 }
 
 // inTimeBy returns until when a request may be placed and still be in time.
-func (p waitPolicy) inTimeBy() time.Time { return p.started.Add(p.objective * waitPercent / 100) }
+func (p Policy) inTimeBy() time.Time { return p.Started.Add(p.Objective * WaitPercent / 100) }
 
-// mayWaitForBackoff reports whether a request waits for the end of a backoff, at the known time
+// MayWaitForBackoff reports whether a request waits for the end of a backoff, at the known time
 // opensAt: it does if it is still in time then. A resumed stream waits longer, since without the rest
 // its caller loses what it has received.
-func (p waitPolicy) mayWaitForBackoff(opensAt, now time.Time) bool {
+func (p Policy) MayWaitForBackoff(opensAt, now time.Time) bool {
 	limit := p.inTimeBy()
-	if p.resumed {
-		limit = p.waitUntil()
+	if p.Resumed {
+		limit = p.WaitUntil()
 	}
 	return now.Before(limit) && opensAt.Before(limit)
 }
 
-// queueRetryAfter returns the Retry-After for a caller that was refused because endpoints are
+// QueueRetryAfter returns the Retry-After for a caller that was refused because endpoints are
 // busy, limited to what the caller will wait.
-func (p waitPolicy) queueRetryAfter(now time.Time) time.Duration {
-	return p.capRetryAfter(retryAfterQueue, now)
+func (p Policy) QueueRetryAfter(now time.Time) time.Duration {
+	return p.CapRetryAfter(retryAfterQueue, now)
 }
 
-// capRetryAfter limits a Retry-After to what the caller will wait.
-func (p waitPolicy) capRetryAfter(retryAfter time.Duration, now time.Time) time.Duration {
-	return min(retryAfter, p.deadline.Sub(now)/retryAfterDivisor).Truncate(time.Millisecond)
+// CapRetryAfter limits a Retry-After to what the caller will wait.
+func (p Policy) CapRetryAfter(retryAfter time.Duration, now time.Time) time.Duration {
+	return min(retryAfter, p.Deadline.Sub(now)/retryAfterDivisor).Truncate(time.Millisecond)
 }
 
 // runs returns how many attempts count against the route's MaxAttempts. A begun stream whose endpoint has
 // restarted may reach the new incarnation several times before its entry is read.
-func (p waitPolicy) runs() int {
-	if p.partial {
-		return p.attempts - p.helperFailures - p.misdirected
+func (p Policy) runs() int {
+	if p.Partial {
+		return p.Attempts - p.HelperFailures - p.Misdirected
 	}
-	return p.attempts - p.helperFailures
+	return p.Attempts - p.HelperFailures
 }
 
-// unreachedRetryDelay returns the pause before the next attempt of a partial response whose newest
+// UnreachedRetryDelay returns the pause before the next attempt of a partial response whose newest
 // attempt did not reach the endpoint that was meant: while the entry of one that crashed remains, it may
 // be chosen again.
-func (p waitPolicy) unreachedRetryDelay() time.Duration {
-	if !p.partial || !p.unsent && !p.wrongIncarnation {
+func (p Policy) UnreachedRetryDelay() time.Duration {
+	if !p.Partial || !p.Unsent && !p.WrongIncarnation {
 		return 0
 	}
-	return min(minUnreachedRetryDelay<<min(p.unsentAttempts+p.misdirected, 8), maxUnreachedRetryDelay)
+	return min(minUnreachedRetryDelay<<min(p.UnsentAttempts+p.Misdirected, 8), maxUnreachedRetryDelay)
 }
 
-// promptUrgency returns the urgency of a long prompt among those that wait.
-func (p waitPolicy) promptUrgency(oversize bool, now time.Time) balance.Urgency {
+// PromptUrgency returns the urgency of a long prompt among those that wait.
+func (p Policy) PromptUrgency(oversize bool, now time.Time) balance.Urgency {
 	switch {
-	case now.Sub(p.started) > p.objective:
+	case now.Sub(p.Started) > p.Objective:
 		return balance.Late
 	case oversize:
 		return balance.Oversize
@@ -189,28 +191,28 @@
 	}
 }
 
-// retryDecision says whether a request is sent again after an attempt that brought no response.
-type retryDecision uint8
+// RetryDecision says whether a request is sent again after an attempt that brought no response.
+type RetryDecision uint8
 
 const (
-	noRetry       retryDecision = iota // it must not be sent again
-	freeRetry                          // no endpoint has received it
-	budgetedRetry                      // it may be sent again if the retry budget allows it
+	NoRetry       RetryDecision = iota // it must not be sent again
+	FreeRetry                          // no endpoint has received it
+	BudgetedRetry                      // it may be sent again if the retry budget allows it
 )
 
-// afterAttempt decides whether a request may be sent once more. mayRun is set when an endpoint may
+// AfterAttempt decides whether a request may be sent once more. mayRun is set when an endpoint may
 // have run it.
-func (p waitPolicy) afterAttempt(r *catalog.Route, mayRun bool) retryDecision {
+func (p Policy) AfterAttempt(r *catalog.Route, mayRun bool) RetryDecision {
 	switch {
-	case p.unsentAttempts > maxUnsentAttempts && !p.partial, p.helperFailures > maxHelperFailures:
-		return noRetry
-	case p.attempts == 0:
-		return freeRetry
+	case p.UnsentAttempts > maxUnsentAttempts && !p.Partial, p.HelperFailures > maxHelperFailures:
+		return NoRetry
+	case p.Attempts == 0:
+		return FreeRetry
 	case p.runs() >= r.MaxAttempts, mayRun && !r.Idempotent():
-		return noRetry
-	case p.partial && p.unsent:
-		return freeRetry // the budget was charged after the attempt that broke
+		return NoRetry
+	case p.Partial && p.Unsent:
+		return FreeRetry // the budget was charged after the attempt that broke
 	default:
-		return budgetedRetry
+		return BudgetedRetry
 	}
 }
--- a/relay/waitpolicy_test.go
+++ b/waitpolicy/waitpolicy_test.go
@@ -1,4 +1,4 @@
-package relay
+package waitpolicy
 
 import (
 	"testing"
@@ -14,8 +14,8 @@
 
 // testWaitPolicy returns the policy of a request with an objective of 3 s and a deadline of 15 s,
 // whose caller waits 12 s for the first part.
-func testWaitPolicy() waitPolicy {
-	return waitPolicy{started: headReadAt, deadline: headReadAt.Add(15 * time.Second), objective: 3 * time.Second, firstPartTimeout: 12 * time.Second}
+func testWaitPolicy() Policy {
+	return Policy{Started: headReadAt, Deadline: headReadAt.Add(15 * time.Second), Objective: 3 * time.Second, FirstPartTimeout: 12 * time.Second}
 }
 
 func msAfterHead(ms int) time.Time { return headReadAt.Add(time.Duration(ms) * time.Millisecond) }
@@ -25,11 +25,11 @@
 // has the beginning of a stream.
 func TestMayWait(t *testing.T) {
 	sent := testWaitPolicy()
-	sent.attempts = 1
+	sent.Attempts = 1
 	partial := sent
-	partial.partial = true
+	partial.Partial = true
 	for name, c := range map[string]struct {
-		p    waitPolicy
+		p    Policy
 		busy bool
 		ms   int
 		want bool
@@ -47,7 +47,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(c.p.mayWait(c.busy, msAfterHead(c.ms)), c.want)
+			is.Equal(c.p.MayWait(c.busy, msAfterHead(c.ms)), c.want)
 		})
 	}
 }
@@ -56,17 +56,17 @@
 // use, and only if its caller has more than three times the Retry-After left.
 func TestMayRefuseBusy(t *testing.T) {
 	for name, c := range map[string]struct {
-		change func(*waitPolicy)
+		change func(*Policy)
 		ms     int
 		want   bool
 	}{
-		"at once":     {func(*waitPolicy) {}, 0, true},
-		"held":        {func(*waitPolicy) {}, 375, false},
-		"sent":        {func(p *waitPolicy) { p.attempts = 1 }, 0, false},
-		"not reached": {func(p *waitPolicy) { p.unsentAttempts = 1 }, 0, false},
-		"resumed":     {func(p *waitPolicy) { p.resumed = true }, 0, false},
-		"little time": {func(p *waitPolicy) { p.deadline = msAfterHead(9000) }, 0, false},
-		"enough time": {func(p *waitPolicy) { p.deadline = msAfterHead(9001) }, 0, true},
+		"at once":     {func(*Policy) {}, 0, true},
+		"held":        {func(*Policy) {}, 375, false},
+		"sent":        {func(p *Policy) { p.Attempts = 1 }, 0, false},
+		"not reached": {func(p *Policy) { p.UnsentAttempts = 1 }, 0, false},
+		"resumed":     {func(p *Policy) { p.Resumed = true }, 0, false},
+		"little time": {func(p *Policy) { p.Deadline = msAfterHead(9000) }, 0, false},
+		"enough time": {func(p *Policy) { p.Deadline = msAfterHead(9001) }, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -74,7 +74,7 @@
 			c.change(&p)
 			is.Equal(p.mayRefuseBusy(msAfterHead(c.ms)), c.want)
 			var req balance.Request
-			p.fillTimes(&req, false, msAfterHead(c.ms))
+			p.FillTimes(&req, false, msAfterHead(c.ms))
 			is.Equal(req.NoRefusal, !c.want)
 		})
 	}
@@ -83,8 +83,8 @@
 // TestQueueRetryAfter: a caller is given a Retry-After that it will honour.
 func TestQueueRetryAfter(t *testing.T) {
 	is := is.New(t)
-	is.Equal(testWaitPolicy().queueRetryAfter(headReadAt), retryAfterQueue)
-	is.Equal(testWaitPolicy().queueRetryAfter(msAfterHead(9000)), 2*time.Second)
+	is.Equal(testWaitPolicy().QueueRetryAfter(headReadAt), retryAfterQueue)
+	is.Equal(testWaitPolicy().QueueRetryAfter(msAfterHead(9000)), 2*time.Second)
 }
 
 // TestFillTimes: the remaining times decrease with the wait, up to the first part of the response if
@@ -92,20 +92,20 @@
 func TestFillTimes(t *testing.T) {
 	is := is.New(t)
 	var req balance.Request
-	testWaitPolicy().fillTimes(&req, false, msAfterHead(525))
+	testWaitPolicy().FillTimes(&req, false, msAfterHead(525))
 	is.Equal(req.Slack, 525*time.Millisecond)
 	is.Equal(req.WaitedShare, 0.5)
 	is.Equal(req.ObjectiveLeftMs, 2475.0)
 	is.Equal(req.DeadlineLeftMs, 11475.0)
 	is.True(!req.Late)
-	testWaitPolicy().fillTimes(&req, false, msAfterHead(5000))
+	testWaitPolicy().FillTimes(&req, false, msAfterHead(5000))
 	is.True(req.Late)
 	is.Equal(req.WaitedShare, 1.0)
-	testWaitPolicy().fillTimes(&req, true, msAfterHead(0))
+	testWaitPolicy().FillTimes(&req, true, msAfterHead(0))
 	is.True(req.Late)
-	is.Equal(testWaitPolicy().promptUrgency(false, msAfterHead(3000)), balance.InTime)
-	is.Equal(testWaitPolicy().promptUrgency(true, msAfterHead(3000)), balance.Oversize)
-	is.Equal(testWaitPolicy().promptUrgency(true, msAfterHead(3001)), balance.Late)
+	is.Equal(testWaitPolicy().PromptUrgency(false, msAfterHead(3000)), balance.InTime)
+	is.Equal(testWaitPolicy().PromptUrgency(true, msAfterHead(3000)), balance.Oversize)
+	is.Equal(testWaitPolicy().PromptUrgency(true, msAfterHead(3001)), balance.Late)
 }
 
 // TestAfterAttempt: a request that may have run is repeated only if it may run twice, and within the
@@ -114,19 +114,19 @@
 	is := is.New(t)
 	once := &catalog.Route{Kind: catalog.Unsafe, MaxAttempts: 2}
 	safe := &catalog.Route{Kind: catalog.Safe, MaxAttempts: 2}
-	is.Equal(waitPolicy{}.afterAttempt(once, false), freeRetry)
-	is.Equal(waitPolicy{unsentAttempts: maxUnsentAttempts + 1}.afterAttempt(safe, false), noRetry)
-	is.Equal(waitPolicy{attempts: 1}.afterAttempt(once, true), noRetry)
-	is.Equal(waitPolicy{attempts: 1}.afterAttempt(once, false), budgetedRetry)
-	is.Equal(waitPolicy{attempts: 1}.afterAttempt(safe, true), budgetedRetry)
-	is.Equal(waitPolicy{attempts: 2}.afterAttempt(safe, false), noRetry)
+	is.Equal(Policy{}.AfterAttempt(once, false), FreeRetry)
+	is.Equal(Policy{UnsentAttempts: maxUnsentAttempts + 1}.AfterAttempt(safe, false), NoRetry)
+	is.Equal(Policy{Attempts: 1}.AfterAttempt(once, true), NoRetry)
+	is.Equal(Policy{Attempts: 1}.AfterAttempt(once, false), BudgetedRetry)
+	is.Equal(Policy{Attempts: 1}.AfterAttempt(safe, true), BudgetedRetry)
+	is.Equal(Policy{Attempts: 2}.AfterAttempt(safe, false), NoRetry)
 	// An attempt that did not run because of a helper used no run of an endpoint, but the number of
 	// such attempts is limited.
-	is.Equal(waitPolicy{attempts: 2, helperFailures: 2}.afterAttempt(once, false), budgetedRetry)
-	is.Equal(waitPolicy{attempts: 2, helperFailures: 1}.afterAttempt(once, false), budgetedRetry)
-	is.Equal(waitPolicy{attempts: 3, helperFailures: 1}.afterAttempt(once, false), noRetry)
-	is.Equal(waitPolicy{attempts: 2, helperFailures: 1}.afterAttempt(once, true), noRetry)
-	is.Equal(waitPolicy{attempts: maxHelperFailures + 1, helperFailures: maxHelperFailures + 1}.afterAttempt(safe, false), noRetry)
+	is.Equal(Policy{Attempts: 2, HelperFailures: 2}.AfterAttempt(once, false), BudgetedRetry)
+	is.Equal(Policy{Attempts: 2, HelperFailures: 1}.AfterAttempt(once, false), BudgetedRetry)
+	is.Equal(Policy{Attempts: 3, HelperFailures: 1}.AfterAttempt(once, false), NoRetry)
+	is.Equal(Policy{Attempts: 2, HelperFailures: 1}.AfterAttempt(once, true), NoRetry)
+	is.Equal(Policy{Attempts: maxHelperFailures + 1, HelperFailures: maxHelperFailures + 1}.AfterAttempt(safe, false), NoRetry)
 }
 
 // TestPartialStreamIsRetried: attempts that reach no endpoint do not end a stream that its caller has
@@ -134,28 +134,28 @@
 func TestPartialStreamIsRetried(t *testing.T) {
 	is := is.New(t)
 	route := &catalog.Route{Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2}
-	broken := waitPolicy{attempts: 1, partial: true}
-	is.Equal(broken.afterAttempt(route, true), budgetedRetry)
-	is.Equal(broken.unreachedRetryDelay(), time.Duration(0))
+	broken := Policy{Attempts: 1, Partial: true}
+	is.Equal(broken.AfterAttempt(route, true), BudgetedRetry)
+	is.Equal(broken.UnreachedRetryDelay(), time.Duration(0))
 	partial := testWaitPolicy()
-	partial.attempts, partial.resumed, partial.partial = 1, true, true
-	is.True(partial.mayWaitForBackoff(msAfterHead(14_999), msAfterHead(9000)))
-	is.True(!partial.mayWaitForBackoff(msAfterHead(15_000), msAfterHead(9000)))
+	partial.Attempts, partial.Resumed, partial.Partial = 1, true, true
+	is.True(partial.MayWaitForBackoff(msAfterHead(14_999), msAfterHead(9000)))
+	is.True(!partial.MayWaitForBackoff(msAfterHead(15_000), msAfterHead(9000)))
 	var total time.Duration
 	unreached := broken
-	unreached.unsent = true
-	for unreached.unsentAttempts = 1; total < 10*time.Second; unreached.unsentAttempts++ {
-		is.Equal(unreached.afterAttempt(route, true), freeRetry)
-		total += unreached.unreachedRetryDelay()
+	unreached.Unsent = true
+	for unreached.UnsentAttempts = 1; total < 10*time.Second; unreached.UnsentAttempts++ {
+		is.Equal(unreached.AfterAttempt(route, true), FreeRetry)
+		total += unreached.UnreachedRetryDelay()
 	}
-	is.True(unreached.unsentAttempts < 30)
-	unreached.attempts = 2
-	is.Equal(unreached.afterAttempt(route, true), noRetry)
+	is.True(unreached.UnsentAttempts < 30)
+	unreached.Attempts = 2
+	is.Equal(unreached.AfterAttempt(route, true), NoRetry)
 	// Attempts that the new incarnation of an endpoint rejects are charged, and bounded by the budget.
-	misdirected := waitPolicy{attempts: 4, misdirected: 3, wrongIncarnation: true, partial: true}
-	is.Equal(misdirected.afterAttempt(route, true), budgetedRetry)
-	is.True(misdirected.unreachedRetryDelay() > 0)
-	misdirected.partial = false
-	is.Equal(misdirected.afterAttempt(route, true), noRetry)
-	is.Equal(misdirected.unreachedRetryDelay(), time.Duration(0))
+	misdirected := Policy{Attempts: 4, Misdirected: 3, WrongIncarnation: true, Partial: true}
+	is.Equal(misdirected.AfterAttempt(route, true), BudgetedRetry)
+	is.True(misdirected.UnreachedRetryDelay() > 0)
+	misdirected.Partial = false
+	is.Equal(misdirected.AfterAttempt(route, true), NoRetry)
+	is.Equal(misdirected.UnreachedRetryDelay(), time.Duration(0))
 }
