recipients: the choice of recipients is a package of its own

Change: relay/recipients.go moves to the package recipients, with the number of store readers and the order of gateways that it uses. No change of behaviour.

The tests of relay run after the last move.

--- a/relay/bootstrap.go
+++ b/relay/bootstrap.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/recipients"
 )
 
 const (
@@ -114,11 +115,11 @@
 func firstReadDelay(self, dataCentre string, members []peers.Member) time.Duration {
 	preceding := 0
 	for _, m := range members {
-		if m.Name != "" && m.DataCentre == dataCentre && precedes(m.Name, self) {
+		if m.Name != "" && m.DataCentre == dataCentre && recipients.Precedes(m.Name, self) {
 			preceding++
 		}
 	}
-	return min(maxFirstReadDelay, time.Duration(preceding/storeReaders)*firstReadInterval)
+	return min(maxFirstReadDelay, time.Duration(preceding/recipients.StoreReaders)*firstReadInterval)
 }
 
 // otherSeeds returns the addresses of the other seed gateways. It returns none if this gateway is a seed
--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -9,6 +9,7 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/quarantine"
+	"github.com/micarudder/micarudder/recipients"
 )
 
 const (
@@ -114,9 +115,9 @@
 }
 
 // outgoing returns the messages to be sent for a trigger.
-func (g *Gateway) outgoing(r recipients, cause trigger, now time.Time) []outgoingMessage {
-	g.quarantine.representative.Store(r.representative)
-	g.picker.setFleetSize(r.gateways, int(g.listedGatewayCount.Load()))
+func (g *Gateway) outgoing(r recipients.Recipients, cause trigger, now time.Time) []outgoingMessage {
+	g.quarantine.representative.Store(r.Representative)
+	g.picker.setFleetSize(r.Gateways, int(g.listedGatewayCount.Load()))
 	g.refreshLimits(r, now)
 	load := g.picker.localLoad(cause != loadChanged, now)
 	base := peers.Message{
@@ -126,14 +127,14 @@
 	}
 	if cause != loadChanged {
 		g.fillReads(&base, now)
-		base.EchoClocks = r.representative
+		base.EchoClocks = r.Representative
 	}
 	out := []outgoingMessage{g.localMessage(base, r, cause, load, now)}
-	cells := slices.Sorted(maps.Keys(r.remote))
+	cells := slices.Sorted(maps.Keys(r.Remote))
 	// The reports on quarantined requests are repeated to one cell in turn, a different one from
 	// each cell, so that each cell receives the same number of repeats however many cells there
 	// are.
-	localIndex, _ := slices.BinarySearch(cells, r.localCell)
+	localIndex, _ := slices.BinarySearch(cells, r.LocalCell)
 	for n, c := range cells {
 		repeat := cause == digestsDue && n == (localIndex+g.quarantine.nextCell)%len(cells)
 		if m, ok := g.remoteMessage(base, r, c, cause, load.byCell[c], repeat, now); ok {
@@ -147,31 +148,31 @@
 }
 
 // localMessage returns the message for the local cell, with the load at all endpoints.
-func (g *Gateway) localMessage(msg peers.Message, r recipients, cause trigger, load localLoad, now time.Time) outgoingMessage {
+func (g *Gateway) localMessage(msg peers.Message, r recipients.Recipients, cause trigger, load localLoad, now time.Time) outgoingMessage {
 	msg.Loads, msg.Waiting, msg.Observations = load.all, load.waiting, load.observations
 	msg.Residual, msg.Starting = load.residual, load.starting
 	g.endpointLimits.fillMessage(&msg, cause != loadChanged, now)
-	if r.representative && cause == digestsDue {
+	if r.Representative && cause == digestsDue {
 		msg.Digests = g.picker.remoteDigests(now)
 	}
 	// A gateway that is stopped may be the only one that knows of a request, if the others have just been
 	// started.
-	repeat := (r.representative || msg.ShuttingDown) && cause == digestsDue
-	msg.CrashReports = g.crashReports(quarantine.LocalCell, r.representative, cause == loadChanged, repeat, now)
+	repeat := (r.Representative || msg.ShuttingDown) && cause == digestsDue
+	msg.CrashReports = g.crashReports(quarantine.LocalCell, r.Representative, cause == loadChanged, repeat, now)
 	msg.Kind = cause.kind()
-	return outgoingMessage{msg, r.local}
+	return outgoingMessage{msg, r.Local}
 }
 
 // remoteMessage returns the message for another cell, if there is one to send: the load at that
 // cell's endpoints, and what representatives of cells send each other.
-func (g *Gateway) remoteMessage(msg peers.Message, r recipients, otherCell string, cause trigger, loads map[string]balance.Load, repeat bool, now time.Time) (outgoingMessage, bool) {
+func (g *Gateway) remoteMessage(msg peers.Message, r recipients.Recipients, otherCell string, cause trigger, loads map[string]balance.Load, repeat bool, now time.Time) (outgoingMessage, bool) {
 	msg.Loads, msg.Kind = loads, peers.CrossCellReport
 	if cause == loadChanged {
 		msg.Kind = peers.CrossCellLoad
 	}
-	representative := r.representative && (cause == digestsDue || cause == proofRead)
+	representative := r.Representative && (cause == digestsDue || cause == proofRead)
 	if representative && cause == digestsDue {
-		msg.Digests = []peers.Digest{g.picker.localDigest(otherCell, g.config.DataCentre, r.gateways, now)}
+		msg.Digests = []peers.Digest{g.picker.localDigest(otherCell, g.config.DataCentre, r.Gateways, now)}
 	}
 	if representative {
 		msg.CrashReports = g.crashReports(quarantine.OtherCells, true, false, repeat, now)
@@ -180,9 +181,9 @@
 	}
 	switch {
 	case len(loads) > 0:
-		return outgoingMessage{msg, r.remote[otherCell]}, true
+		return outgoingMessage{msg, r.Remote[otherCell]}, true
 	case representative:
-		return outgoingMessage{msg, r.remoteRecipients[otherCell]}, true
+		return outgoingMessage{msg, r.RemoteRecipients[otherCell]}, true
 	default:
 		return outgoingMessage{}, false
 	}
--- a/relay/endpointlimits.go
+++ b/relay/endpointlimits.go
@@ -9,6 +9,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/ratelimit"
+	"github.com/micarudder/micarudder/recipients"
 )
 
 // endpointLimits holds the rate limits of endpoints known to this gateway, and the gateway that
@@ -310,10 +311,10 @@
 }
 
 // refreshLimits is called before each message is sent, and drops expired limits.
-func (g *Gateway) refreshLimits(r recipients, now time.Time) {
-	g.endpointLimits.expire(len(r.local)+1, func(id string) bool {
+func (g *Gateway) refreshLimits(r recipients.Recipients, now time.Time) {
+	g.endpointLimits.expire(len(r.Local)+1, func(id string) bool {
 		c, ok := g.state.CellOf(id)
-		return ok && c == r.localCell
+		return ok && c == r.LocalCell
 	}, now)
 	if g.updateCoordinator(now) {
 		g.picker.notifyPeers()
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -26,6 +26,7 @@
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/recipients"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -180,7 +181,7 @@
 		}
 		now := time.Now()
 		others := slices.Delete(slices.Clone(f.members), i, i+1)
-		r := newRecipients(g.config.Name, g.config.DataCentre, g.state.Cells(), others, g.storeReads.recentPeers(now))
+		r := recipients.New(g.config.Name, g.config.DataCentre, g.state.Cells(), others, g.storeReads.recentPeers(now))
 		for _, out := range g.outgoing(r, cause, now) {
 			f.deliver(i, out, now)
 		}
@@ -387,7 +388,7 @@
 	one, five := quiet(1), quiet(5)
 	is.Equal(one[len(one)/2], 20) // four messages a second to five others
 	is.Equal(five[len(five)/2], one[len(one)/2])
-	is.True(five[len(five)-1] <= one[len(one)-1]+2*4*(minCrossCellReceivers+storeReaders))
+	is.True(five[len(five)-1] <= one[len(one)-1]+2*4*(recipients.MinCrossCellReceivers+recipients.StoreReaders))
 }
 
 // TestCellRepresentativeFailover: when the two representatives of a cell fall silent, other
@@ -432,7 +433,7 @@
 	now := time.Now()
 	for i, g := range f.gateways {
 		others := slices.Delete(slices.Clone(f.members), i, i+1)
-		if newRecipients(g.config.Name, g.config.DataCentre, g.state.Cells(), others, g.storeReads.recentPeers(now)).representative {
+		if recipients.New(g.config.Name, g.config.DataCentre, g.state.Cells(), others, g.storeReads.recentPeers(now)).Representative {
 			out[i] = true
 		}
 	}
--- a/relay/gatewaylist_test.go
+++ b/relay/gatewaylist_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/recipients"
 )
 
 // TestOneGatewayReadsTheListOfGateways guards against reads of the list of gateways that grow with the square
@@ -34,7 +35,7 @@
 		return n
 	}
 	is.Equal(readers(gatewaysInterval), 1)
-	is.Equal(readers(2*gatewaysInterval), storeReaders)
+	is.Equal(readers(2*gatewaysInterval), recipients.StoreReaders)
 	is.Equal(readers(3*gatewaysInterval), gateways)
 }
 
--- a/relay/messagesize_test.go
+++ b/relay/messagesize_test.go
@@ -17,6 +17,7 @@
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/internal/meshnet"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/recipients"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -39,7 +40,7 @@
 	// The first gateway in the order of all represents its cell.
 	names := make([]string, gateways)
 	for n := range names {
-		if names[n] = fmt.Sprintf("gateway-%04d", n); precedes(names[n], names[0]) {
+		if names[n] = fmt.Sprintf("gateway-%04d", n); recipients.Precedes(names[n], names[0]) {
 			names[0], names[n] = names[n], names[0]
 		}
 	}
--- a/relay/residual.go
+++ b/relay/residual.go
@@ -42,7 +42,7 @@
 // gateway may ask. If it has heard from no other gateway, it may ask any.
 func (g *Gateway) residualWatched(members []peers.Member, now time.Time) ([]residual.Watched, map[string]catalog.Endpoint) {
 	localCell := g.state.Cells().Of(g.config.DataCentre)
-	names, recent := []string{g.config.Name}, g.storeReads.recentPeers(now).all
+	names, recent := []string{g.config.Name}, g.storeReads.recentPeers(now).All
 	for _, name := range g.localGateways(members) {
 		if recent[name] {
 			names = append(names, name)
--- a/relay/restored_test.go
+++ b/relay/restored_test.go
@@ -10,6 +10,7 @@
 	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/quarantine"
+	"github.com/micarudder/micarudder/recipients"
 )
 
 // TestProofFromAnOlderCopy: after a restore from an older copy the store returns an older version,
@@ -69,7 +70,7 @@
 		is := is.New(t)
 		reader, other := newMemoryTestGateway(t, nil).gateway, newMemoryTestGateway(t, nil).gateway
 		broadcast := func() {
-			r := newRecipients("g", "", reader.state.Cells(), []peers.Member{{Name: "o"}}, reader.storeReads.recentPeers(time.Now()))
+			r := recipients.New("g", "", reader.state.Cells(), []peers.Member{{Name: "o"}}, reader.storeReads.recentPeers(time.Now()))
 			for _, m := range reader.outgoing(r, loadChanged, time.Now()) {
 				other.recordStoreEra(m.message.StoreEra, "g")
 			}
--- a/relay/storereads.go
+++ b/relay/storereads.go
@@ -9,6 +9,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/endpointlist"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/recipients"
 )
 
 // Calls to the store are charged individually, so not every gateway reads it. One gateway, chosen
@@ -19,9 +20,6 @@
 // cost only additional calls.
 
 const (
-	// storeReaders is how many gateways ensure that the store is read: one reads, and one stands by
-	// in case the first one dies.
-	storeReaders = 2
 	// standbyAge is the age of the first reader's data at which the standby reads: one read was
 	// missed, and the message about it.
 	standbyAge = readInterval + readInterval/2
@@ -70,18 +68,18 @@
 }
 
 // recentPeers returns the peers that sent a message recently.
-func (s *storeReads) recentPeers(now time.Time) recentPeers {
+func (s *storeReads) recentPeers(now time.Time) recipients.Recent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	recent := recentPeers{all: make(map[string]bool), withStore: make(map[string]bool), crossCell: make(map[string]bool)}
+	recent := recipients.Recent{All: make(map[string]bool), WithStore: make(map[string]bool), CrossCell: make(map[string]bool)}
 	for name, peer := range s.withStore {
 		if now.Sub(peer.at) <= peerTimeout {
-			recent.all[name], recent.withStore[name] = true, true
+			recent.All[name], recent.WithStore[name] = true, true
 		}
 	}
 	for name, peer := range s.withoutStore {
 		if now.Sub(peer.at) <= peerTimeout {
-			recent.all[name] = true
+			recent.All[name] = true
 		}
 	}
 	for name, receivedAt := range s.crossCell {
@@ -89,14 +87,14 @@
 			delete(s.crossCell, name)
 			continue
 		}
-		recent.crossCell[name] = true
+		recent.CrossCell[name] = true
 	}
 	return recent
 }
 
 // recipients returns the recipients of this gateway's messages.
-func (g *Gateway) recipients(now time.Time) recipients {
-	return newRecipients(g.config.Name, g.config.DataCentre, g.state.Cells(), g.deps.Mesh.Members(now), g.storeReads.recentPeers(now))
+func (g *Gateway) recipients(now time.Time) recipients.Recipients {
+	return recipients.New(g.config.Name, g.config.DataCentre, g.state.Cells(), g.deps.Mesh.Members(now), g.storeReads.recentPeers(now))
 }
 
 // readTimes are the ages of data at which gateways read it from the store although another one should.
@@ -116,7 +114,7 @@
 // takeoverDelay returns how much later than takeover a gateway reads that this many gateways of its cell
 // precede, so that the cell does not read all at once what the first of them tell it.
 func takeoverDelay(preceding int) time.Duration {
-	return min(maxTakeoverDelay, time.Duration(preceding/storeReaders)*takeoverInterval)
+	return min(maxTakeoverDelay, time.Duration(preceding/recipients.StoreReaders)*takeoverInterval)
 }
 
 // frequentReadTimes are those of the configuration and the endpoints.
@@ -139,15 +137,15 @@
 		s.peersLostSince = now
 	}
 	switch {
-	case s.storeLost && notReaching < storeReaders:
+	case s.storeLost && notReaching < recipients.StoreReaders:
 		return true
 	case !s.storeLost && reaching == 0:
 		return true
-	case !s.storeLost && reaching < storeReaders && age > times.standby:
+	case !s.storeLost && reaching < recipients.StoreReaders && age > times.standby:
 		return true
 	case !s.storeLost && localReaching == 0 && age > times.standby:
 		return true
-	case !s.storeLost && localReaching < storeReaders && age > (times.standby+times.takeover)/2:
+	case !s.storeLost && localReaching < recipients.StoreReaders && age > (times.standby+times.takeover)/2:
 		return true
 	case age <= times.takeover+takeoverDelay(localReaching):
 		return false
@@ -166,7 +164,7 @@
 			delete(peers, name)
 			continue
 		}
-		if !precedes(name, self) {
+		if !recipients.Precedes(name, self) {
 			continue
 		}
 		all++
@@ -177,8 +175,7 @@
 	return all, local
 }
 
-// rank orders gateways independently of their names, so that the readers are in different data
-// centres.
+// rank orders endpoints independently of their names.
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
 
 // recordQuery records that this gateway queries the store.
--- a/relay/storereads_test.go
+++ b/relay/storereads_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/peers"
+	"github.com/micarudder/micarudder/recipients"
 )
 
 // veryOld is older than any age at which a gateway leaves the store to others.
@@ -44,7 +45,7 @@
 			deferring = s
 		}
 	}
-	is.Equal(querying, storeReaders)
+	is.Equal(querying, recipients.StoreReaders)
 	is.True(newStoreReads().shouldRead("0", veryOld, frequentReadTimes, now))
 	is.True(deferring.shouldRead("0", veryOld, frequentReadTimes, now.Add(peerTimeout+time.Millisecond)))
 	later := now.Add(readDeferral + time.Millisecond)
@@ -83,7 +84,7 @@
 	both := readers(standbyAge+time.Millisecond, "")
 	is.Equal(len(both), 2)
 	is.True(slices.Contains(both, first[0]))
-	is.Equal(len(readers(takeoverAge+takeoverInterval+time.Millisecond, "")), 2*storeReaders)
+	is.Equal(len(readers(takeoverAge+takeoverInterval+time.Millisecond, "")), 2*recipients.StoreReaders)
 	is.Equal(len(readers(takeoverAge+maxTakeoverDelay+time.Millisecond, "")), gateways)
 	without := readers(readInterval, first[0])
 	is.Equal(len(without), 2) // the one that cannot reach the store goes on querying it, and the next one reads
@@ -102,14 +103,14 @@
 		for i := range gateways {
 			names[cell] = append(names[cell], fmt.Sprint("g", cell, "-", i))
 		}
-		slices.SortFunc(names[cell], compareRank)
+		slices.SortFunc(names[cell], recipients.CompareRank)
 	}
 	readers := func(cell int, age time.Duration) (n int) {
 		for i := range gateways {
 			s := newStoreReads()
 			for other := range cells {
 				for j := range gateways {
-					if other == cell && j != i || other != cell && j < storeReaders {
+					if other == cell && j != i || other != cell && j < recipients.StoreReaders {
 						s.recordPeerStore(peers.Message{From: names[other][j]}, other == cell, now)
 					}
 				}
@@ -124,8 +125,8 @@
 	for cell := range cells {
 		fresh += readers(cell, readInterval)
 		is.True(readers(cell, standbyAge+time.Millisecond) >= 1)
-		is.Equal(readers(cell, takeoverAge+time.Millisecond), storeReaders)
-		is.Equal(readers(cell, takeoverAge+takeoverInterval+time.Millisecond), 2*storeReaders)
+		is.Equal(readers(cell, takeoverAge+time.Millisecond), recipients.StoreReaders)
+		is.Equal(readers(cell, takeoverAge+takeoverInterval+time.Millisecond), 2*recipients.StoreReaders)
 	}
 	is.Equal(fresh, 1) // while data is fresh, one gateway of the fleet reads
 }
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -96,7 +96,7 @@
 	cells := g.state.Cells()
 	localCell := cells.Of(g.config.DataCentre)
 	names := []string{g.config.Name}
-	recent := g.storeReads.recentPeers(now).all
+	recent := g.storeReads.recentPeers(now).All
 	for _, m := range members {
 		if recent[m.Name] && cells.Of(m.DataCentre) == localCell {
 			names = append(names, m.Name)
