limitstate: the known rate limits of endpoints are a package of their own

Change: the type endpointLimits moves from relay to the package limitstate, as State, with the limits of cold endpoints; its methods are exported. The method GrantShare replaces the access of a relay test to private fields. No change of behaviour.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -218,7 +218,7 @@
 		MaxIdle:    x.maxIdle(),
 		// An endpoint resets connections beyond the number that it accepts from all gateways
 		// together.
-		MaxIdleConns: maxIdlePerGateway(x.service.MaxConnections, x.g.endpointLimits.gatewayCount()),
+		MaxIdleConns: maxIdlePerGateway(x.service.MaxConnections, x.g.endpointLimits.GatewayCount()),
 		PreSendCheck: func() bool {
 			now := time.Now()
 			if !x.allAccept(pl, now) || !x.withinLimits(pl, now) {
--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -151,7 +151,7 @@
 func (g *Gateway) localMessage(msg peers.Message, r recipients.Recipients, cause trigger, load localLoad, now time.Time) outgoingMessage {
 	msg.Loads, msg.Waiting, msg.Observations = load.all, load.waiting, load.observations
 	msg.Residual, msg.Starting = load.residual, load.starting
-	g.endpointLimits.fillMessage(&msg, cause != loadChanged, now)
+	g.endpointLimits.FillMessage(&msg, cause != loadChanged, now)
 	if r.Representative && cause == digestsDue {
 		msg.Digests = g.picker.remoteDigests(now)
 	}
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -131,10 +131,10 @@
 		list := []catalog.Endpoint{{ID: "e0", Service: "s", Slots: 10, ColdFor: 3 * time.Second}}
 		g.applyCold(list, time.Now())
 		time.Sleep(2 * time.Second)
-		_, cold := g.endpointLimits.limit("e0")
+		_, cold := g.endpointLimits.Limit("e0")
 		is.True(cold)
 		time.Sleep(time.Second + 2*broadcastInterval)
-		_, cold = g.endpointLimits.limit("e0")
+		_, cold = g.endpointLimits.Limit("e0")
 		is.True(!cold)
 	})
 }
--- a/relay/digest.go
+++ b/relay/digest.go
@@ -48,7 +48,7 @@
 func (p *picker) spareEndpoints(s *catalog.Service, endpoints []catalog.Endpoint, now time.Time) []catalog.Endpoint {
 	var out []catalog.Endpoint
 	for _, e := range endpoints {
-		if _, limited := p.limits.limit(e.ID); limited {
+		if _, limited := p.limits.Limit(e.ID); limited {
 			continue // its own cell needs the requests that its rate limit permits
 		}
 		if p.state.InBackoff(e.ID, now) {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -187,7 +187,7 @@
 	if c.Kind == availability.ChangeGone || c.Kind == availability.ChangeRestarted {
 		g.deps.Endpoints.CloseIdleTo(e.ID)
 		g.picker.forget(e.ID)
-		g.endpointLimits.forget(e.ID)
+		g.endpointLimits.Forget(e.ID)
 	}
 }
 
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/limitstate"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/residual"
 	"github.com/micarudder/micarudder/stall"
@@ -91,7 +92,7 @@
 	held           *heldRequests
 	quarantine     *quarantineTable
 	suspensions    *suspensionDetector
-	endpointLimits *endpointLimits
+	endpointLimits *limitstate.State
 	grantClient    *peerClient
 	// askCoordinator requests a grant from another gateway.
 	askCoordinator func(ctx context.Context, name string, q grantQuestion) (grantAnswer, error)
--- a/relay/grant.go
+++ b/relay/grant.go
@@ -84,7 +84,7 @@
 	if g.updateCoordinator(requestedAt) {
 		g.picker.notifyPeers()
 	}
-	name := g.endpointLimits.coordinatorName()
+	name := g.endpointLimits.CoordinatorName()
 	ctx, cancel := context.WithTimeout(ctx, q.timeout())
 	defer cancel()
 	var a grantAnswer
@@ -109,11 +109,11 @@
 		Service: q.Service, Endpoints: q.Endpoints, Urgency: q.Urgency, Probe: q.Probe,
 		Since: received.Add(-time.Duration(q.SinceMs) * time.Millisecond), Until: received.Add(time.Duration(q.WaitMs) * time.Millisecond),
 	}
-	defer g.endpointLimits.removeRequest(req)
+	defer g.endpointLimits.RemoveRequest(req)
 	for {
 		now := time.Now()
 		g.checkSuspension() // votes from before a suspension do not count
-		decision, ok := g.endpointLimits.tryGrant(req, now)
+		decision, ok := g.endpointLimits.TryGrant(req, now)
 		switch {
 		case !ok:
 			return grantAnswer{}, errNotCoordinator
--- a/relay/limitcost_test.go
+++ b/relay/limitcost_test.go
@@ -30,7 +30,7 @@
 				e := catalog.Endpoint{ID: fmt.Sprintf("i-%010d", n), Service: s.Name, Address: addressOf(n), DataCentre: fmt.Sprintf("dc%02d", n%16), Slots: 16}
 				list = append(list, e)
 				if limited > 0 && n%limited == 0 {
-					p.limits.recordResponse(e, 0, ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, now)
+					p.limits.RecordResponse(e, 0, ratelimit.AdvertisedLimit{Set: true, PerSecond: 1.9}, now)
 				}
 			}
 			p.dataCentre = "dc03"
@@ -57,8 +57,8 @@
 	g := New(Config{Name: "g", Policy: balance.Default()}, Deps{Protocol: testProtocol{}, Log: eventlog.New(io.Discard, eventlog.Options{Level: log.ErrorLevel, LinesPerSecond: 1}),
 		Metrics: metrics.NewSet(), Endpoints: upstream.New(upstream.Options{})})
 	e := catalog.Endpoint{ID: "e"}
-	g.endpointLimits.recordResponse(e, 0, ratelimit.AdvertisedLimit{Set: true, PerSecond: 1e9}, time.Now())
-	g.endpointLimits.chooseCoordinator(false, time.Now().Add(-time.Minute))
+	g.endpointLimits.RecordResponse(e, 0, ratelimit.AdvertisedLimit{Set: true, PerSecond: 1e9}, time.Now())
+	g.endpointLimits.ChooseCoordinator(false, time.Now().Add(-time.Minute))
 	server := httptest.NewServer(g.PeerHandler())
 	defer server.Close()
 	client := newGrantClient(0)
--- a/relay/limited.go
+++ b/relay/limited.go
@@ -14,11 +14,11 @@
 // withoutLimited leaves out endpoints with rate limits. A choice never takes these by itself,
 // neither for the request nor as helpers: a request to one of them needs a grant.
 func (p *picker) withoutLimited(cells map[string][]catalog.Endpoint) map[string][]catalog.Endpoint {
-	if !p.limits.any() {
+	if !p.limits.Any() {
 		return cells
 	}
 	return excluding(cells, func(e catalog.Endpoint) bool {
-		_, limited := p.limits.limit(e.ID)
+		_, limited := p.limits.Limit(e.ID)
 		return limited
 	})
 }
@@ -26,11 +26,11 @@
 // limitedSearch returns a search among the local cell's endpoints with rate limits.
 func (p *picker) limitedSearch(service *catalog.Service, req balance.Request, hasIdleConn idleConnFunc, now time.Time) (s endpointSearch, endpoints []catalog.Endpoint) {
 	s = endpointSearch{picker: p, service: service, request: req, hasIdleConn: hasIdleConn, localCell: p.state.Cells().Of(p.dataCentre), now: now}
-	if !p.limits.any() {
+	if !p.limits.Any() {
 		return s, nil
 	}
 	for _, e := range p.state.AvailableEndpoints(service.Name, now)[s.localCell] {
-		if _, limited := p.limits.limit(e.ID); limited {
+		if _, limited := p.limits.Limit(e.ID); limited {
 			endpoints = append(endpoints, e)
 		}
 	}
@@ -134,7 +134,7 @@
 		result = grantAgain
 	}
 	if result != grantAgain && mode != grantModeProbe || err != nil {
-		x.g.deps.Log.Request("Endpoints' limits asked.", "request", x.call.ID, "coordinator", x.g.endpointLimits.coordinatorName(), "endpoints", len(candidates), "urgency", q.Urgency,
+		x.g.deps.Log.Request("Endpoints' limits asked.", "request", x.call.ID, "coordinator", x.g.endpointLimits.CoordinatorName(), "endpoints", len(candidates), "urgency", q.Urgency,
 			"waited_ms", q.SinceMs, "wait_ms", q.WaitMs, "granted", a.Endpoint, "refused", a.Refused, "retry_after_ms", a.RetryAfterMs, "probe", q.Probe, "err", err)
 	}
 	return pl, result, retryAfter
@@ -205,12 +205,12 @@
 // a while. Otherwise no gateway would find out that the limit has ended.
 func (x *exchange) probeLimited(ctx context.Context, req balance.Request) *placement {
 	now := time.Now()
-	if x.mayRun || x.g.config.Policy.MustQueue(x.service, req) || !x.g.picker.hasLimited(x.service, now) || !x.g.endpointLimits.mayProbe(x.service.Name, now) {
+	if x.mayRun || x.g.config.Policy.MustQueue(x.service, req) || !x.g.picker.hasLimited(x.service, now) || !x.g.endpointLimits.MayProbe(x.service.Name, now) {
 		return nil
 	}
 	pl, result, _ := x.placeWithGrant(ctx, req, grantModeProbe)
 	if result == grantPlaced {
-		x.g.endpointLimits.resetProbe(x.service.Name)
+		x.g.endpointLimits.ResetProbe(x.service.Name)
 	}
 	return pl
 }
@@ -222,7 +222,7 @@
 	if !g.state.AcceptsRequests(e.ID, time.Now()) {
 		return false
 	}
-	if _, limited := g.endpointLimits.limit(e.ID); !limited {
+	if _, limited := g.endpointLimits.Limit(e.ID); !limited {
 		return true
 	}
 	granted, _, err := g.requestGrant(g.ctx, grantQuestion{Service: e.Service, Endpoints: []string{e.ID}, Probe: true})
@@ -251,10 +251,10 @@
 // announced since the endpoints were chosen.
 func (x *exchange) withinLimits(pl *placement, now time.Time) bool {
 	for _, helper := range pl.helpers {
-		if _, limited := x.g.endpointLimits.limit(helper.ID); limited {
+		if _, limited := x.g.endpointLimits.Limit(helper.ID); limited {
 			return false
 		}
 	}
-	_, limited := x.g.endpointLimits.limit(pl.endpoint.ID)
+	_, limited := x.g.endpointLimits.Limit(pl.endpoint.ID)
 	return !limited || pl.grant.valid(now, x.g.checkSuspension())
 }
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
+	"github.com/micarudder/micarudder/limitstate"
 	"github.com/micarudder/micarudder/ratelimit"
 	"github.com/micarudder/micarudder/waitpolicy"
 )
@@ -73,11 +74,11 @@
 		f.setLimit("0.5", engineIndexes(3)...)
 		roundRobin := func(n int) int { return n % 24 }
 		f.sendLoad(t, 40, 6*time.Second, roundRobin)
-		is.True(f.gateways[5].endpointLimits.any())
+		is.True(f.gateways[5].endpointLimits.Any())
 		f.setLimit("", engineIndexes(3)...)
 		f.sendLoad(t, 40, 5*time.Second, roundRobin)
 		for _, g := range f.gateways {
-			is.True(!g.endpointLimits.any())
+			is.True(!g.endpointLimits.Any())
 		}
 		is.Equal(len(f.refusalTimes), 0)
 	})
@@ -96,13 +97,13 @@
 		f.send(t.Context(), 0, 500)
 		time.Sleep(50 * time.Millisecond)
 		for i, g := range f.gateways {
-			_, limited := g.endpointLimits.limit("e0")
+			_, limited := g.endpointLimits.Limit("e0")
 			is.Equal(limited, i != isolated)
 		}
 		time.Sleep(5 * time.Second) // the limit is no longer sent as a recent change
 		f.setDrops(nil)
-		time.Sleep(newcomerSendInterval + 2*broadcastInterval)
-		_, limited := f.gateways[isolated].endpointLimits.limit("e0")
+		time.Sleep(limitstate.NewcomerSendInterval + 2*broadcastInterval)
+		_, limited := f.gateways[isolated].endpointLimits.Limit("e0")
 		is.True(limited)
 	})
 }
@@ -133,7 +134,7 @@
 		for _, g := range f.gateways {
 			for e := range 4 {
 				endpoint, _ := g.state.Endpoint(fmt.Sprint("e", e))
-				g.endpointLimits.recordResponse(endpoint, g.endpointLimits.version(endpoint.ID), ratelimit.AdvertisedLimit{}, time.Now())
+				g.endpointLimits.RecordResponse(endpoint, g.endpointLimits.Version(endpoint.ID), ratelimit.AdvertisedLimit{}, time.Now())
 			}
 		}
 		all.Wait()
@@ -152,7 +153,7 @@
 		f.setLimit("2", engineIndexes(4)...)
 		roundRobin := func(n int) int { return n % 6 }
 		f.sendLoad(t, 40, 4*time.Second, roundRobin)
-		first := f.gateways[0].endpointLimits.coordinatorName()
+		first := f.gateways[0].endpointLimits.CoordinatorName()
 		gone := slices.IndexFunc(f.gateways, func(g *Gateway) bool { return g.config.Name == first })
 		f.mu.Lock()
 		f.silent[first] = true
@@ -162,7 +163,7 @@
 		f.sendLoad(t, 40, 2*time.Second, others)
 		from := time.Now()
 		f.sendLoad(t, 40, 8*time.Second, others)
-		is.True(f.gateways[(gone+1)%6].endpointLimits.coordinatorName() != first)
+		is.True(f.gateways[(gone+1)%6].endpointLimits.CoordinatorName() != first)
 		sent := 0
 		for e := range 4 {
 			sent += f.requestsSince(e, from)
@@ -186,7 +187,7 @@
 		from := time.Now()
 		f.setDrops(func(from, to int) bool { return from%2 != to%2 })
 		f.sendLoad(t, 60, 10*time.Second, roundRobin)
-		is.True(f.gateways[0].endpointLimits.coordinatorName() != f.gateways[1].endpointLimits.coordinatorName())
+		is.True(f.gateways[0].endpointLimits.CoordinatorName() != f.gateways[1].endpointLimits.CoordinatorName())
 		sent := 0
 		for e := range 4 {
 			sent += f.requestsSince(e, from)
@@ -238,7 +239,7 @@
 		f.setLimit("1", 0)
 		f.send(t.Context(), 0, 500)
 		time.Sleep(100 * time.Millisecond)
-		is.True(f.gateways[1].endpointLimits.any())
+		is.True(f.gateways[1].endpointLimits.Any())
 		f.setLimit("", 0)
 		restarted := first
 		restarted.Born = 2
@@ -250,7 +251,7 @@
 		f.send(t.Context(), 0, 500)
 		time.Sleep(time.Second)
 		for _, g := range f.gateways {
-			is.True(!g.endpointLimits.any())
+			is.True(!g.endpointLimits.Any())
 		}
 	})
 }
@@ -284,14 +285,14 @@
 				f.setLimit("1", 0)
 				f.send(t.Context(), 0, 500)
 				time.Sleep(20 * time.Millisecond)
-				is.True(f.gateways[1].endpointLimits.any())
+				is.True(f.gateways[1].endpointLimits.Any())
 				restarted := first
 				restarted.Born = born
 				for _, c := range f.gateways[0].state.ApplyList([]catalog.Endpoint{restarted}, time.Now(), time.Now(), time.Time{}) {
 					f.gateways[0].handleEndpointChange(c)
 				}
 				time.Sleep(500 * time.Millisecond) // the other gateway goes on sending the old limit
-				is.True(!f.gateways[0].endpointLimits.any())
+				is.True(!f.gateways[0].endpointLimits.Any())
 			})
 		})
 	}
@@ -316,8 +317,8 @@
 		is.True(x.mayRepeat())
 		is.Equal(x.attempts, 0)
 		res.Header.Del("Limit")
-		g.recordResponse(pl.endpoint, g.endpointLimits.version(pl.endpoint.ID), res, gatewayQuery, "") // the response to a gateway's own query ends no limit
-		is.True(g.endpointLimits.any())
+		g.recordResponse(pl.endpoint, g.endpointLimits.Version(pl.endpoint.ID), res, gatewayQuery, "") // the response to a gateway's own query ends no limit
+		is.True(g.endpointLimits.Any())
 	})
 }
 
@@ -339,12 +340,12 @@
 	_, err := post(grantQuestion{Service: "s", Endpoints: []string{"a"}})
 	is.True(err != nil) // no limit is known
 	is.Equal(b.send(t.Context(), "POST", "/safe/x", "", nil).status, 200)
-	is.True(b.gateway.endpointLimits.any())
+	is.True(b.gateway.endpointLimits.Any())
 	for !b.grantable() {
 		time.Sleep(10 * time.Millisecond)
 	}
 	limitedID := "a"
-	if _, ok := b.gateway.endpointLimits.limit("a"); !ok {
+	if _, ok := b.gateway.endpointLimits.Limit("a"); !ok {
 		limitedID = "b"
 	}
 	a, err := post(grantQuestion{Service: "s", Endpoints: []string{limitedID}, WaitMs: 1000})
@@ -358,10 +359,7 @@
 
 // grantable reports whether the gateway may grant by now.
 func (b *testGateway) grantable() bool {
-	l := b.gateway.endpointLimits
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.votes.Share(1, time.Now()) > 0
+	return b.gateway.endpointLimits.GrantShare(1, time.Now()) > 0
 }
 
 // TestIdleConnectionsOfAllGateways: an endpoint takes 264 connections from all gateways together
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -10,6 +10,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/limitstate"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/residual"
 )
@@ -35,7 +36,7 @@
 	// fleetKnownAt is the time from which fleetSize can be relied on.
 	fleetKnownAt time.Time
 	remoteCells  map[string]remoteCell // by cell name
-	limits       *endpointLimits       // has its own lock
+	limits       *limitstate.State     // has its own lock
 }
 
 // remoteCell is what the newest digest of another cell reports besides its load.
@@ -50,7 +51,7 @@
 		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, sendSoon: make(chan struct{}, 1),
 		loads: balance.NewLoadTracker(), queue: balance.NewPromptQueue(), health: health.NewTable(),
 		retryBudgets: make(map[string]*limits.RetryWindow), loadChanged: make(chan struct{}),
-		remoteCells: make(map[string]remoteCell), limits: newEndpointLimits(self),
+		remoteCells: make(map[string]remoteCell), limits: limitstate.New(self),
 	}
 }
 
--- a/relay/place.go
+++ b/relay/place.go
@@ -56,7 +56,7 @@
 	x.g.deps.Log.Request("Endpoint chosen.", append([]any{"request", x.call.ID, "endpoint", pl.endpoint.ID, "helpers", endpointIDs(pl.helpers), "reserved", len(pl.memoryDemands),
 		"tokens", x.call.PromptTokens, "waited_ms", waited.Milliseconds(),
 		"expected_ms", int(pl.expected.FirstMs), "harm", int(pl.expected.Interference), "idle", pl.expected.IdleEndpoints,
-		"read_ms", int(pl.loadBefore.PrefillMs), "short", pl.loadBefore.Short, "long", pl.loadBefore.Long, "memory", pl.loadBefore.MemoryTokens, "pace", pl.slowdown, "candidates", pl.candidates, "remote", pl.remoteEndpoints, "limit", x.g.endpointLimits.logValue(pl.endpoint.ID)}, more...)...)
+		"read_ms", int(pl.loadBefore.PrefillMs), "short", pl.loadBefore.Short, "long", pl.loadBefore.Long, "memory", pl.loadBefore.MemoryTokens, "pace", pl.slowdown, "candidates", pl.candidates, "remote", pl.remoteEndpoints, "limit", x.g.endpointLimits.LogValue(pl.endpoint.ID)}, more...)...)
 }
 
 // refusalReason returns the reason for the log when a choice with this outcome leads to a refusal.
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -91,7 +91,7 @@
 		return p.succeed(pl, now)
 	}
 	var limited limitedResult
-	if x.g.endpointLimits.any() {
+	if x.g.endpointLimits.Any() {
 		limited = x.placeAmongLimited(ctx, &p.request, found, now)
 		now = time.Now() // the call to the coordinator took time
 		switch {
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -24,7 +24,7 @@
 
 // do sends a request to an endpoint and records what the response says of that endpoint.
 func (g *Gateway) do(ctx context.Context, e catalog.Endpoint, req *upstream.Request, kind requestKind, request string) (*http.Response, error) {
-	sent := g.endpointLimits.version(e.ID)
+	sent := g.endpointLimits.Version(e.ID)
 	res, err := g.deps.Endpoints.Do(ctx, e.ID, e.Address, req)
 	if err != nil {
 		return nil, err
--- a/relay/suspend.go
+++ b/relay/suspend.go
@@ -73,7 +73,7 @@
 	}
 	g.state.DropProof(now, fresh)
 	g.storeReads.invalidateList(now)
-	g.endpointLimits.clearVotes()
+	g.endpointLimits.ClearVotes()
 	g.deps.Endpoints.CloseIdle()
 	g.peerClient.http.CloseIdleConnections()
 	g.grantClient.http.CloseIdleConnections()
