suspension: the detection of host suspensions is a package of its own

Change: suspensionDetector moves from relay to the package suspension, as Detector. No change of behaviour.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, readTimeout)
 	defer cancel()
 	g.checkSuspension()
-	if !g.suspensions.notBeforeSuspension(sent) {
+	if !g.suspensions.NotBefore(sent) {
 		sent = time.Now() // the host was suspended just before
 	}
 	g.storeReads.recordQuery(sent)
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/residual"
 	"github.com/micarudder/micarudder/stall"
+	"github.com/micarudder/micarudder/suspension"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -91,7 +92,7 @@
 	deliveries     *streamDeliveries
 	held           *heldRequests
 	quarantine     *quarantineTable
-	suspensions    *suspensionDetector
+	suspensions    *suspension.Detector
 	endpointLimits *limitstate.State
 	grantClient    *peerClient
 	// askCoordinator requests a grant from another gateway.
@@ -131,7 +132,7 @@
 	g.held = newHeldRequests(c)
 	g.deliveries = &streamDeliveries{record: stall.NewDeliveries()}
 	g.quarantine = newQuarantineTable()
-	g.suspensions = newSuspensionDetector(d.Suspended)
+	g.suspensions = suspension.New(d.Suspended)
 	g.endpointLimits = g.picker.limits
 	g.grantClient = newGrantClient(d.PeerPort)
 	g.askCoordinator = g.requestPeerGrant
--- a/relay/peerreads.go
+++ b/relay/peerreads.go
@@ -66,7 +66,7 @@
 	if !ok {
 		return
 	}
-	if !g.suspensions.notBeforeSuspension(sentAfter) {
+	if !g.suspensions.NotBefore(sentAfter) {
 		return // it answers a message from before the host was suspended
 	}
 	g.recordStoreEra(msg.StoreEra, msg.From)
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -127,7 +127,7 @@
 		}, events: streamEvents, arrivals: 1, atMost: callTimeout},
 		{name: "gateway suspended", beforeEvent: stallAt(2, stallLimit+time.Second, false), prepare: func(c *crashFleet) {
 			began := time.Now()
-			c.gateways[0].suspensions.total = func() time.Duration {
+			c.gateways[0].suspensions.Total = func() time.Duration {
 				if time.Since(began) < 2*time.Second {
 					return 0
 				}
