balance: a partial message does not end the load of a silent gateway

Cause: the first message of a gateway that nothing was heard from for a while removed its residual load, also if the message was a partial one, which has only the load that changed. Its other endpoints looked free until its next complete message, up to 250 ms later.

Change: the residual load stays until the complete message of the process arrives, or until the gateway says that it shuts down. Meanwhile endpoints in the partial message count both loads.

Result: TestPartialMessageAfterSilence fails before (load 0 instead of 4) and passes now; go test ./balance ./residual passes.

--- a/balance/residual.go
+++ b/balance/residual.go
@@ -24,6 +24,9 @@
 	if t.residual.Replaces(m.Name, m.Incarnation) {
 		t.retirePeer(m.Name, now)
 	}
+	if !m.Complete && !m.Leaving && t.residual.Silent(m.Name, m.Incarnation) {
+		return // most of its load is only in its next complete message
+	}
 	if m.Complete && t.residual.Starting(now) {
 		m.Loads = residualLoads(loads)
 	}
--- a/balance/residual_test.go
+++ b/balance/residual_test.go
@@ -52,3 +52,27 @@
 		})
 	}
 }
+
+// TestPartialMessageAfterSilence guards against endpoints that look free because the first message of a
+// gateway that was silent has only the load that changed.
+func TestPartialMessageAfterSilence(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	tracker, table := NewLoadTracker(), residual.NewTable(1)
+	table.Due(nil, 1, start.Add(-time.Minute))
+	tracker.CountResidual(table)
+	peer := residual.Message{Name: "p", Incarnation: 1, Complete: true}
+	tracker.RecordPeerProcess(peer, nil, start)
+	tracker.SetPeerLoad("p", "dc", map[string]Load{"e": {Short: 4}}, start)
+	back := start.Add(peerTTL + time.Millisecond)
+	peer.Complete = false
+	tracker.RecordPeerProcess(peer, nil, back)
+	tracker.UpdatePeerLoad("p", "dc", map[string]Load{"f": {Short: 1}}, back)
+	is.Equal(tracker.Load("e", back).Short, 4)
+	is.Equal(tracker.Load("f", back).Short, 1)
+	peer.Complete = true
+	tracker.RecordPeerProcess(peer, nil, back)
+	tracker.SetPeerLoad("p", "dc", map[string]Load{"e": {Short: 2}}, back)
+	is.Equal(tracker.Load("e", back).Short, 2)
+	is.Equal(tracker.Load("f", back).Short, 0)
+}
--- a/residual/residual.go
+++ b/residual/residual.go
@@ -432,6 +432,11 @@
 	return ok && p.incarnation != incarnation
 }
 
+// Silent reports whether load of this process may count as residual, because nothing was heard from it.
+func (t *Table) Silent(name string, incarnation uint64) bool {
+	return t != nil && t.silent[process{name, incarnation}]
+}
+
 // PeerSilent counts the load of a gateway that nothing is heard from as residual load, unless the
 // gateway said that it shuts down: engines drop most requests whose connection closes.
 func (t *Table) PeerSilent(name string, loads map[string]Load, now time.Time) {
