Correct two comments

Cause: Candidate.Own counts all requests of the gateway, not only short ones; residual reports in a late message need not have been received later.

Change: the comments say so.

Result: no code changes.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -63,7 +63,7 @@
 	Slowdown float64
 	// LoadUnknown is set while Load may lack requests of processes that are gone.
 	LoadUnknown bool
-	// Own is the number of requests in Load that are short ones of this gateway.
+	// Own is the number of requests in Load that are those of this gateway.
 	Own int
 }
 
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -292,7 +292,7 @@
 		p.loads.SetPeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	}
 	if msg.Late {
-		return // the rest was received later
+		return // the rest may be older than what was received; residual reports are repeated
 	}
 	p.loads.Residual().SetReports(msg.Residual, msg.Starting, now)
 	p.queue.SetPeerHeads(msg.From, msg.Waiting, now)
