relay: the first regular message is direct again

Cause: made the fourth regular message the direct one. The test TestEveryFourthMessageIsDirect, which requires the first and the fifth, failed.

Change: the direct messages are the first and the fifth as before; digests are in the first, third and so on, so that a direct message has them.

Result: TestEveryFourthMessageIsDirect and TestDirectMessagesHaveDigests pass, without a change to either.

--- a/relay/broadcast.go
+++ b/relay/broadcast.go
@@ -87,10 +87,11 @@
 	}
 }
 
-// regularTrigger returns the trigger of the nth regular message, and whether the message is not forwarded.
+// regularTrigger returns the trigger of the nth regular message, counted from 1, and whether it is not
+// forwarded.
 func regularTrigger(n int) (cause trigger, direct bool) {
-	cause, direct = broadcastDue, n%broadcastsPerDirect == 0
-	if n%broadcastsPerDigest == 0 {
+	cause, direct = broadcastDue, n%broadcastsPerDirect == 1
+	if n%broadcastsPerDigest == 1 {
 		cause = digestsDue
 	}
 	return cause, direct
