--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -273,3 +273,28 @@
 		}
 	}
 }
+
+// TestResidualAges guards against reports of residual load that become younger between the collection of
+// the loads and the sending of the message.
+func TestResidualAges(t *testing.T) {
+	is := is.New(t)
+	reports := map[string]residual.Report{"e": {Requests: 2, AgeMs: 5}}
+	msg := Message{ProofAgeMs: -1, Residual: reports}
+	msg.addAge(1500 * time.Microsecond)
+	is.Equal(msg.Residual["e"], residual.Report{Requests: 2, AgeMs: 7})
+	is.Equal(reports["e"].AgeMs, int64(5)) // the caller's map is unchanged
+}
+
+// TestReceiptsExpire guards against receipts that a gateway which sends no clock echoes keeps for ever.
+func TestReceiptsExpire(t *testing.T) {
+	is := is.New(t)
+	m, err := Listen("a", "127.0.0.1:0")
+	is.NoErr(err)
+	defer m.Close()
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	is.True(m.accept(&Message{From: "b", Incarnation: 1, Sequence: 1, ShuttingDown: true}, from, false))
+	m.Members(time.Now().Add(memberTTL - time.Second))
+	is.Equal(len(m.lastReceived), 1)
+	m.Members(time.Now().Add(memberTTL + time.Second))
+	is.Equal(len(m.lastReceived), 0)
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, readTimeout)
 	defer cancel()
 	g.checkSuspension()
-	if !g.suspensions.notBeforeSuspension(sent) {
+	if !g.suspensions.NotBefore(sent) {
 		sent = time.Now() // the host was suspended just before
 	}
 	g.storeReads.recordQuery(sent)
@@ -187,7 +187,7 @@
 	if c.Kind == availability.ChangeGone || c.Kind == availability.ChangeRestarted {
 		g.deps.Endpoints.CloseIdleTo(e.ID)
 		g.picker.forget(e.ID)
-		g.endpointLimits.forget(e.ID)
+		g.endpointLimits.Forget(e.ID)
 	}
 }
 
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -10,6 +10,7 @@
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/limits"
+	"github.com/micarudder/micarudder/limitstate"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/residual"
 )
@@ -35,7 +36,7 @@
 	// fleetKnownAt is the time from which fleetSize can be relied on.
 	fleetKnownAt time.Time
 	remoteCells  map[string]remoteCell // by cell name
-	limits       *endpointLimits       // has its own lock
+	limits       *limitstate.State     // has its own lock
 }
 
 // remoteCell is what the newest digest of another cell reports besides its load.
@@ -50,7 +51,7 @@
 		self: self, dataCentre: dataCentre, state: state, policy: policy, window: window, sendSoon: make(chan struct{}, 1),
 		loads: balance.NewLoadTracker(), queue: balance.NewPromptQueue(), health: health.NewTable(),
 		retryBudgets: make(map[string]*limits.RetryWindow), loadChanged: make(chan struct{}),
-		remoteCells: make(map[string]remoteCell), limits: newEndpointLimits(self),
+		remoteCells: make(map[string]remoteCell), limits: limitstate.New(self),
 	}
 }
 
@@ -284,14 +285,14 @@
 func (p *picker) recordPeer(msg peers.Message, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads.RecordPeerProcess(residual.Message{Name: msg.From, Incarnation: msg.Incarnation, Leaving: msg.ShuttingDown, Starting: msg.Starting, Complete: !msg.Partial}, msg.Loads, now)
+	p.loads.RecordPeerProcess(residual.Message{Name: msg.From, Incarnation: msg.Incarnation, Leaving: msg.ShuttingDown, Starting: msg.Starting, Complete: !msg.Partial, Late: msg.Late}, msg.Loads, now)
 	if msg.Partial {
 		p.loads.UpdatePeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	} else {
 		p.loads.SetPeerLoad(msg.From, msg.DataCentre, msg.Loads, now)
 	}
 	if msg.Late {
-		return // the rest was received later
+		return // the rest may be older than what was received; residual reports are repeated
 	}
 	p.loads.Residual().SetReports(msg.Residual, msg.Starting, now)
 	p.queue.SetPeerHeads(msg.From, msg.Waiting, now)
--- a/residual/residual.go
+++ b/residual/residual.go
@@ -304,12 +304,20 @@
 			delete(t.endpoints, id)
 		}
 	}
-	for name, p := range t.peers {
-		if now.Sub(p.heardAt) > t.lifetime {
-			delete(t.peers, name)
-			delete(t.silent, p.process)
+	maps.DeleteFunc(t.peers, func(_ string, p peer) bool { return now.Sub(p.heardAt) > t.lifetime })
+	maps.DeleteFunc(t.silent, func(p process, _ bool) bool { return !t.hasLoad(p) })
+}
+
+// hasLoad reports whether a silent process has load at any endpoint.
+func (t *Table) hasLoad(p process) bool {
+	for _, e := range t.endpoints {
+		_, silent := e.silent[p]
+		_, included := e.included[p]
+		if silent || included {
+			return true
 		}
 	}
+	return false
 }
 
 func (t *Table) estimate(endpoint string) *estimate {
@@ -424,6 +432,11 @@
 	return ok && p.incarnation != incarnation
 }
 
+// Silent reports whether load of this process may count as residual, because nothing was heard from it.
+func (t *Table) Silent(name string, incarnation uint64) bool {
+	return t != nil && t.silent[process{name, incarnation}]
+}
+
 // PeerSilent counts the load of a gateway that nothing is heard from as residual load, unless the
 // gateway said that it shuts down: engines drop most requests whose connection closes.
 func (t *Table) PeerSilent(name string, loads map[string]Load, now time.Time) {
@@ -456,6 +469,8 @@
 	// Loads is the load of the gateway if the message is a complete one.
 	Loads    map[string]Load
 	Complete bool
+	// Late is set if a later message was received before: Leaving and Starting are outdated.
+	Late bool
 }
 
 // PeerMessage records a message of another gateway. If the gateway was only silent for a while, its
@@ -467,6 +482,12 @@
 	p := process{m.Name, m.Incarnation}
 	old := t.peers[m.Name]
 	known := old.process == p && old.complete
+	if m.Late && old.process == p {
+		m.Leaving, m.Starting = old.leaving, old.starting
+	}
+	if old.process != p {
+		t.expire(now) // otherwise called only while there may be reports to ask for
+	}
 	t.peers[m.Name] = peer{p, m.Leaving, m.Complete || known, m.Starting, now}
 	if m.Complete && !known && !m.Starting {
 		t.firstHeard(m.Loads, now)
