relay: monitor a stream only once it has delivered an event with an id

Cause: the monitor of streams without progress began with the first complete event, whatever it contained. After a comment that an engine sends while it prefills, a prefill longer than the limit was cut. A stream whose events have no ids was cut and then started again from the beginning, so that its caller got the events twice.

Change: the monitor begins with the first event of the attempt by which the id of the last event changes. Events without ids still count as deliveries of their endpoint.

Measured: the two new cases of TestStreamWithoutProgress failed before (the comment and "data: 1" were delivered twice); all cases pass now.

--- a/relay/crashfleet_test.go
+++ b/relay/crashfleet_test.go
@@ -48,6 +48,8 @@
 
 	// beforeEvent is called before an engine writes the nth event of a stream; it may be nil.
 	beforeEvent func(e *scriptedEngine, n int)
+	// event returns the nth event of a stream; n is 0 for what is sent before the first one.
+	event func(n int) string
 
 	// listDelay is how long after the restart of an engine its new entry is read.
 	listDelay time.Duration
@@ -77,7 +79,7 @@
 }
 
 func newCrashFleet(t *testing.T, dataCentres, gateways, engines int) *crashFleet {
-	c := &crashFleet{testFleet: newFleet(t, dataCentres, gateways, engines), t: t, startDelay: startDelay, engines: make(map[string]*scriptedEngine)}
+	c := &crashFleet{testFleet: newFleet(t, dataCentres, gateways, engines), t: t, startDelay: startDelay, event: identifiedEvent, engines: make(map[string]*scriptedEngine)}
 	for _, e := range c.gateways[0].state.Endpoints("s") {
 		c.engines[e.Address] = &scriptedEngine{Endpoint: e, listed: true, conns: make(map[net.Conn]bool)}
 	}
@@ -161,12 +163,14 @@
 		return false
 	}
 	after, _ := strconv.Atoi(r.Header.Get("After"))
+	if !writeChunk(conn, c.event(0)) {
+		return false
+	}
 	for n := after + 1; n <= streamEvents; n++ {
 		if c.beforeEvent != nil {
 			c.beforeEvent(e, n)
 		}
-		event := fmt.Sprintf("id: %d\n\n", n)
-		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if !writeChunk(conn, c.event(n)) {
 			return false
 		}
 		c.mu.Lock()
@@ -178,6 +182,23 @@
 	return err == nil
 }
 
+// identifiedEvent is the nth event of a stream that can be resumed.
+func identifiedEvent(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("id: %d\n\n", n)
+}
+
+// writeChunk writes a part of a stream. It reports false when the connection must be closed.
+func writeChunk(conn net.Conn, text string) bool {
+	if text == "" {
+		return true
+	}
+	_, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+	return err == nil
+}
+
 // crash crashes an engine that still has the given name; it restarts after restartDelay.
 func (c *crashFleet) crash(e *scriptedEngine, id string) {
 	c.mu.Lock()
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -38,16 +38,18 @@
 }
 
 // stallMonitor cuts the stream of one attempt if its endpoint delivers no event for too long. It
-// begins with the first event of the attempt: a prompt that is prefilled again would otherwise be
-// cut, too. All methods accept a nil receiver.
+// begins with the first event of the attempt that has an id. Before that, the prompt may still be
+// prefilled, even if the endpoint has sent comments; and a stream without ids cannot be resumed, since
+// its events would be repeated. All methods accept a nil receiver.
 type stallMonitor struct {
-	x        *exchange
-	endpoint string
-	limit    time.Duration
-	cancel   context.CancelCauseFunc
+	x           *exchange
+	endpoint    string
+	limit       time.Duration
+	cancel      context.CancelCauseFunc
+	resumedFrom string // id of the last event before this attempt
 
 	mu               sync.Mutex
-	watch            *stall.Watch // nil before the first event
+	watch            *stall.Watch // nil before the first event that has an id
 	timer            *time.Timer  // runs the next check
 	excluded         []string     // endpoints at which the stream cannot be resumed
 	attemptsLeft     bool
@@ -66,19 +68,23 @@
 		return ctx, nil
 	}
 	m := &stallMonitor{x: x, endpoint: pl.endpoint.ID, limit: limit}
+	if x.stream != nil {
+		m.resumedFrom = x.stream.lastID
+	}
 	ctx, m.cancel = context.WithCancelCause(ctx)
 	return ctx, m
 }
 
-// eventArrived records that an event arrived and is about to be written to the caller.
-func (m *stallMonitor) eventArrived() {
+// eventArrived records that an event arrived and is about to be written to the caller. lastID is the id
+// of the newest event that has one.
+func (m *stallMonitor) eventArrived(lastID string) {
 	if m == nil {
 		return
 	}
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.watch == nil {
+	if m.watch == nil && lastID != m.resumedFrom {
 		m.begin(now)
 	}
 	m.lastEvent, m.lastProgress, m.waitingForCaller = now, now, true
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -70,10 +70,10 @@
 }
 
 // eventsUntil returns the events of a stream up to the nth.
-func eventsUntil(n int) string {
+func (c *crashFleet) eventsUntil(n int) string {
 	var b strings.Builder
-	for i := range n {
-		fmt.Fprintf(&b, "id: %d\n\n", i+1)
+	for i := range n + 1 {
+		b.WriteString(c.event(i))
 	}
 	return b.String()
 }
@@ -98,7 +98,7 @@
 
 // TestStreamWithoutProgress guards against a caller that has one event and waits for the next until it
 // gives up, against events that are lost or repeated when its stream is resumed, and against cutting a
-// stream that its endpoint does not hold up or that cannot be resumed.
+// stream that its endpoint does not hold up, whose prompt is still prefilled or that cannot be resumed.
 func TestStreamWithoutProgress(t *testing.T) {
 	const never = time.Minute
 	cases := []struct {
@@ -134,6 +134,12 @@
 				return time.Minute
 			}
 		}, events: streamEvents, arrivals: 1, atMost: callTimeout},
+		{name: "comment before a long prefill", beforeEvent: stallAt(1, stallLimit+time.Second, false), prepare: func(c *crashFleet) {
+			c.event = func(n int) string { return cmp.Or(identifiedEvent(n), ": waiting\n\n") }
+		}, events: streamEvents, arrivals: 1, atMost: callTimeout},
+		{name: "events without ids", beforeEvent: stallAt(2, stallLimit+time.Second, false), prepare: func(c *crashFleet) {
+			c.event = func(n int) string { return strings.ReplaceAll(identifiedEvent(n), "id", "data") }
+		}, events: streamEvents, arrivals: 1, atMost: callTimeout},
 		{name: "caller does not read", delay: func(n int) time.Duration {
 			if n == 2 {
 				return stallLimit + time.Second
@@ -152,7 +158,7 @@
 				}
 				events, took := c.read(cmp.Or(tc.path, "/sound/"), tc.delay)
 				g := c.gateways[0]
-				is.Equal(events, eventsUntil(tc.events))
+				is.Equal(events, c.eventsUntil(tc.events))
 				is.True(took >= tc.atLeast)
 				is.True(took <= tc.atMost)
 				is.Equal(g.meter.stallsCut.Get(), tc.cut)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -155,7 +155,7 @@
 		x.stream.headSent = true
 		x.writeHead(res)
 	}
-	pl.stall.eventArrived()
+	pl.stall.eventArrived(x.stream.lastID)
 	defer pl.stall.eventPassedOn()
 	return x.writeToCaller(pl, events, true)
 }
