relay: a response cut off for a slow caller is no failure of its endpoint

Cause: an endpoint cuts off a response that remains unread for some seconds. If its caller reads slowly, but fast enough not to be disconnected, the gateway then reads the broken response and recorded a failure of the endpoint. Two such callers made it suspect.

Change: with slow_reader_timeout, a response that breaks off after a part of it has waited a second or longer for its caller is logged and not counted against the health of its endpoint. It is still probed for a crash, and a resumable stream is still resumed.

Measured: the cases "resumable" and "not resumable" of TestStreamCutOffForSlowCaller failed before (endpoint suspect) and pass now. With the setting off, or with a caller that reads, the endpoint becomes suspect as before.

--- a/relay/crashfleet_test.go
+++ b/relay/crashfleet_test.go
@@ -50,6 +50,8 @@
 	beforeEvent func(e *scriptedEngine, n int)
 	// event returns the nth event of a stream; n is 0 for what is sent before the first one.
 	event func(n int) string
+	// unreadLimit is the time after which an engine cuts off a stream that is not read; 0: never.
+	unreadLimit time.Duration
 
 	// listDelay is how long after the restart of an engine its new entry is read.
 	listDelay time.Duration
@@ -163,14 +165,14 @@
 		return false
 	}
 	after, _ := strconv.Atoi(r.Header.Get("After"))
-	if !writeChunk(conn, c.event(0)) {
+	if !c.writeChunk(conn, c.event(0)) {
 		return false
 	}
 	for n := after + 1; n <= streamEvents; n++ {
 		if c.beforeEvent != nil {
 			c.beforeEvent(e, n)
 		}
-		if !writeChunk(conn, c.event(n)) {
+		if !c.writeChunk(conn, c.event(n)) {
 			return false
 		}
 		c.mu.Lock()
@@ -191,10 +193,13 @@
 }
 
 // writeChunk writes a part of a stream. It reports false when the connection must be closed.
-func writeChunk(conn net.Conn, text string) bool {
+func (c *crashFleet) writeChunk(conn net.Conn, text string) bool {
 	if text == "" {
 		return true
 	}
+	if c.unreadLimit > 0 {
+		_ = conn.SetWriteDeadline(time.Now().Add(c.unreadLimit))
+	}
 	_, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
 	return err == nil
 }
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -17,6 +17,7 @@
 	memoryDemands []memoryDemand
 	reservations  *reservations // reserved for the attempt; nil if none
 	stall         *stallMonitor // cuts the stream if it makes no progress; nil: it is not monitored
+	callerDelay   time.Duration // longest that a part of the response has waited for the caller
 	grant         *grant        // permits an attempt at an endpoint with a rate limit; nil if none
 	sentRequest   availability.SentRequest
 	loadBefore    balance.Load // load of the endpoint before this request
--- a/relay/slowreader.go
+++ b/relay/slowreader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/boundedconn"
+	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/heldmemory"
 )
 
@@ -24,6 +25,10 @@
 	// retryAfterHeld is the Retry-After while the memory is used up: about the time after which
 	// callers that do not read make room.
 	retryAfterHeld = 500 * time.Millisecond
+	// minCallerDelay is the shortest wait for a caller that counts as the cause if its endpoint cuts off
+	// the response. Endpoints do so when nothing of it has been read for some seconds; the kernel's
+	// buffers let them notice later, and for longer, than the gateway.
+	minCallerDelay = time.Second
 )
 
 // heldRequests bounds the memory of the requests that are served at once.
@@ -99,6 +104,17 @@
 	return c
 }
 
+// recordBrokenResponse records that an endpoint broke off its response. If the caller held up the response
+// before, this says nothing about the health of the endpoint.
+func (x *exchange) recordBrokenResponse(pl *placement) {
+	if x.g.config.SlowReaderTimeout > 0 && pl.callerDelay >= minCallerDelay {
+		x.g.deps.Log.Request("Response broke off after its caller held it up.", "request", x.call.ID, "endpoint", pl.endpoint.ID,
+			"caller_delay_ms", pl.callerDelay.Milliseconds(), "err", x.lastError)
+		return
+	}
+	x.recordOutcome(pl, health.BadResponse)
+}
+
 // logSlowReader logs a failed write to the caller if it failed because the caller did not read.
 func (x *exchange) logSlowReader(err error) {
 	var failure *boundedconn.NotReadingError
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -213,3 +213,60 @@
 		})
 	}
 }
+
+// TestStreamCutOffForSlowCaller guards against avoiding an endpoint that cuts off streams because their
+// callers do not read, and against calling it healthy if it does so without such a cause.
+func TestStreamCutOffForSlowCaller(t *testing.T) {
+	const callerDelay = 3 * time.Second
+	cases := []struct {
+		name, path        string
+		slowReaderTimeout time.Duration
+		delay             time.Duration
+		suspect           bool
+	}{
+		{"resumable", "/sound/", 4 * time.Second, callerDelay, false},
+		{"not resumable", "/once/", 4 * time.Second, callerDelay, false},
+		{"setting off", "/once/", 0, callerDelay, true},
+		{"fast caller", "/once/", 4 * time.Second, 0, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newStallFleet(t, 1)
+				c.gateways[0].config.SlowReaderTimeout = tc.slowReaderTimeout
+				c.unreadLimit = 2 * time.Second
+				if tc.delay == 0 {
+					c.beforeEvent = func(e *scriptedEngine, n int) {
+						if n == 3 {
+							c.mu.Lock()
+							defer c.mu.Unlock()
+							for conn := range e.conns {
+								_ = conn.Close()
+							}
+						}
+					}
+				}
+				var wg sync.WaitGroup
+				for range 3 {
+					wg.Go(func() {
+						c.read(tc.path, func(n int) time.Duration {
+							if n == 2 {
+								return tc.delay
+							}
+							return 0
+						})
+					})
+				}
+				time.Sleep(tc.delay + startDelay + 150*time.Millisecond) // within the backoff that follows the second break
+				p := c.gateways[0].picker
+				p.mu.Lock()
+				suspect := p.health.Suspect("e0", time.Now())
+				p.mu.Unlock()
+				wg.Wait()
+				time.Sleep(time.Minute)
+				is.Equal(suspect, tc.suspect)
+			})
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -167,10 +167,12 @@
 		pl.reservations.writingToCaller.Store(true)
 		defer pl.reservations.writingToCaller.Store(false)
 	}
+	began := time.Now()
 	_, err := x.w.Write(part)
 	if err == nil && flush {
 		err = http.NewResponseController(x.w).Flush()
 	}
+	pl.callerDelay = max(pl.callerDelay, time.Since(began))
 	x.logSlowReader(err)
 	return err
 }
@@ -187,7 +189,7 @@
 		return "", true
 	}
 	if ctx.Err() == nil {
-		x.recordOutcome(pl, health.BadResponse)
+		x.recordBrokenResponse(pl)
 		x.g.meter.resumes.Inc()
 		x.handleBrokenExchange(pl)
 	}
@@ -236,7 +238,7 @@
 		return callerGone
 	}
 	if time.Until(x.deadline) > 0 && !pl.reservations.endedUnused() {
-		x.recordOutcome(pl, health.BadResponse)
+		x.recordBrokenResponse(pl)
 		x.handleBrokenExchange(pl)
 	}
 	return x.abort()
