boundedconn: check a write that waits also after its deadline is changed

Cause: a change of the write deadline during a Write replaced the deadline of its next check. Without a deadline, the Write then waited for a peer that does not read until the connection was closed; with a late one, until then. The relay changes deadlines only between writes, so no caller was affected.

Change: SetWriteDeadline keeps the next check while a Write waits.

Measured: both cases of TestDeadlineDuringWrite failed before (no NotReadingError) and pass now, also with -race.

--- a/boundedconn/boundedconn.go
+++ b/boundedconn/boundedconn.go
@@ -112,6 +112,10 @@
 func (c *Conn) armWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.armWriteLocked()
+}
+
+func (c *Conn) armWriteLocked() error {
 	check := time.Now().Add(c.timeout / checksPerTimeout)
 	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(check) {
 		check = c.writeDeadline
@@ -193,6 +197,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeDeadline = t
+	if !c.waitingSince.IsZero() {
+		return c.armWriteLocked() // the write that waits must still be checked
+	}
 	return c.Conn.SetWriteDeadline(t)
 }
 
--- a/boundedconn/boundedconn_test.go
+++ b/boundedconn/boundedconn_test.go
@@ -141,3 +141,31 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestDeadlineDuringWrite guards against a write that is no longer checked, and so waits for a peer that does
+// not read, after its deadline was changed meanwhile.
+func TestDeadlineDuringWrite(t *testing.T) {
+	for name, deadline := range map[string]time.Duration{"none": 0, "later than the timeout": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				local, remote := net.Pipe()
+				defer func() { _, _ = local.Close(), remote.Close() }()
+				c := New(local, timeout, nil)
+				began := time.Now()
+				time.AfterFunc(timeout/8, func() {
+					var at time.Time
+					if deadline > 0 {
+						at = began.Add(deadline)
+					}
+					_ = c.SetWriteDeadline(at)
+				})
+				time.AfterFunc(2*time.Minute, func() { _ = remote.Close() })
+				_, err := c.Write(make([]byte, 4))
+				var failure *NotReadingError
+				is.True(errors.As(err, &failure))
+				is.True(time.Since(began) <= timeout*3/2)
+			})
+		})
+	}
+}
