boundedconn: report a waiting write only after a check has confirmed it

Cause: WaitingSince counted from the start of a write. After a gateway was frozen, each write that was in progress seemed to have waited for all that time, and while held_memory was used up new requests disconnected callers that read.

Change: WaitingSince returns the zero time until a check has found that the peer reads nothing. The first check has nothing to compare with, so a caller that does not read can be disconnected to make room from the second check on (half of slow_reader_timeout), which is when it had waited for minWait before, too.

Measured: TestWaitingSince failed before and passes now, also with -race; TestCallersThatStopReading passes.

--- a/boundedconn/boundedconn.go
+++ b/boundedconn/boundedconn.go
@@ -53,6 +53,7 @@
 	mu            sync.Mutex
 	writeDeadline time.Time // as set by the user of the connection
 	waitingSince  time.Time // since when a write makes no progress; zero: no write waits
+	checked       bool      // whether a check has found that the write made no progress since then
 	cause         *NotReadingError
 }
 
@@ -70,10 +71,15 @@
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// WaitingSince returns since when a write has been waiting for the peer to read, or the zero time.
+// WaitingSince returns since when a write has been waiting for the peer to read, or the zero time while
+// no check has found that it reads nothing. A process that was frozen has writes that began long ago,
+// although their peers read.
 func (c *Conn) WaitingSince() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.checked {
+		return time.Time{}
+	}
 	return c.waitingSince
 }
 
@@ -103,6 +109,8 @@
 		} else if idleChecks++; idleChecks == checksPerTimeout {
 			c.Disconnect()
 			return written, c.failure(err)
+		} else {
+			c.setChecked()
 		}
 		queued = now
 	}
@@ -132,7 +140,13 @@
 func (c *Conn) setWaiting(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waitingSince = since
+	c.waitingSince, c.checked = since, false
+}
+
+func (c *Conn) setChecked() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checked = true
 }
 
 // failure returns the NotReadingError if the peer was disconnected for that reason, otherwise err.
--- a/boundedconn/boundedconn_test.go
+++ b/boundedconn/boundedconn_test.go
@@ -169,3 +169,25 @@
 		})
 	}
 }
+
+// TestWaitingSince guards against disconnecting peers that read, to make room for others, after the process was
+// frozen: their writes began long ago, and no check has found that the peer reads nothing.
+func TestWaitingSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		local, remote := net.Pipe()
+		c := New(local, timeout, nil)
+		began := time.Now()
+		go func() { _, _ = c.Write(make([]byte, 4)) }()
+		const check = timeout / checksPerTimeout
+		time.Sleep(check * 3 / 2) // after the first check, which has nothing to compare with
+		is.True(c.WaitingSince().IsZero())
+		time.Sleep(check)
+		is.Equal(c.WaitingSince(), began.Add(check))
+		_, err := io.CopyN(io.Discard, remote, 2)
+		is.NoErr(err)
+		time.Sleep(check)
+		is.True(c.WaitingSince().IsZero()) // the peer reads again
+		_, _ = local.Close(), remote.Close()
+	})
+}
