--- a/boundedconn/boundedconn_test.go
+++ b/boundedconn/boundedconn_test.go
@@ -141,3 +141,53 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestDeadlineDuringWrite guards against a write that is no longer checked, and so waits for a peer that does
+// not read, after its deadline was changed meanwhile.
+func TestDeadlineDuringWrite(t *testing.T) {
+	for name, deadline := range map[string]time.Duration{"none": 0, "later than the timeout": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				local, remote := net.Pipe()
+				defer func() { _, _ = local.Close(), remote.Close() }()
+				c := New(local, timeout, nil)
+				began := time.Now()
+				time.AfterFunc(timeout/8, func() {
+					var at time.Time
+					if deadline > 0 {
+						at = began.Add(deadline)
+					}
+					_ = c.SetWriteDeadline(at)
+				})
+				time.AfterFunc(2*time.Minute, func() { _ = remote.Close() })
+				_, err := c.Write(make([]byte, 4))
+				var failure *NotReadingError
+				is.True(errors.As(err, &failure))
+				is.True(time.Since(began) <= timeout*3/2)
+			})
+		})
+	}
+}
+
+// TestWaitingSince guards against disconnecting peers that read, to make room for others, after the process was
+// frozen: their writes began long ago, and no check has found that the peer reads nothing.
+func TestWaitingSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		local, remote := net.Pipe()
+		c := New(local, timeout, nil)
+		began := time.Now()
+		go func() { _, _ = c.Write(make([]byte, 4)) }()
+		const check = timeout / checksPerTimeout
+		time.Sleep(check * 3 / 2) // after the first check, which has nothing to compare with
+		is.True(c.WaitingSince().IsZero())
+		time.Sleep(check)
+		is.Equal(c.WaitingSince(), began.Add(check))
+		_, err := io.CopyN(io.Discard, remote, 2)
+		is.NoErr(err)
+		time.Sleep(check)
+		is.True(c.WaitingSince().IsZero()) // the peer reads again
+		_, _ = local.Close(), remote.Close()
+	})
+}
