relay: TestPopularHarmlessRequest spreads its copies over nine engines

Cause: five engines crash in the three crash events of the test. A request is cleared when more engines completed it than crashed, so at least four other engines must have a copy before the quarantine. The 60 copies were sent at once, and their placement put them on as few as eight engines. Three of these were left: in all 74 traced plays that failed, each gateway counted 3 crashes and 3 successes, and the request stayed quarantined for ten minutes.

Which engines crashed varied from play to play, with the map order in crashBusy.

The rule is unchanged.

Change: the test sends copies one after the other, at least 60 as before, until nine engines have one. It also requires that more than three of them are left after the crashes. crashBusy crashes the engines in the order of their addresses and fails if too few of them have requests, which passed unnoticed before.

--- a/relay/crashfleet_test.go
+++ b/relay/crashfleet_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -279,20 +280,29 @@
 	return r.Fingerprint()
 }
 
-// crashBusy crashes up to that many engines that have requests.
-func (c *crashFleet) crashBusy(most int) {
-	for _, e := range c.engines {
-		c.mu.Lock()
-		busy, id := false, e.ID
-		for _, harmless := range e.conns {
-			busy = busy || harmless
-		}
-		c.mu.Unlock()
-		if busy && most > 0 {
-			most--
-			c.crash(e, id)
+// busyEngines returns the engines that have harmless requests, in the order of their addresses, with their names.
+func (c *crashFleet) busyEngines() (engines []*scriptedEngine, ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, address := range slices.Sorted(maps.Keys(c.engines)) {
+		e := c.engines[address]
+		if slices.Contains(slices.Collect(maps.Values(e.conns)), true) {
+			engines, ids = append(engines, e), append(ids, e.ID)
 		}
 	}
+	return engines, ids
+}
+
+// crashBusy crashes that many engines that have harmless requests, and fails the test if there are fewer.
+func (c *crashFleet) crashBusy(n int) {
+	c.t.Helper()
+	engines, ids := c.busyEngines()
+	if len(engines) < n {
+		c.t.Fatalf("%d engines have requests, of which %d must crash", len(engines), n)
+	}
+	for i, e := range engines[:n] {
+		c.crash(e, ids[i])
+	}
 }
 
 // restartedGateways returns as many new gateways as the fleet has, without any state and without
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -158,29 +158,42 @@
 
 // TestPopularHarmlessRequest: copies of one harmless request are on each of several engines that
 // crash. Simultaneous crashes do not count against it. Crashes one after the other do, as for a
-// request that causes them, until a copy that succeeds elsewhere clears it at all gateways.
+// request that causes them, until copies that succeed on more engines than crashed clear it at all
+// gateways.
 func TestPopularHarmlessRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c, source := newFleetWithStore(t)
 		c.startDelay = 10 * startDelay // requests queue at the engines
 		const path = "/sound/popular"
+		const (
+			copies      = 60
+			maxCopies   = 180 // all slots of the fleet
+			crashEvents = 3   // of three engines at once, and twice of one
+			crashed     = 5   // engines in these events
+		)
+		// Only engines that have a copy before the request is quarantined can complete it. They must be more
+		// than the crashes, and how many engines a number of copies reaches depends on their placement.
+		busy := func() int { engines, _ := c.busyEngines(); return len(engines) }
 		var wg sync.WaitGroup
-		for n := range 60 {
+		for n := 0; n < copies || busy() <= crashed+crashEvents; n++ {
+			is.True(n < maxCopies)
 			wg.Go(func() { c.call(n%3, path) })
+			time.Sleep(2 * localDelay) // until the other gateways know of the copy
 		}
 		verdict := func(g *Gateway) quarantine.Verdict { return g.quarantine.verdict(c.fingerprint(path), time.Now()) }
 		time.Sleep(startDelay)
 		c.crashBusy(3)
 		time.Sleep(startDelay)
 		is.Equal(verdict(c.gateways[0]).CrashesBefore, 1)
-		for range 2 {
+		for range crashEvents - 1 {
 			is.True(!verdict(c.gateways[0]).Quarantined())
 			time.Sleep(startDelay)
 			c.crashBusy(1)
 		}
 		time.Sleep(20 * time.Millisecond)
 		is.True(verdict(c.gateways[0]).Quarantined()) // cannot be told from a crashing request yet
+		is.True(busy() > crashEvents)
 		wg.Wait()
 		time.Sleep(time.Second)
 		for i, g := range c.gateways {
