relay: the end of a request says why a begun response was broken off

Callers saw streams end in the middle beside a removed key. The log of such a request said outcome=broken-off and the error of its last attempt only, so that a resumption that was denied, one without an endpoint and one without a retry budget could not be told apart.

Change: the line "Request ended." has a field why: the outcome that kept the rest from being sent.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -104,6 +104,7 @@
 	lastPartAt        time.Time     // when the newest part of the response arrived
 	maxGap            time.Duration // longest pause between two parts
 	lastError         error
+	abortReason       outcome              // see abort
 	status            int                  // status of the newest response
 	responseBegun     bool                 // whether the newest attempt delivered a part of the response
 	countedSuspension time.Duration        // total suspension of the host that started and deadline account for
@@ -114,7 +115,7 @@
 // head of a response has already been sent.
 func (x *exchange) refuse(status int, retryAfter time.Duration, o outcome) outcome {
 	if x.partial() {
-		return x.abort()
+		return x.abort(o)
 	}
 	if retryAfter > 0 {
 		x.w.Header().Set("Retry-After", httpsyntax.Seconds(retryAfter))
@@ -124,8 +125,10 @@
 	return o
 }
 
-// abort closes the caller's connection, so that a truncated response does not look complete.
-func (x *exchange) abort() outcome {
+// abort closes the caller's connection, so that a truncated response does not look complete. reason says
+// what kept the rest from being sent, for the log.
+func (x *exchange) abort(reason outcome) outcome {
+	x.abortReason = reason
 	x.recordEnd(brokenOff)
 	panic(http.ErrAbortHandler)
 }
@@ -135,6 +138,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		return callerGone
+	case x.partial():
+		return x.abort(o)
 	case x.mayRun && o == outOfTime:
 		return x.refuse(http.StatusGatewayTimeout, 0, o)
 	case x.mayRun:
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -36,7 +36,7 @@
 	if x.g.quarantine.Len() > 0 {
 		suspects = x.call.SharedParts
 	}
-	x.g.deps.Log.Request("Request ended.", "request", x.call.ID, "outcome", string(o), "route", route.Name, "version", x.g.state.Version(),
+	x.g.deps.Log.Request("Request ended.", "request", x.call.ID, "outcome", string(o), "why", string(x.abortReason), "route", route.Name, "version", x.g.state.Version(),
 		"tokens", x.call.PromptTokens, "deadline_ms", x.call.Deadline.Milliseconds(), "objective_ms", route.Objective.Milliseconds(), "pause_ms", route.GapObjective.Milliseconds(),
 		"proof_age_ms", age.Milliseconds(), "attempts", x.attempts, "unsent", x.unsentAttempts, "tried", x.tried,
 		"first_ms", x.firstPartMs(), "gap_ms", x.maxGap.Milliseconds(), "ms", time.Since(x.started).Milliseconds(), "fingerprint", x.knownFingerprint(), "parts", suspects, "err", x.lastError)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -37,7 +37,7 @@
 		return x.relayEvents(ctx, pl, res)
 	}
 	if x.partial() {
-		return x.abort(), false
+		return x.abort(brokenOff), false
 	}
 	if x.route.Kind == catalog.Streaming {
 		x.writeHead(res)
@@ -237,7 +237,7 @@
 		x.recordBrokenResponse(pl)
 		x.handleBrokenExchange(pl)
 	}
-	return x.abort()
+	return x.abort(brokenOff)
 }
 
 // callerWriteError is a failure to write to the caller.
