relay: a stalled stream moves to another endpoint only once that one delivers

Callers lost the rest of a stream when their key was removed while its endpoint paused for a second: the head and some events had arrived, then the connection was closed in the middle of the answer.

Cause: the stall monitor ended the attempt at the endpoint after checking attempts, other endpoints and the retry budget, and only then asked for everything else: configuration, key, route, proof, quarantine, a place, limits, the answer of the next endpoint. A no to any of these ended the caller's response, though its endpoint would have completed it. authorize itself is right: a removed key starts no further run.

Change: the attempt to resume runs while the response at the stalled endpoint is still awaited. The stream moves when the first event of the other endpoint has arrived; only then the old attempt is cut. Whatever denies, refuses or fails the resumption leaves the stream where it is, for another limit. If the old endpoint delivers first, the resumption is withdrawn; if it breaks off, the resumption goes on. While a resumption runs, it has the exchange to itself: the goroutine that relays waits for bytes. Request.run is split: obtain gets a response that can be passed on, relayAttempt passes it on; both the first send and a resumption use obtain.

Why it holds: between the cut and the next byte nothing is asked any more.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"slices"
 	"time"
 
@@ -12,50 +11,63 @@
 	"github.com/micarudder/micarudder/upstream"
 )
 
-// attempt sends the request to one endpoint and relays the response. again is set if there was no
-// response that could be passed on.
-func (x *exchange) attempt(ctx context.Context, pl *placement) (o outcome, again bool) {
-	defer pl.release()
+// sendResult is what came of sending the request to an endpoint.
+type sendResult uint8
+
+const (
+	sendAnswered sendResult = iota // the response can be passed on
+	sendFailed                     // there is none; the request may be sent again if mayRetry allows it
+	sendEnded                      // the request was given up
+)
+
+// send sends the request to one endpoint. Unless the result is sendAnswered, it ends the attempt.
+func (x *exchange) send(ctx context.Context, pl *placement) (result sendResult, o outcome) {
+	defer func() {
+		if result != sendAnswered || o != "" {
+			pl.end()
+		}
+	}()
+	result = sendEnded // if giving the request up panics
 	if !x.allAccept(pl, time.Now()) {
-		return x.abandonAttempt()
+		return x.abandonAttempt(), ""
 	}
-	var reserved *reservations
+	runCtx := ctx
 	if len(pl.memoryDemands) > 0 {
-		var err error
-		if reserved, err = x.g.reserve(ctx, x.call.ID, pl); err != nil {
+		reserved, err := x.g.reserve(ctx, x.call.ID, pl)
+		if err != nil {
 			x.handleReserveFailure(err)
-			return "", true
+			return sendFailed, ""
 		}
-		defer reserved.end()
 		pl.reservations, ctx = reserved, reserved.attemptCtx
 	}
-	if o, ok := x.mayProceed(); !ok {
-		return o, false
+	if o, ok := x.mayProceed(ctx); !ok {
+		return sendEnded, o
 	}
 	now := time.Now()
 	if !x.allAccept(pl, now) || !x.withinLimits(pl, now) {
-		return x.abandonAttempt()
+		return x.abandonAttempt(), ""
 	}
-	ctx, pl.stall = x.newStallMonitor(ctx, pl)
-	defer pl.stall.end()
-	req := x.upstreamRequest(pl, reserved, now)
-	x.responseBegun, x.unsent, x.wrongIncarnation = false, false, false
-	res, err := x.g.do(ctx, pl.endpoint, req, callerRequest, x.call.ID)
+	pl.ctx, pl.stall = x.newStallMonitor(runCtx, ctx, pl)
+	x.unsent, x.wrongIncarnation = false, false
+	res, err := x.g.do(pl.ctx, pl.endpoint, x.upstreamRequest(pl, now), callerRequest, x.call.ID)
 	if pl.endAttempt(err == nil) {
 		x.g.deps.Log.Logger().Info("Endpoint has rested.", "endpoint", pl.endpoint.ID)
 	}
 	if err != nil {
-		x.handleAttemptFailure(ctx, pl, err)
-		return "", true
+		x.handleAttemptFailure(pl, err)
+		return sendFailed, ""
 	}
+	pl.response = res
 	x.g.deps.Overload.Responded(time.Since(now))
-	defer res.Body.Close()
-	verdict := x.g.deps.Protocol.Verdict(res)
-	x.status = res.StatusCode
+	return x.handleVerdict(pl, x.g.deps.Protocol.Verdict(res)), ""
+}
+
+// handleVerdict handles a response whose head has arrived, and decides whether it is passed on.
+func (x *exchange) handleVerdict(pl *placement, verdict Verdict) sendResult {
 	x.countAttempt(pl, verdict != WrongEndpoint)
 	if verdict == NotRun || verdict == WrongEndpoint {
-		x.handleRejection(pl, res, verdict)
-		return "", true
+		x.handleRejection(pl, verdict)
+		return sendFailed
 	}
 	x.tried = append(x.tried, pl.endpoint.ID)
 	x.mayRun = true
@@ -63,19 +75,19 @@
 		x.recordOutcome(pl, health.BadResponse) // requests to plain services may also fail through their own fault
 	}
 	if verdict == Failed && x.mayRepeat() {
-		x.lastError = errors.New("endpoint failed with status " + res.Status)
+		x.lastError = errors.New("endpoint failed with status " + pl.response.Status)
 		x.retryGranted = true
-		return "", true
+		return sendFailed
 	}
-	return x.relay(ctx, pl, res)
+	return sendAnswered
 }
 
 // abandonAttempt ends an attempt before anything was sent, because an endpoint does not accept the
 // request now. The request is placed again, and its next attempt is not charged to the retry
 // budget.
-func (x *exchange) abandonAttempt() (o outcome, again bool) {
+func (x *exchange) abandonAttempt() sendResult {
 	x.retryGranted = true
-	return "", true
+	return sendFailed
 }
 
 // allAccept reports whether the chosen endpoint and all of its helpers still accept requests.
@@ -91,7 +103,8 @@
 // handleRejection handles a response that says that the request did not run. If the response names
 // another endpoint, a helper, that helper is avoided from now on and the endpoint that answered may
 // be chosen again. Otherwise the next attempt would use the same helper.
-func (x *exchange) handleRejection(pl *placement, res *http.Response, verdict Verdict) {
+func (x *exchange) handleRejection(pl *placement, verdict Verdict) {
+	res := pl.response
 	x.lastError = errors.New("endpoint rejected the request with status " + res.Status)
 	address := x.g.deps.Protocol.FaultyEndpoint(res)
 	if address != "" && address != pl.endpoint.Address {
@@ -149,7 +162,7 @@
 }
 
 // handleAttemptFailure handles an attempt that got no response.
-func (x *exchange) handleAttemptFailure(ctx context.Context, pl *placement, err error) {
+func (x *exchange) handleAttemptFailure(pl *placement, err error) {
 	x.recordFailure(pl, err)
 	var failure *upstream.Error
 	if errors.Is(err, upstream.ErrCheckFailed) {
@@ -159,7 +172,7 @@
 	if errors.As(err, &failure) && failure.Stage == upstream.NotSent {
 		x.unsentAttempts++
 		x.unsent = true
-		if ctx.Err() == nil {
+		if pl.ctx.Err() == nil {
 			x.recordOutcome(pl, health.Unreachable)
 			x.tried = append(x.tried, pl.endpoint.ID)
 		}
@@ -168,7 +181,7 @@
 	x.countAttempt(pl, true)
 	x.tried = append(x.tried, pl.endpoint.ID)
 	x.mayRun = true
-	if ctx.Err() == nil {
+	if pl.ctx.Err() == nil {
 		x.recordOutcome(pl, health.BadResponse)
 		x.handleBrokenExchange(pl)
 	}
@@ -206,7 +219,7 @@
 }
 
 // upstreamRequest builds the request that is sent to the endpoint.
-func (x *exchange) upstreamRequest(pl *placement, reserved *reservations, now time.Time) *upstream.Request {
+func (x *exchange) upstreamRequest(pl *placement, now time.Time) *upstream.Request {
 	fields := AttemptFields{
 		EndpointID:  pl.endpoint.ID,
 		Remaining:   x.deadline.Sub(now),
@@ -219,7 +232,7 @@
 	if x.workspace != nil {
 		fields.Workspace = x.workspace.Name
 	}
-	fields.Helpers = reserved.helpers(pl)
+	fields.Helpers = pl.reservations.helpers(pl)
 	req := &upstream.Request{
 		Method:     x.r.Method,
 		Target:     x.r.RequestURI,
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -93,7 +93,7 @@
 	subjects := x.quarantineSubjects()
 	subjects.All() // computes them before another goroutine reads them
 	b := brokenExchange{request: x.call.ID, workspace: subjects.Request.Workspace, route: x.route.Name,
-		subjects: subjects, endpoint: pl.endpoint, inUse: inUse, begun: x.responseBegun, at: time.Now()}
+		subjects: subjects, endpoint: pl.endpoint, inUse: inUse, begun: pl.responseBegun, at: time.Now()}
 	crashed := crashprobe.MayHaveCrashed(x.lastError) && x.g.hasCrashed(b)
 	x.g.meter.brokenExchanges.Inc()
 	x.g.deps.Log.Request("Exchange broke.", "request", b.request, "fingerprint", subjects.Fingerprint(), "endpoint", b.endpoint.ID,
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -47,8 +47,8 @@
 // checkWithdrawn checks that a request is not sent to its placement, may be placed again, and is
 // not counted.
 func checkWithdrawn(is *is.I, x *exchange, pl *placement) {
-	_, again := x.attempt(x.r.Context(), pl)
-	is.True(again)
+	result, _ := x.send(x.r.Context(), pl)
+	is.Equal(result, sendFailed)
 	is.True(x.mayRepeat())
 	is.Equal(x.attempts, 0)
 	is.Equal(x.g.meter.attempts.Get(), uint64(0))
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -105,8 +105,7 @@
 	maxGap            time.Duration // longest pause between two parts
 	lastError         error
 	abortReason       outcome              // see abort
-	status            int                  // status of the newest response
-	responseBegun     bool                 // whether the newest attempt delivered a part of the response
+	resuming          bool                 // see resume
 	countedSuspension time.Duration        // total suspension of the host that started and deadline account for
 	subjects          *quarantine.Subjects // see quarantineSubjects
 }
@@ -128,6 +127,9 @@
 // abort closes the caller's connection, so that a truncated response does not look complete. reason says
 // what kept the rest from being sent, for the log.
 func (x *exchange) abort(reason outcome) outcome {
+	if x.resuming {
+		return reason // the stream is still awaited at another endpoint
+	}
 	x.abortReason = reason
 	x.recordEnd(brokenOff)
 	panic(http.ErrAbortHandler)
@@ -165,34 +167,66 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.g.picker.countRequest(x.service.Name, x.started)
+	pl, o := x.obtain(ctx)
+	for pl != nil {
+		next, o, again := x.relayAttempt(pl)
+		if !again {
+			return o
+		}
+		if next == nil {
+			if o, ok := x.mayRetry(ctx); !ok {
+				return o
+			}
+			if next, o = x.obtain(ctx); next == nil {
+				return o
+			}
+		}
+		pl = next
+	}
+	return o
+}
+
+// obtain sends the request until the response of an endpoint can be passed on or the request has to be given
+// up. It returns the attempt with that response, or nil.
+func (x *exchange) obtain(ctx context.Context) (*placement, outcome) {
 	for {
 		pl, o := x.findPlacement(ctx)
 		if pl == nil {
-			return o
+			return nil, o
 		}
 		if !x.maySendTo(pl.endpoint.ID) {
-			pl.release()
-			return x.giveUp(refusedFull)
+			pl.end()
+			return nil, x.giveUp(refusedFull)
 		}
-		o, again := x.attempt(ctx, pl)
-		if !again {
-			return o
-		}
-		if ctx.Err() != nil {
-			return x.giveUp(outOfTime)
+		switch result, o := x.send(ctx, pl); result {
+		case sendAnswered:
+			return pl, ""
+		case sendEnded:
+			return nil, o
 		}
-		if o, ok := x.checkQuarantine(x.g.quarantine.Check); !ok {
-			return o
-		}
-		if !x.mayRepeat() {
-			return x.giveUp(refusedFull)
-		}
-		if !x.pauseUnreached(ctx) {
-			return x.giveUp(outOfTime)
+		if o, ok := x.mayRetry(ctx); !ok {
+			return nil, o
 		}
 	}
 }
 
+// mayRetry reports whether the request may be sent again after an attempt without a complete response.
+func (x *exchange) mayRetry(ctx context.Context) (outcome, bool) {
+	if ctx.Err() != nil {
+		return x.giveUp(outOfTime), false
+	}
+	if o, ok := x.checkQuarantine(x.g.quarantine.Check); !ok {
+		return o, false
+	}
+	if !x.mayRepeat() {
+		return x.giveUp(refusedFull), false
+	}
+	if !x.pauseUnreached(ctx) {
+		return x.giveUp(outOfTime), false
+	}
+	return "", true
+}
+
 // pauseUnreached waits before an attempt to continue a stream whose newest attempt did not reach the
 // endpoint that was meant. It reports whether there is time left.
 func (x *exchange) pauseUnreached(ctx context.Context) bool {
@@ -205,15 +239,18 @@
 
 // maySendTo reports whether the request may be sent to an endpoint: to one that it was sent to
 // before, where a helper kept it from running, or to another one while fewer endpoints than the
-// route's MaxAttempts have been used.
+// route's MaxAttempts have been used. A stream is not resumed where it is still awaited.
 func (x *exchange) maySendTo(endpoint string) bool {
+	if x.resuming && slices.Contains(x.tried, endpoint) {
+		return false
+	}
 	return slices.Contains(x.sentEndpoints, endpoint) || len(x.sentEndpoints) < x.route.MaxAttempts
 }
 
 // mayProceed checks again, right before the request is sent, everything that may have changed while
 // the request waited or the process was frozen. Peers may have reported crashes while the request
 // waited for an endpoint.
-func (x *exchange) mayProceed() (outcome, bool) {
+func (x *exchange) mayProceed(ctx context.Context) (outcome, bool) {
 	x.deductSuspension()
 	if time.Until(x.deadline) < minRemaining {
 		return x.giveUp(outOfTime), false
@@ -221,7 +258,7 @@
 	if o, ok := x.checkQuarantine(x.g.quarantine.Admit); !ok {
 		return o, false
 	}
-	return x.authorize()
+	return x.authorize(ctx)
 }
 
 // mayRepeat reports whether the request may be sent again.
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -83,7 +84,7 @@
 		return x.refuse(http.StatusBadRequest, 0, badRequest)
 	}
 	x.call = call
-	if o, ok := x.authorize(); !ok {
+	if o, ok := x.authorize(x.r.Context()); !ok {
 		return o
 	}
 	x.setDeadline()
@@ -108,7 +109,7 @@
 // authorize looks up the route and the key in the configuration in force. It is called again before
 // each attempt, because a request must not be sent for a route or key that was revoked while the
 // request waited.
-func (x *exchange) authorize() (outcome, bool) {
+func (x *exchange) authorize(ctx context.Context) (outcome, bool) {
 	table := x.g.state.Table()
 	route := table.Route(x.r.Host, httpsyntax.Path(x.r.RequestURI))
 	if route == nil {
@@ -132,11 +133,11 @@
 	if route.Public || x.g.config.RevokeAfter == 0 {
 		return "", true
 	}
-	if !x.g.state.WaitFresh(x.r.Context(), x.g.config.RevokeAfter-proofMargin, proofWait) {
+	if !x.g.state.WaitFresh(ctx, x.g.config.RevokeAfter-proofMargin, proofWait) {
 		return x.refuseWithoutProof(), false
 	}
 	if x.g.state.Table() != table {
-		return x.authorize()
+		return x.authorize(ctx)
 	}
 	return "", true
 }
--- a/relay/limitfleet_test.go
+++ b/relay/limitfleet_test.go
@@ -302,8 +302,8 @@
 		res := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Limit": {"1"}}}
 		g.recordResponse(pl.endpoint, 0, res, gatewayQuery, "")
 		is.True(!x.withinLimits(pl, time.Now()))
-		_, again := x.attempt(t.Context(), pl)
-		is.True(again)
+		result, _ := x.send(t.Context(), pl)
+		is.Equal(result, sendFailed)
 		is.True(x.mayRepeat())
 		is.Equal(x.attempts, 0)
 		res.Header.Del("Limit")
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net/http"
 	"time"
 
 	"github.com/micarudder/micarudder/availability"
@@ -9,16 +11,20 @@
 	"github.com/micarudder/micarudder/residual"
 )
 
-// placement is the placement of a request on endpoints. Its load counts until it is released.
+// placement is the placement of a request on endpoints, and the attempt that is made there. Its load counts
+// until it ends.
 type placement struct {
 	picker        *picker
 	endpoint      catalog.Endpoint
 	helpers       []catalog.Endpoint
 	memoryDemands []memoryDemand
-	reservations  *reservations // reserved for the attempt; nil if none
-	stall         *stallMonitor // cuts the stream if it makes no progress; nil: it is not monitored
-	callerDelay   time.Duration // longest that a part of the response has waited for the caller
-	grant         *grant        // permits an attempt at an endpoint with a rate limit; nil if none
+	reservations  *reservations   // reserved for the attempt; nil if none
+	ctx           context.Context // of the attempt; ends early if its memory is released or its stream moves
+	stall         *stallMonitor   // resumes the stream elsewhere if it makes no progress; nil: it is not monitored
+	response      *http.Response  // nil before its head has arrived
+	responseBegun bool            // whether a part of the response was delivered
+	callerDelay   time.Duration   // longest that a part of the response has waited for the caller
+	grant         *grant          // permits an attempt at an endpoint with a rate limit; nil if none
 	sentRequest   availability.SentRequest
 	loadBefore    balance.Load // load of the endpoint before this request
 	// residual is the part of loadBefore of processes that are gone, and residualAge the time since
@@ -100,6 +106,16 @@
 	return removed
 }
 
+// end ends the attempt and removes all load of the request.
+func (pl *placement) end() {
+	if pl.response != nil {
+		_ = pl.response.Body.Close()
+	}
+	pl.stall.end()
+	pl.reservations.end()
+	pl.release()
+}
+
 // release removes all load of the request.
 func (pl *placement) release() {
 	p := pl.picker
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -106,7 +106,7 @@
 // reports does not count, since the request may not have started there.
 func (x *exchange) recordSuccess(pl *placement) {
 	g, now := x.g, time.Now()
-	if x.status/100 != 2 || g.quarantine.Len() == 0 {
+	if pl.response.StatusCode/100 != 2 || g.quarantine.Len() == 0 {
 		return
 	}
 	c := g.quarantine.RecordSuccess(x.quarantineSubjects(), quarantine.IncarnationOf(pl.endpoint.ID, pl.endpoint.Born), quarantine.AddressOf(pl.endpoint.Address), now)
--- /dev/null
+++ b/relay/resume_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+// configure puts a changed copy of the configuration in force.
+func (c *crashFleet) configure(change func(*catalog.Configuration)) {
+	g := c.gateways[0]
+	config := *g.state.Table().Configuration
+	config.Version++
+	change(&config)
+	g.state.ApplyConfiguration(&config)
+}
+
+// TestStalledStreamIsNotLost guards against a gateway that ends a stalled stream at its endpoint and then
+// may not resume it elsewhere, so that the caller loses the rest that the endpoint would have sent.
+func TestStalledStreamIsNotLost(t *testing.T) {
+	cases := []struct {
+		name string
+		// during is called while the stream has one event and waits for the next.
+		during   func(c *crashFleet)
+		arrivals int // of requests at engines
+	}{
+		{"key removed", func(c *crashFleet) {
+			c.configure(func(config *catalog.Configuration) { config.Workspaces = nil })
+		}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newStallFleet(t, 3)
+				c.beforeEvent = stallAt(2, stallLimit+time.Second, false)
+				time.AfterFunc(time.Second, func() { tc.during(c) })
+				events, took := c.read("/sound/", nil)
+				monitored := len(c.gateways[0].deliveries.record.Endpoints())
+				time.Sleep(time.Minute) // the engines have ended
+				is.Equal(events, c.eventsUntil(streamEvents))
+				is.True(took < callTimeout)
+				is.Equal(len(c.arrivals), tc.arrivals)
+				is.Equal(monitored, 0)
+			})
+		})
+	}
+}
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -45,6 +45,7 @@
 	once := config.Routes[0]
 	once.Name, once.PathPrefix, once.Resumable = "once", "/once/", false
 	config.Routes = []catalog.Route{config.Routes[0], once}
+	config.Workspaces, config.KeysRequired = []catalog.Workspace{{Name: "w", Keys: []string{"k"}}}, true
 	g := c.gateways[0]
 	g.config.StallResume = true
 	g.state.ApplyConfiguration(&config)
@@ -64,7 +65,7 @@
 	}()
 	r := httptest.NewRequestWithContext(context.WithoutCancel(c.t.Context()), "POST", path, strings.NewReader("prompt"))
 	r.Host = "h"
-	r.Header = http.Header{"Id": {"r"}, "Tokens": {"5000"}, "Wait-Ms": {fmt.Sprint(callTimeout.Milliseconds())}}
+	r.Header = http.Header{"Id": {"r"}, "Key": {"k"}, "Tokens": {"5000"}, "Wait-Ms": {fmt.Sprint(callTimeout.Milliseconds())}}
 	c.gateways[0].ServeHTTP(w, r)
 	return
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -30,11 +30,23 @@
 	partial  []byte // bytes of the incomplete event
 }
 
-// relay passes a response on to the caller. again is set if a stream broke that may resume at
-// another endpoint.
-func (x *exchange) relay(ctx context.Context, pl *placement, res *http.Response) (o outcome, again bool) {
+// relayAttempt relays the response of an attempt and ends the attempt. If it ends before the response is
+// complete, next is the attempt that has resumed the stream already, or again is set if mayRetry decides.
+func (x *exchange) relayAttempt(pl *placement) (next *placement, o outcome, again bool) {
+	defer pl.end()
+	o, again = x.relay(pl)
+	if next = pl.stall.resumedAt(); next != nil && !again {
+		next.end()
+	}
+	return next, o, again
+}
+
+// relay passes a response on to the caller. again is set if it broke before it was complete and the request
+// may be sent again.
+func (x *exchange) relay(pl *placement) (o outcome, again bool) {
+	res := pl.response
 	if x.isResumable(res) {
-		return x.relayEvents(ctx, pl, res)
+		return x.relayEvents(pl)
 	}
 	if x.partial() {
 		return x.abort(brokenOff), false
@@ -43,17 +55,18 @@
 		x.writeHead(res)
 		return x.finishResponse(pl, x.copyBody(pl, res.Body, true)), false
 	}
-	return x.relayBuffered(ctx, pl, res)
+	return x.relayBuffered(pl)
 }
 
 // relayBuffered buffers the beginning of a response until the response is complete or exceeds the
 // buffer. If it breaks before, the caller has seen nothing of it and the request may be sent again
 // where that is allowed.
-func (x *exchange) relayBuffered(ctx context.Context, pl *placement, res *http.Response) (o outcome, again bool) {
+func (x *exchange) relayBuffered(pl *placement) (o outcome, again bool) {
+	res := pl.response
 	buffered, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes))
 	if err != nil {
 		x.recordFailure(pl, err)
-		if ctx.Err() == nil {
+		if pl.ctx.Err() == nil {
 			x.recordOutcome(pl, health.BadResponse)
 			x.handleBrokenExchange(pl)
 		}
@@ -111,7 +124,8 @@
 
 // relayEvents passes on complete events only, so that a stream that breaks inside an event can
 // resume at another endpoint.
-func (x *exchange) relayEvents(ctx context.Context, pl *placement, res *http.Response) (o outcome, again bool) {
+func (x *exchange) relayEvents(pl *placement) (o outcome, again bool) {
+	res := pl.response
 	if x.stream == nil {
 		x.stream = &eventStream{}
 	}
@@ -119,7 +133,7 @@
 	s.partial = s.partial[:0]
 	buf := make([]byte, copyBufferBytes)
 	for {
-		n, err := res.Body.Read(buf)
+		n, err := pl.stall.read(res.Body, buf)
 		if n > 0 {
 			s.partial = append(s.partial, buf[:n]...)
 			complete, rest, id := eventstream.Split(s.partial, s.lastID)
@@ -140,7 +154,7 @@
 			}
 			return x.finishResponse(pl, nil), false
 		}
-		return x.handleBrokenStream(ctx, pl, err)
+		return x.handleBrokenStream(pl, err)
 	}
 }
 
@@ -174,17 +188,15 @@
 }
 
 // handleBrokenStream handles a stream that ended early.
-func (x *exchange) handleBrokenStream(ctx context.Context, pl *placement, err error) (outcome, bool) {
+func (x *exchange) handleBrokenStream(pl *placement, err error) (outcome, bool) {
 	if x.r.Context().Err() != nil {
 		return callerGone, false
 	}
 	x.recordFailure(pl, err)
-	if pl.stall.wasCut() {
-		x.lastError, x.retryGranted = errStalled, true
+	switch {
+	case errors.Is(err, errStalled):
 		x.g.meter.resumes.Inc()
-		return "", true
-	}
-	if ctx.Err() == nil {
+	case pl.ctx.Err() == nil:
 		x.recordBrokenResponse(pl)
 		x.g.meter.resumes.Inc()
 		x.handleBrokenExchange(pl)
@@ -195,7 +207,7 @@
 // recordPart records that a part of the response has arrived.
 func (x *exchange) recordPart(pl *placement) {
 	now := time.Now()
-	x.responseBegun = true
+	pl.responseBegun = true
 	if x.firstPartAt.IsZero() {
 		x.firstPartAt = now
 		x.g.meter.firstByte.UpdateDuration(x.started)
