stall/monitor: the watch over a stream and its handover, apart from relay

A move, so that the handover can be tested without a network: relay/stall.go held the timers, the locks and the handover of a stalled stream beside what a gateway does about it. Package stall/monitor now has the former, with the attempt as a type parameter; relay keeps the decisions about an attempt (records, budget, placing, sending). eventstream.AwaitEvent waits for the first event of the endpoint that resumes the stream, and bounds what it reads for that, comments included.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -31,7 +31,7 @@
 	if !x.allAccept(pl, time.Now()) {
 		return x.abandonAttempt(), ""
 	}
-	runCtx := ctx
+	requestCtx := ctx
 	if len(pl.memoryDemands) > 0 {
 		reserved, err := x.g.reserve(ctx, x.call.ID, pl)
 		if err != nil {
@@ -47,7 +47,7 @@
 	if !x.allAccept(pl, now) || !x.withinLimits(pl, now) {
 		return x.abandonAttempt(), ""
 	}
-	pl.ctx, pl.stall = x.newStallMonitor(runCtx, ctx, pl)
+	x.monitorStream(requestCtx, ctx, pl)
 	x.unsent, x.wrongIncarnation = false, false
 	res, err := x.g.do(pl.ctx, pl.endpoint, x.upstreamRequest(pl, now), callerRequest, x.call.ID)
 	if pl.endAttempt(err == nil) {
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -22,7 +22,7 @@
 	"github.com/micarudder/micarudder/pushlistener"
 	"github.com/micarudder/micarudder/quarantine"
 	"github.com/micarudder/micarudder/residual"
-	"github.com/micarudder/micarudder/stall"
+	"github.com/micarudder/micarudder/stall/monitor"
 	"github.com/micarudder/micarudder/suspension"
 	"github.com/micarudder/micarudder/upstream"
 )
@@ -95,7 +95,7 @@
 	storeReads     *storeReads
 	servers        *callerServers
 	crashProbes    *crashprobe.Probes[quarantine.Incarnation, brokenExchange]
-	deliveries     *streamDeliveries
+	deliveries     *monitor.Deliveries
 	held           *heldRequests
 	quarantine     *quarantineTable
 	suspensions    *suspension.Detector
@@ -139,7 +139,7 @@
 	g.servers = newCallerServers(g)
 	g.crashProbes = crashprobe.NewProbes[quarantine.Incarnation, brokenExchange]()
 	g.held = newHeldRequests(c)
-	g.deliveries = &streamDeliveries{record: stall.NewDeliveries()}
+	g.deliveries = monitor.NewDeliveries()
 	g.quarantine = newQuarantineTable(c.Name)
 	g.suspensions = suspension.New(d.Suspended)
 	g.endpointLimits = g.picker.limits
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -9,6 +9,7 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/residual"
+	"github.com/micarudder/micarudder/stall/monitor"
 )
 
 // placement is the placement of a request on endpoints, and the attempt that is made there. Its load counts
@@ -18,13 +19,15 @@
 	endpoint      catalog.Endpoint
 	helpers       []catalog.Endpoint
 	memoryDemands []memoryDemand
-	reservations  *reservations   // reserved for the attempt; nil if none
-	ctx           context.Context // of the attempt; ends early if its memory is released or its stream moves
-	stall         *stallMonitor   // resumes the stream elsewhere if it makes no progress; nil: it is not monitored
-	response      *http.Response  // nil before its head has arrived
-	responseBegun bool            // whether a part of the response was delivered
-	callerDelay   time.Duration   // longest that a part of the response has waited for the caller
-	grant         *grant          // permits an attempt at an endpoint with a rate limit; nil if none
+	reservations  *reservations           // reserved for the attempt; nil if none
+	ctx           context.Context         // of the attempt; ends early if its memory is released or its stream moves
+	cancel        context.CancelCauseFunc // ends ctx; nil if its stream is not monitored
+	stall         *monitor.Monitor[*placement]
+	stallRecorded bool           // whether a stall counts as a failure of the endpoint already
+	response      *http.Response // nil before its head has arrived
+	responseBegun bool           // whether a part of the response was delivered
+	callerDelay   time.Duration  // longest that a part of the response has waited for the caller
+	grant         *grant         // permits an attempt at an endpoint with a rate limit; nil if none
 	sentRequest   availability.SentRequest
 	loadBefore    balance.Load // load of the endpoint before this request
 	// residual is the part of loadBefore of processes that are gone, and residualAge the time since
@@ -111,7 +114,10 @@
 	if pl.response != nil {
 		_ = pl.response.Body.Close()
 	}
-	pl.stall.end()
+	pl.stall.End()
+	if pl.cancel != nil {
+		pl.cancel(nil)
+	}
 	pl.reservations.end()
 	pl.release()
 }
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -40,7 +40,7 @@
 				c.beforeEvent = stallAt(2, stallLimit+time.Second, false)
 				time.AfterFunc(time.Second, func() { tc.during(c) })
 				events, took := c.read("/sound/", nil)
-				monitored := len(c.gateways[0].deliveries.record.Endpoints())
+				monitored := len(c.gateways[0].deliveries.Endpoints())
 				time.Sleep(time.Minute) // the engines have ended
 				is.Equal(events, c.eventsUntil(streamEvents))
 				is.True(took < callTimeout)
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -165,7 +165,7 @@
 				is.Equal(g.meter.stallsCut.Get(), tc.cut)
 				is.Equal(len(c.arrivals), tc.arrivals)
 				is.Equal(g.meter.retries.Get(), tc.cut) // each is charged once
-				is.Equal(len(g.deliveries.record.Endpoints()), 0)
+				is.Equal(len(g.deliveries.Endpoints()), 0)
 				time.Sleep(never)
 			})
 		})
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -10,6 +10,7 @@
 	"github.com/micarudder/micarudder/eventstream"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/httpsyntax"
+	"github.com/micarudder/micarudder/stall/monitor"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -35,7 +36,8 @@
 func (x *exchange) relayAttempt(pl *placement) (next *placement, o outcome, again bool) {
 	defer pl.end()
 	o, again = x.relay(pl)
-	if next = pl.stall.resumedAt(); next != nil && !again {
+	next, moved := pl.stall.Next()
+	if moved && !again {
 		next.end()
 	}
 	return next, o, again
@@ -133,7 +135,7 @@
 	s.partial = s.partial[:0]
 	buf := make([]byte, copyBufferBytes)
 	for {
-		n, err := pl.stall.read(res.Body, buf)
+		n, err := pl.stall.Read(res.Body, buf)
 		if n > 0 {
 			s.partial = append(s.partial, buf[:n]...)
 			complete, rest, id := eventstream.Split(s.partial, s.lastID)
@@ -165,8 +167,8 @@
 		x.stream.headSent = true
 		x.writeHead(res)
 	}
-	pl.stall.eventArrived(x.stream.lastID)
-	defer pl.stall.eventPassedOn()
+	pl.stall.EventArrived(x.stream.lastID)
+	defer pl.stall.EventPassedOn()
 	return x.writeToCaller(pl, events, true)
 }
 
@@ -194,7 +196,7 @@
 	}
 	x.recordFailure(pl, err)
 	switch {
-	case errors.Is(err, errStalled):
+	case errors.Is(err, monitor.ErrMoved):
 		x.g.meter.resumes.Inc()
 	case pl.ctx.Err() == nil:
 		x.recordBrokenResponse(pl)
