relay: a stream that stalls beside the removal of its route is not lost

Callers lost the rest of each stream whose endpoint paused while the operator took its route away: the attempt was cut, and its resumption found no route.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -19,17 +19,22 @@
 	g.state.ApplyConfiguration(&config)
 }
 
+// whileStalled calls f while a stream has one event and waits for the next, before it counts as stalled.
+func whileStalled(f func()) { time.AfterFunc(stallLimit-time.Second, f) }
+
 // TestStalledStreamIsNotLost guards against a gateway that ends a stalled stream at its endpoint and then
 // may not resume it elsewhere, so that the caller loses the rest that the endpoint would have sent.
 func TestStalledStreamIsNotLost(t *testing.T) {
 	cases := []struct {
-		name string
-		// during is called while the stream has one event and waits for the next.
-		during   func(c *crashFleet)
+		name     string
+		prepare  func(c *crashFleet)
 		arrivals int // of requests at engines
 	}{
 		{"key removed", func(c *crashFleet) {
-			c.configure(func(config *catalog.Configuration) { config.Workspaces = nil })
+			whileStalled(func() { c.configure(func(config *catalog.Configuration) { config.Workspaces = nil }) })
+		}, 1},
+		{"route removed", func(c *crashFleet) {
+			whileStalled(func() { c.configure(func(config *catalog.Configuration) { config.Routes = nil }) })
 		}, 1},
 	}
 	for _, tc := range cases {
@@ -38,7 +43,7 @@
 				is := is.New(t)
 				c := newStallFleet(t, 3)
 				c.beforeEvent = stallAt(2, stallLimit+time.Second, false)
-				time.AfterFunc(time.Second, func() { tc.during(c) })
+				tc.prepare(c)
 				events, took := c.read("/sound/", nil)
 				monitored := len(c.gateways[0].deliveries.Endpoints())
 				time.Sleep(time.Minute) // the engines have ended
