relay: a stream that stalls while the store is silent is not lost

Callers lost the rest of streams whose endpoint paused while the store was silent: the attempt was cut, and its resumption could not be proved to be allowed (refused-key after 600 ms). Same cause as with a removed key, and the same mend. The proof itself is still asked for before each send.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -36,6 +36,11 @@
 		{"route removed", func(c *crashFleet) {
 			whileStalled(func() { c.configure(func(config *catalog.Configuration) { config.Routes = nil }) })
 		}, 1},
+		{"no proof of the configuration", func(c *crashFleet) {
+			g := c.gateways[0]
+			g.config.RevokeAfter = stallLimit
+			g.state.RecordProof(g.state.Version(), time.Now())
+		}, 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
