relay: a stream that stalls beside crashes of its request elsewhere is not lost

Callers lost the rest of a stream if peers reported crashes under the same request while its endpoint paused: the attempt was cut, and its resumption was quarantined.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/quarantine"
 )
 
 // configure puts a changed copy of the configuration in force.
@@ -41,6 +42,9 @@
 			g.config.RevokeAfter = stallLimit
 			g.state.RecordProof(g.state.Version(), time.Now())
 		}, 1},
+		{"quarantined", func(c *crashFleet) {
+			whileStalled(func() { c.gateways[0].quarantine.Change(c.quarantineSound) })
+		}, 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -60,3 +64,12 @@
 		})
 	}
 }
+
+// quarantineSound quarantines the request that read sends to /sound/.
+func (c *crashFleet) quarantineSound(table *quarantine.Table) {
+	r := quarantine.Request{Method: "POST", Host: "h", Target: "/sound/", Body: []byte("prompt"), Workspace: "w"}
+	for i := range 5 {
+		at := time.Now().Add(time.Duration(i-5) * time.Second)
+		table.RecordCrash(r.Fingerprint(), quarantine.Crash{Endpoint: quarantine.Incarnation(i + 1), At: at}, time.Now())
+	}
+}
