relay: a stream that stalls while the other endpoints are full is not lost

Callers lost the rest of a stream that paused if the endpoint chosen for its resumption answered that it did not run it: the rejected request used up the route's MaxAttempts after the old attempt was cut.

--- a/relay/crashfleet_test.go
+++ b/relay/crashfleet_test.go
@@ -57,6 +57,9 @@
 	beforeEvent func(e *scriptedEngine, n int)
 	// event returns the nth event of a stream; n is 0 for what is sent before the first one.
 	event func(n int) string
+	// rejects and breaks report whether an engine answers that it does not run a request, and whether it breaks
+	// the connection instead of an answer; they may be nil.
+	rejects, breaks func(*http.Request) bool
 	// unreadLimit is the time after which an engine cuts off a stream that is not read; 0: never.
 	unreadLimit time.Duration
 
@@ -149,6 +152,13 @@
 	}
 	e.conns[conn] = !crashing
 	c.mu.Unlock()
+	if c.rejects != nil && c.rejects(r) {
+		_, err := fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nId: ", r.Header.Get("Id"), "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	if c.breaks != nil && c.breaks(r) {
+		return false
+	}
 	time.Sleep(c.startDelay)
 	if crashing && c.immune == e.Address {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nId: %s\r\nContent-Length: 0\r\n\r\n", c.immuneStatus, r.Header.Get("Id"))
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,9 @@
 // whileStalled calls f while a stream has one event and waits for the next, before it counts as stalled.
 func whileStalled(f func()) { time.AfterFunc(stallLimit-time.Second, f) }
 
+// hasLastID reports whether a request resumes a stream.
+func hasLastID(r *http.Request) bool { return r.Header.Get("After") != "" }
+
 // TestStalledStreamIsNotLost guards against a gateway that ends a stalled stream at its endpoint and then
 // may not resume it elsewhere, so that the caller loses the rest that the endpoint would have sent.
 func TestStalledStreamIsNotLost(t *testing.T) {
@@ -45,6 +49,7 @@
 		{"quarantined", func(c *crashFleet) {
 			whileStalled(func() { c.gateways[0].quarantine.Change(c.quarantineSound) })
 		}, 1},
+		{"other endpoints reject it", func(c *crashFleet) { c.rejects = hasLastID }, 2},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
