relay: a stream that stalls is not lost with the endpoint that was to resume it

Callers lost the rest of a stream that paused if the endpoint chosen for its resumption broke the connection before its first event.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -50,6 +50,7 @@
 			whileStalled(func() { c.gateways[0].quarantine.Change(c.quarantineSound) })
 		}, 1},
 		{"other endpoints reject it", func(c *crashFleet) { c.rejects = hasLastID }, 2},
+		{"other endpoints break off at once", func(c *crashFleet) { c.breaks = hasLastID }, 2},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
