relay: an endpoint's failure is delivered if the request can't be repeated

Callers of requests that may be repeated got 502 without a word although an endpoint had answered them, with its own status, header and body: the gateway dropped that answer because the retry budget allowed a repetition, and learnt only then that the key was gone, that the other endpoint rejected the request or that it broke off. Same cause as with stalled streams: what the endpoint has sent is given up before it is known whether there will be anything better.

Change: the failed attempt is kept until an endpoint answers the repetition. If the request is given up before, its response is passed on as it is. Its load is no longer counted, its connection is held. For a begun stream nothing is kept, since a response of another kind can't follow it. At the deadline the connection is closed, and the caller gets 504 as before.

Test TestFailureIsDeliveredIfNotRepeated: key removed, rejected by the other endpoint, other endpoint breaks off. Before, 502 in all three; now the endpoint's 500 with its header and body.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -23,7 +23,7 @@
 // send sends the request to one endpoint. Unless the result is sendAnswered, it ends the attempt.
 func (x *exchange) send(ctx context.Context, pl *placement) (result sendResult, o outcome) {
 	defer func() {
-		if result != sendAnswered || o != "" {
+		if result != sendAnswered && pl != x.failed {
 			pl.end()
 		}
 	}()
@@ -77,6 +77,7 @@
 	if verdict == Failed && x.mayRepeat() {
 		x.lastError = errors.New("endpoint failed with status " + pl.response.Status)
 		x.retryGranted = true
+		x.keepFailed(pl)
 		return sendFailed
 	}
 	return sendAnswered
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -105,6 +105,7 @@
 	maxGap            time.Duration // longest pause between two parts
 	lastError         error
 	abortReason       outcome              // see abort
+	failed            *placement           // the newest attempt at which the endpoint failed; nil: none is kept
 	resuming          bool                 // see resume
 	countedSuspension time.Duration        // total suspension of the host that started and deadline account for
 	subjects          *quarantine.Subjects // see quarantineSubjects
@@ -116,6 +117,9 @@
 	if x.partial() {
 		return x.abort(o)
 	}
+	if o, ok := x.relayFailed(); ok {
+		return o
+	}
 	if retryAfter > 0 {
 		x.w.Header().Set("Retry-After", httpsyntax.Seconds(retryAfter))
 	}
@@ -166,6 +170,7 @@
 func (x *exchange) run() outcome {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer x.dropFailed()
 	x.g.picker.countRequest(x.service.Name, x.started)
 	pl, o := x.obtain(ctx)
 	for pl != nil {
@@ -200,6 +205,7 @@
 		}
 		switch result, o := x.send(ctx, pl); result {
 		case sendAnswered:
+			x.dropFailed()
 			return pl, ""
 		case sendEnded:
 			return nil, o
--- a/relay/keys_test.go
+++ b/relay/keys_test.go
@@ -69,6 +69,50 @@
 	is.Equal(b.requestCount(), 1)
 }
 
+// TestFailureIsDeliveredIfNotRepeated guards against an endpoint's complete failure that is dropped to repeat
+// the request, which then is not allowed, accepted or answered, so that the caller learns nothing of it.
+func TestFailureIsDeliveredIfNotRepeated(t *testing.T) {
+	cases := []struct {
+		name string
+		// change is called when the first request has arrived, and second answers the second one.
+		change func(b *testGateway)
+		second endpointScript
+		sent   int
+	}{
+		{"key removed", func(b *testGateway) {
+			c := testConfig(2)
+			c.Workspaces = nil
+			b.source.setConfiguration(c, nil)
+			_ = b.gateway.readConfiguration(time.Now())
+		}, nil, 1},
+		{"rejected by the other endpoint", func(*testGateway) {}, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) {
+			writeResponse(w, "503 Full", "Not-Run: 1\r\n", "")
+		}, 2},
+		{"other endpoint breaks off", func(*testGateway) {}, func(_ int, _ *bufio.Writer, c *net.TCPConn, _ *http.Request) { reset(c) }, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var b *testGateway
+			b = newTestGateway(t, func(n int, w *bufio.Writer, c *net.TCPConn, r *http.Request) {
+				if n > 1 {
+					tc.second(n, w, c, r)
+					return
+				}
+				tc.change(b)
+				writeResponse(w, "500 Broken", "Reason: disk\r\n", "what is wrong")
+			})
+			b.readSource()
+			got := b.send(t.Context(), "GET", "/safe/", "", nil)
+			is.NoErr(got.err)
+			is.Equal(got.status, 500)
+			is.Equal(got.header.Get("Reason"), "disk")
+			is.Equal(got.body, "what is wrong")
+			is.Equal(b.requestCount(), tc.sent)
+		})
+	}
+}
+
 // TestKeyRevokedWhileWaiting: a request that waited for an endpoint is not sent for a key that was
 // revoked in the meantime.
 func TestKeyRevokedWhileWaiting(t *testing.T) {
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -109,8 +109,11 @@
 	return removed
 }
 
-// end ends the attempt and removes all load of the request.
+// end ends the attempt and removes all load of the request; pl may be nil.
 func (pl *placement) end() {
+	if pl == nil {
+		return
+	}
 	if pl.response != nil {
 		_ = pl.response.Body.Close()
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -43,6 +43,33 @@
 	return next, o, again
 }
 
+// keepFailed keeps a response with which the endpoint failed, in case the request cannot be repeated. The caller
+// of a begun stream has no use for it.
+func (x *exchange) keepFailed(pl *placement) {
+	if !x.partial() {
+		x.dropFailed()
+		pl.release()
+		x.failed = pl
+	}
+}
+
+func (x *exchange) dropFailed() {
+	x.failed.end()
+	x.failed = nil
+}
+
+// relayFailed passes the kept response on, if there is one. It reports false if there is none or it broke.
+func (x *exchange) relayFailed() (o outcome, ok bool) {
+	failed := x.failed
+	if failed == nil {
+		return "", false
+	}
+	x.failed = nil
+	defer failed.end()
+	o, again := x.relay(failed)
+	return o, !again
+}
+
 // relay passes a response on to the caller. again is set if it broke before it was complete and the request
 // may be sent again.
 func (x *exchange) relay(pl *placement) (o outcome, again bool) {
