--- a/relay/handler.go
+++ b/relay/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -96,7 +97,7 @@
 	}
 	// The service is picked from the route's targets only once, so that a retry uses the same
 	// service.
-	x.service = x.table.Service(pickService(x.route))
+	x.service = x.table.Service(x.route.PickService(rand.IntN))
 	if x.service == nil {
 		return x.refuse(http.StatusServiceUnavailable, retryAfterFull, refusedFull)
 	}
@@ -117,10 +118,10 @@
 	}
 	// A request in flight keeps the definition of its route as long as the route has the same
 	// target services.
-	if x.route == nil || !sameTargets(x.route, route) {
+	if x.route == nil || !route.SameTargets(x.route) {
 		x.table, x.route = table, route
 		if x.service != nil && table.Service(x.service.Name) == nil {
-			x.service = table.Service(pickService(route))
+			x.service = table.Service(route.PickService(rand.IntN))
 		}
 	}
 	if !table.KeysRequired {
@@ -142,22 +143,6 @@
 	return "", true
 }
 
-// sameTargets reports whether both routes have the same target services.
-func sameTargets(a, b *catalog.Route) bool {
-	if a == b {
-		return true
-	}
-	if a.Name != b.Name || len(a.Targets) != len(b.Targets) {
-		return false
-	}
-	for i := range a.Targets {
-		if a.Targets[i].Service != b.Targets[i].Service {
-			return false
-		}
-	}
-	return true
-}
-
 // deny answers a request that the configuration does not allow. A gateway that may have missed a
 // newer configuration answers with a retryable status instead of a final one.
 func (x *exchange) deny(status int, o outcome) outcome {
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/micarudder/micarudder/balance"
-	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/limitstate"
@@ -347,21 +345,3 @@
 	}
 	p.fleetSize = max(local, listed)
 }
-
-// pickService picks one of the route's services by weight.
-func pickService(r *catalog.Route) string {
-	sum := 0
-	for _, t := range r.Targets {
-		sum += t.Weight
-	}
-	if sum <= 0 {
-		return ""
-	}
-	n := rand.IntN(sum)
-	for _, t := range r.Targets {
-		if n -= t.Weight; n < 0 {
-			return t.Service
-		}
-	}
-	return ""
-}
