--- a/relay/settings.go
+++ b/relay/settings.go
@@ -38,7 +38,7 @@
 	Load struct {
 		ForwardMessages bool `key:"forward_messages" default:"false" help:"whether messages to the gateways of another data centre are sent to two of them, which send them on"`
 		ResidualLoad    bool `key:"residual_load" default:"false" help:"whether requests of gateway processes that are gone count as load of their endpoints"`
-		StallResume     bool `key:"stall_resume" default:"false" help:"whether a stream that has begun and makes no progress is cut at its endpoint and resumed at another one"`
+		StallResume     bool `key:"stall_resume" default:"false" help:"whether a stream that has begun and makes no progress moves to another endpoint, once that one delivers"`
 		// SlowReaderTimeout applies to callers and to endpoints.
 		SlowReaderTimeout time.Duration `key:"slow_reader_timeout" default:"0s" min:"0s" help:"after how long without reading anything a caller or an endpoint is disconnected; 0s: only at the request's deadline"`
 		HeldMemory        settings.Size `key:"held_memory" default:"0B" help:"most memory for the connections, buffers and responses of the requests that are served at once; more are refused with a time to come back; 0B: no bound"`
