--- a/relay/stall.go
+++ b/relay/stall.go
@@ -51,6 +51,9 @@
 		}
 	}
 	next, result := x.resume(ctx)
+	if ctx.Err() != nil {
+		result = resumeWithdrawn
+	}
 	g.deps.Log.Request("Stream stalled.", "request", x.call.ID, "endpoint", pl.endpoint.ID, "outcome", string(result), "idle_ms", s.Idle.Milliseconds(),
 		"last_event_age_ms", s.LastEventAge.Milliseconds(), "delivers_to_others", s.DeliversToOthers, "resuming_ms", time.Since(s.At).Milliseconds(), "err", x.lastError)
 	return next, next != nil
@@ -65,6 +68,7 @@
 	resumeNoAttempt  resumeResult = "no attempt left"
 	resumeNoEndpoint resumeResult = "no other endpoint"
 	resumeFailed     resumeResult = "the other endpoint failed"
+	resumeWithdrawn  resumeResult = "withdrawn" // the stream's own endpoint delivered first, or the caller left
 )
 
 // resume sends the rest of the stream to another endpoint. It returns the attempt once its first event has
