upstream: the head of a response is bounded

One endpoint that sent a line, header fields or interim responses without end in place of a response ended gateways: they kept all of it until the deadline, went over the memory of their host and were killed, with everything else that they had under way.

Cause: readHead called http.ReadResponse on the connection without any limit; only http.Transport sets one. Trailers and chunk extensions are bounded by the buffer of the reader already.

Change: for the head of a response, its interim responses included, 64 KiB are read from the connection at most. Above, the exchange fails as one that the endpoint broke: the endpoint is charged with a bad response, and the request goes on elsewhere where it may.

Test TestEndlessResponseHead, six forms, 4 MiB each: before, the client read all of it; now at most 64 KiB and its buffer of 8 KiB for each head. TestLargeResponseHead: a head just below the limit, and a body of 128 KiB after it, twice on one connection.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -233,6 +233,7 @@
 	net.Conn
 	key          string
 	address      string
+	head         *headLimiter
 	br           *bufio.Reader
 	written      atomic.Bool // the last request was written completely
 	stopWatch    func() bool
@@ -242,7 +243,8 @@
 }
 
 func newConn(nc net.Conn, key, address string) *conn {
-	return &conn{Conn: nc, key: key, address: address, br: bufio.NewReaderSize(nc, readBuffer)}
+	head := &headLimiter{conn: nc}
+	return &conn{Conn: nc, key: key, address: address, head: head, br: bufio.NewReaderSize(head, readBuffer)}
 }
 
 // close closes the connection and stops watching the context.
@@ -330,6 +332,8 @@
 // responses that belong to other requests.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	mismatched := 0
+	c.head.begin()
+	defer c.head.end()
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
@@ -345,9 +349,11 @@
 		if mismatched > maxMismatched {
 			return nil, errors.New("received only responses to other requests")
 		}
+		c.head.end()
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, err
 		}
+		c.head.begin()
 		if !reusable(res) {
 			return nil, errors.New("received a response to another request, and the connection cannot be reused")
 		}
