relay: bodies of unknown length count with what they occupy

Callers that uploaded bodies in chunks, some dozens at once, ended gateways: each body counted 256 KB against body_memory, however long it became, so that 256 bodies of 4 MiB fit into 64 MiB. The processes went over the memory of their hosts and were killed, with everything that they had under way.

Change: heldmemory.Bodies reads bodies and counts what they occupy, before it is read. One of unknown length counts 256 KiB at first; if it turns out to be longer, it counts the largest size that the configuration allows, or is refused then, before the rest of it arrives: 503 with Retry-After and Connection: close, outcome refused-memory, and it has not run. So a body that has gone on is not dropped because a later one came. Once read, it counts what it has. A quarter of the memory is only for bodies of 256 KiB or less, whose callers are not refused because of large ones.

Tests: TestChunkedBodyMemory (8 uploads of 1 MiB, bound 4 MiB; the same play on the code before: all 8 reached endpoints at once, 8 MiB counted as 2; now 3 do, the others are refused, and a small request beside them is served), heldmemory.TestBodies, TestTruncatedBody, TestBodyIsUnchanged (property). TestBodyMemoryLimit sets the bound of the account in place of the setting, as the account is made with the gateway.

The gauge relay_body_memory_bytes shows what is held.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -239,7 +239,7 @@
 		Target:     x.r.RequestURI,
 		Host:       x.r.Host,
 		Header:     x.g.deps.Protocol.Header(x.r.Header, x.call, fields),
-		Body:       x.body,
+		Body:       x.body.Content(),
 		EchoHeader: x.g.deps.Protocol.EchoedHeader(),
 		MaxIdle:    x.maxIdle(),
 		Stream:     x.streamKind(fields.LastEventID),
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -78,8 +78,7 @@
 	route     *catalog.Route
 	service   *catalog.Service
 	workspace *catalog.Workspace
-	body      []byte
-	heldBytes int64               // size counted against Config.BodyMemory
+	body      *heldmemory.Body    // nil: none
 	held      *heldmemory.Request // counted against Config.HeldMemory; nil: not counted
 	started   time.Time
 	deadline  time.Time
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/micarudder/micarudder/crashprobe"
 	"github.com/micarudder/micarudder/document"
 	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/limitstate"
@@ -88,7 +89,7 @@
 	cancel         context.CancelFunc
 	background     sync.WaitGroup
 	inFlight       atomic.Int64
-	bodyBytes      atomic.Int64 // total size of the request bodies in memory
+	bodies         *heldmemory.Bodies
 	shuttingDown   atomic.Bool
 	stoppedAt      atomic.Pointer[time.Time] // when the stop signal arrived
 	peerClient     *peers.Client
@@ -138,7 +139,8 @@
 	g.storeReads = newStoreReads()
 	g.servers = newCallerServers(g)
 	g.crashProbes = crashprobe.NewProbes[quarantine.Incarnation, brokenExchange]()
-	g.held = newHeldRequests(c)
+	g.held, g.bodies = newHeldRequests(c), heldmemory.NewBodies(c.BodyMemory)
+	d.Metrics.NewGauge("relay_body_memory_bytes", func() float64 { return float64(g.bodies.Held()) })
 	g.deliveries = monitor.NewDeliveries()
 	g.quarantine = newQuarantineTable(c.Name)
 	g.suspensions = suspension.New(d.Suspended)
--- a/relay/gateway_test.go
+++ b/relay/gateway_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/heldmemory"
 )
 
 func TestRelaysRequestUnchanged(t *testing.T) {
@@ -308,7 +310,7 @@
 	is := is.New(t)
 	b := newTestGateway(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) { writeResponse(w, "200 OK", "", "") })
 	b.readSource()
-	b.gateway.config.BodyMemory = 10
+	b.gateway.bodies = heldmemory.NewBodies(10)
 	is.Equal(b.send(t.Context(), "POST", "/once/", "0123456789", nil).status, 200)
 	got := b.send(t.Context(), "POST", "/once/", "0123456789a", nil)
 	is.Equal(got.status, 503)
@@ -317,6 +319,60 @@
 	is.Equal(b.requestCount(), 2)
 }
 
+// TestChunkedBodyMemory guards against callers that upload large bodies in chunks and together outgrow the memory
+// for bodies, and against refusing a small request beside them.
+func TestChunkedBodyMemory(t *testing.T) {
+	is := is.New(t)
+	const size, limit = 1 << 20, 4 << 20
+	release := make(chan struct{})
+	b := newTestGateway(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, r *http.Request) {
+		if r.ContentLength == size {
+			<-release
+		}
+		writeResponse(w, "200 OK", "", "")
+	})
+	config := testConfig(1)
+	config.Limits.BodyBytes = size
+	b.source.setConfiguration(config, nil)
+	b.readSource()
+	b.gateway.bodies = heldmemory.NewBodies(limit)
+	responses := make(chan response, 8)
+	for range cap(responses) {
+		go func() { responses <- b.upload(strings.Repeat("x", size)) }()
+	}
+	for range cap(responses) - 3 {
+		got := <-responses
+		is.Equal(got.status, 503)
+		is.True(got.header.Get("Retry-After") != "")
+	}
+	is.True(b.gateway.bodies.Held() <= limit)
+	is.Equal(b.upload("small").status, 200)
+	close(release)
+	for range 3 {
+		is.Equal((<-responses).status, 200)
+	}
+	for b.gateway.inFlight.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(b.gateway.bodies.Held(), int64(0))
+}
+
+// upload sends a body in chunks.
+func (b *testGateway) upload(body string) response {
+	r, err := http.NewRequestWithContext(b.t.Context(), "POST", b.url+"/safe/", io.NopCloser(strings.NewReader(body)))
+	if err != nil {
+		return response{err: err}
+	}
+	r.Host = "h.example"
+	r.Header = http.Header{"Id": {"r1"}, "Key": {"k"}}
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return response{err: err}
+	}
+	defer res.Body.Close()
+	return response{status: res.StatusCode, header: res.Header}
+}
+
 // TestCallerGone: closing the caller's connection closes the connection to the endpoint.
 func TestCallerGone(t *testing.T) {
 	is := is.New(t)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/httpsyntax"
 )
 
@@ -18,7 +18,7 @@
 	x := &exchange{g: g, w: w, r: r, started: time.Now(), countedSuspension: g.checkSuspension()}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	defer x.releaseBodyMemory()
+	defer func() { x.body.Release() }()
 	defer x.releaseHeld()
 	x.recordEnd(x.serve())
 	// Clears the write deadline, since the connection may carry another request. On a broken
@@ -197,22 +197,21 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return "", true
 	}
-	if !x.reserveBodyMemory() {
-		x.w.Header().Set("Connection", "close")
-		return x.refuse(http.StatusServiceUnavailable, retryAfterFull, refusedFull), false
-	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
 	body := x.r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(x.w, body, limit)
 	}
 	var err error
-	x.body, err = readAll(body, x.r.ContentLength)
+	x.body, err = x.g.bodies.Read(body, x.r.ContentLength, limit)
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
 	var tooLargeErr *http.MaxBytesError
 	switch {
 	case err == nil:
 		return "", true
+	case errors.Is(err, heldmemory.ErrFull):
+		x.w.Header().Set("Connection", "close")
+		return x.refuse(http.StatusServiceUnavailable, retryAfterFull, refusedMemory), false
 	case errors.As(err, &tooLargeErr):
 		return x.refuse(http.StatusRequestEntityTooLarge, 0, tooLarge), false
 	case x.r.Context().Err() != nil:
@@ -223,27 +222,3 @@
 		return x.refuse(http.StatusBadRequest, 0, badRequest), false
 	}
 }
-
-// unknownBodySize is the size that a body of unknown length counts against Config.BodyMemory.
-const unknownBodySize = 256 << 10
-
-// reserveBodyMemory counts the body against Config.BodyMemory and reports whether it fits.
-func (x *exchange) reserveBodyMemory() bool {
-	x.heldBytes = x.r.ContentLength
-	if x.heldBytes < 0 {
-		x.heldBytes = unknownBodySize
-	}
-	return x.g.bodyBytes.Add(x.heldBytes) <= x.g.config.BodyMemory || x.g.config.BodyMemory == 0
-}
-
-func (x *exchange) releaseBodyMemory() { x.g.bodyBytes.Add(-x.heldBytes) }
-
-// readAll reads a body of the given length, or of any length if it is negative.
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(body)
-	}
-	p := make([]byte, length)
-	_, err := io.ReadFull(body, p)
-	return p, err
-}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -61,7 +61,7 @@
 // quarantineSubjects returns what crashes under the request count against.
 func (x *exchange) quarantineSubjects() *quarantine.Subjects {
 	if x.subjects == nil {
-		request := quarantine.Request{Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body}
+		request := quarantine.Request{Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body.Content()}
 		if x.workspace != nil {
 			request.Workspace = x.workspace.Name
 		}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/quarantine"
 )
 
@@ -267,7 +268,7 @@
 // endpoint crashed under a request with the same head.
 func TestBodyNotHashedWithoutSuspects(t *testing.T) {
 	is := is.New(t)
-	x := &exchange{g: &Gateway{quarantine: newQuarantineTable("g")}, r: &http.Request{Method: "POST", Host: "h", RequestURI: "/a"}, body: []byte("text")}
+	x := &exchange{g: &Gateway{quarantine: newQuarantineTable("g")}, r: &http.Request{Method: "POST", Host: "h", RequestURI: "/a"}, body: &heldmemory.Body{Bytes: []byte("text")}}
 	x.checkQuarantine(x.g.quarantine.Check)
 	is.True(x.knownFingerprint() == "")
 	x.g.quarantine.Change(func(t *quarantine.Table) {
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -18,7 +18,7 @@
 		PeerListen  settings.Address   `key:"peer_listen" required:"true" help:"address for other gateways, TCP and UDP; all gateways use the same port"`
 		Seeds       []settings.Address `key:"seeds" help:"addresses of some gateways' hosts, used while the store cannot tell them; only the IP numbers count"`
 		FirstStart  bool               `key:"first_start" default:"false" help:"whether the whole installation starts for the first time; then the gateways that seeds names read the store for the others"`
-		BodyMemory  settings.Size      `key:"body_memory" default:"64MiB" help:"most memory of request bodies that are held at once; more are refused with a time to come back"`
+		BodyMemory  settings.Size      `key:"body_memory" default:"112MiB" help:"most memory of request bodies that are held at once; more are refused with a time to come back; a quarter is for bodies of 256KiB or less"`
 	} `section:"relay"`
 	Store struct {
 		Address settings.Address `key:"address" required:"true" help:"address of the platform's key-value service"`
