relay, daemon: the bound of bodies and the garbage collector follow the host's memory

Cause: body_memory was the same on a host of 136 MB and on one of 536 MB, and the Go runtime did not know that a process above its host's memory is killed.

Change: the setting host_memory, which deploy/ sets to limits.memoryMb where the platform tells it. Bodies use two fifths of it at most, body_memory if that is less; the runtime's soft limit is four fifths. Without the setting nothing changes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,7 @@
 	LogFormat   string           `key:"log_format" default:"text" allowed:"text|json|logfmt" help:"form of the log lines"`
 	Profiling   bool             `key:"profiling" default:"false" help:"whether the admin address serves /debug/pprof"`
 	GCPercent   int              `key:"gc_percent" default:"50" min:"10" max:"400" help:"growth of the heap between two collections, in percent; less saves memory, more saves processor time"`
+	HostMemory  settings.Size    `key:"host_memory" default:"0B" help:"memory that the process may use on this host; near four fifths of it, heap is collected earlier; 0B: not known"`
 	DrainTime   time.Duration    `key:"drain_time" default:"5m" min:"0s" max:"2h" help:"longest wait for work in flight at a planned stop"`
 }
 
@@ -115,10 +116,17 @@
 	return code
 }
 
+// softMemoryPercent is the part of the host's memory, in percent, near which the garbage collector works
+// harder. The rest is for what the runtime does not count, and for the time until a collection ends.
+const softMemoryPercent = 80
+
 // serve runs the service until a signal or a fatal error stops it, and returns
 // the exit code. On SIGHUP it reloads the settings.
 func serve(name string, common *Common, build func(Env) (Service, error), readSettings func() (any, error)) int {
 	debug.SetGCPercent(common.GCPercent)
+	if common.HostMemory > 0 {
+		debug.SetMemoryLimit(int64(common.HostMemory) * softMemoryPercent / 100)
+	}
 	logger := NewLogger(common, name)
 	set := metrics.NewSet()
 	failed := make(chan error, 1)
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -73,6 +73,15 @@
 	is.Equal(s.Bounds.RevokeAfter.String(), "5s")
 	is.Equal(s.Process.DrainTime.String(), "8s")
 	is.Equal(s.Bounds.UnusedMemory.String(), "7s")
+	is.Equal(int64(s.Process.HostMemory), int64(0)) // the platform does not tell it
+}
+
+// TestTemplateHostMemory guards against a process that does not know the memory of its host.
+func TestTemplateHostMemory(t *testing.T) {
+	is := is.New(t)
+	s, err := loadRendered(t, map[string]string{"limits.memoryMb": "284"})
+	is.NoErr(err)
+	is.Equal(int64(s.Process.HostMemory), int64(284<<20))
 }
 
 func TestTemplateWithoutUnusedMemoryBound(t *testing.T) {
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -18,7 +18,7 @@
 		PeerListen  settings.Address   `key:"peer_listen" required:"true" help:"address for other gateways, TCP and UDP; all gateways use the same port"`
 		Seeds       []settings.Address `key:"seeds" help:"addresses of some gateways' hosts, used while the store cannot tell them; only the IP numbers count"`
 		FirstStart  bool               `key:"first_start" default:"false" help:"whether the whole installation starts for the first time; then the gateways that seeds names read the store for the others"`
-		BodyMemory  settings.Size      `key:"body_memory" default:"112MiB" help:"most memory of request bodies that are held at once; more are refused with a time to come back; a quarter is for bodies of 256KiB or less"`
+		BodyMemory  settings.Size      `key:"body_memory" default:"112MiB" help:"most memory of request bodies that are held at once, and two fifths of host_memory at most; more are refused with a time to come back; a quarter is for bodies of 256KiB or less"`
 	} `section:"relay"`
 	Store struct {
 		Address settings.Address `key:"address" required:"true" help:"address of the platform's key-value service"`
@@ -61,12 +61,24 @@
 // minRevokeAfter allows for one read that fails and one that succeeds.
 const minRevokeAfter = 2 * readInterval
 
+// bodyMemoryPercent is the part of the host's memory, in percent, that request bodies may use.
+const bodyMemoryPercent = 40
+
+// bodyMemory returns the most memory of request bodies; 0: no bound.
+func (s *Settings) bodyMemory() int64 {
+	bodies, host := int64(s.Relay.BodyMemory), int64(s.Process.HostMemory)
+	if share := host * bodyMemoryPercent / 100; host > 0 && (bodies == 0 || share < bodies) {
+		return share
+	}
+	return bodies
+}
+
 // config returns the settings of the gateway itself.
 func (s *Settings) config() Config {
 	return Config{
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
-		BodyMemory: int64(s.Relay.BodyMemory), ResidualLoad: s.Load.ResidualLoad,
+		BodyMemory: s.bodyMemory(), ResidualLoad: s.Load.ResidualLoad,
 		StallResume: s.Load.StallResume, SlowReaderTimeout: s.Load.SlowReaderTimeout, HeldMemory: int64(s.Load.HeldMemory),
 		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
