--- a/heldmemory/heldmemory.go
+++ b/heldmemory/heldmemory.go
@@ -1,6 +1,5 @@
-// Package heldmemory bounds the memory that a process holds for the responses of all its requests
-// together. Each request counts with the most that it can hold, because a request that is admitted
-// while it holds little may hold all of it a moment later. The package does no I/O and reads no clock.
+// Package heldmemory bounds the memory that a process holds for all its requests together: for their
+// bodies (Bodies), and for their responses (Ledger). It reads no clock.
 package heldmemory
 
 import "time"
@@ -12,7 +11,9 @@
 	WaitingSince() time.Time
 }
 
-// Ledger holds the requests that count. It is not safe for concurrent use.
+// Ledger holds the requests that count for their responses. Each counts with the most that it can hold,
+// because a request that is admitted while it holds little may hold all of it a moment later. It is not safe
+// for concurrent use.
 type Ledger struct {
 	limit, perRequest int64
 	minWait           time.Duration
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -53,6 +53,7 @@
 	}
 }
 
+// dropFailed ends the kept attempt, if there is one.
 func (x *exchange) dropFailed() {
 	x.failed.end()
 	x.failed = nil
