upstream, relay: the heads of all responses have one account, by what they occupy

Cause: the head counts with its text. The number of heads at once is that of the requests under way.

Change: heldmemory.Responses counts what responses occupy, all together, against response_memory (32 MiB, an eighth of host_memory at most). A head counts before it is parsed, with its text and 320 bytes a line; up to 16 KiB it does not count, so that usual responses take no lock. If there is no room, the response that occupies most gives way: its endpoint is charged with a bad response and the request goes on elsewhere where it may. The gauges relay_response_memory_bytes{part} say what is held, and "Exchange broke." names the cause. A head that was refused in the middle of a line was reported as malformed; the error is now the one that refused it.

Ruled out: a largest number of header fields. It would refuse responses that were passed on before, and 1,000 of them in each of 1,000 heads would still be too many.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,6 +49,7 @@
 	}
 	x.monitorStream(requestCtx, ctx, pl)
 	x.unsent, x.wrongIncarnation = false, false
+	pl.memory = x.g.deps.Responses.Begin()
 	res, err := x.g.do(pl.ctx, pl.endpoint, x.upstreamRequest(pl, now), callerRequest, x.call.ID)
 	if pl.endAttempt(err == nil) {
 		x.g.deps.Log.Logger().Info("Endpoint has rested.", "endpoint", pl.endpoint.ID)
@@ -246,6 +247,7 @@
 		// An endpoint resets connections beyond the number that it accepts from all gateways
 		// together.
 		MaxIdleConns: maxIdlePerGateway(x.service.MaxConnections, x.g.endpointLimits.GatewayCount()),
+		Memory:       pl.memory,
 		PreSendCheck: func() bool {
 			now := time.Now()
 			if !x.allAccept(pl, now) || !x.withinLimits(pl, now) {
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -65,6 +65,8 @@
 	Protocol  Protocol
 	Source    Source
 	Endpoints *upstream.Client
+	// Responses counts what responses hold; nil: they are not bounded together.
+	Responses *heldmemory.Responses
 	Mesh      *peers.Mesh
 	PeerPort  int // TCP port on which other gateways answer
 	// Overload decides which new connections are refused; nil: a new one, which learns nothing of the link.
@@ -141,6 +143,7 @@
 	g.crashProbes = crashprobe.NewProbes[quarantine.Incarnation, brokenExchange]()
 	g.held, g.bodies = newHeldRequests(c), heldmemory.NewBodies(c.BodyMemory)
 	d.Metrics.NewGauge("relay_body_memory_bytes", func() float64 { return float64(g.bodies.Held()) })
+	exportResponseMemory(d.Metrics, d.Responses)
 	g.deliveries = monitor.NewDeliveries()
 	g.quarantine = newQuarantineTable(c.Name)
 	g.suspensions = suspension.New(d.Suspended)
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -8,6 +8,7 @@
 	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/residual"
 	"github.com/micarudder/micarudder/stall/monitor"
 )
@@ -25,9 +26,10 @@
 	stall         *monitor.Monitor[*placement]
 	stallRecorded bool           // whether a stall counts as a failure of the endpoint already
 	response      *http.Response // nil before its head has arrived
-	responseBegun bool           // whether a part of the response was delivered
-	callerDelay   time.Duration  // longest that a part of the response has waited for the caller
-	grant         *grant         // permits an attempt at an endpoint with a rate limit; nil if none
+	memory        *heldmemory.Response
+	responseBegun bool          // whether a part of the response was delivered
+	callerDelay   time.Duration // longest that a part of the response has waited for the caller
+	grant         *grant        // permits an attempt at an endpoint with a rate limit; nil if none
 	sentRequest   availability.SentRequest
 	loadBefore    balance.Load // load of the endpoint before this request
 	// residual is the part of loadBefore of processes that are gone, and residualAge the time since
@@ -117,6 +119,7 @@
 	if pl.response != nil {
 		_ = pl.response.Body.Close()
 	}
+	pl.memory.Release()
 	pl.stall.End()
 	if pl.cancel != nil {
 		pl.cancel(nil)
--- a/relay/process.go
+++ b/relay/process.go
@@ -15,6 +15,7 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/daemon"
 	"github.com/micarudder/micarudder/eventlog"
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/hostclock"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/pushlistener"
@@ -75,13 +76,15 @@
 		suspended = hostSuspensionClock(events.Logger())
 	}
 	overload := new(pushlistener.Overload)
+	responses := heldmemory.NewResponses(s.withinHost(s.Relay.ResponseMemory, responseMemoryPercent))
 	g := New(c, Deps{
 		Overload:  overload,
+		Responses: responses,
 		Suspended: suspended,
 		Protocol:  protocol, Source: source, Mesh: mesh, PeerPort: int(peerAddress.Port()), Log: events, Metrics: env.Metrics,
 		Endpoints: upstream.New(upstream.Options{
 			DialTimeout: s.Endpoints.DialTimeout, MaxIdle: s.Endpoints.MaxIdle, IdlePerHost: s.Endpoints.IdlePerHost,
-			SlowReaderTimeout: s.Load.SlowReaderTimeout, Dialed: overload.Dialed,
+			SlowReaderTimeout: s.Load.SlowReaderTimeout, Dialed: overload.Dialed, Responses: responses,
 		}),
 	})
 	p := &Process{Gateway: g, settings: s}
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -11,14 +11,15 @@
 // Settings holds the INI settings of rudder-relay.
 type Settings struct {
 	Relay struct {
-		Name        string             `key:"name" required:"true" help:"name of this gateway, unique in the installation"`
-		DataCentre  string             `key:"data_centre" required:"true" help:"data centre that this host stands in"`
-		Listen      settings.Address   `key:"listen" required:"true" help:"address for callers"`
-		ReadyListen settings.Address   `key:"ready_listen" required:"true" help:"address that the balancer asks whether this gateway is ready"`
-		PeerListen  settings.Address   `key:"peer_listen" required:"true" help:"address for other gateways, TCP and UDP; all gateways use the same port"`
-		Seeds       []settings.Address `key:"seeds" help:"addresses of some gateways' hosts, used while the store cannot tell them; only the IP numbers count"`
-		FirstStart  bool               `key:"first_start" default:"false" help:"whether the whole installation starts for the first time; then the gateways that seeds names read the store for the others"`
-		BodyMemory  settings.Size      `key:"body_memory" default:"112MiB" help:"most memory of request bodies that are held at once, and two fifths of host_memory at most; more are refused with a time to come back; a quarter is for bodies of 256KiB or less"`
+		Name           string             `key:"name" required:"true" help:"name of this gateway, unique in the installation"`
+		DataCentre     string             `key:"data_centre" required:"true" help:"data centre that this host stands in"`
+		Listen         settings.Address   `key:"listen" required:"true" help:"address for callers"`
+		ReadyListen    settings.Address   `key:"ready_listen" required:"true" help:"address that the balancer asks whether this gateway is ready"`
+		PeerListen     settings.Address   `key:"peer_listen" required:"true" help:"address for other gateways, TCP and UDP; all gateways use the same port"`
+		Seeds          []settings.Address `key:"seeds" help:"addresses of some gateways' hosts, used while the store cannot tell them; only the IP numbers count"`
+		FirstStart     bool               `key:"first_start" default:"false" help:"whether the whole installation starts for the first time; then the gateways that seeds names read the store for the others"`
+		BodyMemory     settings.Size      `key:"body_memory" default:"112MiB" help:"most memory of request bodies that are held at once, and two fifths of host_memory at most; more are refused with a time to come back; a quarter is for bodies of 256KiB or less"`
+		ResponseMemory settings.Size      `key:"response_memory" default:"32MiB" help:"most memory for what responses hold beyond 16KiB for each of their heads, incomplete events and buffers, and an eighth of host_memory at most; the response that occupies most gives way to others"`
 	} `section:"relay"`
 	Store struct {
 		Address settings.Address `key:"address" required:"true" help:"address of the platform's key-value service"`
@@ -61,16 +62,19 @@
 // minRevokeAfter allows for one read that fails and one that succeeds.
 const minRevokeAfter = 2 * readInterval
 
-// bodyMemoryPercent is the part of the host's memory, in percent, that request bodies may use.
-const bodyMemoryPercent = 40
+// The parts of the host's memory, in percent, that request bodies and responses may use.
+const (
+	bodyMemoryPercent     = 40
+	responseMemoryPercent = 12.5
+)
 
-// bodyMemory returns the most memory of request bodies; 0: no bound.
-func (s *Settings) bodyMemory() int64 {
-	bodies, host := int64(s.Relay.BodyMemory), int64(s.Process.HostMemory)
-	if share := host * bodyMemoryPercent / 100; host > 0 && (bodies == 0 || share < bodies) {
+// withinHost returns a bound on memory that is at most this part of the host's; 0: no bound.
+func (s *Settings) withinHost(bound settings.Size, percent float64) int64 {
+	host := int64(s.Process.HostMemory)
+	if share := int64(float64(host) * percent / 100); host > 0 && (bound == 0 || share < int64(bound)) {
 		return share
 	}
-	return bodies
+	return int64(bound)
 }
 
 // config returns the settings of the gateway itself.
@@ -78,7 +82,7 @@
 	return Config{
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
-		BodyMemory: s.bodyMemory(), ResidualLoad: s.Load.ResidualLoad,
+		BodyMemory: s.withinHost(s.Relay.BodyMemory, bodyMemoryPercent), ResidualLoad: s.Load.ResidualLoad,
 		StallResume: s.Load.StallResume, SlowReaderTimeout: s.Load.SlowReaderTimeout, HeldMemory: int64(s.Load.HeldMemory),
 		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
--- a/relay/settings_test.go
+++ b/relay/settings_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"testing"
 
 	"github.com/matryer/is"
@@ -8,9 +9,9 @@
 	"github.com/micarudder/micarudder/settings"
 )
 
-// TestBodyMemoryFollowsHost guards against request bodies that outgrow a small host because their bound was set
-// for a larger one.
-func TestBodyMemoryFollowsHost(t *testing.T) {
+// TestMemoryFollowsHost guards against request bodies and responses that outgrow a small host because their bounds were
+// set for a larger one.
+func TestMemoryFollowsHost(t *testing.T) {
 	const mib = 1 << 20
 	for _, tc := range []struct{ bodies, host, want int64 }{
 		{112 * mib, 0, 112 * mib},
@@ -23,5 +24,6 @@
 		s := new(Settings)
 		s.Relay.BodyMemory, s.Process.HostMemory = settings.Size(tc.bodies), settings.Size(tc.host)
 		is.Equal(s.config().BodyMemory, tc.want)
+		is.Equal(s.withinHost(settings.Size(32*mib), responseMemoryPercent), min(32*mib, cmp.Or(tc.host/8, 32*mib)))
 	}
 }
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -3,12 +3,19 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"maps"
 	"net"
+	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/heldmemory"
 )
 
 // countingConn counts the bytes that are read from a connection.
@@ -88,3 +95,106 @@
 	}
 	is.Equal(e.accepted.Load(), int32(1))
 }
+
+// manyFields returns a head of almost maxHeadBytes whose fields are short, so that they occupy many times
+// their text once they are parsed.
+func manyFields(t *testing.T, names func(i int) string) string {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n")
+	for i := 0; b.Len() < maxHeadBytes-1024; i++ {
+		b.WriteString(names(i) + ":\n")
+	}
+	return b.String() + "\r\n"
+}
+
+func distinctNames(i int) string { return strconv.FormatInt(int64(i), 36) }
+
+// heapBytes returns the size of the live heap.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// TestParsedResponseHeads guards against heads of many short fields, each of them below the limit, that occupy
+// more than the memory for responses together.
+func TestParsedResponseHeads(t *testing.T) {
+	const (
+		exchanges = 64
+		limit     = 8 << 20
+	)
+	is := is.New(t)
+	head := manyFields(t, distinctNames)
+	e := listen(t, func(_ int, c *net.TCPConn) {
+		if r, err := readRequest(bufio.NewReader(c)); err != nil || r.Header.Get("Request-Id") == "sound" {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nRequest-Id: sound\r\nContent-Length: 2\r\n\r\nhi"))
+			return
+		}
+		_, _ = c.Write([]byte(head))
+	})
+	responses := heldmemory.NewResponses(limit)
+	client := New(Options{DialTimeout: testTimeout, Responses: responses})
+	before := heapBytes()
+	var held []*http.Response
+	refused := 0
+	for range exchanges {
+		res, err := client.Do(t.Context(), "e", e.Addr().String(), get("r1"))
+		if err != nil {
+			if !errors.Is(err, heldmemory.ErrResponsesFull) {
+				t.Fatal(err)
+			}
+			refused++
+			continue
+		}
+		held = append(held, res)
+	}
+	is.True(responses.Held(heldmemory.Head) <= limit)
+	is.True(heapBytes()-before <= limit)
+	got, err := exchange(client, e, get("sound"))
+	is.NoErr(err)
+	is.Equal(got, "hi")
+	is.True(len(held) > 0)
+	is.Equal(len(held)+refused, exchanges)
+	for _, res := range held {
+		_ = res.Body.Close()
+	}
+	is.Equal(responses.Held(heldmemory.Head), int64(0))
+}
+
+// TestHeadCountsWithWhatItOccupies guards against a head that occupies more than it counts, with what is copied to
+// pass it on.
+func TestHeadCountsWithWhatItOccupies(t *testing.T) {
+	forms := []struct {
+		name  string
+		field func(i int) string
+	}{
+		{"distinct names", distinctNames},
+		{"one name", func(int) string { return "a" }},
+		{"long names", func(i int) string { return strings.Repeat("x", 60) + distinctNames(i) }},
+		{"few fields", func(i int) string { return strings.Repeat("x", 1000) + distinctNames(i) }},
+	}
+	for _, tc := range forms {
+		t.Run(tc.name, func(t *testing.T) {
+			const copies = 16
+			is := is.New(t)
+			head := manyFields(t, tc.field)
+			var held []*http.Response
+			var passedOn []http.Header
+			before := heapBytes()
+			for range copies {
+				res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head)), nil)
+				is.NoErr(err)
+				out := make(http.Header)
+				maps.Copy(out, res.Header)
+				held, passedOn = append(held, res), append(passedOn, out, out.Clone())
+			}
+			occupied := (heapBytes() - before) / copies
+			is.True(occupied <= parsedHeadBytes(held[0].Header)+2*readBuffer)
+			t.Logf("%d bytes, %d fields: occupies %d, counts %d", len(head), len(held[0].Header), occupied, parsedHeadBytes(held[0].Header))
+			runtime.KeepAlive(held)
+			runtime.KeepAlive(passedOn)
+		})
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/micarudder/micarudder/heldmemory"
 )
 
 // Stage is how far a request got before its exchange failed.
@@ -70,6 +73,9 @@
 	// Stream says whether the response is a stream of events. If so, one that ends with its connection
 	// inside an event fails with io.ErrUnexpectedEOF.
 	Stream StreamKind
+	// Memory counts what the response occupies; the caller releases it. Nil: Options.Responses counts it until
+	// the response body was read or closed.
+	Memory *heldmemory.Response
 	// PreSendCheck is called once a connection is available, right before the first byte is written.
 	// If it returns false, the request is not sent and Do fails with ErrCheckFailed. Nil: no check.
 	PreSendCheck func() bool
@@ -87,6 +93,8 @@
 	// SlowReaderTimeout is the time after which an endpoint that reads nothing of a request is
 	// disconnected; the buffers of its connections are bounded then. Zero: off.
 	SlowReaderTimeout time.Duration
+	// Responses counts the responses to requests without Memory. Nil: they do not count.
+	Responses *heldmemory.Responses
 	// Dialed is called after each connection to an endpoint was tried, with the time that it took and the
 	// error, if any. Nil: not called.
 	Dialed func(address string, took time.Duration, err error)
@@ -152,9 +160,12 @@
 	}
 	conn.watch(ctx)
 	conn.maxIdleConns = r.MaxIdleConns
+	conn.count(r.Memory, c.options.Responses)
 	conn.send(r)
 	res, err := conn.readHead(r)
 	if err != nil {
+		err = conn.cause(err)
+		conn.endCount()
 		conn.close()
 		c.idle.closeOnTimeout(key, err)
 		if cause := ctx.Err(); cause != nil {
@@ -236,6 +247,9 @@
 	head         *headLimiter
 	br           *bufio.Reader
 	written      atomic.Bool // the last request was written completely
+	memory       *heldmemory.Response
+	ownsMemory   bool        // whether the memory is released with the exchange
+	evicted      atomic.Bool // closed for lack of memory
 	stopWatch    func() bool
 	idleSince    time.Time
 	idleTimeout  time.Duration // advertised by the endpoint; 0: none
@@ -269,6 +283,36 @@
 	return stop()
 }
 
+// count makes the memory of an exchange count what its response occupies. Without such memory it counts among all
+// responses until the exchange ends.
+func (c *conn) count(memory *heldmemory.Response, all *heldmemory.Responses) {
+	c.ownsMemory = memory == nil
+	if c.ownsMemory {
+		memory = all.Begin()
+	}
+	c.memory, c.head.memory = memory, memory
+	memory.SetEvict(func() {
+		c.evicted.Store(true)
+		_ = c.Conn.Close()
+	})
+}
+
+// endCount ends what count began.
+func (c *conn) endCount() {
+	c.memory.SetEvict(nil)
+	if c.ownsMemory {
+		c.memory.Release()
+	}
+}
+
+// cause returns why the exchange failed with err.
+func (c *conn) cause(err error) error {
+	if c.evicted.Load() {
+		return heldmemory.ErrResponsesFull
+	}
+	return cmp.Or(c.head.refused, err)
+}
+
 // send writes the request. A long body is written concurrently with reading the
 // response, since an endpoint may respond before it has read all of it.
 func (c *conn) send(r *Request) {
@@ -343,7 +387,7 @@
 			continue
 		}
 		if r.EchoHeader == "" || res.Header.Get(r.EchoHeader) == r.Header.Get(r.EchoHeader) {
-			return res, nil
+			return res, c.memory.Resize(heldmemory.Head, parsedHeadBytes(res.Header))
 		}
 		mismatched++
 		if mismatched > maxMismatched {
@@ -373,6 +417,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
+		err = b.conn.cause(err)
 		b.finish(err == io.EOF)
 		b.pool.closeOnTimeout(b.conn.key, err)
 	}
@@ -392,6 +437,7 @@
 		return
 	}
 	b.ended = true
+	b.conn.endCount()
 	open := b.conn.unwatch()
 	if !complete || !open || !b.reusable || !b.conn.written.Load() || b.conn.br.Buffered() > 0 {
 		_ = b.conn.Conn.Close()
