eventstream: the first event of a resumption has the account of responses

AwaitEvent kept up to 1 MiB of the rest of a stream for each resumption, without an account, and kept it until the stream ended; and it split all of that anew after each 4 KiB.

Change: AwaitEvent reserves its buffer, gives it back once it was passed on, and scans each byte once. If there is no room the resumption fails, and the stream stays where it is.

--- a/eventstream/await_test.go
+++ b/eventstream/await_test.go
@@ -31,7 +31,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			in := io.MultiReader(iotest.OneByteReader(strings.NewReader(tc.stream)), iotest.ErrReader(tc.end))
-			out, err := AwaitEvent(io.NopCloser(in), "2", awaitReadBytes)
+			out, err := AwaitEvent(io.NopCloser(in), "2", awaitReadBytes, nil)
 			is.Equal(err, tc.err)
 			if err != nil {
 				return
@@ -41,3 +41,38 @@
 		})
 	}
 }
+
+// TestAwaitEventReservesMemory guards against the beginning of a stream that occupies memory which does not count,
+// and against counting it after it was passed on.
+func TestAwaitEventReservesMemory(t *testing.T) {
+	const size = 100_000
+	is := is.New(t)
+	stream := "data: " + strings.Repeat("x", size) + "\nid: 3\n\n"
+	reserved, most := 0, 0
+	reserve := func(bytes int) error {
+		reserved, most = bytes, max(most, bytes)
+		return nil
+	}
+	out, err := AwaitEvent(io.NopCloser(strings.NewReader(stream)), "2", 1<<20, reserve)
+	is.NoErr(err)
+	is.True(reserved >= len(stream))
+	is.True(most > len(stream)) // two buffers while one is copied
+	all, err := io.ReadAll(out)
+	is.NoErr(err)
+	is.Equal(string(all), stream)
+	is.Equal(reserved, 0)
+
+	full := errors.New("full")
+	_, err = AwaitEvent(io.NopCloser(strings.NewReader(stream)), "2", 1<<20, func(int) error { return full })
+	is.Equal(err, full)
+}
+
+// BenchmarkAwaitEvent reads a first event of 1 MB.
+func BenchmarkAwaitEvent(b *testing.B) {
+	stream := "id: 3\n" + strings.Repeat("data: abcdefgh\n", 70_000) + "\n"
+	for b.Loop() {
+		if _, err := AwaitEvent(io.NopCloser(strings.NewReader(stream)), "2", 2<<20, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/relay/responsememory_test.go
+++ b/relay/responsememory_test.go
@@ -33,11 +33,18 @@
 	return int64(m.HeapAlloc)
 }
 
-// boundResponses gives the gateway an account of responses, and its endpoints many slots.
+// boundResponses gives the gateway an account of responses, and its endpoints many slots. Streams without progress
+// are resumed after a second.
 func (b *testGateway) boundResponses(limit int64) *heldmemory.Responses {
 	responses := heldmemory.NewResponses(limit)
 	b.gateway.deps.Responses = responses
 	b.gateway.deps.Endpoints = upstream.New(upstream.Options{DialTimeout: 5 * time.Second, Responses: responses})
+	b.gateway.config.StallResume = true
+	config := testConfig(2)
+	for i := range config.Routes {
+		config.Routes[i].GapObjective = 100 * time.Millisecond
+	}
+	b.source.setConfiguration(config, nil)
 	for i := range b.source.endpoints {
 		b.source.endpoints[i].Slots = 1000
 	}
@@ -47,7 +54,7 @@
 
 // awaitSettled waits until at least so many requests have arrived and no more follow.
 func (b *testGateway) awaitSettled(requests int) {
-	const interval = 500 * time.Millisecond
+	const interval = 1500 * time.Millisecond // beyond the time after which a stream is resumed
 	for before := -1; before < requests || before != b.requestCount(); time.Sleep(interval) {
 		before = b.requestCount()
 	}
@@ -62,8 +69,12 @@
 		// perRequest is what a request may occupy besides, with its caller and its endpoint.
 		perRequest = 2 * processBytes
 	)
-	cases := []struct{ name, path, response string }{
-		{"events", "/stream/x", chunkedStream + largeEvent},
+	cases := []struct {
+		name, path, response string
+		resumed              string // the response to the rest of a stream; empty: the same
+	}{
+		{"events", "/stream/x", chunkedStream + largeEvent, ""},
+		{"first events of resumptions", "/stream/x", chunkedStream + "f\r\n" + soundEvents + "\r\n", chunkedStream + strings.Replace(largeEvent, "id: 1", "id: 2", 1)},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -74,7 +85,11 @@
 					writeResponse(w, "200 OK", "Content-Type: text/event-stream\r\n", soundEvents)
 					return
 				}
-				_, _ = w.WriteString(tc.response)
+				if r.Header.Get("After") == "1" && tc.resumed != "" {
+					_, _ = w.WriteString(tc.resumed)
+				} else {
+					_, _ = w.WriteString(tc.response)
+				}
 				_ = w.Flush()
 				<-stop
 			})
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -7,6 +7,7 @@
 
 	"github.com/micarudder/micarudder/eventstream"
 	"github.com/micarudder/micarudder/health"
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/stall"
 	"github.com/micarudder/micarudder/stall/monitor"
 	"github.com/micarudder/micarudder/waitpolicy"
@@ -92,7 +93,7 @@
 		next.end()
 		return nil, resumeFailed
 	}
-	body, err := eventstream.AwaitEvent(next.response.Body, x.stream.lastID, maxEventBytes)
+	body, err := eventstream.AwaitEvent(next.response.Body, x.stream.lastID, maxEventBytes, next.reserve(heldmemory.Resumed))
 	if err != nil {
 		_, _ = x.handleBrokenStream(next, err)
 		next.end()
