relay: unusually large request heads count to the memory of bodies

What callers could do: 16 KiB of header fields, the default limit, may be some 2,300 short fields. Parsed and passed on they occupy 20 times their text while the request is under way, and nothing counted them: a few hundred such requests outgrow a gateway of 284 MB.

Cause: as for response heads, a head counted with its text.

Change: what a head occupies beyond 16 KiB (45 fields or more) counts to body_memory until the request ends. If there is no room, the request is refused as one with a body would be: 503 with Retry-After, Connection: close. A usual head does not count and takes no lock.

--- a/heldmemory/bodies.go
+++ b/heldmemory/bodies.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"slices"
 	"sync"
 )
@@ -18,8 +19,8 @@
 // ErrFull is returned for a body for which there is not enough memory.
 var ErrFull = errors.New("the memory for request bodies is used up")
 
-// Bodies bounds the memory of the request bodies that a process holds at once. A body counts with the memory
-// that it occupies, from before it is read. It is safe for concurrent use.
+// Bodies bounds the memory of the request bodies that a process holds at once, and of unusually large heads. A
+// body counts with the memory that it occupies, from before it is read. It is safe for concurrent use.
 type Bodies struct {
 	limit int64 // bytes; 0: no bound
 
@@ -44,6 +45,20 @@
 	return m.held
 }
 
+// HoldHead counts the head of a request. It fails with ErrFull if there is not enough memory; a head of up to
+// UncountedBytes does not count. What it returns must be released in any case, and may be nil.
+func (m *Bodies) HoldHead(h http.Header) (*Body, error) {
+	size := ParsedHeadBytes(h)
+	if size <= UncountedBytes {
+		return nil, nil
+	}
+	b := &Body{memory: m}
+	if !b.resize(size) {
+		return b, ErrFull
+	}
+	return b, nil
+}
+
 // Read reads the body of a request that has the given length, or up to most bytes if the length is negative;
 // with most = 0 it may have any number. It fails with ErrFull, at once or when a body of unknown length turns
 // out to be large, if there is not enough memory. The body must be released in any case.
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -85,6 +85,11 @@
 		return x.refuse(http.StatusBadRequest, 0, badRequest)
 	}
 	x.call = call
+	head, err := x.g.bodies.HoldHead(x.r.Header)
+	defer head.Release()
+	if err != nil {
+		return x.refuseBodyMemory()
+	}
 	if o, ok := x.authorize(x.r.Context()); !ok {
 		return o
 	}
@@ -210,8 +215,7 @@
 	case err == nil:
 		return "", true
 	case errors.Is(err, heldmemory.ErrFull):
-		x.w.Header().Set("Connection", "close")
-		return x.refuse(http.StatusServiceUnavailable, retryAfterFull, refusedMemory), false
+		return x.refuseBodyMemory(), false
 	case errors.As(err, &tooLargeErr):
 		return x.refuse(http.StatusRequestEntityTooLarge, 0, tooLarge), false
 	case x.r.Context().Err() != nil:
@@ -222,3 +226,9 @@
 		return x.refuse(http.StatusBadRequest, 0, badRequest), false
 	}
 }
+
+// refuseBodyMemory refuses a request whose head or body has no room in Config.BodyMemory.
+func (x *exchange) refuseBodyMemory() outcome {
+	x.w.Header().Set("Connection", "close")
+	return x.refuse(http.StatusServiceUnavailable, retryAfterFull, refusedMemory)
+}
--- a/relay/responsememory_test.go
+++ b/relay/responsememory_test.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,3 +115,45 @@
 		})
 	}
 }
+
+// TestRequestHeads guards against callers whose request heads have many short fields, which occupy many times their
+// text while the requests are under way, until the gateway is killed for its memory.
+func TestRequestHeads(t *testing.T) {
+	const (
+		requests   = 64
+		limit      = 4 << 20
+		perRequest = 2 * processBytes
+	)
+	is := is.New(t)
+	fields := make(http.Header)
+	for i := range defaultHeaderBytes / len("123:\r\n") {
+		fields[strconv.Itoa(i)] = []string{""}
+	}
+	stop := make(chan struct{})
+	b := newTestGateway(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, "/sound") {
+			<-stop
+		}
+		writeResponse(w, "200 OK", "", "a")
+	})
+	b.boundResponses(0)
+	b.gateway.bodies = heldmemory.NewBodies(limit)
+	before := heapBytes()
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer close(stop)
+	var refused atomic.Int64
+	for range requests {
+		callers.Go(func() {
+			if got := b.send(t.Context(), "GET", "/safe/x", "", fields); got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "" {
+				refused.Add(1)
+			}
+		})
+	}
+	b.awaitSettled(1)
+	held := heapBytes() - before
+	t.Logf("%d requests arrived, %d KB are held, %d were refused", b.requestCount(), held>>10, refused.Load())
+	is.True(held <= limit+requests*perRequest)
+	is.Equal(b.requestCount()+int(refused.Load()), requests)
+	is.Equal(b.send(t.Context(), "GET", "/safe/sound", "", nil).body, "a")
+}
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -5,18 +5,12 @@
 	"errors"
 	"math"
 	"net"
-	"net/http"
 
 	"github.com/micarudder/micarudder/heldmemory"
 )
 
-const (
-	// maxHeadBytes is the largest head of a response, its interim (1xx) responses included.
-	maxHeadBytes = 64 << 10
-	// fieldOverheadBytes is the most that a header field occupies besides its text: its entries in the maps of
-	// the response and of the one to the caller, and net/http's copy of the latter.
-	fieldOverheadBytes = 320
-)
+// maxHeadBytes is the largest head of a response, its interim (1xx) responses included.
+const maxHeadBytes = 64 << 10
 
 // errHeadTooLarge ends an exchange whose response head is larger than maxHeadBytes.
 var errHeadTooLarge = errors.New("the head of the response is too large")
@@ -49,25 +43,9 @@
 	}
 	l.left -= n
 	l.lines += bytes.Count(p[:n], []byte{'\n'})
-	l.refused = l.memory.Resize(heldmemory.Head, headBytes(maxHeadBytes-l.left, l.lines))
+	l.refused = l.memory.Resize(heldmemory.Head, heldmemory.HeadBytes(maxHeadBytes-l.left, l.lines))
 	if l.refused != nil {
 		return 0, l.refused
 	}
 	return n, err
 }
-
-// headBytes returns the most that a head of this size occupies once it is parsed.
-func headBytes(size, lines int) int64 { return int64(size + lines*fieldOverheadBytes) }
-
-// parsedHeadBytes returns the most that the header fields of a response occupy.
-func parsedHeadBytes(h http.Header) int64 {
-	size, fields := 0, 0
-	for name, values := range h {
-		size += len(name)
-		fields += len(values)
-		for _, v := range values {
-			size += len(v)
-		}
-	}
-	return headBytes(size, fields)
-}
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -191,8 +191,8 @@
 				held, passedOn = append(held, res), append(passedOn, out, out.Clone())
 			}
 			occupied := (heapBytes() - before) / copies
-			is.True(occupied <= parsedHeadBytes(held[0].Header)+2*readBuffer)
-			t.Logf("%d bytes, %d fields: occupies %d, counts %d", len(head), len(held[0].Header), occupied, parsedHeadBytes(held[0].Header))
+			is.True(occupied <= heldmemory.ParsedHeadBytes(held[0].Header)+2*readBuffer)
+			t.Logf("%d bytes, %d fields: occupies %d, counts %d", len(head), len(held[0].Header), occupied, heldmemory.ParsedHeadBytes(held[0].Header))
 			runtime.KeepAlive(held)
 			runtime.KeepAlive(passedOn)
 		})
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -387,7 +387,7 @@
 			continue
 		}
 		if r.EchoHeader == "" || res.Header.Get(r.EchoHeader) == r.Header.Get(r.EchoHeader) {
-			return res, c.memory.Resize(heldmemory.Head, parsedHeadBytes(res.Header))
+			return res, c.memory.Resize(heldmemory.Head, heldmemory.ParsedHeadBytes(res.Header))
 		}
 		mismatched++
 		if mismatched > maxMismatched {
