relay: logs say what fills the memory of a gateway; one type for each account

What was missing: a gateway that was killed for its memory left nothing that told by what. Metrics named bodies only, and are not scraped in the two seconds that it takes; the log had no line on memory at all.

The ledger of requests is safe for concurrent use itself, as the other two accounts are; its wrapper in relay/ goes. No behaviour changes there.

--- a/heldmemory/heldmemory.go
+++ b/heldmemory/heldmemory.go
@@ -1,8 +1,12 @@
 // Package heldmemory bounds the memory that a process holds for all its requests together: for their
-// bodies (Bodies), and for their responses (Ledger). It reads no clock.
+// bodies and unusually large heads (Bodies), for what responses have brought (Responses), and for what each
+// request needs besides (Ledger). It reads no clock.
 package heldmemory
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Reader is the receiver of a response.
 type Reader interface {
@@ -12,12 +16,14 @@
 }
 
 // Ledger holds the requests that count for their responses. Each counts with the most that it can hold,
-// because a request that is admitted while it holds little may hold all of it a moment later. It is not safe
-// for concurrent use.
+// because a request that is admitted while it holds little may hold all of it a moment later. It is safe for
+// concurrent use. A nil Ledger admits every request.
 type Ledger struct {
 	limit, perRequest int64
 	minWait           time.Duration
-	requests          map[*Request]struct{}
+
+	mu       sync.Mutex
+	requests map[*Request]struct{}
 }
 
 // Request is a request that counts until it is released.
@@ -26,35 +32,61 @@
 }
 
 // NewLedger returns a ledger for requests of which each may hold perRequest bytes, and all together
-// limit bytes. A request may take the place of one that has waited for its reader for at least minWait.
+// limit bytes; nil if that is 0. A request may take the place of one that has waited for its reader for at least
+// minWait.
 func NewLedger(limit, perRequest int64, minWait time.Duration) *Ledger {
+	if limit == 0 {
+		return nil
+	}
 	return &Ledger{limit: limit, perRequest: perRequest, minWait: minWait, requests: make(map[*Request]struct{})}
 }
 
 // Held returns how many bytes the requests may hold.
-func (l *Ledger) Held() int64 { return int64(len(l.requests)) * l.perRequest }
+func (l *Ledger) Held() int64 {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held()
+}
 
-// Admit counts a request, or returns nil if it does not fit. evicted is the reader whose place it takes;
-// the caller must disconnect it. It is the one that has not read for the longest.
-func (l *Ledger) Admit(r Reader, now time.Time) (admitted *Request, evicted Reader) {
-	if l.Held()+l.perRequest > l.limit {
+// held is Held for callers that hold the lock.
+func (l *Ledger) held() int64 { return int64(len(l.requests)) * l.perRequest }
+
+// Admit counts a request until it is released; ok is false if it does not fit. evicted is the reader whose place it
+// takes; the caller must disconnect it. It is the one that has not read for the longest.
+func (l *Ledger) Admit(r Reader, now time.Time) (admitted *Request, evicted Reader, ok bool) {
+	if l == nil {
+		return nil, nil, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held()+l.perRequest > l.limit {
 		slowest := l.slowest(now)
 		if slowest == nil {
-			return nil, nil
+			return nil, nil, false
 		}
 		delete(l.requests, slowest)
 		evicted = slowest.reader
 	}
 	admitted = &Request{reader: r}
 	l.requests[admitted] = struct{}{}
-	return admitted, evicted
+	return admitted, evicted, true
 }
 
 // Release ends the count of a request; r may be nil, and may have been evicted.
-func (l *Ledger) Release(r *Request) { delete(l.requests, r) }
+func (l *Ledger) Release(r *Request) {
+	if r == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.requests, r)
+}
 
 // slowest returns the request that has waited for its reader for the longest, or nil if none has waited
-// for long enough.
+// for long enough. The caller holds the lock.
 func (l *Ledger) slowest(now time.Time) *Request {
 	var found *Request
 	earliest := now.Add(-l.minWait)
--- a/heldmemory/heldmemory_test.go
+++ b/heldmemory/heldmemory_test.go
@@ -37,10 +37,11 @@
 			l := NewLedger(350, 100, 500*time.Millisecond)
 			var requests []*Request
 			for _, r := range tc.present {
-				admitted, _ := l.Admit(r, start.Add(-time.Hour))
+				admitted, _, _ := l.Admit(r, start.Add(-time.Hour))
 				requests = append(requests, admitted)
 			}
-			admitted, evicted := l.Admit(reading, start)
+			admitted, evicted, ok := l.Admit(reading, start)
+			is.Equal(ok, tc.admitted)
 			is.Equal(admitted != nil, tc.admitted)
 			is.Equal(evicted, tc.evicted)
 			is.True(l.Held() <= 350)
--- a/heldmemory/responses.go
+++ b/heldmemory/responses.go
@@ -24,15 +24,14 @@
 	Head    Part = iota // status and header fields
 	Event               // an event that is not complete
 	Resumed             // the beginning of the rest of a stream, until its first event
-	Content             // the beginning of a response that is not a stream
 	parts
 )
 
 // Parts returns all parts.
-func Parts() []Part { return []Part{Head, Event, Resumed, Content} }
+func Parts() []Part { return []Part{Head, Event, Resumed} }
 
 // String returns the part as it is written in logs and metrics.
-func (p Part) String() string { return [...]string{"head", "event", "resumed", "content"}[p] }
+func (p Part) String() string { return [...]string{"head", "event", "resumed"}[p] }
 
 // Responses bounds the memory that a process holds of all responses together. Each response counts with the
 // memory that it occupies. If another one has no room, the response that occupies most gives way. A nil
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/micarudder/micarudder/document"
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/heldmemory"
+	"github.com/micarudder/micarudder/heldmemory/report"
 	"github.com/micarudder/micarudder/internal/sleep"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/limitstate"
@@ -92,6 +93,7 @@
 	background     sync.WaitGroup
 	inFlight       atomic.Int64
 	bodies         *heldmemory.Bodies
+	memoryReport   *report.Report
 	shuttingDown   atomic.Bool
 	stoppedAt      atomic.Pointer[time.Time] // when the stop signal arrived
 	peerClient     *peers.Client
@@ -99,7 +101,7 @@
 	servers        *callerServers
 	crashProbes    *crashprobe.Probes[quarantine.Incarnation, brokenExchange]
 	deliveries     *monitor.Deliveries
-	held           *heldRequests
+	held           *heldmemory.Ledger
 	quarantine     *quarantineTable
 	suspensions    *suspension.Detector
 	endpointLimits *limitstate.State
@@ -141,9 +143,8 @@
 	g.storeReads = newStoreReads()
 	g.servers = newCallerServers(g)
 	g.crashProbes = crashprobe.NewProbes[quarantine.Incarnation, brokenExchange]()
-	g.held, g.bodies = newHeldRequests(c), heldmemory.NewBodies(c.BodyMemory)
-	d.Metrics.NewGauge("relay_body_memory_bytes", func() float64 { return float64(g.bodies.Held()) })
-	exportResponseMemory(d.Metrics, d.Responses)
+	g.held, g.bodies = heldmemory.NewLedger(c.HeldMemory, requestHeldBytes, c.SlowReaderTimeout/evictionDivisor), heldmemory.NewBodies(c.BodyMemory)
+	g.memoryReport = report.New(g.bodies, d.Responses, d.Metrics, d.Log.Logger())
 	g.deliveries = monitor.NewDeliveries()
 	g.quarantine = newQuarantineTable(c.Name)
 	g.suspensions = suspension.New(d.Suspended)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -19,7 +19,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer func() { x.body.Release() }()
-	defer x.releaseHeld()
+	defer func() { x.g.held.Release(x.held) }()
 	x.recordEnd(x.serve())
 	// Clears the write deadline, since the connection may carry another request. On a broken
 	// connection this fails, and the error is of no use.
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-
-	"github.com/micarudder/micarudder/heldmemory"
 )
 
 // meter holds the gateway's counters and histograms.
@@ -89,14 +87,6 @@
 	}
 }
 
-// exportResponseMemory exports what responses occupy, by part, and how many were ended for lack of memory.
-func exportResponseMemory(set *metrics.Set, r *heldmemory.Responses) {
-	for _, p := range heldmemory.Parts() {
-		set.NewGauge(`relay_response_memory_bytes{part="`+p.String()+`"}`, func() float64 { return float64(r.Held(p)) })
-	}
-	set.NewGauge("relay_response_memory_refusals", func() float64 { return float64(r.Refusals()) })
-}
-
 // recordRequest counts a request by its outcome and records its duration.
 func (m *meter) recordRequest(o outcome, started time.Time) {
 	m.set.GetOrCreateCounter(`relay_requests_total{outcome="` + string(o) + `"}`).Inc()
--- a/relay/slowreader.go
+++ b/relay/slowreader.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/micarudder/micarudder/boundedconn"
@@ -31,41 +30,20 @@
 	minCallerDelay = time.Second
 )
 
-// heldRequests bounds the memory of the requests that are served at once.
-type heldRequests struct {
-	mu     sync.Mutex
-	ledger *heldmemory.Ledger // nil: no bound
-}
-
-func newHeldRequests(c Config) *heldRequests {
-	h := &heldRequests{}
-	if c.HeldMemory > 0 {
-		h.ledger = heldmemory.NewLedger(c.HeldMemory, requestHeldBytes, c.SlowReaderTimeout/evictionDivisor)
-	}
-	return h
-}
-
 // admitHeld counts the request against Config.HeldMemory. If it does not fit, it takes the place of the
 // one whose caller has not read for the longest, or is refused.
 func (x *exchange) admitHeld() (outcome, bool) {
-	h := x.g.held
-	if h.ledger == nil {
-		return "", true
-	}
 	var reader heldmemory.Reader
 	if c := callerConn(x.r.Context()); c != nil {
 		reader = c
 	}
-	h.mu.Lock()
-	held := h.ledger.Held()
-	admitted, evicted := h.ledger.Admit(reader, time.Now())
-	h.mu.Unlock()
+	admitted, evicted, ok := x.g.held.Admit(reader, time.Now())
 	if evicted != nil {
 		evicted.(*boundedconn.Conn).Disconnect()
 	}
-	if admitted == nil {
+	if !ok {
 		x.g.meter.heldRefusals.Inc()
-		x.g.deps.Log.Request("Request refused for lack of memory.", "request", x.call.ID, "held_bytes", held, "limit_bytes", x.g.config.HeldMemory, "retry_after_ms", retryAfterHeld.Milliseconds())
+		x.g.deps.Log.Request("Request refused for lack of memory.", "request", x.call.ID, "held_bytes", x.g.held.Held(), "limit_bytes", x.g.config.HeldMemory, "retry_after_ms", retryAfterHeld.Milliseconds())
 		x.w.Header().Set("Connection", "close") // an idle connection would hold memory as well
 		return x.refuse(http.StatusServiceUnavailable, retryAfterHeld, refusedMemory), false
 	}
@@ -73,15 +51,6 @@
 	return "", true
 }
 
-func (x *exchange) releaseHeld() {
-	if x.held == nil {
-		return
-	}
-	x.g.held.mu.Lock()
-	defer x.g.held.mu.Unlock()
-	x.g.held.ledger.Release(x.held)
-}
-
 // boundCallerConn bounds what the connection holds for a caller that does not read, and for how long.
 func (g *Gateway) boundCallerConn(c net.Conn) net.Conn {
 	if g.config.SlowReaderTimeout == 0 {
--- a/relay/slowreader_test.go
+++ b/relay/slowreader_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -47,7 +48,7 @@
 	b := newTestGateway(t, script)
 	g := b.gateway
 	g.config.SlowReaderTimeout, g.config.HeldMemory = timeout, room*requestHeldBytes
-	g.held = newHeldRequests(g.config)
+	g.held = heldmemory.NewLedger(g.config.HeldMemory, requestHeldBytes, timeout/evictionDivisor)
 	g.deps.Endpoints = upstream.New(upstream.Options{DialTimeout: 5 * time.Second, MaxIdle: time.Minute, IdlePerHost: 4, SlowReaderTimeout: timeout})
 	for i := range b.source.endpoints {
 		b.source.endpoints[i].Slots = 1 << 16
@@ -129,15 +130,13 @@
 			running = false
 		case <-time.After(20 * time.Millisecond):
 		}
-		g.held.mu.Lock()
-		mostHeld = max(mostHeld, g.held.ledger.Held())
-		g.held.mu.Unlock()
+		mostHeld = max(mostHeld, g.held.Held())
 	}
 	conns.Range(func(_, c any) bool { _ = c.(net.Conn).Close(); return true })
 	t.Logf("%d streams, %d of them at once, %d refusals, of these %d of other callers", endpoints.begun.Load(), endpoints.most.Load(), g.meter.heldRefusals.Get(), refusals.Load())
 	is.True(mostHeld <= g.config.HeldMemory)
 	is.True(endpoints.most.Load() <= 2*room) // one that made room for another may not have ended yet
-	is.Equal(g.held.ledger.Held(), int64(0))
+	is.Equal(g.held.Held(), int64(0))
 	is.Equal(int64(g.meter.slowReaders.Get()), endpoints.begun.Load()) // each of them was disconnected
 	for _, id := range []string{"a", "b"} {
 		g.picker.mu.Lock()
