daemon: servers for operators, balancers and gateways refuse large heads

Cause: the ports that are not for callers had the default of net/http, 1 MB for the head of a request and so some 20 MB once it is parsed, for anybody who reaches them.

Change: one constructor for these servers, with 16 KiB. Gateways, balancers and operators send some hundred bytes.

TestServersRefuseLargeHeads failed before (64 KiB were accepted).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,7 +35,18 @@
 	ExitSettings = 2 // invalid command line or settings
 )
 
-const adminReadHeaderTimeout = 5 * time.Second
+const (
+	// readHeaderTimeout bounds the time for the head of a request to a server of NewServer.
+	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes is the largest head of such a request; operators, balancers and gateways send some hundred
+	// bytes.
+	maxHeaderBytes = 16 << 10
+)
+
+// NewServer returns a server for operators, balancers and other processes of the product, whose requests are small.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
 
 // Common holds the settings that all daemons have.
 type Common struct {
@@ -219,7 +230,7 @@
 	if common.Profiling {
 		h = withProfiling(h)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: adminReadHeaderTimeout}
+	srv := NewServer(h)
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			fail(err)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -44,3 +47,22 @@
 	signal(syscall.SIGTERM)
 	is.Equal(<-ended, ExitOK)
 }
+
+// TestServersRefuseLargeHeads guards against anyone who reaches a port for operators, balancers or gateways, and whose
+// requests fill the memory of the process with heads.
+func TestServersRefuseLargeHeads(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Start()
+	defer server.Close()
+	for size, want := range map[int]int{1 << 10: http.StatusOK, 64 << 10: http.StatusRequestHeaderFieldsTooLarge} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+		is.NoErr(err)
+		r.Header.Set("X", strings.Repeat("y", size))
+		res, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		_ = res.Body.Close()
+		is.Equal(res.StatusCode, want)
+	}
+}
--- a/relay/process.go
+++ b/relay/process.go
@@ -146,8 +146,7 @@
 		return nil
 	}
 	handle := func(h http.Handler) func(net.Listener) error {
-		srv := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout}
-		return srv.Serve
+		return daemon.NewServer(h).Serve
 	}
 	if err := serve(string(p.settings.Relay.ReadyListen), handle(p.ReadyHandler())); err != nil {
 		return err
