gateway: the request bodies of rudder-gateway are bounded together

Twenty uploads of the allowed size fill a small host.

Change: heldmemory.Bodies counts them as in rudder-relay, against the new setting body_memory (112 MiB, two fifths of host_memory at most; a quarter is for bodies of 256 KiB or less). More are refused by code 3015, body-memory-full: 503, not run, Retry-After, the connection closed. What is parsed of a body is not counted.

Other reads of rudder-gateway, rudder-agent and their clients, by reading: each has a bound of its own (heads 64 KiB and those of net/http, messages of the inner protocol 24 MiB, events of an engine 1 MiB, its other answers 64 MiB, responses of the store 64 MiB). Their senders are the product's own processes, which prove who they are where keys are set, the agent's own endpoint on its host, without which the agent has no work, and the platform's store. Their sums are not bounded.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,6 +59,18 @@
 	DrainTime   time.Duration    `key:"drain_time" default:"5m" min:"0s" max:"2h" help:"longest wait for work in flight at a planned stop"`
 }
 
+// BodyMemoryPercent is the part of the host's memory, in percent, that request bodies may use.
+const BodyMemoryPercent = 40
+
+// WithinHost returns a bound on memory that is at most this part of the host's memory, in percent; 0: no bound.
+func (c *Common) WithinHost(bound settings.Size, percent float64) int64 {
+	share := int64(float64(c.HostMemory) * percent / 100)
+	if c.HostMemory > 0 && (bound == 0 || share < int64(bound)) {
+		return share
+	}
+	return int64(bound)
+}
+
 // Service is the running part of a daemon. Shutdown stops it gracefully: it
 // accepts no new work, lets work in flight finish within ctx, and closes.
 type Service interface {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/micarudder/micarudder/generation"
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/inner"
 	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/routing"
@@ -30,6 +31,7 @@
 	Peers      []string // inner addresses of the other gateways
 
 	MaxBody         int64         // maximum size of a request body in bytes
+	BodyMemory      int64         // maximum size of all request bodies in memory; 0: no bound
 	BodyTime        time.Duration // time limit for receiving a body
 	WriteTime       time.Duration // time limit for a caller to read one part of its response
 	DefaultDeadline time.Duration
@@ -64,6 +66,7 @@
 	auth         *authenticator
 	meter        *meter
 	limits       *limiter
+	bodies       *heldmemory.Bodies
 	lanes        lanes
 	formingSlots chan struct{} // one token per group that is being formed
 	platform     platformHealth
@@ -84,6 +87,7 @@
 func New(cfg Config, deps Deps) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
 	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), formingSlots: make(chan struct{}, maxForming)}
+	g.bodies = heldmemory.NewBodies(cfg.BodyMemory)
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
 	g.auth = new(authenticator)
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -6,6 +6,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 )
@@ -45,6 +46,7 @@
 	workspace *rudderv1.Workspace
 	param     func(string) string
 	raw       http.ResponseWriter // the server's own writer, for informational responses and deadlines
+	body      *heldmemory.Body    // nil: not read
 }
 
 // callerRoute wraps a handler with what all requests of callers have in common:
@@ -68,7 +70,9 @@
 			g.refuse(w, ctx.Request(), err)
 			return
 		}
-		h(&exchange{w: w, r: ctx.Request(), workspace: ws, param: ctx.Params().Get, raw: w.Naive()})
+		x := &exchange{w: w, r: ctx.Request(), workspace: ws, param: ctx.Params().Get, raw: w.Naive()}
+		defer func() { x.body.Release() }()
+		h(x)
 	}
 }
 
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -22,6 +22,7 @@
 		set = metrics.NewSet()
 	}
 	set.NewGauge("rudder_gateway_in_flight", func() float64 { return float64(g.active.Load()) })
+	set.NewGauge("rudder_gateway_body_memory_bytes", func() float64 { return float64(g.bodies.Held()) })
 	set.NewGauge("rudder_gateway_groups_forming", func() float64 { return float64(len(g.formingSlots)) })
 	generation.RegisterMetrics(set, "gateway", g.deps.Tracker)
 	set.NewGauge("rudder_gateway_platform_generation", func() float64 { return float64(g.platform.generation.Load()) })
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -26,6 +26,7 @@
 	} `section:"gateway"`
 	Callers struct {
 		MaxBody         settings.Size `key:"max_body" default:"16MiB" help:"largest request body"`
+		BodyMemory      settings.Size `key:"body_memory" default:"112MiB" help:"most memory of request bodies that are held at once, and two fifths of host_memory at most; more are refused with a time to come back; a quarter is for bodies of 256KiB or less"`
 		HeaderTime      time.Duration `key:"header_time" default:"5s" min:"100ms" help:"time for a request's headers to arrive"`
 		BodyTime        time.Duration `key:"body_time" default:"30s" min:"100ms" help:"time for a request's body to arrive"`
 		WriteTime       time.Duration `key:"write_time" default:"30s" min:"100ms" help:"time for a caller to take one part of its answer"`
@@ -73,7 +74,7 @@
 func (s *Settings) config() Config {
 	c := Config{
 		Name: s.Gateway.Name, DataCentre: s.Gateway.DataCentre,
-		MaxBody: int64(s.Callers.MaxBody), BodyTime: s.Callers.BodyTime, WriteTime: s.Callers.WriteTime,
+		MaxBody: int64(s.Callers.MaxBody), BodyMemory: s.Process.WithinHost(s.Callers.BodyMemory, daemon.BodyMemoryPercent), BodyTime: s.Callers.BodyTime, WriteTime: s.Callers.WriteTime,
 		DefaultDeadline: s.Callers.DefaultDeadline, MaxDeadline: s.Callers.MaxDeadline, TicketLife: s.Tickets.Life,
 		LeaveTime: s.Stop.LeaveTime, DefaultTokens: uint64(s.Callers.DefaultTokens), FirstTokenGoal: s.Callers.FirstTokenGoal,
 	}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -11,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/prefix"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -34,19 +34,24 @@
 
 // readBody reads the complete body within the limits on size and time. If that
 // fails, it leaves the read deadline set, so that the server does not wait for
-// the rest of the body before it answers.
+// the rest of the body before it answers. The body counts to the memory of
+// bodies until the request ends.
 func (g *Gateway) readBody(x *exchange) ([]byte, *result.Err) {
 	if x.r.ContentLength > g.cfg.MaxBody {
 		return nil, result.New(result.TooLarge, "")
 	}
 	rc := http.NewResponseController(x.raw)
 	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTime))
-	body, err := io.ReadAll(http.MaxBytesReader(x.raw, x.r.Body, g.cfg.MaxBody))
+	var err error
+	x.body, err = g.bodies.Read(http.MaxBytesReader(x.raw, x.r.Body, g.cfg.MaxBody), x.r.ContentLength, g.cfg.MaxBody)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		_ = rc.SetReadDeadline(time.Time{})
-		return body, nil
+		return x.body.Bytes, nil
+	case errors.Is(err, heldmemory.ErrFull):
+		x.w.Header().Set("Connection", "close")
+		return nil, result.New(result.BodyMemoryFull, "")
 	case errors.As(err, &tooLarge):
 		return nil, result.New(result.TooLarge, "")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/relay/process.go
+++ b/relay/process.go
@@ -76,7 +76,7 @@
 		suspended = hostSuspensionClock(events.Logger())
 	}
 	overload := new(pushlistener.Overload)
-	responses := heldmemory.NewResponses(s.withinHost(s.Relay.ResponseMemory, responseMemoryPercent))
+	responses := heldmemory.NewResponses(s.Process.WithinHost(s.Relay.ResponseMemory, responseMemoryPercent))
 	g := New(c, Deps{
 		Overload:  overload,
 		Responses: responses,
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -62,27 +62,15 @@
 // minRevokeAfter allows for one read that fails and one that succeeds.
 const minRevokeAfter = 2 * readInterval
 
-// The parts of the host's memory, in percent, that request bodies and responses may use.
-const (
-	bodyMemoryPercent     = 40
-	responseMemoryPercent = 12.5
-)
-
-// withinHost returns a bound on memory that is at most this part of the host's; 0: no bound.
-func (s *Settings) withinHost(bound settings.Size, percent float64) int64 {
-	host := int64(s.Process.HostMemory)
-	if share := int64(float64(host) * percent / 100); host > 0 && (bound == 0 || share < int64(bound)) {
-		return share
-	}
-	return int64(bound)
-}
+// responseMemoryPercent is the part of the host's memory, in percent, that responses may use.
+const responseMemoryPercent = 12.5
 
 // config returns the settings of the gateway itself.
 func (s *Settings) config() Config {
 	return Config{
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
-		BodyMemory: s.withinHost(s.Relay.BodyMemory, bodyMemoryPercent), ResidualLoad: s.Load.ResidualLoad,
+		BodyMemory: s.Process.WithinHost(s.Relay.BodyMemory, daemon.BodyMemoryPercent), ResidualLoad: s.Load.ResidualLoad,
 		StallResume: s.Load.StallResume, SlowReaderTimeout: s.Load.SlowReaderTimeout, HeldMemory: int64(s.Load.HeldMemory),
 		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
--- a/relay/settings_test.go
+++ b/relay/settings_test.go
@@ -24,6 +24,6 @@
 		s := new(Settings)
 		s.Relay.BodyMemory, s.Process.HostMemory = settings.Size(tc.bodies), settings.Size(tc.host)
 		is.Equal(s.config().BodyMemory, tc.want)
-		is.Equal(s.withinHost(settings.Size(32*mib), responseMemoryPercent), min(32*mib, cmp.Or(tc.host/8, 32*mib)))
+		is.Equal(s.Process.WithinHost(settings.Size(32*mib), responseMemoryPercent), min(32*mib, cmp.Or(tc.host/8, 32*mib)))
 	}
 }
--- a/result/result.go
+++ b/result/result.go
@@ -102,6 +102,7 @@
 	BreakerOpen     Code = 3012
 	NotConfigured   Code = 3013
 	Starting        Code = 3014
+	BodyMemoryFull  Code = 3015
 
 	EndpointLost    Code = 4001
 	AgentLost       Code = 4002
@@ -176,6 +177,7 @@
 	{BreakerOpen, "breaker-open", http.StatusServiceUnavailable, NotRun, AdviceLater, "The endpoints of this model fail at present."},
 	{NotConfigured, "not-configured", http.StatusServiceUnavailable, NotRun, AdviceLater, "The gateway has not received a configuration yet."},
 	{Starting, "starting", http.StatusServiceUnavailable, NotRun, AdviceLater, "The agent has not finished starting."},
+	{BodyMemoryFull, "body-memory-full", http.StatusServiceUnavailable, NotRun, AdviceLater, "The gateway has no memory for another request body of this size."},
 
 	{EndpointLost, "endpoint-lost", http.StatusBadGateway, MayHaveRun, AdviceTicket, "The endpoint was lost after the order was sent to it."},
 	{AgentLost, "agent-lost", http.StatusBadGateway, MayHaveRun, AdviceTicket, "The agent was lost after the order was sent to it."},
