soak: workers that send without end, clients that upload in chunks, and the memory of gateways

The soak played none of the forms with which workers and clients fill the memory of a gateway, and did not look at memory.

TestFlood plays eleven forms of response without end or with its end held back (a line, a header field, header fields, interim responses, many short fields with and without what follows, a body, chunk extensions, trailers, an event and an event of 1 MB) at up to half of the responses of all workers, 60 MB/s each, beside 24 clients that upload 4 MiB in chunks. It asks for what an operator would: the memory of each gateway, measured from outside, stays below host_memory (96 MiB), none ends, and requests whose workers are sound are answered. The share of an answer that a worker sent without end is not compared with what it should be; a complete answer is.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -36,6 +36,8 @@
 	evacuations    []interval
 	storeDisrupted []interval        // the store was not usable as usual
 	dataCentres    map[string]string // by worker
+	memory         map[string]int64  // by gateway: the most that it occupied
+	ended          map[string]bool   // gateways that ended by themselves
 }
 
 // violations returns the violated guarantees, one line each.
@@ -43,11 +45,17 @@
 	var out []string
 	for i := range all {
 		a := &all[i]
+		// Where a worker sent without end, a part of that may have been passed on before the response broke off.
+		if flooded := f.ledger.Flooded(a.id) && a.err != nil; !flooded {
+			if problem := checkAnswer(a); problem != "" {
+				out = append(out, describe(a, problem))
+			}
+		}
 		for _, problem := range []string{
-			checkAnswer(a), checkRuns(a, f), checkKey(a, f), checkPlanned(a, f),
+			checkRuns(a, f), checkKey(a, f), checkPlanned(a, f),
 		} {
 			if problem != "" {
-				out = append(out, fmt.Sprintf("%s (%s by %s, sent %s): %s", a.id, a.kind, a.gateway, a.sent.Format(recordTime), problem))
+				out = append(out, describe(a, problem))
 			}
 		}
 	}
@@ -59,6 +67,11 @@
 	return out
 }
 
+// describe returns what is wrong with a request, and which one it is.
+func describe(a *request, problem string) string {
+	return fmt.Sprintf("%s (%s by %s, sent %s): %s", a.id, a.kind, a.gateway, a.sent.Format(recordTime), problem)
+}
+
 const (
 	// leaveNoticeTime is how long after a client has left its request may still reach a worker, and
 	// maxRunsAfterLeave how many may do so later.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,6 +40,9 @@
 	// Progress replaces all other faults by streams that stall and callers that stop reading, and
 	// enables the settings against both.
 	Progress bool
+	// Flood replaces all other faults by workers that send without end and clients that upload large bodies in
+	// chunks, and checks the memory of the gateways.
+	Flood bool
 }
 
 // Report is the outcome of a run.
@@ -52,6 +55,8 @@
 	DuringEvacuations                         int      // requests that reached workers elsewhere while an evacuation had to be in force
 	LongPrompts, MemoryUses                   int      // long prompts, and how often they used reserved memory
 	Stalls, Endless                           int      // streams that stalled, and endless ones whose callers did not read
+	Floods                                    int      // requests that got a response without end
+	MostMemory                                int64    // of any gateway, in bytes; 0: not measured
 	Faults                                    []string // in the order of their times
 	Violations                                []string
 
@@ -121,7 +126,7 @@
 // The caller closes the run.
 func startRun(ctx context.Context, c Config) (*run, error) {
 	r := &run{c: c, store: usersplatform.NewStore(), ledger: usersplatform.NewLedger(), memory: usersplatform.NewMemory(), group: procs.NewGroup(c.Dir), suspended: make(map[int]time.Duration)}
-	r.facts = facts{crashLimit: c.crashLimit(), ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), disrupted: make(map[string][]interval), lossy: make(map[string][]interval), held: make(map[string][]interval), dataCentres: make(map[string]string)}
+	r.facts = facts{crashLimit: c.crashLimit(), ledger: r.ledger, revoked: make(map[string]time.Time), owners: make(map[string]string), disrupted: make(map[string][]interval), lossy: make(map[string][]interval), held: make(map[string][]interval), dataCentres: make(map[string]string), memory: make(map[string]int64), ended: make(map[string]bool)}
 	if err := r.startPlatform(); err != nil {
 		return nil, err
 	}
@@ -222,6 +227,9 @@
 	if r.c.Progress {
 		ini += progressSettings
 	}
+	if r.c.Flood {
+		ini += floodSettings
+	}
 	return procs.Spec{
 		Name: fmt.Sprintf("gateway-%d", i), Binary: r.c.Binary, Args: []string{"--config", procs.DirVar + "/relay.ini"},
 		Env:   []string{"SUSPENDED_FILE=" + r.suspendedFile(i)},
@@ -297,9 +305,8 @@
 		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(r.c.Seed, uint64(i))), transports: make(map[string]*http.Transport)}
 		tasks.Go(func() { c.loop(ctx) })
 	}
-	if r.c.Progress {
-		tasks.Go(func() { r.stopReading(ctx) })
-		r.inject(ctx, progressFaults, 0x57a11)
+	if r.c.Progress || r.c.Flood {
+		r.injectOnly(ctx, &tasks)
 		time.Sleep(recoveryTime)
 		stop()
 		tasks.Wait()
@@ -327,6 +334,20 @@
 	tasks.Wait()
 }
 
+// injectOnly injects the faults of runs that have no others.
+func (r *run) injectOnly(ctx context.Context, tasks *sync.WaitGroup) {
+	if r.c.Progress {
+		tasks.Go(func() { r.stopReading(ctx) })
+		r.inject(ctx, progressFaults, 0x57a11)
+		return
+	}
+	tasks.Go(func() { r.measureMemory(ctx) })
+	for i := range uploadClients {
+		tasks.Go(func() { r.upload(ctx, i) })
+	}
+	r.inject(ctx, floodFaults, 0xf100d)
+}
+
 // readinessInterval is how often the balancer checks whether gateways are ready.
 const readinessInterval = 250 * time.Millisecond
 
@@ -398,6 +419,13 @@
 	out.Violations = append(out.Violations, checkLimits(r.requests, &r.facts)...)
 	out.Violations = append(out.Violations, checkDraining(r.requests, &r.facts)...)
 	out.Violations = append(out.Violations, checkBackoffs(r.requests, &r.facts)...)
+	if r.c.Flood {
+		out.Violations = append(out.Violations, checkFlood(r.requests, &r.facts)...)
+	}
+	out.Floods = r.ledger.Floods()
+	for _, used := range r.facts.memory {
+		out.MostMemory = max(out.MostMemory, used)
+	}
 	progress := checkProgress(r.requests, &r.facts)
 	out.Violations = append(out.Violations, progress.violations...)
 	out.Stalls, out.Endless = progress.stalls, progress.endless
--- a/internal/standin/usersplatform/worker.go
+++ b/internal/standin/usersplatform/worker.go
@@ -40,11 +40,12 @@
 	hung     map[string]bool // requests that a worker of kind engine left without a response
 	stalls   map[string]Stall
 	endless  []EndlessRun
+	floods   map[string]bool
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{runs: make(map[string][]Run), hung: make(map[string]bool), stalls: make(map[string]Stall)}
+	return &Ledger{runs: make(map[string][]Run), hung: make(map[string]bool), stalls: make(map[string]Stall), floods: make(map[string]bool)}
 }
 
 // Runs returns the executions of a request.
@@ -81,6 +82,7 @@
 	LoseRun       float64 // runs, then resets the connection
 	Truncate      float64 // closes the connection inside the response
 	ExtraResponse float64 // sends a response to another request first
+	Flood         float64 // sends without end, or holds back the end of what it has sent
 	// Of workers of kind stream:
 	Stall float64 // sends one event and then nothing, until the gateway closes the connection
 	// Of workers of kind engine:
@@ -107,6 +109,8 @@
 	random       *rand.Rand
 	// framing decides whether a stream is sent in chunks; see stream.
 	framing *rand.Rand
+	// flooding decides which requests get a response without end; see flood.
+	flooding *rand.Rand
 }
 
 // CrashTrigger says which requests end a worker when it begins them.
@@ -142,6 +146,7 @@
 	w.listener, w.StartedMs = l, time.Now().UnixMilli()
 	w.conns, w.random = make(map[net.Conn]bool), rand.New(rand.NewPCG(seed, 1))
 	w.framing = rand.New(rand.NewPCG(seed, 2))
+	w.flooding = rand.New(rand.NewPCG(seed, 3))
 	go w.accept()
 	return w, nil
 }
@@ -269,6 +274,9 @@
 	if chance[2] < f.ExtraResponse && !writeResponse(c, "another", "200 OK", "", "not yours") {
 		return false
 	}
+	if form, ok := w.drawFlood(f.Flood); ok {
+		return w.flood(c, id, form)
+	}
 	if w.memory != nil {
 		return w.servePrompt(c, br, r, id, statement, f, chance[3])
 	}
