--- a/heldmemory/responses.go
+++ b/heldmemory/responses.go
@@ -47,7 +47,7 @@
 }
 
 // Response is the memory of one response. It counts until it is released. A nil Response does not count. Only
-// one goroutine may use it, but for Evictable.
+// one goroutine may use it at a time.
 type Response struct {
 	memory *Responses
 	held   [parts]int64
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -25,12 +25,12 @@
 	ctx           context.Context         // of the attempt; ends early if its memory is released or its stream moves
 	cancel        context.CancelCauseFunc // ends ctx; nil if its stream is not monitored
 	stall         *monitor.Monitor[*placement]
-	stallRecorded bool           // whether a stall counts as a failure of the endpoint already
-	response      *http.Response // nil before its head has arrived
-	memory        *heldmemory.Response
-	responseBegun bool          // whether a part of the response was delivered
-	callerDelay   time.Duration // longest that a part of the response has waited for the caller
-	grant         *grant        // permits an attempt at an endpoint with a rate limit; nil if none
+	stallRecorded bool                 // whether a stall counts as a failure of the endpoint already
+	response      *http.Response       // nil before its head has arrived
+	memory        *heldmemory.Response // of the response; nil before the attempt
+	responseBegun bool                 // whether a part of the response was delivered
+	callerDelay   time.Duration        // longest that a part of the response has waited for the caller
+	grant         *grant               // permits an attempt at an endpoint with a rate limit; nil if none
 	sentRequest   availability.SentRequest
 	loadBefore    balance.Load // load of the endpoint before this request
 	// residual is the part of loadBefore of processes that are gone, and residualAge the time since
