relay: a body that does not arrive in time is refused with 408

The uploads of 4 MiB took longer than their time.

Cause: the body is read until the deadline of its request. When that passes, net/http cancels the context of the request, and the handler took its caller for gone and returned without a word, which net/http sends as an empty 200. A body with a length is waited for even longer, since the read deadline had been taken back before the answer.

Change: an expired read deadline is refused at once by 408, with the connection closed: nothing was sent to an endpoint. The read deadline stays where it is unless the body is complete.

TestSlowBody before: 200 for a chunked body, no answer within 5 s for one with a length. Now 408 after 0.3 s, the time of the request.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
@@ -192,7 +193,8 @@
 const defaultDeadline = 30 * time.Second
 
 // readBody reads the complete body, so that the request can be sent again and is known to be complete
-// before anything is sent.
+// before anything is sent. If that fails, the read deadline stays, so that the server does not wait for the rest of
+// the body before it answers.
 func (x *exchange) readBody() (outcome, bool) {
 	limit := x.table.Limits.BodyBytes
 	if limit > 0 && x.r.ContentLength > limit {
@@ -209,11 +211,15 @@
 	}
 	var err error
 	x.body, err = x.g.bodies.Read(body, x.r.ContentLength, limit)
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
 	var tooLargeErr *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
 		return "", true
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.lastError = err
+		x.w.Header().Set("Connection", "close")
+		return x.refuse(http.StatusRequestTimeout, 0, outOfTime), false
 	case errors.Is(err, heldmemory.ErrFull):
 		return x.refuseBodyMemory(), false
 	case errors.As(err, &tooLargeErr):
