relay: a caller that is taken for gone gets nothing that looks complete

Cause: the handler returned without a word, and net/http ends what was written, or writes an empty success.

Change: the connection of a caller that is taken for gone is aborted.

TestHalfClosedCaller failed in its three cases (nothing passed on, a begun stream, a begun response of another kind).

--- /dev/null
+++ b/relay/callergone_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestHalfClosedCaller guards against a caller that has closed only its sending side, is taken for gone, and
+// gets what was passed on so far as if that were complete, or an empty success.
+func TestHalfClosedCaller(t *testing.T) {
+	cases := []struct{ name, path, begun string }{
+		{"nothing was passed on", "/safe/x", ""},
+		{"a stream has begun", "/stream/x", chunkedStream + "f\r\n" + soundEvents + "\r\n"},
+		{"a response without events has begun", "/story/x", chunkedStream + "f\r\n" + soundEvents + "\r\n"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			stop := make(chan struct{})
+			defer close(stop)
+			b := newTestGateway(t, func(_ int, w *bufio.Writer, _ *net.TCPConn, _ *http.Request) {
+				_, _ = w.WriteString(tc.begun)
+				_ = w.Flush()
+				<-stop
+			})
+			b.readSource()
+			c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+			is.NoErr(err)
+			defer c.Close()
+			_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nKey: k\r\n\r\n", tc.path)
+			is.NoErr(err)
+			for b.requestCount() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			is.NoErr(c.(*net.TCPConn).CloseWrite())
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil {
+				_, err = io.ReadAll(res.Body)
+			}
+			is.Equal(err, io.ErrUnexpectedEOF)
+		})
+	}
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -21,7 +21,12 @@
 	defer g.inFlight.Add(-1)
 	defer func() { x.body.Release() }()
 	defer func() { x.g.held.Release(x.held) }()
-	x.recordEnd(x.serve())
+	o := x.serve()
+	x.recordEnd(o)
+	if o == callerGone {
+		// A caller that has closed only its sending side may still read. What it has must not look complete.
+		panic(http.ErrAbortHandler)
+	}
 	// Clears the write deadline, since the connection may carry another request. On a broken
 	// connection this fails, and the error is of no use.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
