heldmemory/report: the memory of the process is measured four times a second

Twenty times a second, the interval of the loop that calls it, is more than the growth of a process needs, and reading the runtime's figures takes locks that an overloaded host makes long.

--- a/heldmemory/report/report.go
+++ b/heldmemory/report/report.go
@@ -5,6 +5,7 @@
 import (
 	"runtime"
 	"runtime/metrics"
+	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
@@ -12,8 +13,12 @@
 	"github.com/micarudder/micarudder/heldmemory"
 )
 
-// stepBytes is the growth of the memory of a process between two log lines.
-const stepBytes = 32 << 20
+const (
+	// stepBytes is the growth of the memory of a process between two log lines.
+	stepBytes = 32 << 20
+	// checkInterval is how often the memory is measured.
+	checkInterval = 250 * time.Millisecond
+)
 
 // Samples of the runtime: its memory, and the part of that which the system has back.
 const (
@@ -27,6 +32,7 @@
 	responses *heldmemory.Responses
 	log       *log.Logger
 	steps     steps
+	checkedAt time.Time
 	samples   []metrics.Sample
 }
 
@@ -40,8 +46,13 @@
 	return &Report{bodies: bodies, responses: responses, log: l, samples: []metrics.Sample{{Name: totalMemory}, {Name: releasedMemory}}}
 }
 
-// Check logs what holds the memory if it has grown by a step. requests is the number of requests under way.
-func (r *Report) Check(requests int64) {
+// Check logs what holds the memory if it has grown by a step. requests is the number of requests under way. It
+// measures at most once in checkInterval.
+func (r *Report) Check(requests int64, now time.Time) {
+	if now.Sub(r.checkedAt) < checkInterval {
+		return
+	}
+	r.checkedAt = now
 	metrics.Read(r.samples)
 	used := int64(r.samples[0].Value.Uint64() - r.samples[1].Value.Uint64())
 	if !r.steps.grew(used) {
--- a/heldmemory/report/report_test.go
+++ b/heldmemory/report/report_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
@@ -37,12 +38,13 @@
 	for i := range held {
 		held[i] = 1
 	}
-	r.Check(7)
+	now := time.Now()
+	r.Check(7, now)
 	is.True(strings.Contains(out.String(), "Memory use grew."))
 	is.True(strings.Contains(out.String(), "event_bytes=1048576"))
 	is.True(strings.Contains(out.String(), "in_flight=7"))
 	before := out.Len()
-	r.Check(7)
+	r.Check(7, now.Add(checkInterval))
 	is.Equal(out.Len(), before)
 	is.Equal(held[0], byte(1))
 }
--- a/relay/suspend.go
+++ b/relay/suspend.go
@@ -36,7 +36,7 @@
 		}
 		g.recordDelay(time.Since(began) - hostPollInterval)
 		g.checkSuspension()
-		g.memoryReport.Check(g.inFlight.Load())
+		g.memoryReport.Check(g.inFlight.Load(), time.Now())
 	}
 }
 
