--- a/gateway/read_test.go
+++ b/gateway/read_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/heldmemory"
+	"github.com/micarudder/micarudder/internal/memtest"
 	"github.com/micarudder/micarudder/result"
 )
 
@@ -48,7 +49,7 @@
 			if i%2 == 0 {
 				length = -1 // chunked
 			}
-			r, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, io.NopCloser(io.LimitReader(zeros{}, maxBody)))
+			r, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, io.NopCloser(io.LimitReader(memtest.Zeros{}, maxBody)))
 			r.ContentLength = length
 			if res, err := http.DefaultClient.Do(r); err == nil { // the server may close the connection before it has read the body
 				_ = res.Body.Close()
@@ -66,8 +67,3 @@
 	is.Equal(counts[result.OK]+counts[result.BodyMemoryFull], uploads)
 	is.Equal(g.bodies.Held(), int64(0))
 }
-
-// zeros is a body without end.
-type zeros struct{}
-
-func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/micarudder/micarudder/internal/memtest"
 	"github.com/micarudder/micarudder/internal/standin/usersplatform"
 )
 
@@ -61,7 +62,7 @@
 func (c *client) sendUpload(ctx context.Context, a request) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	body := io.NopCloser(io.LimitReader(zeros{}, uploadBytes))
+	body := io.NopCloser(io.LimitReader(memtest.Zeros{}, uploadBytes))
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.gateway+"/safe/x", body)
 	if err != nil {
 		return
@@ -74,12 +75,6 @@
 	}
 }
 
-// zeros is a body without end.
-type zeros struct{}
-
-// Read implements io.Reader.
-func (zeros) Read(p []byte) (int, error) { return len(p), nil }
-
 // measureMemory records the most memory that each gateway occupies, until ctx ends.
 func (r *run) measureMemory(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/peers/client_test.go
+++ b/peers/client_test.go
@@ -3,12 +3,10 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -20,28 +18,9 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/endpointlist"
+	"github.com/micarudder/micarudder/internal/memtest"
 )
 
-// countedConn counts the bytes that are read from a connection.
-type countedConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
-// countingDialer returns a dialer that counts the bytes that are read.
-func countingDialer(read *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := new(net.Dialer).DialContext(ctx, network, address)
-		return countedConn{c, read}, err
-	}
-}
-
 // TestEndlessDocuments guards against a gateway that sends a document without end, or something else at its address,
 // and whose bytes fill the memory of the others.
 func TestEndlessDocuments(t *testing.T) {
@@ -85,7 +64,7 @@
 			defer server.Close()
 			var read atomic.Int64
 			c := NewClient(0, 20*time.Second, 1)
-			c.http.Transport.(*http.Transport).DialContext = countingDialer(&read)
+			c.http.Transport.(*http.Transport).DialContext = memtest.CountingDialer(&read)
 			var into []struct{ ID string }
 			err := c.Get(t.Context(), server.URL, &into)
 			is.True(err != nil)
--- a/relay/callergone_test.go
+++ b/relay/callergone_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -32,16 +30,11 @@
 				<-stop
 			})
 			b.readSource()
-			c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
-			is.NoErr(err)
-			defer c.Close()
-			_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nKey: k\r\n\r\n", tc.path)
-			is.NoErr(err)
+			c := b.sendHead("GET "+tc.path, "")
 			for b.requestCount() == 0 {
 				time.Sleep(time.Millisecond)
 			}
-			is.NoErr(c.(*net.TCPConn).CloseWrite())
-			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			is.NoErr(c.CloseWrite())
 			res, err := http.ReadResponse(bufio.NewReader(c), nil)
 			if err == nil {
 				_, err = io.ReadAll(res.Body)
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -383,6 +383,22 @@
 	return response{res.StatusCode, res.Header, string(p), err}
 }
 
+// sendHead sends the head of a request with a valid key over a connection of its own, which fails reads after some
+// seconds and is closed with the test.
+func (b *testGateway) sendHead(methodAndPath, header string) *net.TCPConn {
+	b.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(c, methodAndPath+" HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nKey: k\r\n"+header+"\r\n"); err != nil {
+		b.t.Fatal(err)
+	}
+	return c.(*net.TCPConn)
+}
+
 // writeResponse writes a complete response.
 func writeResponse(w *bufio.Writer, status, header, body string) {
 	_, _ = w.WriteString("HTTP/1.1 " + status + "\r\nId: r1\r\n" + header + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
--- a/relay/responsememory_test.go
+++ b/relay/responsememory_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/heldmemory"
+	"github.com/micarudder/micarudder/internal/memtest"
 	"github.com/micarudder/micarudder/upstream"
 )
 
@@ -27,14 +27,6 @@
 // largeEvent is an event of almost 1 MB without its end.
 var largeEvent = "f4240\r\nid: 1\ndata: " + strings.Repeat("x", 1_000_000-len("id: 1\ndata: "))
 
-// heapBytes returns the size of the live heap.
-func heapBytes() int64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
 // boundResponses gives the gateway an account of responses, and its endpoints many slots. Streams without progress
 // are resumed after a second.
 func (b *testGateway) boundResponses(limit int64) *heldmemory.Responses {
@@ -97,7 +89,7 @@
 			})
 			defer close(stop)
 			responses := b.boundResponses(limit)
-			before := heapBytes()
+			before := memtest.HeapBytes()
 			ctx, cancel := context.WithCancel(t.Context())
 			var callers sync.WaitGroup
 			defer callers.Wait()
@@ -106,7 +98,7 @@
 				callers.Go(func() { b.send(ctx, "POST", tc.path, "", nil) })
 			}
 			b.awaitSettled(requests)
-			held := heapBytes() - before
+			held := memtest.HeapBytes() - before
 			t.Logf("%d requests arrived, %d KB are held, %d refusals", b.requestCount(), held>>10, responses.Refusals())
 			is.True(held <= limit+requests*perRequest)
 			is.True(responses.Refusals() > 0)
@@ -138,7 +130,7 @@
 	})
 	b.boundResponses(0)
 	b.gateway.bodies = heldmemory.NewBodies(limit)
-	before := heapBytes()
+	before := memtest.HeapBytes()
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	defer close(stop)
@@ -151,7 +143,7 @@
 		})
 	}
 	b.awaitSettled(1)
-	held := heapBytes() - before
+	held := memtest.HeapBytes() - before
 	t.Logf("%d requests arrived, %d KB are held, %d were refused", b.requestCount(), held>>10, refused.Load())
 	is.True(held <= limit+requests*perRequest)
 	is.Equal(b.requestCount()+int(refused.Load()), requests)
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -16,27 +16,14 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/heldmemory"
+	"github.com/micarudder/micarudder/internal/memtest"
 )
 
-// countingConn counts the bytes that are read from a connection.
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // newCountingClient returns a client and the number of bytes that it has read.
 func newCountingClient() (*Client, *atomic.Int64) {
 	read := new(atomic.Int64)
-	return New(Options{Dialer: func(ctx context.Context, address string) (net.Conn, error) {
-		c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
-		return countingConn{c, read}, err
-	}}), read
+	dial := memtest.CountingDialer(read)
+	return New(Options{Dialer: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }}), read
 }
 
 // TestEndlessResponseHead guards against an endpoint that sends without end in place of a response, and whose
@@ -110,14 +97,6 @@
 
 func distinctNames(i int) string { return strconv.FormatInt(int64(i), 36) }
 
-// heapBytes returns the size of the live heap.
-func heapBytes() int64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
 // TestParsedResponseHeads guards against heads of many short fields, each of them below the limit, that occupy
 // more than the memory for responses together.
 func TestParsedResponseHeads(t *testing.T) {
@@ -136,7 +115,7 @@
 	})
 	responses := heldmemory.NewResponses(limit)
 	client := New(Options{DialTimeout: testTimeout, Responses: responses})
-	before := heapBytes()
+	before := memtest.HeapBytes()
 	var held []*http.Response
 	refused := 0
 	for range exchanges {
@@ -151,7 +130,7 @@
 		held = append(held, res)
 	}
 	is.True(responses.Held(heldmemory.Head) <= limit)
-	is.True(heapBytes()-before <= limit)
+	is.True(memtest.HeapBytes()-before <= limit)
 	got, err := exchange(client, e, get("sound"))
 	is.NoErr(err)
 	is.Equal(got, "hi")
@@ -182,7 +161,7 @@
 			head := manyFields(t, tc.field)
 			var held []*http.Response
 			var passedOn []http.Header
-			before := heapBytes()
+			before := memtest.HeapBytes()
 			for range copies {
 				res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head)), nil)
 				is.NoErr(err)
@@ -190,7 +169,7 @@
 				maps.Copy(out, res.Header)
 				held, passedOn = append(held, res), append(passedOn, out, out.Clone())
 			}
-			occupied := (heapBytes() - before) / copies
+			occupied := (memtest.HeapBytes() - before) / copies
 			is.True(occupied <= heldmemory.ParsedHeadBytes(held[0].Header)+2*readBuffer)
 			t.Logf("%d bytes, %d fields: occupies %d, counts %d", len(head), len(held[0].Header), occupied, heldmemory.ParsedHeadBytes(held[0].Header))
 			runtime.KeepAlive(held)
