--- /dev/null
+++ b/review/.standin2/restore.go
@@ -0,0 +1,3 @@
+package main
+
+func playRestore(*world, bool) (string, error) { return "", nil }
