relay, daemon/drain: requests that have no response at the end of the drain time are answered

Callers saw: a connection that is closed without a response, where an endpoint had not answered when the gateway's drain time ended. They could not tell that their request may have run.

Cause: the same as for requests that wait for an endpoint: an attempt knew the caller's time and not the end of its process, and Shutdown returned with requests in flight.

Change: drain.Schedule has one more phase, Answering, 0.1 s before the exit. The context of all that is done for a request ends then, and the ways that follow a broken attempt answer: 502 where the request may have run, 503 where it never did; the connection of a begun stream is closed as before. A response that the gateway cuts off itself counts neither against its endpoint nor as a crash (finishResponse looks at the attempt's context, which also ends at the deadline and with memory that is not used).

Ruled out: ending the attempts sooner. Requests that get their response in the last second of the drain time are served as before, but for the last 0.1 s.

TestUnansweredRequestIsAnsweredAtStop failed before: the response came with the request's deadline, 15 s after the signal, where the process ends 7 s after it. Now 502 after 6.9 s.

--- a/daemon/drain/drain.go
+++ b/daemon/drain/drain.go
@@ -20,6 +20,8 @@
 	begun     atomic.Pointer[stopSignal]
 	search    context.Context // ends with Refusing
 	endSearch context.CancelCauseFunc
+	work      context.Context // ends with Answering
+	endWork   context.CancelCauseFunc
 }
 
 // stopSignal is the moment at which the stop signal arrived.
@@ -32,7 +34,8 @@
 // suspended in total, which the monotonic clock does not count.
 func New(s Schedule, suspended func() time.Duration) *Drain {
 	d := &Drain{schedule: s, suspended: suspended}
-	d.search, d.endSearch = context.WithCancelCause(context.Background())
+	d.work, d.endWork = context.WithCancelCause(context.Background())
+	d.search, d.endSearch = context.WithCancelCause(d.work)
 	return d
 }
 
@@ -53,11 +56,22 @@
 	return d.schedule.PhaseAt(time.Since(stop.at) + d.suspended() - stop.suspended)
 }
 
+// WithWork returns a context for all that is done for a request. It ends with ErrShutdown early enough for the
+// request to be answered before the process exits.
+func (d *Drain) WithWork(ctx context.Context) (context.Context, context.CancelFunc) {
+	return endingWith(ctx, d.work)
+}
+
 // WithSearch returns a context for the search for an endpoint. It ends with ErrShutdown once the caller finds one
 // sooner at another process.
 func (d *Drain) WithSearch(ctx context.Context) (context.Context, context.CancelFunc) {
+	return endingWith(ctx, d.search)
+}
+
+// endingWith returns a child of ctx that ends with other as well.
+func endingWith(ctx, other context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(d.search, func() { cancel(ErrShutdown) })
+	stop := context.AfterFunc(other, func() { cancel(ErrShutdown) })
 	return ctx, func() {
 		stop()
 		cancel(nil)
@@ -82,6 +96,9 @@
 		if phase >= Refusing {
 			d.endSearch(ErrShutdown)
 		}
+		if phase >= Answering {
+			d.endWork(ErrShutdown)
+		}
 		if phase >= Exiting || phase >= Refusing && inFlight() == 0 {
 			return nil
 		}
--- a/daemon/drain/drain_test.go
+++ b/daemon/drain/drain_test.go
@@ -17,6 +17,7 @@
 		"at the signal":       {0, Leaving},
 		"not noticed":         {2999 * time.Millisecond, Leaving},
 		"noticed":             {3 * time.Second, Refusing},
+		"requests end":        {6900 * time.Millisecond, Answering},
 		"drain time ends":     {7 * time.Second, Exiting},
 		"drain time is over":  {9 * time.Second, Exiting},
 		"shortly before exit": {6899 * time.Millisecond, Refusing},
--- a/daemon/drain/schedule.go
+++ b/daemon/drain/schedule.go
@@ -1,21 +1,26 @@
 // Package drain is the graceful shutdown of a process that serves requests: it knows when the process ends, and
-// ends what the requests wait for before.
+// ends what the requests wait for early enough for all of them to be answered.
 package drain
 
 import "time"
 
-// exitMargin is the part of the drain time that is left for the process to exit: a freeze of a fraction of a second must
-// not make it exceed its grace period.
-const exitMargin = time.Second
+const (
+	// exitMargin is the part of the drain time that is left for the process to exit: a freeze of a fraction of a
+	// second must not make it exceed its grace period.
+	exitMargin = time.Second
+	// answerTime is how long before that the last requests are answered.
+	answerTime = 100 * time.Millisecond
+)
 
 // Phase is a step of the shutdown.
 type Phase uint8
 
 const (
-	Serving  Phase = iota // no stop signal has arrived
-	Leaving               // the process serves, since the load balancer may not have noticed the shutdown
-	Refusing              // no request is accepted, and none waits for an endpoint
-	Exiting               // the process exits
+	Serving   Phase = iota // no stop signal has arrived
+	Leaving                // the process serves, since the load balancer may not have noticed the shutdown
+	Refusing               // no request is accepted, and none waits for an endpoint
+	Answering              // whatever is in flight ends, and its caller is answered
+	Exiting                // the process exits
 )
 
 // Schedule says when the phases of a shutdown begin. All of its times count from the stop signal, on a clock that
@@ -32,6 +37,8 @@
 	switch {
 	case elapsed >= s.exitAt():
 		return Exiting
+	case elapsed >= s.answerAt():
+		return Answering
 	case elapsed >= s.NoticeTime:
 		return Refusing
 	default:
@@ -39,4 +46,6 @@
 	}
 }
 
+func (s Schedule) answerAt() time.Duration { return s.exitAt() - answerTime }
+
 func (s Schedule) exitAt() time.Duration { return s.DrainTime - exitMargin }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -170,8 +170,8 @@
 }
 
 // run sends the request until it is answered or has to be given up.
-func (x *exchange) run() outcome {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+func (x *exchange) run(ctx context.Context) outcome {
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	defer x.dropFailed()
 	x.g.picker.countRequest(x.service.Name, x.started)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -81,6 +81,8 @@
 			return x.refuse(http.StatusServiceUnavailable, retryAfterShutdown, refusedShutdown)
 		}
 	}
+	ctx, cancel := x.g.drain.WithWork(x.r.Context())
+	defer cancel()
 	x.table = x.awaitTable()
 	if x.table == nil {
 		return x.refuse(http.StatusServiceUnavailable, retryAfterStore, notStarted)
@@ -116,7 +118,7 @@
 	if o, ok := x.checkQuarantine(x.g.quarantine.Check); !ok {
 		return o
 	}
-	return x.run()
+	return x.run(ctx)
 }
 
 // authorize looks up the route and the key in the configuration in force. It is called again before
--- a/relay/limitharness_test.go
+++ b/relay/limitharness_test.go
@@ -164,7 +164,7 @@
 func (f *limitFleet) send(ctx context.Context, gateway, tokens int) outcome {
 	x, w := f.exchange(ctx, gateway, tokens)
 	began := time.Now()
-	o := x.run()
+	o := x.run(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.Code == http.StatusServiceUnavailable {
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -13,7 +13,8 @@
 
 // Shutdown ends the gateway without interrupting a request. The gateway reports not ready at once,
 // continues to serve, closes connections after their next response, refuses requests once the load
-// balancer must have noticed, and returns when nothing is in flight or ctx ends.
+// balancer must have noticed, and returns when nothing is in flight or ctx ends. Requests that are still in flight when
+// the drain time is about to end are answered then.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.drain.Begin(time.Now())
 	g.deps.Log.Logger().Info("Stop begun.", "in_flight", g.inFlight.Load(), "drain_ms", g.config.DrainTime.Milliseconds())
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/micarudder/micarudder/balance"
+	"github.com/micarudder/micarudder/catalog"
 )
 
 const (
@@ -37,6 +38,9 @@
 	f.gateway = f.gateways[0]
 	config := *f.table.Configuration
 	config.Version++
+	once := config.Routes[0]
+	once.Name, once.PathPrefix, once.Kind, once.Resumable = "once", "/once/", catalog.Unsafe, false
+	config.Routes = []catalog.Route{config.Routes[0], once}
 	f.gateway.state.ApplyConfiguration(&config)
 	f.gateway.picker.loads.Add("e1", balance.Load{Long: 1, MemoryTokens: stopPrompt})
 	time.Sleep(time.Second) // the engines have been queried
@@ -139,6 +143,28 @@
 	})
 }
 
+// TestUnansweredRequestIsAnsweredAtStop guards against a connection that is closed without a response because the
+// endpoint of its request has not answered when the gateway exits. The request may have run.
+func TestUnansweredRequestIsAnsweredAtStop(t *testing.T) {
+	for _, path := range []string{"/", "/once/"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newStopFleet(t)
+				f.startDelay = 20 * time.Second
+				f.stopAfter(100 * time.Millisecond)
+				got := f.send(path, nil)
+				is.Equal(got.status, http.StatusBadGateway)
+				is.Equal(got.retryAfter, "")
+				is.Equal(len(f.arrivals), 1)
+				f.answeredBeforeExit(is, got)
+				is.True(!f.gateway.picker.health.Suspect("e0", time.Now()))
+				time.Sleep(f.startDelay) // the engine ends
+			})
+		})
+	}
+}
+
 // TestSuspensionCountsTowardsStop guards against a gateway that accepts requests, and lets them wait, although the load
 // balancer noticed its shutdown while its host was suspended.
 func TestSuspensionCountsTowardsStop(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -269,7 +269,7 @@
 	if _, ok := err.(*callerWriteError); ok || x.r.Context().Err() != nil {
 		return callerGone
 	}
-	if time.Until(x.deadline) > 0 && !pl.reservations.endedUnused() {
+	if pl.ctx.Err() == nil {
 		x.recordBrokenResponse(pl)
 		x.handleBrokenExchange(pl)
 	}
