relay, daemon/drain: the rest of a begun stream is not awaited beyond the time in which it could be sent

Callers saw: of a stream whose endpoint had crashed, the beginning, and then nothing until the process of their gateway ended, where they could have resumed it elsewhere seconds sooner.

Change: its search for an endpoint ends when the time until the last answers is shorter than the rest takes, by the route's objective. Ruled out: ending it with the searches of requests that were not sent. Endpoints that crashed are back within seconds, another gateway knows no other ones, and the caller would spend a retry.

TestBegunStreamEndsAtStop failed before: the caller learned of it after the exit.

--- a/daemon/drain/drain.go
+++ b/daemon/drain/drain.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"github.com/micarudder/micarudder/internal/sleep"
 )
 
 // ErrShutdown is the cause of contexts that the shutdown has ended.
@@ -53,25 +55,43 @@
 	if stop == nil {
 		return Serving
 	}
-	return d.schedule.PhaseAt(time.Since(stop.at) + d.suspended() - stop.suspended)
+	return d.schedule.PhaseAt(d.elapsed(stop))
+}
+
+// elapsed returns the time since the stop signal.
+func (d *Drain) elapsed(stop *stopSignal) time.Duration {
+	return time.Since(stop.at) + d.suspended() - stop.suspended
 }
 
 // WithWork returns a context for all that is done for a request. It ends with ErrShutdown early enough for the
 // request to be answered before the process exits.
 func (d *Drain) WithWork(ctx context.Context) (context.Context, context.CancelFunc) {
-	return endingWith(ctx, d.work)
+	return endingAfter(ctx, d.work, func(context.Context) {})
 }
 
 // WithSearch returns a context for the search for an endpoint. It ends with ErrShutdown once the caller finds one
-// sooner at another process.
-func (d *Drain) WithSearch(ctx context.Context) (context.Context, context.CancelFunc) {
-	return endingWith(ctx, d.search)
+// sooner at another process. The search for the rest of a response that the caller has the beginning of goes on for as
+// long as the rest, which takes this long, can still be sent; zero: nothing was sent.
+func (d *Drain) WithSearch(ctx context.Context, rest time.Duration) (context.Context, context.CancelFunc) {
+	return endingAfter(ctx, d.search, func(ctx context.Context) {
+		if rest > 0 {
+			sleep.For(ctx, d.untilAnswers()-rest)
+		}
+	})
+}
+
+// untilAnswers returns the time until Answering. The shutdown must have begun.
+func (d *Drain) untilAnswers() time.Duration {
+	return d.schedule.answerAt() - d.elapsed(d.begun.Load())
 }
 
-// endingWith returns a child of ctx that ends with other as well.
-func endingWith(ctx, other context.Context) (context.Context, context.CancelFunc) {
+// endingAfter returns a child of ctx that ends as well after other has ended and delay has returned.
+func endingAfter(ctx, other context.Context, delay func(context.Context)) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(other, func() { cancel(ErrShutdown) })
+	stop := context.AfterFunc(other, func() {
+		delay(ctx)
+		cancel(ErrShutdown)
+	})
 	return ctx, func() {
 		stop()
 		cancel(nil)
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -12,11 +12,8 @@
 
 // findPlacement finds an endpoint, and waits for one where that is better.
 func (x *exchange) findPlacement(ctx context.Context) (*placement, outcome) {
-	if !x.partial() {
-		search, cancel := x.g.drain.WithSearch(ctx)
-		defer cancel()
-		ctx = search
-	}
+	ctx, cancel := x.g.drain.WithSearch(ctx, x.restTime())
+	defer cancel()
 	p := x.startPlacement()
 	defer p.end()
 	now := p.updateRequest()
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -28,6 +28,14 @@
 	return err
 }
 
+// restTime returns about how long the rest of a response takes that the caller has the beginning of; zero: it has none.
+func (x *exchange) restTime() time.Duration {
+	if !x.partial() {
+		return 0
+	}
+	return x.route.Objective
+}
+
 // endReason returns why a context of the request has ended, other than by its caller.
 func endReason(ctx context.Context) outcome {
 	if drain.Ended(ctx) {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -165,6 +165,28 @@
 	}
 }
 
+// TestBegunStreamEndsAtStop guards against a caller that has the beginning of a stream and learns only from the exit
+// of its gateway that no endpoint will send the rest. The rest is awaited for as long as it can still be sent.
+func TestBegunStreamEndsAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFleet(t)
+		f.listDelay = time.Minute
+		f.beforeEvent = func(e *scriptedEngine, n int) {
+			if n == 3 {
+				f.crash(e, e.ID)
+			}
+		}
+		f.stopAfter(10 * time.Millisecond)
+		got := f.send("/", nil)
+		is.Equal(got.status, 0)
+		is.Equal(got.events, 2)
+		const objective = 3 * time.Second
+		is.True(got.after > unreadyDetectionTime && got.after < stopDrainTime-objective-time.Second)
+		f.answeredBeforeExit(is, got)
+	})
+}
+
 // TestSuspensionCountsTowardsStop guards against a gateway that accepts requests, and lets them wait, although the load
 // balancer noticed its shutdown while its host was suspended.
 func TestSuspensionCountsTowardsStop(t *testing.T) {
