relay: an upload that is not complete at the end of the drain time is answered

Callers saw: a connection that is closed without a response while they upload a body, when their gateway's process ends.

Cause: the read of a body knew the request's deadline only. Change: it ends with the request's work (drain.WithWork), and the caller gets 503 and 50 ms; nothing of the request was sent. It is not ended sooner, since an upload that completes after the balancer has noticed the stop is served as before.

giveUp can't answer here: net/http ends the request's context when a read of its body fails.

TestUploadIsAnsweredAtStop failed before: 408 at the request's deadline, 15 s after the signal, where the process ends after 7 s. Now 503 after 6.9 s.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -106,7 +106,7 @@
 	if o, ok := x.admitHeld(); !ok {
 		return o
 	}
-	if o, ok := x.readBody(); !ok {
+	if o, ok := x.readBody(ctx); !ok {
 		return o
 	}
 	// The service is picked from the route's targets only once, so that a retry uses the same
@@ -201,9 +201,9 @@
 const defaultDeadline = 30 * time.Second
 
 // readBody reads the complete body, so that the request can be sent again and is known to be complete
-// before anything is sent. If that fails, the read deadline stays, so that the server does not wait for the rest of
-// the body before it answers.
-func (x *exchange) readBody() (outcome, bool) {
+// before anything is sent, within ctx. If that fails, the read deadline stays, so that the server does not wait for the
+// rest of the body before it answers.
+func (x *exchange) readBody(ctx context.Context) (outcome, bool) {
 	limit := x.table.Limits.BodyBytes
 	if limit > 0 && x.r.ContentLength > limit {
 		x.w.Header().Set("Connection", "close")
@@ -213,6 +213,7 @@
 		return "", true
 	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
+	stopWatching := context.AfterFunc(ctx, func() { _ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) })
 	body := x.r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(x.w, body, limit)
@@ -220,7 +221,10 @@
 	var err error
 	x.body, err = x.g.bodies.Read(body, x.r.ContentLength, limit)
 	var tooLargeErr *http.MaxBytesError
-	switch {
+	switch ended := !stopWatching(); {
+	case ended && drain.Ended(ctx):
+		x.w.Header().Set("Connection", "close")
+		return x.refuse(http.StatusServiceUnavailable, retryAfterShutdown, refusedShutdown), false
 	case err == nil:
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
 		return "", true
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -187,6 +189,28 @@
 	})
 }
 
+// TestUploadIsAnsweredAtStop guards against a connection that is closed without a response because the body of its
+// request has not arrived when the gateway exits.
+func TestUploadIsAnsweredAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFleet(t)
+		caller, conn := net.Pipe()
+		defer func() { _ = caller.Close() }()
+		f.gateway.servers.assign(conn)
+		defer func() { _ = f.gateway.servers.current.server.Close() }()
+		_, err := io.WriteString(caller, "POST / HTTP/1.1\r\nHost: h\r\nId: r\r\nWait-Ms: 15000\r\nContent-Length: 10\r\n\r\npart")
+		is.NoErr(err)
+		f.stopAfter(0)
+		res, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(res.Header.Get("Retry-After"), "0.05")
+		is.Equal(len(f.arrivals), 0)
+		f.answeredBeforeExit(is, stopResponse{after: time.Since(f.stoppedAt)})
+	})
+}
+
 // TestSuspensionCountsTowardsStop guards against a gateway that accepts requests, and lets them wait, although the load
 // balancer noticed its shutdown while its host was suspended.
 func TestSuspensionCountsTowardsStop(t *testing.T) {
