relay: a request does not wait for the probe of its endpoint when its time is over

Callers saw: a connection that is closed without a response, where an endpoint broke the exchange shortly before its gateway's process ended: the request waited up to 300 ms for the probe whether that endpoint had crashed.

Cause: hasCrashed waited within the gateway's own context. Change: within that of the attempt; the probe goes on, and a crash that it finds is recorded as one that a later probe finds.

TestCrashProbeDoesNotOutlastStop failed before: the response came after the exit.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -28,8 +28,8 @@
 type probeSeries = crashprobe.Running[quarantine.Incarnation, brokenExchange]
 
 // hasCrashed reports whether the endpoint of a broken exchange is found to have crashed at once. A crash that
-// is found later, by a repeated probe, is recorded then; the exchange does not wait for it.
-func (g *Gateway) hasCrashed(b brokenExchange) bool {
+// is found later, by a repeated probe or after ctx has ended, is recorded then; the exchange does not wait for it.
+func (g *Gateway) hasCrashed(ctx context.Context, b brokenExchange) bool {
 	incarnation := quarantine.IncarnationOf(b.endpoint.ID, b.endpoint.Born)
 	s, created, state, round := g.crashProbes.Add(incarnation, b, b.at)
 	if created {
@@ -45,7 +45,7 @@
 	select {
 	case <-round.Done:
 		return round.Refused
-	case <-g.ctx.Done():
+	case <-ctx.Done():
 		return false
 	}
 }
@@ -94,7 +94,7 @@
 	subjects.All() // computes them before another goroutine reads them
 	b := brokenExchange{request: x.call.ID, workspace: subjects.Request.Workspace, route: x.route.Name,
 		subjects: subjects, endpoint: pl.endpoint, inUse: inUse, begun: pl.responseBegun, at: time.Now()}
-	crashed := crashprobe.MayHaveCrashed(x.lastError) && x.g.hasCrashed(b)
+	crashed := crashprobe.MayHaveCrashed(x.lastError) && x.g.hasCrashed(pl.ctx, b)
 	x.g.meter.brokenExchanges.Inc()
 	x.g.deps.Log.Request("Exchange broke.", "request", b.request, "fingerprint", subjects.Fingerprint(), "endpoint", b.endpoint.ID,
 		"parts", x.call.SharedParts, "begun", b.begun, "crashed", crashed, "in_flight_ms", time.Since(pl.chosenAt).Milliseconds(), "err", x.lastError)
--- a/relay/crashfleet_test.go
+++ b/relay/crashfleet_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +39,8 @@
 	// streamEvents is the number of events in a stream, and eventInterval the time between two.
 	streamEvents  = 12
 	eventInterval = 50 * time.Millisecond
+	// dialHang is how long connections to silent engines hang.
+	dialHang = 250 * time.Millisecond
 )
 
 // crashFleet is a fleet under virtual time whose engines answer requests and crash when they run
@@ -60,8 +63,11 @@
 	// rejects and breaks report whether an engine answers that it does not run a request, and whether it breaks
 	// the connection instead of an answer; they may be nil.
 	rejects, breaks func(*http.Request) bool
-	// rejectHeader holds additional header lines of rejections.
+	// rejectHeader holds additional header lines of rejections, and breakDelay is the time before a break.
 	rejectHeader string
+	breakDelay   time.Duration
+	// silent makes connections to engines hang.
+	silent atomic.Bool
 	// unreadLimit is the time after which an engine cuts off a stream that is not read; 0: never.
 	unreadLimit time.Duration
 
@@ -97,7 +103,12 @@
 	for _, e := range c.gateways[0].state.Endpoints("s") {
 		c.engines[e.Address] = &scriptedEngine{Endpoint: e, listed: true, conns: make(map[net.Conn]bool)}
 	}
-	c.dialOverride = func(_ int, address string) (net.Conn, error) { return c.dialEngine(address) }
+	c.dialOverride = func(_ int, address string) (net.Conn, error) {
+		if c.silent.Load() {
+			time.Sleep(dialHang)
+		}
+		return c.dialEngine(address)
+	}
 	return c
 }
 
@@ -159,6 +170,7 @@
 		return err == nil
 	}
 	if c.breaks != nil && c.breaks(r) {
+		time.Sleep(c.breakDelay)
 		return false
 	}
 	time.Sleep(c.startDelay)
--- a/relay/crashseries_test.go
+++ b/relay/crashseries_test.go
@@ -29,12 +29,12 @@
 				c, first := newBrokenExchange(t)
 				g := c.gateways[0]
 				c.setDown(tc.closed)
-				is.Equal(g.hasCrashed(first), tc.first)
+				is.Equal(g.hasCrashed(t.Context(), first), tc.first)
 				time.Sleep(200 * time.Millisecond)
 				second := first
 				second.subjects, second.at = &quarantine.Subjects{Request: quarantine.Request{Target: "/2"}}, time.Now()
 				tc.then(c, &second)
-				is.Equal(g.hasCrashed(second), tc.second)
+				is.Equal(g.hasCrashed(t.Context(), second), tc.second)
 				is.Equal(g.quarantine.Verdict(first.subjects.Fingerprint(), time.Now()).CrashesBefore == 1, tc.first)
 				is.Equal(g.quarantine.Verdict(second.subjects.Fingerprint(), time.Now()).CrashesBefore == 1, tc.second)
 			})
@@ -51,7 +51,7 @@
 				is := is.New(t)
 				c, b := newBrokenExchange(t)
 				g := c.gateways[0]
-				is.True(!g.hasCrashed(b))
+				is.True(!g.hasCrashed(t.Context(), b))
 				time.Sleep(5 * time.Millisecond)
 				if drains {
 					g.state.MarkDraining(b.endpoint, "answer", time.Now())
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -211,6 +211,23 @@
 	})
 }
 
+// TestCrashProbeDoesNotOutlastStop guards against a connection that is closed without a response because its request
+// waits for the probe of an endpoint when the gateway exits.
+func TestCrashProbeDoesNotOutlastStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFleet(t)
+		f.startDelay = stopDrainTime - 1150*time.Millisecond // the probe begins shortly before the last answers
+		f.breaks = reject
+		f.breakDelay = f.startDelay
+		f.stopAfter(time.Millisecond)
+		time.AfterFunc(time.Second, func() { f.silent.Store(true) })
+		got := f.send("/once/", nil)
+		is.Equal(got.status, http.StatusBadGateway)
+		f.answeredBeforeExit(is, got)
+	})
+}
+
 // TestSuspensionCountsTowardsStop guards against a gateway that accepts requests, and lets them wait, although the load
 // balancer noticed its shutdown while its host was suspended.
 func TestSuspensionCountsTowardsStop(t *testing.T) {
