relay: a request does not wait for a reservation when its time is over

Callers saw: a connection that is closed without a response, where memory was being reserved for their request when its gateway's process ended.

Cause: reserve waited for the order, up to 400 ms, whatever had become of the request. Change: it returns when the request's context ends. The order itself is not abandoned, and the release waits for it as it waits for renewals, so that the memory does not stay reserved.

TestReservationDoesNotOutlastItsRequest failed before: reserve returned after 300 ms, the request had 100.

--- a/relay/engines_memory_test.go
+++ b/relay/engines_memory_test.go
@@ -20,6 +20,7 @@
 
 	mu                 sync.Mutex
 	alwaysUsed         bool          // reservations are reported as used, whatever the script does
+	reserveDelay       time.Duration // how late a reservation is executed
 	renewalDelay       time.Duration // how late a renewal is executed, even if its connection was closed
 	noReports          bool          // queries get no response
 	waiting            int           // queue length in the reports
@@ -97,10 +98,14 @@
 func (e *testEngines) orderDelay(parts []string) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if parts[1] != "reserve" || e.reservations[parts[2]] == nil {
+	switch {
+	case parts[1] != "reserve":
 		return 0
+	case e.reservations[parts[2]] == nil:
+		return e.reserveDelay
+	default:
+		return e.renewalDelay
 	}
-	return e.renewalDelay
 }
 
 // handleOrder executes an order, or returns the header of a report; ok is false if there is no
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -78,16 +78,21 @@
 	for _, want := range pl.memoryDemands {
 		rv := &reservation{endpoint: want.endpoint, id: uuid.NewString(), tokens: want.tokens}
 		r.list = append(r.list, rv)
-		go func() {
+		r.background.Go(func() {
 			err := g.sendOrder(ctx, rv, g.deps.Protocol.Reserve(rv.endpoint.ID, rv.id, rv.tokens, memoryuse.ReservationTTL))
 			results <- orderResult{rv.endpoint.ID, err}
-		}()
+		})
 	}
 	var failed reserveError
 	for range r.list {
-		if res := <-results; res.err != nil {
-			failed.endpoints = append(failed.endpoints, res.endpoint)
-			failed.err = res.err
+		select {
+		case res := <-results:
+			if res.err != nil {
+				failed.endpoints = append(failed.endpoints, res.endpoint)
+				failed.err = res.err
+			}
+		case <-ctx.Done():
+			failed.err = ctx.Err()
 		}
 	}
 	g.deps.Log.Request("Memory set aside.", "request", request, "generating", pl.endpoint.ID, "endpoints", r.endpointIDs(), "reservations", r.reservationIDs(),
@@ -274,7 +279,7 @@
 	}
 	for _, rv := range r.list {
 		r.g.background.Go(func() {
-			r.background.Wait() // a renewal must not arrive after the release
+			r.background.Wait() // a reservation or renewal must not arrive after the release
 			if err := r.g.sendOrder(context.WithoutCancel(r.g.ctx), rv, r.g.deps.Protocol.Release(rv.endpoint.ID, rv.id)); err != nil {
 				r.g.deps.Log.Request("Memory was not released; it lapses.", "endpoint", rv.endpoint.ID, "reservation", rv.id, "err", err)
 			}
