daemon/drain: the phases of a shutdown follow the drain time where that is short

Callers saw: gateways with a drain time of a second end with all requests in flight, and connections closed without a response; with two to four seconds the balancer's three seconds never passed before the exit, so that nothing was refused in time.

Cause: the second that is left for the exit and the time in which the balancer notices were constants, whatever the drain time is. Change: the time for the exit is an eighth of the drain time, a second at most (8 s: one second, as before), that for the answers an eightieth; requests are refused when the balancer must have noticed, or after half of the time until the answers. A request that comes later than that would be cut off by the exit more likely than not, and a gateway that the balancer does not know to be away can still say so.

--- a/daemon/drain/schedule.go
+++ b/daemon/drain/schedule.go
@@ -5,11 +5,16 @@
 import "time"
 
 const (
-	// exitMargin is the part of the drain time that is left for the process to exit: a freeze of a fraction of a
-	// second must not make it exceed its grace period.
-	exitMargin = time.Second
-	// answerTime is how long before that the last requests are answered.
-	answerTime = 100 * time.Millisecond
+	// maxExitMargin and exitMarginDivisor bound the part of the drain time that is left for the process to
+	// exit: a freeze of a fraction of a second must not make it exceed its grace period.
+	maxExitMargin     = time.Second
+	exitMarginDivisor = 8
+	// maxAnswerTime and answerTimeDivisor bound how long before that the last requests are answered.
+	maxAnswerTime     = 100 * time.Millisecond
+	answerTimeDivisor = 80
+	// searchDivisor is the part of the time before the answers, as a divisor, for which requests may look for an
+	// endpoint if the drain time ends before the load balancer notices the shutdown.
+	searchDivisor = 2
 )
 
 // Phase is a step of the shutdown.
@@ -39,13 +44,19 @@
 		return Exiting
 	case elapsed >= s.answerAt():
 		return Answering
-	case elapsed >= s.NoticeTime:
+	case elapsed >= s.refuseAt():
 		return Refusing
 	default:
 		return Leaving
 	}
 }
 
-func (s Schedule) answerAt() time.Duration { return s.exitAt() - answerTime }
+func (s Schedule) refuseAt() time.Duration { return min(s.NoticeTime, s.answerAt()/searchDivisor) }
 
-func (s Schedule) exitAt() time.Duration { return s.DrainTime - exitMargin }
+func (s Schedule) answerAt() time.Duration {
+	return s.exitAt() - min(maxAnswerTime, s.DrainTime/answerTimeDivisor)
+}
+
+func (s Schedule) exitAt() time.Duration {
+	return s.DrainTime - min(maxExitMargin, s.DrainTime/exitMarginDivisor)
+}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/daemon/drain"
 )
 
 const (
@@ -49,6 +50,12 @@
 	return f
 }
 
+// setDrainTime sets the drain time of a gateway that was not told to stop.
+func (f *stopFleet) setDrainTime(d time.Duration) {
+	f.gateway.config.DrainTime = d
+	f.gateway.drain = drain.New(drain.Schedule{DrainTime: d, NoticeTime: unreadyDetectionTime}, f.gateway.checkSuspension)
+}
+
 // stopAfter tells the gateway to stop after d.
 func (f *stopFleet) stopAfter(d time.Duration) {
 	f.stoppedAt = time.Now().Add(d)
@@ -228,6 +235,26 @@
 	})
 }
 
+// TestShortDrainTime guards against a gateway with a short drain time that exits before it has ended its waits.
+func TestShortDrainTime(t *testing.T) {
+	for _, drainTime := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		t.Run(drainTime.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newStopFleet(t)
+				f.setDrainTime(drainTime)
+				f.rejects = reject
+				f.stopAfter(0)
+				time.Sleep(drainTime / 10)
+				got := f.send("/", nil)
+				is.Equal(got.status, http.StatusServiceUnavailable)
+				is.Equal(got.retryAfter, "0.05")
+				f.answeredBeforeExit(is, got)
+				is.True(got.after > drainTime/3) // it may wait until then
+			})
+		})
+	}
+}
 // TestSuspensionCountsTowardsStop guards against a gateway that accepts requests, and lets them wait, although the load
 // balancer noticed its shutdown while its host was suspended.
 func TestSuspensionCountsTowardsStop(t *testing.T) {
