relay: waits for a configuration or a proof of it end with the request's time

Callers saw: a connection that is closed without a response, where their request waited for a newer proof of the configuration, up to 600 ms, or for the first one, up to 500 ms, when a gateway with a short drain time ended.

Cause: both waits ended with the caller only. Change: they take the context of the request's work.

TestProofDoesNotOutlastStop failed before: the response came after the exit.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -63,12 +63,12 @@
 // awaitTable returns the configuration in force. A process that has just started waits for its
 // first configuration, because its callers are retrying after another gateway ended and have few
 // attempts left.
-func (x *exchange) awaitTable() *catalog.Table {
+func (x *exchange) awaitTable(ctx context.Context) *catalog.Table {
 	if t := x.g.state.Table(); t != nil {
 		return t
 	}
 	if left := startupWait - time.Since(x.g.started); left > 0 {
-		x.g.state.WaitFresh(x.r.Context(), math.MaxInt64, left)
+		x.g.state.WaitFresh(ctx, math.MaxInt64, left)
 	}
 	return x.g.state.Table()
 }
@@ -83,7 +83,7 @@
 	}
 	ctx, cancel := x.g.drain.WithWork(x.r.Context())
 	defer cancel()
-	x.table = x.awaitTable()
+	x.table = x.awaitTable(ctx)
 	if x.table == nil {
 		return x.refuse(http.StatusServiceUnavailable, retryAfterStore, notStarted)
 	}
@@ -99,7 +99,7 @@
 	if err != nil {
 		return x.refuseBodyMemory()
 	}
-	if o, ok := x.authorize(x.r.Context()); !ok {
+	if o, ok := x.authorize(ctx); !ok {
 		return o
 	}
 	x.setDeadline()
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -255,6 +255,27 @@
 		})
 	}
 }
+
+// TestProofDoesNotOutlastStop guards against a connection that is closed without a response because its request waits
+// for a proof of the configuration when the gateway exits.
+func TestProofDoesNotOutlastStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFleet(t)
+		config := *f.table.Configuration
+		config.Version += 2
+		config.Workspaces, config.KeysRequired = []catalog.Workspace{{Name: "w", Keys: []string{"k"}}}, true
+		f.gateway.state.ApplyConfiguration(&config)
+		f.gateway.config.RevokeAfter = time.Minute
+		f.setDrainTime(proofWait)
+		f.stopAfter(0)
+		got := f.send("/", nil)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.Equal(len(f.arrivals), 0)
+		f.answeredBeforeExit(is, got)
+	})
+}
+
 // TestSuspensionCountsTowardsStop guards against a gateway that accepts requests, and lets them wait, although the load
 // balancer noticed its shutdown while its host was suspended.
 func TestSuspensionCountsTowardsStop(t *testing.T) {
