gateway, daemon/drain: rudder-gateway answers what is in flight at the end of its drain time

Callers saw: at a planned stop of rudder-gateway that outlasted its drain time, a connection that is closed without a response, whether their request ran or waited in its agent's queue. The process took a second more than its drain time.

A session knew the caller's deadline; Drain returned when the drain time ended, and the listeners were closed over the rest.

Change: rudder-gateway uses drain.Drain, with the leave time as the time in which the balancer notices; all that is done for a request has the context of its work. An order that is cut off so ends as unanswered (outcome "may have run", with the ticket), a request that was never ordered as draining ("not run", with a time to come back). The connection of a begun stream is closed without an error event, as before: its caller reads on from another gateway. shuttingDown, refusing and the wait group are gone. drain.Begin gets the schedule, since this process learns its drain time at its stop. With a drain time that is short beside the notice time, requests are accepted for three quarters of the time before the answers in place of half: leave_time = 5s within drain_time = 8s holds.

rudder-agent was looked at as well and has no such wait: at its drain's end it breaks the streams to the gateways, which report the outcome (TestDrainRunsOut), and queued work that may be repeated goes back after a second.

--- a/daemon/drain/drain.go
+++ b/daemon/drain/drain.go
@@ -17,7 +17,6 @@
 
 // Drain is the shutdown of one process. Its methods may be called concurrently.
 type Drain struct {
-	schedule  Schedule
 	suspended func() time.Duration
 	begun     atomic.Pointer[stopSignal]
 	search    context.Context // ends with Refusing
@@ -26,24 +25,28 @@
 	endWork   context.CancelCauseFunc
 }
 
-// stopSignal is the moment at which the stop signal arrived.
+// stopSignal is the moment at which the stop signal arrived, and what follows it.
 type stopSignal struct {
+	schedule  Schedule
 	at        time.Time
 	suspended time.Duration // total suspension of the host until then
 }
 
 // New returns the shutdown of a process that has not been told to stop. suspended returns how long the host was
-// suspended in total, which the monotonic clock does not count.
-func New(s Schedule, suspended func() time.Duration) *Drain {
-	d := &Drain{schedule: s, suspended: suspended}
+// suspended in total, which the monotonic clock does not count; nil: it is never suspended.
+func New(suspended func() time.Duration) *Drain {
+	if suspended == nil {
+		suspended = func() time.Duration { return 0 }
+	}
+	d := &Drain{suspended: suspended}
 	d.work, d.endWork = context.WithCancelCause(context.Background())
 	d.search, d.endSearch = context.WithCancelCause(d.work)
 	return d
 }
 
 // Begin begins the shutdown; now is when the stop signal arrived. Only the first call counts.
-func (d *Drain) Begin(now time.Time) {
-	d.begun.CompareAndSwap(nil, &stopSignal{at: now, suspended: d.suspended()})
+func (d *Drain) Begin(s Schedule, now time.Time) {
+	d.begun.CompareAndSwap(nil, &stopSignal{schedule: s, at: now, suspended: d.suspended()})
 }
 
 // Begun reports whether the stop signal has arrived.
@@ -55,7 +58,7 @@
 	if stop == nil {
 		return Serving
 	}
-	return d.schedule.PhaseAt(d.elapsed(stop))
+	return stop.schedule.PhaseAt(d.elapsed(stop))
 }
 
 // elapsed returns the time since the stop signal.
@@ -82,7 +85,8 @@
 
 // untilAnswers returns the time until Answering. The shutdown must have begun.
 func (d *Drain) untilAnswers() time.Duration {
-	return d.schedule.answerAt() - d.elapsed(d.begun.Load())
+	stop := d.begun.Load()
+	return stop.schedule.answerAt() - d.elapsed(stop)
 }
 
 // endingAfter returns a child of ctx that ends as well after other has ended and delay has returned.
--- a/daemon/drain/schedule.go
+++ b/daemon/drain/schedule.go
@@ -12,9 +12,9 @@
 	// maxAnswerTime and answerTimeDivisor bound how long before that the last requests are answered.
 	maxAnswerTime     = 100 * time.Millisecond
 	answerTimeDivisor = 80
-	// searchDivisor is the part of the time before the answers, as a divisor, for which requests may look for an
-	// endpoint if the drain time ends before the load balancer notices the shutdown.
-	searchDivisor = 2
+	// maxServePercent is the part of the time before the answers, in percent, for which requests are accepted if
+	// the load balancer may notice the shutdown later.
+	maxServePercent = 75
 )
 
 // Phase is a step of the shutdown.
@@ -51,7 +51,9 @@
 	}
 }
 
-func (s Schedule) refuseAt() time.Duration { return min(s.NoticeTime, s.answerAt()/searchDivisor) }
+func (s Schedule) refuseAt() time.Duration {
+	return min(s.NoticeTime, s.answerAt()/100*maxServePercent)
+}
 
 func (s Schedule) answerAt() time.Duration {
 	return s.exitAt() - min(maxAnswerTime, s.DrainTime/answerTimeDivisor)
--- a/e2e/stops_test.go
+++ b/e2e/stops_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -193,6 +194,41 @@
 	}
 }
 
+// TestGatewayStopAnswersEveryRequest guards against connections that are closed without a response because their
+// requests run, or wait in the queue of their agent, when the drain time of their gateway ends.
+func TestGatewayStopAnswersEveryRequest(t *testing.T) {
+	const drainTime = 4 * time.Second
+	for _, repeatable := range []string{"true", "false"} {
+		t.Run(repeatable, func(t *testing.T) {
+			runSession(t, func(b *cluster) {
+				is := is.New(b.t)
+				b.engine("a", nil)
+				b.gateway("gw1")
+				b.publish()
+				replies := make([]reply, 40)
+				var wg sync.WaitGroup
+				for i := range replies {
+					wg.Go(func() {
+						replies[i] = b.ask("gw1", "POST", chatPath, chat(fmt.Sprint("long", i), 2000, false), map[string]string{"Rudder-Repeatable": repeatable})
+					})
+				}
+				time.Sleep(10 * time.Millisecond)
+				began := time.Now()
+				is.True(b.stopGateway("gw1", drainTime) != nil)
+				is.True(time.Since(began) < drainTime)
+				wg.Wait()
+				outcomes := make(map[string]int)
+				for _, got := range replies {
+					is.NoErr(got.err)
+					outcomes[got.parsedProblem().Outcome]++
+				}
+				is.Equal(outcomes["not run"]+outcomes["may have run"], len(replies))
+				is.True(b.executed() > 0 && b.executed() <= outcomes["may have run"])
+			})
+		})
+	}
+}
+
 // TestFlappingHost: an endpoint that repeatedly dies and returns gets no
 // requests while others serve, and no caller notices.
 func TestFlappingHost(t *testing.T) {
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -9,6 +9,7 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -215,13 +216,18 @@
 }
 
 // fail sends a problem, as the response itself or, once the stream has begun,
-// as an event. The stream then ends without [DONE].
+// as an event. The stream then ends without [DONE]. A stream that is cut off by the
+// shutdown of the gateway has no such event, since its caller reads on from
+// another gateway.
 func (c *completionWriter) fail(end *rudderv1.End) {
 	p := problemOf(end, c.cr.id, c.cr.ticket)
 	if !c.headersSent {
 		writeProblem(c.x.w, p)
 		return
 	}
+	if drain.Ended(c.x.r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	data, err := json.Marshal(p)
 	if err == nil {
 		_ = c.write(fmt.Sprintf("event: error\ndata: {\"error\":%s}\n\n", data))
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/lifecycle"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
@@ -27,6 +28,8 @@
 		detail = err.Error()
 	}
 	switch {
+	case drain.Ended(ctx):
+		return endOf(result.New(result.OrderUnanswered, drain.ErrShutdown.Error()))
 	case isDialError(err):
 		return endOf(&result.Err{Code: result.AgentLost, Outcome: result.NotRun, Detail: detail})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), connect.CodeOf(err) == connect.CodeDeadlineExceeded:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/inner"
@@ -73,20 +74,18 @@
 	leases       *claimLeases
 	peers        *peers
 
-	started      time.Time
-	ctx          context.Context
-	stop         context.CancelFunc
-	background   sync.WaitGroup
-	shuttingDown atomic.Bool // not ready, but still serving
-	refusing     atomic.Bool // refusing new requests
-	inFlight     sync.WaitGroup
-	active       atomic.Int64
+	started    time.Time
+	ctx        context.Context
+	stop       context.CancelFunc
+	background sync.WaitGroup
+	drain      *drain.Drain
+	active     atomic.Int64 // requests in flight
 }
 
 // New returns a gateway without background work; Start begins that.
 func New(cfg Config, deps Deps) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), formingSlots: make(chan struct{}, maxForming)}
+	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), formingSlots: make(chan struct{}, maxForming), drain: drain.New(nil)}
 	g.bodies = heldmemory.NewBodies(cfg.BodyMemory)
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
@@ -122,7 +121,7 @@
 // Ready reports whether the gateway has a configuration, has queried its peers
 // for a newer one, is not shutting down and is not cut off from all others.
 func (g *Gateway) Ready() bool {
-	return g.deps.Tracker.Generation() > 0 && g.peers.allQueried.Load() && !g.shuttingDown.Load() && !g.members.cutOff()
+	return g.deps.Tracker.Generation() > 0 && g.peers.allQueried.Load() && !g.drain.Begun() && !g.members.cutOff()
 }
 
 // Close stops the background work and waits for it to end.
@@ -135,18 +134,14 @@
 // beginRequest counts a request as in flight. It returns false if the gateway
 // refuses new requests.
 func (g *Gateway) beginRequest() bool {
-	g.inFlight.Add(1)
-	if g.refusing.Load() {
-		g.inFlight.Done()
+	g.active.Add(1)
+	if g.drain.Phase() >= drain.Refusing {
+		g.active.Add(-1)
 		return false
 	}
-	g.active.Add(1)
 	return true
 }
 
-func (g *Gateway) endRequest() {
-	g.active.Add(-1)
-	g.inFlight.Done()
-}
+func (g *Gateway) endRequest() { g.active.Add(-1) }
 
 var _ http.Handler = (*callerHandler)(nil)
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -55,7 +55,7 @@
 func (g *Gateway) callerRoute(h func(*exchange)) iris.Handler {
 	return func(ctx iris.Context) {
 		w := ctx.ResponseWriter()
-		if g.shuttingDown.Load() {
+		if g.drain.Begun() {
 			w.Header().Set("Connection", "close") // so that the next request goes to another gateway
 		}
 		if !g.beginRequest() {
@@ -65,12 +65,15 @@
 			return
 		}
 		defer g.endRequest()
-		ws, err := g.auth.workspace(ctx.Request(), g.awaitConfiguration(ctx.Request().Context()))
+		work, cancel := g.drain.WithWork(ctx.Request().Context())
+		defer cancel()
+		r := ctx.Request().WithContext(work)
+		ws, err := g.auth.workspace(r, g.awaitConfiguration(work))
 		if err != nil {
-			g.refuse(w, ctx.Request(), err)
+			g.refuse(w, r, err)
 			return
 		}
-		x := &exchange{w: w, r: ctx.Request(), workspace: ws, param: ctx.Params().Get, raw: w.Naive()}
+		x := &exchange{w: w, r: r, workspace: ws, param: ctx.Params().Get, raw: w.Naive()}
 		defer func() { x.body.Release() }()
 		h(x)
 	}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/engine"
 	"github.com/micarudder/micarudder/metastore"
 	"github.com/micarudder/micarudder/placement"
@@ -80,7 +81,7 @@
 	now := time.Now()
 	doc := p.g.deps.Tracker.Document()
 	links := p.ownLinks()
-	if p.g.refusing.Load() {
+	if p.g.drain.Phase() >= drain.Refusing {
 		p.elector.release()
 		return
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -29,7 +29,7 @@
 	silent := g.platform.silence()
 	resp := &rudderv1.StatusResponse{
 		Gateway: g.cfg.Name, DataCentre: g.cfg.DataCentre, Generation: g.deps.Tracker.Generation(),
-		PlatformReachable: g.platform.reachable(), PlatformSilentMs: silent.Milliseconds(), Draining: g.shuttingDown.Load(),
+		PlatformReachable: g.platform.reachable(), PlatformSilentMs: silent.Milliseconds(), Draining: g.drain.Begun(),
 		Placing: g.placer.elector.heldID(time.Now()) != 0,
 	}
 	names, byIndex := g.links.namesAndLinks()
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/lifecycle"
 	"github.com/micarudder/micarudder/prefix"
 	"github.com/micarudder/micarudder/result"
@@ -146,10 +147,16 @@
 	if ctx.Err() == nil && time.Until(s.cr.deadline) > minRemaining {
 		return nil
 	}
-	if s.dispatch.Attempts > 0 {
+	switch {
+	case s.dispatch.Attempts > 0:
 		return last
+	case drain.Ended(ctx):
+		err := result.New(result.Draining, "")
+		err.RetryAfter = defaultRetryAfter.Milliseconds()
+		return endOf(err)
+	default:
+		return endOf(result.New(result.DeadlineTooNear, ""))
 	}
-	return endOf(result.New(result.DeadlineTooNear, ""))
 }
 
 // endUnplaced returns the end if no attempt could be made: the end of the last
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
+
+	"github.com/micarudder/micarudder/daemon/drain"
 )
 
 // closeTimeout limits the time to close the listeners after all requests have
@@ -24,31 +27,27 @@
 	return err
 }
 
-// Drain takes the gateway out of service. The gateway becomes not ready, so
-// that the load balancer stops sending requests to it, and refuses new requests
-// after the leave time. Drain returns when the requests in flight have ended or
-// ctx ends.
+// Drain takes the gateway out of service within the deadline of ctx. The gateway becomes not ready, so that the load
+// balancer stops sending requests to it, and refuses new requests after the leave time. Drain returns when the requests
+// in flight have ended, and with an error if it had to end them.
 func (g *Gateway) Drain(ctx context.Context) error {
-	g.shuttingDown.Store(true)
+	now := time.Now()
+	g.drain.Begin(drain.Schedule{DrainTime: timeLeft(ctx, now), NoticeTime: g.cfg.LeaveTime}, now)
 	g.deps.Log.Info("Not ready any more; waiting for the load balancer to notice.", "requests", g.active.Load())
-	select {
-	case <-time.After(g.cfg.LeaveTime):
-	case <-ctx.Done():
-	}
-	g.refusing.Store(true)
-	g.deps.Log.Info("Draining.", "requests", g.active.Load())
-	done := make(chan struct{})
-	go func() {
-		g.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
+	if err := g.drain.Run(ctx, g.active.Load); err != nil {
+		return err
 	}
-	if g.active.Load() > 0 {
+	if g.drain.Phase() >= drain.Answering {
 		return errors.New("requests were still in flight")
 	}
 	return nil
 }
+
+// timeLeft returns the time until the deadline of ctx.
+func timeLeft(ctx context.Context, now time.Time) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return math.MaxInt64
+	}
+	return deadline.Sub(now)
+}
--- a/relay/crashseries_test.go
+++ b/relay/crashseries_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/quarantine"
 )
 
@@ -96,7 +97,7 @@
 					q.RecordCrash(f, quarantine.Crash{Endpoint: quarantine.Incarnation(i + 1), At: at}, time.Now())
 				}
 			})
-			g.drain.Begin(time.Now())
+			g.drain.Begin(drain.Schedule{DrainTime: time.Minute}, time.Now())
 			for i, started := range c.gateways { // they start after 2.1 s, without any knowledge
 				if i != stopping {
 					time.AfterFunc(2100*time.Millisecond, func() {
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -148,7 +148,7 @@
 	g.deliveries = monitor.NewDeliveries()
 	g.quarantine = newQuarantineTable(c.Name)
 	g.suspensions = suspension.New(d.Suspended)
-	g.drain = drain.New(drain.Schedule{DrainTime: c.DrainTime, NoticeTime: unreadyDetectionTime}, g.checkSuspension)
+	g.drain = drain.New(g.checkSuspension)
 	g.endpointLimits = g.picker.limits
 	g.grantClient = peers.NewClient(d.PeerPort, 0, maxIdleGrantConns)
 	g.askCoordinator = g.requestPeerGrant
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/limits"
 	"github.com/micarudder/micarudder/peers"
 )
@@ -205,7 +206,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	longAgo := time.Now().Add(-unreadyDetectionTime - time.Second)
-	b.gateway.drain.Begin(longAgo)
+	b.gateway.drain.Begin(drain.Schedule{DrainTime: time.Minute, NoticeTime: unreadyDetectionTime}, longAgo)
 	go func() { _ = b.gateway.Shutdown(t.Context()) }()
 	got := <-done
 	is.NoErr(got.err)
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -12,7 +12,7 @@
 
 // findPlacement finds an endpoint, and waits for one where that is better.
 func (x *exchange) findPlacement(ctx context.Context) (*placement, outcome) {
-	ctx, cancel := x.g.drain.WithSearch(ctx, x.restTime())
+	ctx, cancel := x.g.drain.WithSearch(ctx, x.waitPolicy().RestTime())
 	defer cancel()
 	p := x.startPlacement()
 	defer p.end()
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -17,10 +17,8 @@
 	"github.com/micarudder/micarudder/upstream"
 )
 
-const (
-	// orderTimeout bounds a reserve or release order, which takes one round trip.
-	orderTimeout = 400 * time.Millisecond
-)
+// orderTimeout bounds a reserve or release order, which takes one round trip.
+const orderTimeout = 400 * time.Millisecond
 
 // reservation is memory reserved at one endpoint for one request.
 type reservation struct {
--- a/relay/residual_test.go
+++ b/relay/residual_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/peers"
 	"github.com/micarudder/micarudder/residual"
 )
@@ -290,7 +291,7 @@
 				time.Sleep(6 * time.Second) // the gateways are not starting any more
 				silent := f.gateways[0]
 				if c.leaving {
-					silent.drain.Begin(time.Now())
+					silent.drain.Begin(drain.Schedule{DrainTime: time.Minute}, time.Now())
 				}
 				silent.picker.mu.Lock()
 				for range 6 {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/catalog"
-	"github.com/micarudder/micarudder/daemon/drain"
 )
 
 const (
@@ -50,12 +49,6 @@
 	return f
 }
 
-// setDrainTime sets the drain time of a gateway that was not told to stop.
-func (f *stopFleet) setDrainTime(d time.Duration) {
-	f.gateway.config.DrainTime = d
-	f.gateway.drain = drain.New(drain.Schedule{DrainTime: d, NoticeTime: unreadyDetectionTime}, f.gateway.checkSuspension)
-}
-
 // stopAfter tells the gateway to stop after d.
 func (f *stopFleet) stopAfter(d time.Duration) {
 	f.stoppedAt = time.Now().Add(d)
@@ -242,7 +235,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newStopFleet(t)
-				f.setDrainTime(drainTime)
+				f.gateway.config.DrainTime = drainTime
 				f.rejects = reject
 				f.stopAfter(0)
 				time.Sleep(drainTime / 10)
@@ -267,7 +260,7 @@
 		config.Workspaces, config.KeysRequired = []catalog.Workspace{{Name: "w", Keys: []string{"k"}}}, true
 		f.gateway.state.ApplyConfiguration(&config)
 		f.gateway.config.RevokeAfter = time.Minute
-		f.setDrainTime(proofWait)
+		f.gateway.config.DrainTime = proofWait
 		f.stopAfter(0)
 		got := f.send("/", nil)
 		is.Equal(got.status, http.StatusServiceUnavailable)
--- a/waitpolicy/waitpolicy.go
+++ b/waitpolicy/waitpolicy.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// RestTime returns about how long the rest of a partial response takes; zero: the caller has no part of it.
+func (p Policy) RestTime() time.Duration {
+	if !p.Partial {
+		return 0
+	}
+	return p.Objective
+}
+
 // inTimeBy returns until when a request may be placed and still be in time.
 func (p Policy) inTimeBy() time.Time { return p.Started.Add(p.Objective * WaitPercent / 100) }
 
