relay: the response to an order is read as far as the responses to queries

What could be seen: an endpoint that answered a reservation or a release with a body without end kept the gateway reading it for 400 ms, as fast as it could send, and a 200 before it made an order that nobody had confirmed count.

Change: 64 KiB are read, as of reports and health checks; more is no answer, and the order has failed.

--- a/relay/callerservers.go
+++ b/relay/callerservers.go
@@ -37,8 +37,6 @@
 	listener *pushlistener.Listener
 }
 
-func newCallerServers(g *Gateway) *callerServers { return &callerServers{g: g} }
-
 // Serve accepts callers' connections from l until l is closed.
 func (g *Gateway) Serve(l net.Listener) error {
 	for {
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -141,7 +141,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.peerClient = peers.NewClient(d.PeerPort, peerQueryTimeout, 1)
 	g.storeReads = newStoreReads()
-	g.servers = newCallerServers(g)
+	g.servers = &callerServers{g: g}
 	g.crashProbes = crashprobe.NewProbes[quarantine.Incarnation, brokenExchange]()
 	g.held, g.bodies = heldmemory.NewLedger(c.HeldMemory, requestHeldBytes, c.SlowReaderTimeout/evictionDivisor), heldmemory.NewBodies(c.BodyMemory)
 	g.memoryReport = report.New(g.bodies, d.Responses, d.Metrics, d.Log.Logger())
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -299,11 +299,12 @@
 		return err
 	}
 	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBytes))
+	if err != nil {
 		return trace.Wrap(err)
 	}
-	if res.StatusCode != http.StatusOK {
-		return trace.Errorf("endpoint %s answered %s", r.endpoint.ID, res.Status)
+	if res.StatusCode != http.StatusOK || n == maxDiscardedBytes {
+		return trace.Errorf("endpoint %s answered %s with a body of %d bytes or more", r.endpoint.ID, res.Status, n)
 	}
 	return nil
 }
