gateway: an upload that is not complete at the end of the drain time is answered

Callers saw: a connection that is closed without a response while they upload to a rudder-gateway whose drain time ends.

TestGatewayStopAnswersUploads failed before: EOF.

--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -45,10 +45,16 @@
 
 // askWithin sends one request to a gateway and gives up after the timeout.
 func (b *cluster) askWithin(timeout time.Duration, gw, method, path, body string, header map[string]string) reply {
+	b.t.Helper()
+	return b.upload(timeout, gw, method, path, strings.NewReader(body), header)
+}
+
+// upload is askWithin with a body that is still to be read.
+func (b *cluster) upload(timeout time.Duration, gw, method, path string, body io.Reader, header map[string]string) reply {
 	b.t.Helper()
 	ctx, cancel := context.WithTimeout(b.t.Context(), timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+gw+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+gw+path, body)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/e2e/stops_test.go
+++ b/e2e/stops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -229,6 +230,29 @@
 	}
 }
 
+// TestGatewayStopAnswersUploads guards against a connection that is closed without a response because the body of its
+// request has not arrived when the drain time of its gateway ends.
+func TestGatewayStopAnswersUploads(t *testing.T) {
+	runSession(t, func(b *cluster) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.configureGateway = func(cfg *gateway.Config) { cfg.BodyTime = time.Minute }
+		b.gateway("gw1")
+		b.publish()
+		body, writer := io.Pipe()
+		var got reply
+		var wg sync.WaitGroup
+		wg.Go(func() { got = b.upload(time.Minute, "gw1", "POST", chatPath, body, nil) })
+		time.Sleep(10 * time.Millisecond)
+		err := b.stopGateway("gw1", 4*time.Second)
+		_ = writer.Close()
+		wg.Wait()
+		is.True(err != nil)
+		is.NoErr(got.err)
+		is.Equal(got.parsedProblem().Outcome, "not run")
+	})
+}
+
 // TestFlappingHost: an endpoint that repeatedly dies and returns gets no
 // requests while others serve, and no caller notices.
 func TestFlappingHost(t *testing.T) {
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -59,9 +59,7 @@
 			w.Header().Set("Connection", "close") // so that the next request goes to another gateway
 		}
 		if !g.beginRequest() {
-			err := result.New(result.Draining, "")
-			err.RetryAfter = defaultRetryAfter.Milliseconds()
-			g.refuse(w, ctx.Request(), err)
+			g.refuse(w, ctx.Request(), errDraining())
 			return
 		}
 		defer g.endRequest()
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -10,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/prefix"
 	"github.com/micarudder/micarudder/result"
@@ -32,8 +34,8 @@
 	Content json.RawMessage `json:"content"`
 }
 
-// readBody reads the complete body within the limits on size and time. If that
-// fails, it leaves the read deadline set, so that the server does not wait for
+// readBody reads the complete body within the limits on size and time, and
+// while the gateway can still serve the request. If that fails, it leaves the read deadline set, so that the server does not wait for
 // the rest of the body before it answers. The body counts to the memory of
 // bodies until the request ends.
 func (g *Gateway) readBody(x *exchange) ([]byte, *result.Err) {
@@ -42,10 +44,14 @@
 	}
 	rc := http.NewResponseController(x.raw)
 	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTime))
+	ctx := x.r.Context()
+	stopWatching := context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Now()) })
 	var err error
 	x.body, err = g.bodies.Read(http.MaxBytesReader(x.raw, x.r.Body, g.cfg.MaxBody), x.r.ContentLength, g.cfg.MaxBody)
 	var tooLarge *http.MaxBytesError
-	switch {
+	switch ended := !stopWatching(); {
+	case ended && drain.Ended(ctx):
+		return nil, errDraining()
 	case err == nil:
 		_ = rc.SetReadDeadline(time.Time{})
 		return x.body.Bytes, nil
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -151,9 +151,7 @@
 	case s.dispatch.Attempts > 0:
 		return last
 	case drain.Ended(ctx):
-		err := result.New(result.Draining, "")
-		err.RetryAfter = defaultRetryAfter.Milliseconds()
-		return endOf(err)
+		return endOf(errDraining())
 	default:
 		return endOf(result.New(result.DeadlineTooNear, ""))
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/daemon/drain"
+	"github.com/micarudder/micarudder/result"
 )
 
 // closeTimeout limits the time to close the listeners after all requests have
@@ -43,6 +44,13 @@
 	return nil
 }
 
+// errDraining refuses a request because the gateway is shutting down.
+func errDraining() *result.Err {
+	err := result.New(result.Draining, "")
+	err.RetryAfter = defaultRetryAfter.Milliseconds()
+	return err
+}
+
 // timeLeft returns the time until the deadline of ctx.
 func timeLeft(ctx context.Context, now time.Time) time.Duration {
 	deadline, ok := ctx.Deadline()
