gateway: an order that found no connection when its gateway shut down is "not run"

Callers saw: "may have run" for a request whose order had not left the gateway, which a caller may not repeat.

Cause: the end by the shutdown was looked at before the error, which proves that nothing was sent. Change: the error comes first. TestUnsentOrderAtStop failed before for that case.

--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -28,10 +28,10 @@
 		detail = err.Error()
 	}
 	switch {
-	case drain.Ended(ctx):
-		return endOf(result.New(result.OrderUnanswered, drain.ErrShutdown.Error()))
 	case isDialError(err):
 		return endOf(&result.Err{Code: result.AgentLost, Outcome: result.NotRun, Detail: detail})
+	case drain.Ended(ctx):
+		return endOf(result.New(result.OrderUnanswered, drain.ErrShutdown.Error()))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), connect.CodeOf(err) == connect.CodeDeadlineExceeded:
 		// The deadline is propagated with the call, so the agent may report it
 		// before ctx ends.
