gateway: a group that is being formed when its gateway shuts down ends as draining

Callers saw: code "canceled" and advice as if they had given the request up themselves.

Cause: a group took each context that was not ended by its deadline for a caller that has left. Change: it asks for the cause. TestGroupEndsAsDrainingAtStop failed before.

--- a/gateway/group.go
+++ b/gateway/group.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/micarudder/micarudder/daemon/drain"
 	"github.com/micarudder/micarudder/memory"
 	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/routing"
@@ -149,10 +150,13 @@
 
 func (g *Gateway) releaseFormingSlot() { <-g.formingSlots }
 
-// endBeforeRun returns the end of a group whose time ran out or whose caller
-// disconnected before its run was ordered.
+// endBeforeRun returns the end of a group whose time ran out, whose caller
+// disconnected or whose gateway shuts down before its run was ordered.
 func endBeforeRun(ctx context.Context, err *result.Err) *rudderv1.End {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case drain.Ended(ctx):
+		err = errDraining()
+	case errors.Is(ctx.Err(), context.Canceled):
 		err = &result.Err{Code: result.Canceled, Outcome: result.NotRun}
 	}
 	err.RetryAfter = defaultRetryAfter.Milliseconds()
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -13,6 +13,28 @@
 	"github.com/micarudder/micarudder/rudderv1"
 )
 
+// TestGroupEndsAsDrainingAtStop guards against a caller who is told that it has cancelled its request, and gets no time
+// to come back, because its gateway has shut down while a group was being formed.
+func TestGroupEndsAsDrainingAtStop(t *testing.T) {
+	for name, tc := range map[string]struct {
+		cause error
+		want  result.Code
+	}{
+		"gateway shuts down": {drain.ErrShutdown, result.Draining},
+		"caller disconnects": {nil, result.Canceled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			cancel(tc.cause)
+			end := endBeforeRun(ctx, result.New(result.MemoryHeld, ""))
+			is.Equal(result.Code(end.Code), tc.want)
+			is.Equal(end.Outcome, rudderv1.Outcome(result.NotRun))
+			is.True(end.RetryAfterMs > 0)
+		})
+	}
+}
+
 // TestUnsentOrderAtStop guards against "may have run" for an order whose connection was not established when its
 // gateway shut down.
 func TestUnsentOrderAtStop(t *testing.T) {
