soak: a stop that drops a request which no worker has run counts as an interruption

A worker that never answers excuses a closed connection only once the response has begun: before, the gateway answers 502.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -156,16 +156,19 @@
 // revokeAfter is how long a withdrawn key may still be accepted.
 const revokeAfter = 3 * time.Second
 
+// lossSlack is the time after which a request that was sent counts as read by its gateway.
+const lossSlack = 200 * time.Millisecond
+
 // checkPlanned verifies that a graceful stop interrupts no request.
 func checkPlanned(a *request, f *facts) string {
 	if a.err == nil || a.abandoned || !overlapsRequest(f.stops, a) || overlapsRequest(f.unplanned, a) {
 		return ""
 	}
-	if len(f.ledger.Runs(a.id)) == 0 && a.status == 0 {
+	if len(f.ledger.Runs(a.id)) == 0 && a.status == 0 && a.ended.Sub(a.sent) <= lossSlack {
 		return "" // its connection was closed before the request was read
 	}
-	if f.ledger.Hung(a.id) {
-		return "" // its worker never responded
+	if f.ledger.Hung(a.id) && a.status != 0 {
+		return "" // its worker sent nothing after the beginning of the response
 	}
 	return "interrupted by a graceful stop: " + a.err.Error()
 }
