--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -123,24 +122,27 @@
 	}
 }
 
-// TestGrantDoesNotOutlastStop guards against a request that endpoints with rate limits rejected and that waits for
-// them until its gateway has exited.
+// TestGrantDoesNotOutlastStop guards against a request that an endpoint with a rate limit rejected and that waits for a
+// grant of another one until its gateway has exited.
 func TestGrantDoesNotOutlastStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newLimitFleet(t, 1, 2)
-		f.setLimit("4", 0, 1)
-		f.send(t.Context(), 0, 500)
-		f.send(t.Context(), 0, 500)
-		f.setResponse("503 Service Unavailable", "Not-Run: 1\r\n", 0, 1)
+		f.setLimit("0.2", 0, 1)
+		for range 10 { // use up the limits
+			f.send(t.Context(), 0, 500)
+		}
 		stopped := make(chan struct{})
 		go func() {
 			defer close(stopped)
 			_ = f.gateways[0].Shutdown(t.Context())
 		}()
-		f.sendLoad(t, 10, 2*time.Second, func(int) int { return 0 })
-		is.True(slices.Contains(f.retryAfters, "0.05"))
-		is.True(slices.Max(f.refusalTimes) < unreadyDetectionTime+100*time.Millisecond)
+		began := time.Now()
+		x, w := f.exchange(t.Context(), 0, 500)
+		x.attempts, x.sentEndpoints, x.tried = 1, []string{"e0"}, []string{"e0"}
+		is.Equal(x.run(t.Context()), refusedShutdown)
+		is.Equal(w.Header().Get("Retry-After"), "0.05")
+		is.True(time.Since(began) < unreadyDetectionTime+100*time.Millisecond)
 		<-stopped
 	})
 }
@@ -167,6 +169,28 @@
 	}
 }
 
+// TestWaitingRequestsAreRefusedAtStop guards against one of many requests that wait for an endpoint at the stop signal,
+// of which some have been sent and some have not, that gets no response before its gateway has exited.
+func TestWaitingRequestsAreRefusedAtStop(t *testing.T) {
+	const requests = 60
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFleet(t)
+		f.rejects = reject
+		f.stopAfter(100 * time.Millisecond)
+		results := make(chan stopResponse)
+		for range requests {
+			go func() { results <- f.send("/", nil) }()
+		}
+		for range requests {
+			got := <-results
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.True(got.after < unreadyDetectionTime+100*time.Millisecond)
+		}
+		is.True((<-f.exited).Sub(f.stoppedAt) < stopDrainTime)
+	})
+}
+
 // TestBegunStreamEndsAtStop guards against a caller that has the beginning of a stream and learns only from the exit
 // of its gateway that no endpoint will send the rest. The rest is awaited for as long as it can still be sent.
 func TestBegunStreamEndsAtStop(t *testing.T) {
