--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -43,7 +43,9 @@
 	once.Name, once.PathPrefix, once.Kind, once.Resumable = "once", "/once/", catalog.Unsafe, false
 	config.Routes = []catalog.Route{config.Routes[0], once}
 	f.gateway.state.ApplyConfiguration(&config)
+	f.gateway.picker.mu.Lock()
 	f.gateway.picker.loads.Add("e1", balance.Load{Long: 1, MemoryTokens: stopPrompt})
+	f.gateway.picker.mu.Unlock()
 	time.Sleep(time.Second) // the engines have been queried
 	return f
 }
@@ -83,6 +85,13 @@
 	return res
 }
 
+// arrivalCount returns how many requests have reached an engine.
+func (f *stopFleet) arrivalCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.arrivals)
+}
+
 // reject is a test of the fleet's engines that rejects all requests.
 func reject(*http.Request) bool { return true }
 
@@ -160,7 +169,7 @@
 				got := f.send(path, nil)
 				is.Equal(got.status, http.StatusBadGateway)
 				is.Equal(got.retryAfter, "")
-				is.Equal(len(f.arrivals), 1)
+				is.Equal(f.arrivalCount(), 1)
 				f.answeredBeforeExit(is, got)
 				is.True(!f.gateway.picker.health.Suspect("e0", time.Now()))
 				time.Sleep(f.startDelay) // the engine ends
@@ -230,7 +239,7 @@
 		is.NoErr(err)
 		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
 		is.Equal(res.Header.Get("Retry-After"), "0.05")
-		is.Equal(len(f.arrivals), 0)
+		is.Equal(f.arrivalCount(), 0)
 		f.answeredBeforeExit(is, stopResponse{after: time.Since(f.stoppedAt)})
 	})
 }
@@ -288,7 +297,7 @@
 		f.stopAfter(0)
 		got := f.send("/", nil)
 		is.Equal(got.status, http.StatusServiceUnavailable)
-		is.Equal(len(f.arrivals), 0)
+		is.Equal(f.arrivalCount(), 0)
 		f.answeredBeforeExit(is, got)
 	})
 }
@@ -308,7 +317,7 @@
 		got := f.send("/", nil)
 		is.Equal(got.status, http.StatusServiceUnavailable)
 		is.Equal(got.retryAfter, "0.05")
-		is.Equal(len(f.arrivals), 0)
+		is.Equal(f.arrivalCount(), 0)
 		is.True((<-f.exited).Sub(f.stoppedAt)+suspended < stopDrainTime)
 	})
 }
