--- a/daemon/drain/drain_test.go
+++ b/daemon/drain/drain_test.go
@@ -17,8 +17,8 @@
 		elapsed time.Duration
 		want    Phase
 	}{
-		"at the signal":       {0, Leaving},
-		"not noticed":         {2999 * time.Millisecond, Leaving},
+		"at the signal":       {0, Unready},
+		"not noticed":         {2999 * time.Millisecond, Unready},
 		"noticed":             {3 * time.Second, Refusing},
 		"requests end":        {6900 * time.Millisecond, Answering},
 		"drain time ends":     {7 * time.Second, Exiting},
--- a/daemon/drain/schedule.go
+++ b/daemon/drain/schedule.go
@@ -22,8 +22,8 @@
 
 const (
 	Serving   Phase = iota // no stop signal has arrived
-	Leaving                // the process serves, since the load balancer may not have noticed the shutdown
-	Refusing               // no request is accepted, and none waits for an endpoint
+	Unready                // requests are served, since the load balancer may not have noticed the shutdown
+	Refusing               // no request is accepted, and only the rest of a begun response waits for an endpoint
 	Answering              // whatever is in flight ends, and its caller is answered
 	Exiting                // the process exits
 )
@@ -47,7 +47,7 @@
 	case elapsed >= s.refuseAt():
 		return Refusing
 	default:
-		return Leaving
+		return Unready
 	}
 }
 
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -35,9 +35,10 @@
 }
 
 // readBody reads the complete body within the limits on size and time, and
-// while the gateway can still serve the request. If that fails, it leaves the read deadline set, so that the server does not wait for
-// the rest of the body before it answers. The body counts to the memory of
-// bodies until the request ends.
+// while the gateway can still serve the request. If that fails, it leaves the
+// read deadline set, so that the server does not wait for the rest of the body
+// before it answers. The body counts to the memory of bodies until the request
+// ends.
 func (g *Gateway) readBody(x *exchange) ([]byte, *result.Err) {
 	if x.r.ContentLength > g.cfg.MaxBody {
 		return nil, result.New(result.TooLarge, "")
