--- a/internal/memtest/memtest.go
+++ b/internal/memtest/memtest.go
@@ -2,7 +2,9 @@
 package memtest
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"runtime"
 	"sync/atomic"
@@ -42,3 +44,15 @@
 
 // Read implements io.Reader.
 func (Zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// SendEndlessly writes begin and then part again and again, until a write fails.
+func SendEndlessly(w io.Writer, begin, part string) {
+	parts := bytes.Repeat([]byte(part), endlessWriteBytes/len(part))
+	_, err := io.WriteString(w, begin)
+	for err == nil {
+		_, err = w.Write(parts)
+	}
+}
+
+// endlessWriteBytes is about what SendEndlessly writes at once.
+const endlessWriteBytes = 32 << 10
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -27,7 +26,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	parts := bytes.Repeat([]byte(part), 32<<10/len(part))
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -36,10 +34,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				_, err := io.WriteString(c, begin)
-				for err == nil {
-					_, err = c.Write(parts)
-				}
+				memtest.SendEndlessly(c, begin, part)
 			}()
 		}
 	}()
