relay: a stop closes no connection of which a request has begun to arrive

Cause: disableKeepAlives called http.Server.SetKeepAlivesEnabled(false). It closes what net/http counts as idle, and a connection counts as idle until the head of its next request is parsed. ServeHTTP then relays the request and cannot answer. Ruled out: the endpoint (it answered) and the drain time (connections closed within 5 ms of the signal).

Change: callers' connections are daemon/keepalive's, which end only where nothing of a next request was handed out. Idle ones still go at the signal, so that the next request of their callers finds a gateway that stays; the others after their response, whose head now says so at whichever moment it is sent.

TestStopSparesBegunRequest failed before (read/write on closed pipe). TestNewLimitsSpareConnections holds before and after: a change of the limits closes nothing.

--- a/relay/callerservers.go
+++ b/relay/callerservers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/daemon/keepalive"
 	"github.com/micarudder/micarudder/pushlistener"
 )
 
@@ -23,12 +24,12 @@
 // http.Server, which cannot change while it runs. After a change, a new server takes the new
 // connections, and the old one keeps its own.
 type callerServers struct {
+	*keepalive.Conns
 	g *Gateway
 
 	mu      sync.Mutex
 	limits  catalog.Limits
 	current *callerServer
-	all     []*callerServer
 }
 
 // callerServer is one http.Server with the listener that passes connections to it.
@@ -71,11 +72,10 @@
 	if cs.current == nil || cs.limits != limits {
 		cs.limits = limits
 		cs.current = cs.startServer(limits)
-		cs.all = append(cs.all, cs.current)
 	}
 	current := cs.current
 	cs.mu.Unlock()
-	current.listener.Push(cs.g.boundCallerConn(c))
+	current.listener.Push(cs.Wrap(cs.g.boundCallerConn(c), current.server.ReadHeaderTimeout))
 }
 
 // startServer starts a server with the limits.
@@ -98,20 +98,11 @@
 		ConnContext:       withCallerConn,
 		ErrorLog:          stdlog.New(errorLogWriter{cs.g}, "", 0),
 	}
-	s.server.SetKeepAlivesEnabled(!cs.g.drain.Begun())
+	cs.Attach(s.server)
 	go func() { _ = s.server.Serve(s.listener) }()
 	return s
 }
 
-// disableKeepAlives closes idle connections at once and the others after their next response.
-func (cs *callerServers) disableKeepAlives() {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	for _, s := range cs.all {
-		s.server.SetKeepAlivesEnabled(false)
-	}
-}
-
 // errorLogWriter writes the error log of net/http to the gateway's log.
 type errorLogWriter struct{ g *Gateway }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -124,10 +124,18 @@
 		x.w.Header().Set("Retry-After", httpsyntax.Seconds(retryAfter))
 	}
 	x.w.Header().Set("Content-Length", "0")
-	x.w.WriteHeader(status)
+	x.sendHead(status)
 	return o
 }
 
+// sendHead sends the head of a response. It tells the caller if the connection carries no further request.
+func (x *exchange) sendHead(status int) {
+	if x.g.drain.Begun() {
+		x.w.Header().Set("Connection", "close")
+	}
+	x.w.WriteHeader(status)
+}
+
 // abort closes the caller's connection, so that a truncated response does not look complete. reason says
 // what kept the rest from being sent, for the log.
 func (x *exchange) abort(reason outcome) outcome {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -75,11 +75,8 @@
 
 // serve validates a request and runs it.
 func (x *exchange) serve() outcome {
-	if phase := x.g.drain.Phase(); phase != drain.Serving {
-		x.w.Header().Set("Connection", "close")
-		if phase >= drain.Refusing {
-			return x.refuse(http.StatusServiceUnavailable, retryAfterShutdown, refusedShutdown)
-		}
+	if x.g.drain.Phase() >= drain.Refusing {
+		return x.refuse(http.StatusServiceUnavailable, retryAfterShutdown, refusedShutdown)
 	}
 	ctx, cancel := x.g.drain.WithWork(x.r.Context())
 	defer cancel()
--- a/relay/slowreader.go
+++ b/relay/slowreader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/boundedconn"
+	"github.com/micarudder/micarudder/daemon/keepalive"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/heldmemory"
 )
@@ -64,7 +65,7 @@
 
 // withCallerConn adds the connection to the context of its requests.
 func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
+	return context.WithValue(ctx, callerConnKey{}, c.(*keepalive.Conn).NetConn())
 }
 
 // callerConn returns the bounded connection of a request, or nil if its connection is not bounded.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -129,7 +129,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from guessing the type
 	}
-	x.w.WriteHeader(res.StatusCode)
+	x.sendHead(res.StatusCode)
 }
 
 // copyBody passes on a body and, if flush is set, flushes after each part.
