daemon/drain, relay: a process exits once no request is on its way

Callers saw: a request whose head was on its way when nothing else was in flight lost its connection with the process, 3 s after the stop signal; and a response whose last bytes net/http still had in its buffer was cut.

Cause: requests counted as in flight while their handler ran. That begins when the head is parsed and ends before the response is flushed.

Change: in flight is from the first byte of a request to the last one of its response, as the connections count it. When nothing is, the connections are sealed: from then on no read begins a request, and the process exits when no read that began before may still return one.

TestExitAwaitsBegunRequest and TestExitAwaitsLastBytes failed before (the response came after Shutdown had returned).

--- a/daemon/drain/drain.go
+++ b/daemon/drain/drain.go
@@ -105,9 +105,17 @@
 // Ended reports whether the shutdown has ended a context.
 func Ended(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrShutdown) }
 
+// Requests are the requests that come to the process.
+type Requests interface {
+	// InFlight returns how many have begun to arrive and are not answered.
+	InFlight() int64
+	// Seal makes sure that no further request is read. Those that may be read at that moment count as in flight.
+	Seal()
+}
+
 // Run follows the phases of the shutdown that has begun. It returns once the load balancer must have noticed the
 // shutdown and nothing is in flight, or when the process has to exit. It returns an error if ctx ends first.
-func (d *Drain) Run(ctx context.Context, inFlight func() int64) error {
+func (d *Drain) Run(ctx context.Context, requests Requests) error {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	for {
@@ -116,15 +124,27 @@
 			return ctx.Err()
 		case <-tick.C:
 		}
-		phase := d.Phase()
-		if phase >= Refusing {
-			d.endSearch(ErrShutdown)
-		}
-		if phase >= Answering {
-			d.endWork(ErrShutdown)
-		}
-		if phase >= Exiting || phase >= Refusing && inFlight() == 0 {
+		if d.step(d.Phase(), requests) {
 			return nil
 		}
 	}
 }
+
+// step does what the phase asks for. It reports whether the process exits.
+func (d *Drain) step(phase Phase, requests Requests) (exit bool) {
+	if phase >= Refusing {
+		d.endSearch(ErrShutdown)
+	}
+	if phase >= Answering {
+		d.endWork(ErrShutdown)
+		requests.Seal()
+	}
+	if phase >= Exiting {
+		return true
+	}
+	if phase < Refusing || requests.InFlight() > 0 {
+		return false
+	}
+	requests.Seal()
+	return requests.InFlight() == 0
+}
--- a/daemon/drain/drain_test.go
+++ b/daemon/drain/drain_test.go
@@ -32,6 +32,12 @@
 	}
 }
 
+// endlessRequest is a request that is never answered.
+type endlessRequest struct{}
+
+func (endlessRequest) InFlight() int64 { return 1 }
+func (endlessRequest) Seal()           {}
+
 // TestContextsEnd: searches end when the load balancer has noticed the shutdown, those for the rest of a response while
 // the rest can still be sent, and all work before the exit. A second stop signal changes nothing, and time for which the
 // host is suspended counts.
@@ -63,7 +69,7 @@
 				time.AfterFunc(time.Second, func() { suspended.Store(int64(tc.suspended)) })
 				time.AfterFunc(2*time.Second, func() { d.Begin(Schedule{DrainTime: time.Minute}, time.Now()) })
 				exited := make(chan error)
-				go func() { exited <- d.Run(t.Context(), func() int64 { return 1 }) }()
+				go func() { exited <- d.Run(t.Context(), endlessRequest{}) }()
 				for _, c := range []struct {
 					ctx  context.Context
 					want time.Duration
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -35,7 +35,7 @@
 	now := time.Now()
 	g.drain.Begin(drain.Schedule{DrainTime: timeLeft(ctx, now), NoticeTime: g.cfg.LeaveTime}, now)
 	g.deps.Log.Info("Not ready any more; waiting for the load balancer to notice.", "requests", g.active.Load())
-	if err := g.drain.Run(ctx, g.active.Load); err != nil {
+	if err := g.drain.Run(ctx, callerRequests{g}); err != nil {
 		return err
 	}
 	if g.drain.Phase() >= drain.Answering {
@@ -44,6 +44,17 @@
 	return nil
 }
 
+// callerRequests are the requests of callers, which implement drain.Requests.
+type callerRequests struct {
+	g *Gateway
+}
+
+// InFlight implements drain.Requests.
+func (r callerRequests) InFlight() int64 { return r.g.active.Load() }
+
+// Seal implements drain.Requests.
+func (callerRequests) Seal() {}
+
 // errDraining refuses a request because the gateway is shutting down.
 func errDraining() *result.Err {
 	err := result.New(result.Draining, "")
--- a/relay/callerservers.go
+++ b/relay/callerservers.go
@@ -38,6 +38,9 @@
 	listener *pushlistener.Listener
 }
 
+// InFlight implements drain.Requests.
+func (cs *callerServers) InFlight() int64 { return max(cs.g.inFlight.Load(), cs.Conns.InFlight()) }
+
 // Serve accepts callers' connections from l until l is closed.
 func (g *Gateway) Serve(l net.Listener) error {
 	for {
--- a/relay/callerservers_test.go
+++ b/relay/callerservers_test.go
@@ -65,6 +65,40 @@
 	})
 }
 
+// TestExitAwaitsBegunRequest guards against a process that exits, since no request is with a handler, while the head of
+// one is on its way.
+func TestExitAwaitsBegunRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFleet(t)
+		f.stopAfter(0)
+		time.Sleep(unreadyDetectionTime - 500*time.Millisecond)
+		c := f.connect()
+		is.NoErr(c.write(shortPrompt[:20]))
+		time.Sleep(time.Second)
+		is.NoErr(c.write(shortPrompt[20:]))
+		res := c.read(is)
+		is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(res.Header.Get("Retry-After"), "0.05")
+		f.answeredBeforeExit(is, stopResponse{after: time.Since(f.stoppedAt)})
+	})
+}
+
+// TestExitAwaitsLastBytes guards against a process that exits before the last bytes of a response are written, which
+// net/http keeps until the handler has returned.
+func TestExitAwaitsLastBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFleet(t)
+		c := f.connect()
+		is.NoErr(c.write("GET /unknown/ HTTP/1.1\r\nHost: unknown\r\nId: r\r\n\r\n"))
+		f.stopAfter(0)
+		time.Sleep(unreadyDetectionTime + 500*time.Millisecond)
+		is.Equal(c.read(is).StatusCode, http.StatusServiceUnavailable) // the gateway is not sure of its configuration
+		f.answeredBeforeExit(is, stopResponse{after: time.Since(f.stoppedAt)})
+	})
+}
+
 // TestNewLimitsSpareConnections guards against connections that are closed because the limits of the configuration have
 // changed.
 func TestNewLimitsSpareConnections(t *testing.T) {
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -18,7 +18,7 @@
 	g.drain.Begin(drain.Schedule{DrainTime: g.config.DrainTime, NoticeTime: unreadyDetectionTime}, time.Now())
 	g.deps.Log.Logger().Info("Stop begun.", "in_flight", g.inFlight.Load(), "drain_ms", g.config.DrainTime.Milliseconds())
 	g.servers.EndIdle()
-	err := g.drain.Run(ctx, g.inFlight.Load)
+	err := g.drain.Run(ctx, g.servers)
 	if g.drain.Phase() >= drain.Answering {
 		g.deps.Log.Logger().Warn("Drain time ended with requests in flight.", "in_flight", g.inFlight.Load())
 	} else {
