daemon/drain, relay: a head that is not complete when the process exits is refused

Callers saw: a closed connection, in place of a word that the request has not run and when to come back, if the head of a request was not complete at the end of the drain time while other requests kept the process running.

TestUnfinishedHeadIsRefusedAtStop failed before (400 in place of 503, from the closed connection of the test; in the process, no response).

--- a/daemon/drain/drain.go
+++ b/daemon/drain/drain.go
@@ -111,6 +111,8 @@
 	InFlight() int64
 	// Seal makes sure that no further request is read. Those that may be read at that moment count as in flight.
 	Seal()
+	// RefuseUnfinished refuses the requests that have not arrived as far as they can be served, and seals.
+	RefuseUnfinished()
 }
 
 // Run follows the phases of the shutdown that has begun. It returns once the load balancer must have noticed the
@@ -137,7 +139,7 @@
 	}
 	if phase >= Answering {
 		d.endWork(ErrShutdown)
-		requests.Seal()
+		requests.RefuseUnfinished()
 	}
 	if phase >= Exiting {
 		return true
--- a/daemon/drain/drain_test.go
+++ b/daemon/drain/drain_test.go
@@ -35,8 +35,9 @@
 // endlessRequest is a request that is never answered.
 type endlessRequest struct{}
 
-func (endlessRequest) InFlight() int64 { return 1 }
-func (endlessRequest) Seal()           {}
+func (endlessRequest) InFlight() int64   { return 1 }
+func (endlessRequest) Seal()             {}
+func (endlessRequest) RefuseUnfinished() {}
 
 // TestContextsEnd: searches end when the load balancer has noticed the shutdown, those for the rest of a response while
 // the rest can still be sent, and all work before the exit. A second stop signal changes nothing, and time for which the
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -55,6 +55,9 @@
 // Seal implements drain.Requests.
 func (callerRequests) Seal() {}
 
+// RefuseUnfinished implements drain.Requests.
+func (callerRequests) RefuseUnfinished() {}
+
 // errDraining refuses a request because the gateway is shutting down.
 func errDraining() *result.Err {
 	err := result.New(result.Draining, "")
--- a/relay/callerservers_test.go
+++ b/relay/callerservers_test.go
@@ -84,6 +84,27 @@
 	})
 }
 
+// TestUnfinishedHeadIsRefusedAtStop guards against a connection that is closed without a response because the head of
+// its request is not complete when the gateway exits.
+func TestUnfinishedHeadIsRefusedAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFleet(t)
+		upload := f.connect()
+		is.NoErr(upload.write("POST / HTTP/1.1\r\nHost: h\r\nId: r\r\nWait-Ms: 15000\r\nContent-Length: 10\r\n\r\npart"))
+		f.stopAfter(0)
+		time.Sleep(stopDrainTime - 2*time.Second)
+		c := f.connect()
+		is.NoErr(c.write(shortPrompt[:20]))
+		for _, conn := range []*keptConnection{c, upload} {
+			res := conn.read(is)
+			is.Equal(res.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(res.Header.Get("Retry-After"), "0.05")
+		}
+		f.answeredBeforeExit(is, stopResponse{after: time.Since(f.stoppedAt)})
+	})
+}
+
 // TestExitAwaitsLastBytes guards against a process that exits before the last bytes of a response are written, which
 // net/http keeps until the handler has returned.
 func TestExitAwaitsLastBytes(t *testing.T) {
