gateway: a stop of rudder-gateway closes no connection of which a request has begun to arrive

The same cause as in rudder-relay: http.Server.Shutdown closes what net/http counts as idle, and drops a request that was read while it runs.

Change: callers' connections are daemon/keepalive's; Drain seals them, so that Shutdown finds nothing to close.

TestGatewayStopSparesBegunRequest failed before (read/write on closed pipe). TestNamedRefusal asked a gateway whose Drain had returned, which in the program has exited; it now asks one that is kept draining by an upload, with the same checks.

Looked at and without the fault: rudder-agent and the inner listeners speak HTTP/2, whose connections net/http leaves out of this (GOAWAY).

--- a/e2e/bubble_test.go
+++ b/e2e/bubble_test.go
@@ -165,10 +165,10 @@
 }
 
 func (b *cluster) serve(addr string, h http.Handler) {
-	b.serveServer(addr, &http.Server{Handler: h, IdleTimeout: time.Minute})
+	b.serveServer(addr, &http.Server{Handler: h, IdleTimeout: time.Minute}, (*http.Server).Serve)
 }
 
-func (b *cluster) serveServer(addr string, srv *http.Server) {
+func (b *cluster) serveServer(addr string, srv *http.Server, serve func(*http.Server, net.Listener) error) {
 	l := pipe.Listen()
 	if b.wrapHandler != nil {
 		srv.Handler = b.wrapHandler(addr, srv.Handler)
@@ -176,7 +176,7 @@
 	b.mu.Lock()
 	b.listeners[addr], b.servers[addr] = l, srv
 	b.mu.Unlock()
-	go func() { _ = srv.Serve(l) }()
+	go func() { _ = serve(srv, l) }()
 }
 
 // kill ends the process at an address as a crash does: its connections break
@@ -248,7 +248,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.serveServer(agentAddr(name), srv)
+	b.serveServer(agentAddr(name), srv, (*http.Server).Serve)
 	a.Start()
 	return a
 }
@@ -307,14 +307,14 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.serve(name, handler)
+	b.serveServer(name, &http.Server{Handler: handler, IdleTimeout: time.Minute}, g.ServeCallers)
 	m := http.NewServeMux()
 	m.Handle(g.InnerHandler())
 	srv, err := inner.NewServer(m, inner.KeyFiles{})
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	b.serveServer(innerAddr(name), srv)
+	b.serveServer(innerAddr(name), srv, (*http.Server).Serve)
 	g.Start()
 	return g
 }
--- a/e2e/names_test.go
+++ b/e2e/names_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,12 +70,20 @@
 		bad := b.ask("gw2", "POST", chatPath, "{", header).parsedProblem()
 		is.Equal(bad.Code, 2001)
 		is.Equal(bad.Outcome, "may have run")
-		is.NoErr(b.gateways["gw2"].Drain(b.t.Context()))
+		body, writer := io.Pipe() // keeps the gateway from exiting
+		var upload, drain sync.WaitGroup
+		upload.Go(func() { b.upload(time.Minute, "gw2", "POST", chatPath, body, nil) })
+		time.Sleep(time.Second)
+		drain.Go(func() { is.NoErr(b.gateways["gw2"].Drain(b.t.Context())) })
+		time.Sleep(time.Second)
 		draining := b.ask("gw2", "POST", chatPath, chat("x", 3, false), header).parsedProblem()
 		is.Equal(draining.Code, 3005)
 		is.Equal(draining.Outcome, "may have run")
 		unnamed := b.ask("gw2", "POST", chatPath, chat("x", 3, false), nil).parsedProblem()
 		is.Equal(unnamed.Outcome, "not run")
+		_ = writer.Close()
+		upload.Wait()
+		drain.Wait()
 	})
 }
 
--- a/e2e/stops_test.go
+++ b/e2e/stops_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -372,3 +373,39 @@
 	}
 	b.conns[addr] = nil
 }
+
+// TestGatewayStopSparesBegunRequest guards against a connection that is closed at a stop although the first byte of its
+// next request was read, or the request has been read and is not with its handler yet.
+func TestGatewayStopSparesBegunRequest(t *testing.T) {
+	runSession(t, func(b *cluster) {
+		is := is.New(b.t)
+		b.engine("a", nil)
+		b.gateway("gw1")
+		b.publish()
+		conn, err := b.listeners["gw1"].Dial(b.t.Context())
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		responses := bufio.NewReader(conn)
+		const request = "GET /v1/models HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + bearer + "\r\n\r\n"
+		exchange := func(part string) (status int, body string) {
+			_, err := io.WriteString(conn, part)
+			is.NoErr(err)
+			res, err := http.ReadResponse(responses, nil)
+			is.NoErr(err)
+			text, err := io.ReadAll(res.Body)
+			is.NoErr(err)
+			return res.StatusCode, string(text)
+		}
+		status, _ := exchange(request)
+		is.Equal(status, http.StatusOK)
+		_, err = io.WriteString(conn, request[:1])
+		is.NoErr(err)
+		var stop sync.WaitGroup
+		stop.Go(func() { is.NoErr(b.stopGateway("gw1", 4*time.Second)) })
+		time.Sleep(500 * time.Millisecond)
+		status, body := exchange(request[1:])
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(body, "not run"))
+		stop.Wait()
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/micarudder/micarudder/daemon/drain"
+	"github.com/micarudder/micarudder/daemon/keepalive"
 	"github.com/micarudder/micarudder/generation"
 	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/inner"
@@ -80,12 +81,13 @@
 	background sync.WaitGroup
 	drain      *drain.Drain
 	active     atomic.Int64 // requests in flight
+	callers    *keepalive.Conns
 }
 
 // New returns a gateway without background work; Start begins that.
 func New(cfg Config, deps Deps) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), formingSlots: make(chan struct{}, maxForming), drain: drain.New(nil)}
+	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), formingSlots: make(chan struct{}, maxForming), drain: drain.New(nil), callers: keepalive.New(defaultRetryAfter)}
 	g.bodies = heldmemory.NewBodies(cfg.BodyMemory)
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -39,6 +40,9 @@
 	return &callerHandler{app}, nil
 }
 
+// ServeCallers serves the callers' connections of l with srv, which has the handler that Handler returns.
+func (g *Gateway) ServeCallers(srv *http.Server, l net.Listener) error { return g.callers.Serve(srv, l) }
+
 // exchange is one HTTP exchange with an authenticated caller.
 type exchange struct {
 	w         http.ResponseWriter
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -143,19 +143,19 @@
 	if p.inner, err = inner.NewServer(m, s.TLS.Files()); err != nil {
 		return err
 	}
-	if err := serveOn(p.callers, string(s.Gateway.Listen), env.Fail); err != nil {
+	if err := serveOn(string(s.Gateway.Listen), p.callers, p.g.ServeCallers, env.Fail); err != nil {
 		return err
 	}
-	return serveOn(p.inner, string(s.Gateway.InnerListen), env.Fail)
+	return serveOn(string(s.Gateway.InnerListen), p.inner, inner.Serve, env.Fail)
 }
 
-func serveOn(srv *http.Server, addr string, fail func(error)) error {
+func serveOn(addr string, srv *http.Server, serve func(*http.Server, net.Listener) error, fail func(error)) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
 	go func() {
-		if err := inner.Serve(srv, l); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(srv, l); !errors.Is(err, http.ErrServerClosed) {
 			fail(err)
 		}
 	}()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/daemon/drain"
+	"github.com/micarudder/micarudder/daemon/keepalive"
 	"github.com/micarudder/micarudder/result"
 )
 
@@ -35,7 +36,7 @@
 	now := time.Now()
 	g.drain.Begin(drain.Schedule{DrainTime: timeLeft(ctx, now), NoticeTime: g.cfg.LeaveTime}, now)
 	g.deps.Log.Info("Not ready any more; waiting for the load balancer to notice.", "requests", g.active.Load())
-	if err := g.drain.Run(ctx, callerRequests{g}); err != nil {
+	if err := g.drain.Run(ctx, callerRequests{g.callers, g}); err != nil {
 		return err
 	}
 	if g.drain.Phase() >= drain.Answering {
@@ -46,17 +47,12 @@
 
 // callerRequests are the requests of callers, which implement drain.Requests.
 type callerRequests struct {
+	*keepalive.Conns
 	g *Gateway
 }
 
 // InFlight implements drain.Requests.
-func (r callerRequests) InFlight() int64 { return r.g.active.Load() }
-
-// Seal implements drain.Requests.
-func (callerRequests) Seal() {}
-
-// RefuseUnfinished implements drain.Requests.
-func (callerRequests) RefuseUnfinished() {}
+func (r callerRequests) InFlight() int64 { return max(r.g.active.Load(), r.Conns.InFlight()) }
 
 // errDraining refuses a request because the gateway is shutting down.
 func errDraining() *result.Err {
