daemon/keepalive: an idle timeout closes no connection of which a request has begun to arrive

Callers saw: a closed connection if the first one to three bytes of a request arrived just before their connection had been idle for too long.

Cause: net/http waits for four bytes under the deadline of an idle connection.

Change: once something was read, the deadline is that of a head.

TestIdleTimeoutSparesBegunRequest failed before (no response, in time for the rest of the head).

--- a/daemon/keepalive/conn.go
+++ b/daemon/keepalive/conn.go
@@ -108,6 +108,10 @@
 	case c.woken:
 		c.woken = false
 		return false
+	case c.phase == begun && c.wait == firstWait && time.Since(c.beganAt) < c.headTimeout:
+		// The connection was idle for too long, but the next request has begun.
+		_ = c.Conn.SetReadDeadline(c.beganAt.Add(c.headTimeout))
+		return false
 	default:
 		return true
 	}
--- a/daemon/keepalive/keepalive_test.go
+++ b/daemon/keepalive/keepalive_test.go
@@ -242,6 +242,44 @@
 	}
 }
 
+// TestIdleTimeoutSparesBegunRequest guards against a connection that is closed because it was idle for too long, with
+// the first bytes of its next request.
+func TestIdleTimeoutSparesBegunRequest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		pause  time.Duration // between the first bytes and the rest
+		served bool
+	}{
+		"rest in time":      {2 * time.Second, true},
+		"rest too late":     {4 * time.Second, false},
+		"rest after idling": {-2 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newServer()
+				defer s.close()
+				c := s.dial(t)
+				defer func() { _ = c.Close() }()
+				s.release <- struct{}{}
+				is.True(c.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"))
+				<-c.responses
+				time.Sleep(testIdleTimeout - min(time.Second, tc.pause))
+				sent := c.send("GE")
+				is.Equal(sent, tc.pause > 0)
+				time.Sleep(max(0, tc.pause))
+				s.release <- struct{}{}
+				c.send("T /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+				res, ok := <-c.responses
+				is.Equal(ok, tc.served)
+				is.True(!ok || res.status == http.StatusOK)
+				_ = c.Close()
+				time.Sleep(time.Second)
+				is.Equal(s.conns.InFlight(), int64(0))
+			})
+		})
+	}
+}
+
 // TestResponseIsInFlightUntilWritten guards against a process that exits before the last bytes of a response are
 // written, which net/http keeps in a buffer until the handler has returned.
 func TestResponseIsInFlightUntilWritten(t *testing.T) {
