--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -41,7 +41,9 @@
 }
 
 // ServeCallers serves the callers' connections of l with srv, which has the handler that Handler returns.
-func (g *Gateway) ServeCallers(srv *http.Server, l net.Listener) error { return g.callers.Serve(srv, l) }
+func (g *Gateway) ServeCallers(srv *http.Server, l net.Listener) error {
+	return g.callers.Serve(srv, l)
+}
 
 // exchange is one HTTP exchange with an authenticated caller.
 type exchange struct {
