--- a/relay/callerservers_test.go
+++ b/relay/callerserver_test.go
@@ -39,9 +39,8 @@
 func (f *stopFleet) connect() *keptConnection {
 	caller, conn := net.Pipe()
 	f.t.Cleanup(func() { _ = caller.Close() })
-	f.gateway.servers.assign(conn)
-	server := f.gateway.servers.current.server
-	f.t.Cleanup(func() { _ = server.Close() })
+	f.t.Cleanup(f.gateway.callers.Close)
+	f.gateway.callers.Add(conn)
 	return &keptConnection{caller, bufio.NewReader(caller)}
 }
 
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -14,7 +14,6 @@
 	"github.com/micarudder/micarudder/balance"
 	"github.com/micarudder/micarudder/crashprobe"
 	"github.com/micarudder/micarudder/daemon/drain"
-	"github.com/micarudder/micarudder/daemon/keepalive"
 	"github.com/micarudder/micarudder/document"
 	"github.com/micarudder/micarudder/eventlog"
 	"github.com/micarudder/micarudder/heldmemory"
@@ -99,7 +98,7 @@
 	drain          *drain.Drain
 	peerClient     *peers.Client
 	storeReads     *storeReads
-	servers        *callerServers
+	callers        *callerServer
 	crashProbes    *crashprobe.Probes[quarantine.Incarnation, brokenExchange]
 	deliveries     *monitor.Deliveries
 	held           *heldmemory.Ledger
@@ -142,7 +141,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.peerClient = peers.NewClient(d.PeerPort, peerQueryTimeout, 1)
 	g.storeReads = newStoreReads()
-	g.servers = &callerServers{Conns: keepalive.New(retryAfterShutdown), g: g}
+	g.callers = newCallerServer(g)
 	g.crashProbes = crashprobe.NewProbes[quarantine.Incarnation, brokenExchange]()
 	g.held, g.bodies = heldmemory.NewLedger(c.HeldMemory, requestHeldBytes, c.SlowReaderTimeout/evictionDivisor), heldmemory.NewBodies(c.BodyMemory)
 	g.memoryReport = report.New(g.bodies, d.Responses, d.Metrics, d.Log.Logger())
--- a/relay/responsememory_test.go
+++ b/relay/responsememory_test.go
@@ -62,6 +62,7 @@
 		limit    = 8 << 20
 		// perRequest is what a request may occupy besides, with its caller and its endpoint.
 		perRequest = 2 * processBytes
+		headBytes  = 16 << 10 // the default limit
 	)
 	cases := []struct {
 		name, path, response string
@@ -115,10 +116,11 @@
 		requests   = 64
 		limit      = 4 << 20
 		perRequest = 2 * processBytes
+		headBytes  = 16 << 10 // the default limit
 	)
 	is := is.New(t)
 	fields := make(http.Header)
-	for i := range defaultHeaderBytes / len("123:\r\n") {
+	for i := range headBytes / len("123:\r\n") {
 		fields[strconv.Itoa(i)] = []string{""}
 	}
 	stop := make(chan struct{})
--- a/relay/slowreader.go
+++ b/relay/slowreader.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/boundedconn"
-	"github.com/micarudder/micarudder/daemon/keepalive"
+	"github.com/micarudder/micarudder/daemon/callerserver"
 	"github.com/micarudder/micarudder/health"
 	"github.com/micarudder/micarudder/heldmemory"
 )
@@ -60,17 +60,9 @@
 	return boundedconn.New(c, g.config.SlowReaderTimeout, g.meter.slowReaders.Inc)
 }
 
-// callerConnKey is the key of a request's connection in its context.
-type callerConnKey struct{}
-
-// withCallerConn adds the connection to the context of its requests.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c.(*keepalive.Conn).NetConn())
-}
-
 // callerConn returns the bounded connection of a request, or nil if its connection is not bounded.
 func callerConn(ctx context.Context) *boundedconn.Conn {
-	c, _ := ctx.Value(callerConnKey{}).(*boundedconn.Conn)
+	c, _ := callerserver.Conn(ctx).(*boundedconn.Conn)
 	return c
 }
 
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -17,8 +17,8 @@
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.drain.Begin(drain.Schedule{DrainTime: g.config.DrainTime, NoticeTime: unreadyDetectionTime}, time.Now())
 	g.deps.Log.Logger().Info("Stop begun.", "in_flight", g.inFlight.Load(), "drain_ms", g.config.DrainTime.Milliseconds())
-	g.servers.EndIdle()
-	err := g.drain.Run(ctx, g.servers)
+	g.callers.EndIdle()
+	err := g.drain.Run(ctx, g.callers)
 	if g.drain.Phase() >= drain.Answering {
 		g.deps.Log.Logger().Warn("Drain time ended with requests in flight.", "in_flight", g.inFlight.Load())
 	} else {
