catalog/proof, relay, platform: a starting gateway does not trust a store that may be an older copy

Cause: a process has no earlier era to compare with, so that the first era it sees was no news, and its first read of the older copy a proof. Ruled out: the peers' word (all had just started and had none), the store's answers (each named its era).

Change: what proves the configuration is one decision, catalog/proof, with the eras of what is read and of what peers say as arguments. A read proves nothing until the process has known its era for two seconds, unless the store's own record says that this era had all its writes back: a key without a lease, written by a gateway whose own reads have proved the configuration in that era. A copy holds the record of an earlier era at most. Taken at once as before: the first start of an installation, proofs of gateways that ran before (they have judged their reads), a store without eras.

Weighed: to wait two seconds at each start (costs callers at each restart of all gateways); the era in each gateway's own entry (costs no call more, but a restarting gateway overwrites its own entry before it can tell, and entries lapse 30 s after their gateways); the record is one stale read for gateways that start without a peer, and one write an era.

TestProofFromAnOlderCopy now says that the first era is settled, which it assumed.

--- a/relay/backoff_test.go
+++ b/relay/backoff_test.go
@@ -201,7 +201,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			s := NewState()
+			s := NewState(false)
 			e := catalog.Endpoint{ID: "a", Service: "s", Address: "127.0.0.1:1", Born: 1}
 			s.ApplyList([]catalog.Endpoint{e}, msAfterStart(-10_000), msAfterStart(-10_000), time.Time{})
 			s.ApplyList([]catalog.Endpoint{e}, msAfterStart(-tc.listedMs), msAfterStart(-tc.listedMs), time.Time{})
--- a/relay/evacuate.go
+++ b/relay/evacuate.go
@@ -24,7 +24,7 @@
 	if !e.NewerThan(before) {
 		return false
 	}
-	if e.Era != before.Era && before.Era != 0 || s.mayMissWrites(now) {
+	if e.Era != before.Era && before.Era != 0 || s.endpoints.MayMissWrites(now) {
 		e = e.Including(before)
 	}
 	s.evacuations = e
--- a/relay/evacuate_test.go
+++ b/relay/evacuate_test.go
@@ -91,7 +91,7 @@
 func TestEvacuationsInOrder(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	s := NewState()
+	s := NewState(false)
 	s.RecordStoreEra(1, now)
 	apply := func(era, revision uint64, dataCentres ...string) []string {
 		s.ApplyEvacuations(catalog.Evacuations{Era: era, Revision: revision, DataCentres: dataCentres}, now)
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -86,6 +86,7 @@
 	if !g.suspensions.NotBefore(sent) {
 		sent = time.Now() // the host was suspended just before
 	}
+	g.loadSettledEra()
 	g.storeReads.recordQuery(sent)
 	silent := time.AfterFunc(silentAfter, func() {
 		g.storeReads.recordRead(errSilent, time.Now())
@@ -107,14 +108,14 @@
 	c := settings.Configuration
 	if c == nil {
 		// Peers may know a newer one that an older copy of the store does not contain.
-		g.state.RecordProof(g.lastReadVersion.Load(), sent)
+		g.state.RecordOwnProof(g.lastReadVersion.Load(), sent)
 		return nil
 	}
 	g.lastReadVersion.Store(c.Version)
 	if g.state.ApplyConfiguration(c) {
 		g.deps.Log.Logger().Info("Configuration in force.", "version", c.Version, "from", "store", "read_ms", time.Since(sent).Milliseconds())
 	}
-	g.state.RecordProof(c.Version, sent)
+	g.state.RecordOwnProof(c.Version, sent)
 	return nil
 }
 
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -127,7 +127,7 @@
 
 // New returns a gateway whose background tasks run until Close.
 func New(c Config, d Deps) *Gateway {
-	g := &Gateway{config: c, deps: d, state: NewState(), meter: newMeter(d.Metrics), fullMessageDue: make(chan struct{}, 1), gatewaysListed: make(chan struct{}), started: time.Now()}
+	g := &Gateway{config: c, deps: d, state: NewState(c.FirstStart), meter: newMeter(d.Metrics), fullMessageDue: make(chan struct{}, 1), gatewaysListed: make(chan struct{}), started: time.Now()}
 	g.picker = newPicker(c.Name, c.DataCentre, g.state, c.Policy, c.Retries)
 	if c.ResidualLoad {
 		g.picker.loads.CountResidual(residual.NewTable(rand.Uint64()))
--- a/relay/gatewaylist.go
+++ b/relay/gatewaylist.go
@@ -41,6 +41,7 @@
 	for wait := gatewaysFirstDelay; ; wait = gatewaysInterval {
 		err := g.announceAndList(wait == gatewaysFirstDelay)
 		g.checkStoreEra()
+		g.saveSettledEra()
 		if (err != nil) != lost {
 			lost = err != nil
 			g.logDependency("gateway list", lost, err)
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -135,6 +135,7 @@
 	endpoints   []catalog.Endpoint
 	err         error
 	era         uint64
+	settledEra  uint64 // as stored
 	evacuations catalog.Evacuations
 	unchanged   bool // whether the configuration is the one that was returned last
 	stored      map[quarantine.Fingerprint]quarantine.Entry
@@ -196,6 +197,19 @@
 	return s.era
 }
 
+func (s *testSource) SettledEra(context.Context) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settledEra, s.err
+}
+
+func (s *testSource) RecordSettledEra(_ context.Context, era uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settledEra = era
+	return s.err
+}
+
 // restore increments the era of the store and replaces its content.
 func (s *testSource) restore(c *catalog.Configuration) {
 	s.mu.Lock()
--- a/relay/invalidconfig.go
+++ b/relay/invalidconfig.go
@@ -27,7 +27,7 @@
 		g.state.RecordUnprovenRead(sent)
 		return
 	}
-	g.state.RecordProof(table.Version, sent)
+	g.state.RecordOwnProof(table.Version, sent)
 }
 
 // isUnusableConfiguration reports whether a read reached the store and found no usable configuration.
--- a/relay/members_test.go
+++ b/relay/members_test.go
@@ -29,7 +29,7 @@
 // are void.
 func TestRestartUnderTheSameName(t *testing.T) {
 	is := is.New(t)
-	s := NewState()
+	s := NewState(false)
 	listWith := func(born int64) []catalog.Endpoint {
 		out := endpoints("a", "b")
 		out[0].Born = born
@@ -53,7 +53,7 @@
 // change the cells.
 func TestUnconfiguredServicesDoNotMoveCells(t *testing.T) {
 	is := is.New(t)
-	s := NewState()
+	s := NewState(false)
 	s.ApplyConfiguration(&catalog.Configuration{Version: 1, Services: []catalog.Service{{Name: "s"}}})
 	var list []catalog.Endpoint
 	add := func(service, dataCentre string, n int) {
@@ -74,7 +74,7 @@
 
 func TestStateNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	s := NewState()
+	s := NewState(false)
 	is.True(s.ApplyConfiguration(&catalog.Configuration{Version: 7}))
 	is.True(!s.ApplyConfiguration(&catalog.Configuration{Version: 5}))
 	is.True(!s.ApplyConfiguration(&catalog.Configuration{Version: 7}))
@@ -83,7 +83,7 @@
 
 func TestProof(t *testing.T) {
 	is := is.New(t)
-	s := NewState()
+	s := NewState(false)
 	s.RecordProof(0, msAfterStart(0))
 	age, _ := s.ProofAge(msAfterStart(0))
 	is.True(age > time.Hour) // nothing is known, so nothing is proved
--- a/relay/picker_test.go
+++ b/relay/picker_test.go
@@ -24,7 +24,7 @@
 	s := &catalog.Service{Name: "m", Engine: &catalog.Engine{
 		Slots: 16, MemoryTokens: 232000, StepMs: 1, ReadPerMs: 206, PairsPerM: 0.138, ChunkTokens: 2048, Stride: 43,
 	}}
-	state := NewState()
+	state := NewState(false)
 	var list []catalog.Endpoint
 	for i := range n {
 		list = append(list, catalog.Endpoint{ID: string(rune('a' + i)), Service: s.Name, Address: "127.0.0.1:1"})
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -168,5 +168,9 @@
 	// StoreEra returns the era in the store's newest response, or 0 before the first one. The era
 	// increases each time the store is restored from an older copy, which lacks the latest writes.
 	StoreEra() uint64
+	// SettledEra returns the era that RecordSettledEra has stored, 0 for none.
+	SettledEra(ctx context.Context) (uint64, error)
+	// RecordSettledEra stores that the store has all writes again that it lacked at the beginning of this era.
+	RecordSettledEra(ctx context.Context, era uint64) error
 	QuarantineStore
 }
--- a/relay/restored_test.go
+++ b/relay/restored_test.go
@@ -22,7 +22,7 @@
 		is := is.New(t)
 		b := newMemoryTestGateway(t, nil)
 		g := b.gateway
-		source := &testSource{era: 1}
+		source := &testSource{era: 1, settledEra: 1}
 		g.deps.Source = source
 		read := func() {
 			t.Helper()
--- a/relay/state.go
+++ b/relay/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/micarudder/micarudder/availability"
 	"github.com/micarudder/micarudder/catalog"
+	"github.com/micarudder/micarudder/catalog/proof"
 	"github.com/micarudder/micarudder/cell"
 )
 
@@ -18,17 +19,8 @@
 	table atomic.Pointer[catalog.Table]
 
 	mu           sync.Mutex
-	proof        time.Time     // send time of the latest read that proved the configuration to be current
+	proofs       proof.Proofs
 	proofChanged chan struct{} // closed at the next proof
-	// unprovenAt is when the latest read was sent that reached the store and proved nothing.
-	unprovenAt time.Time
-	// noConfigurationAt is when the latest read was sent that found no configuration at all.
-	noConfigurationAt time.Time
-	// suspendedAt is when the host's latest suspension was noticed. A read that was sent before it
-	// proves nothing, however short the time that the clock has counted since.
-	suspendedAt time.Time
-	// storeEra is the newest known era of the store; 0 if none is known.
-	storeEra uint64
 	// evacuations come from the newest known read. evacuationSeen is set once any data centre was
 	// evacuated.
 	evacuations    catalog.Evacuations
@@ -41,9 +33,10 @@
 	refusedCallers map[string]refusedCallers
 }
 
-// NewState returns an empty state.
-func NewState() *State {
+// NewState returns an empty state. firstStart is set if the installation starts for the first time.
+func NewState(firstStart bool) *State {
 	return &State{
+		proofs:       proof.New(firstStart),
 		proofChanged: make(chan struct{}), endpoints: availability.NewEndpointSet(), backoffs: availability.NewBackoffTable(),
 		backoffQueues: make(map[string]*availability.WaitQueue), refusedCallers: make(map[string]refusedCallers),
 	}
@@ -71,17 +64,25 @@
 	return true
 }
 
-// RecordProof records that a read sent at that time found no configuration newer than version; it
-// reports whether that is more recent than the previous proof. A proof for a version other than the
-// one in force is ignored. So is a read soon after the store was restored from an older copy: the
-// operators' latest writes may be missing there, so that keys which they withdrew would be valid.
+// RecordProof records that a read of another gateway, sent at that time, found no configuration newer than version;
+// it reports whether that is more recent than the previous proof. A proof for a version other than the one in force is
+// ignored. So is a read soon after the store was restored from an older copy: the operators' latest writes may be
+// missing there, so that keys which they withdrew would be valid.
 func (s *State) RecordProof(version uint64, sent time.Time) bool {
+	return s.recordProof(version, sent, (*proof.Proofs).RecordPeer)
+}
+
+// RecordOwnProof is RecordProof for a read of this gateway.
+func (s *State) RecordOwnProof(version uint64, sent time.Time) bool {
+	return s.recordProof(version, sent, (*proof.Proofs).RecordOwn)
+}
+
+func (s *State) recordProof(version uint64, sent time.Time, record func(*proof.Proofs, time.Time) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.table.Load(); t == nil || t.Version != version || !sent.After(s.proof) || sent.Before(s.suspendedAt) || s.mayMissWrites(sent) {
+	if t := s.table.Load(); t == nil || t.Version != version || !record(&s.proofs, sent) {
 		return false
 	}
-	s.proof = sent
 	close(s.proofChanged)
 	s.proofChanged = make(chan struct{})
 	return true
@@ -91,9 +92,7 @@
 func (s *State) RecordNoConfiguration(sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if sent.After(s.noConfigurationAt) && !sent.Before(s.suspendedAt) {
-		s.noConfigurationAt = sent
-	}
+	s.proofs.RecordEmpty(sent)
 }
 
 // RecordUnprovenRead records that a read sent at that time, by this gateway or a peer, reached the
@@ -101,11 +100,7 @@
 func (s *State) RecordUnprovenRead(sent time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !sent.After(s.unprovenAt) || sent.Before(s.suspendedAt) {
-		return false
-	}
-	s.unprovenAt = sent
-	return true
+	return s.proofs.RecordUnproven(sent)
 }
 
 // UnprovenReadAge returns the time since the latest read that proved nothing, if it is newer than the
@@ -113,7 +108,8 @@
 func (s *State) UnprovenReadAge(now time.Time) (age time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.unprovenAt), s.unprovenAt.After(s.proof)
+	sent, ok := s.proofs.Unproven()
+	return now.Sub(sent), ok
 }
 
 // ReadAge returns the time since the latest read of the configuration that reached the store, as far as
@@ -131,9 +127,9 @@
 func (s *State) ConfigurationAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	readAt := s.proof
+	readAt := s.proofs.Newest()
 	if s.table.Load() == nil {
-		readAt = s.noConfigurationAt
+		readAt = s.proofs.Empty()
 	}
 	if readAt.IsZero() {
 		return noDataAge
@@ -141,41 +137,37 @@
 	return now.Sub(readAt)
 }
 
-// mayMissWrites reports whether the latest writes may have been missing in the store at that time.
-// The caller holds the lock.
-func (s *State) mayMissWrites(t time.Time) bool {
-	return s.endpoints.MayMissWrites(t)
-}
-
 // RecordStoreEra records an era that the store announced now; it reports whether the store was
 // restored from an older copy since the previous one. The era increases with each restore.
 func (s *State) RecordStoreEra(era uint64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.storeEra
-	if era <= before {
-		return false
+	restored := s.proofs.ObserveEra(era, now)
+	if restored {
+		s.endpoints.RecordRestore(now)
 	}
-	s.storeEra = era
-	if before == 0 {
-		return false // the first known era
-	}
-	s.endpoints.RecordRestore(now)
-	return true
+	return restored
+}
+
+// judgeEra calls f on what is known of the store's era.
+func (s *State) judgeEra(f func(*proof.Proofs)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.proofs)
 }
 
 // StoreEra returns the newest known era of the store, 0 for none.
 func (s *State) StoreEra() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.storeEra
+	return s.proofs.Era()
 }
 
 // DropProof drops the proof, since it was noticed now that the host had been suspended for that long.
 func (s *State) DropProof(now time.Time, suspended time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.proof, s.suspendedAt = time.Time{}, now
+	s.proofs.Drop(now)
 	s.backoffs.Suspended(suspended)
 }
 
@@ -184,10 +176,10 @@
 func (s *State) ProofAge(now time.Time) (time.Duration, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.proof.IsZero() {
+	if s.proofs.Newest().IsZero() {
 		return noDataAge, s.proofChanged
 	}
-	return now.Sub(s.proof), s.proofChanged
+	return now.Sub(s.proofs.Newest()), s.proofChanged
 }
 
 // WaitFresh waits until there is a proof younger than limit; it reports false if timeout or ctx
