--- a/internal/standin/usersplatform/store.go
+++ b/internal/standin/usersplatform/store.go
@@ -68,6 +68,13 @@
 	return &Store{items: make(map[string]item), leases: make(map[uint64]time.Time), era: 1}
 }
 
+// RecordSettledEra writes what gateways that ran before have recorded: that the store has all writes of its era.
+func (s *Store) RecordSettledEra() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put("micarudder/settled-era", strconv.AppendUint(nil, s.era, 10), 0)
+}
+
 // Snapshot returns a snapshot of the store.
 func (s *Store) Snapshot() Snapshot {
 	s.mu.Lock()
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -114,6 +114,8 @@
 	fullMessageDue chan struct{}
 	// lastReadVersion is the version of the configuration that this gateway's last own read returned.
 	lastReadVersion atomic.Uint64
+	// unsettledSeen is the era of the store that was last found not to be settled when this gateway started.
+	unsettledSeen atomic.Uint64
 	// configProblem is why the operators' entry cannot be used; nil or empty if it can be.
 	configProblem atomic.Pointer[string]
 	// firstReadAt is when this gateway may read the store if it has no data; set by bootstrap.
@@ -141,9 +143,9 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.peerClient = peers.NewClient(d.PeerPort, peerQueryTimeout, 1)
 	g.storeReads = newStoreReads()
-	g.callers = newCallerServer(g)
 	g.crashProbes = crashprobe.NewProbes[quarantine.Incarnation, brokenExchange]()
 	g.held, g.bodies = heldmemory.NewLedger(c.HeldMemory, requestHeldBytes, c.SlowReaderTimeout/evictionDivisor), heldmemory.NewBodies(c.BodyMemory)
+	g.callers = newCallerServer(g)
 	g.memoryReport = report.New(g.bodies, d.Responses, d.Metrics, d.Log.Logger())
 	g.deliveries = monitor.NewDeliveries()
 	g.quarantine = newQuarantineTable(c.Name)
--- a/relay/storeera.go
+++ b/relay/storeera.go
@@ -25,7 +25,7 @@
 	if err == nil {
 		g.state.judgeEra(func(p *proof.Proofs) { p.RecordSettled(era) })
 	}
-	if known := g.state.StoreEra(); err != nil || era != known {
+	if known := g.state.StoreEra(); (err != nil || era != known) && g.unsettledSeen.Swap(known) != known {
 		g.deps.Log.Logger().Warn("The store may have come back from an older copy; reads prove nothing for a while.", "era", known, "recorded", era, "err", err)
 	}
 }
