daemon/keepalive, heldmemory: heads that are not complete are kept as text, counted and bounded

Cause: net/http parses a head while it arrives, so that each short line occupies many times its text, and nobody counts it before it is complete (HoldHead does so after). Nothing bounds how many there are.

Change: a connection hands out a head once it is complete. Until then it keeps the text, counted in the account of bodies, of which all such heads may use a quarter; the first KiB does not count, so that sound heads that come in two parts stay. One that has no room is refused (503), and one of more than 100 lines (431), of which nothing is kept. A head that is not complete in time is answered with 408 in place of a closed connection.

--- a/daemon/callerserver/callerserver.go
+++ b/daemon/callerserver/callerserver.go
@@ -40,8 +40,8 @@
 	Pause func(time.Duration) bool
 	// LogError writes a line of net/http's error log.
 	LogError func(text string)
-	// RetryAfter is the Retry-After of requests whose head is not complete when the process exits.
-	RetryAfter time.Duration
+	// Connections are the settings of all connections together.
+	Connections keepalive.Options
 }
 
 // Server serves callers' connections.
@@ -62,7 +62,7 @@
 }
 
 // New returns a server.
-func New(o Options) *Server { return &Server{Conns: keepalive.New(o.RetryAfter), options: o} }
+func New(o Options) *Server { return &Server{Conns: keepalive.New(o.Connections), options: o} }
 
 // Serve accepts connections from l until l is closed.
 func (s *Server) Serve(l net.Listener) error {
@@ -95,7 +95,9 @@
 	}
 	current := s.current
 	s.mu.Unlock()
-	current.listener.Push(s.Wrap(s.options.Wrap(c), current.http.ReadHeaderTimeout))
+	if wrapped := s.Wrap(s.options.Wrap(c), current.http); wrapped != nil {
+		current.listener.Push(wrapped)
+	}
 }
 
 // start starts a server with the limits.
--- a/daemon/keepalive/conn.go
+++ b/daemon/keepalive/conn.go
@@ -29,6 +29,10 @@
 	firstWait      // that deadline applies until the first bytes of the next request are there
 )
 
+// lingerTime is how long the rest of a refused request may arrive. A reset, which answers bytes to a closed connection,
+// would discard the response.
+const lingerTime = 500 * time.Millisecond
+
 // pastTime is a deadline that makes a read return at once.
 var pastTime = time.Unix(1, 0)
 
@@ -36,99 +40,178 @@
 type Conn struct {
 	net.Conn
 	conns       *Conns
-	headTimeout time.Duration
+	headTimeout time.Duration // from the first byte of a head to its end; 0: none
+	headBytes   int           // the most that a head may have
 
 	mu        sync.Mutex
 	phase     phase
 	wait      wait
 	beganAt   time.Time // when the phase begun began
 	readAhead bool      // whether a byte of the next request was read while the current one is served
+	head      head      // of the request that has begun
+	handsOut  bool      // whether a complete head that was kept back is handed out
 	reading   bool      // whether a read is under way
+	readsBody bool      // whether it is one of a body
 	woken     bool      // whether its deadline was moved to the past
 	closed    bool
+	evicted   bool      // whether it ends to make room for another one
+	lingers   bool      // whether all is sent, and it only waits for the caller to close its side
+	idleSince time.Time // when it was opened, or the last request was answered
 }
 
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Read implements net.Conn. It returns io.EOF in place of waiting for a request that may not begin any more. If the
-// rest of a request is not awaited any more, it refuses the request.
+// Read implements net.Conn. It returns nothing of a request before its head is complete, and io.EOF in place of waiting
+// for a request that may not begin any more. If the rest of a head is not awaited any more, it refuses the request.
 func (c *Conn) Read(p []byte) (int, error) {
+	if n := c.takeHead(p); n > 0 {
+		return n, nil
+	}
 	for {
-		switch ended, refused := c.beforeRead(); {
-		case refused:
-			_, _ = c.Conn.Write(c.conns.refusal)
-			_ = c.Close() // net/http would respond as well
-			return 0, net.ErrClosed
-		case ended:
+		if next := c.beforeRead(len(p)); next.status != 0 {
+			return 0, c.refuse(next.status)
+		} else if next.end {
 			return 0, io.EOF
 		}
 		n, err := c.Conn.Read(p)
-		if c.afterRead(n, len(p), err) {
-			return n, err
+		next := c.afterRead(p, n, err)
+		switch {
+		case next.status != 0:
+			return 0, c.refuse(next.status)
+		case !next.again:
+			return next.n, err
 		}
 	}
 }
 
-// beforeRead reports whether the connection ends in place of a read, and whether the request that has begun is refused.
-func (c *Conn) beforeRead() (ended, refused bool) {
+// readStep is what a read does next: refuse the request with a status, end the connection, read again, or return n bytes.
+type readStep struct {
+	status int
+	end    bool
+	again  bool
+	n      int
+}
+
+// beforeRead decides whether anything is read into a buffer of so many bytes.
+func (c *Conn) beforeRead(size int) readStep {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ended = c.mustEnd()
-	c.reading = !ended
-	return ended, ended && c.phase == begun
+	switch {
+	case !c.mustEnd():
+		c.reading, c.readsBody = true, c.phase == serving && size > 1
+		return readStep{}
+	case c.phase == begun:
+		return readStep{status: http.StatusServiceUnavailable}
+	default:
+		return readStep{end: true}
+	}
 }
 
 // mustEnd reports whether the connection ends in place of the next read.
 func (c *Conn) mustEnd() bool {
 	switch c.phase {
 	case opened:
-		return c.conns.admitted() >= noRequests
+		return c.evicted || c.conns.admitted() >= noRequests
 	case idle:
-		return c.conns.admitted() >= firstRequests
+		return c.evicted || c.conns.admitted() >= firstRequests
 	case begun:
-		return c.conns.admitted() >= wholeRequests
+		return c.evicted || c.conns.admitted() >= wholeRequests
 	default:
 		return false
 	}
 }
 
-// afterRead notes what a read into a buffer of so many bytes has returned. It reports false if the read has to be
-// repeated.
-func (c *Conn) afterRead(n, size int, err error) bool {
+// afterRead notes what a read into p has returned, and decides what follows.
+func (c *Conn) afterRead(p []byte, n int, err error) readStep {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
 	switch {
 	case n > 0:
-		c.bytesRead(size)
-		return true
+		return c.bytesRead(p, n)
 	case !errors.Is(err, os.ErrDeadlineExceeded):
-		return true
+		return readStep{}
 	case c.woken:
 		c.woken = false
-		return false
-	case c.phase == begun && c.wait == firstWait && time.Since(c.beganAt) < c.headTimeout:
-		// The connection was idle for too long, but the next request has begun.
-		_ = c.Conn.SetReadDeadline(c.beganAt.Add(c.headTimeout))
-		return false
+		return readStep{again: true}
+	case c.phase == begun && c.head.tooManyLines():
+		return readStep{status: http.StatusRequestHeaderFieldsTooLarge}
+	case c.phase == begun:
+		return readStep{status: http.StatusRequestTimeout}
 	default:
-		return true
+		return readStep{}
 	}
 }
 
-// bytesRead notes that a read has returned bytes. net/http reads a single byte ahead while a handler runs.
-func (c *Conn) bytesRead(size int) {
-	switch c.phase {
-	case opened, idle:
-		c.begin(begun)
-	case serving:
-		c.readAhead = c.readAhead || size == 1
+// bytesRead notes that a read into p has returned n bytes. net/http reads a single byte ahead while a handler runs.
+func (c *Conn) bytesRead(p []byte, n int) readStep {
+	if c.phase == serving {
+		if len(p) == 1 {
+			c.readAhead = true
+			c.head.scan(p)
+		}
+		return readStep{n: n}
 	}
-	if c.woken {
+	if c.phase != begun || c.woken {
+		c.begin(begun)
 		c.woken = false
-		_ = c.Conn.SetReadDeadline(c.beganAt.Add(c.headTimeout))
+		_ = c.Conn.SetReadDeadline(c.headDeadline())
+	}
+	return c.headRead(p, n)
+}
+
+// headDeadline returns the deadline of the head that has begun.
+func (c *Conn) headDeadline() time.Time {
+	if c.headTimeout <= 0 {
+		return time.Time{}
 	}
+	return c.beganAt.Add(c.headTimeout)
+}
+
+// headRead handles n bytes of a head that were read into p. Of a head with too many lines nothing is kept; it is refused
+// once it is complete, since a caller that is refused at once may come back at once.
+func (c *Conn) headRead(p []byte, n int) readStep {
+	c.head.scan(p[:n])
+	complete := c.head.complete(c.headBytes)
+	switch {
+	case c.head.tooManyLines() && complete:
+		return readStep{status: http.StatusRequestHeaderFieldsTooLarge}
+	case c.head.tooManyLines():
+		c.head.release()
+		return readStep{again: true}
+	case complete && len(c.head.held) == 0:
+		return readStep{n: n}
+	case !c.head.hold(p[:n], c.conns.memory):
+		return readStep{status: http.StatusServiceUnavailable}
+	case complete:
+		c.handsOut = true
+		return readStep{n: c.head.take(p)}
+	default:
+		return readStep{again: true}
+	}
+}
+
+// takeHead hands out more of a complete head that was kept back.
+func (c *Conn) takeHead(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.handsOut {
+		return 0
+	}
+	n := c.head.take(p)
+	c.handsOut = len(c.head.held) > 0
+	return n
+}
+
+// refuse answers a request of which net/http knows nothing, and ends the connection.
+func (c *Conn) refuse(status int) error {
+	_, _ = c.Conn.Write(c.conns.refusal(status))
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.Conn) // until the caller closes its side
+	_ = c.Close()
+	return net.ErrClosed
 }
 
 // begin notes that a request has begun.
@@ -137,6 +220,9 @@
 		c.conns.busy.Add(1)
 	}
 	c.phase, c.beganAt = p, time.Now()
+	if p == serving {
+		c.head = head{}
+	}
 }
 
 // endRead makes a read that waits for something that is not admitted any more return.
@@ -171,7 +257,7 @@
 // answered notes that the response to the current request is complete.
 func (c *Conn) answered() {
 	c.conns.busy.Add(-1)
-	c.phase, c.wait = idle, idleWait
+	c.phase, c.wait, c.idleSince = idle, idleWait, time.Now()
 	if c.readAhead {
 		c.readAhead = false
 		c.begin(begun)
@@ -185,6 +271,9 @@
 	switch c.wait {
 	case idleWait:
 		c.wait = firstWait
+		if c.phase == begun {
+			t = c.headDeadline()
+		}
 	case firstWait:
 		c.wait = noWait
 		if c.phase == idle {
@@ -194,8 +283,11 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// CloseWrite closes the sending direction, if the connection allows that.
+// CloseWrite closes the sending direction, if the connection allows that. Nothing more is served on it.
 func (c *Conn) CloseWrite() error {
+	c.mu.Lock()
+	c.lingers = true
+	c.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -208,6 +300,7 @@
 	c.mu.Lock()
 	ended := !c.closed && (c.phase == begun || c.phase == serving)
 	c.closed = true
+	c.head.release()
 	c.mu.Unlock()
 	if ended {
 		c.conns.busy.Add(-1)
--- a/daemon/keepalive/conns.go
+++ b/daemon/keepalive/conns.go
@@ -6,12 +6,14 @@
 package keepalive
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/micarudder/micarudder/heldmemory"
 	"github.com/micarudder/micarudder/httpsyntax"
 )
 
@@ -25,22 +27,50 @@
 	wholeRequests           // and those whose head is not complete are refused
 )
 
+// Options are the settings of a set of connections.
+type Options struct {
+	// RetryAfter is the Retry-After of requests that are refused although their head is not complete.
+	RetryAfter time.Duration
+	// Memory counts heads that are not complete; nil: they are not bounded together.
+	Memory *heldmemory.Bodies
+	// MaxConns is the most connections that are open at once; 0: no limit.
+	MaxConns int
+	// EvictBodies lets connections whose request's body does not arrive make room for new ones, without a response.
+	EvictBodies bool
+	// RefusalDelay is the pause of Serve after a connection that was one too many: those that are refused at once come
+	// back at once.
+	RefusalDelay time.Duration
+}
+
 // Conns are the connections of the callers of one process. Its methods may be called concurrently.
 type Conns struct {
-	admission atomic.Int32
-	busy      atomic.Int64 // connections that carry a request
-	refusal   []byte       // response to requests whose head is not complete
+	admission  atomic.Int32
+	busy       atomic.Int64 // connections that carry a request
+	retryAfter time.Duration
+	memory     *heldmemory.Bodies
+	maxConns   int
+	delay      time.Duration // Options.RefusalDelay
+	bodiesEnd  bool          // Options.EvictBodies
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
 }
 
-// New returns an empty set. Requests whose head is not complete when the process exits are told to come back after
-// retryAfter.
-func New(retryAfter time.Duration) *Conns {
-	refusal := "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: " +
-		httpsyntax.Seconds(retryAfter) + "\r\n\r\n"
-	return &Conns{refusal: []byte(refusal), open: make(map[*Conn]struct{})}
+// New returns an empty set.
+func New(o Options) *Conns {
+	if o.Memory == nil {
+		o.Memory = heldmemory.NewBodies(0)
+	}
+	return &Conns{retryAfter: o.RetryAfter, memory: o.Memory, maxConns: o.MaxConns, delay: o.RefusalDelay, bodiesEnd: o.EvictBodies, open: make(map[*Conn]struct{})}
+}
+
+// refusal returns a complete response that ends the connection.
+func (s *Conns) refusal(status int) []byte {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", status, http.StatusText(status))
+	if status == http.StatusServiceUnavailable {
+		head += "Retry-After: " + httpsyntax.Seconds(s.retryAfter) + "\r\n"
+	}
+	return []byte(head + "\r\n")
 }
 
 // Attach prepares a server for connections that Wrap has returned. It must be called before the server is started.
@@ -52,12 +82,20 @@
 	}
 }
 
-// Wrap adds a connection that was accepted. Once something of a request has arrived, the rest of its head may take up
-// to headTimeout, however long the connection was idle before. The connection belongs to the set until it is closed.
-func (s *Conns) Wrap(c net.Conn, headTimeout time.Duration) *Conn {
-	out := &Conn{Conn: c, conns: s, headTimeout: headTimeout}
+// Wrap adds a connection that was accepted for a server, whose limits on heads apply: the timeout counts from the first
+// byte of a head, however long the connection was idle before. It closes the connection and returns nil if there are too
+// many and none of them is idle. The connection belongs to the set until it is closed.
+func (s *Conns) Wrap(c net.Conn, srv *http.Server) *Conn {
+	out := &Conn{Conn: c, conns: s, headTimeout: srv.ReadHeaderTimeout, headBytes: srv.MaxHeaderBytes, idleSince: time.Now()}
+	if out.headBytes <= 0 {
+		out.headBytes = http.DefaultMaxHeaderBytes
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.maxConns > 0 && len(s.open) >= s.maxConns && !s.makeRoom() {
+		reset(c)
+		return nil
+	}
 	s.open[out] = struct{}{}
 	return out
 }
@@ -65,23 +103,28 @@
 // Serve serves connections of l with srv until one of them is closed.
 func (s *Conns) Serve(srv *http.Server, l net.Listener) error {
 	s.Attach(srv)
-	return srv.Serve(&listener{l, s, srv.ReadHeaderTimeout})
+	return srv.Serve(&listener{l, s, srv})
 }
 
 // listener wraps the connections that another listener accepts.
 type listener struct {
 	net.Listener
-	conns       *Conns
-	headTimeout time.Duration
+	conns *Conns
+	srv   *http.Server
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if wrapped := l.conns.Wrap(c, l.srv); wrapped != nil {
+			return wrapped, nil
+		}
+		time.Sleep(l.conns.delay)
 	}
-	return l.conns.Wrap(c, l.headTimeout), nil
 }
 
 // EndIdle ends the connections that are idle, and the others after the response that they carry. New connections
--- a/daemon/keepalive/keepalive_test.go
+++ b/daemon/keepalive/keepalive_test.go
@@ -31,8 +31,8 @@
 }
 
 func newServer() *server {
-	s := &server{conns: New(50 * time.Millisecond), l: pipe.Listen(), release: make(chan struct{}, 10)}
-	s.http = &http.Server{Handler: s, ReadHeaderTimeout: testHeadTimeout, IdleTimeout: testIdleTimeout}
+	s := &server{conns: New(Options{RetryAfter: 50 * time.Millisecond}), l: pipe.Listen(), release: make(chan struct{}, 10)}
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: testHeadTimeout, IdleTimeout: testIdleTimeout, MaxHeaderBytes: 16 << 10}
 	go func() { _ = s.conns.Serve(s.http, s.l) }()
 	return s
 }
@@ -247,11 +247,11 @@
 func TestIdleTimeoutSparesBegunRequest(t *testing.T) {
 	for name, tc := range map[string]struct {
 		pause  time.Duration // between the first bytes and the rest
-		served bool
+		status int           // 0: the connection was closed without a response
 	}{
-		"rest in time":      {2 * time.Second, true},
-		"rest too late":     {4 * time.Second, false},
-		"rest after idling": {-2 * time.Second, false},
+		"rest in time":        {2 * time.Second, http.StatusOK},
+		"rest too late":       {4 * time.Second, http.StatusRequestTimeout},
+		"begun after closing": {-2 * time.Second, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -270,8 +270,8 @@
 				s.release <- struct{}{}
 				c.send("T /2 HTTP/1.1\r\nHost: h\r\n\r\n")
 				res, ok := <-c.responses
-				is.Equal(ok, tc.served)
-				is.True(!ok || res.status == http.StatusOK)
+				is.Equal(ok, tc.status != 0)
+				is.Equal(res.status, tc.status)
 				_ = c.Close()
 				time.Sleep(time.Second)
 				is.Equal(s.conns.InFlight(), int64(0))
@@ -342,7 +342,10 @@
 	})
 }
 
-// lateConn is a connection whose read returns a byte once the read deadline has been set, whatever it is.
+// wholeHead is a complete head.
+const wholeHead = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// lateConn is a connection whose read returns a head once the read deadline has been set, whatever it is.
 type lateConn struct {
 	net.Conn
 	deadlines chan time.Time
@@ -351,7 +354,7 @@
 
 func (c *lateConn) Read(p []byte) (int, error) {
 	c.last = <-c.deadlines
-	return copy(p, "G"), nil
+	return copy(p, wholeHead), nil
 }
 
 func (c *lateConn) SetReadDeadline(t time.Time) error {
@@ -368,16 +371,16 @@
 func TestReadThatCrossesSeal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		conns := New(0)
+		conns := New(Options{})
 		late := &lateConn{deadlines: make(chan time.Time)}
-		c := conns.Wrap(late, testHeadTimeout)
+		c := conns.Wrap(late, &http.Server{ReadHeaderTimeout: testHeadTimeout})
 		go func() {
 			synctest.Wait()
 			conns.Seal()
 		}()
-		n, err := c.Read(make([]byte, 10))
+		n, err := c.Read(make([]byte, 100))
 		is.NoErr(err)
-		is.Equal(n, 1)
+		is.Equal(n, len(wholeHead))
 		is.True(late.last.After(time.Now()))
 		is.Equal(conns.InFlight(), int64(1))
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,8 +87,9 @@
 // New returns a gateway without background work; Start begins that.
 func New(cfg Config, deps Deps) *Gateway {
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), formingSlots: make(chan struct{}, maxForming), drain: drain.New(nil), callers: keepalive.New(defaultRetryAfter)}
+	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), formingSlots: make(chan struct{}, maxForming), drain: drain.New(nil)}
 	g.bodies = heldmemory.NewBodies(cfg.BodyMemory)
+	g.callers = keepalive.New(keepalive.Options{RetryAfter: defaultRetryAfter, Memory: g.bodies})
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
 	g.auth = new(authenticator)
--- a/heldmemory/bodies.go
+++ b/heldmemory/bodies.go
@@ -14,25 +14,30 @@
 	// smallShareDivisor is the part of the memory, as a divisor, that only small bodies may use: callers
 	// with small requests are not refused because of large ones.
 	smallShareDivisor = 4
+	// headShareDivisor is the part of the memory, as a divisor, that heads which are not complete may use.
+	headShareDivisor = 4
 )
 
 // ErrFull is returned for a body for which there is not enough memory.
 var ErrFull = errors.New("the memory for request bodies is used up")
 
-// Bodies bounds the memory of the request bodies that a process holds at once, and of unusually large heads. A
-// body counts with the memory that it occupies, from before it is read. It is safe for concurrent use.
+// Bodies bounds the memory of the request bodies that a process holds at once, of heads that are not complete and of
+// unusually large ones. A body counts with the memory that it occupies, from before it is read. It is safe for
+// concurrent use.
 type Bodies struct {
 	limit int64 // bytes; 0: no bound
 
 	mu          sync.Mutex
-	held, large int64 // bytes of all bodies, and of those that are not small
+	held, large int64 // bytes of all bodies and heads, and of the bodies that are not small
+	heads       int64 // bytes of the heads that are not complete
 }
 
-// Body is the body of one request. It counts until it is released.
+// Body is the body of one request, or its head. It counts until it is released.
 type Body struct {
 	Bytes  []byte
 	memory *Bodies
 	held   int64
+	head   bool // whether it is a head that is not complete
 }
 
 // NewBodies returns an empty account of so many bytes; 0: no bound.
@@ -59,6 +64,20 @@
 	return b, nil
 }
 
+// HeldHeads returns how many bytes the heads occupy that are not complete.
+func (m *Bodies) HeldHeads() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heads
+}
+
+// NewHead returns the memory of a head that is not complete, of which nothing is held yet.
+func (m *Bodies) NewHead() *Body { return &Body{memory: m, head: true} }
+
+// Resize changes the size with which the body counts. It reports false, and changes nothing, if it would grow to more
+// than there is room for.
+func (b *Body) Resize(size int64) bool { return b.resize(size) }
+
 // Read reads the body of a request that has the given length, or up to most bytes if the length is negative;
 // with most = 0 it may have any number. It fails with ErrFull, at once or when a body of unknown length turns
 // out to be large, if there is not enough memory. The body must be released in any case.
@@ -136,11 +155,14 @@
 	m := b.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	held, large := m.held+size-b.held, m.large+largeBytes(size)-largeBytes(b.held)
-	if size > b.held && m.limit > 0 && !m.fits(held, large, size) {
+	held, large, heads := m.held+size-b.held, m.large+largeBytes(size)-largeBytes(b.held), m.heads
+	if b.head {
+		heads += size - b.held
+	}
+	if size > b.held && m.limit > 0 && (!m.fits(held, large, size) || b.head && heads > m.limit/headShareDivisor) {
 		return false
 	}
-	m.held, m.large, b.held = held, large, size
+	m.held, m.large, m.heads, b.held = held, large, heads, size
 	return true
 }
 
--- a/heldmemory/report/report.go
+++ b/heldmemory/report/report.go
@@ -39,6 +39,7 @@
 // New returns a report on these accounts, and exports them as metrics.
 func New(bodies *heldmemory.Bodies, responses *heldmemory.Responses, set *vm.Set, l *log.Logger) *Report {
 	set.NewGauge("relay_body_memory_bytes", func() float64 { return float64(bodies.Held()) })
+	set.NewGauge("relay_unfinished_head_bytes", func() float64 { return float64(bodies.HeldHeads()) })
 	for _, p := range heldmemory.Parts() {
 		set.NewGauge(`relay_response_memory_bytes{part="`+p.String()+`"}`, func() float64 { return float64(responses.Held(p)) })
 	}
@@ -58,7 +59,7 @@
 	if !r.steps.grew(used) {
 		return
 	}
-	fields := []any{"used_bytes", used, "bodies_bytes", r.bodies.Held()}
+	fields := []any{"used_bytes", used, "bodies_bytes", r.bodies.Held(), "unfinished_heads_bytes", r.bodies.HeldHeads()}
 	for _, p := range heldmemory.Parts() {
 		fields = append(fields, p.String()+"_bytes", r.responses.Held(p))
 	}
--- a/relay/callerserver.go
+++ b/relay/callerserver.go
@@ -6,6 +6,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/daemon/callerserver"
+	"github.com/micarudder/micarudder/daemon/keepalive"
 )
 
 // callerServer serves the callers' connections.
@@ -16,8 +17,9 @@
 
 func newCallerServer(g *Gateway) *callerServer {
 	return &callerServer{g: g, Server: callerserver.New(callerserver.Options{
-		Handler: g, Limits: g.callerLimits, Accept: g.acceptCaller, Wrap: g.boundCallerConn, Pause: g.pause, RetryAfter: retryAfterShutdown,
-		LogError: func(text string) { g.deps.Log.Request("HTTP server error.", "text", text) },
+		Handler: g, Limits: g.callerLimits, Accept: g.acceptCaller, Wrap: g.boundCallerConn, Pause: g.pause,
+		Connections: keepalive.Options{RetryAfter: retryAfterShutdown, Memory: g.bodies},
+		LogError:    func(text string) { g.deps.Log.Request("HTTP server error.", "text", text) },
 	})}
 }
 
--- a/relay/callerserver_test.go
+++ b/relay/callerserver_test.go
@@ -101,6 +101,7 @@
 			is.Equal(res.Header.Get("Retry-After"), "0.05")
 		}
 		f.answeredBeforeExit(is, stopResponse{after: time.Since(f.stoppedAt)})
+		time.Sleep(time.Second) // the connections end
 	})
 }
 
