inner: the port for other processes of rudder-gateway and rudder-agent speaks HTTP/2 alone

Callers could send request heads in HTTP/1 without an end there, of up to 1 MB each, which net/http parses while they arrive. No process of the product speaks HTTP/1 to another one. A request's fields are bounded by 16 KiB in place of 1 MB.

--- a/inner/inner.go
+++ b/inner/inner.go
@@ -16,6 +16,8 @@
 const (
 	dialTimeout       = time.Second
 	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes is the most fields of a request; those of the inner protocol have some hundred bytes.
+	maxHeaderBytes = 16 << 10
 	// pingTimeout and the ping intervals bound how long a connection to a hung
 	// or disconnected peer appears alive. A server pings later than a client,
 	// because the pings of a client show it that the client is alive.
@@ -33,12 +35,12 @@
 	srv := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         p,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: serverPingInterval, PingTimeout: pingTimeout, MaxConcurrentStreams: 4096},
 	}
 	if !keys.Enabled() {
 		p.SetUnencryptedHTTP2(true)
-		p.SetHTTP1(true)
 		return srv, nil
 	}
 	p.SetHTTP2(true)
