--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -22,6 +23,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/micarudder/micarudder/daemon/keepalive"
 	"github.com/micarudder/micarudder/settings"
 )
 
@@ -48,6 +50,18 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
+const (
+	// maxServiceConns is the most connections of such a server: several times the gateways that ask one of them at once.
+	maxServiceConns = 512
+	// serviceRefusalDelay is the pause after a connection that was one too many.
+	serviceRefusalDelay = 10 * time.Millisecond
+)
+
+// Serve serves connections of l with a server that NewServer has returned.
+func Serve(srv *http.Server, l net.Listener) error {
+	return keepalive.New(keepalive.Options{RetryAfter: time.Second, MaxConns: maxServiceConns, EvictBodies: true, RefusalDelay: serviceRefusalDelay}).Serve(srv, l)
+}
+
 // Common holds the settings that all daemons have.
 type Common struct {
 	AdminListen settings.Address `key:"admin_listen" required:"true" help:"address of /metrics, /healthz and /readyz"`
@@ -56,6 +70,7 @@
 	Profiling   bool             `key:"profiling" default:"false" help:"whether the admin address serves /debug/pprof"`
 	GCPercent   int              `key:"gc_percent" default:"50" min:"10" max:"400" help:"growth of the heap between two collections, in percent; less saves memory, more saves processor time"`
 	HostMemory  settings.Size    `key:"host_memory" default:"0B" help:"memory that the process may use on this host; near four fifths of it, heap is collected earlier; 0B: not known"`
+	MaxFiles    int              `key:"max_files" default:"0" min:"0" help:"descriptors that the process may use on this host; half of them serve connections of callers; 0: as many as the system allows"`
 	DrainTime   time.Duration    `key:"drain_time" default:"5m" min:"0s" max:"2h" help:"longest wait for work in flight at a planned stop"`
 }
 
@@ -71,6 +86,23 @@
 	return int64(bound)
 }
 
+// reservedFiles is the number of descriptors that are not for connections.
+const reservedFiles = 200
+
+// CallerConns returns how many connections callers may have at once. As many again are left for endpoints, other
+// processes and the store, since each request needs one of its own there; 0: no limit.
+func (c *Common) CallerConns() int {
+	files := uint64(c.MaxFiles)
+	if files == 0 {
+		var limit syscall.Rlimit
+		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+			return 0
+		}
+		files = min(limit.Cur, math.MaxInt32)
+	}
+	return int(max(files, reservedFiles+2)-reservedFiles) / 2
+}
+
 // Service is the running part of a daemon. Shutdown stops it gracefully: it
 // accepts no new work, lets work in flight finish within ctx, and closes.
 type Service interface {
@@ -244,7 +276,7 @@
 	}
 	srv := NewServer(h)
 	go func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := Serve(srv, l); !errors.Is(err, http.ErrServerClosed) {
 			fail(err)
 		}
 	}()
--- a/relay/process.go
+++ b/relay/process.go
@@ -146,7 +146,7 @@
 		return nil
 	}
 	handle := func(h http.Handler) func(net.Listener) error {
-		return daemon.NewServer(h).Serve
+		return func(l net.Listener) error { return daemon.Serve(daemon.NewServer(h), l) }
 	}
 	if err := serve(string(p.settings.Relay.ReadyListen), handle(p.ReadyHandler())); err != nil {
 		return err
