daemon/keepalive, relay, gateway: callers' connections leave descriptors for the others

Callers that open connections and send nothing could use up the open files of a gateway (4,200 on its host), so that it reaches neither endpoints nor store.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 
 	MaxBody         int64         // maximum size of a request body in bytes
 	BodyMemory      int64         // maximum size of all request bodies in memory; 0: no bound
+	MaxConns        int           // most connections of callers; 0: no limit
 	BodyTime        time.Duration // time limit for receiving a body
 	WriteTime       time.Duration // time limit for a caller to read one part of its response
 	DefaultDeadline time.Duration
@@ -89,7 +90,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	g := &Gateway{cfg: cfg, deps: deps, started: time.Now(), ctx: ctx, stop: stop, leases: newClaimLeases(), formingSlots: make(chan struct{}, maxForming), drain: drain.New(nil)}
 	g.bodies = heldmemory.NewBodies(cfg.BodyMemory)
-	g.callers = keepalive.New(keepalive.Options{RetryAfter: defaultRetryAfter, Memory: g.bodies})
+	g.callers = keepalive.New(keepalive.Options{RetryAfter: defaultRetryAfter, Memory: g.bodies, MaxConns: cfg.MaxConns})
 	g.meter = newMeter(deps.Metrics, g)
 	g.explain = newExplainer()
 	g.auth = new(authenticator)
--- a/gateway/process.go
+++ b/gateway/process.go
@@ -74,7 +74,7 @@
 func (s *Settings) config() Config {
 	c := Config{
 		Name: s.Gateway.Name, DataCentre: s.Gateway.DataCentre,
-		MaxBody: int64(s.Callers.MaxBody), BodyMemory: s.Process.WithinHost(s.Callers.BodyMemory, daemon.BodyMemoryPercent), BodyTime: s.Callers.BodyTime, WriteTime: s.Callers.WriteTime,
+		MaxBody: int64(s.Callers.MaxBody), BodyMemory: s.Process.WithinHost(s.Callers.BodyMemory, daemon.BodyMemoryPercent), MaxConns: s.Process.CallerConns(), BodyTime: s.Callers.BodyTime, WriteTime: s.Callers.WriteTime,
 		DefaultDeadline: s.Callers.DefaultDeadline, MaxDeadline: s.Callers.MaxDeadline, TicketLife: s.Tickets.Life,
 		LeaveTime: s.Stop.LeaveTime, DefaultTokens: uint64(s.Callers.DefaultTokens), FirstTokenGoal: s.Callers.FirstTokenGoal,
 	}
--- a/relay/callerserver.go
+++ b/relay/callerserver.go
@@ -18,7 +18,7 @@
 func newCallerServer(g *Gateway) *callerServer {
 	return &callerServer{g: g, Server: callerserver.New(callerserver.Options{
 		Handler: g, Limits: g.callerLimits, Accept: g.acceptCaller, Wrap: g.boundCallerConn, Pause: g.pause,
-		Connections: keepalive.Options{RetryAfter: retryAfterShutdown, Memory: g.bodies},
+		Connections: keepalive.Options{RetryAfter: retryAfterShutdown, Memory: g.bodies, MaxConns: g.config.MaxConns},
 		LogError:    func(text string) { g.deps.Log.Request("HTTP server error.", "text", text) },
 	})}
 }
--- a/relay/gateway.go
+++ b/relay/gateway.go
@@ -60,6 +60,8 @@
 	// HeldMemory bounds the memory of all requests that are served at once, without their bodies;
 	// zero: no bound.
 	HeldMemory int64
+	// MaxConns is the most connections of callers; zero: no limit.
+	MaxConns int
 }
 
 // Deps holds the dependencies of a gateway.
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -71,7 +71,7 @@
 		Name: s.Relay.Name, DataCentre: s.Relay.DataCentre, RevokeAfter: s.Bounds.RevokeAfter, DrainTime: s.Process.DrainTime,
 		FirstStart: s.Relay.FirstStart, UnusedMemory: s.Bounds.UnusedMemory,
 		BodyMemory: s.Process.WithinHost(s.Relay.BodyMemory, daemon.BodyMemoryPercent), ResidualLoad: s.Load.ResidualLoad,
-		StallResume: s.Load.StallResume, SlowReaderTimeout: s.Load.SlowReaderTimeout, HeldMemory: int64(s.Load.HeldMemory),
+		StallResume: s.Load.StallResume, SlowReaderTimeout: s.Load.SlowReaderTimeout, MaxConns: s.Process.CallerConns(), HeldMemory: int64(s.Load.HeldMemory),
 		Retries: limits.RetryWindowConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
