soak: callers without a key that send heads without an end, nothing, or bodies that trickle

Five forms at the callers' port and at the others, judged from outside: memory of each gateway against its host's, gateways that end, requests of sound callers without a complete response (none; 1 % may meet a connection that is refused unread where all are taken), refusals (5 %).

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,8 +43,17 @@
 	// Flood replaces all other faults by workers that send without end and clients that upload large bodies in
 	// chunks, and checks the memory of the gateways.
 	Flood bool
+	// HostileCallers replaces all other faults by callers that keep HostileConns connections to each gateway busy
+	// in this form, and checks the memory of the gateways and the requests of sound callers; empty: there are none.
+	// HostileServicePorts makes them connect to the ports that are not for callers.
+	HostileCallers      HostileForm
+	HostileConns        int
+	HostileServicePorts bool
 }
 
+// replacesFaults reports whether the run has none of the usual faults.
+func (c *Config) replacesFaults() bool { return c.Progress || c.Flood || c.HostileCallers != "" }
+
 // Report is the outcome of a run.
 type Report struct {
 	Requests, Succeeded, Refused, Interrupted int
@@ -171,6 +180,7 @@
 		r.keys = append(r.keys, key)
 		r.facts.owners[key] = fmt.Sprintf("workspace-%d", i%3)
 	}
+	r.store.RecordSettledEra() // the gateways' settings do not call it the first start
 	r.configure()
 	for range r.c.Workers {
 		for _, kind := range []string{"plain", "stream"} {
@@ -230,6 +240,9 @@
 	if r.c.Flood {
 		ini += floodSettings
 	}
+	if r.c.HostileCallers != "" {
+		ini += callerHostSettings
+	}
 	return procs.Spec{
 		Name: fmt.Sprintf("gateway-%d", i), Binary: r.c.Binary, Args: []string{"--config", procs.DirVar + "/relay.ini"},
 		Env:   []string{"SUSPENDED_FILE=" + r.suspendedFile(i)},
@@ -305,7 +318,7 @@
 		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(r.c.Seed, uint64(i))), transports: make(map[string]*http.Transport)}
 		tasks.Go(func() { c.loop(ctx) })
 	}
-	if r.c.Progress || r.c.Flood {
+	if r.c.replacesFaults() {
 		r.injectOnly(ctx, &tasks)
 		time.Sleep(recoveryTime)
 		stop()
@@ -342,6 +355,11 @@
 		return
 	}
 	tasks.Go(func() { r.measureMemory(ctx) })
+	if r.c.HostileCallers != "" {
+		r.runHostileCallers(ctx, tasks)
+		time.Sleep(r.c.Length)
+		return
+	}
 	for i := range uploadClients {
 		tasks.Go(func() { r.upload(ctx, i) })
 	}
@@ -422,6 +440,9 @@
 	if r.c.Flood {
 		out.Violations = append(out.Violations, checkFlood(r.requests, &r.facts)...)
 	}
+	if r.c.HostileCallers != "" {
+		out.Violations = append(out.Violations, checkHostile(r.c.HostileCallers, r.requests, &r.facts)...)
+	}
 	out.Floods = r.ledger.Floods()
 	for _, used := range r.facts.memory {
 		out.MostMemory = max(out.MostMemory, used)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"errors"
 	"flag"
 	"fmt"
@@ -27,6 +28,7 @@
 	engines       = flag.Int("engines", 4, "number of workers with memory")
 	crashPartFlag = flag.Bool("crash-part", false, "whether a part of prompts ends workers in each further seed, instead of one request")
 	floodFlag     = flag.Bool("flood", false, "whether workers send without end in each further seed, in place of all other faults")
+	hostileLength = flag.Duration("hostile-length", 0, "time for each form of hostile callers; 0: a short run of the most important ones")
 	keepDir       = flag.String("keep", "", "folder for the records of failed seeds; empty: a new temporary one for each")
 )
 
@@ -190,6 +192,36 @@
 	}
 }
 
+// TestHostileCallers guards against gateways that end, run out of open files or leave sound callers without a response,
+// because of callers without a key that send heads without an end, nothing, or bodies that trickle.
+func TestHostileCallers(t *testing.T) {
+	bin := buildGateway(t)
+	for i, form := range HostileForms() {
+		for j, service := range []bool{false, true} {
+			if service && form != HeadsInShortFields && form != SilentConnections && *hostileLength == 0 {
+				continue // in long runs only
+			}
+			t.Run(fmt.Sprintf("%s, service ports %t", form, service), func(t *testing.T) {
+				length := cmp.Or(*hostileLength, 1500*time.Millisecond)
+				c := Config{Gateways: 2, Workers: 4, Clients: 24, Length: length, HostileCallers: form, HostileConns: 1200, HostileServicePorts: service}
+				switch {
+				case service:
+					c.HostileConns = 600 // at each of three ports
+				case form == SilentConnections:
+					c.HostileConns = callerHostFiles
+				case form == ShortConnections:
+					c.HostileConns = 100
+				}
+				report := runSeed(t, bin, 1, len(regressions)+len(engineRegressions)+*seeds+2+2*i+j, c)
+				t.Logf("%d requests of sound callers, %d succeeded, at most %d MB", report.Requests, report.Succeeded, report.MostMemory>>20)
+				if report.Succeeded == 0 || report.MostMemory == 0 {
+					t.Error("nothing was checked")
+				}
+			})
+		}
+	}
+}
+
 // TestSeeds runs the seeds of CI, and further seeds on request:
 // go test ./internal/soak -run Seeds -seeds 50 -keep DIR
 func TestSeeds(t *testing.T) {
