--- a/internal/soak/hostile.go
+++ b/internal/soak/hostile.go
@@ -124,8 +124,9 @@
 }
 
 // checkHostile verifies that no gateway ended or needed more than its host's memory, and that the requests of sound
-// callers had complete responses, hardly any of them a refusal.
-func checkHostile(form HostileForm, all []request, f *facts) (out []string) {
+// callers had complete responses, hardly any of them a refusal. unread is how many had none since their connection was
+// refused, or did not come about.
+func checkHostile(form HostileForm, all []request, f *facts) (out []string, unread int) {
 	for name := range f.ended {
 		out = append(out, name+" ended by itself")
 	}
@@ -134,7 +135,7 @@
 			out = append(out, fmt.Sprintf("%s occupied %d MB, %d MB allowed", name, used>>20, callerHostMemory>>20))
 		}
 	}
-	refused, unread := 0, 0
+	refused := 0
 	for i := range all {
 		a := &all[i]
 		switch {
@@ -154,5 +155,5 @@
 	if unread*100 > len(all)*maxUnreadPercent {
 		out = append(out, fmt.Sprintf("the connections of %d of %d requests of sound callers ended unread", unread, len(all)))
 	}
-	return out
+	return out, unread
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -65,6 +65,7 @@
 	LongPrompts, MemoryUses                   int      // long prompts, and how often they used reserved memory
 	Stalls, Endless                           int      // streams that stalled, and endless ones whose callers did not read
 	Floods                                    int      // requests that got a response without end
+	Unread                                    int      // requests whose connection was refused or did not come about beside hostile callers
 	MostMemory                                int64    // of any gateway, in bytes; 0: not measured
 	Faults                                    []string // in the order of their times
 	Violations                                []string
@@ -441,7 +442,8 @@
 		out.Violations = append(out.Violations, checkFlood(r.requests, &r.facts)...)
 	}
 	if r.c.HostileCallers != "" {
-		out.Violations = append(out.Violations, checkHostile(r.c.HostileCallers, r.requests, &r.facts)...)
+		violations, unread := checkHostile(r.c.HostileCallers, r.requests, &r.facts)
+		out.Violations, out.Unread = append(out.Violations, violations...), unread
 	}
 	out.Floods = r.ledger.Floods()
 	for _, used := range r.facts.memory {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -213,7 +213,7 @@
 					c.HostileConns = 100
 				}
 				report := runSeed(t, bin, 1, len(regressions)+len(engineRegressions)+*seeds+2+2*i+j, c)
-				t.Logf("%d requests of sound callers, %d succeeded, at most %d MB", report.Requests, report.Succeeded, report.MostMemory>>20)
+				t.Logf("%d requests of sound callers, %d succeeded, %d had no connection, at most %d MB", report.Requests, report.Succeeded, report.Unread, report.MostMemory>>20)
 				if report.Succeeded == 0 || report.MostMemory == 0 {
 					t.Error("nothing was checked")
 				}
