relay: the log line on cold endpoints reads nothing that others may change

Cause: applyCold read the length of a map that it had handed to limitstate.State, which deletes from it under its lock. Only the number in the log could be wrong. `go test -race ./relay -run TestColdTimeEnds` reported it.

--- a/relay/cold.go
+++ b/relay/cold.go
@@ -36,8 +36,9 @@
 			cold[e.ID] = limitstate.ColdLimit{PerSecond: s.ColdRate, Until: sent.Add(e.ColdFor)}
 		}
 	}
-	began, ended := g.endpointLimits.SetCold(cold)
+	count := len(cold)
+	began, ended := g.endpointLimits.SetCold(cold) // which the limits own from now on
 	if len(began) > 0 || len(ended) > 0 {
-		g.deps.Log.Logger().Info("Limits of cold endpoints changed.", "cold", len(cold), "began", began, "ended", ended, "list_age_ms", time.Since(sent).Milliseconds())
+		g.deps.Log.Logger().Info("Limits of cold endpoints changed.", "cold", count, "began", began, "ended", ended, "list_age_ms", time.Since(sent).Milliseconds())
 	}
 }
