eventlog: closing a log does not wait for one who does not read it

What was seen: a gateway whose standard output nobody reads does not exit after SIGTERM; the platform's SIGKILL ends it.

Cause: Close put its mark into the queue, which was full, without a bound.

Change: closing is a channel of its own, and the wait for the writer has the bound that it had. TestCloseWithoutReader failed before (deadlock).

--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -36,6 +36,7 @@
 	queue      chan []byte
 	unreported atomic.Uint64 // lines dropped since the last report
 	dropped    atomic.Uint64 // lines dropped in total
+	closing    chan struct{}
 	done       chan struct{}
 	once       sync.Once
 }
@@ -45,6 +46,7 @@
 	l := &Log{
 		limiter: rate.NewLimiter(rate.Limit(o.LinesPerSecond), int(o.LinesPerSecond)),
 		queue:   make(chan []byte, queueLines),
+		closing: make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 	l.logger = log.NewWithOptions(queueWriter{l}, log.Options{
@@ -71,9 +73,9 @@
 // Dropped returns the number of lines dropped since the start.
 func (l *Log) Dropped() uint64 { return l.dropped.Load() }
 
-// Close writes the queued lines and stops the writer; it waits for at most d.
+// Close writes the queued lines and stops the writer; it waits for at most d, also if nobody reads what is written.
 func (l *Log) Close(d time.Duration) {
-	l.once.Do(func() { l.queue <- nil })
+	l.once.Do(func() { close(l.closing) })
 	select {
 	case <-l.done:
 	case <-time.After(d):
@@ -94,11 +96,10 @@
 	defer report.Stop()
 	for {
 		select {
+		case <-l.closing:
+			l.writeQueued(buffered)
+			return
 		case line := <-l.queue:
-			if line == nil {
-				_ = buffered.Flush()
-				return
-			}
 			_, _ = buffered.Write(line)
 			if len(l.queue) == 0 {
 				_ = buffered.Flush()
@@ -111,6 +112,19 @@
 	}
 }
 
+// writeQueued writes what is in the queue.
+func (l *Log) writeQueued(buffered *bufio.Writer) {
+	for {
+		select {
+		case line := <-l.queue:
+			_, _ = buffered.Write(line)
+		default:
+			_ = buffered.Flush()
+			return
+		}
+	}
+}
+
 // queueWriter passes formatted lines to the writer without blocking.
 type queueWriter struct{ log *Log }
 
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -89,3 +89,20 @@
 	}
 	l.Close(time.Minute)
 }
+
+// TestCloseWithoutReader guards against a process that does not exit because nobody reads its log: the queue is full, and
+// the writer waits.
+func TestCloseWithoutReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, w := io.Pipe()
+		l := New(w, options(0))
+		for range 2 * queueLines {
+			l.Logger().Info("A line.")
+		}
+		began := time.Now()
+		l.Close(200 * time.Millisecond)
+		is.Equal(time.Since(began), 200*time.Millisecond)
+		_ = r.Close() // the writer ends
+	})
+}
