limits: the retry budget does not follow the wall clock

What could happen: a wall clock that is set forward renews a part of the retry budget.

Cause: sub-windows were counted from the Unix epoch. Now from the first use, by the difference of two times, which is that of the monotonic clock.

TestWindowIgnoresWallClock failed before. Looked for elsewhere: no other decision counts by UnixNano, UnixMilli or Unix of now.

--- a/limits/window.go
+++ b/limits/window.go
@@ -28,7 +28,8 @@
 	config   RetryWindowConfig
 	requests [subWindows + 1]int
 	retries  [subWindows + 1]int
-	newest   int64 // number of the newest sub-window, counted from the Unix epoch
+	began    time.Time // beginning of the first sub-window
+	newest   int64     // number of the newest sub-window
 }
 
 // NewRetryWindow returns an empty window.
@@ -64,9 +65,12 @@
 // index returns the position of the newest sub-window in the counts.
 func (w *RetryWindow) index() int { return int(w.newest % int64(len(w.requests))) }
 
-// advance clears the sub-windows that have left the window.
+// advance clears the sub-windows that have left the window. A step of the host's wall clock changes nothing.
 func (w *RetryWindow) advance(now time.Time) {
-	current := now.UnixNano() / int64(w.config.Window/subWindows)
+	if w.began.IsZero() {
+		w.began = now
+	}
+	current := int64(now.Sub(w.began) / (w.config.Window / subWindows))
 	steps := min(current-w.newest, int64(len(w.requests)))
 	for range max(0, steps) {
 		w.newest++
--- a/limits/window_test.go
+++ b/limits/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -53,6 +54,26 @@
 	is.True(w.AllowRetry(now.Add(12*time.Second), 4))
 }
 
+// atWallClock returns the same moment as read from a wall clock that was set forward by so many seconds.
+func atWallClock(t time.Time, forward uint64) time.Time {
+	const secondsShift = 30 // of the seconds in the first field of a time that has a monotonic reading
+	*(*uint64)(unsafe.Pointer(&t)) += forward << secondsShift
+	return t
+}
+
+// TestWindowIgnoresWallClock guards against a wall clock that is set forward and renews the retry budget.
+func TestWindowIgnoresWallClock(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	is.Equal(atWallClock(now, 60).Round(0).Sub(now.Round(0)), time.Minute)
+	is.Equal(atWallClock(now, 60).Sub(now), time.Duration(0))
+	w := NewRetryWindow(windowBounds)
+	for w.AllowRetry(now, 4) {
+	}
+	is.True(!w.AllowRetry(atWallClock(now, 60), 4))
+	is.True(w.AllowRetry(now.Add(12*time.Second), 4))
+}
+
 // TestWindowBound checks that no window holds more retries than the bound allows, whatever
 // the order of requests and retries at several gateways.
 func TestWindowBound(t *testing.T) {
