usersplatform: a reservation that has lapsed ends when it lapses, also if its worker crashes later

Soak reported 7.3 s of unused memory: the reservation had lapsed 4 s before its worker crashed, and the stand-in counted it until then.

Change: dropWorker ends what has lapsed first. TestLapsedReservationOfCrashed- Worker failed before.

--- a/internal/standin/usersplatform/memory.go
+++ b/internal/standin/usersplatform/memory.go
@@ -168,6 +168,7 @@
 func (m *Memory) dropWorker(worker string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.expire() // those that have lapsed ended then
 	for name, a := range m.reservations {
 		if a.worker == worker {
 			m.remove(name, time.Now())
