relay: a gateway that the store alone turns away does not keep endpoints that have left

The store had turned this gateway alone away from 16.5 to 23.5 s, and served the others; its proofs were never older than 0.8 s.

Cause: an entry that is missing within two seconds of a failed read may have expired with the store, and is kept. Reads of this gateway counted although the others' lists came all the time.

Change: a failed read of one's own says that the store is away only while nobody's list is newer than a missed read and a half (1.2 s). An entry takes three missed heartbeats to expire.

Ruled out: the peers' lists (the entry was missing in time), last resorts (18 candidates), a kept connection (no other line).

TestEndpointLeavesBesideFailedReads failed before.

--- a/relay/storereads.go
+++ b/relay/storereads.go
@@ -184,12 +184,13 @@
 	s.queriedAt = now
 }
 
-// recordRead records the result of a read of the store.
+// recordRead records the result of a read of the store. While others have read the list, only this gateway is turned
+// away, and no entry expires with the store.
 func (s *storeReads) recordRead(err error, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeLost = err != nil
-	if err != nil {
+	if err != nil && now.Sub(s.listedAt) > standbyAge {
 		s.failedAt = now
 	}
 }
--- a/relay/storereads_test.go
+++ b/relay/storereads_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -166,6 +167,43 @@
 	is.Equal(s.failedAt, later)
 }
 
+// TestEndpointLeavesBesideFailedReads guards against requests to an endpoint that has left, from a gateway that the store
+// turns away while it serves the others: the entry is missing in their lists since the endpoint is gone, not since the
+// store was. A store that serves nobody keeps its endpoints.
+func TestEndpointLeavesBesideFailedReads(t *testing.T) {
+	for name, tc := range map[string]struct {
+		listed time.Duration // time between the lists that others have read
+		kept   bool
+	}{
+		"turned away alone": {readInterval, false},
+		"nobody is served":  {4 * readInterval, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newMemoryTestGateway(t, nil).gateway
+				all := []catalog.Endpoint{{ID: "a", Service: "s", Address: "a:1"}, {ID: "b", Service: "s", Address: "b:1"}, {ID: "c", Service: "s", Address: "c:1"}}
+				g.storeReads.recordList(all, time.Now())
+				g.applyEndpoints()
+				began := time.Now()
+				for time.Since(began) < 8*readInterval {
+					time.Sleep(readRetryInterval)
+					g.storeReads.recordRead(fmt.Errorf("the store answered 503"), time.Now())
+					if g.storeReads.endpointsAge(time.Now()) >= tc.listed {
+						g.storeReads.recordList(all, time.Now())
+						g.applyEndpoints()
+					}
+				}
+				time.Sleep(readRetryInterval)
+				g.storeReads.recordList(all[1:], time.Now())
+				g.applyEndpoints()
+				_, usable := g.state.Endpoint("a")
+				is.Equal(usable, tc.kept)
+			})
+		})
+	}
+}
+
 // blockedSource is a store whose list of endpoints never completes.
 type blockedSource struct {
 	testSource
