platform, relay: a call that a requested backoff suppresses says nothing about the store

Cause: while a backoff lasts that the store has requested (up to 3 s), calls fail here, and counted as failures of the store.

TestBackoffIsNoFailedRead failed before (failedAt two seconds later).

--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -129,6 +129,10 @@
 // ErrNoConfiguration is returned by a Source while the operators have not written a configuration.
 var ErrNoConfiguration = errors.New("there is no configuration yet")
 
+// ErrStoreBackoff is in the errors of a Source that did not call the store, since the store has asked not to be called for
+// a while. It says nothing about the store at that time.
+var ErrStoreBackoff = errors.New("the store has requested a backoff")
+
 // InvalidConfigurationError is returned by a Source if the operators' entry exists and cannot be used.
 type InvalidConfigurationError struct {
 	Revision uint64 // of the entry
--- a/relay/storereads.go
+++ b/relay/storereads.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -190,7 +191,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeLost = err != nil
-	if err != nil && now.Sub(s.listedAt) > standbyAge {
+	if err != nil && !errors.Is(err, ErrStoreBackoff) && now.Sub(s.listedAt) > standbyAge {
 		s.failedAt = now
 	}
 }
--- a/relay/storereads_test.go
+++ b/relay/storereads_test.go
@@ -204,6 +204,18 @@
 	}
 }
 
+// TestBackoffIsNoFailedRead guards against endpoints that are kept though they have left, because calls that were not made
+// count as failures of a store that is back.
+func TestBackoffIsNoFailedRead(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := newStoreReads()
+	s.recordRead(fmt.Errorf("the store answered 503"), now)
+	s.recordRead(fmt.Errorf("read: %w", ErrStoreBackoff), now.Add(2*time.Second))
+	is.Equal(s.failedAt, now)
+	is.True(s.storeUnreachable())
+}
+
 // blockedSource is a store whose list of endpoints never completes.
 type blockedSource struct {
 	testSource
