--- a/e2e/matrix_mishap_test.go
+++ b/e2e/matrix_mishap_test.go
@@ -35,7 +35,9 @@
 	case orderDuplicated:
 		p.duplicateOrder()
 	case orderLate:
+		p.mu.Lock()
 		p.lateOrders = append(p.lateOrders, bytes.NewReader(p.order))
+		p.mu.Unlock()
 	case platformRefuses:
 		b.platform.SetFaults(standplatform.Faults{Outage: standplatform.OutageRefuse})
 	case platformFrozen:
@@ -106,7 +108,10 @@
 	})
 }
 
+// restartAgent starts an agent again. Several may be due at the same moment.
 func (p *cellRun) restartAgent(name string) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
 	if p.call {
 		p.b.agent(name, "bid-api", 0)
 		return
@@ -157,8 +162,11 @@
 }
 
 func (p *cellRun) deliverLate() {
-	for _, order := range p.lateOrders {
-		p.deliver(p.address, order)
+	p.mu.Lock()
+	orders, addr := p.lateOrders, p.address
+	p.mu.Unlock()
+	for _, order := range orders {
+		p.deliver(addr, order)
 	}
 }
 
--- a/e2e/matrix_play_test.go
+++ b/e2e/matrix_play_test.go
@@ -45,6 +45,7 @@
 	order      []byte // body of the first order
 	address    string // of the agent that received it
 	lateOrders []*bytes.Reader
+	restarting sync.Mutex // held while an agent is started again
 	ticket     string
 }
 
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -127,7 +127,11 @@
 		is := is.New(t)
 		f := newLimitFleetInCells(t, 1, 2, 2)
 		g := f.gateways[0]
-		g.state.Table().Services[0].ColdRate = 2
+		config := *g.state.Table().Configuration
+		config.Version++
+		config.Services = slices.Clone(config.Services)
+		config.Services[0].ColdRate = 2
+		is.True(g.state.ApplyConfiguration(&config))
 		list := []catalog.Endpoint{{ID: "e0", Service: "s", Slots: 10, ColdFor: 3 * time.Second}}
 		g.applyCold(list, time.Now())
 		time.Sleep(2 * time.Second)
--- a/relay/crashseries_test.go
+++ b/relay/crashseries_test.go
@@ -71,7 +71,9 @@
 	c := newCrashFleet(t, 1, 1, 1)
 	time.Sleep(time.Second)
 	e := c.gateways[0].state.Endpoints("s")[0]
-	return c, brokenExchange{subjects: &quarantine.Subjects{Request: quarantine.Request{Target: "/1"}}, endpoint: e, inUse: true, at: time.Now()}
+	subjects := &quarantine.Subjects{Request: quarantine.Request{Target: "/1"}}
+	subjects.All() // computes them before another goroutine reads them
+	return c, brokenExchange{subjects: subjects, endpoint: e, inUse: true, at: time.Now()}
 }
 
 // setDown sets whether the listener of the first engine is closed.
