--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test bench bench-virtual demo slopes spread overhead groups generate fmt
+.PHONY: all build test race bench bench-virtual demo slopes spread overhead groups generate fmt
 
 all: build
 
@@ -12,6 +12,14 @@
 test: ## Run every test, but for those that SKIP in the environment matches.
 	$(GO) test $${SKIP:+-skip "$$SKIP"} ./...
 
+# Packages with goroutines whose tests with the race detector take seconds. Those of e2e, relay, quarantine,
+# peers and the soak take minutes: go test -race ./... by hand.
+RACE_PACKAGES := ./daemon/... ./eventlog ./limits ./heldmemory/... ./catalog/... ./availability ./boundedconn ./pushlistener \
+	./upstream ./stall/... ./crashprobe ./health ./balance ./ratelimit ./gateway ./agent ./admission
+
+race: ## Run the tests of these packages with the race detector.
+	$(GO) test -race $(RACE_PACKAGES)
+
 demo: build ## Run the whole product on loopback for about half a minute.
 	$(GO) run ./internal/demo --bin $(BIN)
 
