soak: a rejection that crosses its client's leave asks for no backoff

Read whole: request c12-24 was sent at 39.641, its client left at 39.670, the gateway closed its connection to the worker at 39.671 ("caller-gone", "sent: context canceled"); the worker had it at 39.676 and rejected it with the backoff, into a connection that was closed. The gateway sent three more within the backoff, and stopped at the next rejection ("Endpoint asks for rest.", c8-26). It never had the first.

So the check leaves out a backoff in a response to a request whose client left before it had one.

--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -83,9 +83,11 @@
 type backoffUse struct {
 	incarnation
 	gateway     string
+	rejected    string // id of the request with whose rejection it was requested
 	requestedAt time.Time
 	backoff     time.Duration
 	received    int
+	requests    []string // ids of those, and when they arrived
 }
 
 // checkBackoffs verifies that no worker receives more requests than tolerated from a gateway of
@@ -101,7 +103,8 @@
 }
 
 // backoffUses returns what each worker received in its backoffs. A backoff whose response may have
-// been lost in transit is left out, and so are requests whose gateway was disrupted since.
+// been lost in transit is left out, and so are requests whose gateway was disrupted since. So is the backoff in a
+// response to a request whose client left before it had one: its gateway had closed the connection.
 func backoffUses(all []request, f *facts) (out []backoffUse) {
 	byID := indexByID(all)
 	incarnations, _ := f.arrivals()
@@ -109,14 +112,15 @@
 		for i, a := range arrivals {
 			backoff, ok := parseBackoff(a.Statement.Backoff)
 			x := byID[a.ID]
-			if x == nil || !ok || f.lossyDuring(l.worker, a.At, a.At) {
+			if x == nil || !ok || x.abandoned && x.err != nil || f.lossyDuring(l.worker, a.At, a.At) {
 				continue
 			}
-			u := backoffUse{incarnation: l, gateway: x.gateway, requestedAt: a.At, backoff: backoff}
+			u := backoffUse{incarnation: l, gateway: x.gateway, rejected: a.ID, requestedAt: a.At, backoff: backoff}
 			for _, b := range arrivals[i+1:] {
 				since := b.At.Sub(a.At)
 				if y := byID[b.ID]; y != nil && y.gateway == u.gateway && since >= backoffNoticeTime && since < backoff && !f.disruptedDuring(u.gateway, a.At, b.At) && !f.lossyDuring(l.worker, a.At, b.At) {
 					u.received++
+					u.requests = append(u.requests, fmt.Sprintf("%s at +%v", b.ID, since.Round(time.Millisecond)))
 				}
 			}
 			out = append(out, u)
