daemon/keepalive: what came after a large head is not lost

Found by reading, and shown by a new property before any caller saw it: a head of more than 4 KiB that came together with the beginning of its body, or of the next request, was kept back as one; net/http took the head in parts, and what it had not taken when the head was parsed was dropped.

Change: what is kept back stays until it is handed out; the state of the scan is that of one head. What is left of it when a response is complete is the beginning of the next request.

--- a/daemon/keepalive/conn.go
+++ b/daemon/keepalive/conn.go
@@ -49,7 +49,9 @@
 	beganAt   time.Time // when the phase begun began
 	readAhead bool      // whether a byte of the next request was read while the current one is served
 	head      head      // of the request that has begun
-	handsOut  bool      // whether a complete head that was kept back is handed out
+	held      heldBytes // kept back until the head is complete
+	handsOut  bool      // whether it is, and what is held is handed out
+	unscanned bool      // whether that is the beginning of the next request
 	reading   bool      // whether a read is under way
 	readsBody bool      // whether it is one of a body
 	woken     bool      // whether its deadline was moved to the past
@@ -65,7 +67,7 @@
 // Read implements net.Conn. It returns nothing of a request before its head is complete, and io.EOF in place of waiting
 // for a request that may not begin any more. If the rest of a head is not awaited any more, it refuses the request.
 func (c *Conn) Read(p []byte) (int, error) {
-	if n := c.takeHead(p); n > 0 {
+	if n := c.takeHeld(p); n > 0 {
 		return n, nil
 	}
 	for {
@@ -144,13 +146,10 @@
 	}
 }
 
-// bytesRead notes that a read into p has returned n bytes. net/http reads a single byte ahead while a handler runs.
+// bytesRead notes that a read into p has returned n bytes.
 func (c *Conn) bytesRead(p []byte, n int) readStep {
 	if c.phase == serving {
-		if len(p) == 1 {
-			c.readAhead = true
-			c.head.scan(p)
-		}
+		c.bytesServed(p, n)
 		return readStep{n: n}
 	}
 	if c.phase != begun || c.woken {
@@ -178,29 +177,51 @@
 	case c.head.tooManyLines() && complete:
 		return readStep{status: http.StatusRequestHeaderFieldsTooLarge}
 	case c.head.tooManyLines():
-		c.head.release()
+		c.held.release()
 		return readStep{again: true}
-	case complete && len(c.head.held) == 0:
+	case complete && len(c.held.text) == 0:
 		return readStep{n: n}
-	case !c.head.hold(p[:n], c.conns.memory):
+	case !c.held.hold(p[:n], c.conns.memory):
 		return readStep{status: http.StatusServiceUnavailable}
 	case complete:
-		c.handsOut = true
-		return readStep{n: c.head.take(p)}
+		return readStep{n: c.handOut(p)}
 	default:
 		return readStep{again: true}
 	}
 }
 
-// takeHead hands out more of a complete head that was kept back.
-func (c *Conn) takeHead(p []byte) int {
+// bytesServed notes that n bytes were handed out in p while a request is served. net/http reads a single byte ahead while
+// a handler runs.
+func (c *Conn) bytesServed(p []byte, n int) {
+	if len(p) == 1 {
+		c.readAhead = true
+		c.head.scan(p[:n])
+	}
+}
+
+// takeHeld hands out more of what was kept back until a head was complete. What came after it belongs to the body, or to
+// further requests.
+func (c *Conn) takeHeld(p []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.handsOut {
 		return 0
 	}
-	n := c.head.take(p)
-	c.handsOut = len(c.head.held) > 0
+	n := c.handOut(p)
+	switch {
+	case c.phase == serving:
+		c.bytesServed(p, n)
+	case c.unscanned:
+		c.head.scan(p[:n])
+		c.unscanned = c.handsOut
+	}
+	return n
+}
+
+// handOut moves what is held to p.
+func (c *Conn) handOut(p []byte) int {
+	n := c.held.take(p)
+	c.handsOut = len(c.held.text) > 0
 	return n
 }
 
@@ -258,7 +279,8 @@
 func (c *Conn) answered() {
 	c.conns.busy.Add(-1)
 	c.phase, c.wait, c.idleSince = idle, idleWait, time.Now()
-	if c.readAhead {
+	c.unscanned = c.handsOut
+	if c.readAhead || c.handsOut {
 		c.readAhead = false
 		c.begin(begun)
 	}
@@ -300,7 +322,7 @@
 	c.mu.Lock()
 	ended := !c.closed && (c.phase == begun || c.phase == serving)
 	c.closed = true
-	c.head.release()
+	c.held.release()
 	c.mu.Unlock()
 	if ended {
 		c.conns.busy.Add(-1)
--- a/daemon/keepalive/head.go
+++ b/daemon/keepalive/head.go
@@ -23,8 +23,12 @@
 	line  lineState // of the line that is not complete
 	ended bool      // whether the end was found
 	size  int
+}
 
-	held    []byte // what is kept back; empty if the head came at once
+// heldBytes are bytes that were read and are not handed out: of a head that is not complete, or that is, with what came
+// after it.
+type heldBytes struct {
+	text    []byte
 	counted *heldmemory.Body
 }
 
@@ -39,7 +43,7 @@
 
 // scan looks for the end of the head in the bytes that follow.
 func (h *head) scan(p []byte) {
-	if h.ended { // of empty lines before the request, which net/http skips
+	if h.ended { // the end of empty lines before the request, which net/http skips
 		h.lines, h.line, h.ended = 0, lineEmpty, false
 	}
 	h.size += len(p)
@@ -77,24 +81,24 @@
 // tooManyLines reports whether the head is refused for the number of its lines.
 func (h *head) tooManyLines() bool { return h.lines > maxHeadLines }
 
-// hold keeps back bytes of a head. It reports false if there is no memory for them.
-func (h *head) hold(p []byte, memory *heldmemory.Bodies) bool {
-	size := max(cap(h.held), firstHeadBytes)
-	for size < len(h.held)+len(p) {
+// hold keeps back bytes. It reports false if there is no memory for them.
+func (h *heldBytes) hold(p []byte, memory *heldmemory.Bodies) bool {
+	size := max(cap(h.text), firstHeadBytes)
+	for size < len(h.text)+len(p) {
 		size *= 2
 	}
-	if size > cap(h.held) {
+	if size > cap(h.text) {
 		if size > firstHeadBytes && !h.count(size, memory) {
 			return false
 		}
-		h.held = append(make([]byte, 0, size), h.held...)
+		h.text = append(make([]byte, 0, size), h.text...)
 	}
-	h.held = append(h.held, p...)
+	h.text = append(h.text, p...)
 	return true
 }
 
 // count counts what is kept back. The first buffer does not count: heads of sound callers that arrive in parts fit in.
-func (h *head) count(size int, memory *heldmemory.Bodies) bool {
+func (h *heldBytes) count(size int, memory *heldmemory.Bodies) bool {
 	if h.counted == nil {
 		h.counted = memory.NewHead()
 	}
@@ -102,18 +106,18 @@
 }
 
 // take moves bytes that were kept back to p.
-func (h *head) take(p []byte) int {
-	n := copy(p, h.held)
-	h.held = h.held[n:]
-	if len(h.held) == 0 {
+func (h *heldBytes) take(p []byte) int {
+	n := copy(p, h.text)
+	h.text = h.text[n:]
+	if len(h.text) == 0 {
 		h.release()
 	}
 	return n
 }
 
 // release drops what is kept back.
-func (h *head) release() {
-	h.held = nil
+func (h *heldBytes) release() {
+	h.text = nil
 	h.counted.Release()
 	h.counted = nil
 }
--- a/daemon/keepalive/head_test.go
+++ b/daemon/keepalive/head_test.go
@@ -1,6 +1,8 @@
 package keepalive
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/micarudder/micarudder/heldmemory"
+	"github.com/micarudder/micarudder/internal/standin/pipe"
 )
 
 // fields returns so many header fields of this size.
@@ -189,3 +192,53 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestRequestsAreUnchanged: whatever the sizes of heads and bodies, and in whatever parts they are sent, the handler gets
+// the requests that were sent, and their caller the responses.
+func TestRequestsAreUnchanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := pipe.Listen()
+		defer func() { _ = l.Close() }()
+		conns := New(Options{})
+		srv := &http.Server{ReadHeaderTimeout: time.Minute, MaxHeaderBytes: 64 << 10, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			_, _ = fmt.Fprintf(w, "%s %d %x %v", r.URL.Path, len(r.Header), body, err)
+		})}
+		go func() { _ = conns.Serve(srv, l) }()
+		defer func() { _ = srv.Close() }()
+		conn, err := l.Dial(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		var sent strings.Builder
+		var want []string
+		for i := range rapid.IntRange(1, 4).Draw(t, "requests") {
+			body := strings.Repeat(string(rune('a'+i)), rapid.IntRange(0, 9000).Draw(t, "body"))
+			count := rapid.IntRange(0, 12).Draw(t, "fields")
+			fmt.Fprintf(&sent, "POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\n%s", i, len(body), fields(count, 1000), body)
+			want = append(want, fmt.Sprintf("/%d %d %x <nil>", i, count+1, body))
+		}
+		go func() {
+			for rest := sent.String(); rest != ""; {
+				n := min(len(rest), rapid.SampledFrom([]int{1 << 20, 5000, 4096, 700}).Example(len(rest)))
+				if _, err := io.WriteString(conn, rest[:n]); err != nil {
+					return
+				}
+				rest = rest[n:]
+			}
+		}()
+		responses := bufio.NewReader(conn)
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		for i := range want {
+			res, err := http.ReadResponse(responses, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(res.Body)
+			if err != nil || string(got) != want[i] {
+				t.Fatalf("request %d: %d bytes %.60q, want %d bytes %.60q, %v", i, len(got), got, len(want[i]), want[i], err)
+			}
+		}
+	})
+}
