upstream: a response that ends with its connection is complete only if the endpoint closed it

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was written; the caller got that part as a complete response.

Cause: the kernel reports the failure of a connection to one call only, whichever asks first. Here that is the goroutine that writes the upload, whose error nobody needs; the read of the response then gets io.EOF, which ends a response without a length. The same holds for a peer that does not acknowledge (ETIMEDOUT). Ruled out: openAndEmpty and the watch of the context, which take no error; uploads that one write sends, since no write waits beside the read.

Change: httpresponse.Conn, from which all responses of endpoints are read. At io.EOF it asks the kernel how the connection ended: it broke if it is closed on both sides and no FIN was received. A FIN takes a number of the sequence, so that the kernel counts one byte more than were read.

Why it holds: nothing depends on which call learns first, or on when. Weighed: to wait for the writer and count its error, which loses responses of endpoints that close their half and do not read the upload, and cannot tell a timeout before the FIN from one after it.

--- /dev/null
+++ b/internal/httpresponse/conn.go
@@ -0,0 +1,70 @@
+// Package httpresponse decides whether a response that ends with its connection has ended or broken off.
+package httpresponse
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrBroken is the error of a read from a connection that ended although its peer had not closed it.
+var ErrBroken = errors.New("the connection broke")
+
+// Conn is a connection to a server that tells a close by the server from a failure of the connection. The kernel reports a
+// failure to one call only: if that is a write, a read gets io.EOF. Only one Read may run at a time.
+type Conn struct {
+	net.Conn
+	received uint64 // bytes that were read
+}
+
+// NewConn returns a connection over c, from which nothing has been read.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// NetConn returns the underlying connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn. It fails with ErrBroken where the underlying connection returns io.EOF after a failure.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received += uint64(n)
+	if err == io.EOF && c.broken() {
+		err = ErrBroken
+	}
+	return n, err
+}
+
+// broken reports whether a connection of which everything was read has ended without a FIN of its peer. A FIN occupies a
+// byte of the sequence of those received, so that the kernel counts one more than were read.
+func (c *Conn) broken() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoErr != nil {
+		return false
+	}
+	return info.State == unix.BPF_TCP_CLOSE && info.Bytes_received <= c.received
+}
+
+// SyscallConn implements syscall.Conn. It fails with errors.ErrUnsupported if the connection is not a socket.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	inner := c.Conn
+	for {
+		if socket, ok := inner.(syscall.Conn); ok {
+			return socket.SyscallConn()
+		}
+		wrapper, ok := inner.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, errors.ErrUnsupported
+		}
+		inner = wrapper.NetConn()
+	}
+}
--- /dev/null
+++ b/relay/broken_test.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/catalog"
+)
+
+// longUpload is more than the kernel holds for an endpoint that does not read.
+const longUpload = 16 << 20
+
+// serveConns calls serve for each connection to a new listener, with its number, counted from 1. It returns the
+// address.
+func serveConns(t *testing.T, serve func(n int, c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var accepted atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(int(accepted.Add(1)), c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// newRawGateway starts a gateway with two endpoints at one address, where serve is called for each connection.
+func newRawGateway(t *testing.T, serve func(n int, c *net.TCPConn)) *testGateway {
+	t.Helper()
+	b := newTestGateway(t, nil)
+	address := serveConns(t, serve)
+	b.source.endpoints = []catalog.Endpoint{{ID: "a", Service: "s", Address: address, Slots: 4}, {ID: "b", Service: "s", Address: address, Slots: 4}}
+	b.readSource()
+	return b
+}
+
+const (
+	event = "id: 1\ndata: x\n\n"
+	// okHead and eventBody are parts of a complete response.
+	okHead    = "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n"
+	eventBody = "Content-Length: 15\r\n\r\n" + event
+)
+
+// writeSound reads a request and writes a complete response to it, which any route takes for one.
+func writeSound(c *net.TCPConn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	body := event
+	if r.Header.Get("After") == "1" {
+		body = ""
+	}
+	w := bufio.NewWriter(c)
+	writeResponse(w, "200 OK", "Seal: s\r\nConnection: close\r\n", body)
+	_ = w.Flush()
+}
+
+// checkNotDelivered sends a request to each kind of route, whose first attempt is served by broken. What may be repeated has
+// to be served by the next attempt; of anything else the caller has to learn that it may have run.
+func checkNotDelivered(t *testing.T, upload string, broken func(c *net.TCPConn)) {
+	t.Helper()
+	for _, route := range []string{"safe", "once", "stream", "story"} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			b := newRawGateway(t, func(n int, c *net.TCPConn) {
+				if n > 1 {
+					writeSound(c)
+					return
+				}
+				broken(c)
+			})
+			got := b.send(t.Context(), http.MethodPost, "/"+route+"/a", upload, nil)
+			if route == "safe" || route == "stream" {
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusOK)
+				is.Equal(got.body, event)
+				return
+			}
+			if got.err == nil { // otherwise the connection was closed before the end of the response
+				is.Equal(got.status, http.StatusBadGateway)
+				is.Equal(got.header.Get("Seal"), "")
+				is.Equal(got.body, "")
+			}
+		})
+	}
+}
+
+// answerAndClose returns an endpoint that reads a request, writes the response and closes the connection.
+func answerAndClose(response string) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, response)
+	}
+}
+
+// TestResetDuringUpload guards against a response without a length that reaches a caller as complete, although the endpoint
+// has reset its connection while the request was sent.
+func TestResetDuringUpload(t *testing.T) {
+	upload := strings.Repeat("x", longUpload)
+	for name, response := range map[string]string{"with a part of the body": okHead + "\r\n" + event, "without a body": okHead + "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			checkNotDelivered(t, upload, func(c *net.TCPConn) {
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, response)
+				reset(c)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/upstream/broken_test.go
@@ -0,0 +1,149 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const (
+	unframedHead = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n"
+	// longBody is more than the kernel holds for an endpoint that does not read.
+	longBody = 16 << 20
+)
+
+// writeNotifier closes failed once a write to the connection has failed.
+type writeNotifier struct {
+	net.Conn
+	failed chan struct{}
+}
+
+func (c *writeNotifier) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		close(c.failed)
+	}
+	return n, err
+}
+
+func (c *writeNotifier) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
+// dialNotifier returns a dialer of one connection, and a channel that is closed once a write to it has failed.
+func dialNotifier() (func(context.Context, string) (net.Conn, error), <-chan struct{}) {
+	failed := make(chan struct{})
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return &writeNotifier{c, failed}, nil
+	}, failed
+}
+
+func post(body []byte) *Request {
+	r := get("r1")
+	r.Method, r.Body = http.MethodPost, body
+	return r
+}
+
+// TestResetDuringUpload guards against a response without a length that passes for complete although its connection was
+// reset. The kernel reports a reset only once: if a write gets that error, a read gets the end of the connection.
+func TestResetDuringUpload(t *testing.T) {
+	for _, bounded := range []bool{false, true} {
+		for _, part := range []string{"", "part", strings.Repeat("part", 4<<10)} {
+			t.Run(strconv.FormatBool(bounded)+"/"+strconv.Itoa(len(part)), func(t *testing.T) {
+				is := is.New(t)
+				answered := make(chan struct{})
+				e := listen(t, func(_ int, c *net.TCPConn) {
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_, _ = io.WriteString(c, unframedHead+part)
+					<-answered
+					_ = c.SetLinger(0)
+					_ = c.Close()
+				})
+				dial, writeFailed := dialNotifier()
+				o := Options{Dialer: dial}
+				if bounded {
+					o.SlowReaderTimeout = testTimeout
+				}
+				client := New(o)
+				defer client.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+				defer cancel()
+				res, err := client.Do(ctx, "e", e.Addr().String(), post(make([]byte, longBody)))
+				is.NoErr(err)
+				defer res.Body.Close()
+				got := make([]byte, len(part))
+				_, err = io.ReadFull(res.Body, got)
+				is.NoErr(err)
+				close(answered)
+				<-writeFailed
+				_, err = io.ReadAll(res.Body)
+				is.True(err != nil) // not the end of a complete response
+			})
+		}
+	}
+}
+
+// TestResponseBeforeUploadIsRead guards against a complete response that is lost, because the endpoint has sent it before it
+// has read the request, and reads the rest, does not, or resets the connection afterwards.
+func TestResponseBeforeUploadIsRead(t *testing.T) {
+	heads := map[string]string{
+		"with a length":            "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\npart",
+		"in chunks":                "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+		"without a length":         unframedHead + "part",
+		"HTTP/1.0":                 "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\npart",
+		"HTTP/1.0, without length": "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\n\r\npart",
+	}
+	ends := map[string]func(c *net.TCPConn, upload io.Reader, received <-chan struct{}){
+		"reads all and closes": func(c *net.TCPConn, upload io.Reader, _ <-chan struct{}) {
+			_, _ = io.Copy(io.Discard, upload)
+			_ = c.Close()
+		},
+		"closes half and reads": func(c *net.TCPConn, upload io.Reader, _ <-chan struct{}) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, upload)
+		},
+		"closes half and never reads": func(c *net.TCPConn, _ io.Reader, received <-chan struct{}) {
+			_ = c.CloseWrite()
+			<-received
+			_ = c.Close()
+		},
+		"closes half, then resets": func(c *net.TCPConn, upload io.Reader, _ <-chan struct{}) {
+			_ = c.CloseWrite()
+			_, _ = io.CopyN(io.Discard, upload, longBody/2) // the client has received the end by then
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		},
+	}
+	for form, response := range heads {
+		for end, finish := range ends {
+			t.Run(form+"/"+end, func(t *testing.T) {
+				is := is.New(t)
+				received := make(chan struct{})
+				defer close(received)
+				e := listen(t, func(_ int, c *net.TCPConn) {
+					r, err := http.ReadRequest(bufio.NewReader(c))
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, response)
+					finish(c, r.Body, received)
+				})
+				got, err := exchange(newClient(), e, post(make([]byte, longBody)))
+				is.NoErr(err)
+				is.Equal(got, "part")
+			})
+		}
+	}
+}
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -59,15 +59,11 @@
 
 // openAndEmpty reports whether an idle connection is open and has no bytes to read. A
 // connection with unread bytes is unusable, since they belong to no request.
-func openAndEmpty(c net.Conn) bool {
-	if bounded, ok := c.(*boundedconn.Conn); ok {
-		c = bounded.NetConn()
-	}
-	sc, ok := c.(syscall.Conn)
-	if !ok {
+func openAndEmpty(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
 		return true // not a socket: a connection supplied by a test
 	}
-	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/heldmemory"
+	"github.com/micarudder/micarudder/internal/httpresponse"
 )
 
 // Stage is how far a request got before its exchange failed.
@@ -241,7 +242,7 @@
 
 // conn is one connection to an endpoint.
 type conn struct {
-	net.Conn
+	*httpresponse.Conn
 	key          string
 	address      string
 	head         *headLimiter
@@ -257,8 +258,9 @@
 }
 
 func newConn(nc net.Conn, key, address string) *conn {
-	head := &headLimiter{conn: nc}
-	return &conn{Conn: nc, key: key, address: address, head: head, br: bufio.NewReaderSize(head, readBuffer)}
+	c := httpresponse.NewConn(nc)
+	head := &headLimiter{conn: c}
+	return &conn{Conn: c, key: key, address: address, head: head, br: bufio.NewReaderSize(head, readBuffer)}
 }
 
 // close closes the connection and stops watching the context.
@@ -324,7 +326,7 @@
 	}
 	go func() {
 		buffers := net.Buffers{head, r.Body}
-		if _, err := buffers.WriteTo(c.Conn); err == nil {
+		if _, err := buffers.WriteTo(c.NetConn()); err == nil {
 			c.written.Store(true)
 		}
 	}()
