upstream: a status outside 100 to 599, or a switch of protocols, is no response

Callers saw: an endpoint in trouble answered with status 000; the caller's connection was closed without an answer, also where another endpoint could have served the request, and nothing was logged. 600 and 999 reached callers of requests that cannot be repeated, and 101 all callers, as a final answer that nobody had asked for.

Cause: http.ReadResponse checks the length and the sign of a status only ("+20" is one too), and nothing else checked it. A status below 100 made http.ResponseWriter.WriteHeader panic, which ended the handler.

Change: httpresponse.CheckHead decides on each head that upstream reads, interim ones included, right after it is parsed. A malformed head fails the exchange as bytes that are no response do: the endpoint may have run the request, its connection is closed, the reason is the error of the attempt, and the outcome for the endpoint is BadResponse.

--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -1,4 +1,5 @@
-// Package httpresponse decides whether a response that ends with its connection has ended or broken off.
+// Package httpresponse decides whether what a server sent is an HTTP/1 response, and whether one that ends with its
+// connection has ended or broken off. Both are stricter than net/http, which reads the responses.
 package httpresponse
 
 import (
--- /dev/null
+++ b/internal/httpresponse/head.go
@@ -0,0 +1,31 @@
+package httpresponse
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// MalformedError says why a head is not that of a response.
+type MalformedError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string { return "malformed response: " + e.Reason }
+
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// CheckHead returns a MalformedError if the head of an interim or a final response violates RFC 9110 or 9112 where
+// net/http accepts it.
+func CheckHead(res *http.Response) error {
+	switch {
+	case res.StatusCode < minStatus || res.StatusCode > maxStatus:
+		return &MalformedError{fmt.Sprintf("status %q", res.Status)}
+	case res.StatusCode == http.StatusSwitchingProtocols:
+		return &MalformedError{"a switch of protocols that no request asks for"}
+	}
+	return nil
+}
--- a/relay/broken_test.go
+++ b/relay/broken_test.go
@@ -130,3 +130,12 @@
 		})
 	}
 }
+
+// TestMalformedStatus guards against a status that is none and reaches a caller, or ends its request without an answer.
+func TestMalformedStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999", "+20", "-00", "20", "20x", "101 Switching Protocols"} {
+		t.Run(status, func(t *testing.T) {
+			checkNotDelivered(t, "", answerAndClose("HTTP/1.1 "+status+"\r\nId: r1\r\nSeal: s\r\n"+eventBody))
+		})
+	}
+}
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/micarudder/micarudder/internal/httpresponse"
 )
 
 const (
@@ -147,3 +150,45 @@
 		}
 	}
 }
+
+const okFields = "Request-Id: r1\r\nContent-Length: 2\r\n"
+
+// checkMalformed checks that a response with this head, to the request or interim, fails its exchange, and that its
+// connection is not used again.
+func checkMalformed(t *testing.T, heads map[string]string) {
+	t.Helper()
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := listen(t, func(_ int, c *net.TCPConn) {
+				br := bufio.NewReader(c)
+				for response := head + "\r\nhi"; ; response = okResponse {
+					if _, err := readRequest(br); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, response)
+				}
+			})
+			client := newClient()
+			defer client.Close()
+			_, err := exchange(client, e, get("r1"))
+			var malformed *httpresponse.MalformedError
+			is.True(errors.As(err, &malformed))
+			is.Equal(stage(err), Sent) // the endpoint may have run the request
+			is.True(!client.HasIdle("e", 0))
+		})
+	}
+}
+
+// TestMalformedStatus guards against a status that is none and passes for that of a response.
+func TestMalformedStatus(t *testing.T) {
+	checkMalformed(t, map[string]string{
+		"000":                "HTTP/1.1 000 Unknown\r\n" + okFields,
+		"below the smallest": "HTTP/1.1 099 Unknown\r\n" + okFields,
+		"above the largest":  "HTTP/1.1 600 Unknown\r\n" + okFields,
+		"999":                "HTTP/1.1 999 Unknown\r\n" + okFields,
+		"positive sign":      "HTTP/1.1 +20 OK\r\n" + okFields,
+		"negative sign":      "HTTP/1.1 -00 OK\r\n" + okFields,
+		"switch of protocols that was not asked for": "HTTP/1.1 101 Switching Protocols\r\n" + okFields,
+	})
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -385,7 +385,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode/100 == 1 && res.StatusCode != http.StatusSwitchingProtocols {
+		if err := httpresponse.CheckHead(res); err != nil {
+			return nil, err
+		}
+		if res.StatusCode/100 == 1 {
 			continue
 		}
 		if r.EchoHeader == "" || res.Header.Get(r.EchoHeader) == r.Header.Get(r.EchoHeader) {
