upstream: a header field whose name is no token makes a head malformed

Callers saw: an endpoint in trouble wrote "Transfer-Encoding : chunked"; the caller got the framing of the chunks as the body of a complete response. "Content-Length : 2" made a body that ends with its connection, and other such lines were dropped while the rest passed for sound.

Cause: net/textproto accepts blanks in the name of a field and keeps the name as it is, so that net/http does not find the field. Control bytes, separators, an empty name and a missing colon it refuses already.

Change: httpresponse.CheckHead refuses a name that httpguts does not take for a token, as RFC 9112 (5.1) asks of a gateway; also in interim responses and in those to other requests.

Control bytes, separators and the rest held before and are kept in the test.

--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedError says why a head is not that of a response.
@@ -27,5 +29,10 @@
 	case res.StatusCode == http.StatusSwitchingProtocols:
 		return &MalformedError{"a switch of protocols that no request asks for"}
 	}
+	for name := range res.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedError{fmt.Sprintf("name of a header field %q", name)}
+		}
+	}
 	return nil
 }
--- a/relay/broken_test.go
+++ b/relay/broken_test.go
@@ -139,3 +139,26 @@
 		})
 	}
 }
+
+// TestMalformedFieldName guards against a header field whose name holds a blank or a control byte, and after which a caller
+// gets as complete what is not the body of the endpoint.
+func TestMalformedFieldName(t *testing.T) {
+	const chunks = "f\r\n" + event + "\r\n0\r\n\r\n"
+	for name, response := range map[string]string{
+		"blank before the colon of the coding": okHead + "Transfer-Encoding : chunked\r\n\r\n" + chunks,
+		"blank before the colon of the length": okHead + "Content-Length : 2\r\n\r\n" + event,
+		"blank within a name":                  okHead + "Bad Name: x\r\n" + eventBody,
+		"blank before the first name":          "HTTP/1.1 200 OK\r\n Id: r1\r\nId: r1\r\nSeal: s\r\n" + eventBody,
+		"tab":                                  okHead + "Bad\tName: x\r\n" + eventBody,
+		"control byte":                         okHead + "Bad\x01Name: x\r\n" + eventBody,
+		"zero byte":                            okHead + "Bad\x00: x\r\n" + eventBody,
+		"delete":                               okHead + "Bad\x7f: x\r\n" + eventBody,
+		"carriage return":                      okHead + "Bad\r: x\r\n" + eventBody,
+		"separator":                            okHead + "Bad(Name): x\r\n" + eventBody,
+		"empty":                                okHead + ": x\r\n" + eventBody,
+		"no colon":                             okHead + "Name\r\n" + eventBody,
+		"control byte in a value":              okHead + "Name: x\x01y\r\n" + eventBody,
+	} {
+		t.Run(name, func(t *testing.T) { checkNotDelivered(t, "", answerAndClose(response)) })
+	}
+}
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -192,3 +192,16 @@
 		"switch of protocols that was not asked for": "HTTP/1.1 101 Switching Protocols\r\n" + okFields,
 	})
 }
+
+// TestMalformedFieldName guards against a header field whose name holds a blank, which is left out of the header or of the
+// framing of the body, so that the rest passes for a response.
+func TestMalformedFieldName(t *testing.T) {
+	checkMalformed(t, map[string]string{
+		"blank before the colon":              "HTTP/1.1 200 OK\r\n" + okFields + "Name : x\r\n",
+		"blank within the name":               "HTTP/1.1 200 OK\r\n" + okFields + "Bad Name: x\r\n",
+		"of the length":                       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length : 2\r\n",
+		"of the request's id":                 "HTTP/1.1 200 OK\r\nRequest-Id : r1\r\nContent-Length: 2\r\n",
+		"in an interim response":              "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\nHTTP/1.1 200 OK\r\n" + okFields,
+		"in a response to some other request": "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nName : x\r\nContent-Length: 0\r\n\r\n" + "HTTP/1.1 200 OK\r\n" + okFields,
+	})
+}
