upstream: a status line of another protocol or with control bytes is malformed

Callers saw: a response that begins with HTTP/2.0 or HTTP/0.9, or whose reason holds a control byte, passed for sound where the request cannot be repeated as well as elsewhere.

Cause: http.ReadResponse accepts any version of one digit each and does not look at the reason.

Change: two cases of httpresponse.CheckHead. Any HTTP/1 version is accepted as before.

--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -24,6 +24,10 @@
 // net/http accepts it.
 func CheckHead(res *http.Response) error {
 	switch {
+	case res.ProtoMajor != 1:
+		return &MalformedError{fmt.Sprintf("protocol %q", res.Proto)}
+	case !httpguts.ValidHeaderFieldValue(res.Status):
+		return &MalformedError{fmt.Sprintf("control byte in the status line %q", res.Status)}
 	case res.StatusCode < minStatus || res.StatusCode > maxStatus:
 		return &MalformedError{fmt.Sprintf("status %q", res.Status)}
 	case res.StatusCode == http.StatusSwitchingProtocols:
--- a/relay/broken_test.go
+++ b/relay/broken_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -162,3 +163,13 @@
 		t.Run(name, func(t *testing.T) { checkNotDelivered(t, "", answerAndClose(response)) })
 	}
 }
+
+// TestMalformedStatusLine guards against a status line of another protocol, or with control bytes, that passes for one of
+// HTTP/1.
+func TestMalformedStatusLine(t *testing.T) {
+	for _, line := range []string{"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK", "HTTP/1.1200", "200 OK"} {
+		t.Run(strconv.Quote(line), func(t *testing.T) {
+			checkNotDelivered(t, "", answerAndClose(line+"\r\nId: r1\r\nSeal: s\r\n"+eventBody))
+		})
+	}
+}
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -205,3 +205,15 @@
 		"in a response to some other request": "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nName : x\r\nContent-Length: 0\r\n\r\n" + "HTTP/1.1 200 OK\r\n" + okFields,
 	})
 }
+
+// TestMalformedStatusLine guards against a status line of another protocol, or with control bytes, that passes for one of
+// HTTP/1.
+func TestMalformedStatusLine(t *testing.T) {
+	checkMalformed(t, map[string]string{
+		"HTTP/2.0":                   "HTTP/2.0 200 OK\r\n" + okFields,
+		"HTTP/0.9":                   "HTTP/0.9 200 OK\r\n" + okFields,
+		"control byte in the reason": "HTTP/1.1 200 O\x01K\r\n" + okFields,
+		"zero byte in the reason":    "HTTP/1.1 200 OK\x00\r\n" + okFields,
+		"carriage return":            "HTTP/1.1 200 O\rK\r\n" + okFields,
+	})
+}
