upstream, relay: tests of responses that end within their head or their body

Operators of like systems saw clients get a 200 with an empty or short body after an endpoint had stopped in the middle of a head. Here it does not happen: heads of eight forms, cut after each byte, by a close and by a reset, fail their exchange, and so do bodies cut before their length or their last chunk.

--- a/relay/broken_test.go
+++ b/relay/broken_test.go
@@ -173,3 +173,23 @@
 		})
 	}
 }
+
+// TestCutResponse guards against a response whose head or body has ended too early and reaches a caller as complete.
+func TestCutResponse(t *testing.T) {
+	const chunked = okHead + "Transfer-Encoding: chunked\r\n\r\nf\r\n"
+	for name, response := range map[string]string{
+		"status line":                      "HTTP/1.1 200",
+		"no field":                         "HTTP/1.1 200 OK\r\n",
+		"name of a field":                  okHead + "Content-Le",
+		"value of a field":                 okHead + "Content-Length: 1",
+		"no blank line":                    okHead,
+		"last byte of the head missing":    okHead + "\r",
+		"body with a length":               okHead + "Content-Length: 15\r\n\r\nid: 1\n",
+		"no body":                          okHead + "Content-Length: 15\r\n\r\n",
+		"chunk":                            chunked + "id: 1\n",
+		"no last chunk":                    chunked + event + "\r\n",
+		"last byte of the framing missing": chunked + event + "\r\n0\r\n\r",
+	} {
+		t.Run(name, func(t *testing.T) { checkNotDelivered(t, "", answerAndClose(response)) })
+	}
+}
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -217,3 +218,64 @@
 		"carriage return":            "HTTP/1.1 200 O\rK\r\n" + okFields,
 	})
 }
+
+// checkCut sends responses of which all from a byte on is missing, each beginning from the first one, and checks the error of
+// the exchange. The endpoint closes the connection or resets it.
+func checkCut(t *testing.T, response string, first int, check func(is *is.I, err error)) {
+	t.Helper()
+	for _, end := range []string{"closed", "reset"} {
+		t.Run(end, func(t *testing.T) {
+			is := is.New(t)
+			var cut atomic.Int32
+			e := listen(t, func(_ int, c *net.TCPConn) {
+				if _, err := readRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, response[:cut.Load()])
+				if end == "reset" {
+					_ = c.SetLinger(0)
+				}
+				_ = c.Close()
+			})
+			client := newClient()
+			for n := first; n < len(response); n++ {
+				cut.Store(int32(n))
+				_, err := exchange(client, e, get("r1"))
+				check(is, err)
+			}
+		})
+	}
+}
+
+// TestCutHead guards against a head of which only the beginning has arrived and that passes for a response, with no body or
+// with one that ends with its connection.
+func TestCutHead(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":          "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n",
+		"chunks":          "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"no length":       unframedHead,
+		"no body":         "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n\r\n",
+		"line feeds":      "HTTP/1.1 200 OK\nRequest-Id: r1\nContent-Length: 0\n\n",
+		"HTTP/1.0":        "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\n\r\n",
+		"interim":         "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n",
+		"continued field": "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX: y\r\n z\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkCut(t, head, 0, func(is *is.I, err error) { is.Equal(stage(err), Sent) })
+		})
+	}
+}
+
+// TestCutBody guards against a body that ends before its length or its last chunk and passes for complete.
+func TestCutBody(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, parts := range map[string][2]string{
+		"length":         {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\n", "part"},
+		"chunks":         {chunked, "2\r\npa\r\n2\r\nrt\r\n0\r\n\r\n"},
+		"trailer fields": {chunked, "4\r\npart\r\n0\r\nX: y\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkCut(t, parts[0]+parts[1], len(parts[0]), func(is *is.I, err error) { is.True(err != nil) })
+		})
+	}
+}
