relay: a response to a status query that breaks off says nothing about the endpoint

Found by checking every place that reads responses: a report or an answer to a health check that broke off counted as one of an endpoint that is reachable and as fast as usual, also where a report before it had said that it is slow.

Cause: the query recorded its result before it read the body, and an unreadable report counted as none.

Change: the response is read to its end first; if that fails, nothing is recorded. Reservations and releases read the whole response before, and are kept in the test. logAvoided returns the picker's map in place of a copy of it.

--- a/relay/broken_test.go
+++ b/relay/broken_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -193,3 +194,56 @@
 		t.Run(name, func(t *testing.T) { checkNotDelivered(t, "", answerAndClose(response)) })
 	}
 }
+
+// TestBrokenAnswersToOwnCalls guards against a broken response that counts as a report, a reservation, a release or the answer
+// to a health check.
+func TestBrokenAnswersToOwnCalls(t *testing.T) {
+	const (
+		ok   = "HTTP/1.1 200 OK\r\nPace: 1\r\n"
+		body = "Content-Length: 2\r\n\r\n{}"
+		slow = 3
+	)
+	forms := map[string]string{
+		"status 000":        "HTTP/1.1 000 OK\r\nPace: 1\r\n" + body,
+		"blank in a name":   ok + "Bad Name: x\r\n" + body,
+		"cut head":          ok + "Content-Len",
+		"cut body":          ok + "Content-Length: 2\r\n\r\n{",
+		"cut chunk":         ok + "Transfer-Encoding: chunked\r\n\r\n2\r\n{",
+		"missing last part": ok + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n",
+	}
+	calls := map[string]func(g *Gateway, e catalog.Endpoint) error{
+		"report": func(g *Gateway, e catalog.Endpoint) error { _, err := g.fetchReport(t.Context(), e); return err },
+		"status query": func(g *Gateway, e catalog.Endpoint) error {
+			g.queryEndpoint(&watchedEndpoint{Endpoint: e, service: catalog.Service{Name: "s", Engine: new(catalog.Engine)}})
+			return nil
+		},
+		"health check": func(g *Gateway, e catalog.Endpoint) error {
+			g.queryEndpoint(&watchedEndpoint{Endpoint: e, service: catalog.Service{Name: "s", HealthPath: "/health"}})
+			return nil
+		},
+		"reservation": func(g *Gateway, e catalog.Endpoint) error {
+			return g.sendOrder(t.Context(), &reservation{endpoint: e}, g.deps.Protocol.Reserve(e.ID, "m", 1, time.Second))
+		},
+		"release": func(g *Gateway, e catalog.Endpoint) error {
+			return g.sendOrder(t.Context(), &reservation{endpoint: e}, g.deps.Protocol.Release(e.ID, "m"))
+		},
+	}
+	for form, response := range forms {
+		for call, do := range calls {
+			t.Run(call+"/"+form, func(t *testing.T) {
+				is := is.New(t)
+				b := newRawGateway(t, func(_ int, c *net.TCPConn) { answerAndClose(response)(c) })
+				e := b.source.endpoints[0]
+				b.gateway.picker.recordReport(e.ID, EndpointReport{Slowdown: slow}, time.Now())
+				err := do(b.gateway, e)
+				if strings.HasPrefix(call, "status") || strings.HasPrefix(call, "health") {
+					b.gateway.picker.mu.Lock()
+					defer b.gateway.picker.mu.Unlock()
+					is.Equal(b.gateway.picker.health.Slowdown(e.ID, time.Now()), float64(slow)) // as before
+					return
+				}
+				is.True(err != nil)
+			})
+		}
+	}
+}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -27,6 +28,8 @@
 	queryTimeout = 400 * time.Millisecond
 	// reassignInterval is how often this gateway recomputes which endpoints it watches.
 	reassignInterval = time.Second
+	// maxDiscardedBytes bounds how much of a response is read beyond the report.
+	maxDiscardedBytes = 64 << 10
 )
 
 // watchedEndpoint is an endpoint that this gateway queries for its health.
@@ -48,7 +51,7 @@
 	}
 	var list map[string]*watchedEndpoint
 	var assignedAt time.Time
-	avoided := make(map[string]bool)
+	avoided := make(map[string]int)
 	for g.pause(watchInterval) {
 		now := time.Now()
 		if now.Sub(assignedAt) >= reassignInterval {
@@ -60,24 +63,20 @@
 }
 
 // logAvoided logs which endpoints of the local cell are avoided because several gateways failed
-// there, and which are used again. before is its previous result.
-func (g *Gateway) logAvoided(before map[string]bool, now time.Time) map[string]bool {
+// there, with their number, and which are used again. before is its previous result.
+func (g *Gateway) logAvoided(before map[string]int, now time.Time) map[string]int {
 	avoided := g.picker.avoidedEndpoints(now)
 	for id, gateways := range avoided {
-		if !before[id] {
+		if _, known := before[id]; !known {
 			g.deps.Log.Logger().Warn("Endpoint left alone.", "endpoint", id, "gateways", gateways)
 		}
 	}
-	after := make(map[string]bool, len(avoided))
-	for id := range avoided {
-		after[id] = true
-	}
 	for id := range before {
-		if !after[id] {
+		if _, still := avoided[id]; !still {
 			g.deps.Log.Logger().Info("Endpoint no longer left alone.", "endpoint", id)
 		}
 	}
-	return after
+	return avoided
 }
 
 // queryDue queries the endpoints that are due.
@@ -140,8 +139,8 @@
 }
 
 // queryEndpoint queries an endpoint and records the response, or that there was none, as evidence of
-// its health. Any response of its own shows that the endpoint is alive, since health checks may be
-// wrong in either direction.
+// its health. Any complete response of its own shows that the endpoint is alive, since health checks
+// may be wrong in either direction.
 func (g *Gateway) queryEndpoint(e *watchedEndpoint) {
 	query := g.queryRequest(e)
 	if query == nil || !g.mayQuery(e.Endpoint) {
@@ -160,20 +159,15 @@
 		g.recordQueryFailure(e.Endpoint, health.Replaced, nil)
 		return
 	}
-	report := EndpointReport{Slowdown: 1}
-	if e.service.Engine != nil {
-		if parsed, ok, err := g.deps.Protocol.ReadReport(res); err != nil {
-			g.deps.Log.Logger().Warn("Reading an endpoint's report failed.", "endpoint", e.ID, "err", err)
-		} else if ok {
-			report = parsed
-		}
+	report, _, err := g.readReport(res, e.service.Engine != nil)
+	if err != nil {
+		g.deps.Log.Logger().Warn("Reading an endpoint's report failed.", "endpoint", e.ID, "err", err)
+		return
 	}
+	report.Slowdown = max(report.Slowdown, 1) // without a report as well
 	if g.picker.recordReport(e.ID, report, time.Now()) {
 		g.deps.Log.Logger().Info("Endpoint's pace changed.", "endpoint", e.ID, "pace", report.Slowdown)
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBytes)); err != nil {
-		return // the error closes the connection; the rest was read only to keep it
-	}
 }
 
 // fetchReport queries an endpoint with an engine for its report.
@@ -186,19 +180,23 @@
 		return r, err
 	}
 	defer res.Body.Close()
-	r, ok, err := g.deps.Protocol.ReadReport(res)
-	if err != nil {
-		return r, err
-	}
-	if !ok {
-		return r, trace.Errorf("endpoint %s answered %s", e.ID, res.Status)
+	r, ok, err := g.readReport(res, true)
+	if err == nil && !ok {
+		err = trace.Errorf("endpoint %s answered %s", e.ID, res.Status)
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBytes)) // to keep the connection
-	return r, trace.Wrap(err)
+	return r, err
 }
 
-// maxDiscardedBytes bounds how much of a response is read beyond the report to keep the connection.
-const maxDiscardedBytes = 64 << 10
+// readReport reads a response to its end, or fails if it breaks off; ok is set if a report was expected and it is one.
+func (g *Gateway) readReport(res *http.Response, expected bool) (r EndpointReport, ok bool, err error) {
+	if expected {
+		r, ok, err = g.deps.Protocol.ReadReport(res)
+	}
+	if err == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBytes))
+	}
+	return r, ok, trace.Wrap(err)
+}
 
 // queryRequest returns the query for an endpoint, or nil if there is none that it would answer.
 func (g *Gateway) queryRequest(e *watchedEndpoint) *upstream.Request {
