upstream: a transfer coding makes a response of HTTP/1.0 malformed

Cause: HTTP/1.0 has no transfer codings; net/http drops the field from the header and reads until the connection ends, so that nothing after it can tell.

Change: httpresponse.Conn looks for the field in the head of an HTTP/1.0 response while it is read, and its CheckHead refuses such a head, as RFC 9112 (6.1) asks. Of other responses the status line alone is looked at.

Measured: TestCodingInHTTP10 failed in 6 of 6 cases of upstream and 4 of 4 of relay; both pass. TestBodyOfHTTP10 and the HTTP/1.0 cases of TestResponseBeforeUploadIsRead, sound responses, pass before and after.

--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -19,6 +21,9 @@
 type Conn struct {
 	net.Conn
 	received uint64 // bytes that were read
+
+	mu     sync.Mutex
+	coding codingScanner // of the response that is read
 }
 
 // NewConn returns a connection over c, from which nothing has been read.
@@ -31,12 +36,36 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += uint64(n)
+	c.scan(p[:n])
 	if err == io.EOF && c.broken() {
 		err = ErrBroken
 	}
 	return n, err
 }
 
+// BeginResponse is called before a request is sent: what is read next is the head of the response.
+func (c *Conn) BeginResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.coding.begin()
+}
+
+func (c *Conn) scan(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.coding.scan(p)
+}
+
+// CheckHead is the function CheckHead for a response of which at least the head was read from the connection.
+func (c *Conn) CheckHead(res *http.Response) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.coding.found {
+		return &MalformedError{"a transfer coding in HTTP/1.0"}
+	}
+	return CheckHead(res)
+}
+
 // broken reports whether a connection of which everything was read has ended without a FIN of its peer. A FIN occupies a
 // byte of the sequence of those received, so that the kernel counts one more than were read.
 func (c *Conn) broken() bool {
--- a/relay/broken_test.go
+++ b/relay/broken_test.go
@@ -175,6 +175,12 @@
 	}
 }
 
+// TestCodingInHTTP10 guards against a transfer coding in an HTTP/1.0 response, of which a caller gets the framing as the body.
+func TestCodingInHTTP10(t *testing.T) {
+	const response = "HTTP/1.0 200 OK\r\nId: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n0\r\n\r\n"
+	checkNotDelivered(t, "", answerAndClose(response))
+}
+
 // TestCutResponse guards against a response whose head or body has ended too early and reaches a caller as complete.
 func TestCutResponse(t *testing.T) {
 	const chunked = okHead + "Transfer-Encoding: chunked\r\n\r\nf\r\n"
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -219,6 +219,34 @@
 	})
 }
 
+// TestCodingInHTTP10 guards against a transfer coding in an HTTP/1.0 response, of which the framing passes for the body.
+func TestCodingInHTTP10(t *testing.T) {
+	const chunked = "\r\n2\r\nhi\r\n0\r\n\r\n"
+	checkMalformed(t, map[string]string{
+		"chunked":             "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n" + chunked,
+		"chunked, other case": "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nTRANSFER-encoding:chunked\r\n" + chunked,
+		"chunked, line feeds": "HTTP/1.0 200 OK\nRequest-Id: r1\nTransfer-Encoding: chunked\n" + chunked,
+		"beside a length":     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + okFields,
+		"after a long field":  "HTTP/1.0 200 OK\r\nX: " + strings.Repeat("x", 2*readBuffer) + "\r\nTransfer-Encoding: chunked\r\n" + okFields,
+		"after a longer line": "HTTP/1.0 200 " + strings.Repeat("x", 100) + "\r\nTransfer-Encoding: chunked\r\n" + okFields,
+	})
+}
+
+// TestBodyOfHTTP10 guards against a sound HTTP/1.0 response that is refused for what its body holds.
+func TestBodyOfHTTP10(t *testing.T) {
+	is := is.New(t)
+	const body = "\r\nTransfer-Encoding: chunked\r\n\r\n"
+	e := listen(t, func(_ int, c *net.TCPConn) {
+		if _, err := readRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nX-Transfer-Encoding: x\r\n\r\n"+body)
+		}
+		_ = c.Close()
+	})
+	got, err := exchange(newClient(), e, get("r1"))
+	is.NoErr(err)
+	is.Equal(got, body)
+}
+
 // checkCut sends responses of which all from a byte on is missing, each beginning from the first one, and checks the error of
 // the exchange. The endpoint closes the connection or resets it.
 func checkCut(t *testing.T, response string, first int, check func(is *is.I, err error)) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -319,6 +319,7 @@
 // response, since an endpoint may respond before it has read all of it.
 func (c *conn) send(r *Request) {
 	c.written.Store(false)
+	c.BeginResponse()
 	head := encodeHead(r)
 	if len(head)+len(r.Body) <= writeBuffer {
 		c.writeSync(append(head, r.Body...))
@@ -385,7 +386,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := httpresponse.CheckHead(res); err != nil {
+		if err := c.CheckHead(res); err != nil {
 			return nil, err
 		}
 		if res.StatusCode/100 == 1 {
