localhttp: an agent refuses broken responses of its engine or service

Found by checking every place that reads responses. What rudder-gateway's callers got through an agent: a part of a response without a length as complete, after the service had reset the connection during the upload; status 600 and 101, the framing of chunks as the body, and responses with malformed names. An engine's status 000, or any response with a malformed name, that named the code "refused" proved to the agent that a request had not started.

Change: httpresponse.Transport applies Conn and CheckHead to an http.Transport, and localhttp uses it for both clients. As http.Transport closes a connection whose write failed, Conn.Close keeps what the kernel knew, for a read that ended before.

--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -22,8 +22,9 @@
 	net.Conn
 	received uint64 // bytes that were read
 
-	mu     sync.Mutex
-	coding codingScanner // of the response that is read
+	mu      sync.Mutex
+	coding  codingScanner // of the response that is read
+	atClose *unix.TCPInfo // as the connection was when Close was called; nil: it was not
 }
 
 // NewConn returns a connection over c, from which nothing has been read.
@@ -66,22 +67,44 @@
 	return CheckHead(res)
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	if c.atClose == nil {
+		c.atClose = c.tcpInfo()
+	}
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // broken reports whether a connection of which everything was read has ended without a FIN of its peer. A FIN occupies a
-// byte of the sequence of those received, so that the kernel counts one more than were read.
+// byte of the sequence of those received, so that the kernel counts one more than were read. A user of the connection that
+// writes may close it between the end of a read and this question.
 func (c *Conn) broken() bool {
+	c.mu.Lock()
+	info := c.tcpInfo()
+	if info == nil {
+		info = c.atClose
+	}
+	c.mu.Unlock()
+	return info != nil && info.State == unix.BPF_TCP_CLOSE && info.Bytes_received <= c.received
+}
+
+// tcpInfo returns what the kernel knows of the connection; nil if it is closed here, or no TCP socket.
+func (c *Conn) tcpInfo() *unix.TCPInfo {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return nil
 	}
 	var info *unix.TCPInfo
-	var infoErr error
+	var failure error
 	err = raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		info, failure = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil || infoErr != nil {
-		return false
+	if err != nil || failure != nil {
+		return nil
 	}
-	return info.State == unix.BPF_TCP_CLOSE && info.Bytes_received <= c.received
+	return info
 }
 
 // SyscallConn implements syscall.Conn. It fails with errors.ErrUnsupported if the connection is not a socket.
--- a/internal/httpresponse/conn_test.go
+++ b/internal/httpresponse/conn_test.go
@@ -122,6 +122,8 @@
 					is.True(errors.Is(err, ErrBroken))
 				}
 				<-written
+				_ = near.Close()
+				is.Equal(near.broken(), !tc.complete) // also after a close in between
 			})
 		}
 	}
--- a/internal/localhttp/localhttp.go
+++ b/internal/localhttp/localhttp.go
@@ -3,9 +3,12 @@
 package localhttp
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/micarudder/micarudder/internal/httpresponse"
 )
 
 const (
@@ -15,8 +18,8 @@
 )
 
 // New returns a copy of the given client, or a new client for a peer on the same
-// host if given is nil. The client does not follow redirects, because they would
-// send a request a second time.
+// host if given is nil. The client refuses malformed responses. It does not follow
+// redirects, because they would send a request a second time.
 func New(given *http.Client) http.Client {
 	var c http.Client
 	if given != nil {
@@ -24,6 +27,7 @@
 	} else {
 		c.Transport = newTransport()
 	}
+	c.Transport = httpresponse.NewTransport(cmp.Or(c.Transport, http.DefaultTransport))
 	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c
 }
@@ -31,7 +35,7 @@
 func newTransport() *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         httpresponse.Dialer(d.DialContext),
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
