metastore: a broken response to a write leaves its outcome unknown

Found by checking every place that reads responses: status 000, or an error whose head holds a malformed name, counted as a rejection of the store, so that a write that may have taken effect was reported as one without effect.

Cause: any status below 500 but 200 and 408 is taken for a rejection, and what is no response had a status too.

Change: the client reads responses through httpresponse.Transport.

Heads and bodies that are cut held before and are kept.

--- a/metastore/client.go
+++ b/metastore/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/micarudder/micarudder/internal/etcdjson"
+	"github.com/micarudder/micarudder/internal/httpresponse"
 	"golang.org/x/time/rate"
 )
 
@@ -55,6 +57,7 @@
 	o = o.withDefaults()
 	own := *o.HTTPClient
 	own.Timeout = 0 // a watch is unbounded; each attempt has its own timeout
+	own.Transport = httpresponse.NewTransport(cmp.Or(own.Transport, http.DefaultTransport))
 	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	c := &Client{
 		options:  o,
--- a/metastore/fault_test.go
+++ b/metastore/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -119,6 +120,10 @@
 	{name: "redirect", begin: respondingWith(http.StatusTemporaryRedirect, ""), read: metastore.ErrUnavailable, write: metastore.ErrUnavailable},
 	{name: "empty response", begin: respondingWith(http.StatusOK, ""), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
 	{name: "response cut off", begin: respondingWith(http.StatusOK, `{"header":{"revision":"9"`), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "status 000", begin: respondingWithText("HTTP/1.1 000 Unknown\r\nContent-Length: 2\r\n\r\n{}"), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "malformed name", begin: respondingWithText("HTTP/1.1 400 Bad Request\r\nBad Name: x\r\nContent-Length: 2\r\n\r\n{}"), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "response ends within its head", begin: respondingWithText("HTTP/1.1 400 Bad Request\r\nContent-Len"), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
+	{name: "response ends within its body", begin: respondingWithText("HTTP/1.1 400 Bad Request\r\nContent-Length: 9\r\n\r\n{}"), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
 	{name: "response of another service", begin: respondingWith(http.StatusOK, `"<html>"`), read: metastore.ErrUnavailable, write: metastore.ErrUnknown},
 }
 
@@ -139,6 +144,22 @@
 	}
 }
 
+// respondingWithText replaces the service by one that writes text and closes the connection.
+func respondingWithText(text string) func(*fixture) {
+	return func(b *fixture) {
+		b.net.remove(address)
+		b.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, text)
+			_ = c.Close()
+		}))
+	}
+}
+
 // exhaustLimiters uses up the burst of the rate limiters.
 func (b *fixture) exhaustLimiters() {
 	ctx := b.t.Context()
--- a/metastore/options.go
+++ b/metastore/options.go
@@ -9,6 +9,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
+
+	"github.com/micarudder/micarudder/internal/httpresponse"
 )
 
 // MaxValue is the largest value, in bytes, that the service accepts.
@@ -106,7 +108,7 @@
 func newTransport(timeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: timeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         httpresponse.Dialer(dialer.DialContext),
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 	}
