--- a/peers/client.go
+++ b/peers/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/micarudder/micarudder/internal/httpresponse"
 )
 
 const (
@@ -43,10 +45,14 @@
 // NewClient returns a client. The timeout bounds each request; 0: only its context does. idlePerHost is how
 // many idle connections are kept to one gateway.
 func NewClient(port int, timeout time.Duration, idlePerHost int) *Client {
-	return &Client{Port: port, http: &http.Client{
-		Timeout:   timeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes},
-	}}
+	return &Client{Port: port, http: &http.Client{Timeout: timeout, Transport: httpresponse.NewTransport(newTransport(idlePerHost))}}
+}
+
+func newTransport(idlePerHost int) *http.Transport {
+	return &http.Transport{
+		DialContext:         httpresponse.Dialer(new(net.Dialer).DialContext),
+		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes,
+	}
 }
 
 // URL returns the URL of a path at the gateway with this address.
--- a/peers/client_test.go
+++ b/peers/client_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/micarudder/micarudder/catalog"
 	"github.com/micarudder/micarudder/endpointlist"
+	"github.com/micarudder/micarudder/internal/httpresponse"
 	"github.com/micarudder/micarudder/internal/memtest"
 )
 
@@ -64,7 +65,9 @@
 			defer server.Close()
 			var read atomic.Int64
 			c := NewClient(0, 20*time.Second, 1)
-			c.http.Transport.(*http.Transport).DialContext = memtest.CountingDialer(&read)
+			transport := newTransport(1)
+			transport.DialContext = memtest.CountingDialer(&read)
+			c.http.Transport = httpresponse.NewTransport(transport)
 			var into []struct{ ID string }
 			err := c.Get(t.Context(), server.URL, &into)
 			is.True(err != nil)
@@ -75,6 +78,37 @@
 	}
 }
 
+// TestBrokenDocuments guards against a response of a gateway that is none, or that broke off, and passes for a document.
+func TestBrokenDocuments(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+	for name, response := range map[string]string{
+		"status 000":         "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n[]",
+		"name with a blank":  sound + "Bad Name: x\r\n\r\n[]",
+		"coding in HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n[]",
+		"cut head":           sound,
+		"cut body":           sound + "\r\n[",
+		"no body":            sound + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, response)
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			c := NewClient(0, 20*time.Second, 1)
+			var into []struct{ ID string }
+			is.True(c.Get(t.Context(), server.URL, &into) != nil)
+			is.True(c.Post(t.Context(), server.URL, into, &into) != nil)
+		})
+	}
+}
+
 // TestDocumentsOfTheLargestInstallation guards against refusing what gateways tell each other at twice the size that
 // the product is designed for.
 func TestDocumentsOfTheLargestInstallation(t *testing.T) {
