daemon/keepalive: an aborted response does not look complete to a caller of HTTP/1.0

Cause: HTTP/1.0 has no chunks, so that a response without a length ends with its connection, and net/http closes the connection of a handler that aborts as it closes any other.

Change: Conns.Attach, through which all servers of callers go, wraps the handler: one that panics while it serves HTTP/1.0 has its connection reset. Handlers change nothing.

Measured: TestAbortedResponse failed for an aborted response of HTTP/1.0, and passes; complete ones, and HTTP/1.1, are unchanged.

--- a/daemon/keepalive/conns.go
+++ b/daemon/keepalive/conns.go
@@ -80,6 +80,8 @@
 			wrapped.stateChanged(state)
 		}
 	}
+	srv.ConnContext = withConn(srv.ConnContext)
+	srv.Handler = resetAborted(srv.Handler)
 }
 
 // Wrap adds a connection that was accepted for a server, whose limits on heads apply: the timeout counts from the first
--- a/daemon/keepalive/room.go
+++ b/daemon/keepalive/room.go
@@ -97,7 +97,7 @@
 	return false
 }
 
-// reset closes a connection so that its caller knows that nothing was read.
+// reset closes a connection so that its caller knows that nothing was read, or that its response is not complete.
 func reset(c net.Conn) {
 	inner := c
 	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
