--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -10,10 +10,11 @@
 	"time"
 
 	"github.com/micarudder/micarudder/heldmemory"
+	"github.com/micarudder/micarudder/internal/httpresponse"
 )
 
-// FuzzResponse checks that whatever an endpoint sends is read to its end or fails, that a response to another
-// request is never taken for the one that is awaited, and that nothing counts as held afterwards.
+// FuzzResponse checks that whatever an endpoint sends is read to its end or fails, that neither a malformed response nor one
+// to another request is taken for the one that is awaited, and that nothing counts as held afterwards.
 func FuzzResponse(f *testing.F) {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
 	for _, text := range []string{
@@ -22,6 +23,8 @@
 		head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
 		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okResponse,
 		strings.Replace(okResponse, "r1", "r0", 1) + okResponse,
+		strings.Replace(okResponse, "200", "000", 1), strings.Replace(okResponse, "Content-Length", "Content-Length ", 1),
+		"HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
 		strings.Repeat("[0.0123,0.4567],", 5000), head + strings.Repeat("a:\n", 9000), head + "X: " + strings.Repeat("y", 70000),
 		head + "Transfer-Encoding: chunked\r\n\r\n1;" + strings.Repeat("e", 9000), head + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("T: x\r\n", 2000),
 	} {
@@ -46,6 +49,12 @@
 			if got := res.Header.Get("Request-Id"); got != "r1" {
 				t.Fatalf("response to request %q", got)
 			}
+			if res.StatusCode/100 == 1 {
+				t.Fatalf("interim response %q", res.Status)
+			}
+			if err := httpresponse.CheckHead(res); err != nil {
+				t.Fatal(err)
+			}
 			n, err := io.Copy(io.Discard, res.Body)
 			if err == nil && n > int64(len(text)) {
 				t.Fatalf("%d bytes of %d", n, len(text))
