--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -24,7 +24,7 @@
 
 	mu      sync.Mutex
 	coding  codingScanner // of the response that is read
-	atClose *unix.TCPInfo // as the connection was when Close was called; nil: it was not
+	atClose *unix.TCPInfo // state at the first call of Close; nil: not called, or no TCP socket
 }
 
 // NewConn returns a connection over c, from which nothing has been read.
@@ -67,7 +67,8 @@
 	return CheckHead(res)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A user that writes may call it after a failed write, while a read that has ended asks whether
+// the connection broke.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	if c.atClose == nil {
@@ -78,8 +79,7 @@
 }
 
 // broken reports whether a connection of which everything was read has ended without a FIN of its peer. A FIN occupies a
-// byte of the sequence of those received, so that the kernel counts one more than were read. A user of the connection that
-// writes may close it between the end of a read and this question.
+// byte of the sequence of those received, so that the kernel counts one more than were read.
 func (c *Conn) broken() bool {
 	c.mu.Lock()
 	info := c.tcpInfo()
--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -25,17 +25,17 @@
 func CheckHead(res *http.Response) error {
 	switch {
 	case res.ProtoMajor != 1:
-		return &MalformedError{fmt.Sprintf("protocol %q", res.Proto)}
+		return &MalformedError{fmt.Sprintf("protocol %.100q", res.Proto)}
 	case !httpguts.ValidHeaderFieldValue(res.Status):
-		return &MalformedError{fmt.Sprintf("control byte in the status line %q", res.Status)}
+		return &MalformedError{fmt.Sprintf("control byte in the status line %.100q", res.Status)}
 	case res.StatusCode < minStatus || res.StatusCode > maxStatus:
-		return &MalformedError{fmt.Sprintf("status %q", res.Status)}
+		return &MalformedError{fmt.Sprintf("status %.100q", res.Status)}
 	case res.StatusCode == http.StatusSwitchingProtocols:
 		return &MalformedError{"a switch of protocols that no request asks for"}
 	}
 	for name := range res.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return &MalformedError{fmt.Sprintf("name of a header field %q", name)}
+			return &MalformedError{fmt.Sprintf("name of a header field %.100q", name)}
 		}
 	}
 	return nil
