daemon/keepalive: a test gives its handler to the server before the start

Ruled out: a fault of the product; all servers there have their handler before Attach.

Change: the test passes its handler to newServerWith. What it checks is the same.

--- a/daemon/keepalive/keepalive_test.go
+++ b/daemon/keepalive/keepalive_test.go
@@ -30,9 +30,15 @@
 	release chan struct{} // one value for each response
 }
 
-func newServer() *server {
+func newServer() *server { return newServerWith(nil) }
+
+// newServerWith starts a server with a handler of the test, or with its own if that is nil.
+func newServerWith(handler http.Handler) *server {
 	s := &server{conns: New(Options{RetryAfter: 50 * time.Millisecond}), l: pipe.Listen(), release: make(chan struct{}, 10)}
-	s.http = &http.Server{Handler: s, ReadHeaderTimeout: testHeadTimeout, IdleTimeout: testIdleTimeout, MaxHeaderBytes: 16 << 10}
+	if handler == nil {
+		handler = s
+	}
+	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: testHeadTimeout, IdleTimeout: testIdleTimeout, MaxHeaderBytes: 16 << 10}
 	go func() { _ = s.conns.Serve(s.http, s.l) }()
 	return s
 }
@@ -285,9 +291,8 @@
 func TestResponseIsInFlightUntilWritten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := newServer()
+		s := newServerWith(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "response") }))
 		defer s.close()
-		s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "response") })
 		conn, err := s.l.Dial(t.Context())
 		is.NoErr(err)
 		defer func() { _ = conn.Close() }()
