--- a/agent/call.go
+++ b/agent/call.go
@@ -7,14 +7,10 @@
 	"time"
 
 	"github.com/micarudder/micarudder/lifecycle"
-	"github.com/micarudder/micarudder/result"
 	"github.com/micarudder/micarudder/rudderv1"
 	"github.com/micarudder/micarudder/service"
 )
 
-// maxStatus is the highest HTTP status that can be forwarded.
-const maxStatus = 999
-
 // runCall executes a call at the plain service.
 func (a *Agent) runCall(r *run) {
 	started := time.Now()
@@ -27,10 +23,6 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.Status < http.StatusOK || response.Status > maxStatus {
-		r.apply(lifecycle.Event{Kind: lifecycle.EvEnd, Code: result.EndpointFailed}, "status outside 200 to 999")
-		return
-	}
 	r.apply(lifecycle.Event{Kind: lifecycle.EvResponse}, "")
 	r.setHead(&rudderv1.ServiceHead{Status: uint32(response.Status), Headers: fromHeader(response.Header)})
 	a.readBody(r, response.Body, started)
--- a/relay/broken_test.go
+++ b/relay/broken_test.go
@@ -58,21 +58,28 @@
 	eventBody = "Content-Length: 15\r\n\r\n" + event
 )
 
-// writeSound reads a request and writes a complete response to it, which any route takes for one.
-func writeSound(c *net.TCPConn) {
+// answer reads a request, writes the response to its header and closes the connection.
+func answer(c *net.TCPConn, response func(h http.Header) string) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	body := event
-	if r.Header.Get("After") == "1" {
-		body = ""
+	_, _ = io.WriteString(c, response(r.Header))
+}
+
+// answerAndClose returns an endpoint that reads a request, writes the response and closes the connection.
+func answerAndClose(response string) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) { answer(c, func(http.Header) string { return response }) }
+}
+
+// soundResponse returns a complete response, which any route takes for one.
+func soundResponse(h http.Header) string {
+	if h.Get("After") == "1" {
+		return okHead + "Connection: close\r\nContent-Length: 0\r\n\r\n"
 	}
-	w := bufio.NewWriter(c)
-	writeResponse(w, "200 OK", "Seal: s\r\nConnection: close\r\n", body)
-	_ = w.Flush()
+	return okHead + "Connection: close\r\n" + eventBody
 }
 
 // checkNotDelivered sends a request to each kind of route, whose first attempt is served by broken. What may be repeated has
@@ -84,7 +91,7 @@
 			is := is.New(t)
 			b := newRawGateway(t, func(n int, c *net.TCPConn) {
 				if n > 1 {
-					writeSound(c)
+					answer(c, soundResponse)
 					return
 				}
 				broken(c)
@@ -107,19 +114,6 @@
 	}
 }
 
-// answerAndClose returns an endpoint that reads a request, writes the response and closes the connection.
-func answerAndClose(response string) func(c *net.TCPConn) {
-	return func(c *net.TCPConn) {
-		defer c.Close()
-		r, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = io.WriteString(c, response)
-	}
-}
-
 // TestResetDuringUpload guards against a response without a length that reaches a caller as complete, although the endpoint
 // has reset its connection while the request was sent.
 func TestResetDuringUpload(t *testing.T) {
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -21,24 +21,10 @@
 
 // serveEndless sends begin and then part without end over each connection to a new listener, whose address it returns.
 func serveEndless(t *testing.T, begin, part string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				memtest.SendEndlessly(c, begin, part)
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return serveConns(t, func(_ int, c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		memtest.SendEndlessly(c, begin, part)
+	})
 }
 
 // TestEndlessAnswersToOwnCalls guards against an endpoint that answers what a gateway asks for itself with bytes without
--- a/service/service.go
+++ b/service/service.go
@@ -31,7 +31,7 @@
 
 // Response is the response of the service; Body must be closed.
 type Response struct {
-	Status int
+	Status int // 200 to 599
 	Header http.Header
 	Body   io.ReadCloser // a read error other than io.EOF means ErrLost
 }
